--- /dev/null
+++ b/simwire/host.go
@@ -0,0 +1,278 @@
+package simwire
+
+import (
+	"encoding/json"
+	"math"
+
+	"eiderway/splitter"
+)
+
+// held is a txn the router has taken, or one whose submissions have not all ended.
+type held struct {
+	id    string
+	txn   int
+	tries int
+	out   map[int]func(splitter.Result)
+	over  bool
+}
+
+// host is one router with what its wire names stand for.
+type host struct {
+	s      *server
+	name   string
+	router *splitter.Router
+	facts  facts
+	types  map[string]int
+	zones  map[string]int
+	tenant map[string]int
+	zero   float64
+
+	txns   map[string]*held // emptied as a txn is over and its last submission ends
+	slots  []*held
+	free   []int
+	nodes  map[string]int
+	names  []string
+	probes map[int][]func(splitter.Report)
+	timers map[int]func()
+	mark   int
+}
+
+func newHost(s *server, name string) *host {
+	return &host{s: s, name: name, txns: map[string]*held{}, nodes: map[string]int{}, types: map[string]int{},
+		zones: map[string]int{}, tenant: map[string]int{}, probes: map[int][]func(splitter.Report){},
+		timers: map[int]func(){}}
+}
+
+func (h *host) act(kind string, fields ...any) {
+	m := map[string]any{"router": h.name}
+	for i := 0; i < len(fields); i += 2 {
+		m[fields[i].(string)] = fields[i+1]
+	}
+	b, err := json.Marshal(map[string]any{kind: m})
+	if err != nil {
+		panic(err)
+	}
+	h.s.out.Write(b)
+	h.s.out.WriteByte(',')
+}
+
+func (h *host) node(name string) int {
+	n, ok := h.nodes[name]
+	if !ok {
+		n = len(h.names)
+		h.nodes[name] = n
+		h.names = append(h.names, name)
+	}
+	return n
+}
+
+func (h *host) zone(name string) int {
+	z, ok := h.zones[name]
+	if !ok {
+		z = len(h.zones)
+		h.zones[name] = z
+	}
+	return z
+}
+
+func (h *host) take(name string, ev *event, lists map[int][]entry) {
+	switch name {
+	case "members":
+		h.members(ev, lists[ev.List])
+	case "ingress":
+		h.ingress(ev)
+	case "ring":
+		if then := h.timers[ev.Mark]; then != nil {
+			delete(h.timers, ev.Mark)
+			then()
+		}
+	case "checked":
+		n := h.node(ev.Node)
+		if q := h.probes[n]; len(q) > 0 {
+			h.probes[n] = q[1:]
+			r := h.report(ev.Usage)
+			r.OK = ev.Reason == 0
+			q[0](r)
+		}
+	case "attemptEnd":
+		h.ended(ev)
+	case "headers":
+		if t := h.txns[ev.Txn]; t != nil && !t.over {
+			h.router.Started(t.txn)
+		}
+	case "gone":
+		if t := h.txns[ev.Txn]; t != nil && !t.over {
+			h.router.Left(t.txn)
+			h.finish(t)
+		}
+	case "inbox":
+		h.router.Hear(ev.Data)
+	}
+}
+
+func (h *host) members(ev *event, lines []entry) {
+	kinds := map[string]splitter.ListKind{"changes": splitter.ListChanges, "all": splitter.ListAll,
+		"remembered": splitter.ListRemembered}
+	kind, ok := kinds[ev.Kind]
+	if !ok {
+		h.router.Members(splitter.ListRefused, nil)
+		return
+	}
+	states := map[string]splitter.State{"on": splitter.On, "fading": splitter.Draining}
+	list := make([]splitter.Member, 0, len(lines))
+	for _, e := range lines {
+		if e.Node == "" {
+			continue
+		}
+		m := splitter.Member{Node: h.node(e.Node), Name: e.Node, Group: -1, Zone: h.zone(e.Site),
+			State: splitter.Gone, Primary: e.Head == 1, Born: e.Born / 1000}
+		if st, ok := states[e.Lifecycle]; ok {
+			m.State = st
+		}
+		if e.Set != nil {
+			m.Group = *e.Set
+		}
+		list = append(list, m)
+	}
+	h.router.Members(kind, list)
+}
+
+func (h *host) ingress(ev *event) {
+	t := &held{id: ev.Txn, out: map[int]func(splitter.Result){}}
+	if k := len(h.free); k > 0 {
+		t.txn, h.free = h.free[k-1], h.free[:k-1]
+		h.slots[t.txn] = t
+	} else {
+		t.txn = len(h.slots)
+		h.slots = append(h.slots, t)
+	}
+	h.txns[ev.Txn] = t
+	x := splitter.Txn{ID: t.txn, Group: ev.ClusterNo, Tenant: -1, Until: ev.ValidUntil / 1000, Session: ev.Sess}
+	x.Type = len(h.types)
+	if k, ok := h.types[ev.Class]; ok {
+		x.Type = k
+	}
+	var team string
+	if json.Unmarshal(ev.Team, &team) == nil {
+		if k, ok := h.tenant[team]; ok {
+			x.Tenant = k
+		}
+	}
+	if ev.TokenMs != nil && *ev.TokenMs > 0 {
+		x.Wrote = h.s.now - *ev.TokenMs/1000
+	}
+	h.router.Arrive(x)
+}
+
+var outcomes = map[int]splitter.Outcome{0: splitter.Committed, 255: splitter.Failed, 254: splitter.Full,
+	253: splitter.TimedOut, 252: splitter.NoConn, 251: splitter.Broken, 250: splitter.Cancelled,
+	249: splitter.Unsent, 1: splitter.Missed}
+
+func (h *host) ended(ev *event) {
+	t := h.txns[ev.Txn]
+	if t == nil {
+		return
+	}
+	then := t.out[ev.Try]
+	delete(t.out, ev.Try)
+	if then == nil {
+		return
+	}
+	res := splitter.Result{Outcome: outcomes[ev.Reason], Latency: ev.Lag / 1000, Ended: ev.Final || t.over,
+		Report: h.report(ev.Usage)}
+	switch ev.Reason {
+	case 0, 1, 254, 255:
+		res.Role = splitter.RoleUnknown
+		if role := ev.Stamp % 4; role == 1 || role == 2 {
+			res.Role = splitter.Role(role)
+		}
+		res.Pos = 0
+		if ev.Stamp >= 4 {
+			res.Pos = h.zero + float64(ev.Stamp/4)/1000
+		}
+	}
+	if ev.Final {
+		h.finish(t)
+	}
+	then(res)
+	h.release(t)
+}
+
+func (h *host) report(usage map[string]*float64) splitter.Report {
+	r := splitter.Report{Load: -1}
+	for name, v := range usage {
+		if v == nil || math.IsNaN(*v) {
+			continue
+		}
+		switch name {
+		case "x0":
+			r.Pos = h.zero + *v
+		case "x1":
+			r.Role = splitter.RoleReplica
+			if *v == 1 {
+				r.Role = splitter.RolePrimary
+			}
+		case "active":
+			r.Load = *v
+		}
+	}
+	return r
+}
+
+func (h *host) finish(t *held) {
+	t.over = true
+	h.release(t)
+}
+
+func (h *host) release(t *held) {
+	if t.over && len(t.out) == 0 && h.slots[t.txn] == t {
+		h.slots[t.txn] = nil
+		h.free = append(h.free, t.txn)
+		delete(h.txns, t.id)
+	}
+}
+
+// Now, Submit and the rest are the splitter's Host.
+func (h *host) Now() float64 { return h.s.now }
+
+func (h *host) Submit(txn, node int, until float64, then func(splitter.Result)) {
+	t := h.slots[txn]
+	t.out[t.tries] = then
+	t.tries++
+	h.act("send", "txn", t.id, "node", h.names[node], "cutAt", until*1000)
+}
+
+func (h *host) Cancel(txn int) {
+	if t := h.slots[txn]; t != nil && t.tries > 0 {
+		h.act("abortAttempt", "txn", t.id, "try", t.tries-1)
+	}
+}
+
+func (h *host) Decline(txn int, pause float64) {
+	t := h.slots[txn]
+	h.act("shed", "txn", t.id, "pause", math.Round(pause*1000))
+	h.finish(t)
+}
+
+func (h *host) RollBack(txn int) {
+	t := h.slots[txn]
+	h.act("abort", "txn", t.id)
+	h.finish(t)
+}
+
+func (h *host) Probe(node int, then func(splitter.Report)) {
+	h.probes[node] = append(h.probes[node], then)
+	h.act("poll", "node", h.names[node])
+}
+
+func (h *host) After(at float64, then func()) {
+	h.mark++
+	h.timers[h.mark] = then
+	h.act("after", "at", at*1000, "mark", h.mark)
+}
+
+func (h *host) Watch() { h.act("tail", "on", true) }
+
+func (h *host) Tell(data []byte) { h.act("memoTo", "whom", "all", "data", data) }
+
+func (h *host) Note(text string) { h.act("noteDown", "reasonText", text) }
--- /dev/null
+++ b/splitter/api.go
@@ -0,0 +1,162 @@
+package splitter
+
+// Need says how fresh the data under a txn must be.
+type Need int
+
+const (
+	NeedAny     Need = iota // any member of the group will do
+	NeedBounded             // data no older than TxnType.Bound when submitted
+	NeedSession             // all that the session has written
+	NeedCurrent             // all that was committed before the txn arrived
+	NeedPrimary             // a write: only the primary takes it
+)
+
+// Effect says what a second run of a txn would do.
+type Effect int
+
+const (
+	Repeatable Effect = iota
+	Referenced
+	OnceOnly
+)
+
+// Scope is the set of nodes that drops the repeats of a referenced txn.
+type Scope int
+
+const (
+	ScopeGroup Scope = iota
+	ScopeZone
+	ScopeAll
+)
+
+// TxnType is what is known at start of one type of txn. Times are seconds.
+type TxnType struct {
+	Need      Need
+	Bound     float64
+	Effect    Effect
+	Scope     Scope
+	Window    float64 // how long a repeat is dropped, from the first submission that may have run
+	SLA       float64 // answered within this, a txn has its full value
+	Value     float64
+	LateValue float64 // the share of Value left after the SLA time
+}
+
+// Terms are what a router is told at start.
+type Terms struct {
+	Seed           int64
+	Me, Routers    int
+	Zone           int
+	Types          []TxnType
+	Shares         []float64 // by tenant: txns a second within its share, all routers together
+	OverShare      float64   // what a txn beyond its tenant's share is worth
+	NodesCheck     bool      // nodes turn away a read they are too far behind for
+	SessionsKept   bool      // the router itself remembers what a session wrote
+	ProbeRoles     bool      // probes are allowed and tell role and position
+	Probes         bool
+	Cancels        bool
+	Peers          bool
+	AskList        bool    // the member list comes only when watched
+	OnlyDrainBinds bool    // a node gone without a drain may still be used
+	MaxSubmissions int     // a txn
+	MaxPause       float64 // the longest pause a client heeds; 0: none
+	ColdFrom       float64 // share of its capacity a node starts with
+	WarmAfter      float64
+	Overload       float64 // a cold node falls when sent this multiple of what it can do
+	Fall           float64 // for this long
+}
+
+// Txn is one txn as it arrives.
+type Txn struct {
+	ID      int
+	Group   int
+	Type    int
+	Tenant  int     // -1: none
+	Until   float64 // expiry: when the client gives up
+	Session int64
+	Wrote   float64 // when the session last wrote, where the client brings that; 0: never
+}
+
+// Role is what a node says it is.
+type Role int
+
+const (
+	RoleUnknown Role = iota
+	RolePrimary
+	RoleReplica
+)
+
+// Outcome is how a submission ended.
+type Outcome int
+
+const (
+	Unknown   Outcome = iota // may have run
+	Committed                // answered
+	Failed                   // the node replied with an error; may have run
+	TimedOut                 // no reply in time; may have run
+	Broken                   // connection lost; may have run
+	Cancelled                // called off; may have run
+	Missed                   // never ran: no primary, or too far behind
+	Full                     // never ran: turned away unseen
+	NoConn                   // never ran: no connection
+	Unsent                   // never ran: not sent at all
+)
+
+// Result is what became of a submission.
+type Result struct {
+	Outcome Outcome
+	Latency float64
+	Ended   bool // the txn has its final answer
+	Report
+}
+
+// Report is what a node told of itself. Absent values are zero, Load -1.
+type Report struct {
+	OK   bool // a probe was answered
+	Role Role
+	Pos  float64 // the node has applied all commits up to this time
+	Load float64 // txns it holds
+}
+
+// State of a node in the member list.
+type State int
+
+const (
+	On State = iota
+	Draining
+	Gone
+)
+
+// Member is an entry of the member list.
+type Member struct {
+	Node    int
+	Name    string // the same at every router
+	Group   int
+	Zone    int
+	State   State
+	Primary bool    // the list's idea of its role: late, or never updated
+	Born    float64 // when it last started; 0: long ago
+}
+
+// ListKind says what a member list holds.
+type ListKind int
+
+const (
+	ListChanges ListKind = iota
+	ListAll
+	ListRemembered
+	ListRefused
+)
+
+// Host is what a router acts through. Closures run later, never inside the call.
+type Host interface {
+	Now() float64
+	Submit(txn, node int, until float64, then func(Result))
+	Cancel(txn int) // the submission that is out
+	Decline(txn int, pause float64)
+	RollBack(txn int)
+	Probe(node int, then func(Report))
+	After(at float64, then func())
+	Watch()
+	Tell(data []byte) // to every peer
+	Note(text string)
+}
--- /dev/null
+++ b/splitter/splitter.go
@@ -0,0 +1,825 @@
+// Package splitter decides where each txn of a replicated database cluster goes. It holds all decisions of eiderway.
+//
+// How to call it: New makes a router; hand it each member list (Members), each txn (Arrive) and each client that
+// left (Left). It acts through the Host given to New and learns through the closures it hands to that Host. The
+// interface, Host included, is in api.go; docs/design.md says what comes from the source and what is ours.
+package splitter
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"math/rand"
+	"slices"
+	"sort"
+)
+
+const (
+	tick         = 0.020 // s between looks at clocks: a few per shortest SLA time
+	margin       = 0.001 // s, positions are rounded to this
+	ordinary     = 3.0   // s between probes of a member (design)
+	hurried      = 0.1   // s between probes in a failover window (design)
+	window       = 30.0  // s that a failover window lasts at most (design)
+	settle       = 1.0   // s of window left once an answer, not a probe, has confirmed the primary
+	asideProbe   = 0.25  // s between probes of a member set aside: two good ones bring it back within a second
+	staleProbe   = 0.2   // s between probes of a replica too far behind, while reads miss it
+	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
+	goodProbes   = 2     // good ones until it rejoins (design)
+	frozenRounds = 3     // rounds without any answer until the role record freezes (design)
+	idle         = 10.0  // s without a txn after which a group is no longer probed
+	firstRest    = 0.5   // s a member that failed txns stays aside at least, doubled each time it fails again
+	longestRest  = 4.0   // s, so that one that has recovered is not missed for longer
+	silence      = 4.0   // answers overdue until a node counts as silent: chance alone does it once in e^4
+	failGain     = 0.25  // weight of the newest outcome in a node's share of failures: two in a row count
+	failLimit    = 0.4   // share of failures from which a node is set aside
+	failTrial    = 0.3   // share it comes back with, so that one more failure sets it aside again
+	paceGain     = 0.15  // weight of the newest latency in a node's pace: about the last dozen answers
+	workGain     = 0.03  // weight of the newest latency in what a txn type usually takes
+	slowPace     = 0.5   // share of the SLA time from which a node's limit shrinks
+	limitStart   = 4.0   // submissions out at a node that is not known yet
+	limitMost    = 64.0  // and at one that is never slow
+	limitCut     = 0.85  // factor on the limit of a slow node
+	zoneBias     = 1.15  // a replica in another zone counts as this much busier
+	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
+	againMost    = 0.25  // s
+	tellEvery    = 0.040 // s between messages to peers: a fifth of a short bound
+	tellMost     = 256   // bytes a message
+	reportLate   = 0.1   // s, how old a probe's report is taken to be until a primary's own reports tell
+)
+
+// Router is one router. Routers share nothing.
+type Router struct {
+	host   Host
+	terms  Terms
+	rng    *rand.Rand
+	nodes  []*node        // by index; grows with the nodes ever listed, not with txns
+	groups map[int]*group // likewise
+	order  []*group       // groups as first met
+	kinds  []*kind        // by txn type
+	ranked []lane         // most value for the work first
+	txns   map[int]*txn   // held txns; emptied by their final answers
+	rates  []float64      // txns of each tenant, fading
+	late   float64        // s, how old reports are when they arrive
+	refuse int            // refused watches in a row
+	spoke  float64        // last message to peers
+}
+
+// kind is a txn type with what experience says of it.
+type kind struct {
+	TxnType
+	work float64 // s, usual latency
+}
+
+// lane is a queue's place in a group: a txn type, within or beyond its tenant's share.
+type lane struct{ typ, over int }
+
+// node is a member with its entry in the role record.
+type node struct {
+	Member
+	closed  bool    // drains or is gone
+	claimed float64 // latest time at which it was primary by its own word
+	denied  float64 // latest time at which an answer told that it was not
+	pos     float64 // it has applied all commits up to this time
+	lag     float64 // s behind when last heard
+	heard   float64 // last answer to a txn
+	probed  float64 // last probe
+	probing bool
+	bad     int // failed probes in a row
+	good    int // good probes in a row
+	aside   bool
+	back    float64 // not back before this
+	rest    float64 // s aside next time
+	fails   float64 // share of txns that failed of late
+	pace    float64 // latency as a share of the SLA time, of late
+	limit   float64 // submissions of ours it bears at once
+	cut     float64 // last time the limit shrank
+	out     []*flight
+	started float64 // when it last came up cold, by list or by its own signs
+	down    bool    // its process seemed gone
+	mark    uint32  // what peers call it
+	told    float64 // last position told to peers
+	news    float64 // last position of its own telling
+}
+
+// group is a primary with its replicas, and the txns that wait for one of them.
+type group struct {
+	members []*node
+	pri     *node
+	held    bool    // writes wait until a member shows that it is primary
+	heldAt  float64 // evidence must be newer than this
+	until   float64 // end of the failover window
+	used    float64 // last txn
+	mute    int     // probes of any member in a row that failed
+	missing float64 // last time that a read found no replica fresh enough
+	waiting map[lane][]*txn
+}
+
+// txn is a held txn. Its flight's result is handed to the step that the flight carries.
+type txn struct {
+	Txn
+	*kind
+	g       *group
+	lane    lane
+	arrived float64
+	tries   int
+	ran     float64 // when the first submission that may have run was sent; 0: none
+	ranZone int
+	out     *flight
+	avoid   *node // the last one to fail it
+	started bool  // the answer has begun to flow
+	over    bool
+}
+
+// flight is a submission that is out.
+type flight struct {
+	t      *txn
+	sent   float64
+	called bool // off
+}
+
+// New starts a router with nothing but its terms.
+func New(terms Terms, host Host) *Router {
+	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)), groups: map[int]*group{},
+		txns: map[int]*txn{}, rates: make([]float64, len(terms.Shares)), late: reportLate}
+	for i, t := range terms.Types {
+		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5})
+		r.ranked = append(r.ranked, lane{i, 0}, lane{i, 1})
+	}
+	worth := func(l lane) float64 {
+		k := r.kinds[l.typ]
+		v := k.Value / k.SLA
+		if l.over == 1 {
+			v *= terms.OverShare
+		}
+		return v
+	}
+	sort.SliceStable(r.ranked, func(a, b int) bool { return worth(r.ranked[a]) > worth(r.ranked[b]) })
+	if terms.AskList {
+		host.Watch()
+	}
+	host.After(host.Now()+tick, r.tick)
+	return r
+}
+
+// Members takes a member list, or news of one.
+func (r *Router) Members(kind ListKind, list []Member) {
+	now := r.host.Now()
+	if kind == ListRefused {
+		// The notice does not say whether a watch stands, and the list is one service for all: ask again, later and
+		// later, at a time of our own.
+		r.refuse = min(r.refuse+1, 4)
+		r.host.After(now+float64(r.refuse)*(0.5+r.rng.Float64()), r.host.Watch)
+		return
+	}
+	if kind != ListRemembered {
+		r.refuse = 0
+	}
+	listed := map[int]bool{}
+	for _, m := range list {
+		listed[m.Node] = true
+		for m.Node >= len(r.nodes) {
+			r.nodes = append(r.nodes, nil)
+		}
+		n := r.nodes[m.Node]
+		if n == nil {
+			if m.Group < 0 {
+				continue
+			}
+			n = &node{limit: limitStart, rest: firstRest, lag: math.Inf(1), started: math.Inf(-1)}
+			h := fnv.New32a()
+			h.Write([]byte(m.Name))
+			n.mark = h.Sum32()
+			n.Group = m.Group
+			r.nodes[m.Node] = n
+			g := r.group(m.Group)
+			g.members = append(g.members, n)
+		}
+		m.Group = n.Group
+		if m.Born > n.started {
+			n.started = m.Born
+			n.limit = min(n.limit, limitStart)
+		}
+		n.Member = m
+		r.close(n, m.State)
+	}
+	if kind == ListAll || kind == ListRemembered {
+		for _, n := range r.nodes {
+			if n != nil && !listed[n.Node] {
+				r.close(n, Gone)
+			}
+		}
+	}
+	for _, g := range r.order {
+		r.pump(g)
+	}
+}
+
+// close acts on a drain at once, well before the grace is over: held txns and resubmissions stay away as well.
+func (r *Router) close(n *node, s State) {
+	n.closed = s == Draining || s == Gone && !r.terms.OnlyDrainBinds
+	if g := r.group(n.Group); n.closed && g.pri == n {
+		r.hold(g)
+	}
+}
+
+func (r *Router) group(id int) *group {
+	g := r.groups[id]
+	if g == nil {
+		g = &group{held: true, used: -idle, missing: -idle, waiting: map[lane][]*txn{}}
+		r.groups[id] = g
+		r.order = append(r.order, g)
+	}
+	return g
+}
+
+// Arrive takes a txn, which waits until a member can have it. A group's first txn starts its probes.
+func (r *Router) Arrive(x Txn) {
+	now := r.host.Now()
+	g := r.group(x.Group)
+	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, lane: lane{x.Type, r.beyond(x.Tenant)}, arrived: now}
+	r.txns[x.ID] = t
+	if now-g.used > idle {
+		g.until = max(g.until, now+settle)
+	}
+	g.used = now
+	g.waiting[t.lane] = append(g.waiting[t.lane], t)
+	r.probes(g)
+	r.pump(g)
+}
+
+// beyond tells whether a tenant asks for more than its share of what comes here. It only matters once txns queue.
+func (r *Router) beyond(tenant int) int {
+	if tenant < 0 || tenant >= len(r.rates) {
+		return 0
+	}
+	r.rates[tenant]++
+	var rate, share float64
+	for i, x := range r.rates {
+		rate += x
+		share += r.terms.Shares[i]
+	}
+	if rate > 50 && r.rates[tenant]/rate > 1.15*r.terms.Shares[tenant]/share {
+		return 1
+	}
+	return 0
+}
+
+// Left says that the client of a txn is gone. Nothing is owed or sent for it any more.
+func (r *Router) Left(id int) {
+	if t := r.txns[id]; t != nil {
+		r.end(t)
+		if t.out != nil && r.terms.Cancels && !t.out.called {
+			t.out.called = true
+			r.host.Cancel(id)
+		}
+	}
+}
+
+// Started says that a txn's answer flows to the client, whose matter it is from here on.
+func (r *Router) Started(id int) {
+	if t := r.txns[id]; t != nil {
+		t.started = true
+	}
+}
+
+func (r *Router) end(t *txn) {
+	t.over = true
+	delete(r.txns, t.ID)
+}
+
+// pump submits what can be submitted, most value for the work first.
+func (r *Router) pump(g *group) {
+	for _, l := range r.ranked {
+		q := g.waiting[l]
+		for len(q) > 0 {
+			if !q[0].over {
+				n := r.place(q[0])
+				if n == nil {
+					break
+				}
+				r.submit(q[0], n)
+			}
+			q = q[1:]
+		}
+		g.waiting[l] = q
+	}
+}
+
+// place finds the member for a txn: the design's ordinary path.
+func (r *Router) place(t *txn) *node {
+	g := t.g
+	if t.Need == NeedPrimary {
+		if n := g.pri; n != nil && !g.held && r.room(n, t) {
+			return n
+		}
+		return nil
+	}
+	var best *node
+	var least float64
+	usable, fresh := false, false
+	for _, n := range g.members {
+		if n == g.pri || n.closed || n.aside {
+			continue
+		}
+		usable = true
+		if !r.fresh(n, t) {
+			continue
+		}
+		fresh = true
+		if !r.room(n, t) {
+			continue
+		}
+		if busy := r.busy(n, t); best == nil || busy < least {
+			best, least = n, busy
+		}
+	}
+	if usable && !fresh {
+		g.missing = r.host.Now()
+	}
+	if best == nil && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
+		// Reads fall back to the primary, in the half of its limit that writes leave.
+		if r.room(g.pri, t) && float64(len(g.pri.out)) < max(1, g.pri.limit/2) {
+			return g.pri
+		}
+	}
+	return best
+}
+
+// fresh tells whether a replica is known to hold what a read needs. Where nodes check, its position when last heard
+// will do, since a wrong guess costs a miss; where they don't, only a position proves it, since a position told holds
+// for ever.
+func (r *Router) fresh(n *node, t *txn) bool {
+	now := r.host.Now()
+	need := 0.0
+	switch t.Need {
+	case NeedAny:
+		return true
+	case NeedBounded:
+		need = now - t.Bound + margin
+	case NeedSession:
+		need = t.Wrote
+	case NeedCurrent:
+		need = t.arrived
+	}
+	if n.pos >= need {
+		return true
+	}
+	return r.terms.NodesCheck && !t.g.held && now-n.lag > need+0.2*(now-need)
+}
+
+// room tells whether a node can take one more submission of ours.
+func (r *Router) room(n *node, t *txn) bool {
+	if n.closed || float64(len(n.out)) >= n.limit {
+		return false
+	}
+	now := r.host.Now()
+	age := now - n.started
+	if age >= r.terms.WarmAfter {
+		return true
+	}
+	// Cold: every router keeps to so few submissions out that, all routers together, what is sent is what it does
+	// plus those few; in the coldest quarter routers take turns by their number. Long txns wait until it is warmer.
+	if age < r.terms.WarmAfter/4 && t.g.pri != n {
+		if int(age/r.terms.Fall*2)%max(1, r.terms.Routers) != r.terms.Me {
+			return false
+		}
+	}
+	warm := age / r.terms.WarmAfter
+	return float64(len(n.out)) < 1+warm*limitStart && (warm > 0.5 || t.SLA < 2*r.shortest())
+}
+
+func (r *Router) shortest() float64 {
+	s := math.Inf(1)
+	for _, k := range r.kinds {
+		s = min(s, k.SLA)
+	}
+	return s
+}
+
+// busy compares replicas: what is out there, at the pace it has shown, with a bias to the own zone and a little
+// chance, so that routers do not all choose the same.
+func (r *Router) busy(n *node, t *txn) float64 {
+	b := float64(len(n.out)+1) * max(n.pace, 0.02) / (1.01 - n.fails) * (1 + 0.2*r.rng.Float64())
+	if n.Zone != r.terms.Zone {
+		b *= zoneBias
+	}
+	if n == t.avoid {
+		b *= 10
+	}
+	return b
+}
+
+// last is when a txn is given up if it still waits: when its answer could not earn anything any more.
+func (r *Router) last(t *txn) float64 {
+	end := t.Until - 2*tick
+	if t.LateValue == 0 {
+		end = min(end, t.arrived+t.SLA)
+	}
+	if t.ran > 0 && t.Effect == Referenced {
+		end = min(end, t.ran+t.Window-2*tick)
+	}
+	return end
+}
+
+func (r *Router) submit(t *txn, n *node) {
+	now := r.host.Now()
+	until := t.Until
+	if t.LateValue == 0 {
+		until = min(until, t.arrived+t.SLA)
+	}
+	f := &flight{t: t, sent: now}
+	t.out = f
+	t.tries++
+	n.out = append(n.out, f)
+	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.landed(f, n, res) })
+}
+
+// landed takes the result of a submission, and the txn its next step.
+func (r *Router) landed(f *flight, n *node, res Result) {
+	now := r.host.Now()
+	t := f.t
+	n.out = slices.DeleteFunc(n.out, func(x *flight) bool { return x == f })
+	t.out = nil
+	r.learn(f, n, res)
+	defer r.pump(t.g)
+	if res.Ended || t.over {
+		r.end(t)
+		return
+	}
+	switch res.Outcome {
+	case Missed, Full, NoConn, Unsent:
+	default:
+		if t.ran == 0 {
+			t.ran, t.ranZone = f.sent, n.Zone
+		}
+	}
+	t.avoid = n
+	if t.started || !r.again(t) {
+		r.giveUp(t)
+		return
+	}
+	wait := 0.0
+	if n == t.g.pri && (res.Outcome == Failed || res.Outcome == Full) {
+		wait = min(againMost, againFirst*math.Pow(2, float64(t.tries-1)))
+	}
+	if wait == 0 || now+wait > r.last(t) {
+		r.requeue(t)
+		return
+	}
+	r.host.After(now+wait, func() {
+		if !t.over {
+			r.requeue(t)
+			r.pump(t.g)
+		}
+	})
+}
+
+func (r *Router) requeue(t *txn) {
+	t.g.waiting[t.lane] = slices.Insert(t.g.waiting[t.lane], 0, t)
+}
+
+// again tells whether a txn may be submitted once more.
+func (r *Router) again(t *txn) bool {
+	if t.tries >= r.terms.MaxSubmissions || r.host.Now() >= r.last(t) {
+		return false
+	}
+	return t.ran == 0 || t.Effect == Repeatable || t.Effect == Referenced
+}
+
+// giveUp gives a txn its final answer at once. A decline says that trying again is harmless.
+func (r *Router) giveUp(t *txn) {
+	r.end(t)
+	if t.ran > 0 && t.Effect != Repeatable && !(t.Effect == Referenced && t.Scope == ScopeAll) {
+		r.host.RollBack(t.ID)
+		return
+	}
+	pause := 0.0
+	if t.LateValue == 0 && r.host.Now() > t.arrived+t.SLA/2 {
+		pause = r.terms.MaxPause // no answer will be in time any more
+	}
+	r.host.Decline(t.ID, pause)
+}
+
+// learn feeds the role record and the health of a node from a result.
+func (r *Router) learn(f *flight, n *node, res Result) {
+	now := r.host.Now()
+	t, g := f.t, f.t.g
+	switch res.Outcome {
+	case Committed, Missed, Full, Failed:
+		n.heard = now
+		r.hear(n, res.Report, true)
+	}
+	switch res.Outcome {
+	case Committed:
+		n.fails *= 1 - failGain
+		n.rest = max(firstRest, n.rest/1.5)
+		t.work += workGain * (res.Latency - t.work)
+		r.tune(n, res.Latency/t.SLA)
+		if n == g.pri && t.Need == NeedPrimary && !g.held {
+			g.until = min(g.until, now+settle)
+		}
+	case Failed:
+		n.fails += failGain * (1 - n.fails)
+		if n.fails > failLimit {
+			r.setAside(n)
+		}
+	case Full:
+		n.limit = max(1, n.limit/2)
+	case TimedOut:
+		if !t.over {
+			r.tune(n, 1)
+		}
+	case Missed:
+		if t.Need == NeedPrimary {
+			n.denied = now
+			if g.pri == n {
+				r.hold(g)
+			}
+		} else {
+			n.lag = max(n.lag, t.Bound)
+		}
+	case NoConn, Broken:
+		// The process is down or out of reach: both for reads and, at the primary, for writes.
+		n.down = n.down || res.Outcome == Broken
+		r.setAside(n)
+		if g.pri == n {
+			r.hold(g)
+		}
+	}
+}
+
+// tune sets a node's pace and how many submissions it bears.
+func (r *Router) tune(n *node, pace float64) {
+	now := r.host.Now()
+	n.pace += paceGain * (pace - n.pace)
+	if n.pace > slowPace {
+		if now-n.cut > 5*tick {
+			n.cut = now
+			n.limit = max(1, n.limit*limitCut)
+		}
+	} else if float64(len(n.out)+1) >= n.limit-1 {
+		n.limit = min(limitMost, n.limit+1/n.limit)
+	}
+}
+
+// hear takes what a node says of itself, in an answer or, somewhat late, in a report.
+func (r *Router) hear(n *node, rep Report, answer bool) {
+	now := r.host.Now()
+	if rep.Pos > now+tick || rep.Pos < 0 {
+		return // it can't be: no evidence
+	}
+	at := rep.Pos
+	if at == 0 {
+		at = now - r.late
+	}
+	if answer {
+		at = now
+	}
+	if rep.Pos > 0 {
+		n.pos = max(n.pos, rep.Pos)
+		n.news = n.pos
+		n.lag = max(0, at-rep.Pos)
+		if !answer {
+			n.lag = max(0, now-rep.Pos-r.late)
+		}
+	}
+	switch rep.Role {
+	case RolePrimary:
+		if !answer && rep.Pos > 0 {
+			r.late += paceGain * (now - rep.Pos - r.late)
+		}
+		if rep.Pos > 0 {
+			at = rep.Pos // a primary stands at the present, so this dates the claim
+		}
+		r.claim(n, at)
+	case RoleReplica:
+		if answer {
+			n.denied = now
+		}
+		if g := r.group(n.Group); g.pri == n && (answer || at > n.claimed) {
+			g.pri = nil
+			r.hold(g)
+		}
+	}
+}
+
+// claim takes a member's word that it was primary at a time. Of two, the later claim holds.
+func (r *Router) claim(n *node, at float64) {
+	g := r.group(n.Group)
+	if at <= n.denied || n.closed {
+		return
+	}
+	n.claimed = max(n.claimed, at)
+	switch {
+	case g.pri == n:
+	case g.pri == nil || at > g.pri.claimed:
+		if old := g.pri; old != nil {
+			r.openWindow(g)
+			r.recall(old)
+		}
+		g.pri = n
+		g.held = g.held && at <= g.heldAt
+	default:
+		r.openWindow(g)
+	}
+	if g.pri == n && g.held && at > g.heldAt {
+		g.held = false
+		r.pump(g)
+	}
+}
+
+// recall calls off the writes that an old primary still has, so that they can go on to the new one in their window.
+func (r *Router) recall(old *node) {
+	for _, f := range old.out {
+		if f.t.Need == NeedPrimary && f.t.Effect == Referenced {
+			r.callOff(f)
+		}
+	}
+}
+
+func (r *Router) callOff(f *flight) {
+	if r.terms.Cancels && !f.called && !f.t.over && !f.t.started {
+		f.called = true
+		r.host.Cancel(f.t.ID)
+	}
+}
+
+// hold keeps writes until a member shows that it is primary, the old one or a new one, and probes fast meanwhile.
+func (r *Router) hold(g *group) {
+	g.held, g.heldAt = true, r.host.Now()
+	r.openWindow(g)
+}
+
+func (r *Router) openWindow(g *group) { g.until = r.host.Now() + window }
+
+// setAside takes a node out of the read set until it has answered probes and rested; then it gets one txn to try.
+func (r *Router) setAside(n *node) {
+	now := r.host.Now()
+	if !n.aside {
+		n.aside, n.good = true, 0
+		n.back = now + n.rest
+		n.rest = min(longestRest, 2*n.rest)
+	}
+	n.limit = 1
+}
+
+func (r *Router) tick() {
+	now := r.host.Now()
+	for i := range r.rates {
+		r.rates[i] *= 1 - tick/10
+	}
+	for _, n := range r.nodes {
+		if n != nil {
+			r.listen(n)
+		}
+	}
+	for _, g := range r.order {
+		for _, l := range r.ranked {
+			q := g.waiting[l]
+			kept := q[:0]
+			for _, t := range q {
+				if !t.over && now >= r.last(t)-t.work/2 {
+					r.giveUp(t)
+				}
+				if !t.over {
+					kept = append(kept, t)
+				}
+			}
+			clear(q[len(kept):])
+			g.waiting[l] = kept
+		}
+		r.probes(g)
+		r.pump(g)
+	}
+	if r.terms.Peers {
+		r.tell()
+	}
+	r.host.After(now+tick, r.tick)
+}
+
+// tell passes on to the peers what nodes have newly told of their positions: a position once told holds for ever, so
+// it may come late or not at all. An entry is the node's mark and its position in ms, doubled, plus 1 for a primary.
+func (r *Router) tell() {
+	now := r.host.Now()
+	if now-r.spoke < tellEvery {
+		return
+	}
+	r.spoke = now
+	var b []byte
+	for _, n := range r.nodes {
+		if n == nil || n.news <= n.told || len(b) > tellMost-8 {
+			continue
+		}
+		n.told = n.news
+		p := uint32(int64(n.pos*1000)) << 1
+		if r.group(n.Group).pri == n && n.claimed == n.pos {
+			p |= 1
+		}
+		b = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(b, n.mark), p)
+	}
+	if len(b) > 0 {
+		r.host.Tell(b)
+	}
+}
+
+// Hear takes what a peer has told.
+func (r *Router) Hear(b []byte) {
+	now := r.host.Now()
+	for ; len(b) >= 8; b = b[8:] {
+		mark, p := binary.BigEndian.Uint32(b), binary.BigEndian.Uint32(b[4:])
+		ago := float64((uint32(int64(now*1000))<<1-p&^1)>>1) / 1000
+		i := slices.IndexFunc(r.nodes, func(n *node) bool { return n != nil && n.mark == mark })
+		if i < 0 || ago > ordinary*10 {
+			continue
+		}
+		n, pos := r.nodes[i], math.Floor(now*1000)/1000-ago
+		if pos > n.pos {
+			n.pos = pos
+			n.lag = max(0, now-pos-r.late)
+		}
+		if p&1 == 1 {
+			r.claim(n, pos)
+		}
+	}
+	for _, g := range r.order {
+		r.pump(g)
+	}
+}
+
+// listen notices a node that takes txns and answers none, whatever its probes say: it counts the answers that are
+// overdue, each submission's wait measured in what its type usually takes.
+func (r *Router) listen(n *node) {
+	now := r.host.Now()
+	overdue := 0.0
+	for _, f := range n.out {
+		if !f.t.started {
+			overdue += (now - max(f.sent, n.heard)) / f.t.work
+		}
+	}
+	if overdue < silence {
+		return
+	}
+	r.setAside(n)
+	if g := r.group(n.Group); g.pri == n && !g.held {
+		r.hold(g)
+	}
+	for _, f := range n.out {
+		if f.t.Effect == Repeatable {
+			r.callOff(f)
+		}
+	}
+}
+
+// probes sends the probes that are due in a group.
+func (r *Router) probes(g *group) {
+	now := r.host.Now()
+	if !r.terms.Probes || now-g.used > idle {
+		return
+	}
+	for _, n := range g.members {
+		every := ordinary
+		if now < g.until || g.pri == nil || g.held {
+			every = hurried
+		} else if n.aside {
+			every = asideProbe
+		} else if now-g.missing < 2*staleProbe && n != g.pri {
+			every = staleProbe
+		}
+		if n.probing || n.closed || n.probed > 0 && now-n.probed < every*(0.9+0.2*r.rng.Float64()) {
+			continue
+		}
+		n.probing, n.probed = true, now
+		r.host.Probe(n.Node, func(rep Report) { r.answered(n, g, rep) })
+	}
+}
+
+// answered takes what a probe brought. While no member answers at all the role record is frozen: the fault may be
+// the router's own.
+func (r *Router) answered(n *node, g *group, rep Report) {
+	now := r.host.Now()
+	n.probing = false
+	if !rep.OK {
+		n.good = 0
+		n.bad++
+		g.mute++
+		if n.bad >= badProbes && g.mute < frozenRounds*len(g.members) {
+			n.down = true
+			r.setAside(n)
+			if g.pri == n && !g.held {
+				r.hold(g)
+			}
+		}
+		return
+	}
+	if n.down {
+		n.down, n.started = false, now // cold, before the list says so
+	}
+	n.bad, g.mute = 0, 0
+	n.good++
+	r.hear(n, rep, false)
+	if n.aside && n.good >= goodProbes && now >= n.back {
+		n.aside = false
+		n.limit, n.fails = 1, min(n.fails, failTrial)
+	}
+	r.pump(g)
+}
