Silence by overdue answers at the node's own pace, never most of a group aside

Now censored latencies count, a node's own pace is the measure, and at most 0.4 of a group may be aside on our count. Also guards against a router that is itself cut off; it could harm where more than 0.4 of a group really hangs at once.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -29,7 +29,8 @@
 	idle         = 10.0  // s without a txn after which a group is no longer probed
 	firstRest    = 0.5   // s a member that failed txns stays aside at least, doubled each time it fails again
 	longestRest  = 4.0   // s, so that one that has recovered is not missed for longer
-	silence      = 4.0   // answers overdue until a node counts as silent: chance alone does it once in e^4
+	silence      = 8.0   // answers overdue until a node counts as silent: chance alone does it once in e^8
+	sickMost     = 0.4   // share of a group's members set aside on our own count: beyond it the load is at fault
 	failGain     = 0.25  // weight of the newest outcome in a node's share of failures: two in a row count
 	failLimit    = 0.4   // share of failures from which a node is set aside
 	failTrial    = 0.3   // share it comes back with, so that one more failure sets it aside again
@@ -292,12 +293,16 @@
 	for _, l := range r.ranked {
 		q := g.waiting[l]
 		for len(q) > 0 {
-			if !q[0].over {
-				n := r.place(q[0])
+			t := q[0]
+			if !t.over && r.tooLate(t) {
+				r.giveUp(t)
+			}
+			if !t.over {
+				n := r.place(t)
 				if n == nil {
 					break
 				}
-				r.submit(q[0], n)
+				r.submit(t, n)
 			}
 			q = q[1:]
 		}
@@ -421,6 +426,9 @@
 	return end
 }
 
+// tooLate tells whether an answer could hardly come in time any more; sent now, it would be work for nothing.
+func (r *Router) tooLate(t *txn) bool { return r.host.Now() >= r.last(t)-t.work/2 }
+
 func (r *Router) submit(t *txn, n *node) {
 	now := r.host.Now()
 	until := t.Until
@@ -520,14 +528,16 @@
 		}
 	case Failed:
 		n.fails += failGain * (1 - n.fails)
-		if n.fails > failLimit {
+		if n.fails > failLimit && !r.sick(n) {
 			r.setAside(n)
 		}
 	case Full:
 		n.limit = max(1, n.limit/2)
-	case TimedOut:
-		if !t.over {
-			r.tune(n, 1)
+	case TimedOut, Cancelled:
+		// The answer would have taken longer than this.
+		t.work += workGain * max(0, res.Latency-t.work)
+		if late := res.Latency / t.SLA; late > n.pace {
+			r.tune(n, late)
 		}
 	case Missed:
 		if t.Need == NeedPrimary {
@@ -663,6 +673,22 @@
 	n.limit = 1
 }
 
+// sick tells whether so many of a node's group are aside that the cause must lie elsewhere: the load, or this router.
+// It guards against a router that empties its own read set, one suspicion adding to the load that raises the next.
+func (r *Router) sick(n *node) bool {
+	aside, open := 1.0, 0.0
+	for _, m := range r.group(n.Group).members {
+		if m.closed {
+			continue
+		}
+		open++
+		if m.aside && m != n {
+			aside++
+		}
+	}
+	return aside > sickMost*open
+}
+
 func (r *Router) tick() {
 	now := r.host.Now()
 	for i := range r.rates {
@@ -678,7 +704,7 @@
 			q := g.waiting[l]
 			kept := q[:0]
 			for _, t := range q {
-				if !t.over && now >= r.last(t)-t.work/2 {
+				if !t.over && r.tooLate(t) {
 					r.giveUp(t)
 				}
 				if !t.over {
@@ -753,10 +779,10 @@
 	overdue := 0.0
 	for _, f := range n.out {
 		if !f.t.started {
-			overdue += (now - max(f.sent, n.heard)) / f.t.work
+			overdue += (now - max(f.sent, n.heard)) / max(f.t.work, n.pace*f.t.SLA)
 		}
 	}
-	if overdue < silence {
+	if overdue < silence || !n.aside && r.sick(n) {
 		return
 	}
 	r.setAside(n)
