--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -427,7 +427,7 @@
 }
 
 // tooLate tells whether an answer could hardly come in time any more; sent now, it would be work for nothing.
-func (r *Router) tooLate(t *txn) bool { return r.host.Now() >= r.last(t)-t.work/2 }
+func (r *Router) tooLate(t *txn) bool { return r.host.Now() >= r.last(t)-t.work }
 
 func (r *Router) submit(t *txn, n *node) {
 	now := r.host.Now()
