--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -293,7 +293,12 @@
 	for _, l := range r.ranked {
 		q := g.waiting[l]
 		for len(q) > 0 {
-			t := q[0]
+			// Reads leave newest first: when there are too many, the ones served are then served in time.
+			i := 0
+			if r.kinds[l.typ].Need != NeedPrimary {
+				i = len(q) - 1
+			}
+			t := q[i]
 			if !t.over && r.tooLate(t) {
 				r.giveUp(t)
 			}
@@ -304,7 +309,7 @@
 				}
 				r.submit(t, n)
 			}
-			q = q[1:]
+			q = slices.Delete(q, i, i+1)
 		}
 		g.waiting[l] = q
 	}
@@ -483,7 +488,11 @@
 }
 
 func (r *Router) requeue(t *txn) {
-	t.g.waiting[t.lane] = slices.Insert(t.g.waiting[t.lane], 0, t)
+	q, i := t.g.waiting[t.lane], 0
+	if t.Need != NeedPrimary {
+		i = len(q)
+	}
+	t.g.waiting[t.lane] = slices.Insert(q, i, t)
 }
 
 // again tells whether a txn may be submitted once more.
