--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -40,6 +40,7 @@
 	limitStart   = 4.0   // submissions out at a node that is not known yet
 	limitMost    = 64.0  // and at one that is never slow
 	limitCut     = 0.85  // factor on the limit of a slow node
+	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
@@ -97,6 +98,7 @@
 	out     []*flight
 	started float64 // when it last came up cold, by list or by its own signs
 	down    bool    // its process seemed gone
+	mute    bool    // it took txns and answered none, until it answers one
 	mark    uint32  // what peers call it
 	told    float64 // last position told to peers
 	news    float64 // last position of its own telling
@@ -387,23 +389,21 @@
 	if age >= r.terms.WarmAfter {
 		return true
 	}
-	// Cold: every router keeps to so few submissions out that, all routers together, what is sent is what it does
-	// plus those few; in the coldest quarter routers take turns by their number. Long txns wait until it is warmer.
+	// Cold: what is out at it, from all routers together, stays within what overload allows beyond the work it does
+	// meanwhile. In the coldest quarter routers take turns by their number, the last one's work may still be there.
+	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
+	budget := (r.terms.Overload - 1) * r.terms.Fall * coldCores * share
+	parts := float64(max(2, r.terms.Routers))
 	if age < r.terms.WarmAfter/4 && t.g.pri != n {
 		if int(age/r.terms.Fall*2)%max(1, r.terms.Routers) != r.terms.Me {
 			return false
 		}
+		parts = 2
 	}
-	warm := age / r.terms.WarmAfter
-	return float64(len(n.out)) < 1+warm*limitStart && (warm > 0.5 || t.SLA < 2*r.shortest())
-}
-
-func (r *Router) shortest() float64 {
-	s := math.Inf(1)
-	for _, k := range r.kinds {
-		s = min(s, k.SLA)
+	for _, f := range n.out {
+		budget -= f.t.work * parts
 	}
-	return s
+	return budget >= t.work*parts
 }
 
 // busy compares replicas: what is out there, at the pace it has shown, with a bias to the own zone and a little
@@ -523,7 +523,7 @@
 	t, g := f.t, f.t.g
 	switch res.Outcome {
 	case Committed, Missed, Full, Failed:
-		n.heard = now
+		n.heard, n.mute = now, false
 		r.hear(n, res.Report, true)
 	}
 	switch res.Outcome {
@@ -558,9 +558,12 @@
 			n.lag = max(n.lag, t.Bound)
 		}
 	case NoConn, Broken:
-		// The process is down or out of reach: both for reads and, at the primary, for writes.
-		n.down = n.down || res.Outcome == Broken
-		r.setAside(n)
+		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon; until then
+		// the primary gets no writes. A connection that can't be had costs its time-out, so one is enough.
+		n.fails += failGain * (1 - n.fails)
+		if n.fails > failLimit || res.Outcome == NoConn {
+			r.setAside(n)
+		}
 		if g.pri == n {
 			r.hold(g)
 		}
@@ -794,6 +797,7 @@
 	if overdue < silence || !n.aside && r.sick(n) {
 		return
 	}
+	n.mute = true
 	r.setAside(n)
 	if g := r.group(n.Group); g.pri == n && !g.held {
 		r.hold(g)
@@ -824,13 +828,13 @@
 			continue
 		}
 		n.probing, n.probed = true, now
-		r.host.Probe(n.Node, func(rep Report) { r.answered(n, g, rep) })
+		r.host.Probe(n.Node, func(rep Report) { r.answered(n, g, now, rep) })
 	}
 }
 
 // answered takes what a probe brought. While no member answers at all the role record is frozen: the fault may be
 // the router's own.
-func (r *Router) answered(n *node, g *group, rep Report) {
+func (r *Router) answered(n *node, g *group, sent float64, rep Report) {
 	now := r.host.Now()
 	n.probing = false
 	if !rep.OK {
@@ -852,6 +856,9 @@
 	n.bad, g.mute = 0, 0
 	n.good++
 	r.hear(n, rep, false)
+	if g.held && g.pri == n && rep.Role == RolePrimary && sent >= g.heldAt && n.claimed > n.denied && !n.mute {
+		g.held = false // the old primary is there after all
+	}
 	if n.aside && n.good >= goodProbes && now >= n.back {
 		n.aside = false
 		n.limit, n.fails = 1, min(n.fails, failTrial)
