Gather long txns that any member may answer on few replicas

Also keeps long txns from filling every node's cores; could harm where they are most of the load and block nothing.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -328,7 +328,7 @@
 	}
 	var best *node
 	var least float64
-	usable, fresh := false, false
+	usable, fresh, long := false, false, r.long(t)
 	for _, n := range g.members {
 		if n == g.pri || n.closed || n.aside {
 			continue
@@ -341,6 +341,13 @@
 		if !r.room(n, t) {
 			continue
 		}
+		if long {
+			// Gathered: all routers fill the replicas in the same order.
+			if best == nil || n.mark < best.mark {
+				best = n
+			}
+			continue
+		}
 		if busy := r.busy(n, t); best == nil || busy < least {
 			best, least = n, busy
 		}
@@ -357,6 +364,21 @@
 	return best
 }
 
+// long tells whether a txn that any member may answer lasts longer than the shortest bound. Such txns may stop a
+// replica from applying the log, so they are gathered on few replicas, the others stay fresh. It also keeps them from
+// filling every node's cores at once; it could harm where they are most of the load and block nothing.
+func (r *Router) long(t *txn) bool {
+	if t.Need != NeedAny {
+		return false
+	}
+	for _, k := range r.kinds {
+		if k.Need == NeedBounded && t.work > k.Bound {
+			return true
+		}
+	}
+	return false
+}
+
 // fresh tells whether a replica is known to hold what a read needs. Where nodes check, its position when last heard
 // will do, since a wrong guess costs a miss; where they don't, only a position proves it, since a position told holds
 // for ever.
