--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -6,6 +6,7 @@
 package splitter
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"math"
@@ -328,12 +329,24 @@
 	}
 	var best *node
 	var least float64
-	usable, fresh, long := false, false, r.long(t)
+	fresh := false
+	usable := make([]*node, 0, len(g.members))
 	for _, n := range g.members {
-		if n == g.pri || n.closed || n.aside {
-			continue
+		if n != g.pri && !n.closed && !n.aside {
+			usable = append(usable, n)
 		}
-		usable = true
+	}
+	if r.long(t) && len(usable) > 0 {
+		// Gathered: all routers fill half of the replicas in the same order.
+		slices.SortFunc(usable, func(a, b *node) int { return cmp.Compare(a.mark, b.mark) })
+		for _, n := range usable[:max(1, len(usable)/2)] {
+			if r.room(n, t) {
+				return n
+			}
+		}
+		return nil
+	}
+	for _, n := range usable {
 		if !r.fresh(n, t) {
 			continue
 		}
@@ -341,18 +354,11 @@
 		if !r.room(n, t) {
 			continue
 		}
-		if long {
-			// Gathered: all routers fill the replicas in the same order.
-			if best == nil || n.mark < best.mark {
-				best = n
-			}
-			continue
-		}
 		if busy := r.busy(n, t); best == nil || busy < least {
 			best, least = n, busy
 		}
 	}
-	if usable && !fresh {
+	if len(usable) > 0 && !fresh {
 		g.missing = r.host.Now()
 	}
 	if best == nil && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
