--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -17,6 +17,7 @@
 
 const (
 	tick         = 0.020 // s between looks at clocks: a few per shortest SLA time
+	stall        = 0.2   // s between ticks that only a stall of the router itself explains
 	margin       = 0.001 // s, positions are rounded to this
 	ordinary     = 3.0   // s between probes of a member (design)
 	hurried      = 0.1   // s between probes in a failover window (design)
@@ -65,6 +66,8 @@
 	late   float64        // s, how old reports are when they arrive
 	refuse int            // refused watches in a row
 	spoke  float64        // last message to peers
+	seen   float64        // last time that anything was handled
+	woke   float64        // end of the last stall of this router itself
 }
 
 // kind is a txn type with what experience says of it.
@@ -144,7 +147,7 @@
 // New starts a router with nothing but its terms.
 func New(terms Terms, host Host) *Router {
 	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)), groups: map[int]*group{},
-		txns: map[int]*txn{}, rates: make([]float64, len(terms.Shares)), late: reportLate}
+		txns: map[int]*txn{}, rates: make([]float64, len(terms.Shares)), late: reportLate, seen: host.Now()}
 	for i, t := range terms.Types {
 		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5})
 		r.ranked = append(r.ranked, lane{i, 0}, lane{i, 1})
@@ -236,9 +239,21 @@
 	return g
 }
 
+// clock tells the time, and notices a stall of the router itself by a gap in its own ticks. What was out meanwhile
+// looks slow, silent or lost and says nothing of the nodes. It also covers a paused process or a slow host; it could
+// harm only by hiding a trouble that begins during the stall for one round of answers.
+func (r *Router) clock() float64 {
+	now := r.host.Now()
+	if now-r.seen > stall {
+		r.woke = now
+	}
+	r.seen = now
+	return now
+}
+
 // Arrive takes a txn, which waits until a member can have it. A group's first txn starts its probes.
 func (r *Router) Arrive(x Txn) {
-	now := r.host.Now()
+	now := r.clock()
 	g := r.group(x.Group)
 	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, lane: lane{x.Type, r.beyond(x.Tenant)}, arrived: now}
 	r.txns[x.ID] = t
@@ -477,7 +492,7 @@
 
 // landed takes the result of a submission, and the txn its next step.
 func (r *Router) landed(f *flight, n *node, res Result) {
-	now := r.host.Now()
+	now := r.clock()
 	t := f.t
 	n.out = slices.DeleteFunc(n.out, func(x *flight) bool { return x == f })
 	t.out = nil
@@ -549,6 +564,7 @@
 func (r *Router) learn(f *flight, n *node, res Result) {
 	now := r.host.Now()
 	t, g := f.t, f.t.g
+	timed := f.sent >= r.woke // its latency is the node's
 	switch res.Outcome {
 	case Committed, Missed, Full, Failed:
 		n.heard, n.mute = now, false
@@ -558,8 +574,10 @@
 	case Committed:
 		n.fails *= 1 - failGain
 		n.rest = max(firstRest, n.rest/1.5)
-		t.work += workGain * (res.Latency - t.work)
-		r.tune(n, res.Latency/t.SLA)
+		if timed {
+			t.work += workGain * (res.Latency - t.work)
+			r.tune(n, res.Latency/t.SLA)
+		}
 		if n == g.pri && t.Need == NeedPrimary && !g.held {
 			g.until = min(g.until, now+settle)
 		}
@@ -572,9 +590,9 @@
 		n.limit = max(1, n.limit/2)
 	case TimedOut, Cancelled:
 		// The answer would have taken longer than this.
-		t.work += workGain * max(0, res.Latency-t.work)
-		if late := res.Latency / t.SLA; late > n.pace {
-			r.tune(n, late)
+		if timed {
+			t.work += workGain * max(0, res.Latency-t.work)
+			r.tune(n, max(n.pace, res.Latency/t.SLA))
 		}
 	case Missed:
 		if t.Need == NeedPrimary {
@@ -730,7 +748,7 @@
 }
 
 func (r *Router) tick() {
-	now := r.host.Now()
+	now := r.clock()
 	for i := range r.rates {
 		r.rates[i] *= 1 - tick/10
 	}
@@ -790,7 +808,7 @@
 
 // Hear takes what a peer has told.
 func (r *Router) Hear(b []byte) {
-	now := r.host.Now()
+	now := r.clock()
 	for ; len(b) >= 8; b = b[8:] {
 		mark, p := binary.BigEndian.Uint32(b), binary.BigEndian.Uint32(b[4:])
 		ago := float64((uint32(int64(now*1000))<<1-p&^1)>>1) / 1000
@@ -819,7 +837,7 @@
 	overdue := 0.0
 	for _, f := range n.out {
 		if !f.t.started {
-			overdue += (now - max(f.sent, n.heard)) / max(f.t.work, n.pace*f.t.SLA)
+			overdue += (now - max(f.sent, n.heard, r.woke)) / max(f.t.work, n.pace*f.t.SLA)
 		}
 	}
 	if overdue < silence || !n.aside && r.sick(n) {
@@ -863,8 +881,11 @@
 // answered takes what a probe brought. While no member answers at all the role record is frozen: the fault may be
 // the router's own.
 func (r *Router) answered(n *node, g *group, sent float64, rep Report) {
-	now := r.host.Now()
+	now := r.clock()
 	n.probing = false
+	if !rep.OK && sent < r.woke {
+		return
+	}
 	if !rep.OK {
 		n.good = 0
 		n.bad++
