--- a/simwire/host.go
+++ b/simwire/host.go
@@ -105,8 +105,6 @@
 			h.router.Left(t.txn)
 			h.finish(t)
 		}
-	case "inbox":
-		h.router.Hear(ev.Data)
 	}
 }
 
@@ -273,6 +271,4 @@
 
 func (h *host) Watch() { h.act("tail", "on", true) }
 
-func (h *host) Tell(data []byte) { h.act("memoTo", "whom", "all", "data", data) }
-
 func (h *host) Note(text string) { h.act("noteDown", "reasonText", text) }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -48,8 +48,6 @@
 	Stamp      int64
 	Usage      map[string]*float64
 	Try        int
-	Src        int
-	Data       []byte
 }
 
 type server struct {
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -38,7 +38,7 @@
 	Limits struct {
 		SendCap       int
 		MayCancel     bool
-		Probes, Peers bool
+		Probes        bool
 		RetryAfter    bool
 		MaxRetryAfter float64
 	}
@@ -68,7 +68,7 @@
 	t := splitter.Terms{Seed: ev.RandomSeed, Me: f.Me, Routers: f.Balancers, Zone: h.zone(f.MyZone),
 		OverShare: f.OverShareWorth, NodesCheck: f.Extra.WhenBehind == "bounce" || f.Extra.WhenBehind == "await",
 		SessionsKept: f.Extra.SessionMarks == "kept", Probes: f.Limits.Probes, Cancels: f.Limits.MayCancel,
-		Peers: f.Limits.Peers, AskList: f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
+		AskList: f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
 		MaxSubmissions: f.Limits.SendCap, ColdFrom: f.Invariants.ColdFrom, WarmAfter: f.Invariants.WarmAfter / 1000,
 		Overload: f.Invariants.OverloadFactor, Fall: f.Invariants.Fall / 1000}
 	t.ProbeRoles = t.Probes && f.Telemetry.How != "none" && slices.Contains(f.Telemetry.Names, "x1")
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -54,7 +54,6 @@
 	ProbeRoles     bool      // probes are allowed and tell role and position
 	Probes         bool
 	Cancels        bool
-	Peers          bool
 	AskList        bool    // the member list comes only when watched
 	OnlyDrainBinds bool    // a node gone without a drain may still be used
 	MaxSubmissions int     // a txn
@@ -157,6 +156,5 @@
 	Probe(node int, then func(Report))
 	After(at float64, then func())
 	Watch()
-	Tell(data []byte) // to every peer
 	Note(text string)
 }
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -7,8 +7,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"math/rand"
 	"slices"
@@ -38,7 +36,7 @@
 	failTrial    = 0.3   // share it comes back with, so that one more failure sets it aside again
 	paceGain     = 0.15  // weight of the newest latency in a node's pace: about the last dozen answers
 	workGain     = 0.03  // weight of the newest latency in what a txn type usually takes
-	slowPace     = 0.5   // share of the SLA time from which a node's limit shrinks
+	slowPace     = 0.25  // share of the SLA time from which a node's limit shrinks
 	limitStart   = 4.0   // submissions out at a node that is not known yet
 	limitMost    = 64.0  // and at one that is never slow
 	limitCut     = 0.85  // factor on the limit of a slow node
@@ -46,8 +44,6 @@
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
-	tellEvery    = 0.040 // s between messages to peers: a fifth of a short bound
-	tellMost     = 256   // bytes a message
 	reportLate   = 0.1   // s, how old a probe's report is taken to be until a primary's own reports tell
 )
 
@@ -65,7 +61,6 @@
 	rates  []float64      // txns of each tenant, fading
 	late   float64        // s, how old reports are when they arrive
 	refuse int            // refused watches in a row
-	spoke  float64        // last message to peers
 	seen   float64        // last time that anything was handled
 	woke   float64        // end of the last stall of this router itself
 }
@@ -103,9 +98,6 @@
 	started float64 // when it last came up cold, by list or by its own signs
 	down    bool    // its process seemed gone
 	mute    bool    // it took txns and answered none, until it answers one
-	mark    uint32  // what peers call it
-	told    float64 // last position told to peers
-	news    float64 // last position of its own telling
 }
 
 // group is a primary with its replicas, and the txns that wait for one of them.
@@ -193,9 +185,6 @@
 				continue
 			}
 			n = &node{limit: limitStart, rest: firstRest, lag: math.Inf(1), started: math.Inf(-1)}
-			h := fnv.New32a()
-			h.Write([]byte(m.Name))
-			n.mark = h.Sum32()
 			n.Group = m.Group
 			r.nodes[m.Node] = n
 			g := r.group(m.Group)
@@ -353,7 +342,7 @@
 	}
 	if r.long(t) && len(usable) > 0 {
 		// Gathered: all routers fill half of the replicas in the same order.
-		slices.SortFunc(usable, func(a, b *node) int { return cmp.Compare(a.mark, b.mark) })
+		slices.SortFunc(usable, func(a, b *node) int { return cmp.Compare(a.Name, b.Name) })
 		for _, n := range usable[:max(1, len(usable)/2)] {
 			if r.room(n, t) {
 				return n
@@ -645,7 +634,6 @@
 	}
 	if rep.Pos > 0 {
 		n.pos = max(n.pos, rep.Pos)
-		n.news = n.pos
 		n.lag = max(0, at-rep.Pos)
 		if !answer {
 			n.lag = max(0, now-rep.Pos-r.late)
@@ -775,61 +763,9 @@
 		r.probes(g)
 		r.pump(g)
 	}
-	if r.terms.Peers {
-		r.tell()
-	}
 	r.host.After(now+tick, r.tick)
 }
 
-// tell passes on to the peers what nodes have newly told of their positions: a position once told holds for ever, so
-// it may come late or not at all. An entry is the node's mark and its position in ms, doubled, plus 1 for a primary.
-func (r *Router) tell() {
-	now := r.host.Now()
-	if now-r.spoke < tellEvery {
-		return
-	}
-	r.spoke = now
-	var b []byte
-	for _, n := range r.nodes {
-		if n == nil || n.news <= n.told || len(b) > tellMost-8 {
-			continue
-		}
-		n.told = n.news
-		p := uint32(int64(n.pos*1000)) << 1
-		if r.group(n.Group).pri == n && n.claimed == n.pos {
-			p |= 1
-		}
-		b = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(b, n.mark), p)
-	}
-	if len(b) > 0 {
-		r.host.Tell(b)
-	}
-}
-
-// Hear takes what a peer has told.
-func (r *Router) Hear(b []byte) {
-	now := r.clock()
-	for ; len(b) >= 8; b = b[8:] {
-		mark, p := binary.BigEndian.Uint32(b), binary.BigEndian.Uint32(b[4:])
-		ago := float64((uint32(int64(now*1000))<<1-p&^1)>>1) / 1000
-		i := slices.IndexFunc(r.nodes, func(n *node) bool { return n != nil && n.mark == mark })
-		if i < 0 || ago > ordinary*10 {
-			continue
-		}
-		n, pos := r.nodes[i], math.Floor(now*1000)/1000-ago
-		if pos > n.pos {
-			n.pos = pos
-			n.lag = max(0, now-pos-r.late)
-		}
-		if p&1 == 1 {
-			r.claim(n, pos)
-		}
-	}
-	for _, g := range r.order {
-		r.pump(g)
-	}
-}
-
 // listen notices a node that takes txns and answers none, whatever its probes say: it counts the answers that are
 // overdue, each submission's wait measured in what its type usually takes.
 func (r *Router) listen(n *node) {
