--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -37,6 +37,7 @@
 	paceGain     = 0.15  // weight of the newest latency in a node's pace: about the last dozen answers
 	workGain     = 0.03  // weight of the newest latency in what a txn type usually takes
 	slowPace     = 0.25  // share of the SLA time from which a node's limit shrinks
+	sessionSpan  = 20.0  // s a session's commit is kept at least: few replicas are so far behind
 	limitStart   = 4.0   // submissions out at a node that is not known yet
 	limitMost    = 64.0  // and at one that is never slow
 	limitCut     = 0.85  // factor on the limit of a slow node
@@ -80,6 +81,7 @@
 	closed  bool    // drains or is gone
 	claimed float64 // latest time at which it was primary by its own word
 	denied  float64 // latest time at which an answer told that it was not
+	known   bool    // it has told of itself
 	pos     float64 // it has applied all commits up to this time
 	lag     float64 // s behind when last heard
 	heard   float64 // last answer to a txn
@@ -111,6 +113,11 @@
 	mute    int     // probes of any member in a row that failed
 	missing float64 // last time that a read found no replica fresh enough
 	waiting map[lane][]*txn
+	// Commits of sessions, where the router itself must remember them: the newest and the ones before, which are
+	// dropped as the newest grow old. What is forgotten every read must see.
+	wrote, before map[int64]float64
+	turned        float64 // when wrote was begun
+	forgot        float64 // commits up to this are in neither
 }
 
 // txn is a held txn. Its flight's result is handed to the step that the flight carries.
@@ -191,7 +198,7 @@
 			g.members = append(g.members, n)
 		}
 		m.Group = n.Group
-		if m.Born > n.started {
+		if m.Born > 0 && m.Born > n.started {
 			n.started = m.Born
 			n.limit = min(n.limit, limitStart)
 		}
@@ -326,18 +333,26 @@
 func (r *Router) place(t *txn) *node {
 	g := t.g
 	if t.Need == NeedPrimary {
-		if n := g.pri; n != nil && !g.held && r.room(n, t) {
+		n := g.pri
+		if g.held {
+			n = r.candidate(g)
+		}
+		if n != nil && r.room(n, t) {
 			return n
 		}
 		return nil
 	}
 	var best *node
 	var least float64
-	fresh := false
+	fresh, asked := false, false
 	usable := make([]*node, 0, len(g.members))
 	for _, n := range g.members {
-		if n != g.pri && !n.closed && !n.aside {
+		switch {
+		case n.closed || n.aside || n == g.pri:
+		case n.known || !r.terms.ProbeRoles:
 			usable = append(usable, n)
+		default:
+			asked = asked || n.probing
 		}
 	}
 	if r.long(t) && len(usable) > 0 {
@@ -365,7 +380,7 @@
 	if len(usable) > 0 && !fresh {
 		g.missing = r.host.Now()
 	}
-	if best == nil && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
+	if best == nil && !asked && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
 		if r.room(g.pri, t) && float64(len(g.pri.out)) < max(1, g.pri.limit/2) {
 			return g.pri
@@ -374,6 +389,27 @@
 	return best
 }
 
+// candidate finds the member on which a held write itself looks for the primary. It acts only where probes tell no
+// roles: a miss never ran, so members are asked in turn, the list's primary first, one write at a time.
+func (r *Router) candidate(g *group) *node {
+	if r.terms.ProbeRoles {
+		return nil
+	}
+	var best *node
+	for _, n := range g.members {
+		if n.closed || n.aside {
+			continue
+		}
+		if len(n.out) > 0 {
+			return nil
+		}
+		if best == nil || n.denied < best.denied || n.denied == best.denied && n.Primary && !best.Primary {
+			best = n
+		}
+	}
+	return best
+}
+
 // long tells whether a txn that any member may answer lasts longer than the shortest bound. Such txns may stop a
 // replica from applying the log, so they are gathered on few replicas, the others stay fresh. It also keeps them from
 // filling every node's cores at once; it could harm where they are most of the load and block nothing.
@@ -401,7 +437,7 @@
 	case NeedBounded:
 		need = now - t.Bound + margin
 	case NeedSession:
-		need = t.Wrote
+		need = max(t.Wrote, t.g.forgot, t.g.wrote[t.Session], t.g.before[t.Session])
 	case NeedCurrent:
 		need = t.arrived
 	}
@@ -563,6 +599,10 @@
 	case Committed:
 		n.fails *= 1 - failGain
 		n.rest = max(firstRest, n.rest/1.5)
+		if t.Need == NeedPrimary {
+			r.claim(n, now)
+			r.remember(t, res.Pos)
+		}
 		if timed {
 			t.work += workGain * (res.Latency - t.work)
 			r.tune(n, res.Latency/t.SLA)
@@ -605,6 +645,24 @@
 	}
 }
 
+// remember keeps a session's commit for its reads to come.
+func (r *Router) remember(t *txn, pos float64) {
+	now, g := r.host.Now(), t.g
+	if !r.terms.SessionsKept {
+		return
+	}
+	if g.wrote == nil || now-g.turned > sessionSpan {
+		if g.before != nil {
+			g.forgot = g.turned
+		}
+		g.before, g.wrote, g.turned = g.wrote, map[int64]float64{}, now
+	}
+	if pos == 0 {
+		pos = now
+	}
+	g.wrote[t.Session] = max(g.wrote[t.Session], pos)
+}
+
 // tune sets a node's pace and how many submissions it bears.
 func (r *Router) tune(n *node, pace float64) {
 	now := r.host.Now()
@@ -625,6 +683,7 @@
 	if rep.Pos > now+tick || rep.Pos < 0 {
 		return // it can't be: no evidence
 	}
+	n.known = true
 	at := rep.Pos
 	if at == 0 {
 		at = now - r.late
