--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -34,6 +34,10 @@
 	failGain     = 0.25  // weight of the newest outcome in a node's share of failures: two in a row count
 	failLimit    = 0.4   // share of failures from which a node is set aside
 	failTrial    = 0.3   // share it comes back with, so that one more failure sets it aside again
+	overtaken    = 2     // answers to later submissions until one may be taken for lost
+	lostAfter    = 2.5   // usual latencies until then
+	lostGain     = 0.15  // weight of the newest txn in a node's share of lost ones
+	lostLimit    = 0.6   // share of lost txns from which a node is set aside
 	paceGain     = 0.15  // weight of the newest latency in a node's pace: about the last dozen answers
 	workGain     = 0.03  // weight of the newest latency in what a txn type usually takes
 	slowPace     = 0.25  // share of the SLA time from which a node's limit shrinks
@@ -93,6 +97,7 @@
 	back    float64 // not back before this
 	rest    float64 // s aside next time
 	fails   float64 // share of txns that failed of late
+	lost    float64 // share of txns never answered, over a longer time
 	pace    float64 // latency as a share of the SLA time, of late
 	limit   float64 // submissions of ours it bears at once
 	cut     float64 // last time the limit shrank
@@ -140,6 +145,7 @@
 type flight struct {
 	t      *txn
 	sent   float64
+	passed int  // answers from its node to submissions sent later
 	called bool // off
 }
 
@@ -477,7 +483,7 @@
 // busy compares replicas: what is out there, at the pace it has shown, with a bias to the own zone and a little
 // chance, so that routers do not all choose the same.
 func (r *Router) busy(n *node, t *txn) float64 {
-	b := float64(len(n.out)+1) * max(n.pace, 0.02) / (1.01 - n.fails) * (1 + 0.2*r.rng.Float64())
+	b := float64(len(n.out)+1) * max(n.pace, 0.02) / (1.01 - n.fails) / (1.01 - n.lost) * (1 + 0.2*r.rng.Float64())
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
@@ -593,11 +599,17 @@
 	switch res.Outcome {
 	case Committed, Missed, Full, Failed:
 		n.heard, n.mute = now, false
+		for _, x := range n.out {
+			if x.sent < f.sent {
+				x.passed++
+			}
+		}
 		r.hear(n, res.Report, true)
 	}
 	switch res.Outcome {
 	case Committed:
 		n.fails *= 1 - failGain
+		n.lost *= 1 - lostGain
 		n.rest = max(firstRest, n.rest/1.5)
 		if t.Need == NeedPrimary {
 			r.claim(n, now)
@@ -618,10 +630,13 @@
 	case Full:
 		n.limit = max(1, n.limit/2)
 	case TimedOut, Cancelled:
-		// The answer would have taken longer than this.
+		// Lost or slow: its pace and limit follow what it answers, so that a node that loses some keeps the rest.
 		if timed {
 			t.work += workGain * max(0, res.Latency-t.work)
-			r.tune(n, max(n.pace, res.Latency/t.SLA))
+			n.lost += lostGain * (1 - n.lost)
+			if n.lost > lostLimit && !r.sick(n) {
+				r.setAside(n)
+			}
 		}
 	case Missed:
 		if t.Need == NeedPrimary {
@@ -826,13 +841,19 @@
 }
 
 // listen notices a node that takes txns and answers none, whatever its probes say: it counts the answers that are
-// overdue, each submission's wait measured in what its type usually takes.
+// overdue, each submission's wait measured in what its type usually takes. It also takes a single submission for lost
+// when later ones were answered and it is overdue by itself, and sends its txn on. That guards against nodes and ways
+// that lose some txns; a txn that is only long is begun anew then, so it asks for several signs.
 func (r *Router) listen(n *node) {
 	now := r.host.Now()
 	overdue := 0.0
 	for _, f := range n.out {
+		usual := max(f.t.work, n.pace*f.t.SLA)
 		if !f.t.started {
-			overdue += (now - max(f.sent, n.heard, r.woke)) / max(f.t.work, n.pace*f.t.SLA)
+			overdue += (now - max(f.sent, n.heard, r.woke)) / usual
+		}
+		if false && now-f.sent > lostAfter*usual && f.sent >= r.woke && f.t.Effect != OnceOnly {
+			r.callOff(f)
 		}
 	}
 	if overdue < silence || !n.aside && r.sick(n) {
