--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -34,8 +34,6 @@
 	failGain     = 0.25  // weight of the newest outcome in a node's share of failures: two in a row count
 	failLimit    = 0.4   // share of failures from which a node is set aside
 	failTrial    = 0.3   // share it comes back with, so that one more failure sets it aside again
-	overtaken    = 2     // answers to later submissions until one may be taken for lost
-	lostAfter    = 2.5   // usual latencies until then
 	lostGain     = 0.15  // weight of the newest txn in a node's share of lost ones
 	lostLimit    = 0.6   // share of lost txns from which a node is set aside
 	paceGain     = 0.15  // weight of the newest latency in a node's pace: about the last dozen answers
@@ -145,7 +143,6 @@
 type flight struct {
 	t      *txn
 	sent   float64
-	passed int  // answers from its node to submissions sent later
 	called bool // off
 }
 
@@ -599,11 +596,6 @@
 	switch res.Outcome {
 	case Committed, Missed, Full, Failed:
 		n.heard, n.mute = now, false
-		for _, x := range n.out {
-			if x.sent < f.sent {
-				x.passed++
-			}
-		}
 		r.hear(n, res.Report, true)
 	}
 	switch res.Outcome {
@@ -841,19 +833,13 @@
 }
 
 // listen notices a node that takes txns and answers none, whatever its probes say: it counts the answers that are
-// overdue, each submission's wait measured in what its type usually takes. It also takes a single submission for lost
-// when later ones were answered and it is overdue by itself, and sends its txn on. That guards against nodes and ways
-// that lose some txns; a txn that is only long is begun anew then, so it asks for several signs.
+// overdue, each submission's wait measured in what its type usually takes.
 func (r *Router) listen(n *node) {
 	now := r.host.Now()
 	overdue := 0.0
 	for _, f := range n.out {
-		usual := max(f.t.work, n.pace*f.t.SLA)
 		if !f.t.started {
-			overdue += (now - max(f.sent, n.heard, r.woke)) / usual
-		}
-		if false && now-f.sent > lostAfter*usual && f.sent >= r.woke && f.t.Effect != OnceOnly {
-			r.callOff(f)
+			overdue += (now - max(f.sent, n.heard, r.woke)) / max(f.t.work, n.pace*f.t.SLA)
 		}
 	}
 	if overdue < silence || !n.aside && r.sick(n) {
