--- a/simwire/host.go
+++ b/simwire/host.go
@@ -145,7 +145,8 @@
 		h.slots = append(h.slots, t)
 	}
 	h.txns[ev.Txn] = t
-	x := splitter.Txn{ID: t.txn, Group: ev.ClusterNo, Tenant: -1, Until: ev.ValidUntil / 1000, Session: ev.Sess}
+	x := splitter.Txn{ID: t.txn, Group: ev.ClusterNo, Tenant: -1, Until: ev.ValidUntil / 1000,
+		Session: ev.Sess}
 	x.Type = len(h.types)
 	if k, ok := h.types[ev.Class]; ok {
 		x.Type = k
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -1,5 +1,5 @@
-// Package simwire speaks the simulator's wire for many routers: events become calls of the splitter, and what the
-// splitter does becomes actions. It decides nothing.
+// Package simwire speaks the simulator's wire for many routers: events become calls of the splitter, and
+// what the splitter does becomes actions. It decides nothing.
 package simwire
 
 import (
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -97,7 +97,8 @@
 		t.Types = append(t.Types, k)
 	}
 	// A type the settings do not name is handled as the most delicate one.
-	t.Types = append(t.Types, splitter.TxnType{Need: splitter.NeedPrimary, Effect: splitter.OnceOnly, SLA: 1, Value: 1})
+	t.Types = append(t.Types, splitter.TxnType{Need: splitter.NeedPrimary, Effect: splitter.OnceOnly,
+		SLA: 1, Value: 1})
 	for i, o := range f.Orgs {
 		h.tenant[o.Name] = i
 		t.Shares = append(t.Shares, o.AllowancePerS)
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// world is the Host of a scenario: it keeps what the router did and plays what the scenario says of the nodes.
+// world is the Host of a scenario: it keeps what the router did and plays what is said of the nodes.
 type world struct {
 	t      *testing.T
 	where  string
@@ -118,12 +118,12 @@
 
 var typeNames = []string{"read", "write", "once", "any", "long", "session", "current"}
 
-var outcomeNames = map[string]Outcome{"committed": Committed, "failed": Failed, "timedout": TimedOut, "broken": Broken,
-	"cancelled": Cancelled, "missed": Missed, "full": Full, "noconn": NoConn, "unknown": Unknown}
+var outcomeNames = map[string]Outcome{"committed": Committed, "failed": Failed, "timedout": TimedOut,
+	"broken": Broken, "cancelled": Cancelled, "missed": Missed, "full": Full, "noconn": NoConn, "unknown": Unknown}
 
 // play runs one line of a scenario. The notation:
 //
-//	router [check] [ask] [noprobes] [kept] [of=N]  a new router; nodes check reads, the list must be asked for, ...
+//	router [check] [ask] [noprobes] [kept] [of=N]  a new router
 //	list|news NAME[=draining|gone|cold] ...   the full list, or changes of it
 //	refused                                   a watch was refused
 //	node NAME primary|replica LAG|unclear|silent    what it tells from now on when probed
@@ -136,8 +136,8 @@
 func (w *world) play(f []string) {
 	switch f[0] {
 	case "router":
-		t := Terms{Seed: 1, Routers: 1, Types: types, Probes: true, ProbeRoles: true, Cancels: true, MaxSubmissions: 8,
-			MaxPause: 1, ColdFrom: 0.2, WarmAfter: 16, Overload: 3, Fall: 2}
+		t := Terms{Seed: 1, Routers: 1, Types: types, Probes: true, ProbeRoles: true, Cancels: true,
+			MaxSubmissions: 8, MaxPause: 1, ColdFrom: 0.2, WarmAfter: 16, Overload: 3, Fall: 2}
 		for _, o := range f[1:] {
 			name, n, _ := strings.Cut(o, "=")
 			switch name {
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -1,8 +1,10 @@
-// Package splitter decides where each txn of a replicated database cluster goes. It holds all decisions of eiderway.
+// Package splitter decides where each txn of a replicated database cluster goes. It holds all decisions of
+// eiderway.
 //
-// How to call it: New makes a router; hand it each member list (Members), each txn (Arrive) and each client that
-// left (Left). It acts through the Host given to New and learns through the closures it hands to that Host. The
-// interface, Host included, is in api.go; docs/design.md says what comes from the source and what is ours.
+// How to call it: New makes a router; hand it each member list (Members), each txn (Arrive) and each client
+// that left (Left). It acts through the Host given to New and learns through the closures it hands to that
+// Host. The interface, Host included, is in api.go; docs/design.md says what comes from the source and what
+// is ours.
 package splitter
 
 import (
@@ -21,7 +23,7 @@
 	hurried      = 0.1   // s between probes in a failover window (design)
 	window       = 30.0  // s that a failover window lasts at most (design)
 	settle       = 1.0   // s of window left once an answer, not a probe, has confirmed the primary
-	asideProbe   = 0.25  // s between probes of a member set aside: two good ones bring it back within a second
+	asideProbe   = 0.25  // s between probes of a member set aside: two take less than its rest
 	staleProbe   = 0.2   // s between probes of a replica too far behind, while reads miss it
 	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
 	goodProbes   = 2     // good ones until it rejoins (design)
@@ -30,7 +32,7 @@
 	firstRest    = 0.5   // s a member that failed txns stays aside at least, doubled each time it fails again
 	longestRest  = 4.0   // s, so that one that has recovered is not missed for longer
 	silence      = 8.0   // answers overdue until a node counts as silent: chance alone does it once in e^8
-	sickMost     = 0.4   // share of a group's members set aside on our own count: beyond it the load is at fault
+	sickMost     = 0.4   // share of a group set aside on our own count: beyond it the load is at fault
 	failGain     = 0.25  // weight of the newest outcome in a node's share of failures: two in a row count
 	failLimit    = 0.4   // share of failures from which a node is set aside
 	failTrial    = 0.3   // share it comes back with, so that one more failure sets it aside again
@@ -40,10 +42,21 @@
 	workGain     = 0.03  // weight of the newest latency in what a txn type usually takes
 	slowPace     = 0.25  // share of the SLA time from which a node's limit shrinks
 	sessionSpan  = 20.0  // s a session's commit is kept at least: few replicas are so far behind
+	lagPace      = 0.8   // pace that a lag as long as the bound amounts to
 	limitStart   = 4.0   // submissions out at a node that is not known yet
 	limitMost    = 64.0  // and at one that is never slow
+	cutEvery     = 0.1   // s between cuts of a limit: answers must show the last one first
 	limitCut     = 0.85  // factor on the limit of a slow node
 	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
+	spare        = 0.2   // share of a bound kept free where a position is a guess
+	shareSample  = 50.0  // txns heard of late until tenants' shares of them mean anything
+	shareSlack   = 1.15  // how far over its share a tenant may be here: clients are unevenly spread
+	shareSpan    = 10.0  // s over which tenants' txns fade
+	askAgain     = 1.0   // s, about, until a refused watch is asked for again, growing with each refusal
+	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
+	leastPace    = 0.02  // pace of the quickest node that still counts
+	chance       = 0.2   // share by which chance moves a choice, so that routers differ
+	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
@@ -116,8 +129,8 @@
 	mute    int     // probes of any member in a row that failed
 	missing float64 // last time that a read found no replica fresh enough
 	waiting map[lane][]*txn
-	// Commits of sessions, where the router itself must remember them: the newest and the ones before, which are
-	// dropped as the newest grow old. What is forgotten every read must see.
+	// Commits of sessions, where the router itself must remember them: the newest and the ones before,
+	// which are dropped as the newest grow old. What is forgotten every read must see.
 	wrote, before map[int64]float64
 	turned        float64 // when wrote was begun
 	forgot        float64 // commits up to this are in neither
@@ -148,8 +161,9 @@
 
 // New starts a router with nothing but its terms.
 func New(terms Terms, host Host) *Router {
-	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)), groups: map[int]*group{},
-		txns: map[int]*txn{}, rates: make([]float64, len(terms.Shares)), late: reportLate, seen: host.Now()}
+	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)),
+		groups: map[int]*group{}, txns: map[int]*txn{}, rates: make([]float64, len(terms.Shares)),
+		late: reportLate, seen: host.Now()}
 	for i, t := range terms.Types {
 		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5})
 		r.ranked = append(r.ranked, lane{i, 0}, lane{i, 1})
@@ -174,10 +188,10 @@
 func (r *Router) Members(kind ListKind, list []Member) {
 	now := r.host.Now()
 	if kind == ListRefused {
-		// The notice does not say whether a watch stands, and the list is one service for all: ask again, later and
-		// later, at a time of our own.
-		r.refuse = min(r.refuse+1, 4)
-		r.host.After(now+float64(r.refuse)*(0.5+r.rng.Float64()), r.host.Watch)
+		// The notice does not say whether a watch stands, and the list is one service for all: ask again,
+		// later and later, at a time of our own.
+		r.refuse = min(r.refuse+1, askMost)
+		r.host.After(now+float64(r.refuse)*(0.5+r.rng.Float64())*askAgain, r.host.Watch)
 		return
 	}
 	if kind != ListRemembered {
@@ -220,7 +234,8 @@
 	}
 }
 
-// close acts on a drain at once, well before the grace is over: held txns and resubmissions stay away as well.
+// close acts on a drain at once, well before the grace is over: held txns and resubmissions stay away as
+// well.
 func (r *Router) close(n *node, s State) {
 	n.closed = s == Draining || s == Gone && !r.terms.OnlyDrainBinds
 	if g := r.group(n.Group); n.closed && g.pri == n {
@@ -238,9 +253,9 @@
 	return g
 }
 
-// clock tells the time, and notices a stall of the router itself by a gap in its own ticks. What was out meanwhile
-// looks slow, silent or lost and says nothing of the nodes. It also covers a paused process or a slow host; it could
-// harm only by hiding a trouble that begins during the stall for one round of answers.
+// clock tells the time, and notices a stall of the router itself by a gap in its own ticks. What was out
+// meanwhile looks slow, silent or lost and says nothing of the nodes. It also covers a paused process or a
+// slow host; it could harm only by hiding a trouble that begins during the stall for one round of answers.
 func (r *Router) clock() float64 {
 	now := r.host.Now()
 	if now-r.seen > stall {
@@ -265,7 +280,8 @@
 	r.pump(g)
 }
 
-// beyond tells whether a tenant asks for more than its share of what comes here. It only matters once txns queue.
+// beyond tells whether a tenant asks for more than its share of what comes here. It only matters once txns
+// queue.
 func (r *Router) beyond(tenant int) int {
 	if tenant < 0 || tenant >= len(r.rates) {
 		return 0
@@ -276,7 +292,7 @@
 		rate += x
 		share += r.terms.Shares[i]
 	}
-	if rate > 50 && r.rates[tenant]/rate > 1.15*r.terms.Shares[tenant]/share {
+	if rate > shareSample && r.rates[tenant]/rate > shareSlack*r.terms.Shares[tenant]/share {
 		return 1
 	}
 	return 0
@@ -392,8 +408,9 @@
 	return best
 }
 
-// candidate finds the member on which a held write itself looks for the primary. It acts only where probes tell no
-// roles: a miss never ran, so members are asked in turn, the list's primary first, one write at a time.
+// candidate finds the member on which a held write itself looks for the primary. It acts only where probes
+// tell no roles: a miss never ran, so members are asked in turn, the list's primary first, one write at a
+// time.
 func (r *Router) candidate(g *group) *node {
 	if r.terms.ProbeRoles {
 		return nil
@@ -413,9 +430,10 @@
 	return best
 }
 
-// long tells whether a txn that any member may answer lasts longer than the shortest bound. Such txns may stop a
-// replica from applying the log, so they are gathered on few replicas, the others stay fresh. It also keeps them from
-// filling every node's cores at once; it could harm where they are most of the load and block nothing.
+// long tells whether a txn that any member may answer lasts longer than the shortest bound. Such txns may
+// stop a replica from applying the log, so they are gathered on few replicas, the others stay fresh. It
+// also keeps them from filling every node's cores at once; it could harm where they are most of the load
+// and block nothing.
 func (r *Router) long(t *txn) bool {
 	if t.Need != NeedAny {
 		return false
@@ -428,9 +446,9 @@
 	return false
 }
 
-// fresh tells whether a replica is known to hold what a read needs. Where nodes check, its position when last heard
-// will do, since a wrong guess costs a miss; where they don't, only a position proves it, since a position told holds
-// for ever.
+// fresh tells whether a replica is known to hold what a read needs. Where nodes check, its position when
+// last heard will do, since a wrong guess costs a miss; where they don't, only a position proves it, since
+// a position told holds for ever.
 func (r *Router) fresh(n *node, t *txn) bool {
 	now := r.host.Now()
 	need := 0.0
@@ -447,7 +465,7 @@
 	if n.pos >= need {
 		return true
 	}
-	return r.terms.NodesCheck && !t.g.held && now-n.lag > need+0.2*(now-need)
+	return r.terms.NodesCheck && !t.g.held && now-n.lag > need+spare*(now-need)
 }
 
 // room tells whether a node can take one more submission of ours.
@@ -460,8 +478,9 @@
 	if age >= r.terms.WarmAfter {
 		return true
 	}
-	// Cold: what is out at it, from all routers together, stays within what overload allows beyond the work it does
-	// meanwhile. In the coldest quarter routers take turns by their number, the last one's work may still be there.
+	// Cold: what is out at it, from all routers together, stays within what overload allows beyond the work
+	// it does meanwhile. In the coldest quarter routers take turns by their number, the last one's work may
+	// still be there.
 	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
 	budget := (r.terms.Overload - 1) * r.terms.Fall * coldCores * share
 	parts := float64(max(2, r.terms.Routers))
@@ -477,15 +496,16 @@
 	return budget >= t.work*parts
 }
 
-// busy compares replicas: what is out there, at the pace it has shown, with a bias to the own zone and a little
-// chance, so that routers do not all choose the same.
+// busy compares replicas: what is out there, at the pace it has shown, with a bias to the own zone and a
+// little chance, so that routers do not all choose the same.
 func (r *Router) busy(n *node, t *txn) float64 {
-	b := float64(len(n.out)+1) * max(n.pace, 0.02) / (1.01 - n.fails) / (1.01 - n.lost) * (1 + 0.2*r.rng.Float64())
+	b := float64(len(n.out)+1) * max(n.pace, leastPace) * (1 + chance*r.rng.Float64())
+	b /= (1.01 - n.fails) * (1.01 - n.lost)
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
 	if n == t.avoid {
-		b *= 10
+		b *= avoidBias
 	}
 	return b
 }
@@ -502,7 +522,8 @@
 	return end
 }
 
-// tooLate tells whether an answer could hardly come in time any more; sent now, it would be work for nothing.
+// tooLate tells whether an answer could hardly come in time any more; sent now, it would be work for
+// nothing.
 func (r *Router) tooLate(t *txn) bool { return r.host.Now() >= r.last(t)-t.work }
 
 func (r *Router) submit(t *txn, n *node) {
@@ -609,7 +630,12 @@
 		}
 		if timed {
 			t.work += workGain * (res.Latency - t.work)
-			r.tune(n, res.Latency/t.SLA)
+			pace := res.Latency / t.SLA
+			if !r.terms.NodesCheck && t.Need == NeedBounded && res.Role == RoleReplica && res.Pos > 0 {
+				// A crowded replica applies the log late, and soon is of no use.
+				pace = max(pace, lagPace*(now-res.Pos)/t.Bound)
+			}
+			r.tune(n, pace)
 		}
 		if n == g.pri && t.Need == NeedPrimary && !g.held {
 			g.until = min(g.until, now+settle)
@@ -622,7 +648,8 @@
 	case Full:
 		n.limit = max(1, n.limit/2)
 	case TimedOut, Cancelled:
-		// Lost or slow: its pace and limit follow what it answers, so that a node that loses some keeps the rest.
+		// Lost or slow: its pace and limit follow what it answers, so that a node that loses some keeps the
+		// rest.
 		if timed {
 			t.work += workGain * max(0, res.Latency-t.work)
 			n.lost += lostGain * (1 - n.lost)
@@ -640,8 +667,9 @@
 			n.lag = max(n.lag, t.Bound)
 		}
 	case NoConn, Broken:
-		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon; until then
-		// the primary gets no writes. A connection that can't be had costs its time-out, so one is enough.
+		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon;
+		// until then the primary gets no writes. A connection that can't be had costs its time-out, so one
+		// is enough.
 		n.fails += failGain * (1 - n.fails)
 		if n.fails > failLimit || res.Outcome == NoConn {
 			r.setAside(n)
@@ -675,7 +703,7 @@
 	now := r.host.Now()
 	n.pace += paceGain * (pace - n.pace)
 	if n.pace > slowPace {
-		if now-n.cut > 5*tick {
+		if now-n.cut > cutEvery {
 			n.cut = now
 			n.limit = max(1, n.limit*limitCut)
 		}
@@ -750,7 +778,8 @@
 	}
 }
 
-// recall calls off the writes that an old primary still has, so that they can go on to the new one in their window.
+// recall calls off the writes that an old primary still has, so that they can go on to the new one in their
+// window.
 func (r *Router) recall(old *node) {
 	for _, f := range old.out {
 		if f.t.Need == NeedPrimary && f.t.Effect == Referenced {
@@ -766,7 +795,8 @@
 	}
 }
 
-// hold keeps writes until a member shows that it is primary, the old one or a new one, and probes fast meanwhile.
+// hold keeps writes until a member shows that it is primary, the old one or a new one, and probes fast
+// meanwhile.
 func (r *Router) hold(g *group) {
 	g.held, g.heldAt = true, r.host.Now()
 	r.openWindow(g)
@@ -774,7 +804,8 @@
 
 func (r *Router) openWindow(g *group) { g.until = r.host.Now() + window }
 
-// setAside takes a node out of the read set until it has answered probes and rested; then it gets one txn to try.
+// setAside takes a node out of the read set until it has answered probes and rested; then it gets one txn
+// to try.
 func (r *Router) setAside(n *node) {
 	now := r.host.Now()
 	if !n.aside {
@@ -785,8 +816,9 @@
 	n.limit = 1
 }
 
-// sick tells whether so many of a node's group are aside that the cause must lie elsewhere: the load, or this router.
-// It guards against a router that empties its own read set, one suspicion adding to the load that raises the next.
+// sick tells whether so many of a node's group are aside that the cause must lie elsewhere: the load, or
+// this router. It guards against a router that empties its own read set, one suspicion adding to the load
+// that raises the next.
 func (r *Router) sick(n *node) bool {
 	aside, open := 1.0, 0.0
 	for _, m := range r.group(n.Group).members {
@@ -804,7 +836,7 @@
 func (r *Router) tick() {
 	now := r.clock()
 	for i := range r.rates {
-		r.rates[i] *= 1 - tick/10
+		r.rates[i] *= 1 - tick/shareSpan
 	}
 	for _, n := range r.nodes {
 		if n != nil {
@@ -832,8 +864,8 @@
 	r.host.After(now+tick, r.tick)
 }
 
-// listen notices a node that takes txns and answers none, whatever its probes say: it counts the answers that are
-// overdue, each submission's wait measured in what its type usually takes.
+// listen notices a node that takes txns and answers none, whatever its probes say: it counts the answers
+// that are overdue, each submission's wait measured in what its type usually takes.
 func (r *Router) listen(n *node) {
 	now := r.host.Now()
 	overdue := 0.0
@@ -880,8 +912,8 @@
 	}
 }
 
-// answered takes what a probe brought. While no member answers at all the role record is frozen: the fault may be
-// the router's own.
+// answered takes what a probe brought. While no member answers at all the role record is frozen: the fault
+// may be the router's own.
 func (r *Router) answered(n *node, g *group, sent float64, rep Report) {
 	now := r.clock()
 	n.probing = false
@@ -907,7 +939,8 @@
 	n.bad, g.mute = 0, 0
 	n.good++
 	r.hear(n, rep, false)
-	if g.held && g.pri == n && rep.Role == RolePrimary && sent >= g.heldAt && n.claimed > n.denied && !n.mute {
+	there := g.pri == n && rep.Role == RolePrimary && n.claimed > n.denied && !n.mute
+	if g.held && there && sent >= g.heldAt {
 		g.held = false // the old primary is there after all
 	}
 	if n.aside && n.good >= goodProbes && now >= n.back {
