--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -473,6 +473,9 @@
 	if n.closed || float64(len(n.out)) >= n.limit {
 		return false
 	}
+	if t.ran > 0 && t.Effect == Referenced && t.Scope == ScopeZone && n.Zone != t.ranZone {
+		return false // its repeat is known there alone
+	}
 	now := r.host.Now()
 	age := now - n.started
 	if age >= r.terms.WarmAfter {
@@ -564,7 +567,7 @@
 		return
 	}
 	wait := 0.0
-	if n == t.g.pri && (res.Outcome == Failed || res.Outcome == Full) {
+	if res.Outcome == Full || n == t.g.pri && res.Outcome == Failed {
 		wait = min(againMost, againFirst*math.Pow(2, float64(t.tries-1)))
 	}
 	if wait == 0 || now+wait > r.last(t) {
@@ -732,6 +735,8 @@
 		if !answer {
 			n.lag = max(0, now-rep.Pos-r.late)
 		}
+	} else if n.lag /= 2; math.IsInf(n.lag, 1) {
+		n.lag = 0 // no position is told here: only misses say that it is behind
 	}
 	switch rep.Role {
 	case RolePrimary:
@@ -874,14 +879,17 @@
 			overdue += (now - max(f.sent, n.heard, r.woke)) / max(f.t.work, n.pace*f.t.SLA)
 		}
 	}
-	if overdue < silence || !n.aside && r.sick(n) {
+	if overdue < silence {
 		return
 	}
 	n.mute = true
-	r.setAside(n)
 	if g := r.group(n.Group); g.pri == n && !g.held {
 		r.hold(g)
 	}
+	if !n.aside && r.sick(n) {
+		return
+	}
+	r.setAside(n)
 	for _, f := range n.out {
 		if f.t.Effect == Repeatable {
 			r.callOff(f)
