Failures folded into one share; tenants' shares and chance in the picker taken out

The freeze now begins with the third untrusted round, so that the first member to fail is not set aside before it.

--- a/simwire/host.go
+++ b/simwire/host.go
@@ -24,7 +24,6 @@
 	facts  facts
 	types  map[string]int
 	zones  map[string]int
-	tenant map[string]int
 	zero   float64
 
 	txns   map[string]*held // emptied as a txn is over and its last submission ends
@@ -39,7 +38,7 @@
 
 func newHost(s *server, name string) *host {
 	return &host{s: s, name: name, txns: map[string]*held{}, nodes: map[string]int{}, types: map[string]int{},
-		zones: map[string]int{}, tenant: map[string]int{}, probes: map[int][]func(splitter.Report){},
+		zones: map[string]int{}, probes: map[int][]func(splitter.Report){},
 		timers: map[int]func(){}}
 }
 
@@ -145,18 +144,12 @@
 		h.slots = append(h.slots, t)
 	}
 	h.txns[ev.Txn] = t
-	x := splitter.Txn{ID: t.txn, Group: ev.ClusterNo, Tenant: -1, Until: ev.ValidUntil / 1000,
+	x := splitter.Txn{ID: t.txn, Group: ev.ClusterNo, Until: ev.ValidUntil / 1000,
 		Session: ev.Sess}
 	x.Type = len(h.types)
 	if k, ok := h.types[ev.Class]; ok {
 		x.Type = k
 	}
-	var team string
-	if json.Unmarshal(ev.Team, &team) == nil {
-		if k, ok := h.tenant[team]; ok {
-			x.Tenant = k
-		}
-	}
 	if ev.TokenMs != nil && *ev.TokenMs > 0 {
 		x.Wrote = h.s.now - *ev.TokenMs/1000
 	}
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -35,7 +35,6 @@
 	Kind       string
 	Txn        string
 	TokenMs    *float64
-	Team       json.RawMessage
 	ValidUntil float64
 	Sess       int64
 	Class      string
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -23,12 +23,7 @@
 		Worth       float64
 		LateWorth   float64
 	}
-	Orgs []struct {
-		Name          string
-		AllowancePerS float64
-	}
-	OverShareWorth float64
-	Extra          struct {
+	Extra struct {
 		WhenBehind   string
 		LagAllowed   []float64
 		NeedsByClass []string
@@ -66,7 +61,7 @@
 		h.zone(z)
 	}
 	t := splitter.Terms{Seed: ev.RandomSeed, Me: f.Me, Routers: f.Balancers, Zone: h.zone(f.MyZone),
-		OverShare: f.OverShareWorth, NodesCheck: f.Extra.WhenBehind == "bounce" || f.Extra.WhenBehind == "await",
+		NodesCheck:   f.Extra.WhenBehind == "bounce" || f.Extra.WhenBehind == "await",
 		SessionsKept: f.Extra.SessionMarks == "kept", Probes: f.Limits.Probes, Cancels: f.Limits.MayCancel,
 		AskList: f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
 		MaxSubmissions: f.Limits.SendCap, ColdFrom: f.Invariants.ColdFrom, WarmAfter: f.Invariants.WarmAfter / 1000,
@@ -99,10 +94,6 @@
 	// A type the settings do not name is handled as the most delicate one.
 	t.Types = append(t.Types, splitter.TxnType{Need: splitter.NeedPrimary, Effect: splitter.OnceOnly,
 		SLA: 1, Value: 1})
-	for i, o := range f.Orgs {
-		h.tenant[o.Name] = i
-		t.Shares = append(t.Shares, o.AllowancePerS)
-	}
 	h.router = splitter.New(t, h)
 	return nil
 }
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -47,11 +47,9 @@
 	Me, Routers    int
 	Zone           int
 	Types          []TxnType
-	Shares         []float64 // by tenant: txns a second within its share, all routers together
-	OverShare      float64   // what a txn beyond its tenant's share is worth
-	NodesCheck     bool      // nodes turn away a read they are too far behind for
-	SessionsKept   bool      // the router itself remembers what a session wrote
-	ProbeRoles     bool      // probes are allowed and tell role and position
+	NodesCheck     bool // nodes turn away a read they are too far behind for
+	SessionsKept   bool // the router itself remembers what a session wrote
+	ProbeRoles     bool // probes are allowed and tell role and position
 	Probes         bool
 	Cancels        bool
 	AskList        bool    // the member list comes only when watched
@@ -69,7 +67,6 @@
 	ID      int
 	Group   int
 	Type    int
-	Tenant  int     // -1: none
 	Until   float64 // expiry: when the client gives up
 	Session int64
 	Wrote   float64 // when the session last wrote, where the client brings that; 0: never
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -182,7 +182,7 @@
 	case "txn":
 		typ := slices.Index(typeNames, f[2])
 		require.GreaterOrEqual(w.t, typ, 0, w.where)
-		x := Txn{ID: int(w.number(f[1])), Type: typ, Tenant: -1, Until: w.now + 10, Session: 7}
+		x := Txn{ID: int(w.number(f[1])), Type: typ, Until: w.now + 10, Session: 7}
 		if len(f) > 3 {
 			x.Until = w.now + w.number(f[3])
 		}
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -12,7 +12,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 )
 
 const (
@@ -27,17 +26,15 @@
 	staleProbe   = 0.2   // s between probes of a replica too far behind, while reads miss it
 	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
 	goodProbes   = 2     // good ones until it rejoins (design)
-	frozenRounds = 3     // rounds without any answer until the role record freezes (design)
+	frozenRounds = 3     // rounds without any answer, the last one begun, that freeze the role record (design)
 	idle         = 10.0  // s without a txn after which a group is no longer probed
 	firstRest    = 0.5   // s a member that failed txns stays aside at least, doubled each time it fails again
 	longestRest  = 4.0   // s, so that one that has recovered is not missed for longer
 	silence      = 8.0   // answers overdue until a node counts as silent: chance alone does it once in e^8
 	sickMost     = 0.4   // share of a group set aside on our own count: beyond it the load is at fault
-	failGain     = 0.25  // weight of the newest outcome in a node's share of failures: two in a row count
-	failLimit    = 0.4   // share of failures from which a node is set aside
-	failTrial    = 0.3   // share it comes back with, so that one more failure sets it aside again
-	lostGain     = 0.15  // weight of the newest txn in a node's share of lost ones
-	lostLimit    = 0.6   // share of lost txns from which a node is set aside
+	failGain     = 0.2   // weight of the newest outcome in a node's share of failures
+	failLimit    = 0.5   // share of failures from which a node is set aside: it fails most
+	failTrial    = 0.4   // share it comes back with, so that one more failure sets it aside again
 	paceGain     = 0.15  // weight of the newest latency in a node's pace: about the last dozen answers
 	workGain     = 0.03  // weight of the newest latency in what a txn type usually takes
 	slowPace     = 0.25  // share of the SLA time from which a node's limit shrinks
@@ -49,13 +46,9 @@
 	limitCut     = 0.85  // factor on the limit of a slow node
 	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
 	spare        = 0.2   // share of a bound kept free where a position is a guess
-	shareSample  = 50.0  // txns heard of late until tenants' shares of them mean anything
-	shareSlack   = 1.15  // how far over its share a tenant may be here: clients are unevenly spread
-	shareSpan    = 10.0  // s over which tenants' txns fade
 	askAgain     = 1.0   // s, about, until a refused watch is asked for again, growing with each refusal
 	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
 	leastPace    = 0.02  // pace of the quickest node that still counts
-	chance       = 0.2   // share by which chance moves a choice, so that routers differ
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
@@ -72,9 +65,8 @@
 	groups map[int]*group // likewise
 	order  []*group       // groups as first met
 	kinds  []*kind        // by txn type
-	ranked []lane         // most value for the work first
+	ranked []int          // txn types, most value for the work first
 	txns   map[int]*txn   // held txns; emptied by their final answers
-	rates  []float64      // txns of each tenant, fading
 	late   float64        // s, how old reports are when they arrive
 	refuse int            // refused watches in a row
 	seen   float64        // last time that anything was handled
@@ -87,9 +79,6 @@
 	work float64 // s, usual latency
 }
 
-// lane is a queue's place in a group: a txn type, within or beyond its tenant's share.
-type lane struct{ typ, over int }
-
 // node is a member with its entry in the role record.
 type node struct {
 	Member
@@ -108,7 +97,6 @@
 	back    float64 // not back before this
 	rest    float64 // s aside next time
 	fails   float64 // share of txns that failed of late
-	lost    float64 // share of txns never answered, over a longer time
 	pace    float64 // latency as a share of the SLA time, of late
 	limit   float64 // submissions of ours it bears at once
 	cut     float64 // last time the limit shrank
@@ -128,7 +116,7 @@
 	used    float64 // last txn
 	mute    int     // probes of any member in a row that failed
 	missing float64 // last time that a read found no replica fresh enough
-	waiting map[lane][]*txn
+	waiting map[int][]*txn
 	// Commits of sessions, where the router itself must remember them: the newest and the ones before,
 	// which are dropped as the newest grow old. What is forgotten every read must see.
 	wrote, before map[int64]float64
@@ -141,7 +129,6 @@
 	Txn
 	*kind
 	g       *group
-	lane    lane
 	arrived float64
 	tries   int
 	ran     float64 // when the first submission that may have run was sent; 0: none
@@ -162,21 +149,14 @@
 // New starts a router with nothing but its terms.
 func New(terms Terms, host Host) *Router {
 	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)),
-		groups: map[int]*group{}, txns: map[int]*txn{}, rates: make([]float64, len(terms.Shares)),
+		groups: map[int]*group{}, txns: map[int]*txn{},
 		late: reportLate, seen: host.Now()}
 	for i, t := range terms.Types {
 		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5})
-		r.ranked = append(r.ranked, lane{i, 0}, lane{i, 1})
-	}
-	worth := func(l lane) float64 {
-		k := r.kinds[l.typ]
-		v := k.Value / k.SLA
-		if l.over == 1 {
-			v *= terms.OverShare
-		}
-		return v
+		r.ranked = append(r.ranked, i)
 	}
-	sort.SliceStable(r.ranked, func(a, b int) bool { return worth(r.ranked[a]) > worth(r.ranked[b]) })
+	value := func(i int) float64 { return r.kinds[i].Value / r.kinds[i].SLA }
+	slices.SortStableFunc(r.ranked, func(a, b int) int { return cmp.Compare(value(b), value(a)) })
 	if terms.AskList {
 		host.Watch()
 	}
@@ -246,7 +226,7 @@
 func (r *Router) group(id int) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{held: true, used: -idle, missing: -idle, waiting: map[lane][]*txn{}}
+		g = &group{held: true, used: -idle, missing: -idle, waiting: map[int][]*txn{}}
 		r.groups[id] = g
 		r.order = append(r.order, g)
 	}
@@ -269,35 +249,17 @@
 func (r *Router) Arrive(x Txn) {
 	now := r.clock()
 	g := r.group(x.Group)
-	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, lane: lane{x.Type, r.beyond(x.Tenant)}, arrived: now}
+	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, arrived: now}
 	r.txns[x.ID] = t
 	if now-g.used > idle {
 		g.until = max(g.until, now+settle)
 	}
 	g.used = now
-	g.waiting[t.lane] = append(g.waiting[t.lane], t)
+	g.waiting[t.Type] = append(g.waiting[t.Type], t)
 	r.probes(g)
 	r.pump(g)
 }
 
-// beyond tells whether a tenant asks for more than its share of what comes here. It only matters once txns
-// queue.
-func (r *Router) beyond(tenant int) int {
-	if tenant < 0 || tenant >= len(r.rates) {
-		return 0
-	}
-	r.rates[tenant]++
-	var rate, share float64
-	for i, x := range r.rates {
-		rate += x
-		share += r.terms.Shares[i]
-	}
-	if rate > shareSample && r.rates[tenant]/rate > shareSlack*r.terms.Shares[tenant]/share {
-		return 1
-	}
-	return 0
-}
-
 // Left says that the client of a txn is gone. Nothing is owed or sent for it any more.
 func (r *Router) Left(id int) {
 	if t := r.txns[id]; t != nil {
@@ -328,7 +290,7 @@
 		for len(q) > 0 {
 			// Reads leave newest first: when there are too many, the ones served are then served in time.
 			i := 0
-			if r.kinds[l.typ].Need != NeedPrimary {
+			if r.kinds[l].Need != NeedPrimary {
 				i = len(q) - 1
 			}
 			t := q[i]
@@ -396,7 +358,7 @@
 			best, least = n, busy
 		}
 	}
-	if len(usable) > 0 && !fresh {
+	if len(usable) > 0 && !fresh && t.Need != NeedCurrent {
 		g.missing = r.host.Now()
 	}
 	if best == nil && !asked && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
@@ -499,11 +461,11 @@
 	return budget >= t.work*parts
 }
 
-// busy compares replicas: what is out there, at the pace it has shown, with a bias to the own zone and a
-// little chance, so that routers do not all choose the same.
+// busy compares replicas: what is out there, at the pace it has shown. Own submissions
+// differ from router to router, so routers do not all choose the same.
 func (r *Router) busy(n *node, t *txn) float64 {
-	b := float64(len(n.out)+1) * max(n.pace, leastPace) * (1 + chance*r.rng.Float64())
-	b /= (1.01 - n.fails) * (1.01 - n.lost)
+	b := float64(len(n.out)+1) * max(n.pace, leastPace)
+	b /= 1.01 - n.fails
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
@@ -583,11 +545,11 @@
 }
 
 func (r *Router) requeue(t *txn) {
-	q, i := t.g.waiting[t.lane], 0
+	q, i := t.g.waiting[t.Type], 0
 	if t.Need != NeedPrimary {
 		i = len(q)
 	}
-	t.g.waiting[t.lane] = slices.Insert(q, i, t)
+	t.g.waiting[t.Type] = slices.Insert(q, i, t)
 }
 
 // again tells whether a txn may be submitted once more.
@@ -625,7 +587,6 @@
 	switch res.Outcome {
 	case Committed:
 		n.fails *= 1 - failGain
-		n.lost *= 1 - lostGain
 		n.rest = max(firstRest, n.rest/1.5)
 		if t.Need == NeedPrimary {
 			r.claim(n, now)
@@ -644,10 +605,7 @@
 			g.until = min(g.until, now+settle)
 		}
 	case Failed:
-		n.fails += failGain * (1 - n.fails)
-		if n.fails > failLimit && !r.sick(n) {
-			r.setAside(n)
-		}
+		r.failed(n)
 	case Full:
 		n.limit = max(1, n.limit/2)
 	case TimedOut, Cancelled:
@@ -655,10 +613,7 @@
 		// rest.
 		if timed {
 			t.work += workGain * max(0, res.Latency-t.work)
-			n.lost += lostGain * (1 - n.lost)
-			if n.lost > lostLimit && !r.sick(n) {
-				r.setAside(n)
-			}
+			r.failed(n)
 		}
 	case Missed:
 		if t.Need == NeedPrimary {
@@ -673,8 +628,8 @@
 		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon;
 		// until then the primary gets no writes. A connection that can't be had costs its time-out, so one
 		// is enough.
-		n.fails += failGain * (1 - n.fails)
-		if n.fails > failLimit || res.Outcome == NoConn {
+		r.failed(n)
+		if res.Outcome == NoConn {
 			r.setAside(n)
 		}
 		if g.pri == n {
@@ -701,6 +656,14 @@
 	g.wrote[t.Session] = max(g.wrote[t.Session], pos)
 }
 
+// failed counts a txn that a node did not answer as it should, and sets the node aside when most are.
+func (r *Router) failed(n *node) {
+	n.fails += failGain * (1 - n.fails)
+	if n.fails > failLimit && !r.sick(n) {
+		r.setAside(n)
+	}
+}
+
 // tune sets a node's pace and how many submissions it bears.
 func (r *Router) tune(n *node, pace float64) {
 	now := r.host.Now()
@@ -840,9 +803,6 @@
 
 func (r *Router) tick() {
 	now := r.clock()
-	for i := range r.rates {
-		r.rates[i] *= 1 - tick/shareSpan
-	}
 	for _, n := range r.nodes {
 		if n != nil {
 			r.listen(n)
@@ -932,7 +892,7 @@
 		n.good = 0
 		n.bad++
 		g.mute++
-		if n.bad >= badProbes && g.mute < frozenRounds*len(g.members) {
+		if n.bad >= badProbes && g.mute <= (frozenRounds-1)*len(g.members) {
 			n.down = true
 			r.setAside(n)
 			if g.pri == n && !g.held {
