--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -28,9 +28,8 @@
 	goodProbes   = 2     // good ones until it rejoins (design)
 	frozenRounds = 3     // rounds without any answer, the last one begun, that freeze the role record (design)
 	idle         = 10.0  // s without a txn after which a group is no longer probed
-	firstRest    = 0.5   // s a member that failed txns stays aside at least, doubled each time it fails again
-	longestRest  = 4.0   // s, so that one that has recovered is not missed for longer
-	silence      = 8.0   // answers overdue until a node counts as silent: chance alone does it once in e^8
+	rest         = 0.5   // s a member set aside stays there at least
+	silence      = 12.0  // answers overdue until a node counts as silent: chance does it once in e^12
 	sickMost     = 0.4   // share of a group set aside on our own count: beyond it the load is at fault
 	failGain     = 0.2   // weight of the newest outcome in a node's share of failures
 	failLimit    = 0.5   // share of failures from which a node is set aside: it fails most
@@ -95,7 +94,6 @@
 	good    int // good probes in a row
 	aside   bool
 	back    float64 // not back before this
-	rest    float64 // s aside next time
 	fails   float64 // share of txns that failed of late
 	pace    float64 // latency as a share of the SLA time, of late
 	limit   float64 // submissions of ours it bears at once
@@ -188,7 +186,7 @@
 			if m.Group < 0 {
 				continue
 			}
-			n = &node{limit: limitStart, rest: firstRest, lag: math.Inf(1), started: math.Inf(-1)}
+			n = &node{limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
 			n.Group = m.Group
 			r.nodes[m.Node] = n
 			g := r.group(m.Group)
@@ -337,14 +335,18 @@
 		}
 	}
 	if r.long(t) && len(usable) > 0 {
-		// Gathered: all routers fill half of the replicas in the same order.
+		// Gathered: all routers fill half of the replicas in the same order. A single replica is spared, the
+		// primary applies no log.
 		slices.SortFunc(usable, func(a, b *node) int { return cmp.Compare(a.Name, b.Name) })
-		for _, n := range usable[:max(1, len(usable)/2)] {
+		usable = usable[:len(usable)/2]
+		for _, n := range usable {
 			if r.room(n, t) {
 				return n
 			}
 		}
-		return nil
+		if len(usable) > 0 {
+			return nil
+		}
 	}
 	for _, n := range usable {
 		if !r.fresh(n, t) {
@@ -587,7 +589,6 @@
 	switch res.Outcome {
 	case Committed:
 		n.fails *= 1 - failGain
-		n.rest = max(firstRest, n.rest/1.5)
 		if t.Need == NeedPrimary {
 			r.claim(n, now)
 			r.remember(t, res.Pos)
@@ -778,8 +779,7 @@
 	now := r.host.Now()
 	if !n.aside {
 		n.aside, n.good = true, 0
-		n.back = now + n.rest
-		n.rest = min(longestRest, 2*n.rest)
+		n.back = now + rest
 	}
 	n.limit = 1
 }
