--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -17,7 +17,7 @@
 const (
 	tick         = 0.020 // s between looks at clocks: a few per shortest SLA time
 	stall        = 0.2   // s between ticks that only a stall of the router itself explains
-	margin       = 0.001 // s, positions are rounded to this
+	margin       = 0.004 // s, several times what positions are rounded to
 	ordinary     = 3.0   // s between probes of a member (design)
 	hurried      = 0.1   // s between probes in a failover window (design)
 	window       = 30.0  // s that a failover window lasts at most (design)
