--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -596,7 +596,7 @@
 		if timed {
 			t.work += workGain * (res.Latency - t.work)
 			pace := res.Latency / t.SLA
-			if !r.terms.NodesCheck && t.Need == NeedBounded && res.Role == RoleReplica && res.Pos > 0 {
+			if t.Need == NeedBounded && res.Role == RoleReplica && res.Pos > 0 {
 				// A crowded replica applies the log late, and soon is of no use.
 				pace = max(pace, lagPace*(now-res.Pos)/t.Bound)
 			}
