--- a/simwire/host.go
+++ b/simwire/host.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
+	"runtime/debug"
 
 	"eiderway/splitter"
 )
@@ -42,17 +44,29 @@
 		timers: map[int]func(){}}
 }
 
-func (h *host) act(kind string, fields ...any) {
-	m := map[string]any{"router": h.name}
-	for i := 0; i < len(fields); i += 2 {
-		m[fields[i].(string)] = fields[i+1]
-	}
-	b, err := json.Marshal(map[string]any{kind: m})
+// action holds the fields of every action; those that are not set stay off the wire.
+type action struct {
+	Router string   `json:"router"`
+	Txn    string   `json:"txn,omitempty"`
+	Node   string   `json:"node,omitempty"`
+	CutAt  float64  `json:"cutAt,omitempty"`
+	Try    *int     `json:"try,omitempty"`
+	Pause  float64  `json:"pause,omitempty"`
+	At     *float64 `json:"at,omitempty"`
+	Mark   int      `json:"mark,omitempty"`
+	On     bool     `json:"on,omitempty"`
+	Reason string   `json:"reasonText,omitempty"`
+}
+
+func (h *host) act(kind string, a action) {
+	a.Router = h.name
+	b, err := json.Marshal(&a)
 	if err != nil {
 		panic(err)
 	}
+	h.s.out.WriteString(`{"` + kind + `":`)
 	h.s.out.Write(b)
-	h.s.out.WriteByte(',')
+	h.s.out.WriteString("},")
 }
 
 func (h *host) node(name string) int {
@@ -74,48 +88,58 @@
 	return z
 }
 
-func (h *host) take(name string, ev *event, lists map[int][]entry) {
-	switch name {
-	case "members":
-		h.members(ev, lists[ev.List])
-	case "ingress":
-		h.ingress(ev)
-	case "ring":
-		if then := h.timers[ev.Mark]; then != nil {
-			delete(h.timers, ev.Mark)
-			then()
-		}
-	case "checked":
-		n := h.node(ev.Node)
-		if q := h.probes[n]; len(q) > 0 {
-			h.probes[n] = q[1:]
-			r := h.report(ev.Usage)
-			r.OK = ev.Reason == 0
-			q[0](r)
-		}
-	case "attemptEnd":
-		h.ended(ev)
-	case "headers":
-		if t := h.txns[ev.Txn]; t != nil && !t.over {
-			h.router.Started(t.txn)
-		}
-	case "gone":
-		if t := h.txns[ev.Txn]; t != nil && !t.over {
-			h.router.Left(t.txn)
-			h.finish(t)
+// take hands an event to its handler; a panic in the decisions is reported on the wire.
+func (h *host) take(ev *event, handle func(*host, *event)) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.act("fault", action{Reason: fmt.Sprintf("%v: %s", p, debug.Stack())})
 		}
+	}()
+	handle(h, ev)
+}
+
+func (h *host) ring(ev *event) {
+	if then := h.timers[ev.Mark]; then != nil {
+		delete(h.timers, ev.Mark)
+		then()
+	}
+}
+
+func (h *host) checked(ev *event) {
+	n := h.node(ev.Node)
+	if q := h.probes[n]; len(q) > 0 {
+		h.probes[n] = q[1:]
+		r := h.report(ev.Usage)
+		r.OK = ev.Reason == 0
+		q[0](r)
+	}
+}
+
+func (h *host) headers(ev *event) {
+	if t := h.txns[ev.Txn]; t != nil && !t.over {
+		h.router.Started(t.txn)
+	}
+}
+
+func (h *host) gone(ev *event) {
+	if t := h.txns[ev.Txn]; t != nil && !t.over {
+		h.router.Left(t.txn)
+		h.finish(t)
 	}
 }
 
-func (h *host) members(ev *event, lines []entry) {
-	kinds := map[string]splitter.ListKind{"changes": splitter.ListChanges, "all": splitter.ListAll,
-		"remembered": splitter.ListRemembered}
-	kind, ok := kinds[ev.Kind]
+var listKinds = map[string]splitter.ListKind{"changes": splitter.ListChanges, "all": splitter.ListAll,
+	"remembered": splitter.ListRemembered}
+
+var states = map[string]splitter.State{"on": splitter.On, "fading": splitter.Draining}
+
+func (h *host) members(ev *event) {
+	kind, ok := listKinds[ev.Kind]
 	if !ok {
 		h.router.Members(splitter.ListRefused, nil)
 		return
 	}
-	states := map[string]splitter.State{"on": splitter.On, "fading": splitter.Draining}
+	lines := h.s.lists[ev.List]
 	list := make([]splitter.Member, 0, len(lines))
 	for _, e := range lines {
 		if e.Node == "" {
@@ -231,38 +255,40 @@
 	t := h.slots[txn]
 	t.out[t.tries] = then
 	t.tries++
-	h.act("send", "txn", t.id, "node", h.names[node], "cutAt", until*1000)
+	h.act("send", action{Txn: t.id, Node: h.names[node], CutAt: until * 1000})
 }
 
 func (h *host) Cancel(txn int) {
 	if t := h.slots[txn]; t != nil && t.tries > 0 {
-		h.act("abortAttempt", "txn", t.id, "try", t.tries-1)
+		try := t.tries - 1
+		h.act("abortAttempt", action{Txn: t.id, Try: &try})
 	}
 }
 
 func (h *host) Decline(txn int, pause float64) {
 	t := h.slots[txn]
-	h.act("shed", "txn", t.id, "pause", math.Round(pause*1000))
+	h.act("shed", action{Txn: t.id, Pause: math.Round(pause * 1000)})
 	h.finish(t)
 }
 
 func (h *host) RollBack(txn int) {
 	t := h.slots[txn]
-	h.act("abort", "txn", t.id)
+	h.act("abort", action{Txn: t.id})
 	h.finish(t)
 }
 
 func (h *host) Probe(node int, then func(splitter.Report)) {
 	h.probes[node] = append(h.probes[node], then)
-	h.act("poll", "node", h.names[node])
+	h.act("poll", action{Node: h.names[node]})
 }
 
 func (h *host) After(at float64, then func()) {
 	h.mark++
 	h.timers[h.mark] = then
-	h.act("after", "at", at*1000, "mark", h.mark)
+	at *= 1000
+	h.act("after", action{At: &at, Mark: h.mark})
 }
 
-func (h *host) Watch() { h.act("tail", "on", true) }
+func (h *host) Watch() { h.act("tail", action{On: true}) }
 
-func (h *host) Note(text string) { h.act("noteDown", "reasonText", text) }
+func (h *host) Note(text string) { h.act("noteDown", action{Reason: text}) }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -8,45 +8,58 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"runtime/debug"
 )
 
+// batch is one line of the wire, decoded in one pass; of an item's fields the one that is there names the event.
 type batch struct {
-	Moment *float64                     `json:"moment"`
-	In     []map[string]json.RawMessage `json:"in"`
+	Moment *float64 `json:"moment"`
+	In     []item   `json:"in"`
+}
+
+type item struct {
+	Sheet      *event `json:"sheet"`
+	Members    *event `json:"members"`
+	Born       *event `json:"born"`
+	Halt       *event `json:"halt"`
+	Ingress    *event `json:"ingress"`
+	Ring       *event `json:"ring"`
+	Gone       *event `json:"gone"`
+	Checked    *event `json:"checked"`
+	Headers    *event `json:"headers"`
+	AttemptEnd *event `json:"attemptEnd"`
 }
 
 type entry struct {
-	Head      float64
-	Set       *int
-	Lifecycle string
-	Node      string
-	Born      float64
-	Site      string
+	Head      float64 `json:"head"`
+	Set       *int    `json:"set"`
+	Lifecycle string  `json:"lifecycle"`
+	Node      string  `json:"node"`
+	Born      float64 `json:"born"`
+	Site      string  `json:"site"`
 }
 
 // event holds the fields of every event; names on the wire differ from one event to the next.
 type event struct {
-	Router     string
-	RandomSeed int64
-	Facts      json.RawMessage
-	List       int
-	Lines      []entry
-	Kind       string
-	Txn        string
-	TokenMs    *float64
-	ValidUntil float64
-	Sess       int64
-	Class      string
-	ClusterNo  int
-	Mark       int
-	Node       string
-	Reason     int
-	Lag        float64
-	Final      bool
-	Stamp      int64
-	Usage      map[string]*float64
-	Try        int
+	Router     string              `json:"router"`
+	RandomSeed int64               `json:"randomSeed"`
+	Facts      json.RawMessage     `json:"facts"`
+	List       int                 `json:"list"`
+	Lines      []entry             `json:"lines"`
+	Kind       string              `json:"kind"`
+	Txn        string              `json:"txn"`
+	TokenMs    *float64            `json:"tokenMs"`
+	ValidUntil float64             `json:"validUntil"`
+	Sess       int64               `json:"sess"`
+	Class      string              `json:"class"`
+	ClusterNo  int                 `json:"clusterNo"`
+	Mark       int                 `json:"mark"`
+	Node       string              `json:"node"`
+	Reason     int                 `json:"reason"`
+	Lag        float64             `json:"lag"`
+	Final      bool                `json:"final"`
+	Stamp      int64               `json:"stamp"`
+	Usage      map[string]*float64 `json:"usage"`
+	Try        int                 `json:"try"`
 }
 
 type server struct {
@@ -91,15 +104,9 @@
 	s.out.Reset()
 	s.out.WriteString(`{"output":[`)
 	empty := s.out.Len()
-	for _, one := range b.In {
-		for name, body := range one {
-			var ev event
-			if err := json.Unmarshal(body, &ev); err != nil {
-				return fmt.Errorf("malformed %s: %w", name, err)
-			}
-			if err := s.event(name, &ev); err != nil {
-				return fmt.Errorf("malformed %s: %w", name, err)
-			}
+	for i := range b.In {
+		if err := s.event(&b.In[i]); err != nil {
+			return err
 		}
 	}
 	if s.out.Len() > empty {
@@ -109,31 +116,33 @@
 	return nil
 }
 
-func (s *server) event(name string, ev *event) (err error) {
-	switch name {
-	case "sheet":
-		s.lists[ev.List] = ev.Lines
+func (s *server) event(it *item) error {
+	switch {
+	case it.Sheet != nil:
+		s.lists[it.Sheet.List] = it.Sheet.Lines
 		return nil
-	case "halt":
-		delete(s.routers, ev.Router)
+	case it.Halt != nil:
+		delete(s.routers, it.Halt.Router)
 		return nil
-	case "born":
-		h := newHost(s, ev.Router)
-		if err := h.start(ev); err != nil {
-			return err
+	case it.Born != nil:
+		h := newHost(s, it.Born.Router)
+		if err := h.start(it.Born); err != nil {
+			return fmt.Errorf("malformed start of a router: %w", err)
 		}
-		s.routers[ev.Router] = h
-		return nil
-	}
-	h := s.routers[ev.Router]
-	if h == nil {
+		s.routers[h.name] = h
 		return nil
 	}
-	defer func() {
-		if p := recover(); p != nil {
-			h.act("fault", "reasonText", fmt.Sprintf("%v: %s", p, debug.Stack()))
+	for _, e := range []struct {
+		ev   *event
+		take func(*host, *event)
+	}{{it.Ring, (*host).ring}, {it.Ingress, (*host).ingress}, {it.AttemptEnd, (*host).ended},
+		{it.Checked, (*host).checked}, {it.Members, (*host).members}, {it.Gone, (*host).gone},
+		{it.Headers, (*host).headers}} {
+		if e.ev != nil {
+			if h := s.routers[e.ev.Router]; h != nil {
+				h.take(e.ev, e.take)
+			}
 		}
-	}()
-	h.take(name, ev, s.lists)
+	}
 	return nil
 }
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -82,6 +82,7 @@
 type node struct {
 	Member
 	closed  bool    // drains or is gone
+	drained bool    // it was listed as draining, and has not started anew since
 	claimed float64 // latest time at which it was primary by its own word
 	denied  float64 // latest time at which an answer told that it was not
 	known   bool    // it has told of itself
@@ -193,6 +194,7 @@
 			g.members = append(g.members, n)
 		}
 		m.Group = n.Group
+		n.drained = n.drained && m.Born <= n.Born
 		if m.Born > 0 && m.Born > n.started {
 			n.started = m.Born
 			n.limit = min(n.limit, limitStart)
@@ -213,9 +215,11 @@
 }
 
 // close acts on a drain at once, well before the grace is over: held txns and resubmissions stay away as
-// well.
+// well. A drain holds until the node has started anew, whatever a later list says: a list may be an old one
+// come again, and one that calls the node gone takes nothing back.
 func (r *Router) close(n *node, s State) {
-	n.closed = s == Draining || s == Gone && !r.terms.OnlyDrainBinds
+	n.drained = n.drained || s == Draining
+	n.closed = n.drained || s == Gone && !r.terms.OnlyDrainBinds
 	if g := r.group(n.Group); n.closed && g.pri == n {
 		r.hold(g)
 	}
