--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -23,11 +23,12 @@
 	window       = 30.0  // s that a failover window lasts at most (design)
 	settle       = 1.0   // s of window left once an answer, not a probe, has confirmed the primary
 	asideProbe   = 0.25  // s between probes of a member set aside: two take less than its rest
-	staleProbe   = 0.2   // s between probes of a replica too far behind, while reads miss it
+	probeShare   = 0.25  // probes that a txn pays for beside those that it waits for
+	askWidth     = 2     // replicas asked at a time for a proof of position: the second spares a step
+	askWait      = 0.05  // s that a read waits for such an answer: several ways there and back
 	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
 	goodProbes   = 2     // good ones until it rejoins (design)
 	frozenRounds = 3     // rounds without any answer, the last one begun, that freeze the role record (design)
-	idle         = 10.0  // s without a txn after which a group is no longer probed
 	rest         = 0.5   // s a member set aside stays there at least
 	silence      = 12.0  // answers overdue until a node counts as silent: chance does it once in e^12
 	sickMost     = 0.4   // share of a group set aside on our own count: beyond it the load is at fault
@@ -43,7 +44,9 @@
 	limitMost    = 64.0  // and at one that is never slow
 	cutEvery     = 0.1   // s between cuts of a limit: answers must show the last one first
 	limitCut     = 0.85  // factor on the limit of a slow node
-	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
+	coldBias     = 0.5   // how much less busy a cold node counts for the txns whose turn is at it
+	chance       = 0.5   // width of the chance in the choice of a replica: routers alike must not choose alike
+	golden       = 0.618 // steps of this spread any numbers of routers and txns evenly over the turns
 	spare        = 0.2   // share of a bound kept free where a position is a guess
 	askAgain     = 1.0   // s, about, until a refused watch is asked for again, growing with each refusal
 	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
@@ -68,7 +71,9 @@
 	txns   map[int]*txn   // held txns; emptied by their final answers
 	late   float64        // s, how old reports are when they arrive
 	refuse int            // refused watches in a row
-	seen   float64        // last time that anything was handled
+	count  int            // txns so far
+	armed  bool           // a tick is due
+	due    float64        // when
 	woke   float64        // end of the last stall of this router itself
 }
 
@@ -112,9 +117,9 @@
 	held    bool    // writes wait until a member shows that it is primary
 	heldAt  float64 // evidence must be newer than this
 	until   float64 // end of the failover window
-	used    float64 // last txn
+	live    int     // txns held and submissions out
+	credit  float64 // probes that txns have paid for
 	mute    int     // probes of any member in a row that failed
-	missing float64 // last time that a read found no replica fresh enough
 	waiting map[int][]*txn
 	// Commits of sessions, where the router itself must remember them: the newest and the ones before,
 	// which are dropped as the newest grow old. What is forgotten every read must see.
@@ -129,6 +134,7 @@
 	*kind
 	g       *group
 	arrived float64
+	turn    float64 // its place in the turns at fresh nodes, 0 to 1
 	tries   int
 	ran     float64 // when the first submission that may have run was sent; 0: none
 	ranZone int
@@ -149,7 +155,7 @@
 func New(terms Terms, host Host) *Router {
 	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)),
 		groups: map[int]*group{}, txns: map[int]*txn{},
-		late: reportLate, seen: host.Now()}
+		late: reportLate}
 	for i, t := range terms.Types {
 		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5})
 		r.ranked = append(r.ranked, i)
@@ -159,7 +165,6 @@
 	if terms.AskList {
 		host.Watch()
 	}
-	host.After(host.Now()+tick, r.tick)
 	return r
 }
 
@@ -228,7 +233,7 @@
 func (r *Router) group(id int) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{held: true, used: -idle, missing: -idle, waiting: map[int][]*txn{}}
+		g = &group{held: true, waiting: map[int][]*txn{}}
 		r.groups[id] = g
 		r.order = append(r.order, g)
 	}
@@ -240,23 +245,31 @@
 // slow host; it could harm only by hiding a trouble that begins during the stall for one round of answers.
 func (r *Router) clock() float64 {
 	now := r.host.Now()
-	if now-r.seen > stall {
-		r.woke = now
+	if r.armed && now > r.due+stall {
+		r.woke, r.due = now, now
 	}
-	r.seen = now
 	return now
 }
 
+// arm sees to it that clocks are looked at while anything is held or out. A router at rest costs nothing.
+func (r *Router) arm() {
+	if now := r.host.Now(); !r.armed {
+		r.armed, r.due = true, now+tick
+		r.host.After(r.due, r.tick)
+	}
+}
+
 // Arrive takes a txn, which waits until a member can have it. A group's first txn starts its probes.
 func (r *Router) Arrive(x Txn) {
 	now := r.clock()
 	g := r.group(x.Group)
-	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, arrived: now}
+	_, turn := math.Modf(golden * float64(r.terms.Me+r.count))
+	r.count++
+	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, arrived: now, turn: turn}
 	r.txns[x.ID] = t
-	if now-g.used > idle {
-		g.until = max(g.until, now+settle)
-	}
-	g.used = now
+	g.live++
+	g.credit = min(g.credit+probeShare, float64(2*len(g.members)))
+	r.arm()
 	g.waiting[t.Type] = append(g.waiting[t.Type], t)
 	r.probes(g)
 	r.pump(g)
@@ -281,6 +294,9 @@
 }
 
 func (r *Router) end(t *txn) {
+	if !t.over {
+		t.g.live--
+	}
 	t.over = true
 	delete(r.txns, t.ID)
 }
@@ -327,7 +343,7 @@
 	}
 	var best *node
 	var least float64
-	fresh, asked := false, false
+	asked := false
 	usable := make([]*node, 0, len(g.members))
 	for _, n := range g.members {
 		switch {
@@ -335,9 +351,10 @@
 		case n.known || !r.terms.ProbeRoles:
 			usable = append(usable, n)
 		default:
-			asked = asked || n.probing
+			asked = asked || n.probing && r.host.Now()-n.probed < askWait
 		}
 	}
+	proven := t.Need == NeedCurrent || r.terms.NodesCheck || !r.terms.ProbeRoles
 	if r.long(t) && len(usable) > 0 {
 		// Gathered: all routers fill half of the replicas in the same order. A single replica is spared, the
 		// primary applies no log.
@@ -356,7 +373,7 @@
 		if !r.fresh(n, t) {
 			continue
 		}
-		fresh = true
+		proven = true
 		if !r.room(n, t) {
 			continue
 		}
@@ -364,8 +381,8 @@
 			best, least = n, busy
 		}
 	}
-	if len(usable) > 0 && !fresh && t.Need != NeedCurrent {
-		g.missing = r.host.Now()
+	if !proven {
+		asked = r.ask(usable, t) || asked
 	}
 	if best == nil && !asked && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
@@ -376,6 +393,34 @@
 	return best
 }
 
+// ask asks for the positions of replicas when none of them is proven fresh enough for a read, the least busy
+// ones first, each once for a txn at most, and tells whether an answer may still come. So a probe is spent
+// where there is something to send. It covers routers too quiet to learn positions from answers, replicas
+// that lag and proofs that ran out; it harms where reports are older than the bound: reads then wait in vain.
+func (r *Router) ask(usable []*node, t *txn) bool {
+	now := r.host.Now()
+	out := 0
+	var left []*node
+	for _, n := range usable {
+		if n.probing && now-n.probed < askWait {
+			out++
+		} else if !n.probing && n.probed < t.arrived && now-n.probed > hurried {
+			left = append(left, n)
+		}
+	}
+	for ; out < askWidth && len(left) > 0; out++ {
+		best, least := 0, math.Inf(1)
+		for i, n := range left {
+			if b := r.busy(n, t); b < least {
+				best, least = i, b
+			}
+		}
+		r.probe(left[best], t.g)
+		left = slices.Delete(left, best, best+1)
+	}
+	return out > 0
+}
+
 // candidate finds the member on which a held write itself looks for the primary. It acts only where probes
 // tell no roles: a miss never ran, so members are asked in turn, the list's primary first, one write at a
 // time.
@@ -449,22 +494,15 @@
 	if age >= r.terms.WarmAfter {
 		return true
 	}
-	// Cold: what is out at it, from all routers together, stays within what overload allows beyond the work
-	// it does meanwhile. In the coldest quarter routers take turns by their number, the last one's work may
-	// still be there.
+	// Cold: it gets the share of its even part of the group's txns that it is surely warm enough for, whatever
+	// the other routers and members do, and a primary the writes that leave overload far. Each txn has its turn
+	// at one member, by the number of its router and its own.
 	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
-	budget := (r.terms.Overload - 1) * r.terms.Fall * coldCores * share
-	parts := float64(max(2, r.terms.Routers))
-	if age < r.terms.WarmAfter/4 && t.g.pri != n {
-		if int(age/r.terms.Fall*2)%max(1, r.terms.Routers) != r.terms.Me {
-			return false
-		}
-		parts = 2
+	if t.g.pri == n {
+		return t.turn < share*r.terms.Overload/2
 	}
-	for _, f := range n.out {
-		budget -= f.t.work * parts
-	}
-	return budget >= t.work*parts
+	i, part := math.Modf(t.turn * float64(len(t.g.members)))
+	return t.g.members[int(i)] == n && part < share
 }
 
 // busy compares replicas: what is out there, at the pace it has shown. Own submissions
@@ -472,6 +510,10 @@
 func (r *Router) busy(n *node, t *txn) float64 {
 	b := float64(len(n.out)+1) * max(n.pace, leastPace)
 	b /= 1.01 - n.fails
+	b *= 1 + chance*(r.rng.Float64()-0.5)
+	if r.host.Now()-n.started < r.terms.WarmAfter {
+		b *= coldBias
+	}
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
@@ -506,6 +548,7 @@
 	f := &flight{t: t, sent: now}
 	t.out = f
 	t.tries++
+	t.g.live++
 	n.out = append(n.out, f)
 	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.landed(f, n, res) })
 }
@@ -516,6 +559,7 @@
 	t := f.t
 	n.out = slices.DeleteFunc(n.out, func(x *flight) bool { return x == f })
 	t.out = nil
+	t.g.live--
 	r.learn(f, n, res)
 	defer r.pump(t.g)
 	if res.Ended || t.over {
@@ -806,13 +850,16 @@
 }
 
 func (r *Router) tick() {
-	now := r.clock()
-	for _, n := range r.nodes {
-		if n != nil {
+	r.clock()
+	r.armed = false
+	for _, g := range r.order {
+		if g.live == 0 {
+			continue
+		}
+		r.arm()
+		for _, n := range g.members {
 			r.listen(n)
 		}
-	}
-	for _, g := range r.order {
 		for _, l := range r.ranked {
 			q := g.waiting[l]
 			kept := q[:0]
@@ -830,7 +877,6 @@
 		r.probes(g)
 		r.pump(g)
 	}
-	r.host.After(now+tick, r.tick)
 }
 
 // listen notices a node that takes txns and answers none, whatever its probes say: it counts the answers
@@ -861,29 +907,57 @@
 	}
 }
 
-// probes sends the probes that are due in a group.
+// probes sends the probes that are due in a group while it has txns. A first look at a member and what a held
+// write waits for come at once; all else is paid for by txns, so that many routers with little traffic do not
+// spend more on watching a group than it earns them.
 func (r *Router) probes(g *group) {
 	now := r.host.Now()
-	if !r.terms.Probes || now-g.used > idle {
+	if !r.terms.Probes {
 		return
 	}
+	held := g.held && r.waits(g)
 	for _, n := range g.members {
-		every := ordinary
-		if now < g.until || g.pri == nil || g.held {
+		if n.probing || n.closed {
+			continue
+		}
+		every, owed := ordinary, n.probed == 0
+		switch {
+		case held:
+			every, owed = hurried, true
+		case now < g.until || g.pri == nil:
 			every = hurried
-		} else if n.aside {
+		case n.aside:
 			every = asideProbe
-		} else if now-g.missing < 2*staleProbe && n != g.pri {
-			every = staleProbe
 		}
-		if n.probing || n.closed || n.probed > 0 && now-n.probed < every*(0.9+0.2*r.rng.Float64()) {
+		if n.probed > 0 && now-n.probed < every*(0.9+0.2*r.rng.Float64()) {
 			continue
 		}
-		n.probing, n.probed = true, now
-		r.host.Probe(n.Node, func(rep Report) { r.answered(n, g, now, rep) })
+		if !owed {
+			if g.credit < 1 {
+				continue
+			}
+			g.credit--
+		}
+		r.probe(n, g)
 	}
 }
 
+// waits tells whether a txn waits for role evidence: a write, or any while no member is known as primary.
+func (r *Router) waits(g *group) bool {
+	for l, q := range g.waiting {
+		if len(q) > 0 && (g.pri == nil || r.kinds[l].Need == NeedPrimary) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) probe(n *node, g *group) {
+	now := r.host.Now()
+	n.probing, n.probed = true, now
+	r.host.Probe(n.Node, func(rep Report) { r.answered(n, g, now, rep) })
+}
+
 // answered takes what a probe brought. While no member answers at all the role record is frozen: the fault
 // may be the router's own.
 func (r *Router) answered(n *node, g *group, sent float64, rep Report) {
