--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -34,6 +34,7 @@
 		SendCap       int
 		MayCancel     bool
 		Probes        bool
+		Peers         bool
 		RetryAfter    bool
 		MaxRetryAfter float64
 	}
@@ -63,6 +64,7 @@
 	t := splitter.Terms{Seed: ev.RandomSeed, Me: f.Me, Routers: f.Balancers, Zone: h.zone(f.MyZone),
 		NodesCheck:   f.Extra.WhenBehind == "bounce" || f.Extra.WhenBehind == "await",
 		SessionsKept: f.Extra.SessionMarks == "kept", Probes: f.Limits.Probes, Cancels: f.Limits.MayCancel,
+		Peers:   f.Limits.Peers,
 		AskList: f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
 		MaxSubmissions: f.Limits.SendCap, ColdFrom: f.Invariants.ColdFrom, WarmAfter: f.Invariants.WarmAfter / 1000,
 		Overload: f.Invariants.OverloadFactor, Fall: f.Invariants.Fall / 1000}
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -52,6 +52,7 @@
 	ProbeRoles     bool // probes are allowed and tell role and position
 	Probes         bool
 	Cancels        bool
+	Peers          bool    // routers may tell each other what they heard of nodes
 	AskList        bool    // the member list comes only when watched
 	OnlyDrainBinds bool    // a node gone without a drain may still be used
 	MaxSubmissions int     // a txn
@@ -133,6 +134,13 @@
 	Born    float64 // when it last started; 0: long ago
 }
 
+// Word is what a node told one router, passed on to another.
+type Word struct {
+	Node    int
+	Primary bool
+	Pos     float64
+}
+
 // ListKind says what a member list holds.
 type ListKind int
 
@@ -153,5 +161,6 @@
 	Probe(node int, then func(Report))
 	After(at float64, then func())
 	Watch()
+	Tell(peer, group int, ask bool, words []Word) // to another router, by its number
 	Note(text string)
 }
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -24,7 +24,11 @@
 	settle       = 1.0   // s of window left once an answer, not a probe, has confirmed the primary
 	asideProbe   = 0.25  // s between probes of a member set aside: two take less than its rest
 	probeShare   = 0.25  // probes that a txn pays for beside those that it waits for
+	keepSpan     = 10.0  // s for which a position is worth passing on
 	askWidth     = 2     // replicas asked at a time for a proof of position: the second spares a step
+	keepers      = 3     // routers that keep a group's positions for all: one or two may stand still
+	keepersAsked = 2     // of them asked at a time
+	keepEvery    = 0.02  // s between words on one member to them: a tenth of a short bound
 	askWait      = 0.05  // s that a read waits for such an answer: several ways there and back
 	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
 	goodProbes   = 2     // good ones until it rejoins (design)
@@ -94,6 +98,7 @@
 	pos     float64 // it has applied all commits up to this time
 	lag     float64 // s behind when last heard
 	heard   float64 // last answer to a txn
+	told    float64 // last word on it to other routers
 	probed  float64 // last probe
 	probing bool
 	bad     int // failed probes in a row
@@ -112,6 +117,7 @@
 
 // group is a primary with its replicas, and the txns that wait for one of them.
 type group struct {
+	id      int
 	members []*node
 	pri     *node
 	held    bool    // writes wait until a member shows that it is primary
@@ -134,6 +140,7 @@
 	*kind
 	g       *group
 	arrived float64
+	asked   float64 // when keepers were asked for it
 	turn    float64 // its place in the turns at fresh nodes, 0 to 1
 	tries   int
 	ran     float64 // when the first submission that may have run was sent; 0: none
@@ -233,7 +240,7 @@
 func (r *Router) group(id int) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{held: true, waiting: map[int][]*txn{}}
+		g = &group{id: id, held: true, waiting: map[int][]*txn{}}
 		r.groups[id] = g
 		r.order = append(r.order, g)
 	}
@@ -382,7 +389,7 @@
 		}
 	}
 	if !proven {
-		asked = r.ask(usable, t) || asked
+		asked = r.askPeers(t) || r.ask(usable, t) || asked
 	}
 	if best == nil && !asked && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
@@ -421,6 +428,78 @@
 	return out > 0
 }
 
+// keeper gives the number of the k-th router that keeps a group's positions.
+func (r *Router) keeper(g *group, k int) int {
+	return (g.id*keepers + k*(r.terms.Routers/keepers+1)) % r.terms.Routers
+}
+
+// askPeers asks keepers for the positions that a read lacks, once, and tells whether their word may still come.
+// Each router tells the keepers of a group what answers told it there. It acts only where nodes don't check
+// reads, and covers what quiet routers can't know of nodes that others hear from all the time; keepers that
+// stand still or are gone cost a short wait, and probes follow.
+func (r *Router) askPeers(t *txn) bool {
+	if !r.keeps() {
+		return false
+	}
+	now := r.host.Now()
+	if t.asked == 0 {
+		t.asked = now
+		for k, from := 0, r.rng.Intn(keepers); k < keepersAsked; k++ {
+			if peer := r.keeper(t.g, (from+k)%keepers); peer != r.terms.Me {
+				r.host.Tell(peer, t.Group, true, nil)
+			}
+		}
+	}
+	return now-t.asked < askWait
+}
+
+func (r *Router) keeps() bool {
+	return r.terms.Peers && !r.terms.NodesCheck && r.terms.Routers > keepers
+}
+
+// tellPeers passes on what an answer told of a member.
+func (r *Router) tellPeers(n *node) {
+	g, now := r.group(n.Group), r.host.Now()
+	if !r.keeps() || now-n.told < keepEvery {
+		return
+	}
+	n.told = now
+	for k := range keepers {
+		if peer := r.keeper(g, k); peer != r.terms.Me {
+			r.host.Tell(peer, g.id, false, []Word{{Node: n.Node, Primary: g.pri == n, Pos: n.pos}})
+		}
+	}
+}
+
+// Heard takes what another router passes on, or answers its question. A position told holds for ever, and a
+// primary's dates its claim, so neither an old word nor one come twice can do harm.
+func (r *Router) Heard(from, group int, ask bool, words []Word) {
+	now := r.clock()
+	g := r.groups[group]
+	if g == nil {
+		return
+	}
+	for _, w := range words {
+		if n := r.nodes[w.Node]; n != nil && n.Group == group && w.Pos <= now+tick {
+			n.pos, n.known = max(n.pos, w.Pos), true
+			if w.Primary {
+				r.claim(n, w.Pos)
+			}
+		}
+	}
+	if ask {
+		var known []Word
+		for _, n := range g.members {
+			if n.pos > now-keepSpan && !n.closed {
+				known = append(known, Word{Node: n.Node, Primary: g.pri == n, Pos: n.pos})
+			}
+		}
+		r.host.Tell(from, group, false, known)
+	} else {
+		r.pump(g)
+	}
+}
+
 // candidate finds the member on which a held write itself looks for the primary. It acts only where probes
 // tell no roles: a miss never ran, so members are asked in turn, the list's primary first, one write at a
 // time.
@@ -633,6 +712,7 @@
 	case Committed, Missed, Full, Failed:
 		n.heard, n.mute = now, false
 		r.hear(n, res.Report, true)
+		r.tellPeers(n)
 	}
 	switch res.Outcome {
 	case Committed:
