--- a/simwire/host.go
+++ b/simwire/host.go
@@ -295,6 +295,8 @@
 	h.act("after", action{At: &at, Mark: h.mark})
 }
 
+func (h *host) CloseIdle(node int) { h.act("closeIdle", action{Node: h.names[node]}) }
+
 func (h *host) Watch() { h.act("tail", action{On: true}) }
 
 func (h *host) Note(text string) { h.act("noteDown", action{Reason: text}) }
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -160,6 +160,7 @@
 	RollBack(txn int)
 	Probe(node int, then func(Report))
 	After(at float64, then func())
+	CloseIdle(node int) // connections to it that are not in use
 	Watch()
 	Tell(peer, group int, ask bool, words []Word) // to another router, by its number
 	Note(text string)
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -29,6 +29,8 @@
 	keepers      = 3     // routers that keep a group's positions for all: one or two may stand still
 	keepersAsked = 2     // of them asked at a time
 	keepEvery    = 0.02  // s between words on one member to them: a tenth of a short bound
+	alive        = 1.0   // s after an answer for which a refused connection is no sign of death
+	scarce       = 5.0   // s for which connections are given back at once after one was refused
 	askWait      = 0.05  // s that a read waits for such an answer: several ways there and back
 	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
 	goodProbes   = 2     // good ones until it rejoins (design)
@@ -75,6 +77,7 @@
 	txns   map[int]*txn   // held txns; emptied by their final answers
 	late   float64        // s, how old reports are when they arrive
 	refuse int            // refused watches in a row
+	scarce float64        // until then connections are scarce
 	count  int            // txns so far
 	armed  bool           // a tick is due
 	due    float64        // when
@@ -98,6 +101,7 @@
 	pos     float64 // it has applied all commits up to this time
 	lag     float64 // s behind when last heard
 	heard   float64 // last answer to a txn
+	seen    float64 // last answer of any kind
 	told    float64 // last word on it to other routers
 	probed  float64 // last probe
 	probing bool
@@ -640,6 +644,9 @@
 	t.out = nil
 	t.g.live--
 	r.learn(f, n, res)
+	if now < r.scarce && len(n.out) == 0 && res.Outcome != NoConn {
+		r.host.CloseIdle(n.Node)
+	}
 	defer r.pump(t.g)
 	if res.Ended || t.over {
 		r.end(t)
@@ -658,7 +665,7 @@
 		return
 	}
 	wait := 0.0
-	if res.Outcome == Full || n == t.g.pri && res.Outcome == Failed {
+	if res.Outcome == Full || res.Outcome == NoConn || n == t.g.pri && res.Outcome == Failed {
 		wait = min(againMost, againFirst*math.Pow(2, float64(t.tries-1)))
 	}
 	if wait == 0 || now+wait > r.last(t) {
@@ -710,6 +717,7 @@
 	timed := f.sent >= r.woke // its latency is the node's
 	switch res.Outcome {
 	case Committed, Missed, Full, Failed:
+		n.seen = now
 		n.heard, n.mute = now, false
 		r.hear(n, res.Report, true)
 		r.tellPeers(n)
@@ -754,6 +762,18 @@
 			n.lag = max(n.lag, t.Bound)
 		}
 	case NoConn, Broken:
+		if res.Outcome == NoConn && now-max(n.heard, n.seen) < alive {
+			// It runs, so it has all the connections it takes: no sign of change, and nothing to wait for.
+			if now > r.scarce {
+				for _, m := range r.nodes {
+					if m != nil && len(m.out) == 0 && m.heard > 0 {
+						r.host.CloseIdle(m.Node)
+					}
+				}
+			}
+			r.scarce = now + scarce
+			break
+		}
 		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon;
 		// until then the primary gets no writes. A connection that can't be had costs its time-out, so one
 		// is enough.
@@ -1062,7 +1082,7 @@
 	if n.down {
 		n.down, n.started = false, now // cold, before the list says so
 	}
-	n.bad, g.mute = 0, 0
+	n.bad, g.mute, n.seen = 0, 0, now
 	n.good++
 	r.hear(n, rep, false)
 	there := g.pri == n && rep.Role == RolePrimary && n.claimed > n.denied && !n.mute
