--- a/splitter/api.go
+++ b/splitter/api.go
@@ -55,6 +55,8 @@
 	Peers          bool    // routers may tell each other what they heard of nodes
 	AskList        bool    // the member list comes only when watched
 	OnlyDrainBinds bool    // a node gone without a drain may still be used
+	ConnectIn      float64 // a connection not there by then is not had
+	IdleFor        float64 // one not used for so long closes
 	MaxSubmissions int     // a txn
 	MaxPause       float64 // the longest pause a client heeds; 0: none
 	ColdFrom       float64 // share of its capacity a node starts with
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -58,6 +58,7 @@
 	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
 	leastPace    = 0.02  // pace of the quickest node that still counts
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
+	connBias     = 1.5   // a node that needs a new connection counts as this much busier
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
@@ -102,6 +103,8 @@
 	lag     float64 // s behind when last heard
 	heard   float64 // last answer to a txn
 	seen    float64 // last answer of any kind
+	idle    int     // our connections to it that are not in use, as far as known
+	used    float64 // when the last one came free
 	told    float64 // last word on it to other routers
 	probed  float64 // last probe
 	probing bool
@@ -600,6 +603,9 @@
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
+	if n.idle == 0 || r.host.Now()-n.used > r.terms.IdleFor {
+		b *= connBias
+	}
 	if n == t.avoid {
 		b *= avoidBias
 	}
@@ -633,6 +639,7 @@
 	t.tries++
 	t.g.live++
 	n.out = append(n.out, f)
+	n.idle = max(0, n.idle-1)
 	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.landed(f, n, res) })
 }
 
@@ -643,9 +650,13 @@
 	n.out = slices.DeleteFunc(n.out, func(x *flight) bool { return x == f })
 	t.out = nil
 	t.g.live--
+	if res.Outcome != NoConn && res.Outcome != Broken {
+		n.idle, n.used = n.idle+1, now
+	}
 	r.learn(f, n, res)
 	if now < r.scarce && len(n.out) == 0 && res.Outcome != NoConn {
 		r.host.CloseIdle(n.Node)
+		n.idle = 0
 	}
 	defer r.pump(t.g)
 	if res.Ended || t.over {
@@ -762,12 +773,13 @@
 			n.lag = max(n.lag, t.Bound)
 		}
 	case NoConn, Broken:
-		if res.Outcome == NoConn && now-max(n.heard, n.seen) < alive {
-			// It runs, so it has all the connections it takes: no sign of change, and nothing to wait for.
+		if res.Outcome == NoConn && now-n.seen < alive && res.Latency < r.terms.ConnectIn/2 {
+			// It runs and refuses at once, so it has all the connections it takes: no sign of change.
 			if now > r.scarce {
 				for _, m := range r.nodes {
 					if m != nil && len(m.out) == 0 && m.heard > 0 {
 						r.host.CloseIdle(m.Node)
+						m.idle = 0
 					}
 				}
 			}
