--- a/simwire/host.go
+++ b/simwire/host.go
@@ -33,8 +33,6 @@
 	free   []int
 	nodes  map[string]int
 	names  []string
-	hashes []uint32       // of names, for messages
-	byHash map[uint32]int // back to nodes
 	probes map[int][]func(splitter.Report)
 	timers map[int]func()
 	mark   int
@@ -43,7 +41,7 @@
 func newHost(s *server, name string) *host {
 	return &host{s: s, name: name, txns: map[string]*held{}, nodes: map[string]int{}, types: map[string]int{},
 		zones: map[string]int{}, probes: map[int][]func(splitter.Report){},
-		timers: map[int]func(){}, byHash: map[uint32]int{}}
+		timers: map[int]func(){}}
 }
 
 // action holds the fields of every action; those that are not set stay off the wire.
@@ -58,8 +56,6 @@
 	Mark   int      `json:"mark,omitempty"`
 	On     bool     `json:"on,omitempty"`
 	Reason string   `json:"reasonText,omitempty"`
-	Whom   *int     `json:"whom,omitempty"`
-	Data   string   `json:"data,omitempty"`
 }
 
 func (h *host) act(kind string, a action) {
@@ -79,8 +75,6 @@
 		n = len(h.names)
 		h.nodes[name] = n
 		h.names = append(h.names, name)
-		h.hashes = append(h.hashes, hashOf(name))
-		h.byHash[h.hashes[n]] = n
 	}
 	return n
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -27,7 +27,6 @@
 	Checked    *event `json:"checked"`
 	Headers    *event `json:"headers"`
 	AttemptEnd *event `json:"attemptEnd"`
-	Inbox      *event `json:"inbox"`
 }
 
 type entry struct {
@@ -61,8 +60,6 @@
 	Stamp      int64               `json:"stamp"`
 	Usage      map[string]*float64 `json:"usage"`
 	Try        int                 `json:"try"`
-	Src        int                 `json:"src"`
-	Data       string              `json:"data"`
 }
 
 type server struct {
@@ -140,7 +137,7 @@
 		take func(*host, *event)
 	}{{it.Ring, (*host).ring}, {it.Ingress, (*host).ingress}, {it.AttemptEnd, (*host).ended},
 		{it.Checked, (*host).checked}, {it.Members, (*host).members}, {it.Gone, (*host).gone},
-		{it.Headers, (*host).headers}, {it.Inbox, (*host).inbox}} {
+		{it.Headers, (*host).headers}} {
 		if e.ev != nil {
 			if h := s.routers[e.ev.Router]; h != nil {
 				h.take(e.ev, e.take)
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -34,11 +34,10 @@
 		SendCap       int
 		MayCancel     bool
 		Probes        bool
-		Peers         bool
 		RetryAfter    bool
 		MaxRetryAfter float64
 
-		ConnectTimeout, IdleClose float64
+		ConnectTimeout float64
 	}
 	Telemetry struct {
 		How   string
@@ -66,8 +65,8 @@
 	t := splitter.Terms{Seed: ev.RandomSeed, Me: f.Me, Routers: f.Balancers, Zone: h.zone(f.MyZone),
 		NodesCheck:   f.Extra.WhenBehind == "bounce" || f.Extra.WhenBehind == "await",
 		SessionsKept: f.Extra.SessionMarks == "kept", Probes: f.Limits.Probes, Cancels: f.Limits.MayCancel,
-		Peers: f.Limits.Peers, ConnectIn: f.Limits.ConnectTimeout / 1000, IdleFor: f.Limits.IdleClose / 1000,
-		AskList: f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
+		ConnectIn: f.Limits.ConnectTimeout / 1000,
+		AskList:   f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
 		MaxSubmissions: f.Limits.SendCap, ColdFrom: f.Invariants.ColdFrom, WarmAfter: f.Invariants.WarmAfter / 1000,
 		Overload: f.Invariants.OverloadFactor, Fall: f.Invariants.Fall / 1000}
 	t.ProbeRoles = t.Probes && f.Telemetry.How != "none" && slices.Contains(f.Telemetry.Names, "x1")
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -52,11 +52,9 @@
 	ProbeRoles     bool // probes are allowed and tell role and position
 	Probes         bool
 	Cancels        bool
-	Peers          bool    // routers may tell each other what they heard of nodes
 	AskList        bool    // the member list comes only when watched
 	OnlyDrainBinds bool    // a node gone without a drain may still be used
 	ConnectIn      float64 // a connection not there by then is not had
-	IdleFor        float64 // one not used for so long closes
 	MaxSubmissions int     // a txn
 	MaxPause       float64 // the longest pause a client heeds; 0: none
 	ColdFrom       float64 // share of its capacity a node starts with
@@ -136,13 +134,6 @@
 	Born    float64 // when it last started; 0: long ago
 }
 
-// Word is what a node told one router, passed on to another.
-type Word struct {
-	Node    int
-	Primary bool
-	Pos     float64
-}
-
 // ListKind says what a member list holds.
 type ListKind int
 
@@ -164,6 +155,5 @@
 	After(at float64, then func())
 	CloseIdle(node int) // connections to it that are not in use
 	Watch()
-	Tell(peer, group int, ask bool, words []Word) // to another router, by its number
 	Note(text string)
 }
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -53,11 +53,8 @@
 func (w *world) CloseIdle(node int)            { w.do("close %s", w.names[node]) }
 func (w *world) Watch()                        { w.do("watch") }
 func (w *world) After(at float64, then func()) { w.timers = append(w.timers, timer{at, then}) }
-func (w *world) Tell(peer, _ int, ask bool, words []Word) {
-	w.do("tell %d %t %d", peer, ask, len(words))
-}
-func (w *world) Note(string)              {}
-func (w *world) do(f string, args ...any) { w.did = append(w.did, fmt.Sprintf(f, args...)) }
+func (w *world) Note(string)                   {}
+func (w *world) do(f string, args ...any)      { w.did = append(w.did, fmt.Sprintf(f, args...)) }
 
 func (w *world) Probe(node int, then func(Report)) {
 	name := w.names[node]
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -24,11 +24,7 @@
 	settle       = 1.0   // s of window left once an answer, not a probe, has confirmed the primary
 	asideProbe   = 0.25  // s between probes of a member set aside: two take less than its rest
 	probeShare   = 0.25  // probes that a txn pays for beside those that it waits for
-	keepSpan     = 10.0  // s for which a position is worth passing on
 	askWidth     = 2     // replicas asked at a time for a proof of position: the second spares a step
-	keepers      = 3     // routers that keep a group's positions for all: one or two may stand still
-	keepersAsked = 2     // of them asked at a time
-	keepEvery    = 0.02  // s between words on one member to them: a tenth of a short bound
 	alive        = 1.0   // s after an answer for which a refused connection is no sign of death
 	scarce       = 5.0   // s for which connections are given back at once after one was refused
 	askWait      = 0.05  // s that a read waits for such an answer: several ways there and back
@@ -58,7 +54,6 @@
 	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
 	leastPace    = 0.02  // pace of the quickest node that still counts
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
-	connBias     = 1.5   // a node that needs a new connection counts as this much busier
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
@@ -103,9 +98,6 @@
 	lag     float64 // s behind when last heard
 	heard   float64 // last answer to a txn
 	seen    float64 // last answer of any kind
-	idle    int     // our connections to it that are not in use, as far as known
-	used    float64 // when the last one came free
-	told    float64 // last word on it to other routers
 	probed  float64 // last probe
 	probing bool
 	bad     int // failed probes in a row
@@ -124,7 +116,6 @@
 
 // group is a primary with its replicas, and the txns that wait for one of them.
 type group struct {
-	id      int
 	members []*node
 	pri     *node
 	held    bool    // writes wait until a member shows that it is primary
@@ -147,7 +138,6 @@
 	*kind
 	g       *group
 	arrived float64
-	asked   float64 // when keepers were asked for it
 	turn    float64 // its place in the turns at fresh nodes, 0 to 1
 	tries   int
 	ran     float64 // when the first submission that may have run was sent; 0: none
@@ -247,7 +237,7 @@
 func (r *Router) group(id int) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{id: id, held: true, waiting: map[int][]*txn{}}
+		g = &group{held: true, waiting: map[int][]*txn{}}
 		r.groups[id] = g
 		r.order = append(r.order, g)
 	}
@@ -396,7 +386,7 @@
 		}
 	}
 	if !proven {
-		asked = r.askPeers(t) || r.ask(usable, t) || asked
+		asked = r.ask(usable, t) || asked
 	}
 	if best == nil && !asked && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
@@ -435,78 +425,6 @@
 	return out > 0
 }
 
-// keeper gives the number of the k-th router that keeps a group's positions.
-func (r *Router) keeper(g *group, k int) int {
-	return (g.id*keepers + k*(r.terms.Routers/keepers+1)) % r.terms.Routers
-}
-
-// askPeers asks keepers for the positions that a read lacks, once, and tells whether their word may still come.
-// Each router tells the keepers of a group what answers told it there. It acts only where nodes don't check
-// reads, and covers what quiet routers can't know of nodes that others hear from all the time; keepers that
-// stand still or are gone cost a short wait, and probes follow.
-func (r *Router) askPeers(t *txn) bool {
-	if !r.keeps() {
-		return false
-	}
-	now := r.host.Now()
-	if t.asked == 0 {
-		t.asked = now
-		for k, from := 0, r.rng.Intn(keepers); k < keepersAsked; k++ {
-			if peer := r.keeper(t.g, (from+k)%keepers); peer != r.terms.Me {
-				r.host.Tell(peer, t.Group, true, nil)
-			}
-		}
-	}
-	return now-t.asked < askWait
-}
-
-func (r *Router) keeps() bool {
-	return r.terms.Peers && !r.terms.NodesCheck && r.terms.Routers > keepers
-}
-
-// tellPeers passes on what an answer told of a member.
-func (r *Router) tellPeers(n *node) {
-	g, now := r.group(n.Group), r.host.Now()
-	if !r.keeps() || now-n.told < keepEvery {
-		return
-	}
-	n.told = now
-	for k := range keepers {
-		if peer := r.keeper(g, k); peer != r.terms.Me {
-			r.host.Tell(peer, g.id, false, []Word{{Node: n.Node, Primary: g.pri == n, Pos: n.pos}})
-		}
-	}
-}
-
-// Heard takes what another router passes on, or answers its question. A position told holds for ever, and a
-// primary's dates its claim, so neither an old word nor one come twice can do harm.
-func (r *Router) Heard(from, group int, ask bool, words []Word) {
-	now := r.clock()
-	g := r.groups[group]
-	if g == nil {
-		return
-	}
-	for _, w := range words {
-		if n := r.nodes[w.Node]; n != nil && n.Group == group && w.Pos <= now+tick {
-			n.pos, n.known = max(n.pos, w.Pos), true
-			if w.Primary {
-				r.claim(n, w.Pos)
-			}
-		}
-	}
-	if ask {
-		var known []Word
-		for _, n := range g.members {
-			if n.pos > now-keepSpan && !n.closed {
-				known = append(known, Word{Node: n.Node, Primary: g.pri == n, Pos: n.pos})
-			}
-		}
-		r.host.Tell(from, group, false, known)
-	} else {
-		r.pump(g)
-	}
-}
-
 // candidate finds the member on which a held write itself looks for the primary. It acts only where probes
 // tell no roles: a miss never ran, so members are asked in turn, the list's primary first, one write at a
 // time.
@@ -603,9 +521,6 @@
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
-	if n.idle == 0 || r.host.Now()-n.used > r.terms.IdleFor {
-		b *= connBias
-	}
 	if n == t.avoid {
 		b *= avoidBias
 	}
@@ -639,7 +554,6 @@
 	t.tries++
 	t.g.live++
 	n.out = append(n.out, f)
-	n.idle = max(0, n.idle-1)
 	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.landed(f, n, res) })
 }
 
@@ -650,13 +564,9 @@
 	n.out = slices.DeleteFunc(n.out, func(x *flight) bool { return x == f })
 	t.out = nil
 	t.g.live--
-	if res.Outcome != NoConn && res.Outcome != Broken {
-		n.idle, n.used = n.idle+1, now
-	}
 	r.learn(f, n, res)
 	if now < r.scarce && len(n.out) == 0 && res.Outcome != NoConn {
 		r.host.CloseIdle(n.Node)
-		n.idle = 0
 	}
 	defer r.pump(t.g)
 	if res.Ended || t.over {
@@ -676,7 +586,7 @@
 		return
 	}
 	wait := 0.0
-	if res.Outcome == Full || res.Outcome == NoConn || n == t.g.pri && res.Outcome == Failed {
+	if res.Outcome == Full || n == t.g.pri && (res.Outcome == Failed || res.Outcome == NoConn) {
 		wait = min(againMost, againFirst*math.Pow(2, float64(t.tries-1)))
 	}
 	if wait == 0 || now+wait > r.last(t) {
@@ -731,7 +641,6 @@
 		n.seen = now
 		n.heard, n.mute = now, false
 		r.hear(n, res.Report, true)
-		r.tellPeers(n)
 	}
 	switch res.Outcome {
 	case Committed:
@@ -779,7 +688,6 @@
 				for _, m := range r.nodes {
 					if m != nil && len(m.out) == 0 && m.heard > 0 {
 						r.host.CloseIdle(m.Node)
-						m.idle = 0
 					}
 				}
 			}
