--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -123,6 +123,7 @@
 	until   float64 // end of the failover window
 	live    int     // txns held and submissions out
 	credit  float64 // probes that txns have paid for
+	next    int     // the member that is due first
 	mute    int     // probes of any member in a row that failed
 	waiting map[int][]*txn
 	// Commits of sessions, where the router itself must remember them: the newest and the ones before,
@@ -936,7 +937,9 @@
 		return
 	}
 	held := g.held && r.waits(g)
-	for _, n := range g.members {
+	due := len(g.members)
+	for i := range g.members {
+		n := g.members[(g.next+i)%len(g.members)]
 		if n.probing || n.closed {
 			continue
 		}
@@ -954,12 +957,14 @@
 		}
 		if !owed {
 			if g.credit < 1 {
+				due = min(due, i)
 				continue
 			}
 			g.credit--
 		}
 		r.probe(n, g)
 	}
+	g.next += due // the first one left out
 }
 
 // waits tells whether a txn waits for role evidence: a write, or any while no member is known as primary.
