--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -503,7 +503,7 @@
 	// the other routers and members do, and a primary the writes that leave overload far. Each txn has its turn
 	// at one member, by the number of its router and its own.
 	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
-	if t.g.pri == n {
+	if t.Need == NeedPrimary {
 		return t.turn < share*r.terms.Overload/2
 	}
 	i, part := math.Modf(t.turn * float64(len(t.g.members)))
