Long txns are told by latencies at nodes that are not crowded

Cause: a crowd made catalog-browse last longer than the bound, so a third of all txns were gathered on one replica a group, which kept the crowd up.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -84,6 +84,7 @@
 type kind struct {
 	TxnType
 	work float64 // s, usual latency
+	free float64 // s, the same at nodes that are not crowded
 }
 
 // node is a member with its entry in the role record.
@@ -162,7 +163,7 @@
 		groups: map[int]*group{}, txns: map[int]*txn{},
 		late: reportLate}
 	for i, t := range terms.Types {
-		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5})
+		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5, free: t.SLA / 5})
 		r.ranked = append(r.ranked, i)
 	}
 	value := func(i int) float64 { return r.kinds[i].Value / r.kinds[i].SLA }
@@ -448,8 +449,9 @@
 	return best
 }
 
-// long tells whether a txn that any member may answer lasts longer than the shortest bound. Such txns may
-// stop a replica from applying the log, so they are gathered on few replicas, the others stay fresh. It
+// long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are
+// not crowded: else a crowd would make txns long, and gathering them the crowd. Long txns may stop a replica
+// from applying the log, so they are gathered on few replicas, the others stay fresh. It
 // also keeps them from filling every node's cores at once; it could harm where they are most of the load
 // and block nothing.
 func (r *Router) long(t *txn) bool {
@@ -457,7 +459,7 @@
 		return false
 	}
 	for _, k := range r.kinds {
-		if k.Need == NeedBounded && t.work > k.Bound {
+		if k.Need == NeedBounded && t.free > k.Bound {
 			return true
 		}
 	}
@@ -652,6 +654,9 @@
 		}
 		if timed {
 			t.work += workGain * (res.Latency - t.work)
+			if n.pace < slowPace {
+				t.free += workGain * (res.Latency - t.free)
+			}
 			pace := res.Latency / t.SLA
 			if t.Need == NeedBounded && res.Role == RoleReplica && res.Pos > 0 {
 				// A crowded replica applies the log late, and soon is of no use.
