--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -43,6 +43,7 @@
 	sessionSpan  = 20.0  // s a session's commit is kept at least: few replicas are so far behind
 	lagPace      = 0.8   // pace that a lag as long as the bound amounts to
 	limitStart   = 4.0   // submissions out at a node that is not known yet
+	limitLeast   = 0.05  // share of the time at one that is always slow: several hundred routers may be at it
 	limitMost    = 64.0  // and at one that is never slow
 	cutEvery     = 0.1   // s between cuts of a limit: answers must show the last one first
 	limitCut     = 0.85  // factor on the limit of a slow node
@@ -108,6 +109,7 @@
 	fails   float64 // share of txns that failed of late
 	pace    float64 // latency as a share of the SLA time, of late
 	limit   float64 // submissions of ours it bears at once
+	next    float64 // none before this
 	cut     float64 // last time the limit shrank
 	out     []*flight
 	started float64 // when it last came up cold, by list or by its own signs
@@ -490,7 +492,7 @@
 
 // room tells whether a node can take one more submission of ours.
 func (r *Router) room(n *node, t *txn) bool {
-	if n.closed || float64(len(n.out)) >= n.limit {
+	if n.closed || float64(len(n.out)) >= n.limit || r.host.Now() < n.next {
 		return false
 	}
 	if t.ran > 0 && t.Effect == Referenced && t.Scope == ScopeZone && n.Zone != t.ranZone {
@@ -567,6 +569,9 @@
 	n.out = slices.DeleteFunc(n.out, func(x *flight) bool { return x == f })
 	t.out = nil
 	t.g.live--
+	if n.limit < 1 {
+		n.next = now + (1/n.limit-1)*res.Latency // a limit under one is a share of the time
+	}
 	r.learn(f, n, res)
 	if now < r.scarce && len(n.out) == 0 && res.Outcome != NoConn {
 		r.host.CloseIdle(n.Node)
@@ -746,8 +751,10 @@
 	if n.pace > slowPace {
 		if now-n.cut > cutEvery {
 			n.cut = now
-			n.limit = max(1, n.limit*limitCut)
+			n.limit = max(limitLeast, n.limit*limitCut)
 		}
+	} else if n.limit < 1 {
+		n.limit /= limitCut
 	} else if float64(len(n.out)+1) >= n.limit-1 {
 		n.limit = min(limitMost, n.limit+1/n.limit)
 	}
