--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -43,7 +43,7 @@
 	sessionSpan  = 20.0  // s a session's commit is kept at least: few replicas are so far behind
 	lagPace      = 0.8   // pace that a lag as long as the bound amounts to
 	limitStart   = 4.0   // submissions out at a node that is not known yet
-	limitLeast   = 0.05  // share of the time at one that is always slow: several hundred routers may be at it
+	limitLeast   = 16.0  // submissions of all routers together at one that is always slow: a few a core
 	limitMost    = 64.0  // and at one that is never slow
 	cutEvery     = 0.1   // s between cuts of a limit: answers must show the last one first
 	limitCut     = 0.85  // factor on the limit of a slow node
@@ -751,7 +751,7 @@
 	if n.pace > slowPace {
 		if now-n.cut > cutEvery {
 			n.cut = now
-			n.limit = max(limitLeast, n.limit*limitCut)
+			n.limit = max(min(1, limitLeast/float64(r.terms.Routers)), n.limit*limitCut)
 		}
 	} else if n.limit < 1 {
 		n.limit /= limitCut
