A refusal counts as full once a probe sent after it was answered

Told by evidence, not by how long ago the node was heard: a process that had just died was taken for full.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -25,7 +25,6 @@
 	asideProbe   = 0.25  // s between probes of a member set aside: two take less than its rest
 	probeShare   = 0.25  // probes that a txn pays for beside those that it waits for
 	askWidth     = 2     // replicas asked at a time for a proof of position: the second spares a step
-	alive        = 1.0   // s after an answer for which a refused connection is no sign of death
 	scarce       = 5.0   // s for which connections are given back at once after one was refused
 	askWait      = 0.05  // s that a read waits for such an answer: several ways there and back
 	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
@@ -99,7 +98,8 @@
 	pos     float64 // it has applied all commits up to this time
 	lag     float64 // s behind when last heard
 	heard   float64 // last answer to a txn
-	seen    float64 // last answer of any kind
+	refused float64 // when it last refused a connection at once; 0: it has answered a probe since
+	full    float64 // until then a refusal says that it has all the connections it takes
 	probed  float64 // last probe
 	probing bool
 	bad     int // failed probes in a row
@@ -646,7 +646,6 @@
 	timed := f.sent >= r.woke // its latency is the node's
 	switch res.Outcome {
 	case Committed, Missed, Full, Failed:
-		n.seen = now
 		n.heard, n.mute = now, false
 		r.hear(n, res.Report, true)
 	}
@@ -693,16 +692,9 @@
 			n.lag = max(n.lag, t.Bound)
 		}
 	case NoConn, Broken:
-		if res.Outcome == NoConn && now-n.seen < alive && res.Latency < r.terms.ConnectIn/2 {
-			// It runs and refuses at once, so it has all the connections it takes: no sign of change.
-			if now > r.scarce {
-				for _, m := range r.nodes {
-					if m != nil && len(m.out) == 0 && m.heard > 0 {
-						r.host.CloseIdle(m.Node)
-					}
-				}
-			}
-			r.scarce = now + scarce
+		refused := res.Outcome == NoConn && res.Latency < r.terms.ConnectIn/2
+		if refused && now < n.full {
+			r.short(n)
 			break
 		}
 		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon;
@@ -712,12 +704,33 @@
 		if res.Outcome == NoConn {
 			r.setAside(n)
 		}
+		if n.refused = 0; refused {
+			if n.refused = now; r.terms.Probes && !n.probing {
+				r.probe(n, g)
+			}
+		}
 		if g.pri == n {
 			r.hold(g)
 		}
 	}
 }
 
+// short acts on a node that refuses connections and answers probes: it has all the connections it takes, so it
+// is neither dead nor changed, and idle ones that routers keep are what others lack. It covers limits that are
+// squeezed and tables that many routers fill; it costs handshakes.
+func (r *Router) short(n *node) {
+	now := r.host.Now()
+	n.refused, n.aside, n.full = 0, false, now+scarce
+	if now > r.scarce {
+		for _, m := range r.nodes {
+			if m != nil && len(m.out) == 0 && m.heard > 0 {
+				r.host.CloseIdle(m.Node)
+			}
+		}
+	}
+	r.scarce = now + scarce
+}
+
 // remember keeps a session's commit for its reads to come.
 func (r *Router) remember(t *txn, pos float64) {
 	now, g := r.host.Now(), t.g
@@ -1019,7 +1032,10 @@
 	if n.down {
 		n.down, n.started = false, now // cold, before the list says so
 	}
-	n.bad, g.mute, n.seen = 0, 0, now
+	n.bad, g.mute = 0, 0
+	if n.refused > 0 && sent >= n.refused {
+		r.short(n)
+	}
 	n.good++
 	r.hear(n, rep, false)
 	there := g.pri == n && rep.Role == RolePrimary && n.claimed > n.denied && !n.mute
