--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -138,7 +138,7 @@
 	switch f[0] {
 	case "router":
 		t := Terms{Seed: 1, Routers: 1, Types: types, Probes: true, ProbeRoles: true, Cancels: true,
-			MaxSubmissions: 8, MaxPause: 1, ColdFrom: 0.2, WarmAfter: 16, Overload: 3, Fall: 2}
+			MaxSubmissions: 8, MaxPause: 1, ColdFrom: 0.2, WarmAfter: 16, Overload: 3, Fall: 2, ConnectIn: 0.25}
 		for _, o := range f[1:] {
 			name, n, _ := strings.Cut(o, "=")
 			switch name {
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -31,7 +31,6 @@
 	goodProbes   = 2     // good ones until it rejoins (design)
 	frozenRounds = 3     // rounds without any answer, the last one begun, that freeze the role record (design)
 	rest         = 0.5   // s a member set aside stays there at least
-	silence      = 12.0  // answers overdue until a node counts as silent: chance does it once in e^12
 	sickMost     = 0.4   // share of a group set aside on our own count: beyond it the load is at fault
 	failGain     = 0.2   // weight of the newest outcome in a node's share of failures
 	failLimit    = 0.5   // share of failures from which a node is set aside: it fails most
@@ -114,7 +113,6 @@
 	out     []*flight
 	started float64 // when it last came up cold, by list or by its own signs
 	down    bool    // its process seemed gone
-	mute    bool    // it took txns and answered none, until it answers one
 }
 
 // group is a primary with its replicas, and the txns that wait for one of them.
@@ -646,7 +644,7 @@
 	timed := f.sent >= r.woke // its latency is the node's
 	switch res.Outcome {
 	case Committed, Missed, Full, Failed:
-		n.heard, n.mute = now, false
+		n.heard = now
 		r.hear(n, res.Report, true)
 	}
 	switch res.Outcome {
@@ -903,9 +901,6 @@
 			continue
 		}
 		r.arm()
-		for _, n := range g.members {
-			r.listen(n)
-		}
 		for _, l := range r.ranked {
 			q := g.waiting[l]
 			kept := q[:0]
@@ -925,34 +920,6 @@
 	}
 }
 
-// listen notices a node that takes txns and answers none, whatever its probes say: it counts the answers
-// that are overdue, each submission's wait measured in what its type usually takes.
-func (r *Router) listen(n *node) {
-	now := r.host.Now()
-	overdue := 0.0
-	for _, f := range n.out {
-		if !f.t.started {
-			overdue += (now - max(f.sent, n.heard, r.woke)) / max(f.t.work, n.pace*f.t.SLA)
-		}
-	}
-	if overdue < silence {
-		return
-	}
-	n.mute = true
-	if g := r.group(n.Group); g.pri == n && !g.held {
-		r.hold(g)
-	}
-	if !n.aside && r.sick(n) {
-		return
-	}
-	r.setAside(n)
-	for _, f := range n.out {
-		if f.t.Effect == Repeatable {
-			r.callOff(f)
-		}
-	}
-}
-
 // probes sends the probes that are due in a group while it has txns. A first look at a member and what a held
 // write waits for come at once; all else is paid for by txns, so that many routers with little traffic do not
 // spend more on watching a group than it earns them.
@@ -1038,7 +1005,7 @@
 	}
 	n.good++
 	r.hear(n, rep, false)
-	there := g.pri == n && rep.Role == RolePrimary && n.claimed > n.denied && !n.mute
+	there := g.pri == n && rep.Role == RolePrimary && n.claimed > n.denied
 	if g.held && there && sent >= g.heldAt {
 		g.held = false // the old primary is there after all
 	}
