--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -237,13 +237,11 @@
 }
 
 func (r *Router) group(id int) *group {
-	g := r.groups[id]
-	if g == nil {
-		g = &group{held: true, waiting: map[int][]*txn{}}
-		r.groups[id] = g
-		r.order = append(r.order, g)
+	if r.groups[id] == nil {
+		r.groups[id] = &group{held: true, waiting: map[int][]*txn{}}
+		r.order = append(r.order, r.groups[id])
 	}
-	return g
+	return r.groups[id]
 }
 
 // clock tells the time, and notices a stall of the router itself by a gap in its own ticks. What was out
@@ -285,9 +283,8 @@
 func (r *Router) Left(id int) {
 	if t := r.txns[id]; t != nil {
 		r.end(t)
-		if t.out != nil && r.terms.Cancels && !t.out.called {
-			t.out.called = true
-			r.host.Cancel(id)
+		if t.out != nil {
+			r.callOff(t.out)
 		}
 	}
 }
@@ -301,10 +298,10 @@
 
 func (r *Router) end(t *txn) {
 	if !t.over {
+		t.over = true
 		t.g.live--
+		delete(r.txns, t.ID)
 	}
-	t.over = true
-	delete(r.txns, t.ID)
 }
 
 // pump submits what can be submitted, most value for the work first.
@@ -579,12 +576,8 @@
 		r.end(t)
 		return
 	}
-	switch res.Outcome {
-	case Missed, Full, NoConn, Unsent:
-	default:
-		if t.ran == 0 {
-			t.ran, t.ranZone = f.sent, n.Zone
-		}
+	if t.ran == 0 && !slices.Contains([]Outcome{Missed, Full, NoConn, Unsent}, res.Outcome) {
+		t.ran, t.ranZone = f.sent, n.Zone
 	}
 	t.avoid = n
 	if t.started || !r.again(t) {
@@ -642,8 +635,7 @@
 	now := r.host.Now()
 	t, g := f.t, f.t.g
 	timed := f.sent >= r.woke // its latency is the node's
-	switch res.Outcome {
-	case Committed, Missed, Full, Failed:
+	if slices.Contains([]Outcome{Committed, Missed, Full, Failed}, res.Outcome) {
 		n.heard = now
 		r.hear(n, res.Report, true)
 	}
@@ -674,8 +666,7 @@
 	case Full:
 		n.limit = max(1, n.limit/2)
 	case TimedOut, Cancelled:
-		// Lost or slow: its pace and limit follow what it answers, so that a node that loses some keeps the
-		// rest.
+		// Lost or slow: pace and limit follow answers, so that a node that loses some keeps the rest.
 		if timed {
 			t.work += workGain * max(0, res.Latency-t.work)
 			r.failed(n)
@@ -696,16 +687,14 @@
 			break
 		}
 		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon;
-		// until then the primary gets no writes. A connection that can't be had costs its time-out, so one
-		// is enough.
+		// until then the primary gets no writes. One connection that can't be had is enough.
 		r.failed(n)
 		if res.Outcome == NoConn {
 			r.setAside(n)
 		}
-		if n.refused = 0; refused {
-			if n.refused = now; r.terms.Probes && !n.probing {
-				r.probe(n, g)
-			}
+		if refused && r.terms.Probes && !n.probing {
+			n.refused = now
+			r.probe(n, g)
 		}
 		if g.pri == n {
 			r.hold(g)
@@ -825,13 +814,13 @@
 	case g.pri == n:
 	case g.pri == nil || at > g.pri.claimed:
 		if old := g.pri; old != nil {
-			r.openWindow(g)
+			g.until = r.host.Now() + window
 			r.recall(old)
 		}
 		g.pri = n
 		g.held = g.held && at <= g.heldAt
 	default:
-		r.openWindow(g)
+		g.until = r.host.Now() + window
 	}
 	if g.pri == n && g.held && at > g.heldAt {
 		g.held = false
@@ -843,14 +832,14 @@
 // window.
 func (r *Router) recall(old *node) {
 	for _, f := range old.out {
-		if f.t.Need == NeedPrimary && f.t.Effect == Referenced {
+		if t := f.t; t.Need == NeedPrimary && t.Effect == Referenced && !t.over && !t.started {
 			r.callOff(f)
 		}
 	}
 }
 
 func (r *Router) callOff(f *flight) {
-	if r.terms.Cancels && !f.called && !f.t.over && !f.t.started {
+	if r.terms.Cancels && !f.called {
 		f.called = true
 		r.host.Cancel(f.t.ID)
 	}
@@ -860,11 +849,9 @@
 // meanwhile.
 func (r *Router) hold(g *group) {
 	g.held, g.heldAt = true, r.host.Now()
-	r.openWindow(g)
+	g.until = r.host.Now() + window
 }
 
-func (r *Router) openWindow(g *group) { g.until = r.host.Now() + window }
-
 // setAside takes a node out of the read set until it has answered probes and rested; then it gets one txn
 // to try.
 func (r *Router) setAside(n *node) {
