--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -21,7 +21,6 @@
 	ordinary     = 3.0   // s between probes of a member (design)
 	hurried      = 0.1   // s between probes in a failover window (design)
 	window       = 30.0  // s that a failover window lasts at most (design)
-	settle       = 1.0   // s of window left once an answer, not a probe, has confirmed the primary
 	asideProbe   = 0.25  // s between probes of a member set aside: two take less than its rest
 	probeShare   = 0.25  // probes that a txn pays for beside those that it waits for
 	askWidth     = 2     // replicas asked at a time for a proof of position: the second spares a step
@@ -31,7 +30,6 @@
 	goodProbes   = 2     // good ones until it rejoins (design)
 	frozenRounds = 3     // rounds without any answer, the last one begun, that freeze the role record (design)
 	rest         = 0.5   // s a member set aside stays there at least
-	sickMost     = 0.4   // share of a group set aside on our own count: beyond it the load is at fault
 	failGain     = 0.2   // weight of the newest outcome in a node's share of failures
 	failLimit    = 0.5   // share of failures from which a node is set aside: it fails most
 	failTrial    = 0.4   // share it comes back with, so that one more failure sets it aside again
@@ -45,7 +43,6 @@
 	limitMost    = 64.0  // and at one that is never slow
 	cutEvery     = 0.1   // s between cuts of a limit: answers must show the last one first
 	limitCut     = 0.85  // factor on the limit of a slow node
-	coldBias     = 0.5   // how much less busy a cold node counts for the txns whose turn is at it
 	chance       = 0.5   // width of the chance in the choice of a replica: routers alike must not choose alike
 	golden       = 0.618 // steps of this spread any numbers of routers and txns evenly over the turns
 	spare        = 0.2   // share of a bound kept free where a position is a guess
@@ -515,9 +512,6 @@
 	b := float64(len(n.out)+1) * max(n.pace, leastPace)
 	b /= 1.01 - n.fails
 	b *= 1 + chance*(r.rng.Float64()-0.5)
-	if r.host.Now()-n.started < r.terms.WarmAfter {
-		b *= coldBias
-	}
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
@@ -658,9 +652,6 @@
 			}
 			r.tune(n, pace)
 		}
-		if n == g.pri && t.Need == NeedPrimary && !g.held {
-			g.until = min(g.until, now+settle)
-		}
 	case Failed:
 		r.failed(n)
 	case Full:
@@ -739,7 +730,7 @@
 // failed counts a txn that a node did not answer as it should, and sets the node aside when most are.
 func (r *Router) failed(n *node) {
 	n.fails += failGain * (1 - n.fails)
-	if n.fails > failLimit && !r.sick(n) {
+	if n.fails > failLimit {
 		r.setAside(n)
 	}
 }
@@ -863,23 +854,6 @@
 	n.limit = 1
 }
 
-// sick tells whether so many of a node's group are aside that the cause must lie elsewhere: the load, or
-// this router. It guards against a router that empties its own read set, one suspicion adding to the load
-// that raises the next.
-func (r *Router) sick(n *node) bool {
-	aside, open := 1.0, 0.0
-	for _, m := range r.group(n.Group).members {
-		if m.closed {
-			continue
-		}
-		open++
-		if m.aside && m != n {
-			aside++
-		}
-	}
-	return aside > sickMost*open
-}
-
 func (r *Router) tick() {
 	r.clock()
 	r.armed = false
