--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -21,11 +21,12 @@
 	ordinary     = 3.0   // s between probes of a member (design)
 	hurried      = 0.1   // s between probes in a failover window (design)
 	window       = 30.0  // s that a failover window lasts at most (design)
+	settle       = 1.0   // s of window left once an answer, not a probe, has confirmed the primary
 	asideProbe   = 0.25  // s between probes of a member set aside: two take less than its rest
 	probeShare   = 0.25  // probes that a txn pays for beside those that it waits for
 	askWidth     = 2     // replicas asked at a time for a proof of position: the second spares a step
+	firstWait    = 0.05  // s that reads wait for a first look at a member: several ways there and back
 	scarce       = 5.0   // s for which connections are given back at once after one was refused
-	askWait      = 0.05  // s that a read waits for such an answer: several ways there and back
 	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
 	goodProbes   = 2     // good ones until it rejoins (design)
 	frozenRounds = 3     // rounds without any answer, the last one begun, that freeze the role record (design)
@@ -43,6 +44,7 @@
 	limitMost    = 64.0  // and at one that is never slow
 	cutEvery     = 0.1   // s between cuts of a limit: answers must show the last one first
 	limitCut     = 0.85  // factor on the limit of a slow node
+	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
 	chance       = 0.5   // width of the chance in the choice of a replica: routers alike must not choose alike
 	golden       = 0.618 // steps of this spread any numbers of routers and txns evenly over the turns
 	spare        = 0.2   // share of a bound kept free where a position is a guess
@@ -343,15 +345,15 @@
 	}
 	var best *node
 	var least float64
-	asked := false
 	usable := make([]*node, 0, len(g.members))
+	first := false // a first look at a member is out
 	for _, n := range g.members {
 		switch {
 		case n.closed || n.aside || n == g.pri:
 		case n.known || !r.terms.ProbeRoles:
 			usable = append(usable, n)
 		default:
-			asked = asked || n.probing && r.host.Now()-n.probed < askWait
+			first = first || n.probing && r.host.Now()-n.probed < firstWait
 		}
 	}
 	proven := t.Need == NeedCurrent || r.terms.NodesCheck || !r.terms.ProbeRoles
@@ -381,44 +383,39 @@
 			best, least = n, busy
 		}
 	}
-	if !proven {
-		asked = r.ask(usable, t) || asked
+	if !proven && r.ask(usable, t) {
+		return nil
 	}
-	if best == nil && !asked && g.pri != nil && !g.held && !g.pri.closed && !g.pri.aside {
+	if n := g.pri; best == nil && !first && n != nil && !g.held && !n.aside {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
-		if r.room(g.pri, t) && float64(len(g.pri.out)) < max(1, g.pri.limit/2) {
-			return g.pri
+		if r.room(n, t) && float64(len(n.out)) < max(1, n.limit/2) {
+			return n
 		}
 	}
 	return best
 }
 
 // ask asks for the positions of replicas when none of them is proven fresh enough for a read, the least busy
-// ones first, each once for a txn at most, and tells whether an answer may still come. So a probe is spent
-// where there is something to send. It covers routers too quiet to learn positions from answers, replicas
-// that lag and proofs that ran out; it harms where reports are older than the bound: reads then wait in vain.
+// ones first, each once for a txn at most, and tells whether it did: the read then waits for the first news.
+// So a probe is spent where there is something to send. It covers routers too quiet to learn positions from
+// answers, replicas that lag and proofs that ran out; it is wasted where reports are older than the bound.
 func (r *Router) ask(usable []*node, t *txn) bool {
 	now := r.host.Now()
-	out := 0
-	var left []*node
-	for _, n := range usable {
-		if n.probing && now-n.probed < askWait {
-			out++
-		} else if !n.probing && n.probed < t.arrived && now-n.probed > hurried {
-			left = append(left, n)
-		}
-	}
-	for ; out < askWidth && len(left) > 0; out++ {
-		best, least := 0, math.Inf(1)
-		for i, n := range left {
-			if b := r.busy(n, t); b < least {
-				best, least = i, b
+	asked := 0
+	for ; asked < askWidth; asked++ {
+		var best *node
+		least := math.Inf(1)
+		for _, n := range usable {
+			if busy := r.busy(n, t); !n.probing && n.probed < t.arrived && now-n.probed > hurried && busy < least {
+				best, least = n, busy
 			}
 		}
-		r.probe(left[best], t.g)
-		left = slices.Delete(left, best, best+1)
+		if best == nil {
+			break
+		}
+		r.probe(best, t.g)
 	}
-	return out > 0
+	return asked > 0
 }
 
 // candidate finds the member on which a held write itself looks for the primary. It acts only where probes
@@ -495,10 +492,19 @@
 	if age >= r.terms.WarmAfter {
 		return true
 	}
-	// Cold: it gets the share of its even part of the group's txns that it is surely warm enough for, whatever
-	// the other routers and members do, and a primary the writes that leave overload far. Each txn has its turn
-	// at one member, by the number of its router and its own.
+	// Cold. A few routers keep what is out there, from all of them, within what overload allows beyond the work
+	// done meanwhile. For many that is less than a txn each: then a txn goes there in its turn, by the number of
+	// its router and its own, and the node gets the share of its even part of the group's txns that it is surely
+	// warm enough for, whatever others do, a primary the writes that leave overload far.
 	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
+	routers := float64(max(2, r.terms.Routers))
+	budget := (r.terms.Overload-1)*r.terms.Fall*coldCores*share - t.work*routers
+	for _, f := range n.out {
+		budget -= f.t.work * routers
+	}
+	if budget >= 0 {
+		return true
+	}
 	if t.Need == NeedPrimary {
 		return t.turn < share*r.terms.Overload/2
 	}
@@ -640,6 +646,9 @@
 			r.claim(n, now)
 			r.remember(t, res.Pos)
 		}
+		if n == g.pri && t.Need == NeedPrimary && !g.held {
+			g.until = min(g.until, now+settle)
+		}
 		if timed {
 			t.work += workGain * (res.Latency - t.work)
 			if n.pace < slowPace {
