Failures told at once make a node look busier, only lost answers set it aside

Cause: nodes that fail half of their txns fast were taken out with all that they do answer; a resubmission costs little.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -662,14 +662,15 @@
 			r.tune(n, pace)
 		}
 	case Failed:
-		r.failed(n)
+		// Told at once, so the txn goes on elsewhere, and what the node does answer is of use.
+		n.fails += failGain * (1 - n.fails)
 	case Full:
 		n.limit = max(1, n.limit/2)
 	case TimedOut, Cancelled:
 		// Lost or slow: pace and limit follow answers, so that a node that loses some keeps the rest.
 		if timed {
 			t.work += workGain * max(0, res.Latency-t.work)
-			r.failed(n)
+			r.lost(n)
 		}
 	case Missed:
 		if t.Need == NeedPrimary {
@@ -688,7 +689,7 @@
 		}
 		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon;
 		// until then the primary gets no writes. One connection that can't be had is enough.
-		r.failed(n)
+		r.lost(n)
 		if res.Outcome == NoConn {
 			r.setAside(n)
 		}
@@ -736,8 +737,8 @@
 	g.wrote[t.Session] = max(g.wrote[t.Session], pos)
 }
 
-// failed counts a txn that a node did not answer as it should, and sets the node aside when most are.
-func (r *Router) failed(n *node) {
+// lost counts a txn that a node left without an answer, and sets the node aside when most are.
+func (r *Router) lost(n *node) {
 	n.fails += failGain * (1 - n.fails)
 	if n.fails > failLimit {
 		r.setAside(n)
