--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -124,7 +124,7 @@
 
 // play runs one line of a scenario. The notation:
 //
-//	router [check] [ask] [noprobes] [kept] [of=N] [me=N]  a new router
+//	router [check] [drainonly] [ask] [noprobes] [kept] [of=N] [me=N]  a new router
 //	list|news NAME[=draining|gone|cold] ...   the full list, or changes of it
 //	refused                                   a watch was refused
 //	node NAME primary|replica LAG|unclear|silent    what it tells from now on when probed
@@ -148,6 +148,8 @@
 				t.AskList = true
 			case "noprobes":
 				t.Probes, t.ProbeRoles = false, false
+			case "drainonly":
+				t.OnlyDrainBinds = true
 			case "kept":
 				t.SessionsKept = true
 			case "me":
