--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -505,7 +505,7 @@
 	if budget >= 0 {
 		return true
 	}
-	if t.Need == NeedPrimary {
+	if t.Need == NeedPrimary && !t.g.held {
 		return t.turn < share*r.terms.Overload/2
 	}
 	i, part := math.Modf(t.turn * float64(len(t.g.members)))
