--- /dev/null
+++ b/cmd/eiderway/main.go
@@ -0,0 +1,74 @@
+// Command eiderway is a router: it splits reads and writes of a database cluster between primaries and
+// replicas.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+
+	"eiderway/relay"
+)
+
+var version = "dev" // set by the linker in releases
+
+type serve struct {
+	Config string `help:"Configuration file (JSON)." env:"PROXY_CONFIG" required:"" type:"path"`
+	Level  string `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
+}
+
+func (s *serve) Run() error {
+	log := logrus.New()
+	level, err := logrus.ParseLevel(s.Level)
+	if err != nil {
+		return err
+	}
+	log.SetLevel(level)
+	cfg, err := relay.ReadConfig(s.Config)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return relay.Run(ctx, cfg, log)
+}
+
+type check struct {
+	Config string `arg:"" help:"Configuration file (JSON)." env:"PROXY_CONFIG" type:"path"`
+}
+
+func (c *check) Run() error {
+	cfg, err := relay.ReadConfig(c.Config)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: router %s on %s, %d nodes known\n", c.Config, cfg.Name, cfg.Listen, len(cfg.Known.Targets))
+	return nil
+}
+
+type showVersion struct{}
+
+func (showVersion) Run() error {
+	fmt.Println("eiderway", version)
+	if info, ok := debug.ReadBuildInfo(); ok {
+		fmt.Println(info.GoVersion)
+	}
+	return nil
+}
+
+func main() {
+	var cli struct {
+		Serve   serve       `cmd:"" help:"Run a router until SIGTERM; SIGUSR1 prints its counters."`
+		Check   check       `cmd:"" help:"Read a configuration, say what is wrong with it, and end."`
+		Version showVersion `cmd:"" help:"Show the version."`
+	}
+	k := kong.Parse(&cli, kong.Name("eiderway"),
+		kong.Description("A read and write splitter for replicated database clusters."))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/pgwire/pgwire.go
@@ -0,0 +1,220 @@
+// Package pgwire reads and writes version 3 of PostgreSQL's protocol and the comment that statements carry.
+// It owns no socket and never blocks but in the reader handed to Fill; what is malformed is told as an error,
+// never passed on.
+package pgwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+const (
+	// MaxMessage bounds a message: a value of 64 KiB doubles as text, its statement takes some more.
+	MaxMessage = 256 << 10
+	maxStartup = 8 << 10  // a startup message, ample
+	fillAtOnce = 4 << 10  // read at a time at least: most messages are smaller
+	keepAtMost = 16 << 10 // an empty buffer larger than this is given back
+)
+
+// Codes that stand where a startup message has its version.
+const (
+	Version3  = 3 << 16
+	Cancel    = 80877102
+	SSL       = 80877103
+	GSSEncode = 80877104
+)
+
+// ErrMessage is the error of every malformed message.
+var ErrMessage = errors.New("malformed message")
+
+// Message is one message. Its body holds until the buffer is filled again.
+type Message struct {
+	Type byte
+	Body []byte
+}
+
+// Buffer is the one buffer of a connection: it grows as a message needs and is compacted in place.
+type Buffer struct {
+	b    []byte
+	r, w int
+	need int // bytes that the message begun takes in all
+}
+
+// Unread tells how many bytes wait to be parsed.
+func (b *Buffer) Unread() int { return b.w - b.r }
+
+// Crowded tells that more waits than any one message takes: whoever reads ahead stops here.
+func (b *Buffer) Crowded() bool { return b.w-b.r > MaxMessage }
+
+// Fill reads once.
+func (b *Buffer) Fill(src io.Reader) error {
+	if b.r == b.w {
+		b.r, b.w = 0, 0
+		if cap(b.b) > keepAtMost && b.need <= keepAtMost {
+			b.b = nil
+		}
+	}
+	if want := max(b.need, b.w-b.r+fillAtOnce/4); len(b.b)-b.r < want || b.w == len(b.b) {
+		if len(b.b) >= want && b.r > 0 {
+			b.w = copy(b.b, b.b[b.r:b.w])
+		} else {
+			grown := make([]byte, max(want, fillAtOnce, 2*(b.w-b.r)))
+			b.w = copy(grown, b.b[b.r:b.w])
+			b.b = grown
+		}
+		b.r = 0
+	}
+	n, err := src.Read(b.b[b.w:])
+	b.w += n
+	if n > 0 {
+		return nil // an error comes again
+	}
+	return err
+}
+
+// Next takes the next message, if it is whole.
+func (b *Buffer) Next() (Message, bool, error) {
+	if b.Unread() < 5 {
+		b.need = 5
+		return Message{}, false, nil
+	}
+	n := int(int32(binary.BigEndian.Uint32(b.b[b.r+1:])))
+	if n < 4 || n > MaxMessage {
+		return Message{}, false, fmt.Errorf("%w: length %d", ErrMessage, n)
+	}
+	if b.need = n + 1; b.Unread() < b.need {
+		return Message{}, false, nil
+	}
+	m := Message{Type: b.b[b.r], Body: b.b[b.r+5 : b.r+1+n]}
+	b.r += n + 1
+	b.need = 0
+	return m, true, nil
+}
+
+// NextStartup takes a startup message, which has no type, and tells its code.
+func (b *Buffer) NextStartup() (code int, ok bool, err error) {
+	if b.Unread() < 8 {
+		b.need = 8
+		return 0, false, nil
+	}
+	n := int(int32(binary.BigEndian.Uint32(b.b[b.r:])))
+	if n < 8 || n > maxStartup {
+		return 0, false, fmt.Errorf("%w: startup of length %d", ErrMessage, n)
+	}
+	if b.need = n; b.Unread() < n {
+		return 0, false, nil
+	}
+	code = int(binary.BigEndian.Uint32(b.b[b.r+4:]))
+	b.r += n
+	b.need = 0
+	return code, true, nil
+}
+
+// Append adds a message made of parts to dst.
+func Append(dst []byte, kind byte, parts ...string) []byte {
+	n := 4
+	for _, p := range parts {
+		n += len(p)
+	}
+	dst = append(dst, kind)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(n))
+	for _, p := range parts {
+		dst = append(dst, p...)
+	}
+	return dst
+}
+
+// AppendRaw adds a message with the body it came with.
+func AppendRaw(dst []byte, m Message) []byte {
+	dst = append(dst, m.Type)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(m.Body)+4))
+	return append(dst, m.Body...)
+}
+
+// AppendStartup adds the startup message of a client.
+func AppendStartup(dst []byte, user, database string) []byte {
+	body := "user\x00" + user + "\x00database\x00" + database + "\x00\x00"
+	dst = binary.BigEndian.AppendUint32(dst, uint32(8+len(body)))
+	dst = binary.BigEndian.AppendUint32(dst, Version3)
+	return append(dst, body...)
+}
+
+// AppendGreeting adds what a server says to a startup message it accepts.
+func AppendGreeting(dst []byte) []byte {
+	dst = Append(dst, 'R', "\x00\x00\x00\x00")
+	dst = Append(dst, 'S', "server_version\x0015.0\x00")
+	dst = Append(dst, 'S', "client_encoding\x00UTF8\x00")
+	dst = Append(dst, 'S', "standard_conforming_strings\x00on\x00")
+	return AppendReady(dst)
+}
+
+// AppendReady adds ReadyForQuery.
+func AppendReady(dst []byte) []byte { return Append(dst, 'Z', "I") }
+
+// AppendQuery adds a simple query.
+func AppendQuery(dst []byte, text string) []byte { return Append(dst, 'Q', text, "\x00") }
+
+// AppendError adds an ErrorResponse; a detail of "" is left out.
+func AppendError(dst []byte, severity, code, text, detail string) []byte {
+	parts := []string{"S", severity, "\x00V", severity, "\x00C", code, "\x00M", text, "\x00"}
+	if detail != "" {
+		parts = append(parts, "D", detail, "\x00")
+	}
+	return Append(dst, 'E', append(parts, "\x00")...)
+}
+
+// Field finds a field of an ErrorResponse by its letter.
+func Field(body []byte, letter byte) string {
+	for len(body) > 1 {
+		v, rest, ok := cutZero(body[1:])
+		if body[0] == letter {
+			return v
+		}
+		if !ok {
+			break
+		}
+		body = rest
+	}
+	return ""
+}
+
+// Parameter splits a ParameterStatus.
+func Parameter(body []byte) (name, value string, ok bool) {
+	name, rest, ok := cutZero(body)
+	if !ok {
+		return "", "", false
+	}
+	value, rest, ok = cutZero(rest)
+	return name, value, ok && len(rest) == 0
+}
+
+// Columns tells how many columns a RowDescription or DataRow has, -1 where it is malformed.
+func Columns(body []byte) int {
+	if len(body) < 2 {
+		return -1
+	}
+	return int(int16(binary.BigEndian.Uint16(body)))
+}
+
+// Value takes the value of a DataRow of one column; null is not ok.
+func Value(body []byte) (value []byte, ok bool) {
+	if Columns(body) != 1 || len(body) < 6 {
+		return nil, false
+	}
+	n := int(int32(binary.BigEndian.Uint32(body[2:])))
+	if n < 0 || n != len(body)-6 {
+		return nil, false
+	}
+	return body[6:], true
+}
+
+func cutZero(b []byte) (string, []byte, bool) {
+	for i, c := range b {
+		if c == 0 {
+			return string(b[:i]), b[i+1:], true
+		}
+	}
+	return string(b), nil, false
+}
--- /dev/null
+++ b/relay/clients.go
@@ -0,0 +1,269 @@
+package relay
+
+// This file owns the listener and the clients' connections, one goroutine each. A client's goroutine alone
+// reads and writes its socket, parses its statements and hands them to the core, one at a time, so answers
+// keep their order. It must never judge a txn; what is no txn it answers by itself.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"eiderway/pgwire"
+)
+
+const (
+	lastArrivals = 500 * time.Millisecond // after a stop was asked for, connections go on arriving as long
+	lastRequests = 700 * time.Millisecond // and what comes by then must be answered
+	slowestWrite = 10 * time.Second       // a client that takes an answer more slowly has left
+	turnedAway   = ownDescriptors / 2     // connections over the budget that are told so at a time
+)
+
+var past = time.Unix(1, 0) // a deadline that wakes a reader
+
+// clients accepts connections and keeps them within their budget.
+type clients struct {
+	core     *core
+	listener net.Listener
+	most     int64
+	mu       sync.Mutex
+	open     map[*client]bool
+	all      sync.WaitGroup
+	closing  atomic.Bool
+}
+
+// client is one connection. Its mailbox holds one answer, since one txn at most is out.
+type client struct {
+	hub     *clients
+	nc      net.Conn
+	buf     pgwire.Buffer
+	answers chan []byte
+	resting atomic.Int64 // since when it has been between queries, in Unix ns; 0: it is not
+	leave   atomic.Bool  // close it as soon as it rests
+	excess  bool         // over the budget: its first query is declined
+}
+
+func newClients(c *core, l net.Listener, most int64) *clients {
+	return &clients{core: c, listener: l, most: most, open: map[*client]bool{}}
+}
+
+// run accepts until a stop is asked for and the last connections have come, then waits for the last answer.
+func (h *clients) run(stop, life context.Context) error {
+	go func() {
+		select {
+		case <-stop.Done():
+		case <-life.Done():
+			h.listener.Close()
+			return
+		}
+		h.core.log.Info("stopping")
+		time.Sleep(lastArrivals)
+		h.closing.Store(true)
+		h.each(func(c *client) { c.goAway() })
+		time.Sleep(lastRequests - lastArrivals)
+		h.listener.Close()
+	}()
+	for {
+		nc, err := h.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil {
+			h.core.log.WithError(err).Warn("accepting a client")
+			time.Sleep(10 * time.Millisecond) // out of descriptors: let some be given back
+			continue
+		}
+		h.admit(nc)
+	}
+	h.all.Wait()
+	return nil
+}
+
+// admit makes room by closing a client that rests; without one the new one is turned away.
+func (h *clients) admit(nc net.Conn) {
+	c := &client{hub: h, nc: nc, answers: make(chan []byte, 1)}
+	h.mu.Lock()
+	over := int64(len(h.open)) - h.most
+	if over >= 0 {
+		var longest *client
+		for o := range h.open {
+			if since := o.resting.Load(); since > 0 && !o.leave.Load() &&
+				(longest == nil || since < longest.resting.Load()) {
+				longest = o
+			}
+		}
+		if c.excess = longest == nil; !c.excess {
+			longest.goAway()
+		}
+	}
+	if over >= turnedAway {
+		h.mu.Unlock()
+		h.core.counters.turnedAway.Add(1)
+		nc.Close()
+		return
+	}
+	h.open[c] = true
+	h.all.Add(1)
+	h.mu.Unlock()
+	h.core.counters.clientsOpened.Add(1)
+	go c.run()
+}
+
+func (h *clients) each(f func(*client)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.open {
+		f(c)
+	}
+}
+
+// goAway has a client's goroutine close the connection as soon as it rests.
+func (c *client) goAway() {
+	c.leave.Store(true)
+	c.nc.SetReadDeadline(past)
+}
+
+// answer takes the answer to the txn that is out. The core calls it; it never blocks.
+func (c *client) answer(a []byte) {
+	c.answers <- a
+	c.nc.SetReadDeadline(past)
+}
+
+func (c *client) run() {
+	defer c.end()
+	if !c.startup() {
+		return
+	}
+	for {
+		m, ok, err := c.buf.Next()
+		switch {
+		case err != nil:
+			c.fatal("08P01", err.Error())
+			return
+		case !ok:
+			if c.hub.closing.Load() && c.buf.Unread() == 0 {
+				return
+			}
+			if c.rest() != nil {
+				return
+			}
+		case m.Type == 'Q':
+			if !c.query(m.Body) {
+				return
+			}
+		case m.Type == 'X':
+			return
+		default:
+			c.fatal("0A000", "only simple queries are served")
+			return
+		}
+	}
+}
+
+// end is where a client's connection is given back.
+func (c *client) end() {
+	c.nc.Close()
+	c.hub.mu.Lock()
+	delete(c.hub.open, c)
+	c.hub.mu.Unlock()
+	c.hub.core.counters.clientsClosed.Add(1)
+	c.hub.all.Done()
+}
+
+// rest reads while nothing is out, until something came.
+func (c *client) rest() error {
+	c.resting.Store(time.Now().UnixNano())
+	defer c.resting.Store(0)
+	for {
+		c.nc.SetReadDeadline(time.Time{})
+		if c.leave.Load() {
+			return net.ErrClosed
+		}
+		if err := c.buf.Fill(c.nc); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+	}
+}
+
+func (c *client) startup() bool {
+	for {
+		code, ok, err := c.buf.NextStartup()
+		switch {
+		case err != nil:
+			return false
+		case !ok:
+			if c.rest() != nil {
+				return false
+			}
+		case code == pgwire.SSL || code == pgwire.GSSEncode:
+			if !c.write([]byte("N")) {
+				return false
+			}
+		case code == pgwire.Cancel:
+			return false
+		case code>>16 != pgwire.Version3>>16:
+			c.fatal("0A000", "only version 3 of the protocol is served")
+			return false
+		default:
+			return c.write(pgwire.AppendGreeting(nil))
+		}
+	}
+}
+
+func (c *client) query(body []byte) bool {
+	text, ended := strings.CutSuffix(string(body), "\x00")
+	if !ended {
+		c.fatal("08P01", "a query without an end")
+		return false
+	}
+	if strings.TrimSpace(text) == "" {
+		return c.write(pgwire.AppendReady(pgwire.Append(nil, 'I')))
+	}
+	st, err := pgwire.ParseStatement(text)
+	if err != nil {
+		c.hub.core.counters.malformed.Add(1)
+		return c.write(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "08P01", err.Error(), "")))
+	}
+	if c.excess {
+		c.hub.core.counters.turnedAway.Add(1)
+		c.fatal("53300", "too many clients")
+		return false
+	}
+	return c.txn(&held{client: c, st: st})
+}
+
+// txn hands a txn to the core and reads on until its answer is there, to notice a client that leaves.
+func (c *client) txn(h *held) bool {
+	core, at := c.hub.core, c.hub.core.clock.now()
+	core.tell(func() { core.arrive(h, at) })
+	for {
+		c.nc.SetReadDeadline(time.Time{})
+		if c.buf.Crowded() {
+			return c.write(<-c.answers)
+		}
+		select {
+		case a := <-c.answers:
+			return c.write(a)
+		default:
+		}
+		if err := c.buf.Fill(c.nc); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			core.tell(func() { core.left(h) })
+			return false
+		}
+	}
+}
+
+func (c *client) write(b []byte) bool {
+	c.nc.SetWriteDeadline(time.Now().Add(slowestWrite))
+	_, err := c.nc.Write(b)
+	return err == nil
+}
+
+func (c *client) fatal(code, text string) {
+	c.write(pgwire.AppendError(nil, "FATAL", code, text, ""))
+}
--- /dev/null
+++ b/relay/core.go
@@ -0,0 +1,290 @@
+package relay
+
+// This file owns the module, its timers and all held txns, in one goroutine: the core's. Only that goroutine
+// calls the module. It must never wait for a socket or a mailbox, and never decide anything.
+
+import (
+	"container/heap"
+	"context"
+	"hash/fnv"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"eiderway/pgwire"
+	"eiderway/splitter"
+	"eiderway/terms"
+)
+
+// held is a txn that was taken. It lives until it has its final answer and no submission of it is out.
+type held struct {
+	id     int
+	client *client
+	st     pgwire.Statement
+	job    *job // the submission that is out
+	over   bool
+}
+
+// core is the actor of the module. Its tables: txns and free are emptied as txns are over, nodes grows with
+// the nodes ever listed.
+type core struct {
+	actor
+	clock    clock
+	now      float64 // the time of what is being handled
+	terms    *terms.Terms
+	router   *splitter.Router
+	timers   timers
+	armed    int // timers ever set
+	txns     []*held
+	free     []int
+	nodes    []*node
+	byUID    map[string]int
+	groups   map[int]bool
+	list     *list
+	counters *counters
+	sockets  chan struct{} // one for each connection to a node
+	life     context.Context
+	tasks    *errgroup.Group
+	log      *logrus.Logger
+}
+
+func newCore(cfg *Config, log *logrus.Logger, life context.Context, tasks *errgroup.Group, sockets int64) *core {
+	c := &core{actor: newActor(), clock: newClock(), terms: cfg.terms, byUID: map[string]int{},
+		groups: map[int]bool{}, counters: &counters{log: log}, sockets: make(chan struct{}, sockets), life: life,
+		tasks: tasks, log: log}
+	c.now = c.clock.now()
+	c.list = newList(c, cfg.Discovery, cfg.Known.Rev)
+	c.router = splitter.New(c.terms.Splitter, c)
+	c.members(splitter.ListRemembered, cfg.Known.Targets)
+	return c
+}
+
+func (c *core) run(ctx context.Context) error {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	var mail []func()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wake:
+		case <-alarm.C:
+		}
+		mail = c.take(mail)
+		for i, f := range mail {
+			c.now = c.clock.now()
+			f()
+			mail[i] = nil
+		}
+		c.now = c.clock.now()
+		for len(c.timers) > 0 && c.timers[0].at <= c.now {
+			heap.Pop(&c.timers).(timer).then()
+		}
+		next := time.Hour
+		if len(c.timers) > 0 {
+			next = max(0, time.Until(c.clock.at(c.timers[0].at)))
+		}
+		alarm.Reset(next)
+	}
+}
+
+// arrive takes a txn from a client, which came at a time and is owed one answer from here on.
+func (c *core) arrive(h *held, at float64) {
+	c.counters.taken.Add(1)
+	if k := len(c.free); k > 0 {
+		h.id, c.free = c.free[k-1], c.free[:k-1]
+		c.txns[h.id] = h
+	} else {
+		h.id = len(c.txns)
+		c.txns = append(c.txns, h)
+	}
+	if !c.groups[h.st.Group] { // nothing can be had for a group without members, known to none
+		c.Decline(h.id, 0)
+		return
+	}
+	t, ok := c.terms.Types[h.st.Type]
+	if !ok {
+		t = c.terms.Unnamed
+	}
+	c.router.Arrive(splitter.Txn{ID: h.id, Group: h.st.Group, Type: t, Until: at + h.st.Wait,
+		Session: session(h.st.Key), Wrote: h.st.Wrote})
+}
+
+// session gives the key of a session as a number.
+func session(key string) int64 {
+	if n, err := strconv.ParseUint(key, 16, 64); err == nil {
+		return int64(n)
+	}
+	f := fnv.New64a()
+	f.Write([]byte(key))
+	return int64(f.Sum64())
+}
+
+// left says that a txn's client is gone.
+func (c *core) left(h *held) {
+	if h.over {
+		return
+	}
+	c.counters.left.Add(1)
+	h.over = true
+	if h.job != nil {
+		h.job.moot.Store(true)
+	}
+	c.router.Left(h.id)
+	c.release(h)
+}
+
+// landed takes the end of a submission.
+func (c *core) landed(h *held, res splitter.Result, answer []byte, then func(splitter.Result)) {
+	h.job = nil
+	c.counters.outcomes[res.Outcome].Add(1)
+	if res.Outcome == splitter.Committed && !h.over {
+		c.counters.committed.Add(1)
+		c.finish(h, answer)
+	}
+	res.Ended = h.over
+	then(res)
+	c.release(h)
+}
+
+// finish gives a txn its final answer.
+func (c *core) finish(h *held, answer []byte) {
+	h.over = true
+	h.client.answer(pgwire.AppendReady(answer))
+	c.release(h)
+}
+
+func (c *core) release(h *held) {
+	if h.over && h.job == nil && c.txns[h.id] == h {
+		c.txns[h.id] = nil
+		c.free = append(c.free, h.id)
+	}
+}
+
+// members takes entries of the member list, or news that it can't be had.
+func (c *core) members(kind splitter.ListKind, entries []entry) {
+	list := make([]splitter.Member, 0, len(entries))
+	for i := range entries {
+		e := &entries[i]
+		if err := e.check(); err != nil {
+			c.log.WithError(err).Warn("entry of the list passed over")
+			continue
+		}
+		id, ok := c.byUID[e.UID]
+		if !ok {
+			if e.state() == splitter.Gone {
+				continue
+			}
+			id = len(c.nodes)
+			c.byUID[e.UID] = id
+			n := newNode(c, e.Endpoint)
+			c.nodes = append(c.nodes, n)
+			c.tasks.Go(func() error { return n.run(c.life) })
+		}
+		m := splitter.Member{Node: id, Name: e.UID, Group: -1, Zone: c.terms.Zone(e.Zone), State: e.state(),
+			Born: e.Boot / 1000}
+		if e.Group != nil {
+			m.Group = *e.Group
+			c.groups[m.Group] = true
+		}
+		c.nodes[id].listed(e.Endpoint, m.State)
+		list = append(list, m)
+	}
+	c.router.Members(kind, list)
+}
+
+// Now, Submit and the rest are the splitter's Host.
+func (c *core) Now() float64 { return c.now }
+
+func (c *core) Submit(txn, node int, until float64, then func(splitter.Result)) {
+	h := c.txns[txn]
+	c.counters.submitted.Add(1)
+	j := &job{st: &h.st, sent: c.now, until: until}
+	j.done = func(res splitter.Result, answer []byte) {
+		c.tell(func() { c.landed(h, res, answer, then) })
+	}
+	h.job = j
+	n := c.nodes[node]
+	j.node = n
+	n.tell(func() { n.start(j) })
+}
+
+func (c *core) Cancel(txn int) {
+	if h := c.txns[txn]; h != nil && h.job != nil {
+		j := h.job
+		j.moot.Store(true)
+		j.node.tell(func() { j.node.cancel(j) })
+	}
+}
+
+func (c *core) Decline(txn int, pause float64) {
+	c.counters.declined.Add(1)
+	ms := ""
+	if pause > 0 {
+		ms = strconv.Itoa(int(math.Round(pause * 1000)))
+	}
+	c.finish(c.txns[txn], pgwire.AppendError(nil, "ERROR", "53300", "declined, trying again is harmless", ms))
+}
+
+func (c *core) RollBack(txn int) {
+	c.counters.rolledBack.Add(1)
+	c.finish(c.txns[txn], pgwire.AppendError(nil, "ERROR", "08007", "rolled back, its effect is not known", ""))
+}
+
+func (c *core) Probe(node int, then func(splitter.Report)) {
+	c.counters.probes.Add(1)
+	j := &job{sent: c.now, until: c.now + c.terms.Splitter.ConnectIn}
+	j.done = func(res splitter.Result, _ []byte) {
+		c.tell(func() { then(res.Report) })
+	}
+	n := c.nodes[node]
+	j.node = n
+	n.tell(func() { n.start(j) })
+}
+
+func (c *core) After(at float64, then func()) {
+	c.armed++
+	heap.Push(&c.timers, timer{at, c.armed, then})
+}
+
+func (c *core) CloseIdle(node int) {
+	n := c.nodes[node]
+	n.tell(n.closeIdle)
+}
+
+// closeAllIdle frees sockets for a connection that finds none left.
+func (c *core) closeAllIdle() {
+	for _, n := range c.nodes {
+		n.tell(n.closeIdle)
+	}
+}
+
+func (c *core) Watch() { c.list.ask() }
+
+func (c *core) Note(text string) { c.log.Info(text) }
+
+// timer is a closure due at a time; of two due at once the one set first runs first.
+type timer struct {
+	at   float64
+	set  int
+	then func()
+}
+
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].set < t[j].set
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{}
+	*t = (*t)[:last]
+	return x
+}
--- /dev/null
+++ b/relay/counters.go
@@ -0,0 +1,73 @@
+package relay
+
+// This file owns the counters and prints them: on SIGUSR1 and at exit. It must never hold anything up.
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"eiderway/splitter"
+)
+
+type counters struct {
+	log *logrus.Logger
+
+	taken, committed, declined, rolledBack, left atomic.Int64 // txns
+	malformed, turnedAway                        atomic.Int64 // statements, clients
+	submitted, probes                            atomic.Int64
+	outcomes                                     [splitter.Unsent + 1]atomic.Int64
+	clientsOpened, clientsClosed                 atomic.Int64
+	linksOpened, linksReused, linksClosed        atomic.Int64
+	noSockets                                    atomic.Int64
+	listCalls, watchesEnded                      atomic.Int64
+}
+
+var outcomeNames = [splitter.Unsent + 1]string{"unknown", "committed", "failed", "timed_out", "broken",
+	"cancelled", "missed", "full", "no_conn", "unsent"}
+
+// watch prints the counters each time they are asked for.
+func (k *counters) watch(life context.Context, g *errgroup.Group, c *core, h *clients) {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR1)
+	g.Go(func() error {
+		defer signal.Stop(asked)
+		for {
+			select {
+			case <-life.Done():
+				return nil
+			case <-asked:
+				k.print(c, h)
+			}
+		}
+	})
+}
+
+func (k *counters) print(c *core, h *clients) {
+	h.mu.Lock()
+	open := len(h.open)
+	h.mu.Unlock()
+	k.log.WithFields(logrus.Fields{"taken": k.taken.Load(), "committed": k.committed.Load(),
+		"declined": k.declined.Load(), "rolled_back": k.rolledBack.Load(), "left": k.left.Load(),
+		"malformed": k.malformed.Load()}).Info("txns")
+	outcomes := logrus.Fields{"sent": k.submitted.Load(), "probes": k.probes.Load()}
+	for i, name := range outcomeNames {
+		if n := k.outcomes[i].Load(); n > 0 {
+			outcomes[name] = n
+		}
+	}
+	k.log.WithFields(outcomes).Info("submissions")
+	k.log.WithFields(logrus.Fields{"opened": k.clientsOpened.Load(), "closed": k.clientsClosed.Load(),
+		"open": open, "turned_away": k.turnedAway.Load()}).Info("clients")
+	k.log.WithFields(logrus.Fields{"opened": k.linksOpened.Load(), "reused": k.linksReused.Load(),
+		"closed": k.linksClosed.Load(), "open": len(c.sockets), "none_left": k.noSockets.Load()}).Info("nodes")
+	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_ended": k.watchesEnded.Load(),
+		"rev": c.list.shown.Load()}).Info("list")
+	entries, _ := os.ReadDir("/proc/self/fd")
+	k.log.WithFields(logrus.Fields{"descriptors": len(entries), "core_mail": c.waiting()}).Info("process")
+}
--- /dev/null
+++ b/relay/list.go
@@ -0,0 +1,154 @@
+package relay
+
+// This file owns the talk with discovery: one goroutine that watches the list once the module has asked for
+// it, until a call fails. It must never judge what a list means, nor ask again by itself after a failure.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"eiderway/splitter"
+)
+
+const (
+	holdFor     = 20 * time.Second // a watch is asked to wait as long, as in the protocol's example
+	watchSlack  = 2 * time.Second  // and its answer counts as told as much later
+	longestList = 8 << 20          // bytes
+)
+
+// listing is a list, or news of one, in discovery's form.
+type listing struct {
+	Rev     int64   `json:"rev"`
+	All     bool    `json:"all"`
+	Targets []entry `json:"targets"`
+}
+
+type entry struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Group    *int    `json:"pod_group"`
+	State    string  `json:"state"`
+	Boot     float64 `json:"boot_ms"`
+}
+
+func (e *entry) check() error {
+	if e.UID == "" {
+		return fmt.Errorf("an entry without a uid")
+	}
+	if _, err := netip.ParseAddrPort(e.Endpoint); err != nil {
+		return fmt.Errorf("node %.40q: %w", e.UID, err)
+	}
+	if e.Group != nil && *e.Group < 0 {
+		return fmt.Errorf("node %.40q: group %d", e.UID, *e.Group)
+	}
+	return nil
+}
+
+// state takes a state that it does not know as gone.
+func (e *entry) state() splitter.State {
+	switch e.State {
+	case "Ready":
+		return splitter.On
+	case "Terminating":
+		return splitter.Draining
+	}
+	return splitter.Gone
+}
+
+type list struct {
+	core  *core
+	url   string
+	rev   int64
+	shown atomic.Int64 // rev, for the counters
+	asked chan struct{}
+	http  *http.Client
+}
+
+func newList(c *core, addr string, rev int64) *list {
+	l := &list{core: c, url: "http://" + addr + "/v1/endpoints", rev: rev, asked: make(chan struct{}, 1),
+		http: &http.Client{Transport: &http.Transport{DisableCompression: true,
+			DialContext: (&net.Dialer{KeepAlive: -1}).DialContext}}}
+	l.shown.Store(rev)
+	return l
+}
+
+// ask begins a watch. It never blocks.
+func (l *list) ask() {
+	select {
+	case l.asked <- struct{}{}:
+	default:
+	}
+}
+
+func (l *list) run(ctx context.Context) error {
+	defer l.http.CloseIdleConnections()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.asked:
+		}
+		err := l.watch(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		l.core.log.WithError(err).Warn("the watch of the list ended")
+		l.core.counters.watchesEnded.Add(1)
+		l.core.tell(func() { l.core.members(splitter.ListRefused, nil) })
+	}
+}
+
+// watch tells the core all news until a call fails.
+func (l *list) watch(ctx context.Context) error {
+	for {
+		news, err := l.call(ctx)
+		if err != nil {
+			return err
+		}
+		l.rev = news.Rev
+		l.shown.Store(news.Rev)
+		kind := splitter.ListChanges
+		if news.All {
+			kind = splitter.ListAll
+		}
+		l.core.tell(func() { l.core.members(kind, news.Targets) })
+	}
+}
+
+func (l *list) call(ctx context.Context) (*listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, holdFor+watchSlack)
+	defer cancel()
+	l.core.counters.listCalls.Add(1)
+	url := l.url + "?from=" + strconv.FormatInt(l.rev, 10) + "&hold_ms=" +
+		strconv.FormatInt(holdFor.Milliseconds(), 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := l.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery said %s", resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, longestList+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > longestList {
+		return nil, fmt.Errorf("a list of over %d bytes", longestList)
+	}
+	news := &listing{}
+	return news, json.Unmarshal(body, news)
+}
--- /dev/null
+++ b/relay/node.go
@@ -0,0 +1,413 @@
+package relay
+
+// This file owns the connections to nodes. Each node has an actor that keeps its connections and gives each
+// submission or probe one of them; each connection has a goroutine that alone reads and writes its socket.
+// It tells exactly how a submission ended, above all whether it may have run, and must never send one twice.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"eiderway/pgwire"
+	"eiderway/splitter"
+)
+
+const idleShare = 0.8 // share of the time until a node closes an idle connection after which we do
+
+// job is a submission, or a probe where it has no statement.
+type job struct {
+	st    *pgwire.Statement
+	node  *node
+	link  *link // that has it; the node's actor alone reads and sets this
+	sent  float64
+	until float64
+	moot  atomic.Bool // not to be written any more
+	done  func(splitter.Result, []byte)
+}
+
+// node is the actor of one node.
+type node struct {
+	actor
+	core *core
+	addr string
+	idle []*link // the one used last at the end
+}
+
+func newNode(c *core, addr string) *node { return &node{actor: newActor(), core: c, addr: addr} }
+
+func (n *node) run(ctx context.Context) error {
+	var mail []func()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.wake:
+		}
+		mail = n.take(mail)
+		for i, f := range mail {
+			f()
+			mail[i] = nil
+		}
+	}
+}
+
+// listed takes what the list says of the node. What still waits for a connection to one that wants nothing
+// new never leaves.
+func (n *node) listed(addr string, s splitter.State) {
+	n.tell(func() { n.addr = addr })
+	if s == splitter.On {
+		return
+	}
+	for _, h := range n.core.txns {
+		if h != nil && h.job != nil && h.job.node == n {
+			h.job.moot.Store(true)
+		}
+	}
+}
+
+// start gives a job a connection.
+func (n *node) start(j *job) {
+	if k := len(n.idle); k > 0 {
+		l := n.idle[k-1]
+		n.idle = n.idle[:k-1]
+		j.link = l
+		l.next <- j
+		l.nc.SetReadDeadline(past)
+		return
+	}
+	l := &link{node: n, next: make(chan *job, 1), addr: n.addr}
+	l.ctx, l.cancel = context.WithCancel(n.core.life)
+	j.link = l
+	n.core.tasks.Go(func() error {
+		l.run(j)
+		return nil
+	})
+}
+
+// cancel calls a job off, by closing its connection.
+func (n *node) cancel(j *job) {
+	if j.link != nil {
+		j.link.cancel()
+	}
+}
+
+func (n *node) closeIdle() {
+	for _, l := range n.idle {
+		l.cancel()
+	}
+	n.idle = nil
+}
+
+// rested takes back a connection whose job is done.
+func (n *node) rested(l *link, j *job) {
+	j.link = nil
+	if l.ctx.Err() == nil {
+		n.idle = append(n.idle, l)
+	}
+}
+
+// ended forgets a connection. A job that it was given too late to begin gets another.
+func (n *node) ended(l *link) {
+	if i := slices.Index(n.idle, l); i >= 0 {
+		n.idle = slices.Delete(n.idle, i, i+1)
+	}
+	select {
+	case j := <-l.next:
+		n.start(j)
+	default:
+	}
+}
+
+// link is one connection to a node.
+type link struct {
+	node    *node
+	addr    string
+	ctx     context.Context
+	cancel  context.CancelFunc
+	nc      net.Conn
+	buf     pgwire.Buffer
+	next    chan *job
+	greeted bool // the node has answered the startup message
+}
+
+func (l *link) run(j *job) {
+	defer l.end()
+	if !l.open(j) {
+		return
+	}
+	for j != nil && l.serve(j) {
+		j = l.rest()
+	}
+}
+
+// open takes a socket from the budget and connects.
+func (l *link) open(j *job) bool {
+	c := l.node.core
+	in := time.Duration(c.terms.Splitter.ConnectIn * float64(time.Second))
+	ctx, cancel := context.WithTimeout(l.ctx, min(in, time.Until(c.clock.at(j.until))))
+	defer cancel()
+	select {
+	case c.sockets <- struct{}{}:
+	default:
+		c.tell(c.closeAllIdle)
+		select {
+		case c.sockets <- struct{}{}:
+		case <-ctx.Done():
+			c.counters.noSockets.Add(1)
+			l.finish(j, splitter.Unsent, nil)
+			return false
+		}
+	}
+	nc, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		<-c.sockets
+		outcome := splitter.NoConn
+		if l.ctx.Err() != nil || j.moot.Load() || !time.Now().Before(c.clock.at(j.until)) {
+			outcome = splitter.Unsent
+		}
+		l.finish(j, outcome, nil)
+		return false
+	}
+	c.counters.linksOpened.Add(1)
+	l.nc = nc
+	context.AfterFunc(l.ctx, func() { nc.SetDeadline(past) })
+	return true
+}
+
+// end is where a connection and its socket are given back.
+func (l *link) end() {
+	l.cancel()
+	if l.nc != nil {
+		l.nc.Close()
+		<-l.node.core.sockets
+		l.node.core.counters.linksClosed.Add(1)
+	}
+	l.node.tell(func() { l.node.ended(l) })
+}
+
+// finish tells how a job ended. The connection of one that was abandoned is closed before.
+func (l *link) finish(j *job, o splitter.Outcome, r *reply) {
+	res := splitter.Result{Outcome: o, Latency: l.node.core.clock.now() - j.sent}
+	res.Load = -1
+	var answer []byte
+	if r != nil {
+		res.Report = r.report
+		answer = r.row
+	}
+	j.done(res, answer)
+}
+
+// serve writes a job and reads its reply, and tells whether the connection can take another.
+func (l *link) serve(j *job) bool {
+	c := l.node.core
+	until := c.clock.at(j.until)
+	l.nc.SetDeadline(until)
+	if l.ctx.Err() != nil || j.moot.Load() {
+		l.nc.Close()
+		l.finish(j, splitter.Unsent, nil)
+		return false
+	}
+	var out []byte
+	if l.greeted {
+		c.counters.linksReused.Add(1)
+	} else {
+		out = pgwire.AppendStartup(out, "eiderway", "catalog")
+	}
+	switch {
+	case j.st != nil:
+		out = j.st.AppendTo(out, time.Until(until).Seconds())
+	case c.terms.Reports:
+		out = pgwire.AppendQuery(out, "SHOW stats")
+	default:
+		out = pgwire.AppendQuery(out, "SELECT 1")
+	}
+	if n, err := l.nc.Write(out); n < len(out) {
+		l.nc.Close()
+		outcome := splitter.NoConn
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			outcome = splitter.Unsent
+		}
+		l.finish(j, outcome, nil)
+		return false
+	}
+	r := &reply{greeted: l.greeted}
+	r.report.Load = -1
+	err := l.read(r)
+	l.greeted = r.greeted
+	if err != nil || r.fatal || l.ctx.Err() != nil {
+		l.nc.Close()
+		l.finish(j, r.outcome(err, l.ctx.Err() != nil), r)
+		return false
+	}
+	l.node.tell(func() { l.node.rested(l, j) })
+	l.finish(j, r.outcome(nil, false), r)
+	return true
+}
+
+// rest waits for the next job. A connection that rests too long, or on which anything comes, is done with.
+func (l *link) rest() *job {
+	until := time.Now().Add(time.Duration(idleShare * l.node.core.terms.IdleClose * float64(time.Second)))
+	for {
+		l.nc.SetReadDeadline(until)
+		if l.ctx.Err() != nil {
+			return nil
+		}
+		select {
+		case j := <-l.next:
+			return j
+		default:
+		}
+		if err := l.buf.Fill(l.nc); !errors.Is(err, os.ErrDeadlineExceeded) || time.Now().After(until) {
+			return nil
+		}
+	}
+}
+
+// reply is what a node has said so far.
+type reply struct {
+	greeted  bool
+	columns  bool
+	row      []byte // the row's messages, as they came
+	code     string // of an error
+	complete bool
+	fatal    bool
+	report   splitter.Report
+}
+
+var errReply = errors.New("unexpected message")
+
+func (l *link) read(r *reply) error {
+	for {
+		m, ok, err := l.buf.Next()
+		if err != nil {
+			return err
+		}
+		if !ok {
+			if err := l.buf.Fill(l.nc); err != nil {
+				return err
+			}
+			continue
+		}
+		if done, err := r.take(m); done || err != nil {
+			return err
+		}
+	}
+}
+
+// take reads one message, and tells whether the reply is whole.
+func (r *reply) take(m pgwire.Message) (bool, error) {
+	switch m.Type {
+	case 'R', 'K', 'N':
+	case 'S':
+		if name, value, ok := pgwire.Parameter(m.Body); ok && r.greeted {
+			r.parameter(name, value)
+		}
+	case 'E':
+		r.code = pgwire.Field(m.Body, 'C')
+		r.fatal = pgwire.Field(m.Body, 'S') == "FATAL"
+		if r.complete {
+			return false, errReply
+		}
+		return r.fatal, nil
+	case 'T':
+		if !r.greeted || r.columns || pgwire.Columns(m.Body) != 1 {
+			return false, errReply
+		}
+		r.columns = true
+		r.row = pgwire.AppendRaw(nil, m)
+	case 'D':
+		value, ok := pgwire.Value(m.Body)
+		if !r.columns || r.report.OK || !ok {
+			return false, errReply
+		}
+		r.report.OK = true
+		if len(value) < longestReport {
+			r.load(string(value))
+		}
+		r.row = pgwire.AppendRaw(r.row, m)
+	case 'C':
+		if !r.report.OK || r.complete || r.code != "" {
+			return false, errReply
+		}
+		r.complete = true
+		r.row = pgwire.AppendRaw(r.row, m)
+	case 'Z':
+		if !r.greeted {
+			r.greeted = true
+			return false, nil
+		}
+		if !r.complete && r.code == "" {
+			return false, errReply
+		}
+		return true, nil
+	default:
+		return false, errReply
+	}
+	return false, nil
+}
+
+func (r *reply) parameter(name, value string) {
+	switch name {
+	case "mode":
+		r.report.Role = map[string]splitter.Role{"read-write": splitter.RolePrimary,
+			"read-only": splitter.RoleReplica}[value]
+	case "wal_time":
+		if ms, err := strconv.ParseFloat(value, 64); err == nil {
+			r.report.Pos = ms / 1000
+		}
+	case "stats":
+		r.load(value)
+	}
+}
+
+const longestReport = 1 << 10 // bytes of a load report, ample
+
+// load reads a load report.
+func (r *reply) load(text string) {
+	for _, field := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(field, "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "x0":
+			r.report.Pos = v
+		case "x1":
+			r.report.Role = splitter.RoleReplica
+			if v == 1 {
+				r.report.Role = splitter.RolePrimary
+			}
+		case "inflight":
+			r.report.Load = v
+		}
+	}
+}
+
+// outcome names how a job that was written whole ended.
+func (r *reply) outcome(err error, calledOff bool) splitter.Outcome {
+	switch {
+	case r.complete:
+		return splitter.Committed
+	case r.code == "53300" && !r.greeted:
+		return splitter.NoConn
+	case r.code == "53300":
+		return splitter.Full
+	case r.code == "25006" || r.code == "72000":
+		return splitter.Missed
+	case r.code != "":
+		return splitter.Failed
+	case calledOff:
+		return splitter.Cancelled
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return splitter.TimedOut
+	}
+	return splitter.Broken
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,162 @@
+// Package relay is the real host of the splitter: it carries txns between sockets as the module decides, and
+// tells the module exactly what became of them. It decides nothing and resends nothing.
+//
+// This file owns the lifetimes: it starts the actors, and ends them in order. It must never touch a txn.
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"eiderway/terms"
+)
+
+const (
+	ownDescriptors = 64  // kept for the listener, discovery, logs, the runtime and clients turned away
+	memoryShare    = 0.7 // share of the memory limit from which the collector works harder
+)
+
+// Config is what a router is told at start.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int64   `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    listing         `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	terms *terms.Terms
+}
+
+// ReadConfig reads and checks a configuration file.
+func ReadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{}
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %s: %w", path, a.name, err)
+		}
+	}
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%s: seed: %w", path, err)
+	}
+	if c.terms, err = terms.Decode(c.Settings, int64(seed)); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = 1024
+	}
+	if c.Limits.Sockets < 2*ownDescriptors {
+		return nil, fmt.Errorf("%s: %d sockets are too few, %d are needed", path, c.Limits.Sockets,
+			2*ownDescriptors)
+	}
+	return c, nil
+}
+
+// clock tells the module's time: seconds of Unix time, which no step of the wall clock moves.
+type clock struct {
+	start time.Time
+	zero  float64
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{now, float64(now.UnixMicro()) / 1e6}
+}
+
+func (c clock) now() float64 { return c.zero + time.Since(c.start).Seconds() }
+
+// at turns the module's time into one that deadlines understand.
+func (c clock) at(t float64) time.Time {
+	return c.start.Add(time.Duration((t - c.zero) * float64(time.Second)))
+}
+
+// actor runs what it is told, one thing after the other. Telling never blocks.
+type actor struct {
+	mu   sync.Mutex
+	mail []func()
+	wake chan struct{}
+}
+
+func newActor() actor { return actor{wake: make(chan struct{}, 1)} }
+
+func (a *actor) tell(f func()) {
+	a.mu.Lock()
+	a.mail = append(a.mail, f)
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take empties the mailbox into spare.
+func (a *actor) take(spare []func()) []func() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	all := a.mail
+	a.mail = spare[:0]
+	return all
+}
+
+func (a *actor) waiting() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.mail)
+}
+
+// Run serves until ctx ends, then answers what it has taken.
+func Run(ctx context.Context, cfg *Config, log *logrus.Logger) error {
+	if cfg.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
+	}
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
+	}
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, life := errgroup.WithContext(life)
+	each := int64(cfg.Limits.Sockets-ownDescriptors) / 2 // a txn out takes one of each kind
+	c := newCore(cfg, log, life, g, each)
+	hub := newClients(c, listener, each)
+	c.counters.watch(life, g, c, hub)
+	g.Go(func() error { return c.run(life) })
+	g.Go(func() error { return c.list.run(life) })
+	g.Go(func() error {
+		defer end() // the last client has its answer
+		return hub.run(ctx, life)
+	})
+	log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen}).Info("serving")
+	err = g.Wait()
+	c.counters.print(c, hub)
+	return err
+}
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 
 	"eiderway/splitter"
+	"eiderway/terms"
 )
 
 // held is a txn the router has taken, or one whose submissions have not all ended.
@@ -23,10 +24,7 @@
 	s      *server
 	name   string
 	router *splitter.Router
-	facts  facts
-	types  map[string]int
-	zones  map[string]int
-	zero   float64
+	terms  *terms.Terms
 
 	txns   map[string]*held // emptied as a txn is over and its last submission ends
 	slots  []*held
@@ -39,8 +37,8 @@
 }
 
 func newHost(s *server, name string) *host {
-	return &host{s: s, name: name, txns: map[string]*held{}, nodes: map[string]int{}, types: map[string]int{},
-		zones: map[string]int{}, probes: map[int][]func(splitter.Report){},
+	return &host{s: s, name: name, txns: map[string]*held{}, nodes: map[string]int{},
+		probes: map[int][]func(splitter.Report){},
 		timers: map[int]func(){}}
 }
 
@@ -69,6 +67,14 @@
 	h.s.out.WriteString("},")
 }
 
+func (h *host) start(ev *event) (err error) {
+	if h.terms, err = terms.Decode(ev.Facts, ev.RandomSeed); err != nil {
+		return err
+	}
+	h.router = splitter.New(h.terms.Splitter, h)
+	return nil
+}
+
 func (h *host) node(name string) int {
 	n, ok := h.nodes[name]
 	if !ok {
@@ -79,15 +85,6 @@
 	return n
 }
 
-func (h *host) zone(name string) int {
-	z, ok := h.zones[name]
-	if !ok {
-		z = len(h.zones)
-		h.zones[name] = z
-	}
-	return z
-}
-
 // take hands an event to its handler; a panic in the decisions is reported on the wire.
 func (h *host) take(ev *event, handle func(*host, *event)) {
 	defer func() {
@@ -145,7 +142,7 @@
 		if e.Node == "" {
 			continue
 		}
-		m := splitter.Member{Node: h.node(e.Node), Name: e.Node, Group: -1, Zone: h.zone(e.Site),
+		m := splitter.Member{Node: h.node(e.Node), Name: e.Node, Group: -1, Zone: h.terms.Zone(e.Site),
 			State: splitter.Gone, Primary: e.Head == 1, Born: e.Born / 1000}
 		if st, ok := states[e.Lifecycle]; ok {
 			m.State = st
@@ -170,8 +167,8 @@
 	h.txns[ev.Txn] = t
 	x := splitter.Txn{ID: t.txn, Group: ev.ClusterNo, Until: ev.ValidUntil / 1000,
 		Session: ev.Sess}
-	x.Type = len(h.types)
-	if k, ok := h.types[ev.Class]; ok {
+	x.Type = h.terms.Unnamed
+	if k, ok := h.terms.Types[ev.Class]; ok {
 		x.Type = k
 	}
 	if ev.TokenMs != nil && *ev.TokenMs > 0 {
@@ -204,7 +201,7 @@
 		}
 		res.Pos = 0
 		if ev.Stamp >= 4 {
-			res.Pos = h.zero + float64(ev.Stamp/4)/1000
+			res.Pos = h.terms.Zero + float64(ev.Stamp/4)/1000
 		}
 	}
 	if ev.Final {
@@ -222,7 +219,7 @@
 		}
 		switch name {
 		case "x0":
-			r.Pos = h.zero + *v
+			r.Pos = h.terms.Zero + *v
 		case "x1":
 			r.Role = splitter.RoleReplica
 			if *v == 1 {
--- a/simwire/terms.go
+++ b/terms/terms.go
@@ -1,4 +1,6 @@
-package simwire
+// Package terms decodes the settings that a router is given at start, for every host of the splitter. It
+// decides nothing and changes no value; it only names things and turns milliseconds into seconds.
+package terms
 
 import (
 	"encoding/json"
@@ -8,7 +10,28 @@
 	"eiderway/splitter"
 )
 
-// facts are the start values the splitter has a use for; times in milliseconds.
+// Terms are the settings in the splitter's form, with what a host needs to speak their names.
+type Terms struct {
+	Splitter  splitter.Terms
+	Types     map[string]int // txn types by name
+	Unnamed   int            // the type of a txn whose type the settings do not name
+	Zones     map[string]int
+	Zero      float64 // s, the host's time from which the simulator counts positions
+	IdleClose float64 // s after which a node closes an idle connection at the latest
+	Reports   bool    // probes bring load reports
+}
+
+// Zone gives a zone its index, also one the settings do not name.
+func (t *Terms) Zone(name string) int {
+	z, ok := t.Zones[name]
+	if !ok {
+		z = len(t.Zones)
+		t.Zones[name] = z
+	}
+	return z
+}
+
+// facts are the start values that anything here has a use for; times in milliseconds.
 type facts struct {
 	Balancers int
 	Me        int
@@ -31,13 +54,13 @@
 		Zero         float64
 	}
 	Limits struct {
-		SendCap       int
-		MayCancel     bool
-		Probes        bool
-		RetryAfter    bool
-		MaxRetryAfter float64
-
+		SendCap        int
+		MayCancel      bool
+		Probes         bool
+		RetryAfter     bool
+		MaxRetryAfter  float64
 		ConnectTimeout float64
+		IdleClose      float64
 	}
 	Telemetry struct {
 		How   string
@@ -50,33 +73,38 @@
 	MembershipMode string
 }
 
-func (h *host) start(ev *event) error {
-	f := &h.facts
-	if len(ev.Facts) == 0 {
-		return fmt.Errorf("no settings")
+var (
+	needs = map[string]splitter.Need{"mutate": splitter.NeedPrimary, "strong": splitter.NeedCurrent,
+		"causal": splitter.NeedSession, "lag_bound": splitter.NeedBounded, "eventual": splitter.NeedAny}
+	effects = map[string]splitter.Effect{"free": splitter.Repeatable, "guarded": splitter.Referenced}
+	scopes  = map[string]splitter.Scope{"all": splitter.ScopeAll, "zone": splitter.ScopeZone}
+)
+
+// Decode reads the settings' JSON. The seed comes beside it.
+func Decode(settings []byte, seed int64) (*Terms, error) {
+	var f facts
+	if len(settings) == 0 {
+		return nil, fmt.Errorf("no settings")
 	}
-	if err := json.Unmarshal(ev.Facts, f); err != nil {
-		return err
+	if err := json.Unmarshal(settings, &f); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
 	}
-	h.zero = f.Extra.Zero / 1000
+	d := &Terms{Types: map[string]int{}, Zones: map[string]int{}, Zero: f.Extra.Zero / 1000,
+		IdleClose: f.Limits.IdleClose / 1000, Reports: f.Telemetry.How != "none"}
 	for _, z := range f.Zones {
-		h.zone(z)
+		d.Zone(z)
 	}
-	t := splitter.Terms{Seed: ev.RandomSeed, Me: f.Me, Routers: f.Balancers, Zone: h.zone(f.MyZone),
+	t := splitter.Terms{Seed: seed, Me: f.Me, Routers: f.Balancers, Zone: d.Zone(f.MyZone),
 		NodesCheck:   f.Extra.WhenBehind == "bounce" || f.Extra.WhenBehind == "await",
 		SessionsKept: f.Extra.SessionMarks == "kept", Probes: f.Limits.Probes, Cancels: f.Limits.MayCancel,
 		ConnectIn: f.Limits.ConnectTimeout / 1000,
 		AskList:   f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
 		MaxSubmissions: f.Limits.SendCap, ColdFrom: f.Invariants.ColdFrom, WarmAfter: f.Invariants.WarmAfter / 1000,
 		Overload: f.Invariants.OverloadFactor, Fall: f.Invariants.Fall / 1000}
-	t.ProbeRoles = t.Probes && f.Telemetry.How != "none" && slices.Contains(f.Telemetry.Names, "x1")
+	t.ProbeRoles = t.Probes && d.Reports && slices.Contains(f.Telemetry.Names, "x1")
 	if f.Limits.RetryAfter {
 		t.MaxPause = f.Limits.MaxRetryAfter / 1000
 	}
-	needs := map[string]splitter.Need{"mutate": splitter.NeedPrimary, "strong": splitter.NeedCurrent,
-		"causal": splitter.NeedSession, "lag_bound": splitter.NeedBounded, "eventual": splitter.NeedAny}
-	effects := map[string]splitter.Effect{"free": splitter.Repeatable, "guarded": splitter.Referenced}
-	scopes := map[string]splitter.Scope{"all": splitter.ScopeAll, "zone": splitter.ScopeZone}
 	for i, g := range f.Grades {
 		k := splitter.TxnType{Need: splitter.NeedCurrent, Effect: splitter.OnceOnly, Scope: scopes[g.Group],
 			Window: g.Window / 1000, SLA: g.Target / 1000, Value: g.Worth, LateValue: g.LateWorth}
@@ -91,12 +119,13 @@
 		if i < len(f.Extra.LagAllowed) {
 			k.Bound = f.Extra.LagAllowed[i] / 1000
 		}
-		h.types[g.Name] = i
+		d.Types[g.Name] = i
 		t.Types = append(t.Types, k)
 	}
 	// A type the settings do not name is handled as the most delicate one.
+	d.Unnamed = len(t.Types)
 	t.Types = append(t.Types, splitter.TxnType{Need: splitter.NeedPrimary, Effect: splitter.OnceOnly,
 		SLA: 1, Value: 1})
-	h.router = splitter.New(t, h)
-	return nil
+	d.Splitter = t
+	return d, nil
 }
