Tests of parsers and router against stand-ins; a null settings object is told

Found by them: timers set before the core runs waited for its first mail (core.run's first alarm, now at once); half a row was carried along with a submission that did not end well, though never sent (link.finish).

--- a/relay/core.go
+++ b/relay/core.go
@@ -63,7 +63,7 @@
 }
 
 func (c *core) run(ctx context.Context) error {
-	alarm := time.NewTimer(time.Hour)
+	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	var mail []func()
 	for {
--- a/relay/node.go
+++ b/relay/node.go
@@ -199,7 +199,9 @@
 	var answer []byte
 	if r != nil {
 		res.Report = r.report
-		answer = r.row
+		if o == splitter.Committed {
+			answer = r.row
+		}
 	}
 	j.done(res, answer)
 }
--- /dev/null
+++ b/relay/serve_test.go
@@ -0,0 +1,270 @@
+package relay
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eiderway/pgwire"
+)
+
+// pair starts a primary, a replica and a router that knows them while discovery is silent.
+func pair(t *testing.T, sockets int) (pri, rep *standIn, d *discovery, r *router) {
+	pri, rep, d = newStandIn(t, member(true)), newStandIn(t, member(false)), newDiscovery(t)
+	r = startRouter(t, configure(t, strings.TrimPrefix(d.URL, "http://"), sockets,
+		listed("s-1", pri.addr(), "Ready"), listed("s-2", rep.addr(), "Ready")))
+	return
+}
+
+func TestServes(t *testing.T) {
+	pri, rep, _, r := pair(t, 1024)
+	c := r.call(t)
+	c.ask("") // sent before the greeting came
+	kinds, _, _, _ := c.answer()
+	require.Equal(t, "IZ", kinds)
+
+	// Answers keep the order of the queries, of which several wait at once.
+	ids := []string{"a0", "a1", "a2", "a3"}
+	var all []byte
+	for i, id := range ids {
+		all = pgwire.AppendQuery(all, statement(id, []string{"look", "claim"}[i%2], 1000))
+	}
+	c.send(all)
+	for _, id := range ids {
+		kinds, value, _, _ := c.answer()
+		require.Equal(t, []string{"TDCZ", id}, []string{kinds, value})
+	}
+	require.Len(t, rep.statements(), 2, "reads go to the replica")
+	require.Len(t, pri.statements(), 2, "writes go to the primary")
+	require.Contains(t, pri.statements()[0], "/* id=a1,c=claim,d=")
+	require.Contains(t, pri.statements()[0], ",k=5c0f,cluster=0 */ SELECT body FROM objects WHERE oid = '7f3a'")
+}
+
+func TestLargeValue(t *testing.T) {
+	pri, _, _, r := pair(t, 1024)
+	value := strings.Repeat("\x00\xff'v", 16<<10)
+	probed := pri.reply
+	pri.reply = func(q string, w net.Conn) bool {
+		if strings.HasPrefix(q, "/*") {
+			w.Write(served(value, "read-write"))
+			return true
+		}
+		return probed(q, w)
+	}
+	c := r.call(t)
+	text := strings.Replace(statement("a1", "claim", 3000), "7f3a", strings.Repeat("ab", 64<<10), 1)
+	c.ask(text)
+	_, got, _, _ := c.answer()
+	require.True(t, got == value, "byte for byte")
+	sent := pri.statements()[0]
+	require.Equal(t, text[strings.Index(text, ",k="):], sent[strings.Index(sent, ",k="):])
+}
+
+func TestBadInput(t *testing.T) {
+	pri, rep, _, r := pair(t, 1024)
+	c := r.call(t)
+	for text, want := range map[string]string{"SELECT 1": "08P01", "SET x = 1": "08P01",
+		statement("a", "look", 500) + "; SELECT 2":                                "08P01",
+		strings.Replace(statement("a", "look", 500), "d=500,", "", 1):             "08P01",
+		strings.Replace(statement("a", "look", 500), "cluster=0", "cluster=9", 1): "53300",
+		statement("a", "look", 0):                                                 "53300"} {
+		c.ask(text)
+		kinds, _, code, _ := c.answer()
+		require.Equal(t, []string{"EZ", want}, []string{kinds, code}, text)
+	}
+	c.ask(statement("ok", "unheard", 1000)) // of no type: handled as a once-only write
+	_, value, _, _ := c.answer()
+	require.Equal(t, "ok", value)
+	c.send(pgwire.Append(nil, 'P', "\x00SELECT 1\x00\x00\x00"))
+	kinds, _, code, _ := c.answer()
+	require.Equal(t, []string{"E.", "0A000"}, []string{kinds, code}, "extended protocol: told and closed")
+
+	for name, raw := range map[string]string{"short": "Q\x00\x00\x00\x01", "long": "Q\x7f\xff\xff\xff",
+		"endless": "Q\x00\x00\x00\x05x"} {
+		c := r.call(t)
+		c.send([]byte(raw))
+		kinds, _, code, _ := c.answer()
+		require.Equal(t, []string{"E.", "08P01"}, []string{kinds, code}, name)
+	}
+	for name, raw := range map[string]string{"cancel": "\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x00\x00\x00\x00\x00",
+		"short": "\x00\x00\x00\x01\x00\x03\x00\x00", "not ours": "GET / HTTP/1.1\r\n\r\n"} {
+		nc, err := net.Dial("tcp", r.addr)
+		require.NoError(t, err)
+		nc.SetDeadline(time.Now().Add(patience))
+		nc.Write([]byte(raw))
+		n, _ := nc.Read(make([]byte, 99))
+		require.Zero(t, n, name)
+		nc.Close()
+	}
+	for _, code := range []string{"\x04\xd2\x16\x2f", "\x04\xd2\x16\x30"} { // SSLRequest, GSSENCRequest
+		nc, err := net.Dial("tcp", r.addr)
+		require.NoError(t, err)
+		nc.SetDeadline(time.Now().Add(patience))
+		nc.Write([]byte("\x00\x00\x00\x08" + code))
+		one := make([]byte, 1)
+		_, err = nc.Read(one)
+		require.NoError(t, err)
+		require.Equal(t, "N", string(one))
+		nc.Close()
+	}
+	require.Len(t, append(pri.statements(), rep.statements()...), 1, "nothing of it was passed on")
+}
+
+// TestRefusals has writes end each way: none is resent that may have run, unless its type allows that.
+func TestRefusals(t *testing.T) {
+	pri, _, _, r := pair(t, 1024)
+	probed := pri.reply
+	answer := ""
+	pri.reply = func(q string, w net.Conn) bool {
+		if strings.HasPrefix(q, "/*") {
+			w.Write(refusal(answer))
+			return true
+		}
+		return probed(q, w)
+	}
+	c := r.call(t)
+	answer = "XX000"
+	c.ask(statement("a1", "pay", 400))
+	kinds, _, code, _ := c.answer()
+	require.Equal(t, []string{"EZ", "08007"}, []string{kinds, code}, "it may have run")
+	require.Len(t, pri.statements(), 1)
+	answer = "53300"
+	c.ask(statement("a2", "pay", 400))
+	_, _, code, _ = c.answer()
+	require.Equal(t, "53300", code, "it never ran")
+	require.Greater(t, len(pri.statements()), 2, "so it was tried again")
+}
+
+func TestClientLeaves(t *testing.T) {
+	pri, _, _, r := pair(t, 1024)
+	probed := pri.reply
+	hold := make(chan struct{})
+	pri.reply = func(q string, w net.Conn) bool {
+		if strings.HasPrefix(q, "/*") {
+			<-hold
+		}
+		return probed(q, w)
+	}
+	c := r.call(t)
+	c.ask(statement("a1", "claim", 60000))
+	require.Eventually(t, func() bool { return len(pri.statements()) == 1 }, patience, time.Millisecond)
+	c.nc.Close()
+	close(hold)
+	await(t, pri.closed) // the submission is abandoned
+	next := r.call(t)
+	next.ask(statement("a2", "claim", 1000))
+	_, value, _, _ := next.answer()
+	require.Equal(t, "a2", value)
+	require.Len(t, pri.statements(), 2, "nothing more is sent for the txn of a client that left")
+}
+
+func TestStop(t *testing.T) {
+	pri, _, _, r := pair(t, 1024)
+	probed := pri.reply
+	hold := make(chan struct{})
+	pri.reply = func(q string, w net.Conn) bool {
+		if strings.Contains(q, "id=slow") {
+			<-hold
+		}
+		return probed(q, w)
+	}
+	idle, busy := r.call(t), r.call(t)
+	idle.ask("")
+	idle.answer()
+	busy.ask(statement("slow", "claim", 60000))
+	require.Eventually(t, func() bool { return len(pri.statements()) == 1 }, patience, time.Millisecond)
+	r.stop()
+	idle.ask(statement("open", "claim", 1000)) // on a connection that is still open
+	_, value, _, _ := idle.answer()
+	require.Equal(t, "open", value)
+	fresh := r.call(t) // on a new one
+	fresh.ask(statement("new", "claim", 1000))
+	_, value, _, _ = fresh.answer()
+	require.Equal(t, "new", value)
+	kinds, _, _, _ := idle.answer()
+	require.Equal(t, ".", kinds, "idle connections are closed")
+	close(hold)
+	_, value, _, _ = busy.answer()
+	require.Equal(t, "slow", value, "what was taken is answered")
+	require.NoError(t, await(t, r.done))
+}
+
+func TestWatch(t *testing.T) {
+	pri, rep, d, r := pair(t, 1024)
+	require.Contains(t, await(t, d.calls), "from=1&")
+	next := newStandIn(t, member(false))
+	d.news <- listOf(5, false, listed("s-2", rep.addr(), "Terminating"), listed("s-3", next.addr(), "Ready"),
+		listed("s-4", "nowhere", "Ready"), listed("s-1", pri.addr(), "Ready"), listed("s-1", pri.addr(), "Ready"))
+	require.Contains(t, await(t, d.calls), "from=5&", "the watch goes on from what came")
+	c := r.call(t)
+	c.ask(statement("a1", "look", 1000))
+	_, value, _, _ := c.answer()
+	require.Equal(t, "a1", value)
+	require.Empty(t, rep.statements(), "it drains")
+	require.Len(t, next.statements(), 1)
+
+	d.news <- listOf(9, true, listed("s-1", pri.addr(), "Ready"), listed("s-3", next.addr(), "Upgrading")) // after a gap
+	require.Contains(t, await(t, d.calls), "from=9&")
+	c.ask(statement("a2", "look", 1000))
+	_, value, _, _ = c.answer()
+	require.Equal(t, "a2", value)
+	require.Len(t, next.statements(), 1, "of an unknown state: not used")
+
+	for i, bad := range []string{"503", `{"rev":`, `[1]`} { // the module asks again, in its own time
+		d.news <- bad
+		require.Contains(t, await(t, d.calls), "from=9&")
+		require.Len(t, r.log.AllEntries(), 3+i, "serving, one entry passed over, the ended watches")
+	}
+}
+
+// TestFullOfClients uses up the descriptors for clients: a resting one makes room, a busy one does not.
+func TestFullOfClients(t *testing.T) {
+	pri, _, _, r := pair(t, 2*ownDescriptors+4) // 34 for clients
+	probed := pri.reply
+	hold := make(chan struct{})
+	pri.reply = func(q string, w net.Conn) bool {
+		if strings.Contains(q, "id=slow") {
+			<-hold
+		}
+		return probed(q, w)
+	}
+	var all []*caller
+	for range 34 {
+		c := r.call(t)
+		c.ask("")
+		c.answer()
+		all = append(all, c)
+	}
+	extra := r.call(t)
+	extra.ask(statement("extra", "claim", 1000))
+	_, value, _, _ := extra.answer()
+	require.Equal(t, "extra", value)
+	closed := 0
+	for i, c := range all {
+		c.nc.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := c.nc.Read(make([]byte, 1)); err != nil && !strings.Contains(err.Error(), "timeout") {
+			closed++
+			all = append(all[:i:i], all[i+1:]...)
+			break
+		}
+	}
+	require.Equal(t, 1, closed, "one that rested was closed for it")
+	all = append(all, extra)
+	for _, c := range all {
+		c.nc.SetDeadline(time.Now().Add(patience))
+		c.ask(statement("slow", "claim", 60000))
+	}
+	require.Eventually(t, func() bool { return len(pri.statements()) >= 2 }, patience, time.Millisecond)
+	turned := r.call(t)
+	turned.ask(statement("over", "claim", 1000))
+	kinds, _, code, _ := turned.answer()
+	require.Equal(t, []string{"E.", "53300"}, []string{kinds, code}, "a whole answer, then closed")
+	close(hold)
+	for _, c := range all {
+		_, value, _, _ := c.answer()
+		require.Equal(t, "slow", value, "nothing taken is lost")
+	}
+}
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -83,7 +83,7 @@
 // Decode reads the settings' JSON. The seed comes beside it.
 func Decode(settings []byte, seed int64) (*Terms, error) {
 	var f facts
-	if len(settings) == 0 {
+	if len(settings) == 0 || string(settings) == "null" {
 		return nil, fmt.Errorf("no settings")
 	}
 	if err := json.Unmarshal(settings, &f); err != nil {
