--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+lint:
+	test -z "$$(gofmt -l .)"
+	go vet ./...
+
+# make run CONFIG=path/to/config.json
+run: build
+	bin/eiderway serve --config $(CONFIG)
--- a/relay/core.go
+++ b/relay/core.go
@@ -8,7 +8,9 @@
 	"context"
 	"hash/fnv"
 	"math"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,23 +34,24 @@
 // the nodes ever listed.
 type core struct {
 	actor
-	clock    clock
-	now      float64 // the time of what is being handled
-	terms    *terms.Terms
-	router   *splitter.Router
-	timers   timers
-	armed    int // timers ever set
-	txns     []*held
-	free     []int
-	nodes    []*node
-	byUID    map[string]int
-	groups   map[int]bool
-	list     *list
-	counters *counters
-	sockets  chan struct{} // one for each connection to a node
-	life     context.Context
-	tasks    *errgroup.Group
-	log      *logrus.Logger
+	clock     clock
+	now       float64 // the time of what is being handled
+	terms     *terms.Terms
+	router    *splitter.Router
+	timers    timers
+	armed     int // timers ever set
+	txns      []*held
+	free      []int
+	nodes     []*node
+	everyNode atomic.Pointer[[]*node] // the same, for the counters
+	byUID     map[string]int
+	groups    map[int]bool
+	list      *list
+	counters  *counters
+	sockets   chan struct{} // one for each connection to a node
+	life      context.Context
+	tasks     *errgroup.Group
+	log       *logrus.Logger
 }
 
 func newCore(cfg *Config, log *logrus.Logger, life context.Context, tasks *errgroup.Group, sockets int64) *core {
@@ -193,6 +196,8 @@
 		c.nodes[id].listed(e.Endpoint, m.State)
 		list = append(list, m)
 	}
+	all := slices.Clip(c.nodes)
+	c.everyNode.Store(&all)
 	c.router.Members(kind, list)
 }
 
--- a/relay/counters.go
+++ b/relay/counters.go
@@ -69,5 +69,10 @@
 	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_ended": k.watchesEnded.Load(),
 		"rev": c.list.shown.Load()}).Info("list")
 	entries, _ := os.ReadDir("/proc/self/fd")
-	k.log.WithFields(logrus.Fields{"descriptors": len(entries), "core_mail": c.waiting()}).Info("process")
+	nodeMail := 0
+	for _, n := range *c.everyNode.Load() {
+		nodeMail += n.waiting()
+	}
+	k.log.WithFields(logrus.Fields{"descriptors": len(entries), "core_mail": c.waiting(),
+		"node_mail": nodeMail}).Info("process")
 }
--- a/relay/list.go
+++ b/relay/list.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	holdFor     = 20 * time.Second // a watch is asked to wait as long, as in the protocol's example
-	watchSlack  = 2 * time.Second  // and its answer counts as told as much later
-	longestList = 8 << 20          // bytes
+	holdFor       = 20 * time.Second // a watch is asked to wait as long, as in the protocol's example
+	watchSlack    = 2 * time.Second  // and its answer counts as told as much later
+	longestList   = 8 << 20          // bytes
+	longestHeader = 64 << 10         // bytes
 )
 
 // listing is a list, or news of one, in discovery's form.
@@ -75,8 +76,10 @@
 
 func newList(c *core, addr string, rev int64) *list {
 	l := &list{core: c, url: "http://" + addr + "/v1/endpoints", rev: rev, asked: make(chan struct{}, 1),
-		http: &http.Client{Transport: &http.Transport{DisableCompression: true,
-			DialContext: (&net.Dialer{KeepAlive: -1}).DialContext}}}
+		http: &http.Client{
+			Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: longestHeader,
+				DialContext: (&net.Dialer{KeepAlive: -1}).DialContext},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	l.shown.Store(rev)
 	return l
 }
--- a/relay/node.go
+++ b/relay/node.go
@@ -61,7 +61,12 @@
 // listed takes what the list says of the node. What still waits for a connection to one that wants nothing
 // new never leaves.
 func (n *node) listed(addr string, s splitter.State) {
-	n.tell(func() { n.addr = addr })
+	n.tell(func() {
+		if n.addr != addr {
+			n.addr = addr
+			n.closeIdle()
+		}
+	})
 	if s == splitter.On {
 		return
 	}
