Never-sent txns are declined before half of their client's wait

At fault: tooLate, which held never-sent writes to their expiry and reads to their SLA time.

Guards also against long elections and groups without a usable member; harms where what a txn waits for comes in the second half and its client does not ask again.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -47,6 +47,7 @@
 	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
 	chance       = 0.5   // width of the chance in the choice of a replica: routers alike must not choose alike
 	golden       = 0.618 // steps of this spread any numbers of routers and txns evenly over the turns
+	heldShare    = 0.5   // share of its client's wait after which a txn that was never sent is declined
 	spare        = 0.2   // share of a bound kept free where a position is a guess
 	askAgain     = 1.0   // s, about, until a refused watch is asked for again, growing with each refusal
 	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
@@ -159,8 +160,7 @@
 // New starts a router with nothing but its terms.
 func New(terms Terms, host Host) *Router {
 	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)),
-		groups: map[int]*group{}, txns: map[int]*txn{},
-		late: reportLate}
+		groups: map[int]*group{}, txns: map[int]*txn{}, late: reportLate}
 	for i, t := range terms.Types {
 		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5, free: t.SLA / 5})
 		r.ranked = append(r.ranked, i)
@@ -442,9 +442,8 @@
 
 // long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are
 // not crowded: else a crowd would make txns long, and gathering them the crowd. Long txns may stop a replica
-// from applying the log, so they are gathered on few replicas, the others stay fresh. It
-// also keeps them from filling every node's cores at once; it could harm where they are most of the load
-// and block nothing.
+// from applying the log, so they are gathered on few replicas, the others stay fresh. It also keeps them from
+// filling every node's cores at once; it could harm where they are most of the load and block nothing.
 func (r *Router) long(t *txn) bool {
 	if t.Need != NeedAny {
 		return false
@@ -512,8 +511,7 @@
 	return t.g.members[int(i)] == n && part < share
 }
 
-// busy compares replicas: what is out there, at the pace it has shown. Own submissions
-// differ from router to router, so routers do not all choose the same.
+// busy compares replicas: what is out, at the pace shown. Own submissions differ, and so do routers' choices.
 func (r *Router) busy(n *node, t *txn) float64 {
 	b := float64(len(n.out)+1) * max(n.pace, leastPace)
 	b /= 1.01 - n.fails
@@ -539,9 +537,13 @@
 	return end
 }
 
-// tooLate tells whether an answer could hardly come in time any more; sent now, it would be work for
-// nothing.
-func (r *Router) tooLate(t *txn) bool { return r.host.Now() >= r.last(t)-t.work }
+// tooLate tells whether an answer could hardly come in time any more; sent now, it would be work for nothing.
+// One never sent by half of its client's wait is declined while the client can still turn elsewhere, whatever
+// holds it up; it harms where what it waits for comes in the second half.
+func (r *Router) tooLate(t *txn) bool {
+	now := r.host.Now()
+	return now >= r.last(t)-t.work || t.tries == 0 && now >= t.arrived+heldShare*(t.Until-t.arrived)-2*tick
+}
 
 func (r *Router) submit(t *txn, n *node) {
 	now := r.host.Now()
@@ -703,9 +705,9 @@
 	}
 }
 
-// short acts on a node that refuses connections and answers probes: it has all the connections it takes, so it
-// is neither dead nor changed, and idle ones that routers keep are what others lack. It covers limits that are
-// squeezed and tables that many routers fill; it costs handshakes.
+// short acts on a node that refuses connections and answers probes: it has all the connections it takes, so
+// it is neither dead nor changed, and idle ones that routers keep are what others lack. It covers limits that
+// are squeezed and tables that many routers fill; it costs handshakes.
 func (r *Router) short(n *node) {
 	now := r.host.Now()
 	n.refused, n.aside, n.full = 0, false, now+scarce
@@ -829,8 +831,7 @@
 	}
 }
 
-// recall calls off the writes that an old primary still has, so that they can go on to the new one in their
-// window.
+// recall calls off writes that an old primary still has: they can go on to the new one in their window.
 func (r *Router) recall(old *node) {
 	for _, f := range old.out {
 		if t := f.t; t.Need == NeedPrimary && t.Effect == Referenced && !t.over && !t.started {
@@ -846,8 +847,7 @@
 	}
 }
 
-// hold keeps writes until a member shows that it is primary, the old one or a new one, and probes fast
-// meanwhile.
+// hold keeps writes until a member shows that it is primary, old or new, and probes fast meanwhile.
 func (r *Router) hold(g *group) {
 	g.held, g.heldAt = true, r.host.Now()
 	g.until = r.host.Now() + window
