--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -47,7 +47,7 @@
 	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
 	chance       = 0.5   // width of the chance in the choice of a replica: routers alike must not choose alike
 	golden       = 0.618 // steps of this spread any numbers of routers and txns evenly over the turns
-	heldShare    = 0.5   // share of its client's wait after which a txn that was never sent is declined
+	heldShare    = 0.5   // share of its client's wait by which a write that was never sent is declined
 	spare        = 0.2   // share of a bound kept free where a position is a guess
 	askAgain     = 1.0   // s, about, until a refused watch is asked for again, growing with each refusal
 	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
@@ -538,11 +538,12 @@
 }
 
 // tooLate tells whether an answer could hardly come in time any more; sent now, it would be work for nothing.
-// One never sent by half of its client's wait is declined while the client can still turn elsewhere, whatever
-// holds it up; it harms where what it waits for comes in the second half.
+// A write never sent by half of its client's wait is declined while the client can still turn elsewhere,
+// whatever holds it up; it harms where a primary comes in the second half.
 func (r *Router) tooLate(t *txn) bool {
 	now := r.host.Now()
-	return now >= r.last(t)-t.work || t.tries == 0 && now >= t.arrived+heldShare*(t.Until-t.arrived)-2*tick
+	return now >= r.last(t)-t.work || t.tries == 0 && t.Need == NeedPrimary &&
+		now >= t.arrived+heldShare*(t.Until-t.arrived)-2*tick
 }
 
 func (r *Router) submit(t *txn, n *node) {
@@ -853,8 +854,7 @@
 	g.until = r.host.Now() + window
 }
 
-// setAside takes a node out of the read set until it has answered probes and rested; then it gets one txn
-// to try.
+// setAside takes a node out of the read set until it has answered probes and rested; then it tries one txn.
 func (r *Router) setAside(n *node) {
 	now := r.host.Now()
 	if !n.aside {
