What a node says unasked is never taken for the reply to the next submission

A test with a second row or a farewell, at once or later, failed before. The same look tells a connection that the node has closed before anything is written to it, so the job goes to another one and is known not to have run.

--- a/relay/clients.go
+++ b/relay/clients.go
@@ -12,7 +12,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"eiderway/pgwire"
@@ -200,7 +199,7 @@
 	}
 	for {
 		c.nc.SetReadDeadline(time.Time{})
-		if c.leave.Load() && !c.pending() {
+		if c.leave.Load() && !stirred(c.nc) {
 			if !time.Now().Before(from) {
 				return net.ErrClosed
 			}
@@ -228,23 +227,6 @@
 	<-c.hub.large
 }
 
-// pending tells whether the kernel holds something that the client has sent.
-func (c *client) pending() bool {
-	conn, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
-}
-
 func (c *client) startup() bool {
 	for {
 		code, ok, err := c.buf.NextStartup()
--- a/relay/node.go
+++ b/relay/node.go
@@ -259,7 +259,8 @@
 	return true
 }
 
-// rest waits for the next job. A connection that rests too long, or on which anything comes, is done with.
+// rest waits for the next job. A connection that rests too long, or on which anything came, is done with: what a
+// node says unasked must never be taken for the reply to the next job, which therefore goes to another one.
 func (l *link) rest() *job {
 	until := time.Now().Add(time.Duration(idleShare * l.node.core.terms.IdleClose * float64(time.Second)))
 	for {
@@ -269,9 +270,16 @@
 		}
 		select {
 		case j := <-l.next:
+			if l.buf.Unread() > 0 || stirred(l.nc) {
+				l.next <- j
+				return nil
+			}
 			return j
 		default:
 		}
+		if l.buf.Unread() > 0 {
+			return nil
+		}
 		if err := l.buf.Fill(l.nc); !errors.Is(err, os.ErrDeadlineExceeded) || time.Now().After(until) {
 			return nil
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -99,6 +100,23 @@
 	return c.start.Add(time.Duration((t - c.zero) * float64(time.Second)))
 }
 
+// stirred tells whether something came on a connection that nobody is reading: bytes, its end or an error.
+func stirred(nc net.Conn) bool {
+	conn, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || peeked != syscall.EAGAIN
+}
+
 // actor runs what it is told, one thing after the other. Telling never blocks.
 type actor struct {
 	mu   sync.Mutex
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -266,6 +266,39 @@
 	require.Len(t, s.statements(), 1)
 }
 
+// TestAnswersTwice has a node say more than it was asked for: with the first answer, later, or only goodbye.
+func TestAnswersTwice(t *testing.T) {
+	for name, more := range map[string][]byte{"a second row": served("stale", "read-write"),
+		"an error": pgwire.AppendError(nil, "FATAL", "57P01", "going down", "")} {
+		for _, late := range []bool{false, true} {
+			var last net.Conn
+			s := newStandIn(t, func(q string, w net.Conn) bool {
+				last = w
+				say := served("fresh", "read-write")
+				if !late {
+					say = append(say, more...)
+				}
+				_, err := w.Write(say)
+				return err == nil
+			})
+			c, n := bench(t, s.addr(), 8)
+			j, end := submission(t, c, n, "a1", 1)
+			n.tell(func() { n.start(j) })
+			require.Contains(t, string(await(t, end).answer), "fresh")
+			if late {
+				last.Write(more)
+			}
+			j, end = submission(t, c, n, "a2", 1)
+			n.tell(func() { n.start(j) })
+			got := await(t, end)
+			require.Equal(t, splitter.Committed, got.Outcome, name)
+			require.Contains(t, string(got.answer), "fresh", name)
+			require.Len(t, s.statements(), 2)
+			require.EqualValues(t, 2, c.counters.linksOpened.Load(), "the second went out on another connection")
+		}
+	}
+}
+
 func TestTimers(t *testing.T) {
 	c, _ := bench(t, "127.0.0.1:1", 1)
 	fired := make(chan int, 4)
