--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -115,7 +115,16 @@
 		require.Equal(t, "N", string(one))
 		nc.Close()
 	}
-	require.Len(t, append(pri.statements(), rep.statements()...), 1, "nothing of it was passed on")
+	half, other := r.call(t), r.call(t)
+	half.send([]byte("Q\x00\x00\x01\x00/* id=")) // and then silence, which holds up nobody
+	other.ask(statement("other", "claim", 1000))
+	_, value, _, _ = other.answer()
+	require.Equal(t, "other", value)
+	require.Len(t, append(pri.statements(), rep.statements()...), 2, "nothing of it was passed on")
+	r.stop()
+	kinds, _, _, _ = half.answer()
+	require.Equal(t, ".", kinds, "closed in the end")
+	require.NoError(t, await(t, r.done))
 }
 
 // TestRefusals has writes end each way: none is resent that may have run, unless its type allows that.
@@ -205,7 +214,7 @@
 	require.Equal(t, "a2", value)
 	require.Len(t, next.statements(), 1, "of an unknown state: not used")
 
-	for i, bad := range []string{"503", `{"rev":`} { // the module asks again, in its own time
+	for i, bad := range []string{"503", `{"rev":`, "endless"} { // the module asks again, in its own time
 		d.news <- bad
 		require.Contains(t, await(t, d.calls), "from=9&")
 		require.Len(t, r.log.AllEntries(), 3+i, "serving, one entry passed over, the ended watches")
--- a/relay/standins_test.go
+++ b/relay/standins_test.go
@@ -185,7 +185,7 @@
 // discovery hands out what is put into its news, one answer to each call.
 type discovery struct {
 	*httptest.Server
-	news  chan string // "503" fails the call
+	news  chan string // "503" fails the call, "endless" is a list without end
 	calls chan string // the queries of the calls
 }
 
@@ -198,6 +198,9 @@
 			if text == "503" {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
+			for err := error(nil); text == "endless" && err == nil; {
+				_, err = w.Write(make([]byte, 1<<16))
+			}
 			fmt.Fprint(w, text)
 		case <-r.Context().Done():
 		}
