SIGHUP reads the configuration again; the watch of the list goes on at the new address

Checked: the log ends without a line, so it is Go's default effect of the signal; cmd/eiderway and relay asked for SIGTERM and SIGUSR1 only (relay.go, Run). Nor could the list's address change after start (list.go, newList). Now relay takes SIGHUP: a file that fails its checks is left aside with one line, else the call that is out is left and the next goes to the new address from the same version. Where no watch stands the module is told that the list moved and asks at once, without the pause after refusals. Only discovery changes without a new start; other differences are told.

--- a/relay/list.go
+++ b/relay/list.go
@@ -1,7 +1,8 @@
 package relay
 
 // This file owns the talk with discovery: one goroutine that watches the list once the module has asked for
-// it, until a call fails. It must never judge what a list means, nor ask again by itself after a failure.
+// it, until a call fails; a watch whose discovery has moved goes on at the new address. It must never judge
+// what a list means, nor ask again by itself after a failure.
 
 import (
 	"context"
@@ -12,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,19 +69,20 @@
 
 type list struct {
 	core  *core
-	url   string
 	rev   int64
 	shown atomic.Int64 // rev, for the counters
 	asked chan struct{}
 	http  *http.Client
+	mu    sync.Mutex // over the address and the call that is out there
+	addr  string
+	leave context.CancelFunc
 }
 
 func newList(c *core, addr string, rev int64) *list {
-	l := &list{core: c, url: "http://" + addr + "/v1/endpoints", rev: rev, asked: make(chan struct{}, 1),
-		http: &http.Client{
-			Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: longestHeader,
-				DialContext: (&net.Dialer{KeepAlive: -1}).DialContext},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+	l := &list{core: c, addr: addr, leave: func() {}, rev: rev, asked: make(chan struct{}, 1), http: &http.Client{
+		Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: longestHeader,
+			DialContext: (&net.Dialer{KeepAlive: -1}).DialContext},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	l.shown.Store(rev)
 	return l
 }
@@ -92,6 +95,23 @@
 	}
 }
 
+// move turns to another address: the call that is out is left, the next one goes there.
+func (l *list) move(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.addr != addr {
+		l.addr = addr
+		l.leave()
+		l.core.tell(func() { l.core.members(splitter.ListMoved, nil) })
+	}
+}
+
+func (l *list) at() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addr
+}
+
 func (l *list) run(ctx context.Context) error {
 	defer l.http.CloseIdleConnections()
 	for {
@@ -104,16 +124,25 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		select {
+		case <-l.asked: // while this watch stood
+		default:
+		}
 		l.core.log.WithError(err).Warn("the watch of the list ended")
 		l.core.counters.watchesEnded.Add(1)
 		l.core.tell(func() { l.core.members(splitter.ListRefused, nil) })
 	}
 }
 
-// watch tells the core all news until a call fails.
+// watch tells the core all news until a call fails at the address that is in force.
 func (l *list) watch(ctx context.Context) error {
 	for {
-		news, err := l.call(ctx)
+		addr := l.at()
+		news, err := l.call(ctx, addr)
+		if err != nil && ctx.Err() == nil && l.at() != addr {
+			l.http.CloseIdleConnections()
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -127,11 +156,18 @@
 	}
 }
 
-func (l *list) call(ctx context.Context) (*listing, error) {
+func (l *list) call(ctx context.Context, addr string) (*listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, holdFor+watchSlack)
 	defer cancel()
+	l.mu.Lock()
+	l.leave = cancel
+	moved := l.addr != addr
+	l.mu.Unlock()
+	if moved {
+		cancel()
+	}
 	l.core.counters.listCalls.Add(1)
-	url := l.url + "?from=" + strconv.FormatInt(l.rev, 10) + "&hold_ms=" +
+	url := "http://" + addr + "/v1/endpoints?from=" + strconv.FormatInt(l.rev, 10) + "&hold_ms=" +
 		strconv.FormatInt(holdFor.Milliseconds(), 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,6 +5,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -45,6 +47,7 @@
 	Settings json.RawMessage `json:"settings"`
 
 	terms *terms.Terms
+	path  string
 }
 
 // ReadConfig reads and checks a configuration file.
@@ -53,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{}
+	c := &Config{path: path}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -82,6 +85,22 @@
 	return c, nil
 }
 
+// reread reads the configuration again and takes over what may change while serving: where discovery is. One that
+// fails its checks is left aside, and what only a new start can change is told.
+func (c *Config) reread(l *list, log *logrus.Logger) {
+	next, err := ReadConfig(c.path)
+	if err != nil {
+		log.WithError(err).Warn("the new configuration is left aside")
+		return
+	}
+	if next.Name != c.Name || next.Listen != c.Listen || next.Limits != c.Limits ||
+		!bytes.Equal(next.Settings, c.Settings) {
+		log.Warn("name, listen, limits and settings change with the next start only")
+	}
+	log.WithField("discovery", next.Discovery).Info("configuration read again")
+	l.move(next.Discovery)
+}
+
 // clock tells the module's time: seconds of Unix time, which no step of the wall clock moves.
 type clock struct {
 	start time.Time
@@ -156,6 +175,9 @@
 	if cfg.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
 	}
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -170,6 +192,16 @@
 	c.counters.watch(life, g, c, hub)
 	g.Go(func() error { return c.run(life) })
 	g.Go(func() error { return c.list.run(life) })
+	g.Go(func() error {
+		for {
+			select {
+			case <-life.Done():
+				return nil
+			case <-again:
+				cfg.reread(c.list, log)
+			}
+		}
+	})
 	g.Go(func() error {
 		defer end() // the last client has its answer
 		return hub.run(ctx, life)
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -221,6 +222,40 @@
 	}
 }
 
+// TestReload moves discovery while a txn is out and a watch stands, then while none does.
+func TestReload(t *testing.T) {
+	pri, d, next := newStandIn(t, member(true)), newDiscovery(t), newDiscovery(t)
+	cfg := configure(t, strings.TrimPrefix(d.URL, "http://"), 1024, listed("s-1", pri.addr(), "Ready"))
+	r := startRouter(t, cfg)
+	text, err := os.ReadFile(cfg.path)
+	require.NoError(t, err)
+	reload := func(old, new string) {
+		require.NoError(t, os.WriteFile(cfg.path, []byte(strings.Replace(string(text), old, new, 1)), 0o600))
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	}
+	require.Contains(t, await(t, d.calls), "from=1&")
+	release, c := pri.hold(t, "id=out"), r.call(t)
+	c.ask(statement("out", "claim", 60000))
+	require.Eventually(t, func() bool { return len(pri.statements()) == 1 }, patience, time.Millisecond)
+	for _, bad := range [][2]string{{cfg.Discovery, "nowhere"}, {`{"name"`, `{"name`}} {
+		before := len(r.log.AllEntries())
+		reload(bad[0], bad[1])
+		require.Eventually(t, func() bool { return len(r.log.AllEntries()) > before }, patience, time.Millisecond)
+		require.Contains(t, r.log.LastEntry().Message, "left aside")
+	}
+	reload(cfg.Discovery, strings.TrimPrefix(next.URL, "http://"))
+	require.Contains(t, await(t, next.calls), "from=1&")
+	next.news <- listOf(4, false, listed("s-2", "127.0.0.1:1", "Ready"))
+	require.Contains(t, await(t, next.calls), "from=4&", "the watch goes on there")
+	release()
+	_, value, _, _ := c.answer()
+	require.Equal(t, "out", value, "what was taken is answered")
+	next.news <- "503"
+	r.counted(t, "list", "watches_ended", 1)
+	reload("no such text", "") // the first address again, while the module waits to ask
+	require.Contains(t, await(t, d.calls), "from=4&")
+}
+
 // TestFullOfClients uses up the descriptors for clients: a resting one makes room, a busy one does not.
 func TestFullOfClients(t *testing.T) {
 	pri, _, _, r := pair(t, 2*ownDescriptors+4) // 34 for clients
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -142,6 +142,7 @@
 	ListAll
 	ListRemembered
 	ListRefused
+	ListMoved // it is to be had elsewhere from now on; a watch that stands goes on there
 )
 
 // Host is what a router acts through. Closures run later, never inside the call.
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -126,7 +126,7 @@
 //
 //	router [check] [drainonly] [ask] [noprobes] [kept] [of=N] [me=N]  a new router
 //	list|news NAME[=draining|gone|cold] ...   the full list, or changes of it
-//	refused                                   a watch was refused
+//	refused, moved                            a watch was refused; the list is to be had elsewhere
 //	node NAME primary|replica LAG|unclear|silent    what it tells from now on when probed
 //	txn ID TYPE [EXPIRY]                      a txn of session 7 arrives
 //	answer ID OUTCOME [primary|replica LAG]   its submission ends
@@ -177,8 +177,8 @@
 			list = append(list, e)
 		}
 		w.router.Members(map[string]ListKind{"list": ListAll, "news": ListChanges}[f[0]], list)
-	case "refused":
-		w.router.Members(ListRefused, nil)
+	case "refused", "moved":
+		w.router.Members(map[string]ListKind{"refused": ListRefused, "moved": ListMoved}[f[0]], nil)
 	case "node":
 		w.roles[f[1]] = f[2:]
 		if f[2] == "silent" {
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -186,6 +186,9 @@
 	if kind != ListRemembered {
 		r.refuse = 0
 	}
+	if kind == ListMoved && r.terms.AskList {
+		r.host.Watch()
+	}
 	listed := map[int]bool{}
 	for _, m := range list {
 		listed[m.Node] = true
@@ -303,27 +306,26 @@
 	}
 }
 
-// pump submits what can be submitted, most value for the work first.
+// pump gives up what is too late and submits what can be, most value for the work first.
 func (r *Router) pump(g *group) {
 	for _, l := range r.ranked {
-		q := g.waiting[l]
+		q := slices.DeleteFunc(g.waiting[l], func(t *txn) bool {
+			if !t.over && r.tooLate(t) {
+				r.giveUp(t)
+			}
+			return t.over
+		})
 		for len(q) > 0 {
 			// Reads leave newest first: when there are too many, the ones served are then served in time.
 			i := 0
 			if r.kinds[l].Need != NeedPrimary {
 				i = len(q) - 1
 			}
-			t := q[i]
-			if !t.over && r.tooLate(t) {
-				r.giveUp(t)
-			}
-			if !t.over {
-				n := r.place(t)
-				if n == nil {
-					break
-				}
-				r.submit(t, n)
+			n := r.place(q[i])
+			if n == nil {
+				break
 			}
+			r.submit(q[i], n)
 			q = slices.Delete(q, i, i+1)
 		}
 		g.waiting[l] = q
@@ -872,20 +874,6 @@
 			continue
 		}
 		r.arm()
-		for _, l := range r.ranked {
-			q := g.waiting[l]
-			kept := q[:0]
-			for _, t := range q {
-				if !t.over && r.tooLate(t) {
-					r.giveUp(t)
-				}
-				if !t.over {
-					kept = append(kept, t)
-				}
-			}
-			clear(q[len(kept):])
-			g.waiting[l] = kept
-		}
 		r.probes(g)
 		r.pump(g)
 	}
