Replicas left out are asked for their position while the proven ones are full

A replica that was crowded for a moment lost its proof, got no reads, so told nothing, and its ordinary probe came 3 s later with a report older than the bound; four of nine stood idle while reads were declined for want of room at the others (place, the line with !proven). Ruled out: cold nodes (none that early), set aside (none), the listing (all on), sockets (no job waited for one). Now a read that finds the proven replicas full has the others asked, as before once a txn and each member every 0.1 s. Guards also against: proofs lost in stalls and lag that is over.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -358,7 +358,8 @@
 			first = first || n.probing && r.host.Now()-n.probed < firstWait
 		}
 	}
-	proven := t.Need == NeedCurrent || r.terms.NodesCheck || !r.terms.ProbeRoles
+	asks := t.Need != NeedCurrent && !r.terms.NodesCheck && r.terms.ProbeRoles
+	proven := false
 	if r.long(t) && len(usable) > 0 {
 		// Gathered: all routers fill half of the replicas in the same order. A single replica is spared, the
 		// primary applies no log.
@@ -385,7 +386,7 @@
 			best, least = n, busy
 		}
 	}
-	if !proven && r.ask(usable, t) {
+	if best == nil && asks && r.ask(usable, t) && !proven {
 		return nil
 	}
 	if n := g.pri; best == nil && !first && n != nil && !g.held && !n.aside {
@@ -397,10 +398,11 @@
 	return best
 }
 
-// ask asks for the positions of replicas when none of them is proven fresh enough for a read, the least busy
-// ones first, each once for a txn at most, and tells whether it did: the read then waits for the first news.
-// So a probe is spent where there is something to send. It covers routers too quiet to learn positions from
-// answers, replicas that lag and proofs that ran out; it is wasted where reports are older than the bound.
+// ask asks replicas that are not proven fresh enough for a read for their positions, the least busy ones first,
+// each once for a txn at most, and tells whether it did: where none is proven the read then waits for the first
+// news. So a probe is spent where there is something to send. It covers routers too quiet to learn positions from
+// answers, replicas that lag, proofs that ran out, and proven replicas that are full while others, once crowded,
+// have long caught up; it is wasted where reports are older than the bound.
 func (r *Router) ask(usable []*node, t *txn) bool {
 	now := r.host.Now()
 	asked := 0
@@ -408,7 +410,8 @@
 		var best *node
 		least := math.Inf(1)
 		for _, n := range usable {
-			if busy := r.busy(n, t); !n.probing && n.probed < t.arrived && now-n.probed > hurried && busy < least {
+			spared := n.probing || n.probed >= t.arrived || now-n.probed <= hurried || r.fresh(n, t)
+			if busy := r.busy(n, t); !spared && busy < least {
 				best, least = n, busy
 			}
 		}
