Spoilt answers are failures and not believed; bad input, silence and replaced nodes are bounded

Now: unknown types, waits that are not finite and above 0, and ids of open txns get an error from the host; silence is closed after 2 s and goes first when descriptors run short; a reply is checked by type and length as it comes, spoilt is failed and tells nothing; a report with any unreadable part is left out; a connection is not used again within 2 ms of its reply while another has settled; the module forgets nodes a minute off the list and both hosts use their index again.

--- a/pgwire/pgwire.go
+++ b/pgwire/pgwire.go
@@ -4,6 +4,7 @@
 package pgwire
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -13,6 +14,8 @@
 const (
 	// MaxMessage bounds a message: a value of 64 KiB doubles as text, its statement takes some more.
 	MaxMessage = 256 << 10
+	// MaxReply bounds a message of a node: a value of 64 KiB, binary, with what stands around it.
+	MaxReply   = 72 << 10
 	maxStartup = 8 << 10  // a startup message, ample
 	fillAtOnce = 4 << 10  // read at a time at least: most messages are smaller
 	keepAtMost = 16 << 10 // an empty buffer larger than this is given back
@@ -40,13 +43,22 @@
 	b    []byte
 	r, w int
 	need int // bytes that the message begun takes in all
+	Most int // what bounds a message, MaxMessage where it is 0
 }
 
 // Unread tells how many bytes wait to be parsed.
 func (b *Buffer) Unread() int { return b.w - b.r }
 
-// Crowded tells that more waits than any one message takes: whoever reads ahead stops here.
-func (b *Buffer) Crowded() bool { return b.w-b.r > MaxMessage }
+// Crowded tells that as much waits as a buffer keeps: whoever reads ahead stops here.
+func (b *Buffer) Crowded() bool { return b.w-b.r >= keepAtMost }
+
+// Begun tells the type of the message that has come in part, 0 where there is none.
+func (b *Buffer) Begun() byte {
+	if b.Unread() == 0 {
+		return 0
+	}
+	return b.b[b.r]
+}
 
 // Large tells that the message begun takes more room than a buffer keeps.
 func (b *Buffer) Large() bool { return b.need > keepAtMost }
@@ -84,7 +96,7 @@
 		return Message{}, false, nil
 	}
 	n := int(int32(binary.BigEndian.Uint32(b.b[b.r+1:])))
-	if n < 4 || n > MaxMessage {
+	if n < 4 || n > cmp.Or(b.Most, MaxMessage) {
 		return Message{}, false, fmt.Errorf("%w: length %d", ErrMessage, n)
 	}
 	if b.need = n + 1; b.Unread() < b.need {
@@ -168,19 +180,22 @@
 	return Append(dst, 'E', append(parts, "\x00")...)
 }
 
-// Field finds a field of an ErrorResponse by its letter.
-func Field(body []byte, letter byte) string {
-	for len(body) > 1 {
+// Field finds a field of an ErrorResponse by its letter. In one that is malformed there is none.
+func Field(body []byte, letter byte) (value string) {
+	for len(body) > 0 && body[0] != 0 {
 		v, rest, ok := cutZero(body[1:])
-		if body[0] == letter {
-			return v
-		}
 		if !ok {
-			break
+			return ""
+		}
+		if body[0] == letter {
+			value = v
 		}
 		body = rest
 	}
-	return ""
+	if len(body) != 1 {
+		return "" // it ends with a zero, and nothing stands behind that
+	}
+	return value
 }
 
 // Parameter splits a ParameterStatus.
--- a/pgwire/pgwire_test.go
+++ b/pgwire/pgwire_test.go
@@ -46,6 +46,11 @@
 		_, _, err := b.Next()
 		require.ErrorIs(t, err, ErrMessage, "%q", bad)
 	}
+	reply := Buffer{Most: MaxReply}
+	require.NoError(t, reply.Fill(strings.NewReader("D\x00\x01\x20\x01")))
+	require.Equal(t, byte('D'), reply.Begun())
+	_, _, err := reply.Next()
+	require.ErrorIs(t, err, ErrMessage, "longer than a reply may be")
 	for _, bad := range []string{"\x00\x00\x00\x07\x00\x03\x00\x00", "\x7f\x00\x00\x07\x00\x03\x00\x00"} {
 		var b Buffer
 		require.NoError(t, b.Fill(strings.NewReader(bad)))
@@ -58,7 +63,7 @@
 	e := AppendError(nil, "ERROR", "53300", "no", "250")[5:]
 	require.Equal(t, []string{"ERROR", "53300", "250", ""},
 		[]string{Field(e, 'S'), Field(e, 'C'), Field(e, 'D'), Field(e, 'X')})
-	for _, bad := range []string{"", "C", "C5", "C5\x00", "\x00"} {
+	for _, bad := range []string{"", "D", "D5", "D5\x00", "\x00", "D5\x00\x00\x00", "D5\x00Cx", "D5\x00Cx\x00"} {
 		require.Empty(t, Field([]byte(bad), 'D'), "%q", bad)
 	}
 	name, value, ok := Parameter([]byte("mode\x00read-only\x00"))
@@ -100,7 +105,8 @@
 func TestMalformedStatements(t *testing.T) {
 	for _, bad := range []string{"", "SELECT 1", "/* id=1", "/*/ SELECT 1", "/* */ SELECT 1",
 		"/* id=1,c=x,cluster=0 */ SELECT 1", "/* id=1,c=x,d=,cluster=0 */ SELECT 1",
-		"/* id=1,c=x,d=-1,cluster=0 */ SELECT 1", "/* id=1,c=x,d=NaN,cluster=0 */ SELECT 1",
+		"/* id=1,c=x,d=-1,cluster=0 */ SELECT 1",
+		"/* id=1,c=x,d=0,cluster=0 */ SELECT 1", "/* id=1,c=x,d=Inf,cluster=0 */ SELECT 1", "/* id=1,c=x,d=NaN,cluster=0 */ SELECT 1",
 		"/* id=1,c=x,d=5 */ SELECT 1", "/* id=1,c=x,d=5,cluster=-1 */ SELECT 1", "/* id=1,c=x,d=5,cluster=a */ SELECT 1",
 		"/* id=1,c=x,d=5,d=6,cluster=0 */ SELECT 1", "/* id=1,c=x,d=5,cluster=0,after=Inf */ SELECT 1",
 		"/* id=1,,c=x,d=5,cluster=0 */ SELECT 1", "/* id=1,c=x,d=5,cluster=0 */", "/* id=1,c=x,d=5,cluster=0 */ ;",
@@ -114,7 +120,7 @@
 func FuzzStatement(f *testing.F) {
 	f.Add(plain)
 	f.Add("/* id=1,c=order,d=9,k=5c,r=1,cluster=0 */ INSERT INTO o VALUES ('a''b', '\\x9f') RETURNING b;")
-	f.Add("/*d=0 ,id= d,c=d=0,cluster=1*/x")
+	f.Add("/*d=1 ,id= d,c=d=0,cluster=1*/x")
 	f.Fuzz(func(t *testing.T, text string) {
 		s, err := ParseStatement(text)
 		if err != nil {
--- a/pgwire/statement.go
+++ b/pgwire/statement.go
@@ -57,7 +57,7 @@
 			s.Type = trimmed
 		case "d":
 			ms, err := strconv.ParseFloat(trimmed, 64)
-			if err != nil || math.IsNaN(ms) || ms < 0 {
+			if err != nil || math.IsInf(ms, 0) || !(ms > 0) {
 				return s, fmt.Errorf("malformed d")
 			}
 			s.Wait = min(ms, longestWait) / 1000
@@ -76,7 +76,7 @@
 		}
 		at += stop + 1
 	}
-	if s.ID == "" || s.Type == "" || s.Wait < 0 || s.Group < 0 {
+	if s.ID == "" || s.Type == "" || s.Wait <= 0 || s.Group < 0 {
 		return s, fmt.Errorf("the comment lacks id, c, d or cluster")
 	}
 	return s, s.command(text[end+2:])
--- a/relay/clients.go
+++ b/relay/clients.go
@@ -21,7 +21,8 @@
 	lastArrivals = 500 * time.Millisecond // after a stop was asked for, connections go on arriving as long
 	lastRequests = 700 * time.Millisecond // and what comes by then must be answered
 	slowestWrite = 10 * time.Second       // a client that takes an answer more slowly has left
-	firstWords   = time.Second            // what a client has begun to say may be on its way as long
+	firstWords   = 300 * time.Millisecond // what a client has begun to say may be on its way as long
+	wholeWords   = 2 * time.Second        // but a first query, or one begun, that is not whole by then never will be
 	turnedAway   = ownDescriptors / 2     // connections over the budget that are told so at a time
 	largeShare   = 4                      // a quarter of the memory is for statements too large for a plain buffer,
 	largeMB      = 1                      // of which each takes at most this, with its copies
@@ -49,7 +50,8 @@
 	answers chan []byte
 	free    atomic.Int64 // from when it may be closed, in Unix ns; 0: something is out or being read
 	leave   atomic.Bool  // close it as soon as it is free
-	asked   bool         // it has had an answer
+	asked   atomic.Bool  // it has had an answer
+	since   time.Time    // when it connected, or began what it is saying; zero: it owes nothing
 	large   bool         // it holds one of the places for large statements
 	excess  bool         // over the budget: its first query is declined
 }
@@ -90,9 +92,10 @@
 	return nil
 }
 
-// admit makes room by closing the client that has been free for longest; without one the new one is turned away.
+// admit makes room by closing a client that is free: one that never asked goes first, then the one that has been
+// free for longest. Without one the new one is turned away.
 func (h *clients) admit(nc net.Conn) {
-	c := &client{hub: h, nc: nc, answers: make(chan []byte, 1)}
+	c := &client{hub: h, nc: nc, answers: make(chan []byte, 1), since: time.Now()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	over := int64(len(h.open)) - h.most
@@ -103,15 +106,23 @@
 		return
 	}
 	if over >= 0 {
-		var longest *client
-		since := time.Now().UnixNano()
+		var goes *client
+		var since int64
+		now := time.Now().UnixNano()
 		for o := range h.open {
-			if free := o.free.Load(); free > 0 && free < since && !o.leave.Load() {
-				longest, since = o, free
+			free := o.free.Load()
+			if free == 0 || free >= now || o.leave.Load() {
+				continue
+			}
+			if !o.asked.Load() {
+				free -= now // before all that have asked
+			}
+			if goes == nil || free < since {
+				goes, since = o, free
 			}
 		}
-		if c.excess = longest == nil; !c.excess {
-			longest.goAway()
+		if c.excess = goes == nil; !c.excess {
+			goes.goAway()
 		}
 	}
 	c.leave.Store(h.closing)
@@ -162,7 +173,8 @@
 			if !c.query(m.Body) {
 				return
 			}
-			c.asked = true
+			c.asked.Store(true)
+			c.since = time.Time{}
 		case m.Type == 'X':
 			return
 		default:
@@ -186,11 +198,16 @@
 }
 
 // rest reads while nothing is out, until something came. A client that is to leave is closed, but never while
-// it may be saying something: a first query or the rest of one must not cross the close.
+// it may be saying something: a first query or the rest of one must not cross the close. One that has said
+// nothing whole for too long is closed in any case.
 func (c *client) rest() error {
 	from := time.Now()
-	if !c.asked || c.buf.Unread() > 0 {
-		from = from.Add(firstWords)
+	var until time.Time
+	if !c.asked.Load() || c.buf.Unread() > 0 {
+		if c.since.IsZero() {
+			c.since = from
+		}
+		from, until = from.Add(firstWords), c.since.Add(wholeWords)
 	}
 	c.free.Store(from.UnixNano())
 	defer c.free.Store(0)
@@ -198,11 +215,21 @@
 		c.small()
 	}
 	for {
-		c.nc.SetReadDeadline(time.Time{})
-		if c.leave.Load() && !stirred(c.nc) {
-			if !time.Now().Before(from) {
-				return net.ErrClosed
+		c.nc.SetReadDeadline(until)
+		overdue := !until.IsZero() && !time.Now().Before(until)
+		switch leave := c.leave.Load(); {
+		case !overdue && !leave:
+		case stirred(c.nc):
+			c.nc.SetReadDeadline(time.Time{}) // what is there is read first
+		case overdue:
+			c.hub.core.counters.silent.Add(1)
+			if c.buf.Unread() > 0 {
+				c.fatal("08P01", "half a message, and then nothing")
 			}
+			return net.ErrClosed
+		case !time.Now().Before(from):
+			return net.ErrClosed
+		default:
 			c.nc.SetReadDeadline(from)
 		}
 		if !c.large && c.buf.Large() {
@@ -262,6 +289,9 @@
 		return c.write(pgwire.AppendReady(pgwire.Append(nil, 'I')))
 	}
 	st, err := pgwire.ParseStatement(text)
+	if _, ok := c.hub.core.terms.Types[st.Type]; err == nil && !ok {
+		err = errors.New("a txn type that is not served")
+	}
 	if err != nil {
 		c.hub.core.counters.malformed.Add(1)
 		return c.write(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "08P01", err.Error(), "")))
--- a/relay/core.go
+++ b/relay/core.go
@@ -30,8 +30,8 @@
 	over   bool
 }
 
-// core is the actor of the module. Its tables: txns and free are emptied as txns are over, nodes grows with
-// the nodes ever listed.
+// core is the actor of the module. Its tables: txns, open and free are emptied as txns are over, nodes and byUID
+// as the module forgets nodes.
 type core struct {
 	actor
 	clock     clock
@@ -42,7 +42,9 @@
 	armed     int // timers ever set
 	txns      []*held
 	free      []int
+	open      map[string]bool // ids of txns that have no final answer yet
 	nodes     []*node
+	spare     []int                   // indices of forgotten nodes
 	everyNode atomic.Pointer[[]*node] // the same, for the counters
 	byUID     map[string]int
 	groups    map[int]bool
@@ -55,11 +57,11 @@
 }
 
 func newCore(cfg *Config, log *logrus.Logger, life context.Context, tasks *errgroup.Group, sockets int64) *core {
-	c := &core{actor: newActor(), clock: newClock(), terms: cfg.terms, byUID: map[string]int{},
+	c := &core{actor: newActor(), clock: newClock(), terms: cfg.terms, byUID: map[string]int{}, open: map[string]bool{},
 		groups: map[int]bool{}, counters: &counters{log: log}, sockets: make(chan struct{}, sockets), life: life,
 		tasks: tasks, log: log}
 	c.now = c.clock.now()
-	c.list = newList(c, cfg.Discovery, cfg.Known.Rev)
+	c.list = newList(c, cfg.Discovery, cfg.Known.Rev, cfg.Limits.MemoryMB)
 	c.router = splitter.New(c.terms.Splitter, c)
 	c.members(splitter.ListRemembered, cfg.Known.Targets)
 	return c
@@ -96,6 +98,12 @@
 
 // arrive takes a txn from a client, which came at a time and is owed one answer from here on.
 func (c *core) arrive(h *held, at float64) {
+	if c.open[h.st.ID] {
+		c.counters.malformed.Add(1)
+		h.client.answer(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "08P01", "the id of an open txn", "")))
+		return
+	}
+	c.open[h.st.ID] = true
 	c.counters.taken.Add(1)
 	if k := len(c.free); k > 0 {
 		h.id, c.free = c.free[k-1], c.free[:k-1]
@@ -108,11 +116,7 @@
 		c.Decline(h.id, 0)
 		return
 	}
-	t, ok := c.terms.Types[h.st.Type]
-	if !ok {
-		t = c.terms.Unnamed
-	}
-	c.router.Arrive(splitter.Txn{ID: h.id, Group: h.st.Group, Type: t, Until: at + h.st.Wait,
+	c.router.Arrive(splitter.Txn{ID: h.id, Group: h.st.Group, Type: c.terms.Types[h.st.Type], Until: at + h.st.Wait,
 		Session: session(h.st.Key), Wrote: h.st.Wrote})
 }
 
@@ -128,11 +132,11 @@
 
 // left says that a txn's client is gone.
 func (c *core) left(h *held) {
-	if h.over {
+	if h.over || c.txns[h.id] != h {
 		return
 	}
 	c.counters.left.Add(1)
-	h.over = true
+	c.close(h)
 	if h.job != nil {
 		h.job.moot.Store(true)
 	}
@@ -153,9 +157,15 @@
 	c.release(h)
 }
 
+// close ends what is owed for a txn.
+func (c *core) close(h *held) {
+	h.over = true
+	delete(c.open, h.st.ID)
+}
+
 // finish gives a txn its final answer.
 func (c *core) finish(h *held, answer []byte) {
-	h.over = true
+	c.close(h)
 	h.client.answer(pgwire.AppendReady(answer))
 	c.release(h)
 }
@@ -181,10 +191,15 @@
 			if e.state() == splitter.Gone {
 				continue
 			}
-			id = len(c.nodes)
+			n := newNode(c, e.UID, e.Endpoint)
+			if k := len(c.spare); k > 0 {
+				id, c.spare = c.spare[k-1], c.spare[:k-1]
+				c.nodes[id] = n
+			} else {
+				id = len(c.nodes)
+				c.nodes = append(c.nodes, n)
+			}
 			c.byUID[e.UID] = id
-			n := newNode(c, e.Endpoint)
-			c.nodes = append(c.nodes, n)
 			c.tasks.Go(func() error { return n.run(c.life) })
 		}
 		m := splitter.Member{Node: id, Name: e.UID, Group: -1, Zone: c.terms.Zone(e.Zone), State: e.state(),
@@ -196,9 +211,9 @@
 		c.nodes[id].listed(e.Endpoint, m.State)
 		list = append(list, m)
 	}
-	all := slices.Clip(c.nodes)
-	c.everyNode.Store(&all)
 	c.router.Members(kind, list)
+	all := slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool { return n == nil })
+	c.everyNode.Store(&all)
 }
 
 // Now, Submit and the rest are the splitter's Host.
@@ -260,9 +275,17 @@
 	n.tell(n.closeIdle)
 }
 
+func (c *core) Forget(node int) {
+	n := c.nodes[node]
+	c.nodes[node] = nil
+	c.spare = append(c.spare, node)
+	delete(c.byUID, n.uid)
+	n.tell(n.retire)
+}
+
 // closeAllIdle frees sockets for a connection that finds none left.
 func (c *core) closeAllIdle() {
-	for _, n := range c.nodes {
+	for _, n := range *c.everyNode.Load() {
 		n.tell(n.closeIdle)
 	}
 }
--- a/relay/list.go
+++ b/relay/list.go
@@ -23,7 +23,8 @@
 const (
 	holdFor       = 20 * time.Second // a watch is asked to wait as long, as in the protocol's example
 	watchSlack    = 2 * time.Second  // and its answer counts as told as much later
-	longestList   = 8 << 20          // bytes
+	longestList   = 8 << 20          // bytes, or
+	listShare     = 16               // a sixteenth of the memory: decoded, a list takes several times its length
 	longestHeader = 64 << 10         // bytes
 )
 
@@ -72,17 +73,20 @@
 	rev   int64
 	shown atomic.Int64 // rev, for the counters
 	asked chan struct{}
+	most  int64 // bytes of a list
 	http  *http.Client
 	mu    sync.Mutex // over the address and the call that is out there
 	addr  string
 	leave context.CancelFunc
 }
 
-func newList(c *core, addr string, rev int64) *list {
-	l := &list{core: c, addr: addr, leave: func() {}, rev: rev, asked: make(chan struct{}, 1), http: &http.Client{
+func newList(c *core, addr string, rev, memoryMB int64) *list {
+	l := &list{core: c, addr: addr, leave: func() {}, rev: rev, most: min(longestList, memoryMB<<20/listShare),
+		asked: make(chan struct{}, 1)}
+	l.http = &http.Client{
 		Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: longestHeader,
 			DialContext: (&net.Dialer{KeepAlive: -1}).DialContext},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	l.shown.Store(rev)
 	return l
 }
@@ -181,12 +185,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery said %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, longestList+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, l.most+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > longestList {
-		return nil, fmt.Errorf("a list of over %d bytes", longestList)
+	if int64(len(body)) > l.most {
+		return nil, fmt.Errorf("a list of over %d bytes", l.most)
 	}
 	news := &listing{}
 	return news, json.Unmarshal(body, news)
--- a/relay/node.go
+++ b/relay/node.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -19,7 +20,10 @@
 	"eiderway/splitter"
 )
 
-const idleShare = 0.8 // share of the time until a node closes an idle connection after which we do
+const (
+	idleShare = 0.8                  // share of the time until a node closes an idle connection after which we do
+	settled   = 2 * time.Millisecond // what a node says unasked comes by then, nearly always, as long after a reply
+)
 
 // job is a submission, or a probe where it has no statement.
 type job struct {
@@ -36,15 +40,19 @@
 type node struct {
 	actor
 	core *core
+	uid  string
 	addr string
 	idle []*link // the one used last at the end
+	over bool    // forgotten
 }
 
-func newNode(c *core, addr string) *node { return &node{actor: newActor(), core: c, addr: addr} }
+func newNode(c *core, uid, addr string) *node {
+	return &node{actor: newActor(), core: c, uid: uid, addr: addr}
+}
 
 func (n *node) run(ctx context.Context) error {
 	var mail []func()
-	for {
+	for !n.over {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -56,6 +64,13 @@
 			mail[i] = nil
 		}
 	}
+	return nil
+}
+
+// retire ends the actor of a node that has no job any more.
+func (n *node) retire() {
+	n.closeIdle()
+	n.over = true
 }
 
 // listed takes what the list says of the node. What still waits for a connection to one that wants nothing
@@ -77,17 +92,22 @@
 	}
 }
 
-// start gives a job a connection.
+// start gives a job a connection: of those that rest and have settled the one used last, else the one that has
+// rested for longest.
 func (n *node) start(j *job) {
-	if k := len(n.idle); k > 0 {
-		l := n.idle[k-1]
-		n.idle = n.idle[:k-1]
+	if k := len(n.idle) - 1; k >= 0 {
+		for k > 0 && time.Since(n.idle[k].rests) < settled {
+			k--
+		}
+		l := n.idle[k]
+		n.idle = slices.Delete(n.idle, k, k+1)
 		j.link = l
 		l.next <- j
 		l.nc.SetReadDeadline(past)
 		return
 	}
 	l := &link{node: n, next: make(chan *job, 1), addr: n.addr}
+	l.buf.Most = pgwire.MaxReply
 	l.ctx, l.cancel = context.WithCancel(n.core.life)
 	j.link = l
 	n.core.tasks.Go(func() error {
@@ -113,6 +133,7 @@
 // rested takes back a connection whose job is done.
 func (n *node) rested(l *link, j *job) {
 	j.link = nil
+	l.rests = time.Now()
 	if l.ctx.Err() == nil {
 		n.idle = append(n.idle, l)
 	}
@@ -139,7 +160,8 @@
 	nc      net.Conn
 	buf     pgwire.Buffer
 	next    chan *job
-	greeted bool // the node has answered the startup message
+	rests   time.Time // since when; the node's actor alone uses this
+	greeted bool      // the node has answered the startup message
 }
 
 func (l *link) run(j *job) {
@@ -306,6 +328,9 @@
 			return err
 		}
 		if !ok {
+			if t := l.buf.Begun(); t != 0 && !strings.ContainsRune("RKNSETDCZ", rune(t)) {
+				return errReply
+			}
 			if err := l.buf.Fill(l.nc); err != nil {
 				return err
 			}
@@ -326,11 +351,11 @@
 			r.parameter(name, value)
 		}
 	case 'E':
-		r.code = pgwire.Field(m.Body, 'C')
-		r.fatal = pgwire.Field(m.Body, 'S') == "FATAL"
-		if r.complete {
+		if r.complete || r.code != "" || len(pgwire.Field(m.Body, 'C')) != 5 {
 			return false, errReply
 		}
+		r.code = pgwire.Field(m.Body, 'C')
+		r.fatal = pgwire.Field(m.Body, 'S') == "FATAL"
 		return r.fatal, nil
 	case 'T':
 		if !r.greeted || r.columns || pgwire.Columns(m.Body) != 1 {
@@ -375,7 +400,7 @@
 		r.report.Role = map[string]splitter.Role{"read-write": splitter.RolePrimary,
 			"read-only": splitter.RoleReplica}[value]
 	case "wal_time":
-		if ms, err := strconv.ParseFloat(value, 64); err == nil {
+		if ms, ok := finite(value); ok {
 			r.report.Pos = ms / 1000
 		}
 	case "stats":
@@ -385,33 +410,46 @@
 
 const longestReport = 1 << 10 // bytes of a load report, ample
 
-// load reads a load report.
+// load reads a load report. One of which any part can't be read is left out.
 func (r *reply) load(text string) {
+	told := r.report
 	for _, field := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(field, "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil {
-			continue
+		v, ok := finite(value)
+		if !ok {
+			return
 		}
 		switch name {
 		case "x0":
-			r.report.Pos = v
+			told.Pos = v
 		case "x1":
-			r.report.Role = splitter.RoleReplica
+			told.Role = splitter.RoleReplica
 			if v == 1 {
-				r.report.Role = splitter.RolePrimary
+				told.Role = splitter.RolePrimary
 			}
 		case "inflight":
-			r.report.Load = v
+			told.Load = v
 		}
 	}
+	r.report = told
 }
 
-// outcome names how a job that was written whole ended.
+func finite(text string) (float64, bool) {
+	v, err := strconv.ParseFloat(text, 64)
+	return v, err == nil && !math.IsNaN(v) && !math.IsInf(v, 0)
+}
+
+// outcome names how a job that was written whole ended. Nothing that a spoilt reply says is believed.
 func (r *reply) outcome(err error, calledOff bool) splitter.Outcome {
+	spoilt := errors.Is(err, errReply) || errors.Is(err, pgwire.ErrMessage)
+	if spoilt {
+		r.report = splitter.Report{Load: -1}
+	}
 	switch {
 	case r.complete:
 		return splitter.Committed
+	case spoilt:
+		return splitter.Failed
 	case r.code == "53300" && !r.greeted:
 		return splitter.NoConn
 	case r.code == "53300":
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -93,14 +93,21 @@
 		"silent":                  {say(), splitter.TimedOut},
 		"silent in the row":       {say(row("v")[:20]), splitter.TimedOut},
 		"silent after all but Z":  {say(row("v")), splitter.Committed},
-		"garbage":                 {say([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")), splitter.Broken},
-		"length below the least":  {say([]byte("D\x00\x00\x00\x01")), splitter.Broken},
-		"length above the most":   {say([]byte("D\x7f\x00\x00\x01")), splitter.Broken},
-		"ready and nothing else":  {say(z), splitter.Broken},
-		"complete without a row":  {say(pgwire.Append(nil, 'C', "SELECT 0\x00"), z), splitter.Broken},
-		"row without description": {say(row("v")[len(row("v"))-14-12:], z), splitter.Broken},
+		"garbage":                 {say([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")), splitter.Failed},
+		"a line without an end":   {say([]byte("\x01\x00\x00\x00\x77xxx")), splitter.Failed},
+		"length below the least":  {say([]byte("D\x00\x00\x00\x01")), splitter.Failed},
+		"length above the most":   {say([]byte("D\x7f\x00\x00\x01")), splitter.Failed},
+		"three gigabytes":         {say(row("v")[:30], []byte("D\xb2\xd0\x5e\x00\x00\x01")), splitter.Failed},
+		"longer than a value":     {say([]byte("D\x00\x02\x00\x00")), splitter.Failed},
+		"ready and nothing else":  {say(z), splitter.Failed},
+		"complete without a row":  {say(pgwire.Append(nil, 'C', "SELECT 0\x00"), z), splitter.Failed},
+		"row without description": {say(row("v")[len(row("v"))-14-12:], z), splitter.Failed},
 		"two rows": {say(row("v")[:len(row("v"))-14], row("w")[len(row("w"))-14-12:], z),
-			splitter.Broken},
+			splitter.Failed},
+		"turned away, then noise":   {say(refusal("53300")[:len(refusal("53300"))-6], []byte("\xff\x00")), splitter.Failed},
+		"turned away without ready": {end(refusal("53300")[:len(refusal("53300"))-6]), splitter.Full},
+		"half an error":             {say(pgwire.Append(nil, 'E', "C53300\x00"), z), splitter.Failed},
+		"two errors":                {say(refusal("25006")[:len(refusal("25006"))-6], refusal("53300")), splitter.Failed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newStandIn(t, c.reply)
@@ -140,6 +147,65 @@
 	require.EqualValues(t, 1, c.counters.linksOpened.Load(), "the connection is used again")
 }
 
+// TestUnreadableReports has reports, roles and positions that can't be: they are left out, all else stands.
+func TestUnreadableReports(t *testing.T) {
+	for _, bad := range []string{"inflight=7,x0=NaN,x1=1", "inflight=Inf,x0=5,x1=1", "inflight=7,x0", "", "\xff=\x01,,="} {
+		r := &reply{greeted: true, report: splitter.Report{Load: -1}}
+		r.load(bad)
+		require.Equal(t, splitter.Report{Load: -1}, r.report, "%q", bad)
+	}
+	r := &reply{greeted: true}
+	for _, bad := range []string{"NaN", "Inf", "-Inf", "1e999", "x", ""} {
+		r.parameter("wal_time", bad)
+		r.parameter("mode", bad)
+	}
+	require.Equal(t, splitter.Report{}, r.report)
+	r.parameter("wal_time", "5000")
+	require.Equal(t, splitter.Report{Pos: 5}, r.report)
+	require.Equal(t, splitter.Failed, r.outcome(errReply, false))
+	require.Equal(t, splitter.Report{Load: -1}, r.report, "nothing of a spoilt reply is believed")
+}
+
+// TestSettled has the connection that has just had its reply passed over for one that has settled.
+func TestSettled(t *testing.T) {
+	c, n := bench(t, "127.0.0.1:1", 1)
+	n = newNode(c, "s-2", "127.0.0.1:1")
+	var all []*link
+	for _, ago := range []time.Duration{time.Hour, time.Minute, 0, 0} {
+		_, far := net.Pipe()
+		l := &link{node: n, next: make(chan *job, 1), nc: far, rests: time.Now().Add(-ago)}
+		n.idle, all = append(n.idle, l), append(all, l)
+	}
+	for _, want := range []int{1, 0} {
+		j := &job{}
+		n.start(j)
+		require.Same(t, all[want], j.link)
+	}
+	require.Len(t, n.idle, 2)
+}
+
+// TestForget has a node replaced: its actor ends, its index and its name are free for another.
+func TestForget(t *testing.T) {
+	s := newStandIn(t, member(true))
+	c, n := bench(t, s.addr(), 8)
+	j, end := submission(t, c, n, "a1", 1)
+	n.tell(func() { n.start(j) })
+	await(t, end)
+	gone := []entry{{UID: "s-1", Endpoint: s.addr(), State: "Gone"}}
+	c.members(splitter.ListChanges, gone)
+	c.now += 3600
+	c.members(splitter.ListChanges, nil)
+	await(t, s.closed)
+	require.Empty(t, *c.everyNode.Load())
+	require.Empty(t, c.byUID)
+	c.members(splitter.ListChanges, gone)
+	require.Empty(t, c.byUID, "no trace of one that is not known")
+	group := 0
+	c.members(splitter.ListChanges, []entry{{UID: "s-2", Endpoint: s.addr(), State: "Ready", Group: &group}})
+	require.Equal(t, map[string]int{"s-2": 0}, c.byUID)
+	require.Len(t, c.nodes, 1)
+}
+
 func TestNoConnection(t *testing.T) {
 	s := newStandIn(t, member(true))
 	s.stop()
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"net"
 	"os"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -76,16 +78,23 @@
 		statement("a", "look", 500) + "; SELECT 2":                                "08P01",
 		strings.Replace(statement("a", "look", 500), "d=500,", "", 1):             "08P01",
 		strings.Replace(statement("a", "look", 500), "cluster=0", "cluster=9", 1): "53300",
-		statement("a", "look", 0):                                                 "53300"} {
+		statement("a", "look", 0):                                                 "08P01", statement("a", "unheard", 500): "08P01"} {
 		c.ask(text)
 		kinds, _, code, _ := c.answer()
 		require.Equal(t, []string{"EZ", want}, []string{kinds, code}, text)
 	}
-	c.ask(statement("ok", "unheard", 1000)) // of no type: handled as a once-only write
-	_, value, _, _ := c.answer()
-	require.Equal(t, "ok", value)
+	release, same := pri.hold(t, "id=twice"), r.call(t)
+	same.ask(statement("twice", "claim", 60000))
+	require.Eventually(t, func() bool { return len(pri.statements()) == 1 }, patience, time.Millisecond)
+	c.ask(statement("twice", "claim", 60000))
+	_, _, code, _ := c.answer()
+	require.Equal(t, "08P01", code, "the id of an open txn")
+	release()
+	_, value, _, _ := same.answer()
+	require.Equal(t, "twice", value, "which is untouched")
 	c.send(pgwire.Append(nil, 'P', "\x00SELECT 1\x00\x00\x00"))
-	kinds, _, code, _ := c.answer()
+	var kinds string
+	kinds, _, code, _ = c.answer()
 	require.Equal(t, []string{"E.", "0A000"}, []string{kinds, code}, "extended protocol: told and closed")
 
 	for name, raw := range map[string]string{"short": "Q\x00\x00\x00\x01", "long": "Q\x7f\xff\xff\xff",
@@ -117,14 +126,21 @@
 		nc.Close()
 	}
 	half, other := r.call(t), r.call(t)
+	silent, err := net.Dial("tcp", r.addr) // says nothing at all
+	require.NoError(t, err)
+	defer silent.Close()
 	half.send([]byte("Q\x00\x00\x01\x00/* id=")) // and then silence, which holds up nobody
 	other.ask(statement("other", "claim", 1000))
 	_, value, _, _ = other.answer()
 	require.Equal(t, "other", value)
 	require.Len(t, append(pri.statements(), rep.statements()...), 2, "nothing of it was passed on")
+	kinds, _, code, _ = half.answer()
+	require.Equal(t, []string{"E.", "08P01"}, []string{kinds, code}, "told and closed in the end")
+	silent.SetDeadline(time.Now().Add(patience))
+	_, err = silent.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	r.counted(t, "clients", "silent", 2)
 	r.stop()
-	kinds, _, _, _ = half.answer()
-	require.Equal(t, ".", kinds, "closed in the end")
 	require.NoError(t, await(t, r.done))
 }
 
@@ -280,9 +296,9 @@
 	}
 	all = slices.Delete(all, closed, closed+1) // one that rested was closed for it
 	all = append(all, extra)
-	for _, c := range all {
+	for i, c := range all {
 		c.nc.SetDeadline(time.Now().Add(patience))
-		c.ask(statement("slow", "claim", 60000))
+		c.ask(statement("slow"+strconv.Itoa(i), "claim", 60000))
 	}
 	r.counted(t, "txns", "taken", 35)
 	slow := r.call(t) // has said nothing but hello when the next one comes
@@ -294,10 +310,40 @@
 	kinds, _, code, _ = slow.answer()
 	require.Equal(t, []string{"E.", "53300"}, []string{kinds, code}, "not closed while its first query is on the way")
 	release()
-	for _, c := range all {
+	for i, c := range all {
 		_, value, _, _ := c.answer()
-		require.Equal(t, "slow", value, "nothing taken is lost")
+		require.Equal(t, "slow"+strconv.Itoa(i), value, "nothing taken is lost")
+	}
+}
+
+// TestCrowdOfSilent has connections that say nothing make room before one that rests after an answer.
+func TestCrowdOfSilent(t *testing.T) {
+	_, _, _, r := pair(t, 2*ownDescriptors+4) // 34 for clients
+	good := r.call(t)
+	good.ask("")
+	good.answer()
+	var crowd []net.Conn
+	for range 33 {
+		nc, err := net.Dial("tcp", r.addr)
+		require.NoError(t, err)
+		defer nc.Close()
+		crowd = append(crowd, nc)
+	}
+	r.counted(t, "clients", "opened", 35) // with the one that found the router ready
+	time.Sleep(2 * firstWords)            // the crowd can't be about to speak any more
+	extra := r.call(t)
+	extra.ask(statement("extra", "claim", 1000))
+	_, value, _, _ := extra.answer()
+	require.Equal(t, "extra", value)
+	for range 33 {
+		crowd[0].SetDeadline(time.Now().Add(patience))
+		_, err := crowd[0].Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		crowd = crowd[1:]
 	}
+	good.ask(statement("good", "claim", 1000))
+	_, value, _, _ = good.answer()
+	require.Equal(t, "good", value)
 }
 
 // TestLargeStatements has two large statements begun where memory allows one.
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -31,6 +31,7 @@
 	free   []int
 	nodes  map[string]int
 	names  []string
+	unused []int // indices of forgotten nodes
 	probes map[int][]func(splitter.Report)
 	timers map[int]func()
 	mark   int
@@ -77,11 +78,17 @@
 
 func (h *host) node(name string) int {
 	n, ok := h.nodes[name]
-	if !ok {
+	if ok {
+		return n
+	}
+	if k := len(h.unused); k > 0 {
+		n, h.unused = h.unused[k-1], h.unused[:k-1]
+		h.names[n] = name
+	} else {
 		n = len(h.names)
-		h.nodes[name] = n
 		h.names = append(h.names, name)
 	}
+	h.nodes[name] = n
 	return n
 }
 
@@ -103,8 +110,8 @@
 }
 
 func (h *host) checked(ev *event) {
-	n := h.node(ev.Node)
-	if q := h.probes[n]; len(q) > 0 {
+	n, ok := h.nodes[ev.Node]
+	if q := h.probes[n]; ok && len(q) > 0 {
 		h.probes[n] = q[1:]
 		r := h.report(ev.Usage)
 		r.OK = ev.Reason == 0
@@ -142,10 +149,14 @@
 		if e.Node == "" {
 			continue
 		}
+		state, there := states[e.Lifecycle]
+		if _, known := h.nodes[e.Node]; !known && !there {
+			continue
+		}
 		m := splitter.Member{Node: h.node(e.Node), Name: e.Node, Group: -1, Zone: h.terms.Zone(e.Site),
 			State: splitter.Gone, Primary: e.Head == 1, Born: e.Born / 1000}
-		if st, ok := states[e.Lifecycle]; ok {
-			m.State = st
+		if there {
+			m.State = state
 		}
 		if e.Set != nil {
 			m.Group = *e.Set
@@ -288,6 +299,12 @@
 
 func (h *host) CloseIdle(node int) { h.act("closeIdle", action{Node: h.names[node]}) }
 
+func (h *host) Forget(node int) {
+	delete(h.nodes, h.names[node])
+	delete(h.probes, node)
+	h.unused = append(h.unused, node)
+}
+
 func (h *host) Watch() { h.act("tail", action{On: true}) }
 
 func (h *host) Note(text string) { h.act("noteDown", action{Reason: text}) }
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -155,6 +155,7 @@
 	Probe(node int, then func(Report))
 	After(at float64, then func())
 	CloseIdle(node int) // connections to it that are not in use
+	Forget(node int)    // nothing is asked of it any more, its index may stand for another
 	Watch()
 	Note(text string)
 }
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -51,6 +51,7 @@
 func (w *world) Decline(txn int, _ float64)    { w.end(txn, "decline") }
 func (w *world) RollBack(txn int)              { w.end(txn, "rollback") }
 func (w *world) CloseIdle(node int)            { w.do("close %s", w.names[node]) }
+func (w *world) Forget(node int)               { w.do("forget %s", w.names[node]) }
 func (w *world) Watch()                        { w.do("watch") }
 func (w *world) After(at float64, then func()) { w.timers = append(w.timers, timer{at, then}) }
 func (w *world) Note(string)                   {}
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -51,6 +51,7 @@
 	spare        = 0.2   // share of a bound kept free where a position is a guess
 	askAgain     = 1.0   // s, about, until a refused watch is asked for again, growing with each refusal
 	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
+	forgetAfter  = 60.0  // s a node is off the list until it is forgotten: an old list comes again sooner
 	leastPace    = 0.02  // pace of the quickest node that still counts
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
@@ -64,8 +65,8 @@
 	host   Host
 	terms  Terms
 	rng    *rand.Rand
-	nodes  []*node        // by index; grows with the nodes ever listed, not with txns
-	groups map[int]*group // likewise
+	nodes  []*node        // by index; emptied of nodes long off the list
+	groups map[int]*group // grows with the groups ever listed
 	order  []*group       // groups as first met
 	kinds  []*kind        // by txn type
 	ranked []int          // txn types, most value for the work first
@@ -91,6 +92,7 @@
 	Member
 	closed  bool    // drains or is gone
 	drained bool    // it was listed as draining, and has not started anew since
+	gone    float64 // since when it is off the list; 0: it is on
 	claimed float64 // latest time at which it was primary by its own word
 	denied  float64 // latest time at which an answer told that it was not
 	known   bool    // it has told of itself
@@ -215,11 +217,12 @@
 		n.Member = m
 		r.close(n, m.State)
 	}
-	if kind == ListAll || kind == ListRemembered {
-		for _, n := range r.nodes {
-			if n != nil && !listed[n.Node] {
-				r.close(n, Gone)
-			}
+	for _, n := range r.nodes {
+		if n != nil && !listed[n.Node] && (kind == ListAll || kind == ListRemembered) {
+			r.close(n, Gone)
+		}
+		if n != nil && n.gone > 0 && now > n.gone+forgetAfter && len(n.out) == 0 && !n.probing {
+			r.forget(n)
 		}
 	}
 	for _, g := range r.order {
@@ -227,10 +230,29 @@
 	}
 }
 
+// forget empties the tables of a node that was replaced, once no list and no answer can bring it up again.
+// One that serves on, as where only drains bind, is kept.
+func (r *Router) forget(n *node) {
+	g := r.group(n.Group)
+	if !n.closed && !n.down {
+		return
+	}
+	g.members = slices.DeleteFunc(g.members, func(m *node) bool { return m == n })
+	if g.pri == n {
+		g.pri = nil
+		r.hold(g)
+	}
+	r.nodes[n.Node] = nil
+	r.host.Forget(n.Node)
+}
+
 // close acts on a drain at once, well before the grace is over: held txns and resubmissions stay away as
 // well. A drain holds until the node has started anew, whatever a later list says: a list may be an old one
 // come again, and one that calls the node gone takes nothing back.
 func (r *Router) close(n *node, s State) {
+	if n.gone = cmp.Or(n.gone, r.host.Now()); s != Gone {
+		n.gone = 0
+	}
 	n.drained = n.drained || s == Draining
 	n.closed = n.drained || s == Gone && !r.terms.OnlyDrainBinds
 	if g := r.group(n.Group); n.closed && g.pri == n {
@@ -398,11 +420,11 @@
 	return best
 }
 
-// ask asks replicas that are not proven fresh enough for a read for their positions, the least busy ones first,
-// each once for a txn at most, and tells whether it did: where none is proven the read then waits for the first
-// news. So a probe is spent where there is something to send. It covers routers too quiet to learn positions from
-// answers, replicas that lag, proofs that ran out, and proven replicas that are full while others, once crowded,
-// have long caught up; it is wasted where reports are older than the bound.
+// ask asks replicas that are not proven fresh enough for a read for their positions, the least busy first,
+// each once for a txn at most, and tells whether it did: where none is proven the read waits for the first
+// news. So a probe is spent where there is something to send. It covers routers too quiet to learn positions
+// from answers, replicas that lag, proofs that ran out, and proven replicas that are full while others, once
+// crowded, have long caught up; it is wasted where reports are older than the bound.
 func (r *Router) ask(usable []*node, t *txn) bool {
 	now := r.host.Now()
 	asked := 0
@@ -739,10 +761,7 @@
 		}
 		g.before, g.wrote, g.turned = g.wrote, map[int64]float64{}, now
 	}
-	if pos == 0 {
-		pos = now
-	}
-	g.wrote[t.Session] = max(g.wrote[t.Session], pos)
+	g.wrote[t.Session] = max(g.wrote[t.Session], cmp.Or(pos, now))
 }
 
 // lost counts a txn that a node left without an answer, and sets the node aside when most are.
@@ -776,19 +795,13 @@
 		return // it can't be: no evidence
 	}
 	n.known = true
-	at := rep.Pos
-	if at == 0 {
-		at = now - r.late
-	}
+	at, late := cmp.Or(rep.Pos, now-r.late), r.late
 	if answer {
-		at = now
+		at, late = now, 0
 	}
 	if rep.Pos > 0 {
 		n.pos = max(n.pos, rep.Pos)
-		n.lag = max(0, at-rep.Pos)
-		if !answer {
-			n.lag = max(0, now-rep.Pos-r.late)
-		}
+		n.lag = max(0, now-rep.Pos-late)
 	} else if n.lag /= 2; math.IsInf(n.lag, 1) {
 		n.lag = 0 // no position is told here: only misses say that it is behind
 	}
@@ -797,10 +810,7 @@
 		if !answer && rep.Pos > 0 {
 			r.late += paceGain * (now - rep.Pos - r.late)
 		}
-		if rep.Pos > 0 {
-			at = rep.Pos // a primary stands at the present, so this dates the claim
-		}
-		r.claim(n, at)
+		r.claim(n, cmp.Or(rep.Pos, at)) // a primary stands at the present, so its position dates the claim
 	case RoleReplica:
 		if answer {
 			n.denied = now
