Free clients make room from a quarter of the descriptors on, not only at the budget

Seen in the counters and in a line at each client's end; ruled out: nodes, list, sockets to nodes, CPU.

--- a/relay/clients.go
+++ b/relay/clients.go
@@ -24,6 +24,7 @@
 	firstWords   = 300 * time.Millisecond // what a client has begun to say may be on its way as long
 	wholeWords   = 2 * time.Second        // but a first query, or one begun, that is not whole by then never will be
 	turnedAway   = ownDescriptors / 2     // connections over the budget that are told so at a time
+	ampleShare   = 4                      // from a quarter of all descriptors on, whoever comes makes a free client go
 	largeShare   = 4                      // a quarter of the memory is for statements too large for a plain buffer,
 	largeMB      = 1                      // of which each takes at most this, with its copies
 )
@@ -34,7 +35,8 @@
 type clients struct {
 	core     *core
 	listener net.Listener
-	most     int64
+	ample    int // clients from which on free ones go
+	most     int // and those that are served at a time
 	mu       sync.Mutex
 	open     map[*client]bool
 	all      sync.WaitGroup
@@ -56,8 +58,8 @@
 	excess  bool         // over the budget: its first query is declined
 }
 
-func newClients(c *core, l net.Listener, most, memoryMB int64) *clients {
-	return &clients{core: c, listener: l, most: most, open: map[*client]bool{},
+func newClients(c *core, l net.Listener, sockets, most int, memoryMB int64) *clients {
+	return &clients{core: c, listener: l, ample: sockets / ampleShare, most: most, open: map[*client]bool{},
 		large: make(chan struct{}, max(1, memoryMB/largeShare/largeMB))}
 }
 
@@ -93,19 +95,20 @@
 }
 
 // admit makes room by closing a client that is free: one that never asked goes first, then the one that has been
-// free for longest. Without one the new one is turned away.
+// free for longest. It begins well under the budget: clients that ask once and keep their connection have none left
+// to ask on long before we have none. Over the budget, without a free one, the new one is turned away.
 func (h *clients) admit(nc net.Conn) {
 	c := &client{hub: h, nc: nc, answers: make(chan []byte, 1), since: time.Now()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	over := int64(len(h.open)) - h.most
+	over := len(h.open) - h.most
 	if over >= turnedAway {
 		h.core.counters.turnedAway.Add(1)
 		c.fatal("53300", "too many clients")
 		nc.Close()
 		return
 	}
-	if over >= 0 {
+	if len(h.open) >= min(h.ample, h.most) {
 		var goes *client
 		var since int64
 		now := time.Now().UnixNano()
@@ -121,9 +124,11 @@
 				goes, since = o, free
 			}
 		}
-		if c.excess = goes == nil; !c.excess {
+		if goes != nil {
 			goes.goAway()
+			h.core.counters.madeRoom.Add(1)
 		}
+		c.excess = goes == nil && over >= 0
 	}
 	c.leave.Store(h.closing)
 	h.open[c] = true
--- a/relay/core.go
+++ b/relay/core.go
@@ -56,7 +56,7 @@
 	log       *logrus.Logger
 }
 
-func newCore(cfg *Config, log *logrus.Logger, life context.Context, tasks *errgroup.Group, sockets int64) *core {
+func newCore(cfg *Config, log *logrus.Logger, life context.Context, tasks *errgroup.Group, sockets int) *core {
 	c := &core{actor: newActor(), clock: newClock(), terms: cfg.terms, byUID: map[string]int{}, open: map[string]bool{},
 		groups: map[int]bool{}, counters: &counters{log: log}, sockets: make(chan struct{}, sockets), life: life,
 		tasks: tasks, log: log}
--- a/relay/counters.go
+++ b/relay/counters.go
@@ -20,7 +20,7 @@
 
 	taken, committed, declined, rolledBack, left atomic.Int64 // txns
 	malformed                                    atomic.Int64 // statements
-	turnedAway, silent                           atomic.Int64 // clients
+	turnedAway, silent, madeRoom                 atomic.Int64 // clients
 	submitted, probes                            atomic.Int64
 	outcomes                                     [splitter.Unsent + 1]atomic.Int64
 	clientsOpened, clientsClosed                 atomic.Int64
@@ -64,7 +64,8 @@
 	}
 	k.log.WithFields(outcomes).Info("submissions")
 	k.log.WithFields(logrus.Fields{"opened": k.clientsOpened.Load(), "closed": k.clientsClosed.Load(),
-		"open": open, "turned_away": k.turnedAway.Load(), "silent": k.silent.Load()}).Info("clients")
+		"open": open, "turned_away": k.turnedAway.Load(), "silent": k.silent.Load(),
+		"made_room": k.madeRoom.Load()}).Info("clients")
 	k.log.WithFields(logrus.Fields{"opened": k.linksOpened.Load(), "reused": k.linksReused.Load(),
 		"closed": k.linksClosed.Load(), "open": len(c.sockets), "none_left": k.noSockets.Load()}).Info("nodes")
 	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_ended": k.watchesEnded.Load(),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -186,9 +186,9 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, life := errgroup.WithContext(life)
-	each := int64(cfg.Limits.Sockets-ownDescriptors) / 2 // a txn out takes one of each kind
+	each := (cfg.Limits.Sockets - ownDescriptors) / 2 // a txn out takes one of each kind
 	c := newCore(cfg, log, life, g, each)
-	hub := newClients(c, listener, each, cfg.Limits.MemoryMB)
+	hub := newClients(c, listener, cfg.Limits.Sockets, each, cfg.Limits.MemoryMB)
 	c.counters.watch(life, g, c, hub)
 	g.Go(func() error { return c.run(life) })
 	g.Go(func() error { return c.list.run(life) })
