A watch of the list waits 2 s, and one that hangs is asked for anew at once

Seen in a trace of the members and in the log; ruled out: the module's health rules (those nodes were gone), discovery itself.

--- a/relay/counters.go
+++ b/relay/counters.go
@@ -26,7 +26,7 @@
 	clientsOpened, clientsClosed                 atomic.Int64
 	linksOpened, linksReused, linksClosed        atomic.Int64
 	noSockets                                    atomic.Int64
-	listCalls, watchesEnded                      atomic.Int64
+	listCalls, watchesHung, watchesEnded         atomic.Int64
 }
 
 var outcomeNames = [splitter.Unsent + 1]string{"unknown", "committed", "failed", "timed_out", "broken",
@@ -68,8 +68,9 @@
 		"made_room": k.madeRoom.Load()}).Info("clients")
 	k.log.WithFields(logrus.Fields{"opened": k.linksOpened.Load(), "reused": k.linksReused.Load(),
 		"closed": k.linksClosed.Load(), "open": len(c.sockets), "none_left": k.noSockets.Load()}).Info("nodes")
-	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_ended": k.watchesEnded.Load(),
-		"rev": c.list.shown.Load()}).Info("list")
+	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_hung": k.watchesHung.Load(),
+		"watches_ended": k.watchesEnded.Load(),
+		"rev":           c.list.shown.Load()}).Info("list")
 	entries, _ := os.ReadDir("/proc/self/fd")
 	nodeMail := 0
 	for _, n := range *c.everyNode.Load() {
--- a/relay/list.go
+++ b/relay/list.go
@@ -1,12 +1,13 @@
 package relay
 
 // This file owns the talk with discovery: one goroutine that watches the list once the module has asked for
-// it, until a call fails; a watch whose discovery has moved goes on at the new address. It must never judge
-// what a list means, nor ask again by itself after a failure.
+// it, until a call fails; a watch whose discovery has moved goes on at the new address, and one that hangs is
+// looked after once. It must never judge what a list means, nor ask again by itself after a failure.
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -21,11 +22,12 @@
 )
 
 const (
-	holdFor       = 20 * time.Second // a watch is asked to wait as long, as in the protocol's example
-	watchSlack    = 2 * time.Second  // and its answer counts as told as much later
-	longestList   = 8 << 20          // bytes, or
-	listShare     = 16               // a sixteenth of the memory: decoded, a list takes several times its length
-	longestHeader = 64 << 10         // bytes
+	holdFor       = 2 * time.Second        // a watch is asked to wait as long: one that hangs says nothing till then
+	holdSlack     = 500 * time.Millisecond // it hangs when its answer is overdue by this; a call without a wait
+	callSlack     = 2 * time.Second        // follows, which discovery must answer by this
+	longestList   = 8 << 20                // bytes, or
+	listShare     = 16                     // a sixteenth of the memory: decoded, a list takes several times its length
+	longestHeader = 64 << 10               // bytes
 )
 
 // listing is a list, or news of one, in discovery's form.
@@ -138,16 +140,24 @@
 	}
 }
 
-// watch tells the core all news until a call fails at the address that is in force.
+// watch tells the core all news until a call fails at the address that is in force. Of one that hangs, which is how
+// a connection ends that was cut off, news is asked for at once on another: it must not wait for the module's pause.
 func (l *list) watch(ctx context.Context) error {
+	hold, slack := holdFor, holdSlack
 	for {
 		addr := l.at()
-		news, err := l.call(ctx, addr)
-		if err != nil && ctx.Err() == nil && l.at() != addr {
+		news, err := l.call(ctx, addr, hold, slack)
+		switch {
+		case err == nil:
+			hold, slack = holdFor, holdSlack
+		case ctx.Err() == nil && l.at() != addr:
 			l.http.CloseIdleConnections()
 			continue
-		}
-		if err != nil {
+		case errors.Is(err, context.DeadlineExceeded) && hold > 0:
+			l.core.counters.watchesHung.Add(1)
+			hold, slack = 0, callSlack
+			continue
+		default:
 			return err
 		}
 		l.rev = news.Rev
@@ -160,8 +170,8 @@
 	}
 }
 
-func (l *list) call(ctx context.Context, addr string) (*listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, holdFor+watchSlack)
+func (l *list) call(ctx context.Context, addr string, hold, slack time.Duration) (*listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+slack)
 	defer cancel()
 	l.mu.Lock()
 	l.leave = cancel
@@ -172,7 +182,7 @@
 	}
 	l.core.counters.listCalls.Add(1)
 	url := "http://" + addr + "/v1/endpoints?from=" + strconv.FormatInt(l.rev, 10) + "&hold_ms=" +
-		strconv.FormatInt(holdFor.Milliseconds(), 10)
+		strconv.FormatInt(hold.Milliseconds(), 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -238,6 +238,23 @@
 	}
 }
 
+// TestHungWatch has a watch that is never answered: news is asked for at once on another connection.
+func TestHungWatch(t *testing.T) {
+	pri, _, d, r := pair(t, 1024)
+	require.Contains(t, await(t, d.calls), "from=1&hold_ms=2000")
+	require.Contains(t, await(t, d.calls), "from=1&hold_ms=0")
+	next := newStandIn(t, member(false))
+	d.news <- listOf(5, true, listed("s-1", pri.addr(), "Ready"), listed("s-3", next.addr(), "Ready"))
+	require.Contains(t, await(t, d.calls), "from=5&hold_ms=2000", "and the watch goes on")
+	r.counted(t, "list", "watches_hung", 1)
+	r.counted(t, "list", "watches_ended", 0)
+	c := r.call(t)
+	c.ask(statement("a1", "look", 1000))
+	_, value, _, _ := c.answer()
+	require.Equal(t, "a1", value)
+	require.Len(t, next.statements(), 1)
+}
+
 // TestReload moves discovery while a txn is out and a watch stands, then while none does.
 func TestReload(t *testing.T) {
 	pri, d, next := newStandIn(t, member(true)), newDiscovery(t), newDiscovery(t)
