--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -47,6 +47,7 @@
 	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
 	chance       = 0.5   // width of the chance in the choice of a replica: routers alike must not choose alike
 	golden       = 0.618 // steps of this spread any numbers of routers and txns evenly over the turns
+	overdue      = 8.0   // times its usual latency an answer takes at least before it counts as lost
 	heldShare    = 0.5   // share of its client's wait by which a write that was never sent is declined
 	spare        = 0.2   // share of a bound kept free where a position is a guess
 	askAgain     = 1.0   // s, about, until a refused watch is asked for again, growing with each refusal
@@ -579,6 +580,10 @@
 	if t.LateValue == 0 {
 		until = min(until, t.arrived+t.SLA)
 	}
+	// An answer overdue by far was lost: in a third of the time left the txn goes on, if its type allows.
+	if third := (until - now) / 3; t.Effect != OnceOnly && third > overdue*t.free {
+		until = now + third
+	}
 	f := &flight{t: t, sent: now}
 	t.out = f
 	t.tries++
@@ -829,17 +834,16 @@
 		return
 	}
 	n.claimed = max(n.claimed, at)
-	switch {
-	case g.pri == n:
-	case g.pri == nil || at > g.pri.claimed:
-		if old := g.pri; old != nil {
-			g.until = r.host.Now() + window
-			r.recall(old)
-		}
+	old := g.pri
+	if old != nil && old != n {
+		g.until = r.host.Now() + window
+	}
+	if old == nil || old != n && at > old.claimed {
 		g.pri = n
 		g.held = g.held && at <= g.heldAt
-	default:
-		g.until = r.host.Now() + window
+		if old != nil {
+			r.recall(old)
+		}
 	}
 	if g.pri == n && g.held && at > g.heldAt {
 		g.held = false
@@ -977,8 +981,7 @@
 	}
 	n.good++
 	r.hear(n, rep, false)
-	there := g.pri == n && rep.Role == RolePrimary && n.claimed > n.denied
-	if g.held && there && sent >= g.heldAt {
+	if g.held && g.pri == n && rep.Role == RolePrimary && n.claimed > n.denied && sent >= g.heldAt {
 		g.held = false // the old primary is there after all
 	}
 	if n.aside && n.good >= goodProbes && now >= n.back {
