An answer overdue by far counts as lost: the txn goes on where a repeat does no harm

Seen: a line at each submission's end; ruled out: slowness (no latency between 0.1 s and the end), single connections, processes. Also: asking left out replicas while others are proven is now paid for by txns (credit for a probe of each member): quiet routers spend nothing on it. Guards also against ways that lose answers and hung connections; harms where a node is eight times as slow as usual: its work is repeated.

--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -22,6 +22,7 @@
 	roles  map[string][]string // what a node tells when probed; none: it does not answer
 	then   map[int]func(Result)
 	sent   map[int]float64
+	cut    map[int]float64 // how long a submission may take
 	over   map[int]bool
 	timers []timer
 	did    []string
@@ -37,7 +38,7 @@
 func (w *world) Submit(txn, node int, until float64, then func(Result)) {
 	require.Nil(w.t, w.then[txn], "%s: two submissions of %d out", w.where, txn)
 	require.False(w.t, w.over[txn], "%s: %d submitted after its end", w.where, txn)
-	w.then[txn], w.sent[txn] = then, w.now
+	w.then[txn], w.sent[txn], w.cut[txn] = then, w.now, until-w.now
 	w.do("submit %d %s", txn, w.names[node])
 }
 
@@ -116,9 +117,10 @@
 	{Need: NeedAny, SLA: 5, Value: 6},
 	{Need: NeedSession, SLA: 0.4, Value: 1},
 	{Need: NeedCurrent, SLA: 0.4, Value: 1},
+	{Need: NeedAny, SLA: 0.5, Value: 1, LateValue: 0.5},
 }
 
-var typeNames = []string{"read", "write", "once", "any", "long", "session", "current"}
+var typeNames = []string{"read", "write", "once", "any", "long", "session", "current", "late"}
 
 var outcomeNames = map[string]Outcome{"committed": Committed, "failed": Failed, "timedout": TimedOut,
 	"broken": Broken, "cancelled": Cancelled, "missed": Missed, "full": Full, "noconn": NoConn, "unknown": Unknown}
@@ -131,6 +133,7 @@
 //	node NAME primary|replica LAG|unclear|silent    what it tells from now on when probed
 //	txn ID TYPE [EXPIRY]                      a txn of session 7 arrives
 //	answer ID OUTCOME [primary|replica LAG]   its submission ends
+//	cut ID SECONDS                            its submission is waited for as long
 //	wait SECONDS, stall SECONDS               time passes, the second without the router being run
 //	expect WHAT                               it did this since the last expect; names may be A|B
 //	never WHAT                                it did not
@@ -202,6 +205,8 @@
 		require.True(w.t, ok, w.where)
 		w.over[id] = w.over[id] || outcome == Committed
 		then(Result{Outcome: outcome, Latency: w.now - w.sent[id], Ended: w.over[id], Report: w.report(f[3:])})
+	case "cut":
+		require.InDelta(w.t, w.number(f[2]), w.cut[int(w.number(f[1]))], 0.01, w.where)
 	case "wait":
 		w.pass(w.number(f[1]))
 	case "stall":
@@ -246,7 +251,7 @@
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
 			w := &world{t: t, now: 1000, roles: map[string][]string{}, then: map[int]func(Result){},
-				sent: map[int]float64{}, over: map[int]bool{}}
+				sent: map[int]float64{}, cut: map[int]float64{}, over: map[int]bool{}}
 			for i, line := range strings.Split(string(text), "\n") {
 				line, _, _ = strings.Cut(line, "#")
 				if f := strings.Fields(line); len(f) > 0 {
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -282,8 +282,8 @@
 
 // arm sees to it that clocks are looked at while anything is held or out. A router at rest costs nothing.
 func (r *Router) arm() {
-	if now := r.host.Now(); !r.armed {
-		r.armed, r.due = true, now+tick
+	if !r.armed {
+		r.armed, r.due = true, r.host.Now()+tick
 		r.host.After(r.due, r.tick)
 	}
 }
@@ -398,19 +398,20 @@
 		}
 	}
 	for _, n := range usable {
-		if !r.fresh(n, t) {
-			continue
-		}
-		proven = true
-		if !r.room(n, t) {
+		fresh := r.fresh(n, t)
+		proven = proven || fresh
+		if !fresh || !r.room(n, t) {
 			continue
 		}
 		if busy := r.busy(n, t); best == nil || busy < least {
 			best, least = n, busy
 		}
 	}
-	if best == nil && asks && r.ask(usable, t) && !proven {
-		return nil
+	if best == nil && asks && (!proven || g.credit >= float64(len(g.members))) && r.ask(usable, t) {
+		if !proven {
+			return nil
+		}
+		g.credit -= askWidth // where others are proven, txns pay for it as for ordinary probes
 	}
 	if n := g.pri; best == nil && !first && n != nil && !g.held && !n.aside {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
@@ -423,9 +424,8 @@
 
 // ask asks replicas that are not proven fresh enough for a read for their positions, the least busy first,
 // each once for a txn at most, and tells whether it did: where none is proven the read waits for the first
-// news. So a probe is spent where there is something to send. It covers routers too quiet to learn positions
-// from answers, replicas that lag, proofs that ran out, and proven replicas that are full while others, once
-// crowded, have long caught up; it is wasted where reports are older than the bound.
+// news. It covers routers too quiet to learn positions from answers, replicas that lag, proofs that ran out,
+// and replicas, once crowded, that could help full ones; it is wasted where reports are older than the bound.
 func (r *Router) ask(usable []*node, t *txn) bool {
 	now := r.host.Now()
 	asked := 0
@@ -508,21 +508,18 @@
 
 // room tells whether a node can take one more submission of ours.
 func (r *Router) room(n *node, t *txn) bool {
-	if n.closed || float64(len(n.out)) >= n.limit || r.host.Now() < n.next {
+	now := r.host.Now()
+	elsewhere := t.ran > 0 && t.Effect == Referenced && t.Scope == ScopeZone && n.Zone != t.ranZone
+	if n.closed || float64(len(n.out)) >= n.limit || now < n.next || elsewhere {
 		return false
 	}
-	if t.ran > 0 && t.Effect == Referenced && t.Scope == ScopeZone && n.Zone != t.ranZone {
-		return false // its repeat is known there alone
-	}
-	now := r.host.Now()
 	age := now - n.started
 	if age >= r.terms.WarmAfter {
 		return true
 	}
-	// Cold. A few routers keep what is out there, from all of them, within what overload allows beyond the work
-	// done meanwhile. For many that is less than a txn each: then a txn goes there in its turn, by the number of
-	// its router and its own, and the node gets the share of its even part of the group's txns that it is surely
-	// warm enough for, whatever others do, a primary the writes that leave overload far.
+	// Cold. A few routers keep what is out there, from all, within what overload allows beyond the work done
+	// meanwhile. For many that is under a txn each: then a txn goes there in its turn, by its router's number
+	// and its own, and the node gets the part of its even share that it is surely warm for, a primary less.
 	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
 	routers := float64(max(2, r.terms.Routers))
 	budget := (r.terms.Overload-1)*r.terms.Fall*coldCores*share - t.work*routers
@@ -541,8 +538,7 @@
 
 // busy compares replicas: what is out, at the pace shown. Own submissions differ, and so do routers' choices.
 func (r *Router) busy(n *node, t *txn) float64 {
-	b := float64(len(n.out)+1) * max(n.pace, leastPace)
-	b /= 1.01 - n.fails
+	b := float64(len(n.out)+1) * max(n.pace, leastPace) / (1.01 - n.fails)
 	b *= 1 + chance*(r.rng.Float64()-0.5)
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
@@ -580,8 +576,11 @@
 	if t.LateValue == 0 {
 		until = min(until, t.arrived+t.SLA)
 	}
-	// An answer overdue by far was lost: in a third of the time left the txn goes on, if its type allows.
-	if third := (until - now) / 3; t.Effect != OnceOnly && third > overdue*t.free {
+	// An answer overdue by far was lost, not late: in a third of its time the txn goes on, where a repeat does
+	// no harm. It covers nodes and ways that lose answers; it repeats work at a node eight times as slow.
+	third, usual := (until-now)/3, overdue*t.free
+	harmless := t.Effect == Repeatable || t.Effect == Referenced && now+third+usual < cmp.Or(t.ran, now)+t.Window
+	if harmless && third > usual {
 		until = now + third
 	}
 	f := &flight{t: t, sent: now}
@@ -887,12 +886,11 @@
 	r.clock()
 	r.armed = false
 	for _, g := range r.order {
-		if g.live == 0 {
-			continue
+		if g.live > 0 {
+			r.arm()
+			r.probes(g)
+			r.pump(g)
 		}
-		r.arm()
-		r.probes(g)
-		r.pump(g)
 	}
 }
 
