A txn's time counts from when its bytes came, also behind others on its connection

Cause: clients.go txn() took the time of parsing, so a txn that waited in the buffer behind another got its whole wait again. Ruled out: restarts (none), nodes (all answer). Now the time of the last read counts, which is when it came at the latest.

--- a/relay/clients.go
+++ b/relay/clients.go
@@ -53,6 +53,7 @@
 	free    atomic.Int64 // from when it may be closed, in Unix ns; 0: something is out or being read
 	leave   atomic.Bool  // close it as soon as it is free
 	asked   atomic.Bool  // it has had an answer
+	came    float64      // when bytes last came, in the core's time: what waits in buf came by then
 	since   time.Time    // when it connected, or began what it is saying; zero: it owes nothing
 	large   bool         // it holds one of the places for large statements
 	excess  bool         // over the budget: its first query is declined
@@ -247,12 +248,21 @@
 				return net.ErrClosed
 			}
 		}
-		if err := c.buf.Fill(c.nc); !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := c.fill(); !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
 	}
 }
 
+// fill reads once.
+func (c *client) fill() error {
+	err := c.buf.Fill(c.nc)
+	if err == nil {
+		c.came = c.hub.core.clock.now()
+	}
+	return err
+}
+
 // small gives back a place for large statements.
 func (c *client) small() {
 	c.large = false
@@ -311,7 +321,7 @@
 
 // txn hands a txn to the core and reads on until its answer is there, to notice a client that leaves.
 func (c *client) txn(h *held) bool {
-	core, at := c.hub.core, c.hub.core.clock.now()
+	core, at := c.hub.core, c.came
 	core.tell(func() { core.arrive(h, at) })
 	for {
 		c.nc.SetReadDeadline(time.Time{})
@@ -323,7 +333,7 @@
 			return c.write(a)
 		default:
 		}
-		if err := c.buf.Fill(c.nc); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := c.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			core.tell(func() { core.left(h) })
 			return false
 		}
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -51,6 +51,24 @@
 	require.Contains(t, pri.statements()[0], ",k=5c0f,cluster=0 */ SELECT body FROM objects WHERE oid = '7f3a'")
 }
 
+// TestSentAhead has a txn whose time is up before the one ahead of it on its connection ends: its time counts from
+// when it came, so it is declined and never sent.
+func TestSentAhead(t *testing.T) {
+	pri, _, _, r := pair(t, 1024)
+	release := pri.hold(t, "id=first")
+	c := r.call(t)
+	c.ask(statement("first", "claim", 60000))
+	c.ask(statement("second", "claim", 500))
+	await(t, pri.arrived)
+	time.Sleep(800 * time.Millisecond)
+	release()
+	_, value, _, _ := c.answer()
+	require.Equal(t, "first", value)
+	_, _, code, _ := c.answer()
+	require.Equal(t, "53300", code)
+	require.Len(t, pri.statements(), 1)
+}
+
 func TestLargeValue(t *testing.T) {
 	pri, _, _, r := pair(t, 1024)
 	value := strings.Repeat("\x00\xff'v", 16<<10)
