--- a/shape/api.go
+++ b/shape/api.go
@@ -88,11 +88,12 @@
 	enough       = 5       // submissions of a shape from which what they took says more than the grammar's guess
 	hurry        = 1.0     // s of parse rate that may be spent at once: a start, or a new release, brings shapes at once
 	longestShape = 8 << 10 // bytes of a shape that is remembered: longer ones hardly come twice
-	entryBytes   = 256     // bytes an entry takes beside its text and reason, measured by TestMemory
+	entryBytes   = 480     // bytes an entry takes beside its text and reason, measured by TestMemory
 	sampleWidth  = 8       // shapes that compete for the place of one: the loser of eight is close to the least used
 	sketchRows   = 4       // counters a hash has in the sketch of uses
 	sketchPer    = 8       // counters a row has for each shape that finds room
 	sketchAge    = 10      // uses counted for each shape that finds room until all counts halve
+	usedTwice    = 2       // uses from which a shape may take another's place: one that comes once never does
 	leastShapes  = 16      // that a Book holds at least
 	guessLeast   = 0.002   // s, a look-up by key
 	guessScan    = 0.010   // s more without a predicate or a limit: all of a table is read
--- a/shape/book.go
+++ b/shape/book.go
@@ -186,7 +186,7 @@
 	mine := b.uses.count(e.hash)
 	for b.bytes+need > b.rules.Memory {
 		v := b.loser()
-		if v < 0 || b.uses.count(b.slots[v].hash) >= mine {
+		if v < 0 || mine < usedTwice || b.uses.count(b.slots[v].hash) >= mine {
 			b.Counted.Turned++
 			return -1
 		}
--- a/shape/lex.go
+++ b/shape/lex.go
@@ -26,9 +26,8 @@
 // token is a piece of the statement: text[at:end].
 type token struct {
 	kind    kind
-	at, end int
 	punct   byte // of kPunct
-	esc     bool // a literal whose backslashes escape
+	at, end int
 }
 
 // lexer walks over a statement. The zero value with text set is ready.
@@ -80,14 +79,28 @@
 
 // next takes the next token.
 func (l *lexer) next() token {
+	text, at := l.text, l.at
+	if at < len(text) && text[at] == ' ' {
+		at++
+	}
+	if at < len(text) && chars[text[at]]&cStart != 0 { // a word, in most cases
+		i := at + 1
+		for i < len(text) && chars[text[i]]&cPart != 0 {
+			i++
+		}
+		if i > at+1 || i >= len(text) || text[i] != '\'' && text[i] != '&' {
+			l.at = i
+			return token{kind: kWord, at: at, end: i}
+		}
+	}
+	l.at = at
 	if !l.skip() {
 		return token{kind: kBad, at: l.at, end: len(l.text)}
 	}
-	at := l.at
-	if at >= len(l.text) {
+	if at = l.at; at >= len(text) {
 		return token{kind: kEnd, at: at, end: at}
 	}
-	c := l.text[at]
+	c := text[at]
 	class := chars[c]
 	switch {
 	case class&cStart != 0:
@@ -132,6 +145,8 @@
 		switch {
 		case chars[c]&cSpace != 0:
 			l.at++
+		case c != '-' && c != '/':
+			return true
 		case c == '-' && l.peek(1) == '-':
 			for l.at < len(l.text) && l.text[l.at] != '\n' && l.text[l.at] != '\r' {
 				if l.text[l.at] == 0 {
@@ -166,6 +181,7 @@
 func (l *lexer) word(at int, c byte) token {
 	next := l.peek(1)
 	switch {
+	case next != '\'' && next != '&':
 	case next == '\'' && (c == 'e' || c == 'E'):
 		return l.quoted(at, at+1, true, false)
 	case next == '\'' && (c == 'b' || c == 'B' || c == 'x' || c == 'X'):
@@ -181,7 +197,10 @@
 		return l.name(at, at+2, kUnicode)
 	}
 	i := at + 1
-	for i < len(l.text) && chars[l.text[i]]&cPart != 0 {
+	for _, c := range l.text[i:] {
+		if chars[c]&cPart == 0 {
+			break
+		}
 		i++
 	}
 	l.at = i
@@ -260,7 +279,7 @@
 			more++
 		}
 		if !line || more >= len(l.text) || l.text[more] != '\'' {
-			return token{kind: kString, at: at, end: l.at, esc: escapes}
+			return token{kind: kString, at: at, end: l.at}
 		}
 		i = more + 1
 	}
--- a/shape/norm.go
+++ b/shape/norm.go
@@ -115,13 +115,11 @@
 			}
 		case kWord:
 			s.Empty, values = false, false
-			s.space()
 			n := len(s.Norm)
-			s.Norm = append(s.Norm, text[t.at:t.end]...)
-			for i, c := range s.Norm[n:] {
-				if c >= 'A' && c <= 'Z' {
-					s.Norm[n+i] = c | 0x20
-				}
+			s.add(text[t.at:t.end])
+			word := s.Norm[n:]
+			for i, c := range word {
+				word[i] = lowers[c]
 			}
 		case kUnicode:
 			s.Empty, values = false, false
@@ -142,8 +140,11 @@
 }
 
 func (s *Scratch) add(b []byte) {
-	s.space()
-	s.Norm = append(s.Norm, b...)
+	n := s.Norm
+	if len(n) > s.lead {
+		n = append(n, ' ')
+	}
+	s.Norm = append(n, b...)
 }
 
 // sign tells whether the operator before a number is its sign: nothing that has a value stands before it.
@@ -202,6 +203,13 @@
 	return true
 }
 
+var lowers = func() (t [256]byte) {
+	for c := range t {
+		t[c] = lower(byte(c))
+	}
+	return t
+}()
+
 func lower(c byte) byte {
 	if c >= 'A' && c <= 'Z' {
 		return c | 0x20
