--- a/pgwire/pgwire.go
+++ b/pgwire/pgwire.go
@@ -44,6 +44,8 @@
 	r, w int
 	need int // bytes that the message begun takes in all
 	Most int // what bounds a message, MaxMessage where it is 0
+
+	startup []byte // the parameters of the startup message, until the buffer is filled again
 }
 
 // Unread tells how many bytes wait to be parsed.
@@ -122,11 +124,31 @@
 		return 0, false, nil
 	}
 	code = int(binary.BigEndian.Uint32(b.b[b.r+4:]))
+	b.startup = b.b[b.r+8 : b.r+n]
 	b.r += n
 	b.need = 0
 	return code, true, nil
 }
 
+// StartupParameter finds a parameter of the startup message that was just taken; "" where there is none.
+func (b *Buffer) StartupParameter(name string) string {
+	for rest := b.startup; len(rest) > 1; {
+		key, after, ok := cutZero(rest)
+		if !ok {
+			return ""
+		}
+		value, next, ok := cutZero(after)
+		if !ok {
+			return ""
+		}
+		if key == name {
+			return value
+		}
+		rest = next
+	}
+	return ""
+}
+
 // Append adds a message made of parts to dst.
 func Append(dst []byte, kind byte, parts ...string) []byte {
 	n := 4
--- a/pgwire/statement.go
+++ b/pgwire/statement.go
@@ -19,6 +19,7 @@
 	Group   int
 	Wrote   float64 // s, the position that the read must see; 0: none
 	Key     string  // the first quoted value, which names the session where there are any
+	plain   bool    // it has no comment: it passes on as it came
 	waitAt  int     // where the value of d stands
 	waitEnd int
 }
@@ -26,6 +27,25 @@
 // longestWait bounds d, in ms, so that no arithmetic on it runs over.
 const longestWait = 1 << 40
 
+// Plain is a statement without our comment, under an id that no comment can hold.
+func Plain(text string, number int, wait float64, group int) Statement {
+	return Statement{Text: text, ID: "," + strconv.Itoa(number), Wait: wait, Group: group, plain: true}
+}
+
+// Tagged tells whether a statement begins with a comment that is meant as ours, well formed or not.
+func Tagged(text string) bool {
+	end := strings.Index(text, "*/")
+	if !strings.HasPrefix(text, "/*") || end < 2 {
+		return false
+	}
+	names := map[string]bool{}
+	for part := range strings.SplitSeq(text[2:end], ",") {
+		name, _, ok := strings.Cut(part, "=")
+		names[strings.TrimSpace(name)] = ok
+	}
+	return names["id"] && names["c"]
+}
+
 // ParseStatement reads a statement; of a malformed one it says what is wrong.
 func ParseStatement(text string) (s Statement, err error) {
 	s = Statement{Text: text, Group: -1, Wait: -1}
@@ -116,6 +136,9 @@
 
 // AppendTo adds the statement as a query that says how long, in s, it is waited for.
 func (s *Statement) AppendTo(dst []byte, wait float64) []byte {
+	if s.plain {
+		return AppendQuery(dst, s.Text)
+	}
 	ms := strconv.FormatInt(int64(max(1, math.Ceil(wait*1000))), 10)
 	return Append(dst, 'Q', s.Text[:s.waitAt], ms, s.Text[s.waitEnd:], "\x00")
 }
--- a/relay/clients.go
+++ b/relay/clients.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"eiderway/pgwire"
+	"eiderway/shape"
 )
 
 const (
@@ -57,6 +58,8 @@
 	since   time.Time    // when it connected, or began what it is saying; zero: it owes nothing
 	large   bool         // it holds one of the places for large statements
 	excess  bool         // over the budget: its first query is declined
+	scratch *shape.Scratch
+	timeout float64 // s, its statement_timeout; 0: none
 }
 
 func newClients(c *core, l net.Listener, sockets, most int, memoryMB int64) *clients {
@@ -289,6 +292,7 @@
 			c.fatal("0A000", "only version 3 of the protocol is served")
 			return false
 		default:
+			c.timeout = statementTimeout(c.buf.StartupParameter)
 			return c.write(pgwire.AppendGreeting(nil))
 		}
 	}
@@ -303,6 +307,9 @@
 	if strings.TrimSpace(text) == "" {
 		return c.write(pgwire.AppendReady(pgwire.Append(nil, 'I')))
 	}
+	if c.hub.core.classes != nil {
+		return c.classed(text)
+	}
 	st, err := pgwire.ParseStatement(text)
 	if _, ok := c.hub.core.terms.Types[st.Type]; err == nil && !ok {
 		err = errors.New("a txn type that is not served")
@@ -312,17 +319,22 @@
 		return c.write(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "08P01", err.Error(), "")))
 	}
 	if c.excess {
-		c.hub.core.counters.turnedAway.Add(1)
-		c.fatal("53300", "too many clients")
-		return false
+		return c.tooMany()
 	}
-	return c.txn(&held{client: c, st: st})
+	core, h, at := c.hub.core, &held{client: c, st: st}, c.came
+	core.tell(func() { core.arrive(h, at) })
+	return c.txn(h)
 }
 
-// txn hands a txn to the core and reads on until its answer is there, to notice a client that leaves.
+func (c *client) tooMany() bool {
+	c.hub.core.counters.turnedAway.Add(1)
+	c.fatal("53300", "too many clients")
+	return false
+}
+
+// txn reads on while a txn is out until its answer is there, to notice a client that leaves.
 func (c *client) txn(h *held) bool {
-	core, at := c.hub.core, c.came
-	core.tell(func() { core.arrive(h, at) })
+	core := c.hub.core
 	for {
 		c.nc.SetReadDeadline(time.Time{})
 		if c.buf.Crowded() {
@@ -334,7 +346,11 @@
 		default:
 		}
 		if err := c.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			core.tell(func() { core.left(h) })
+			if k := core.classes; k != nil { // behind the statement, which went this way
+				k.tell(func() { core.tell(func() { core.left(h) }) })
+			} else {
+				core.tell(func() { core.left(h) })
+			}
 			return false
 		}
 	}
--- a/relay/core.go
+++ b/relay/core.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"eiderway/pgwire"
+	"eiderway/shape"
 	"eiderway/splitter"
 	"eiderway/terms"
 )
@@ -28,6 +29,8 @@
 	st     pgwire.Statement
 	job    *job // the submission that is out
 	over   bool
+	class  *shape.Class // of a statement that was classed; nil: its comment says all
+	typ    int          // the txn type of one that was classed
 }
 
 // core is the actor of the module. Its tables: txns, open and free are emptied as txns are over, nodes and byUID
@@ -49,6 +52,7 @@
 	byUID     map[string]int
 	groups    map[int]bool
 	list      *list
+	classes   *classes // nil: statements without our comment are not served
 	counters  *counters
 	sockets   chan struct{} // one for each connection to a node
 	life      context.Context
@@ -62,7 +66,12 @@
 		tasks: tasks, log: log}
 	c.now = c.clock.now()
 	c.list = newList(c, cfg.Discovery, cfg.Known.Rev, cfg.Limits.MemoryMB)
-	c.router = splitter.New(c.terms.Splitter, c)
+	told := c.terms.Splitter
+	if cfg.Own != nil && cfg.Own.Classing != nil {
+		c.classes = newClasses(c, cfg.Own.Classing, len(told.Types))
+		told.Types = slices.Concat(told.Types, c.classes.types)
+	}
+	c.router = splitter.New(told, c)
 	c.members(splitter.ListRemembered, cfg.Known.Targets)
 	return c
 }
@@ -116,8 +125,13 @@
 		c.Decline(h.id, 0)
 		return
 	}
-	c.router.Arrive(splitter.Txn{ID: h.id, Group: h.st.Group, Type: c.terms.Types[h.st.Type], Until: at + h.st.Wait,
-		Session: session(h.st.Key), Wrote: h.st.Wrote})
+	x := splitter.Txn{ID: h.id, Group: h.st.Group, Until: at + h.st.Wait, Session: session(h.st.Key), Wrote: h.st.Wrote}
+	if h.class != nil {
+		x.Type, x.Cost = h.typ, h.class.Cost
+	} else {
+		x.Type = c.terms.Types[h.st.Type]
+	}
+	c.router.Arrive(x)
 }
 
 // session gives the key of a session as a number.
@@ -146,9 +160,13 @@
 
 // landed takes the end of a submission.
 func (c *core) landed(h *held, res splitter.Result, answer []byte, then func(splitter.Result)) {
+	code := h.job.code
 	h.job = nil
 	c.counters.outcomes[res.Outcome].Add(1)
-	if res.Outcome == splitter.Committed && !h.over {
+	if h.class != nil {
+		res.As = c.classes.landed(h.class, res, code)
+	}
+	if (res.Outcome == splitter.Committed || res.Outcome == splitter.Answered) && !h.over {
 		c.counters.committed.Add(1)
 		c.finish(h, answer)
 	}
@@ -223,6 +241,9 @@
 	h := c.txns[txn]
 	c.counters.submitted.Add(1)
 	j := &job{st: &h.st, sent: c.now, until: until}
+	if h.class != nil {
+		j.longest, j.pins = int(c.classes.longest.Load()), h.class.Pins
+	}
 	j.done = func(res splitter.Result, answer []byte) {
 		c.tell(func() { c.landed(h, res, answer, then) })
 	}
--- a/relay/counters.go
+++ b/relay/counters.go
@@ -22,15 +22,16 @@
 	malformed                                    atomic.Int64 // statements
 	turnedAway, silent, madeRoom                 atomic.Int64 // clients
 	submitted, probes                            atomic.Int64
-	outcomes                                     [splitter.Unsent + 1]atomic.Int64
+	outcomes                                     [splitter.Answered + 1]atomic.Int64
 	clientsOpened, clientsClosed                 atomic.Int64
 	linksOpened, linksReused, linksClosed        atomic.Int64
 	noSockets                                    atomic.Int64
 	listCalls, watchesHung, watchesEnded         atomic.Int64
 }
 
-var outcomeNames = [splitter.Unsent + 1]string{"unknown", "committed", "failed", "timed_out", "broken",
-	"cancelled", "missed", "full", "no_conn", "unsent"}
+var outcomeNames = [splitter.Answered + 1]string{"unknown", "committed", "failed", "timed_out", "broken",
+	"cancelled", "missed", "full", "no_conn", "unsent",
+	"answered"}
 
 // watch prints the counters each time they are asked for.
 func (k *counters) watch(life context.Context, g *errgroup.Group, c *core, h *clients) {
@@ -68,6 +69,9 @@
 		"made_room": k.madeRoom.Load()}).Info("clients")
 	k.log.WithFields(logrus.Fields{"opened": k.linksOpened.Load(), "reused": k.linksReused.Load(),
 		"closed": k.linksClosed.Load(), "open": len(c.sockets), "none_left": k.noSockets.Load()}).Info("nodes")
+	if c.classes != nil {
+		c.classes.print(k.log)
+	}
 	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_hung": k.watchesHung.Load(),
 		"watches_ended": k.watchesEnded.Load(),
 		"rev":           c.list.shown.Load()}).Info("list")
--- a/relay/node.go
+++ b/relay/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"eiderway/pgwire"
+	"eiderway/shape"
 	"eiderway/splitter"
 )
 
@@ -34,6 +35,10 @@
 	until float64
 	moot  atomic.Bool // not to be written any more
 	done  func(splitter.Result, []byte)
+
+	longest int    // bytes of a result of any form; 0: the platform's one row of one column
+	pins    bool   // its connection serves nothing after it
+	code    string // of the error it was answered with; set before done is called
 }
 
 // node is the actor of one node.
@@ -226,7 +231,8 @@
 	var answer []byte
 	if r != nil {
 		res.Report = r.report
-		if o == splitter.Committed {
+		j.code = r.code
+		if o == splitter.Committed || o == splitter.Answered {
 			answer = r.row
 		}
 	}
@@ -267,8 +273,9 @@
 		return false
 	}
 	out = nil // it may be large
-	r := &reply{greeted: l.greeted}
+	r := &reply{greeted: l.greeted, longest: j.longest}
 	r.report.Load = -1
+	l.buf.Most = max(pgwire.MaxReply, j.longest)
 	err := l.read(r)
 	l.greeted = r.greeted
 	if err != nil || r.fatal || l.ctx.Err() != nil {
@@ -276,6 +283,11 @@
 		l.finish(j, r.outcome(err, l.ctx.Err() != nil), r)
 		return false
 	}
+	if j.pins || r.inside {
+		l.nc.Close()
+		l.finish(j, r.outcome(nil, false), r)
+		return false
+	}
 	l.node.tell(func() { l.node.rested(l, j) })
 	l.finish(j, r.outcome(nil, false), r)
 	return true
@@ -317,6 +329,10 @@
 	complete bool
 	fatal    bool
 	report   splitter.Report
+
+	longest int  // bytes of a result of any form; 0: one row of one column
+	long    bool // it was longer, and is not kept
+	inside  bool // the node is in a transaction
 }
 
 var errReply = errors.New("unexpected message")
@@ -328,7 +344,7 @@
 			return err
 		}
 		if !ok {
-			if t := l.buf.Begun(); t != 0 && !strings.ContainsRune("RKNSETDCZ", rune(t)) {
+			if t := l.buf.Begun(); t != 0 && !strings.ContainsRune("RKNSETDCZI", rune(t)) {
 				return errReply
 			}
 			if err := l.buf.Fill(l.nc); err != nil {
@@ -344,6 +360,9 @@
 
 // take reads one message, and tells whether the reply is whole.
 func (r *reply) take(m pgwire.Message) (bool, error) {
+	if r.longest > 0 && r.greeted {
+		return r.takeAny(m)
+	}
 	switch m.Type {
 	case 'R', 'K', 'N':
 	case 'S':
@@ -394,6 +413,58 @@
 	return false, nil
 }
 
+// takeAny reads one message of a result of any form: rows of any number of columns, none at all, or several results.
+func (r *reply) takeAny(m pgwire.Message) (bool, error) {
+	switch m.Type {
+	case 'K':
+		return false, nil
+	case 'S':
+		if name, value, ok := pgwire.Parameter(m.Body); ok {
+			r.parameter(name, value)
+		}
+		return false, nil
+	case 'E':
+		if r.code != "" || len(pgwire.Field(m.Body, 'C')) != 5 {
+			return false, errReply
+		}
+		r.code = pgwire.Field(m.Body, 'C')
+		r.fatal = pgwire.Field(m.Body, 'S') == "FATAL"
+	case 'T':
+		if r.columns || r.code != "" || pgwire.Columns(m.Body) < 0 {
+			return false, errReply
+		}
+		r.columns = true
+	case 'D':
+		if !r.columns || r.code != "" || pgwire.Columns(m.Body) < 0 {
+			return false, errReply
+		}
+	case 'C', 'I':
+		if r.code != "" {
+			return false, errReply
+		}
+		r.columns, r.complete = false, true
+	case 'N':
+	case 'Z':
+		if r.columns && r.code == "" || !r.complete && r.code == "" || len(m.Body) != 1 {
+			return false, errReply
+		}
+		r.inside = m.Body[0] != 'I'
+		if r.long && r.code == "" {
+			r.row = pgwire.AppendError(nil, "ERROR", "54000", "it was done, but its result is longer than is passed on here", "")
+		}
+		return true, nil
+	default:
+		return false, errReply
+	}
+	if len(r.row)+len(m.Body) > r.longest {
+		r.row, r.long = nil, true
+	}
+	if !r.long || m.Type == 'E' {
+		r.row = pgwire.AppendRaw(r.row, m)
+	}
+	return r.fatal, nil
+}
+
 func (r *reply) parameter(name, value string) {
 	switch name {
 	case "mode":
@@ -446,6 +517,13 @@
 		r.report = splitter.Report{Load: -1}
 	}
 	switch {
+	case r.longest > 0 && err == nil && !r.fatal && shape.Answer(r.code):
+		return splitter.Answered
+	case r.longest > 0 && (err != nil || r.code != "") && r.complete && !spoilt:
+		r.complete = false // the first of several results, or one without its end
+		return r.outcome(err, calledOff)
+	case r.longest > 0 && spoilt:
+		return splitter.Failed
 	case r.complete:
 		return splitter.Committed
 	case spoilt:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,8 +46,20 @@
 	Known    listing         `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
-	terms *terms.Terms
-	path  string
+	Own     *terms.Own `json:"-"` // our own settings; nil: none
+	ownPath string
+	seed    uint64
+	terms   *terms.Terms
+	path    string
+}
+
+// ReadOwn reads our own settings beside the configuration; a path of "" is none.
+func (c *Config) ReadOwn(path string) (err error) {
+	if path != "" {
+		c.ownPath = path
+		c.Own, err = terms.ReadOwn(path, c.seed)
+	}
+	return err
 }
 
 // ReadConfig reads and checks a configuration file.
@@ -69,6 +81,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: seed: %w", path, err)
 	}
+	c.seed = seed
 	if c.terms, err = terms.Decode(c.Settings, int64(seed)); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -87,7 +100,10 @@
 
 // reread reads the configuration again and takes over what may change while serving: where discovery is. One that
 // fails its checks is left aside, and what only a new start can change is told.
-func (c *Config) reread(l *list, log *logrus.Logger) {
+func (c *Config) reread(l *list, classes *classes, log *logrus.Logger) {
+	if classes != nil {
+		classes.reread(c.ownPath, c.seed)
+	}
 	next, err := ReadConfig(c.path)
 	if err != nil {
 		log.WithError(err).Warn("the new configuration is left aside")
@@ -192,13 +208,22 @@
 	c.counters.watch(life, g, c, hub)
 	g.Go(func() error { return c.run(life) })
 	g.Go(func() error { return c.list.run(life) })
+	if c.classes != nil {
+		g.Go(func() error { return c.classes.run(life) })
+	}
+	if cfg.Own != nil && cfg.Own.Admin != nil {
+		if err := listenAdmin(life, g, c, cfg.Own.Admin.Socket); err != nil {
+			listener.Close()
+			return err
+		}
+	}
 	g.Go(func() error {
 		for {
 			select {
 			case <-life.Done():
 				return nil
 			case <-again:
-				cfg.reread(c.list, log)
+				cfg.reread(c.list, c.classes, log)
 			}
 		}
 	})
--- a/shape/api.go
+++ b/shape/api.go
@@ -81,8 +81,13 @@
 	Reason string  // the rule or token that decided
 	Shape  int     // for Took and Refused; -1: it is not remembered
 	Known  bool    // it was remembered already
+	Over   bool    // too many new shapes came to parse this one
 }
 
+// Comeback is when, in s, a statement may come again that was turned away because too many new shapes came: the
+// budget of parsing is full again by then.
+const Comeback = hurry
+
 const (
 	horizon      = 1000.0  // submissions a quantile looks back to: fewer jump about, more miss a change of plan
 	enough       = 5       // submissions of a shape from which what they took says more than the grammar's guess
--- a/shape/book.go
+++ b/shape/book.go
@@ -8,6 +8,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"eiderway/splitter"
 )
 
 // This file owns the memory of shapes. Its bound is Terms.Memory: a new shape takes a place only from one that is
@@ -61,18 +63,18 @@
 	room := max(leastShapes, t.Memory/entryBytes)
 	b := &Book{rules: r, rng: rand.New(rand.NewSource(int64(t.Seed))), index: map[uint64]int32{}, credit: t.ParseRate * hurry}
 	seed := t.Seed
+	var mixer xxhash.Digest
 	b.hash = func(text []byte) uint64 { // mixed by the seed: collisions can't be prepared for all instances
-		var d xxhash.Digest
-		d.ResetWithSeed(seed)
-		d.Write(text)
-		return d.Sum64()
+		mixer.ResetWithSeed(seed)
+		mixer.Write(text)
+		return mixer.Sum64()
 	}
 	b.uses = newSketch(room*sketchPer, room*sketchAge)
 	return b, nil
 }
 
 // Scratch makes what a caller lexes with.
-func (b *Book) Scratch() *Scratch { return &Scratch{old: b.rules.OldStrings} }
+func (b *Book) Scratch() *Scratch { return NewScratch(b.rules.OldStrings) }
 
 // Hash is the stable hash of a shape's text, the same at every instance.
 func Hash(shape []byte) uint64 { return xxhash.Sum64(shape) }
@@ -282,6 +284,7 @@
 // nothing in it could be anything else. Where groups are told by tables or keys, nothing can be told without parsing.
 func (b *Book) hurried(s *Scratch) Class {
 	c := b.unknown("too many new shapes to parse them all")
+	c.Over = true
 	c.Pins = false
 	if len(b.rules.Places) > 0 {
 		c.Group = -1
@@ -385,6 +388,28 @@
 // Size tells how many shapes are held, and in how many bytes.
 func (b *Book) Size() (shapes, size int) { return len(b.index), b.bytes }
 
+// Turn says what a statement is turned away with, where it is: code and text; a code of "" is none. hurried ones may
+// come again. several and sessions say whether such statements are served.
+func (c *Class) Turn(several, sessions bool) (code, text string) {
+	switch {
+	case c.Copies:
+		return "0A000", "COPY is not served here"
+	case c.Many > 1 && !several:
+		return "0A000", "several statements in one string are not served here"
+	case c.Pins && c.Many <= 1 && !sessions:
+		return "0A000", "this leaves state on its connection (" + c.Reason + "), which is not served here"
+	case c.Group < 0 && c.Over:
+		return "53300", "too many new statements at once, come back later"
+	case c.Group < 0:
+		return "0A000", "the group of this statement can't be told: name one table's key, or tables of one group"
+	}
+	return "", ""
+}
+
+// Reclass weighs what a statement's own comment says against what it is: one that is called a read and writes goes on
+// as a write.
+func (c *Class) Reclass(said splitter.Need) bool { return c.Writes && said != splitter.NeedPrimary }
+
 // Answer tells whether an error, by its code, is the statement's own: the node answered it, another would say the
 // same, and nothing of it stays. All others are troubles of the node or of the moment. Source: appendix A of the
 // PostgreSQL documentation, by class.
--- a/shape/norm.go
+++ b/shape/norm.go
@@ -1,6 +1,9 @@
 package shape
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+)
 
 // This file owns the shape of a statement: its text with literals and parameters folded, lists of them too, and
 // everything outside quotes in one case and spacing. It must never fold what could change a class: the arguments
@@ -27,6 +30,12 @@
 	rowsFolded bool // rows of VALUES with literals of their own are one in Norm
 }
 
+// NewScratch makes a Scratch; old: the nodes have standard_conforming_strings off.
+func NewScratch(old bool) *Scratch { return &Scratch{old: old} }
+
+// Old tells how it reads.
+func (s *Scratch) Old() bool { return s.old }
+
 const maxDeep = 64 // parentheses deeper than this fold no lists: few statements nest as deep
 
 // mark is an open parenthesis: what it opens, and where it and the row before it begin in Norm.
@@ -43,10 +52,11 @@
 
 // Read lexes a statement and forms its shape.
 func (s *Scratch) Read(text []byte) {
-	s.Norm = s.Norm[:s.lead]
+	s.Norm = slices.Grow(s.Norm[:s.lead], 3*len(text)) // "1" becomes " $0", nothing grows by more
 	s.text, s.Bad, s.Empty, s.count, s.rowsFolded = text, false, true, 0, false
 	l := lexer{text: text, oldRule: s.old}
-	var prev, last token // the two tokens before
+	var prev token // the token before
+	var last token // and the one before that, where prev is an operator
 	deep := 0
 	values := false // VALUES, or a row of it, has just ended
 	prevRow, prevCount := -1, 0
@@ -116,11 +126,18 @@
 		case kWord:
 			s.Empty, values = false, false
 			n := len(s.Norm)
-			s.add(text[t.at:t.end])
-			word := s.Norm[n:]
-			for i, c := range word {
+			if n > s.lead {
+				n++
+			}
+			norm := s.Norm[:n+t.end-t.at]
+			if n > s.lead {
+				norm[n-1] = ' '
+			}
+			word := norm[n:]
+			for i, c := range text[t.at:t.end] {
 				word[i] = lowers[c]
 			}
+			s.Norm = norm
 		case kUnicode:
 			s.Empty, values = false, false
 			s.add(text[t.at:t.end])
@@ -129,7 +146,10 @@
 			s.Empty, values = false, false
 			s.add(text[t.at:t.end])
 		}
-		last, prev = prev, t
+		if t.kind == kOp {
+			last = prev
+		}
+		prev = t
 	}
 }
 
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -71,6 +71,7 @@
 	Until   float64 // expiry: when the client gives up
 	Session int64
 	Wrote   float64 // when the session last wrote, where the client brings that; 0: never
+	Cost    float64 // s a submission of it usually takes, where that is known better than by its type; 0: it is not
 }
 
 // Role is what a node says it is.
@@ -96,6 +97,7 @@
 	Full                     // never ran: turned away unseen
 	NoConn                   // never ran: no connection
 	Unsent                   // never ran: not sent at all
+	Answered                 // ran, and was answered with an error of its own: nothing of it stays
 )
 
 // Result is what became of a submission.
@@ -103,6 +105,7 @@
 	Outcome Outcome
 	Latency float64
 	Ended   bool // the txn has its final answer
+	As      int  // one more than the txn type that it proved to be; 0: the one it came as
 	Report
 }
 
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -123,7 +123,7 @@
 var typeNames = []string{"read", "write", "once", "any", "long", "session", "current", "late"}
 
 var outcomeNames = map[string]Outcome{"committed": Committed, "failed": Failed, "timedout": TimedOut,
-	"broken": Broken, "cancelled": Cancelled, "missed": Missed, "full": Full, "noconn": NoConn, "unknown": Unknown}
+	"broken": Broken, "cancelled": Cancelled, "missed": Missed, "full": Full, "noconn": NoConn, "unknown": Unknown, "answered": Answered}
 
 // play runs one line of a scenario. The notation:
 //
@@ -131,8 +131,8 @@
 //	list|news NAME[=draining|gone|cold] ...   the full list, or changes of it
 //	refused, moved                            a watch was refused; the list is to be had elsewhere
 //	node NAME primary|replica LAG|unclear|silent    what it tells from now on when probed
-//	txn ID TYPE [EXPIRY]                      a txn of session 7 arrives
-//	answer ID OUTCOME [primary|replica LAG]   its submission ends
+//	txn ID TYPE [EXPIRY [COST]]               a txn of session 7 arrives
+//	answer ID OUTCOME [as=TYPE] [primary|replica LAG]   its submission ends; it proved to be of that type
 //	cut ID SECONDS                            its submission is waited for as long
 //	wait SECONDS, stall SECONDS               time passes, the second without the router being run
 //	expect WHAT                               it did this since the last expect; names may be A|B
@@ -195,6 +195,9 @@
 		if len(f) > 3 {
 			x.Until = w.now + w.number(f[3])
 		}
+		if len(f) > 4 {
+			x.Cost = w.number(f[4])
+		}
 		w.router.Arrive(x)
 	case "answer":
 		id := int(w.number(f[1]))
@@ -203,8 +206,14 @@
 		delete(w.then, id)
 		outcome, ok := outcomeNames[f[2]]
 		require.True(w.t, ok, w.where)
-		w.over[id] = w.over[id] || outcome == Committed
-		then(Result{Outcome: outcome, Latency: w.now - w.sent[id], Ended: w.over[id], Report: w.report(f[3:])})
+		w.over[id] = w.over[id] || outcome == Committed || outcome == Answered
+		f, as := f[3:], 0
+		if len(f) > 0 && strings.HasPrefix(f[0], "as=") {
+			as = 1 + slices.Index(typeNames, f[0][len("as="):])
+			require.Positive(w.t, as, w.where)
+			f = f[1:]
+		}
+		then(Result{Outcome: outcome, Latency: w.now - w.sent[id], Ended: w.over[id], As: as, Report: w.report(f)})
 	case "cut":
 		require.InDelta(w.t, w.number(f[2]), w.cut[int(w.number(f[1]))], 0.01, w.where)
 	case "wait":
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -47,6 +47,7 @@
 	coldCores    = 2.0   // cores a node has at least: few have less, and nobody tells
 	chance       = 0.5   // width of the chance in the choice of a replica: routers alike must not choose alike
 	golden       = 0.618 // steps of this spread any numbers of routers and txns evenly over the turns
+	workShare    = 5.0   // SLA times a txn's work is expected to fit in, until answers tell
 	overdue      = 8.0   // times its usual latency an answer takes at least before it counts as lost
 	heldShare    = 0.5   // share of its client's wait by which a write that was never sent is declined
 	spare        = 0.2   // share of a bound kept free where a position is a guess
@@ -86,6 +87,7 @@
 	TxnType
 	work float64 // s, usual latency
 	free float64 // s, the same at nodes that are not crowded
+	base float64 // s, what paces are shares of
 }
 
 // node is a member with its entry in the role record.
@@ -165,7 +167,7 @@
 	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)),
 		groups: map[int]*group{}, txns: map[int]*txn{}, late: reportLate}
 	for i, t := range terms.Types {
-		r.kinds = append(r.kinds, &kind{TxnType: t, work: t.SLA / 5, free: t.SLA / 5})
+		r.kinds = append(r.kinds, &kind{t, t.SLA / workShare, t.SLA / workShare, t.SLA})
 		r.ranked = append(r.ranked, i)
 	}
 	value := func(i int) float64 { return r.kinds[i].Value / r.kinds[i].SLA }
@@ -295,6 +297,11 @@
 	_, turn := math.Modf(golden * float64(r.terms.Me+r.count))
 	r.count++
 	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, arrived: now, turn: turn}
+	if x.Cost > 0 {
+		// Its own usual latency: a costly txn must not look lost or a node slow by the cheap ones of its type,
+		// nor they by it. It harms where costs are wrong; a stale one fades where it is learned.
+		t.kind = &kind{t.TxnType, x.Cost, x.Cost, max(t.SLA, workShare*x.Cost)}
+	}
 	r.txns[x.ID] = t
 	g.live++
 	g.credit = min(g.credit+probeShare, float64(2*len(g.members)))
@@ -601,6 +608,10 @@
 	if n.limit < 1 {
 		n.next = now + (1/n.limit-1)*res.Latency // a limit under one is a share of the time
 	}
+	if res.As > 0 {
+		// A read that a replica turned away as a write is one. Against statements that hide their writes.
+		t.Type, t.kind = res.As-1, r.kinds[res.As-1]
+	}
 	r.learn(f, n, res)
 	if now < r.scarce && len(n.out) == 0 && res.Outcome != NoConn {
 		r.host.CloseIdle(n.Node)
@@ -669,7 +680,7 @@
 	now := r.host.Now()
 	t, g := f.t, f.t.g
 	timed := f.sent >= r.woke // its latency is the node's
-	if slices.Contains([]Outcome{Committed, Missed, Full, Failed}, res.Outcome) {
+	if slices.Contains([]Outcome{Committed, Missed, Full, Failed, Answered}, res.Outcome) {
 		n.heard = now
 		r.hear(n, res.Report, true)
 	}
@@ -688,13 +699,15 @@
 			if n.pace < slowPace {
 				t.free += workGain * (res.Latency - t.free)
 			}
-			pace := res.Latency / t.SLA
+			pace := res.Latency / t.base
 			if t.Need == NeedBounded && res.Role == RoleReplica && res.Pos > 0 {
 				// A crowded replica applies the log late, and soon is of no use.
 				pace = max(pace, lagPace*(now-res.Pos)/t.Bound)
 			}
 			r.tune(n, pace)
 		}
+	case Answered:
+		n.fails *= 1 - failGain // no word on its role: an error may come before the node looks at that
 	case Failed:
 		// Told at once, so the txn goes on elsewhere, and what the node does answer is of use.
 		n.fails += failGain * (1 - n.fails)
--- /dev/null
+++ b/terms/own_test.go
@@ -0,0 +1,104 @@
+package terms
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"eiderway/splitter"
+)
+
+func readOwn(t *testing.T, text string) (*Own, error) {
+	path := filepath.Join(t.TempDir(), "own.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return ReadOwn(path, 5)
+}
+
+func TestOwn(t *testing.T) {
+	own, err := readOwn(t, "")
+	require.NoError(t, err)
+	require.Equal(t, &Own{}, own, "what is not there is off")
+	own, err = readOwn(t, "classing: {}\n")
+	require.NoError(t, err)
+	example, err := ReadOwn("../deploy/eiderway.yaml", 5)
+	require.NoError(t, err)
+	require.Equal(t, own.Classing, example.Classing, "the example shows the defaults")
+	require.Nil(t, example.Admin)
+
+	own, err = readOwn(t, `
+classing:
+  several: refuse
+  sessions: close
+  memory: 1.5MiB
+  types:
+    - {name: look, need: any, effect: repeatable, sla: 400ms, expiry: 2s, value: 1}
+    - {name: dice, need: current, effect: once-only, sla: 1s, expiry: 2s, value: 1}
+    - {name: other, need: primary, effect: once-only, sla: 1s, expiry: 3s, value: 6, late_value: 0.5}
+    - {name: claim, need: primary, effect: referenced, mark: claim_id, window: 2s, sla: 1s, expiry: 3s, value: 6}
+  read: look
+  volatile: dice
+  write: other
+  functions: [{name: shop.total, does: reads}, {name: pay, does: writes}]
+  rules: [{table: "refund*", type: claim}]
+  group: 2
+  places:
+    - {table: objects, key: oid, groups: [0, 1]}
+    - {table: rows, key: id, ranges: [{below: 100, group: 0}, {group: 1}]}
+    - {schema: north, group: 3}
+admin:
+  socket: /run/eiderway.sock
+`)
+	require.NoError(t, err)
+	c := own.Classing
+	require.Equal(t, []any{false, true, 3 << 19, uint64(5), 2}, []any{c.Several, c.Sessions, c.Shape.Memory, c.Shape.Seed, c.Shape.Group})
+	require.Equal(t, splitter.TxnType{Need: splitter.NeedPrimary, Effect: splitter.Referenced, Window: 2, SLA: 1, Value: 6}, c.Types[3])
+	require.Equal(t, "100", c.Shape.Places[1].Below[0].Below)
+	require.Equal(t, "/run/eiderway.sock", own.Admin.Socket)
+}
+
+// TestOwnRefuses: each thing that is wrong is one line with its place and what would do.
+func TestOwnRefuses(t *testing.T) {
+	for text, want := range map[string]string{
+		"clasing: {}":                           "own.yaml:1:1: ",
+		"classing:\n  memry: 1MiB":              "own.yaml:2:3: ",
+		"classing:\n  memory: 1MB":              `own.yaml:2:11: classing.memory: "1MB" is no size`,
+		"classing:\n  memory: 1KiB":             "own.yaml:2:11: classing.memory: \"1KiB\" is no size from 65536",
+		"classing:\n  several: maybe":           "own.yaml:2:12: classing.several: \"maybe\" is neither refuse nor primary",
+		"classing: [1]":                         "own.yaml:1:",
+		"classing:\n  read: nosuch":             "own.yaml:2:9: classing.read: \"nosuch\" is none of the txn types",
+		"classing:\n  write: read":              "own.yaml:2:10: classing.write: writes need a txn type with need: primary",
+		"classing:\n  volatile: read":           "own.yaml:2:13: classing.volatile: ",
+		"classing:\n  group: -1":                "own.yaml:2:10: classing.group: -1 is no group",
+		"classing:\n  rules: [{type: read}]":    "own.yaml:2:11: classing.rules[0]: a rule needs one of",
+		"classing:\n  places: [{table: a}]":     "own.yaml:2:12: classing.places[0]: a place without a key needs a group",
+		"classing:\n  places: [{group: 1}]":     "classing.places[0]: a place needs a table or a schema",
+		"classing:\n  functions: [{name: a}]":   "own.yaml:2:15: classing.functions[0].does: \"\" is none of reads",
+		"classing:\n  writing: ['[']":           "classing: view \"[\": syntax error in pattern",
+		"classing:\n  types:\n    - name: a":    "own.yaml:3:11: classing.types[0].need: \"\" is none of any",
+		"admin: {}":                             "own.yaml:1:8: admin.socket: a path of 1 to 100 bytes is needed",
+		"admin:\n\tsocket: a":                   "own.yaml:2:1: ",
+		"classing:\n  several: a\n  several: b": "own.yaml:3:3: ",
+	} {
+		_, err := readOwn(t, text)
+		require.Error(t, err, text)
+		require.Contains(t, err.Error(), want, text)
+		require.NotContains(t, err.Error(), "\n", text)
+	}
+	spoil := func(old, new string) string {
+		return "classing:\n  types:\n" + strings.Replace(`    - {name: read, need: bounded, bound: 1s, effect: repeatable, sla: 1s, expiry: 2s, value: 1}
+    - {name: volatile, need: any, effect: once-only, sla: 1s, expiry: 2s, value: 1}
+    - {name: write, need: primary, effect: once-only, sla: 1s, expiry: 2s, value: 1}
+`, old, new, 1)
+	}
+	_, err := readOwn(t, spoil("", ""))
+	require.NoError(t, err)
+	for _, x := range [][3]string{{"bound: 1s", "bound: 1", "bound: \"1\" is no duration"}, {"need: any", "need: any, bound: 1s", "only need: bounded"},
+		{"sla: 1s", "sla: 3s", "is before the SLA time"}, {"value: 1", "value: 0", "value must be over 0"}, {"name: volatile", "name: read", "a name of its own"},
+		{"once-only", "referenced", "is no duration"}, {"once-only", "referenced, window: 2s", "needs a mark"}, {"once-only", "once-only, mark: a", "only effect: referenced"}} {
+		_, err := readOwn(t, spoil(x[0], x[1]))
+		require.ErrorContains(t, err, x[2])
+	}
+}
