--- a/cmd/eiderway/main.go
+++ b/cmd/eiderway/main.go
@@ -19,8 +19,9 @@
 var version = "dev" // set by the linker in releases
 
 type serve struct {
-	Config string `help:"Configuration file (JSON)." env:"PROXY_CONFIG" required:"" type:"path"`
-	Level  string `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
+	Config   string `help:"Configuration file (JSON)." env:"PROXY_CONFIG" required:"" type:"path"`
+	Settings string `help:"Our own settings (YAML)." env:"EIDERWAY_SETTINGS" type:"path"`
+	Level    string `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
 }
 
 func (s *serve) Run() error {
@@ -34,13 +35,17 @@
 	if err != nil {
 		return err
 	}
+	if err := cfg.ReadOwn(s.Settings); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return relay.Run(ctx, cfg, log)
 }
 
 type check struct {
-	Config string `arg:"" help:"Configuration file (JSON)." env:"PROXY_CONFIG" type:"path"`
+	Config   string `arg:"" help:"Configuration file (JSON)." env:"PROXY_CONFIG" type:"path"`
+	Settings string `help:"Our own settings (YAML)." env:"EIDERWAY_SETTINGS" type:"path"`
 }
 
 func (c *check) Run() error {
@@ -48,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if err := cfg.ReadOwn(c.Settings); err != nil {
+		return err
+	}
 	fmt.Printf("%s: router %s on %s, %d nodes known\n", c.Config, cfg.Name, cfg.Listen, len(cfg.Known.Targets))
 	return nil
 }
@@ -66,6 +74,9 @@
 	var cli struct {
 		Serve   serve       `cmd:"" help:"Run a router until SIGTERM; SIGUSR1 prints its counters."`
 		Check   check       `cmd:"" help:"Read a configuration, say what is wrong with it, and end."`
+		Class   class       `cmd:"" help:"Tell what statements are; fails where a -- expect: line in the file is not met."`
+		Shapes  shapes      `cmd:"" help:"Ask a router for the shapes of statements that it knows."`
+		Demo    demo        `cmd:"" help:"Run a small cluster of stand-ins and a router on loopback, and show what is served where."`
 		Version showVersion `cmd:"" help:"Show the version."`
 	}
 	k := kong.Parse(&cli, kong.Name("eiderway"),
--- a/terms/own.go
+++ b/terms/own.go
@@ -126,6 +126,9 @@
 	return own, nil
 }
 
+// DefaultOwn gives the settings with every section that stands on defaults alone.
+func DefaultOwn() (*Own, error) { return decodeOwn([]byte("classing: {}\n"), 0) }
+
 // doc is a file that is being decoded, to tell where in it something stands.
 type doc struct {
 	file *ast.File
