Costs are learned from submissions that were given up, too

Cause: a shape far slower than its type was cut off each time, never committed, and so never known as costly.

Change: a submission that timed out teaches the shape that it took at least as long.

--- a/relay/classes.go
+++ b/relay/classes.go
@@ -166,7 +166,8 @@
 // landed tells the book how a submission ended, and the core what the txn proved to be. The core calls it.
 func (k *classes) landed(class *shape.Class, res splitter.Result, code string) int {
 	switch {
-	case res.Outcome == splitter.Committed || res.Outcome == splitter.Answered:
+	case res.Outcome == splitter.Committed || res.Outcome == splitter.Answered || res.Outcome == splitter.TimedOut:
+		// One that was given up took at least as long: else a costly shape would never be known as one.
 		k.tell(func() { k.book.Took(class.Shape, res.Latency) })
 	case code == "25006" && !class.Writes:
 		k.tell(func() { k.book.Refused(class.Shape) })
--- a/relay/classes_test.go
+++ b/relay/classes_test.go
@@ -350,3 +350,44 @@
 	require.True(t, ok)
 	require.Equal(t, []string{"-c a=b", ""}, []string{b.StartupParameter("options"), b.StartupParameter("user")})
 }
+
+// TestLongStatements: a statement far longer than is usual for its type is taken for lost a few times, until its shape
+// is known to be costly. From then on each is sent once, and the cheap ones of its type go on as ever.
+func TestLongStatements(t *testing.T) {
+	own := `
+classing:
+  types:
+    - {name: read, need: any, effect: repeatable, sla: 20ms, expiry: 1200ms, value: 1, late_value: 1}
+    - {name: volatile, need: any, effect: once-only, sla: 1s, expiry: 2s, value: 1}
+    - {name: write, need: primary, effect: once-only, sla: 1s, expiry: 2s, value: 1}
+`
+	f := startFleet(t, own, func(g *standin.Group) {
+		g.Run = func(string) []byte { return standin.Row("ok") }
+		g.TakesOf = func(text string) time.Duration {
+			if strings.Contains(text, "report") {
+				return 600 * time.Millisecond
+			}
+			return 0
+		}
+	})
+	c := f.router.call(t)
+	served := 0
+	for i := range 8 {
+		c.ask(fmt.Sprintf("SELECT report FROM t WHERE a = %d", i))
+		if _, _, code, _ := c.answer(); code == "" {
+			served++
+		}
+		c.ask(fmt.Sprintf("SELECT cheap FROM t WHERE a = %d", i))
+		_, _, code, _ := c.answer()
+		require.Empty(t, code)
+	}
+	seen := map[string]int{}
+	for _, r := range f.group.History() {
+		seen[r.Text]++
+	}
+	require.GreaterOrEqual(t, served, 4)
+	for i := 4; i < 8; i++ {
+		require.Equal(t, 1, seen[fmt.Sprintf("SELECT report FROM t WHERE a = %d", i)])
+	}
+	t.Logf("%d of 8 served, %v", served, seen)
+}
--- a/standin/node.go
+++ b/standin/node.go
@@ -28,11 +28,12 @@
 
 // Group is a primary and its replicas. Its lock is over all that they hold.
 type Group struct {
-	Number int
-	Lag    time.Duration            // replicas apply a commit this late
-	Writes func(text string) bool   // which statements a replica refuses; nil: by their first word
-	Run    func(text string) []byte // what a statement answers; nil: by the rows the group keeps
-	Takes  time.Duration            // a statement takes as long
+	Number  int
+	Lag     time.Duration                   // replicas apply a commit this late
+	Writes  func(text string) bool          // which statements a replica refuses; nil: by their first word
+	Run     func(text string) []byte        // what a statement answers; nil: by the rows the group keeps
+	Takes   time.Duration                   // a statement takes as long
+	TakesOf func(text string) time.Duration // or as long as this says
 
 	mu    sync.Mutex
 	nodes []*Node
@@ -206,8 +207,12 @@
 	case text == "SELECT 1":
 		return status(append(Row("1"), out...))
 	}
-	if g.Takes > 0 {
-		time.Sleep(g.Takes)
+	takes := g.Takes
+	if g.TakesOf != nil {
+		takes = g.TakesOf(text)
+	}
+	if takes > 0 {
+		time.Sleep(takes)
 	}
 	writes := g.Writes
 	if writes == nil {
