--- a/shape/corpus.go
+++ b/shape/corpus.go
@@ -96,8 +96,8 @@
 		case kEnd:
 			return last.kind == kPunct && last.punct == ';'
 		case kBad:
-			// An open literal may go on. What is bad in itself ends with the line.
-			return l.text[t.at] != '\'' && l.text[t.at] != '"' && l.text[t.at] != '$' && !strings.HasPrefix(string(text[t.at:]), "/*")
+			// An open literal or comment may go on. What is bad in itself ends with the line.
+			return t.at < len(text) && l.text[t.at] != '\'' && l.text[t.at] != '"' && l.text[t.at] != '$' && !strings.HasPrefix(string(text[t.at:]), "/*")
 		}
 		last = t
 	}
--- a/terms/own.go
+++ b/terms/own.go
@@ -176,7 +176,9 @@
 	}
 	d := &doc{file: file}
 	own := &Own{}
-	if d.has(".classing") {
+	if d.has(".classing") && f.Classing == nil {
+		d.wrong(".classing", "the section is empty; {} stands for its defaults")
+	} else if d.has(".classing") {
 		own.Classing = d.classing(f.Classing, seed)
 	}
 	if f.Admin != nil {
--- a/terms/own_test.go
+++ b/terms/own_test.go
@@ -102,3 +102,20 @@
 		require.ErrorContains(t, err, x[2])
 	}
 }
+
+// FuzzOwn: any file is read, or refused in one line with a place.
+func FuzzOwn(f *testing.F) {
+	example, err := os.ReadFile("../deploy/eiderway.yaml")
+	require.NoError(f, err)
+	f.Add(string(example))
+	f.Add("classing: {types: [{name: a}], rules: [{table: b}]}")
+	f.Add("classing: *x\n? - \n")
+	f.Fuzz(func(t *testing.T, text string) {
+		own, err := decodeOwn([]byte(text), 1)
+		if err != nil {
+			require.Regexp(t, `^\d+:\d+: [^\n]*$`, err.Error())
+			return
+		}
+		require.NotNil(t, own)
+	})
+}
