Gossip between instances: beliefs and membership without I/O, signed datagrams on UDP

Need: one router's early suspicion should spare the others, and no liar should gain by it.

Change: package rumour (who is there, whose voice counts how much, a quorum over zones, own evidence first, a budget, what to send within a bound of bytes) and package mesh (every record and datagram signed with Ed25519, epochs, counters, allowed networks, several keys an instance). Not used by the router yet.

--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,513 @@
+package mesh
+
+// This file owns the socket, the timers and the names: it is the actor that steps a Mill, and maps the names of
+// instances, zones and nodes to small indices. It must never judge a voice, and never sends but to instances that it
+// trusts and to seeds.
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gaissmai/bart"
+	"golang.org/x/sync/errgroup"
+
+	"eiderway/rumour"
+)
+
+// Terms are what a Mesh is told at start. Trust and Networks may be replaced while it runs.
+type Terms struct {
+	Name     string
+	Zone     string
+	Listen   netip.AddrPort
+	Seeds    []netip.AddrPort
+	Key      ed25519.PrivateKey
+	Trust    map[string][]ed25519.PublicKey // by name; several while keys are changed
+	Networks []netip.Prefix                 // empty: any
+	Bytes    float64                        // a second, out, and the same in for each peer that is trusted
+	Accuse   bool
+	Seed     int64
+	Epoch    int64 // 0: by the clock
+}
+
+// Node tells what is asked of the host's owner: to doubt a node until a time (Unix, s).
+type Owner interface {
+	Doubt(node string, until float64, now bool)
+	Behind() // a peer has a newer member list
+	Log(text string)
+}
+
+// Counts of what came and went.
+type Counts struct {
+	In, Out, BytesIn, BytesOut                                              atomic.Int64
+	Malformed, Versions, Untrusted, Forged, Replayed, Network, Flood, Twice atomic.Int64
+}
+
+const (
+	tickEvery  = 100 * time.Millisecond
+	mailMost   = 1024 // datagrams and words that wait: beyond it they are dropped, as the network would
+	twinsEvery = 5.0  // s
+	mostZones  = 64   // zones that are told apart
+	floodGrace = 8.0  // s of its peers' bytes that may come at once
+)
+
+// Mesh is one instance's side.
+type Mesh struct {
+	terms   Terms
+	owner   Owner
+	conn    *net.UDPConn
+	mail    chan func()
+	mill    *rumour.Mill
+	start   time.Time
+	zero    float64
+	trust   atomic.Pointer[trust]
+	names   map[string]int // instances
+	named   []string       // by index; "" is free
+	addrs   []netip.AddrPort
+	alive   []rumour.Record // the newest sign of life of each
+	told    []float64       // until when its twins are not told of each other again
+	zones   map[string]int
+	nodes   map[string]int
+	uids    []string
+	spare   []int
+	senders map[keyID]*sender // emptied as keys are taken from the trusted
+	counter int64
+	seed    int
+	key     ed25519.PrivateKey
+	counts  Counts
+	inMu    sync.Mutex
+	inLeft  float64
+	inAt    time.Time
+	warned  map[string]bool // what was logged once; bounded by the names trusted
+}
+
+// trust is who may speak.
+type trust struct {
+	names    map[keyID]string
+	keys     map[keyID]ed25519.PublicKey
+	networks *bart.Lite
+}
+
+// sender is what is remembered of datagrams under a key.
+type sender struct {
+	epoch, counter int64
+}
+
+// New binds the socket.
+func New(t Terms, owner Owner) (*Mesh, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(t.Listen))
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if t.Epoch == 0 {
+		t.Epoch = now.UnixMicro()
+	}
+	m := &Mesh{terms: t, owner: owner, conn: conn, mail: make(chan func(), mailMost), start: now, zero: float64(now.UnixMicro()) / 1e6,
+		names: map[string]int{}, zones: map[string]int{}, nodes: map[string]int{}, senders: map[keyID]*sender{}, key: t.Key,
+		warned: map[string]bool{}, inAt: now}
+	m.Trust(t.Trust, t.Networks)
+	m.mill = rumour.New(rumour.Terms{Seed: t.Seed, Epoch: t.Epoch, Zone: m.zone(t.Zone), Bytes: t.Bytes,
+		Datagram: mostPacket - headBytes - ed25519.SignatureSize, Accuse: t.Accuse})
+	return m, nil
+}
+
+// Addr tells where it listens.
+func (m *Mesh) Addr() netip.AddrPort { return m.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Counts tells what came and went.
+func (m *Mesh) Counts() *Counts { return &m.counts }
+
+// Trust replaces who may speak, and from where.
+func (m *Mesh) Trust(names map[string][]ed25519.PublicKey, networks []netip.Prefix) {
+	t := &trust{names: map[keyID]string{}, keys: map[keyID]ed25519.PublicKey{}}
+	for name, keys := range names {
+		for _, k := range keys {
+			id := idOf(k)
+			t.names[id], t.keys[id] = name, k
+		}
+	}
+	if len(networks) > 0 {
+		t.networks = &bart.Lite{}
+		for _, n := range networks {
+			t.networks.Insert(n)
+		}
+	}
+	m.trust.Store(t)
+}
+
+// SetKey changes the key that this instance signs with.
+func (m *Mesh) SetKey(key ed25519.PrivateKey) { m.tell(func() { m.key = key }) }
+
+func (m *Mesh) now() float64 { return m.zero + time.Since(m.start).Seconds() }
+
+// tell has the actor do something; what finds no room is dropped, as a datagram may be.
+func (m *Mesh) tell(f func()) bool {
+	select {
+	case m.mail <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// Node tells of a member of the list; Forget that it is gone for good; List of the list's version.
+func (m *Mesh) Node(uid string, group int) {
+	m.tell(func() {
+		id, ok := m.nodes[uid]
+		if !ok {
+			id = len(m.uids)
+			if k := len(m.spare); k > 0 {
+				id, m.spare = m.spare[k-1], m.spare[:k-1]
+				m.uids[id] = uid
+			} else {
+				m.uids = append(m.uids, uid)
+			}
+			m.nodes[uid] = id
+		}
+		m.mill.Node(id, group)
+	})
+}
+
+func (m *Mesh) Forget(uid string) {
+	m.tell(func() {
+		if id, ok := m.nodes[uid]; ok {
+			m.mill.Forget(id)
+			delete(m.nodes, uid)
+			m.uids[id] = ""
+			m.spare = append(m.spare, id)
+		}
+	})
+}
+
+func (m *Mesh) List(rev int64) { m.tell(func() { m.mill.List(rev) }) }
+
+// Saw tells what a submission or probe showed of a node.
+func (m *Mesh) Saw(uid string, good bool, sent float64) {
+	m.tell(func() {
+		if id, ok := m.nodes[uid]; ok {
+			m.doubts(m.mill.Saw(id, good, sent, m.now()))
+		}
+	})
+}
+
+// Status is what `eiderway peers` shows.
+type Status struct {
+	Name   string           `json:"name"`
+	Quorum float64          `json:"quorum"`
+	Peers  []PeerStatus     `json:"peers"`
+	Nodes  []NodeStatus     `json:"nodes"`
+	Mill   rumour.Counts    `json:"counts"`
+	Bytes  [2]int64         `json:"bytes_in_out"`
+	Turned map[string]int64 `json:"turned_away"`
+}
+
+// PeerStatus is a peer with its name.
+type PeerStatus struct {
+	Name string   `json:"name"`
+	Addr string   `json:"addr"`
+	Keys []string `json:"keys"` // fingerprints that are trusted for it
+	rumour.Peer
+}
+
+// NodeStatus is what is believed of a node.
+type NodeStatus struct {
+	Name   string   `json:"name"`
+	Voices []string `json:"voices"`
+	rumour.Believed
+}
+
+// Ask hands over the status.
+func (m *Mesh) Ask(then func(Status)) bool {
+	return m.tell(func() {
+		now := m.now()
+		s := Status{Name: m.terms.Name, Quorum: m.mill.Quorum(), Mill: m.mill.Counted(), Bytes: [2]int64{m.counts.BytesIn.Load(), m.counts.BytesOut.Load()},
+			Turned: map[string]int64{"malformed": m.counts.Malformed.Load(), "version": m.counts.Versions.Load(), "untrusted": m.counts.Untrusted.Load(),
+				"forged": m.counts.Forged.Load(), "replayed": m.counts.Replayed.Load(), "network": m.counts.Network.Load(), "flood": m.counts.Flood.Load()}}
+		t := m.trust.Load()
+		for _, p := range m.mill.Peers(now) {
+			x := PeerStatus{Name: m.named[p.Index], Addr: m.addrs[p.Index].String(), Peer: p}
+			for id, name := range t.names {
+				if name == x.Name {
+					x.Keys = append(x.Keys, fmt.Sprintf("%x", id))
+				}
+			}
+			s.Peers = append(s.Peers, x)
+		}
+		for _, b := range m.mill.Beliefs(now) {
+			x := NodeStatus{Name: m.uids[b.Node], Believed: b}
+			for _, who := range b.Voices {
+				x.Voices = append(x.Voices, m.named[who])
+			}
+			s.Nodes = append(s.Nodes, x)
+		}
+		then(s)
+	})
+}
+
+// Run serves until ctx ends, then says that it leaves.
+func (m *Mesh) Run(ctx context.Context) error {
+	g, life := errgroup.WithContext(ctx)
+	g.Go(func() error { return m.read(life) })
+	g.Go(func() error {
+		tick := time.NewTicker(tickEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case f := <-m.mail:
+				f()
+			case <-tick.C:
+				m.tick()
+			case <-life.Done():
+				m.leave()
+				return m.conn.Close()
+			}
+		}
+	})
+	return g.Wait()
+}
+
+func (m *Mesh) read(ctx context.Context) error {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := m.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue
+		}
+		m.counts.In.Add(1)
+		m.counts.BytesIn.Add(int64(n))
+		m.arrived(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+// arrived checks a datagram before the actor sees it.
+func (m *Mesh) arrived(b []byte, from netip.AddrPort) {
+	t := m.trust.Load()
+	if t.networks != nil && !t.networks.Contains(from.Addr()) {
+		m.counts.Network.Add(1)
+		return
+	}
+	if !m.allows(len(b), len(t.names)) {
+		m.counts.Flood.Add(1)
+		return
+	}
+	e, words, err := unpack(b, func(id keyID) ed25519.PublicKey { return t.keys[id] })
+	switch {
+	case errors.Is(err, errVersion):
+		m.counts.Versions.Add(1)
+		m.tell(func() { m.once("version", "a peer of another protocol version is left out: "+from.String()) })
+	case errors.Is(err, errKey):
+		m.counts.Untrusted.Add(1)
+	case errors.Is(err, errSigned):
+		m.counts.Forged.Add(1)
+	case err != nil:
+		m.counts.Malformed.Add(1)
+	}
+	if err != nil && len(words) == 0 {
+		return
+	}
+	m.tell(func() { m.take(e, words, from) })
+}
+
+// allows bounds what is looked at, by the bytes that all who are trusted may send.
+func (m *Mesh) allows(n, peers int) bool {
+	m.inMu.Lock()
+	defer m.inMu.Unlock()
+	rate := m.terms.Bytes * math.Max(4, float64(peers))
+	now := time.Now()
+	m.inLeft = math.Min(rate*floodGrace, m.inLeft+rate*now.Sub(m.inAt).Seconds())
+	if m.inAt = now; m.inLeft == 0 {
+		m.inLeft = rate
+	}
+	if m.inLeft < float64(n) {
+		return false
+	}
+	m.inLeft -= float64(n)
+	return true
+}
+
+// take hands the records of a datagram to the Mill.
+func (m *Mesh) take(e envelope, words []word, from netip.AddrPort) {
+	s := m.senders[e.key]
+	if s == nil {
+		s = &sender{epoch: math.MinInt64}
+		m.senders[e.key] = s
+	}
+	if e.epoch < s.epoch {
+		m.twins(e, words, from)
+	}
+	if e.epoch < s.epoch || e.epoch == s.epoch && e.counter <= s.counter {
+		m.counts.Replayed.Add(1)
+		return
+	}
+	s.epoch, s.counter = e.epoch, e.counter
+	t := m.trust.Load()
+	now := m.now()
+	for _, w := range words {
+		name, ok := t.names[w.key]
+		if !ok {
+			continue
+		}
+		if name == m.terms.Name {
+			m.echo(w)
+			continue
+		}
+		r := w.record
+		r.Origin, r.Node = m.instance(name), -1
+		if r.Kind == rumour.Alive {
+			if addr, err := netip.ParseAddrPort(w.addr); err == nil {
+				m.addrs[r.Origin] = addr
+			}
+			m.alive[r.Origin] = r
+			r.Zone = m.zone(w.zone)
+		}
+		if id, ok := m.nodes[w.node]; ok && w.node != "" {
+			r.Node = id
+		}
+		effects := m.mill.Take(r, now)
+		m.doubts(effects.Doubts)
+		if effects.Behind {
+			m.owner.Behind()
+		}
+	}
+}
+
+// twins tells two processes of one name about each other, now and then: the earlier one hears of the later, and the
+// later of the earlier.
+func (m *Mesh) twins(e envelope, words []word, from netip.AddrPort) {
+	name := m.trust.Load().names[e.key]
+	id, ok := m.names[name]
+	if now := m.now(); !ok || len(m.alive[id].Sealed) == 0 || now < m.told[id] {
+		return
+	} else {
+		m.told[id] = now + twinsEvery
+	}
+	m.once("twins "+name, "two processes have the name "+name)
+	m.datagram(from, []rumour.Record{m.alive[id]})
+	for _, w := range words {
+		if w.key == e.key && w.record.Kind == rumour.Alive {
+			m.datagram(m.addrs[id], []rumour.Record{w.record})
+		}
+	}
+}
+
+// echo notices another process under our name: the later start wins, both say so.
+func (m *Mesh) echo(w word) {
+	if w.record.Epoch != m.terms.Epoch {
+		m.counts.Twice.Add(1)
+		what := "an earlier process had this instance's name, or still has it"
+		if w.record.Epoch > m.terms.Epoch {
+			what = "a later process has this instance's name; peers believe that one"
+		}
+		m.once("twice", what)
+	}
+}
+
+func (m *Mesh) once(key, text string) {
+	if !m.warned[key] {
+		m.warned[key] = true
+		m.owner.Log(text)
+	}
+}
+
+func (m *Mesh) instance(name string) int {
+	id, ok := m.names[name]
+	if !ok {
+		id = len(m.named)
+		m.names[name] = id
+		m.named = append(m.named, name)
+		m.addrs = append(m.addrs, netip.AddrPort{})
+		m.alive = append(m.alive, rumour.Record{})
+		m.told = append(m.told, 0)
+	}
+	return id
+}
+
+func (m *Mesh) zone(name string) int {
+	id, ok := m.zones[name]
+	if !ok && len(m.zones) >= mostZones {
+		return mostZones // all further ones are one
+	}
+	if !ok {
+		id = len(m.zones)
+		m.zones[name] = id
+	}
+	return id
+}
+
+func (m *Mesh) doubts(all []rumour.Doubt) {
+	for _, d := range all {
+		m.owner.Doubt(m.uids[d.Node], d.Until, d.Now)
+	}
+}
+
+func (m *Mesh) tick() {
+	now := m.now()
+	e := m.mill.Tick(now)
+	for _, r := range e.Own {
+		m.mill.Sealed(m.signed(r))
+	}
+	m.doubts(e.Doubts)
+	for _, s := range m.mill.Round(now) {
+		m.send(s)
+	}
+	m.mill.Forgotten() // instances keep their index: there are as many as the settings name
+}
+
+func (m *Mesh) signed(r rumour.Record) rumour.Record {
+	w := word{record: r, zone: m.terms.Zone, addr: m.Addr().String()}
+	if r.Node >= 0 {
+		w.node = m.uids[r.Node]
+	}
+	r.Sealed = seal(m.key, &w)
+	r.Size = len(r.Sealed)
+	return r
+}
+
+func (m *Mesh) send(s rumour.Send) {
+	var to netip.AddrPort
+	if s.To == rumour.Seed {
+		if len(m.terms.Seeds) == 0 {
+			return
+		}
+		m.seed++
+		to = m.terms.Seeds[m.seed%len(m.terms.Seeds)]
+	} else {
+		to = m.addrs[s.To]
+	}
+	m.datagram(to, s.Records)
+}
+
+func (m *Mesh) datagram(to netip.AddrPort, records []rumour.Record) {
+	if !to.IsValid() || to == m.Addr() {
+		return
+	}
+	m.counter++
+	b := pack(m.key, envelope{epoch: m.terms.Epoch, counter: m.counter, at: m.now()}, records)
+	m.counts.Out.Add(1)
+	m.counts.BytesOut.Add(int64(len(b)))
+	m.conn.SetWriteDeadline(time.Now().Add(tickEvery))
+	m.conn.WriteToUDPAddrPort(b, to)
+}
+
+// leave tells some peers at once.
+func (m *Mesh) leave() {
+	now := m.now()
+	m.mill.Sealed(m.signed(m.mill.Going(now)))
+	for _, s := range m.mill.Round(now + 1) {
+		m.send(s)
+	}
+}
--- /dev/null
+++ b/mesh/wire.go
@@ -0,0 +1,235 @@
+// Package mesh is the host of the gossip (package rumour): its socket, its signatures, its timers. It decides nothing.
+//
+// This file owns the form of datagrams and records. Every record is signed by its origin and every datagram by its sender;
+// what is malformed, of another version or under a key that is not trusted is never handed on.
+package mesh
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+
+	"eiderway/rumour"
+)
+
+const (
+	version    = 1
+	mostName   = 64 // bytes, of an instance's, a zone's or a node's name, or an address
+	headBytes  = 2 + 1 + 8 + 8 + 8 + 8
+	mostPacket = 1200 // bytes of a datagram: no path worth the name splits it
+)
+
+var (
+	errWire    = errors.New("malformed")
+	errVersion = errors.New("another version of the protocol")
+	errKey     = errors.New("a key that is not trusted")
+	errSigned  = errors.New("a signature that does not hold")
+)
+
+// keyID names a public key on the wire.
+type keyID [8]byte
+
+func idOf(key ed25519.PublicKey) (id keyID) {
+	sum := sha256.Sum256(key)
+	copy(id[:], sum[:])
+	return id
+}
+
+// NewKey makes a key and writes it to a file that must not be there yet.
+func NewKey(path string) (ed25519.PublicKey, error) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, err
+	}
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := fmt.Fprintln(f, base64.StdEncoding.EncodeToString(private.Seed())); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return public, f.Close()
+}
+
+// ReadKey reads a key's file, which nobody else may read.
+func ReadKey(path string) (ed25519.PrivateKey, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, fmt.Errorf("%s: others may read or write it; chmod 600 would do", path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil || len(seed) != ed25519.SeedSize {
+		return nil, fmt.Errorf("%s: no key; `eiderway key new` makes one", path)
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
+
+// ShowKey is a public key as settings have it.
+func ShowKey(key ed25519.PublicKey) string { return base64.StdEncoding.EncodeToString(key) }
+
+// ParseKey reads a public key.
+func ParseKey(text string) (ed25519.PublicKey, error) {
+	key, err := base64.StdEncoding.DecodeString(text)
+	if err != nil || len(key) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("%q is no public key of 32 bytes in base64", text)
+	}
+	return key, nil
+}
+
+// word is a record as it is on the wire.
+type word struct {
+	key    keyID
+	record rumour.Record // without Origin and Node
+	zone   string        // of Alive
+	addr   string        // of Alive: where its origin is reached
+	node   string        // of Accuse and Acquit
+	signed []byte        // with its signature
+}
+
+func appendText(dst []byte, s string) []byte { return append(append(dst, byte(len(s))), s...) }
+
+// seal signs a record.
+func seal(key ed25519.PrivateKey, w *word) []byte {
+	id := idOf(key.Public().(ed25519.PublicKey))
+	b := append([]byte{byte(w.record.Kind)}, id[:]...)
+	b = binary.BigEndian.AppendUint64(b, uint64(w.record.Epoch))
+	b = binary.BigEndian.AppendUint64(b, uint64(w.record.Seq))
+	b = binary.BigEndian.AppendUint64(b, math.Float64bits(w.record.At))
+	switch w.record.Kind {
+	case rumour.Alive:
+		b = binary.BigEndian.AppendUint64(b, uint64(w.record.List))
+		b = appendText(appendText(b, w.zone), w.addr)
+	case rumour.Accuse, rumour.Acquit:
+		b = appendText(b, w.node)
+	}
+	return append(b, ed25519.Sign(key, append([]byte("eiderway record 1 "), b...))...)
+}
+
+// reader takes things from a datagram; after the first that is not there, all are zero.
+type reader struct {
+	b   []byte
+	at  int
+	bad bool
+}
+
+func (r *reader) bytes(n int) []byte {
+	if r.bad || r.at+n > len(r.b) {
+		r.bad = true
+		return make([]byte, n)
+	}
+	r.at += n
+	return r.b[r.at-n : r.at]
+}
+
+func (r *reader) number() uint64 { return binary.BigEndian.Uint64(r.bytes(8)) }
+
+func (r *reader) text() string {
+	n := int(r.bytes(1)[0])
+	if n > mostName {
+		r.bad = true
+		return ""
+	}
+	return string(r.bytes(n))
+}
+
+// open reads one record and checks its signature.
+func open(r *reader, trusted func(keyID) ed25519.PublicKey) (w word, err error) {
+	from := r.at
+	w.record.Kind = rumour.Kind(r.bytes(1)[0])
+	copy(w.key[:], r.bytes(len(w.key)))
+	w.record.Epoch, w.record.Seq = int64(r.number()), int64(r.number())
+	w.record.At = math.Float64frombits(r.number())
+	switch w.record.Kind {
+	case rumour.Alive:
+		w.record.List = int64(r.number())
+		w.zone, w.addr = r.text(), r.text()
+	case rumour.Accuse, rumour.Acquit:
+		w.node = r.text()
+	case rumour.Leave:
+	default:
+		return w, errWire
+	}
+	body := r.b[from:r.at]
+	signature := r.bytes(ed25519.SignatureSize)
+	if r.bad || math.IsNaN(w.record.At) || math.IsInf(w.record.At, 0) || w.record.Seq < 0 {
+		return w, errWire
+	}
+	key := trusted(w.key)
+	if key == nil {
+		return w, errKey
+	}
+	if !ed25519.Verify(key, append([]byte("eiderway record 1 "), body...), signature) {
+		return w, errSigned
+	}
+	w.signed = r.b[from:r.at:r.at]
+	w.record.Size, w.record.Sealed = len(w.signed), append([]byte(nil), w.signed...)
+	return w, nil
+}
+
+// envelope is what a datagram says of itself.
+type envelope struct {
+	key     keyID
+	epoch   int64
+	counter int64
+	at      float64
+}
+
+// pack signs a datagram of records.
+func pack(key ed25519.PrivateKey, e envelope, records []rumour.Record) []byte {
+	id := idOf(key.Public().(ed25519.PublicKey))
+	b := append([]byte{'E', 'W', version}, id[:]...)
+	b = binary.BigEndian.AppendUint64(b, uint64(e.epoch))
+	b = binary.BigEndian.AppendUint64(b, uint64(e.counter))
+	b = binary.BigEndian.AppendUint64(b, math.Float64bits(e.at))
+	for _, r := range records {
+		b = append(b, r.Sealed...)
+	}
+	return append(b, ed25519.Sign(key, b)...)
+}
+
+// unpack checks a datagram and its records. A record that does not hold spoils no other one before it.
+func unpack(b []byte, trusted func(keyID) ed25519.PublicKey) (e envelope, words []word, err error) {
+	if len(b) < headBytes+ed25519.SignatureSize || b[0] != 'E' || b[1] != 'W' {
+		return e, nil, errWire
+	}
+	if b[2] != version {
+		return e, nil, errVersion
+	}
+	body := b[:len(b)-ed25519.SignatureSize]
+	r := &reader{b: body, at: 3}
+	copy(e.key[:], r.bytes(len(e.key)))
+	e.epoch, e.counter = int64(r.number()), int64(r.number())
+	e.at = math.Float64frombits(r.number())
+	key := trusted(e.key)
+	if key == nil {
+		return e, nil, errKey
+	}
+	if !ed25519.Verify(key, body, b[len(body):]) {
+		return e, nil, errSigned
+	}
+	for r.at < len(body) {
+		w, err := open(r, trusted)
+		if err != nil {
+			if errors.Is(err, errKey) && !r.bad {
+				continue // of an instance that we don't trust, passed on by one that we do
+			}
+			return e, words, err
+		}
+		words = append(words, w)
+	}
+	return e, words, nil
+}
--- /dev/null
+++ b/rumour/rumour.go
@@ -0,0 +1,432 @@
+package rumour
+
+import (
+	"cmp"
+	"math"
+	"math/rand"
+	"slices"
+)
+
+// This file owns the beliefs: what this router saw itself, what voices say, and which nodes are doubted for it. It must
+// never let fewer than a quorum of voices change anything, nor any number of them outlast own evidence.
+
+// Mill is one instance's side of the gossip. Its tables: peers are emptied keepGone after they left, nodes by Forget,
+// items as they have been passed on.
+type Mill struct {
+	terms     Terms
+	rng       *rand.Rand
+	peers     []*peer
+	live      int // peers that are there
+	nodes     map[int]*node
+	order     []int // nodes as first met
+	items     []item
+	forgotten []int
+	seq       int64
+	list      int64
+	beatAt    float64
+	roundAt   float64
+	credit    float64
+	credited  float64
+	leaving   bool
+	notes     []string
+	counted   Counts
+}
+
+// Counts tell what a Mill has done.
+type Counts struct {
+	Taken, Old, Repeated, Skewed, Dropped, Held, Voices, Unseasoned, Frequent, Crowds, Wrong, Right, Doubts, Overruled int64
+	Out                                                                                                                int64 // bytes
+}
+
+// node is a member of the cluster as this instance sees it and hears of it.
+type node struct {
+	id, group int
+	good, bad float64 // own evidence, faded
+	faded     float64
+	goodAt    float64 // the newest good one
+	badAt     float64
+	accused   bool // by us
+	said      float64
+	voices    map[int]voice // by peer; emptied as they end
+	doubted   bool
+	until     float64
+}
+
+type voice struct {
+	at    float64 // when it came
+	until float64
+}
+
+// New makes a Mill that knows nobody.
+func New(t Terms) *Mill {
+	return &Mill{terms: t, rng: rand.New(rand.NewSource(t.Seed)), nodes: map[int]*node{}, credit: t.Bytes,
+		beatAt: math.Inf(-1), roundAt: math.Inf(-1), credited: math.Inf(1)}
+}
+
+// Counted tells the counts.
+func (m *Mill) Counted() Counts { return m.counted }
+
+// Node tells a member of the list, new or moved.
+func (m *Mill) Node(id, group int) {
+	if n := m.nodes[id]; n != nil {
+		n.group = group
+		return
+	}
+	m.nodes[id] = &node{id: id, group: group, voices: map[int]voice{}, goodAt: math.Inf(-1), badAt: math.Inf(-1)}
+	m.order = append(m.order, id)
+}
+
+// Forget ends a node: its index may stand for another one, of which nothing is suspected.
+func (m *Mill) Forget(id int) {
+	delete(m.nodes, id)
+	m.order = slices.DeleteFunc(m.order, func(n int) bool { return n == id })
+	for _, p := range m.peers {
+		if p != nil {
+			delete(p.accused, id)
+		}
+	}
+}
+
+// List tells the version of our member list.
+func (m *Mill) List(rev int64) { m.list = rev }
+
+// Saw tells what a submission or probe of ours that was sent at a time has shown of a node.
+func (m *Mill) Saw(id int, good bool, sent, now float64) []Doubt {
+	n := m.nodes[id]
+	if n == nil {
+		return nil
+	}
+	n.fade(now)
+	if !good {
+		n.bad++
+		n.badAt = now
+		for _, who := range sorted(n.voices) { // it is as they said
+			if p := m.at(who); p != nil {
+				p.wrong, p.wrongAt = max(0, p.lost(now)-rightGain), now
+				p.right++
+				m.counted.Right++
+			}
+		}
+		return nil
+	}
+	n.good++
+	n.goodAt = max(n.goodAt, sent)
+	// What was said before we asked, and we got an answer: they are wrong, or it has passed. Whoever goes on saying so
+	// loses weight for it.
+	for _, who := range sorted(n.voices) {
+		if n.voices[who].at > sent {
+			continue
+		}
+		m.wrong(who, now)
+		delete(n.voices, who)
+	}
+	if n.doubted && len(n.voices) == 0 {
+		n.doubted = false
+		m.counted.Overruled++
+		return []Doubt{{Node: id, Until: now}}
+	}
+	return nil
+}
+
+func sorted[V any](m map[int]V) []int {
+	keys := make([]int, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (n *node) fade(now float64) {
+	f := math.Exp2(-max(0, now-n.faded) / evidence)
+	n.good, n.bad, n.faded = n.good*f, n.bad*f, now
+}
+
+func (m *Mill) at(who int) *peer {
+	if who < 0 || who >= len(m.peers) {
+		return nil
+	}
+	return m.peers[who]
+}
+
+func (m *Mill) wrong(who int, now float64) {
+	p := m.at(who)
+	if p == nil {
+		return
+	}
+	p.wrong = p.lost(now) + wrongCost
+	p.wrongAt = now
+	m.counted.Wrong++
+}
+
+func (p *peer) lost(now float64) float64 {
+	return p.wrong * math.Exp2(-max(0, now-p.wrongAt)/wrongFades)
+}
+
+// weight of a peer's voice, 0 to 1: by its record, and nothing while it is new or accuses half of the world.
+func (m *Mill) weight(p *peer, now float64) float64 {
+	switch {
+	case p == nil || !p.known || p.gone || now-p.first < seasoned:
+		return 0
+	case len(p.accused) >= crowdLeast && float64(len(p.accused)) > crowdShare*float64(len(m.nodes)):
+		m.counted.Crowds++
+		return 0
+	}
+	return 1 / (1 + p.lost(now))
+}
+
+// Quorum is the weight of voices that makes a doubt: it grows with the peers that are there. Fewer than that many
+// peers can't bring it up, whatever they say.
+func (m *Mill) Quorum() float64 { return max(2, math.Ceil(math.Log2(float64(m.live)+1))) }
+
+// silence drops all that a peer said.
+func (m *Mill) silence(p *peer) {
+	for who, q := range m.peers {
+		if q == p {
+			for _, id := range m.order {
+				delete(m.nodes[id].voices, who)
+			}
+		}
+	}
+	clear(p.accused)
+}
+
+// Take takes a record whose signature is its origin's. The host names its origin and node by index; a node that our own
+// list does not name has index -1.
+func (m *Mill) Take(r Record, now float64) Effects {
+	p, ok := m.admit(&r, now)
+	if !ok {
+		return Effects{}
+	}
+	m.counted.Taken++
+	var e Effects
+	switch r.Kind {
+	case Alive:
+		m.lives(p, &r, now)
+		e.Behind = r.List > m.list
+	case Leave:
+		m.goes(p)
+	case Accuse, Acquit:
+		if n := m.nodes[r.Node]; n != nil {
+			m.hear(n, p, r, now)
+			e.Doubts = m.weigh(n, now)
+		}
+	default:
+		return Effects{}
+	}
+	m.carry(r)
+	return e
+}
+
+// hear takes a voice.
+func (m *Mill) hear(n *node, p *peer, r Record, now float64) {
+	m.counted.Voices++
+	if r.Kind == Acquit {
+		delete(n.voices, r.Origin)
+		delete(p.accused, n.id)
+		return
+	}
+	if v, ok := n.voices[r.Origin]; ok && now-v.at < voiceEvery {
+		m.counted.Frequent++
+		return
+	}
+	p.accused[n.id] = now + voiceLasts
+	if now-n.goodAt < freshness && n.badAt < n.goodAt {
+		m.wrong(r.Origin, now) // we have just had an answer
+		return
+	}
+	n.voices[r.Origin] = voice{now, now + voiceLasts}
+}
+
+// weigh tells whether voices make a node doubted. Voices of one zone alone are one way to the node, which may be cut:
+// where peers are in several zones they fall short of the quorum together.
+func (m *Mill) weigh(n *node, now float64) []Doubt {
+	zones := map[int]float64{}
+	until, total := math.Inf(1), 0.0
+	quorum := m.Quorum()
+	if m.terms.Plain {
+		quorum = 1
+	}
+	for _, who := range sorted(n.voices) {
+		v, p := n.voices[who], m.at(who)
+		if now >= v.until || p == nil {
+			delete(n.voices, who)
+			continue
+		}
+		w := m.weight(p, now)
+		if m.terms.Plain {
+			w = 1
+		}
+		if w > 0 {
+			zones[p.zone] += w
+			until = min(until, v.until)
+		}
+	}
+	several := !m.terms.Plain && m.zones() > 1
+	for _, z := range sorted(zones) {
+		w := zones[z]
+		if several {
+			w = min(w, quorum-1)
+		}
+		total += w
+	}
+	if total < quorum || !m.terms.Plain && !n.doubted && m.spent(n, now) {
+		if n.doubted {
+			n.doubted = false
+			return []Doubt{{Node: n.id, Until: now}}
+		}
+		return nil
+	}
+	began := !n.doubted
+	if began {
+		m.counted.Doubts++
+	}
+	n.doubted, n.until = true, until
+	return []Doubt{{Node: n.id, Until: until, Now: began}}
+}
+
+// zones counts those in which peers are.
+func (m *Mill) zones() int {
+	seen := map[int]bool{m.terms.Zone: true}
+	for _, p := range m.peers {
+		if p != nil && p.known && !p.gone {
+			seen[p.zone] = true
+		}
+	}
+	return len(seen)
+}
+
+// spent tells whether as much of a node's group is doubted already as voices alone may bring about.
+func (m *Mill) spent(n *node, now float64) bool {
+	all, doubted := 0, 0
+	for _, id := range m.order {
+		if o := m.nodes[id]; o.group == n.group {
+			all++
+			if o.doubted && now < o.until {
+				doubted++
+			}
+		}
+	}
+	return float64(doubted+1) > max(1, budget*float64(all))
+}
+
+// Tick does what is due: ends voices and peers, tells what we saw, and sends. Records of our own come back signed
+// through Sealed before Sends are asked for by the next call of Round.
+func (m *Mill) Tick(now float64) (e Effects) {
+	m.sweep(now)
+	for _, p := range m.peers {
+		if p == nil {
+			continue
+		}
+		for _, id := range sorted(p.accused) {
+			if now >= p.accused[id] {
+				delete(p.accused, id)
+			}
+		}
+	}
+	accusing := 0
+	for _, id := range m.order {
+		n := m.nodes[id]
+		n.fade(now)
+		if n.doubted || len(n.voices) > 0 {
+			e.Doubts = append(e.Doubts, m.weigh(n, now)...)
+		}
+		if n.failing() {
+			accusing++
+		}
+	}
+	// When half of the world fails us, the trouble is ours.
+	ill := accusing >= crowdLeast && float64(accusing) > crowdShare*float64(len(m.nodes))
+	for _, id := range m.order {
+		n := m.nodes[id]
+		switch failing := n.failing() && !ill && m.terms.Accuse; {
+		case failing && (!n.accused || now-n.said >= sayEvery):
+			n.accused, n.said = true, now
+			e.Own = append(e.Own, m.own(Record{Kind: Accuse, Node: id}, now))
+		case !failing && n.accused:
+			n.accused = false
+			e.Own = append(e.Own, m.own(Record{Kind: Acquit, Node: id}, now))
+		}
+	}
+	if now-m.beatAt >= m.interval() && !m.leaving {
+		m.beatAt = now
+		e.Own = append(e.Own, m.own(Record{Kind: Alive, Zone: m.terms.Zone, List: m.list, Node: -1}, now))
+	}
+	e.Note, m.notes = m.notes, nil
+	return e
+}
+
+// failing tells whether what we saw of a node is bad enough to say so.
+func (n *node) failing() bool {
+	return n.bad >= evidenceOf && n.bad > evidenceIn*(n.good+n.bad) && n.badAt > n.goodAt
+}
+
+func (m *Mill) own(r Record, now float64) Record {
+	m.seq++
+	r.Origin, r.Epoch, r.Seq, r.At = -1, m.terms.Epoch, m.seq, now
+	return r
+}
+
+// Sealed takes back a record of our own, signed.
+func (m *Mill) Sealed(r Record) { m.carry(r) }
+
+// Round tells what to send now, if a round is due.
+func (m *Mill) Round(now float64) []Send {
+	if now-m.roundAt < rounds*0.99 {
+		return nil
+	}
+	if math.IsInf(m.credited, 1) {
+		m.credited = now
+	}
+	m.roundAt = now
+	return m.round(now)
+}
+
+// Going makes the record by which this instance leaves.
+func (m *Mill) Going(now float64) Record {
+	m.leaving = true
+	return m.own(Record{Kind: Leave, Node: -1}, now)
+}
+
+// Believed is what is believed of a node, and why.
+type Believed struct {
+	Node      int     `json:"-"`
+	Doubted   bool    `json:"doubted"`
+	Good, Bad float64 // own evidence, faded
+	Voices    []int   `json:"-"`
+}
+
+// Peer is what is known of a peer.
+type Peer struct {
+	Index   int     `json:"-"`
+	Gone    bool    `json:"gone"`
+	Zone    int     `json:"zone"`
+	Epoch   int64   `json:"epoch"`
+	Heard   float64 `json:"heard"`
+	Weight  float64 `json:"weight"`
+	Right   int     `json:"right"`
+	Wrong   float64 `json:"wrong"`
+	Skew    float64 `json:"skew"`
+	Accuses int     `json:"accuses"`
+}
+
+// Peers tells of all peers that are known.
+func (m *Mill) Peers(now float64) (out []Peer) {
+	for i, p := range m.peers {
+		if p != nil && p.known {
+			out = append(out, Peer{i, p.gone, p.zone, p.epoch, p.heard, m.weight(p, now), p.right, p.lost(now), p.skew, len(p.accused)})
+		}
+	}
+	return out
+}
+
+// Beliefs tells of all nodes of which there is something to tell.
+func (m *Mill) Beliefs(now float64) (out []Believed) {
+	for _, id := range m.order {
+		if n := m.nodes[id]; n.doubted || len(n.voices) > 0 || n.bad > evidenceIn {
+			out = append(out, Believed{id, n.doubted, n.good, n.bad, sorted(n.voices)})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Believed) int { return cmp.Compare(a.Node, b.Node) })
+	return out
+}
