Router takes part in the gossip: doubts reach the module, section gossip of the settings

Need: beliefs are of use only where a router acts on them.

The core tells the gossip what submissions and probes showed. Off unless the settings have the section; SIGHUP takes over members, networks and key.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -63,7 +63,9 @@
 	terms   Terms
 	owner   Owner
 	conn    *net.UDPConn
-	mail    chan func()
+	mu      sync.Mutex
+	mail    []func()
+	wake    chan struct{}
 	mill    *rumour.Mill
 	start   time.Time
 	zero    float64
@@ -110,7 +112,7 @@
 	if t.Epoch == 0 {
 		t.Epoch = now.UnixMicro()
 	}
-	m := &Mesh{terms: t, owner: owner, conn: conn, mail: make(chan func(), mailMost), start: now, zero: float64(now.UnixMicro()) / 1e6,
+	m := &Mesh{terms: t, owner: owner, conn: conn, wake: make(chan struct{}, 1), start: now, zero: float64(now.UnixMicro()) / 1e6,
 		names: map[string]int{}, zones: map[string]int{}, nodes: map[string]int{}, senders: map[keyID]*sender{}, key: t.Key,
 		warned: map[string]bool{}, inAt: now}
 	m.Trust(t.Trust, t.Networks)
@@ -148,13 +150,31 @@
 
 func (m *Mesh) now() float64 { return m.zero + time.Since(m.start).Seconds() }
 
-// tell has the actor do something; what finds no room is dropped, as a datagram may be.
-func (m *Mesh) tell(f func()) bool {
+// tell has the actor do something. It never blocks.
+func (m *Mesh) tell(f func()) { m.post(f, math.MaxInt) }
+
+// offer does the same where there is room: what comes from outside is dropped beyond it, as the network would.
+func (m *Mesh) offer(f func()) { m.post(f, mailMost) }
+
+func (m *Mesh) post(f func(), most int) {
+	m.mu.Lock()
+	if len(m.mail) < most {
+		m.mail = append(m.mail, f)
+	}
+	m.mu.Unlock()
 	select {
-	case m.mail <- f:
-		return true
+	case m.wake <- struct{}{}:
 	default:
-		return false
+	}
+}
+
+func (m *Mesh) work() {
+	m.mu.Lock()
+	all := m.mail
+	m.mail = nil
+	m.mu.Unlock()
+	for _, f := range all {
+		f()
 	}
 }
 
@@ -191,7 +211,7 @@
 
 // Saw tells what a submission or probe showed of a node.
 func (m *Mesh) Saw(uid string, good bool, sent float64) {
-	m.tell(func() {
+	m.offer(func() {
 		if id, ok := m.nodes[uid]; ok {
 			m.doubts(m.mill.Saw(id, good, sent, m.now()))
 		}
@@ -225,8 +245,8 @@
 }
 
 // Ask hands over the status.
-func (m *Mesh) Ask(then func(Status)) bool {
-	return m.tell(func() {
+func (m *Mesh) Ask(then func(Status)) {
+	m.tell(func() {
 		now := m.now()
 		s := Status{Name: m.terms.Name, Quorum: m.mill.Quorum(), Mill: m.mill.Counted(), Bytes: [2]int64{m.counts.BytesIn.Load(), m.counts.BytesOut.Load()},
 			Turned: map[string]int64{"malformed": m.counts.Malformed.Load(), "version": m.counts.Versions.Load(), "untrusted": m.counts.Untrusted.Load(),
@@ -261,8 +281,8 @@
 		defer tick.Stop()
 		for {
 			select {
-			case f := <-m.mail:
-				f()
+			case <-m.wake:
+				m.work()
 			case <-tick.C:
 				m.tick()
 			case <-life.Done():
@@ -308,7 +328,7 @@
 	switch {
 	case errors.Is(err, errVersion):
 		m.counts.Versions.Add(1)
-		m.tell(func() { m.once("version", "a peer of another protocol version is left out: "+from.String()) })
+		m.offer(func() { m.once("version", "a peer of another protocol version is left out: "+from.String()) })
 	case errors.Is(err, errKey):
 		m.counts.Untrusted.Add(1)
 	case errors.Is(err, errSigned):
@@ -319,7 +339,7 @@
 	if err != nil && len(words) == 0 {
 		return
 	}
-	m.tell(func() { m.take(e, words, from) })
+	m.offer(func() { m.take(e, words, from) })
 }
 
 // allows bounds what is looked at, by the bytes that all who are trusted may send.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -105,9 +105,7 @@
 
 func (i *instance) status() Status {
 	got := make(chan Status, 1)
-	for !i.Ask(func(s Status) { got <- s }) {
-		time.Sleep(time.Millisecond)
-	}
+	i.Ask(func(s Status) { got <- s })
 	return <-got
 }
 
--- a/relay/admin.go
+++ b/relay/admin.go
@@ -74,9 +74,17 @@
 	if err != nil {
 		return
 	}
+	if strings.TrimSpace(line) == "peers" && c.gossip != nil {
+		if s, ok := c.gossip.status(); ok {
+			json.NewEncoder(nc).Encode(s)
+		} else {
+			json.NewEncoder(nc).Encode(map[string]string{"error": "the gossip is busy, ask again"})
+		}
+		return
+	}
 	most := 0
 	if _, err := fmt.Sscanf(strings.TrimSpace(line), "shapes %d", &most); err != nil || most < 1 || most > mostLines || c.classes == nil {
-		json.NewEncoder(nc).Encode(map[string]string{"error": "ask `shapes N`; the section classing must be on"})
+		json.NewEncoder(nc).Encode(map[string]string{"error": "ask `shapes N` (section classing) or `peers` (section gossip); the section must be on"})
 		return
 	}
 	got := make(chan Shapes, 1)
--- a/relay/core.go
+++ b/relay/core.go
@@ -52,6 +52,8 @@
 	byUID     map[string]int
 	groups    map[int]bool
 	list      *list
+	gossip    *gossip  // nil: peers are not spoken to
+	noGossip  error    // why it could not begin
 	classes   *classes // nil: statements without our comment are not served
 	counters  *counters
 	sockets   chan struct{} // one for each connection to a node
@@ -72,6 +74,13 @@
 		told.Types = slices.Concat(told.Types, c.classes.types)
 	}
 	c.router = splitter.New(told, c)
+	if cfg.Own != nil && cfg.Own.Gossip != nil {
+		if g := newGossip(c, cfg); g.err == nil {
+			c.gossip = g
+		} else {
+			c.noGossip = g.err
+		}
+	}
 	c.members(splitter.ListRemembered, cfg.Known.Targets)
 	return c
 }
@@ -160,9 +169,12 @@
 
 // landed takes the end of a submission.
 func (c *core) landed(h *held, res splitter.Result, answer []byte, then func(splitter.Result)) {
-	code := h.job.code
+	code, n, sent := h.job.code, h.job.node, h.job.sent
 	h.job = nil
 	c.counters.outcomes[res.Outcome].Add(1)
+	if c.gossip != nil {
+		c.gossip.landed(n, sent, res.Outcome)
+	}
 	if h.class != nil {
 		res.As = c.classes.landed(h.class, res, code)
 	}
@@ -227,6 +239,9 @@
 			c.groups[m.Group] = true
 		}
 		c.nodes[id].listed(e.Endpoint, m.State)
+		if c.gossip != nil && m.State == splitter.On && m.Group >= 0 {
+			c.gossip.mesh.Node(e.UID, m.Group)
+		}
 		list = append(list, m)
 	}
 	c.router.Members(kind, list)
@@ -278,10 +293,15 @@
 func (c *core) Probe(node int, then func(splitter.Report)) {
 	c.counters.probes.Add(1)
 	j := &job{sent: c.now, until: c.now + c.terms.Splitter.ConnectIn}
+	n := c.nodes[node]
 	j.done = func(res splitter.Result, _ []byte) {
-		c.tell(func() { then(res.Report) })
+		c.tell(func() {
+			if c.gossip != nil {
+				c.gossip.mesh.Saw(n.uid, res.OK, j.sent)
+			}
+			then(res.Report)
+		})
 	}
-	n := c.nodes[node]
 	j.node = n
 	n.tell(func() { n.start(j) })
 }
@@ -301,6 +321,9 @@
 	c.nodes[node] = nil
 	c.spare = append(c.spare, node)
 	delete(c.byUID, n.uid)
+	if c.gossip != nil {
+		c.gossip.mesh.Forget(n.uid)
+	}
 	n.tell(n.retire)
 }
 
--- a/relay/counters.go
+++ b/relay/counters.go
@@ -26,6 +26,7 @@
 	clientsOpened, clientsClosed                 atomic.Int64
 	linksOpened, linksReused, linksClosed        atomic.Int64
 	noSockets                                    atomic.Int64
+	doubts, behind                               atomic.Int64 // of the gossip
 	listCalls, watchesHung, watchesEnded         atomic.Int64
 }
 
@@ -72,6 +73,10 @@
 	if c.classes != nil {
 		c.classes.print(k.log)
 	}
+	if c.gossip != nil {
+		k.log.WithFields(logrus.Fields{"doubts": k.doubts.Load(), "behind": k.behind.Load(), "bytes_in": c.gossip.mesh.Counts().BytesIn.Load(),
+			"bytes_out": c.gossip.mesh.Counts().BytesOut.Load()}).Info("gossip")
+	}
 	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_hung": k.watchesHung.Load(),
 		"watches_ended": k.watchesEnded.Load(),
 		"rev":           c.list.shown.Load()}).Info("list")
--- /dev/null
+++ b/relay/gossip.go
@@ -0,0 +1,89 @@
+package relay
+
+// This file owns the talk between the core and the gossip (packages mesh and rumour): it tells the one what submissions
+// and probes showed, and the module what peers doubt. It must never judge a node or a peer.
+
+import (
+	"slices"
+	"time"
+
+	"eiderway/mesh"
+	"eiderway/splitter"
+	"eiderway/terms"
+)
+
+type gossip struct {
+	core *core
+	mesh *mesh.Mesh
+	err  error // why it could not begin
+}
+
+func newGossip(c *core, cfg *Config) *gossip {
+	own := cfg.Own.Gossip
+	g := &gossip{core: c}
+	key, err := mesh.ReadKey(own.Key)
+	if err != nil {
+		g.err = err
+		return g
+	}
+	g.mesh, g.err = mesh.New(mesh.Terms{Name: own.Name, Zone: cfg.zone(), Listen: own.Listen, Seeds: own.Seeds, Key: key,
+		Trust: own.Members, Networks: own.Networks, Bytes: float64(own.Bytes), Accuse: own.Tell, Seed: int64(cfg.seed)}, g)
+	if g.err == nil {
+		g.mesh.List(cfg.Known.Rev)
+	}
+	return g
+}
+
+// landed tells what a submission showed of a node. Refusals, misses and what was never sent show nothing.
+func (g *gossip) landed(n *node, sent float64, o splitter.Outcome) {
+	switch {
+	case o == splitter.Committed || o == splitter.Answered:
+		g.mesh.Saw(n.uid, true, sent)
+	case slices.Contains([]splitter.Outcome{splitter.Failed, splitter.TimedOut, splitter.Broken, splitter.NoConn}, o):
+		g.mesh.Saw(n.uid, false, sent)
+	}
+}
+
+// Doubt, Behind and Log are what the gossip asks for.
+func (g *gossip) Doubt(uid string, until float64, _ bool) {
+	g.core.tell(func() {
+		if id, ok := g.core.byUID[uid]; ok {
+			g.core.counters.doubts.Add(1)
+			g.core.router.Doubt(id, until)
+		}
+	})
+}
+
+func (g *gossip) Behind() { g.core.counters.behind.Add(1) }
+
+func (g *gossip) Log(text string) { g.core.log.Warn("gossip: " + text) }
+
+// reread takes over who may speak, from where, and the key to sign with.
+func (g *gossip) reread(path string, seed uint64) {
+	own, err := terms.ReadOwn(path, seed)
+	if err != nil || own.Gossip == nil {
+		return // told by the section classing, or with the next start
+	}
+	key, err := mesh.ReadKey(own.Gossip.Key)
+	if err != nil {
+		g.core.log.WithError(err).Warn("the new key is left aside")
+		return
+	}
+	g.mesh.Trust(own.Gossip.Members, own.Gossip.Networks)
+	g.mesh.SetKey(key)
+	g.core.log.Info("members of the gossip read again")
+}
+
+const statusIn = time.Second // the gossip tells its state by then
+
+// status asks the gossip for its state.
+func (g *gossip) status() (mesh.Status, bool) {
+	got := make(chan mesh.Status, 1)
+	g.mesh.Ask(func(s mesh.Status) { got <- s })
+	select {
+	case s := <-got:
+		return s, true
+	case <-time.After(statusIn):
+		return mesh.Status{}, false
+	}
+}
--- a/relay/list.go
+++ b/relay/list.go
@@ -162,6 +162,9 @@
 		}
 		l.rev = news.Rev
 		l.shown.Store(news.Rev)
+		if g := l.core.gossip; g != nil {
+			g.mesh.List(news.Rev)
+		}
 		kind := splitter.ListChanges
 		if news.All {
 			kind = splitter.ListAll
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -98,9 +98,22 @@
 	return c, nil
 }
 
+// zone tells this router's zone by name.
+func (c *Config) zone() string {
+	for name, i := range c.terms.Zones {
+		if i == c.terms.Splitter.Zone {
+			return name
+		}
+	}
+	return ""
+}
+
 // reread reads the configuration again and takes over what may change while serving: where discovery is. One that
 // fails its checks is left aside, and what only a new start can change is told.
-func (c *Config) reread(l *list, classes *classes, log *logrus.Logger) {
+func (c *Config) reread(l *list, classes *classes, gossip *gossip, log *logrus.Logger) {
+	if gossip != nil {
+		gossip.reread(c.ownPath, c.seed)
+	}
 	if classes != nil {
 		classes.reread(c.ownPath, c.seed)
 	}
@@ -208,6 +221,13 @@
 	c.counters.watch(life, g, c, hub)
 	g.Go(func() error { return c.run(life) })
 	g.Go(func() error { return c.list.run(life) })
+	if c.noGossip != nil {
+		listener.Close()
+		return fmt.Errorf("gossip: %w", c.noGossip)
+	}
+	if c.gossip != nil {
+		g.Go(func() error { return c.gossip.mesh.Run(life) })
+	}
 	if c.classes != nil {
 		g.Go(func() error { return c.classes.run(life) })
 	}
@@ -223,7 +243,7 @@
 			case <-life.Done():
 				return nil
 			case <-again:
-				cfg.reread(c.list, c.classes, log)
+				cfg.reread(c.list, c.classes, c.gossip, log)
 			}
 		}
 	})
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -135,6 +135,7 @@
 //	answer ID OUTCOME [as=TYPE] [primary|replica LAG]   its submission ends; it proved to be of that type
 //	cut ID SECONDS                            its submission is waited for as long
 //	wait SECONDS, stall SECONDS               time passes, the second without the router being run
+//	doubt NAME SECONDS                        peers doubt it for as long
 //	expect WHAT                               it did this since the last expect; names may be A|B
 //	never WHAT                                it did not
 //	held ID ...                               txns neither out nor over
@@ -214,6 +215,8 @@
 			f = f[1:]
 		}
 		then(Result{Outcome: outcome, Latency: w.now - w.sent[id], Ended: w.over[id], As: as, Report: w.report(f)})
+	case "doubt":
+		w.router.Doubt(slices.Index(w.names, f[1]), w.now+w.number(f[2]))
 	case "cut":
 		require.InDelta(w.t, w.number(f[2]), w.cut[int(w.number(f[1]))], 0.01, w.where)
 	case "wait":
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -117,6 +117,7 @@
 	cut     float64 // last time the limit shrank
 	out     []*flight
 	started float64 // when it last came up cold, by list or by its own signs
+	doubted float64 // peers doubt it until then
 	down    bool    // its process seemed gone
 }
 
@@ -311,6 +312,22 @@
 	r.pump(g)
 }
 
+// Doubt says that peers have trouble with a node, until a time; one that is past ends it. It is looked at sooner, so that
+// own evidence comes sooner, and comes later among replicas that are known. It is never left out for it, and no primary
+// changes by it. It covers what one router sees late: nodes that hang, fail or lose answers. It harms when peers are wrong:
+// a probe, and load on the other replicas until that has come back.
+func (r *Router) Doubt(node int, until float64) {
+	if node >= len(r.nodes) || r.nodes[node] == nil {
+		return
+	}
+	n, now := r.nodes[node], r.clock()
+	begins := now >= n.doubted && now < until
+	n.doubted = until
+	if begins && r.terms.Probes && !n.probing && !n.closed {
+		r.probe(n, r.group(n.Group))
+	}
+}
+
 // Left says that the client of a txn is gone. Nothing is owed or sent for it any more.
 func (r *Router) Left(id int) {
 	if t := r.txns[id]; t != nil {
@@ -550,7 +567,7 @@
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
-	if n == t.avoid {
+	if n == t.avoid || r.host.Now() < n.doubted {
 		b *= avoidBias
 	}
 	return b
--- a/terms/own.go
+++ b/terms/own.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
+	"crypto/ed25519"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"math"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -27,6 +31,19 @@
 type Own struct {
 	Classing *Classing
 	Admin    *Admin
+	Gossip   *Gossip
+}
+
+// Gossip is the section of the talk among instances. Members and Networks change on SIGHUP, the key too.
+type Gossip struct {
+	Name     string
+	Listen   netip.AddrPort
+	Key      string // path of this instance's key
+	Seeds    []netip.AddrPort
+	Members  map[string][]ed25519.PublicKey // who may speak, by name; several keys while they are changed
+	Networks []netip.Prefix
+	Bytes    int // a second
+	Tell     bool
 }
 
 // Classing is the section that has statements without our comment classed.
@@ -48,6 +65,21 @@
 	Admin    *struct {
 		Socket string `yaml:"socket"`
 	} `yaml:"admin"`
+	Gossip *gossipFile `yaml:"gossip"`
+}
+
+type gossipFile struct {
+	Name    string   `yaml:"name"`
+	Listen  string   `yaml:"listen"`
+	Key     string   `yaml:"key"`
+	Seeds   []string `yaml:"seeds"`
+	Members []struct {
+		Name string   `yaml:"name"`
+		Keys []string `yaml:"keys"`
+	} `yaml:"members"`
+	Networks []string `yaml:"networks"`
+	Bytes    string   `yaml:"bytes"`
+	Tell     *bool    `yaml:"tell"`
 }
 
 type classingFile struct {
@@ -187,10 +219,69 @@
 			d.wrong(".admin.socket", "a path of 1 to %d bytes is needed", longestSocket)
 		}
 	}
+	if f.Gossip != nil {
+		own.Gossip = d.gossip(f.Gossip)
+	} else if d.has(".gossip") {
+		d.wrong(".gossip", "the section is empty; it needs at least name, listen, key and members")
+	}
 	return own, d.err
 }
 
+// gossip reads the section gossip.
+func (d *doc) gossip(f *gossipFile) *Gossip {
+	g := &Gossip{Name: f.Name, Key: f.Key, Members: map[string][]ed25519.PublicKey{}, Tell: f.Tell == nil || *f.Tell}
+	g.Bytes = d.size(".gossip.bytes", cmp.Or(f.Bytes, "8KiB"), leastGossip, mostGossip)
+	addr := func(path, text string) netip.AddrPort {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil || a.Port() == 0 {
+			d.wrong(path, "%q is no address with a port, such as 10.0.0.4:7946", text)
+		}
+		return a
+	}
+	g.Listen = addr(".gossip.listen", f.Listen)
+	for i, s := range f.Seeds {
+		g.Seeds = append(g.Seeds, addr(fmt.Sprintf(".gossip.seeds[%d]", i), s))
+	}
+	if f.Key == "" {
+		d.wrong(".gossip.key", "the path of a key is needed; `eiderway key new` makes one")
+	}
+	for i, m := range f.Members {
+		at := fmt.Sprintf(".gossip.members[%d]", i)
+		if _, twice := g.Members[m.Name]; twice || m.Name == "" || len(m.Name) > longestName {
+			d.wrong(at, "a member needs a name of its own, of at most %d bytes", longestName)
+		}
+		if len(m.Keys) == 0 {
+			d.wrong(at, "a member needs a key")
+		}
+		for j, text := range m.Keys {
+			key, err := base64.StdEncoding.DecodeString(text)
+			if err != nil || len(key) != ed25519.PublicKeySize {
+				d.wrong(fmt.Sprintf("%s.keys[%d]", at, j), "%q is no public key as `eiderway key show` prints it", text)
+			}
+			g.Members[m.Name] = append(g.Members[m.Name], key)
+		}
+	}
+	if _, ok := g.Members[g.Name]; !ok && d.err == nil {
+		d.wrong(".gossip.name", "%q is none of the members", g.Name)
+	}
+	if len(g.Members) > mostMembers {
+		d.wrong(".gossip.members", "at most %d members", mostMembers)
+	}
+	for i, text := range f.Networks {
+		p, err := netip.ParsePrefix(text)
+		if err != nil {
+			d.wrong(fmt.Sprintf(".gossip.networks[%d]", i), "%q is no network such as 10.0.0.0/8", text)
+		}
+		g.Networks = append(g.Networks, p)
+	}
+	return g
+}
+
 const (
+	leastGossip   = 1 << 10 // bytes a second: a sign of life of each of a few
+	mostGossip    = 1 << 20
+	longestName   = 64        // bytes, of an instance
+	mostMembers   = 4096      // instances that a peer remembers
 	longestSocket = 100       // bytes, of a Unix socket's path
 	leastMemory   = 64 << 10  // bytes: some dozens of shapes
 	mostMemory    = 1 << 30   // bytes
