Commands key and peers; settings of the gossip checked; stand-in nodes with faults

Need: operators make keys and read what is believed of whom; the fleet's measurement needs nodes that hang, fail and lose.

--- a/cmd/eiderway/class.go
+++ b/cmd/eiderway/class.go
@@ -96,24 +96,12 @@
 const answerIn = 5 * time.Second
 
 func (s *shapes) Run() error {
-	nc, err := net.DialTimeout("unix", s.Socket, answerIn)
-	if err != nil {
-		return err
-	}
-	defer nc.Close()
-	nc.SetDeadline(time.Now().Add(answerIn))
-	if _, err := fmt.Fprintf(nc, "shapes %d\n", s.Most); err != nil {
-		return err
-	}
-	text, err := io.ReadAll(nc)
-	if err != nil {
-		return err
-	}
 	var told struct {
 		relay.Shapes
 		Error string `json:"error"`
 	}
-	if err := json.Unmarshal(text, &told); err != nil {
+	text, err := ask(s.Socket, fmt.Sprintf("shapes %d", s.Most), &told)
+	if err != nil {
 		return err
 	}
 	if told.Error != "" {
@@ -133,3 +121,16 @@
 	}
 	return table.Flush()
 }
+
+func askText(socket, question string) ([]byte, error) {
+	nc, err := net.DialTimeout("unix", socket, answerIn)
+	if err != nil {
+		return nil, err
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(answerIn))
+	if _, err := fmt.Fprintln(nc, question); err != nil {
+		return nil, err
+	}
+	return io.ReadAll(nc)
+}
--- a/cmd/eiderway/main.go
+++ b/cmd/eiderway/main.go
@@ -76,6 +76,8 @@
 		Check   check       `cmd:"" help:"Read a configuration, say what is wrong with it, and end."`
 		Class   class       `cmd:"" help:"Tell what statements are; fails where a -- expect: line in the file is not met."`
 		Shapes  shapes      `cmd:"" help:"Ask a router for the shapes of statements that it knows."`
+		Peers   peers       `cmd:"" help:"Ask a router for its peers, and what is believed of nodes."`
+		Key     key         `cmd:"" help:"Keys of instances that speak to each other."`
 		Demo    demo        `cmd:"" help:"Run a small cluster of stand-ins and a router on loopback, and show what is served where."`
 		Version showVersion `cmd:"" help:"Show the version."`
 	}
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -81,6 +81,12 @@
 // ShowKey is a public key as settings have it.
 func ShowKey(key ed25519.PublicKey) string { return base64.StdEncoding.EncodeToString(key) }
 
+// Fingerprint names a public key in few letters.
+func Fingerprint(key ed25519.PublicKey) string {
+	id := idOf(key)
+	return fmt.Sprintf("%x", id[:])
+}
+
 // ParseKey reads a public key.
 func ParseKey(text string) (ed25519.PublicKey, error) {
 	key, err := base64.StdEncoding.DecodeString(text)
--- a/standin/node.go
+++ b/standin/node.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eiderway/pgwire"
@@ -57,8 +58,26 @@
 	ln      net.Listener
 	primary bool
 	open    map[net.Conn]bool
+	fault   atomic.Int32
+	asked   atomic.Int64
 }
 
+// Fault is a trouble of a node.
+type Fault int32
+
+const (
+	Healthy Fault = iota
+	Hangs         // takes all and answers nothing
+	Fails         // fails all at once but probes
+	Loses         // runs all and loses every second answer
+)
+
+// Set gives a node a trouble, or ends it.
+func (n *Node) Set(f Fault) { n.fault.Store(int32(f)) }
+
+// Asked tells how many statements, probes left out, have come.
+func (n *Node) Asked() int64 { return n.asked.Load() }
+
 // NewGroup starts a primary and replicas.
 func NewGroup(number, replicas int) (*Group, error) {
 	g := &Group{Number: number}
@@ -154,7 +173,21 @@
 		if m, ok, err := buf.Next(); err != nil || ok && m.Type == 'X' {
 			return
 		} else if ok && m.Type == 'Q' {
-			out = append(out, n.answer(state, strings.TrimSuffix(string(m.Body), "\x00"))...)
+			text := strings.TrimSuffix(string(m.Body), "\x00")
+			probe := text == "SELECT 1" || text == "SHOW stats"
+			count := n.asked.Load()
+			if !probe {
+				count = n.asked.Add(1)
+			}
+			switch f := Fault(n.fault.Load()); {
+			case f == Hangs:
+			case f == Fails && !probe:
+				out = append(out, pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "XX000", "a fault", ""))...)
+			case f == Loses && !probe && count%2 == 0:
+				n.answer(state, text)
+			default:
+				out = append(out, n.answer(state, text)...)
+			}
 			continue
 		}
 		if len(out) > 0 {
--- a/terms/own_test.go
+++ b/terms/own_test.go
@@ -103,6 +103,34 @@
 	}
 }
 
+const keyText = "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=" // the first public key of RFC 8032's test vectors
+
+func TestOwnGossip(t *testing.T) {
+	text := `gossip:
+  name: r1
+  listen: 127.0.0.1:7946
+  key: /k
+  seeds: ["[::1]:7946"]
+  members: [{name: r1, keys: [KEY]}, {name: r2, keys: [KEY, KEY]}]
+  networks: [127.0.0.0/8]
+  tell: false
+`
+	text = strings.ReplaceAll(text, "KEY", keyText)
+	own, err := readOwn(t, text)
+	require.NoError(t, err)
+	g := own.Gossip
+	require.Equal(t, []any{"r1", "127.0.0.1:7946", 8 << 10, false, 2, 2}, []any{g.Name, g.Listen.String(), g.Bytes, g.Tell, len(g.Members), len(g.Members["r2"])})
+	for _, x := range [][3]string{{"name: r1\n", "name: r9\n", `2:9: gossip.name: "r9" is none of the members`}, {"127.0.0.1:7946", "localhost", "3:11: gossip.listen: "},
+		{"key: /k", "key: ''", "4:8: gossip.key: "}, {"{name: r2", "{name: r1", "gossip.members[1]: a member needs a name of its own"},
+		{keyText, "AAAA", "gossip.members[0].keys[0]: \"AAAA\" is no public key"}, {"[127.0.0.0/8]", "[all]", "gossip.networks[0]: "},
+		{"tell: false", "bytes: 1", "gossip.bytes: "}, {"tell: false", "tel: false", "8:3: "}} {
+		_, err := readOwn(t, strings.Replace(text, x[0], x[1], 1))
+		require.ErrorContains(t, err, x[2])
+	}
+	_, err = readOwn(t, "gossip:\n")
+	require.ErrorContains(t, err, "the section is empty")
+}
+
 // FuzzOwn: any file is read, or refused in one line with a place.
 func FuzzOwn(f *testing.F) {
 	example, err := os.ReadFile("../deploy/eiderway.yaml")
