Accusations say of what kind they are: a probe refutes silence, an answer a failure

Cause: a node that fails all submissions and answers probes was never accused, and peers that would have were punished by the first good probe.

Change: own evidence is kept apart for probes and submissions, an accusation names its kind; two failures in a row are enough, since what was good a while ago says nothing of a node that hangs now.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -210,10 +210,10 @@
 func (m *Mesh) List(rev int64) { m.tell(func() { m.mill.List(rev) }) }
 
 // Saw tells what a submission or probe showed of a node.
-func (m *Mesh) Saw(uid string, good bool, sent float64) {
+func (m *Mesh) Saw(uid string, good, probe bool, sent float64) {
 	m.offer(func() {
 		if id, ok := m.nodes[uid]; ok {
-			m.doubts(m.mill.Saw(id, good, sent, m.now()))
+			m.doubts(m.mill.Saw(id, good, probe, sent, m.now()))
 		}
 	})
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -151,7 +151,7 @@
 	require.Less(t, worst, int64(2*bound), "a second's worth may go at once")
 	fail := func(i *instance, node string) {
 		for range 3 {
-			i.Saw(node, false, i.now())
+			i.Saw(node, false, true, i.now())
 		}
 	}
 	fail(all[3], "a")
@@ -163,7 +163,7 @@
 	for _, i := range all {
 		await(t, "a quorum is believed", func() bool { return i.owner.doubted("b") })
 	}
-	all[0].Saw("b", true, all[0].now())
+	all[0].Saw("b", true, true, all[0].now())
 	await(t, "own evidence wins", func() bool { return !all[0].owner.doubted("b") })
 	worst = 0
 	for range 3 {
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -120,7 +120,7 @@
 		b = binary.BigEndian.AppendUint64(b, uint64(w.record.List))
 		b = appendText(appendText(b, w.zone), w.addr)
 	case rumour.Accuse, rumour.Acquit:
-		b = appendText(b, w.node)
+		b = appendText(append(b, byte(w.record.Why)), w.node)
 	}
 	return append(b, ed25519.Sign(key, append([]byte("eiderway record 1 "), b...))...)
 }
@@ -164,6 +164,7 @@
 		w.record.List = int64(r.number())
 		w.zone, w.addr = r.text(), r.text()
 	case rumour.Accuse, rumour.Acquit:
+		w.record.Why = rumour.Why(r.bytes(1)[0])
 		w.node = r.text()
 	case rumour.Leave:
 	default:
--- a/relay/core.go
+++ b/relay/core.go
@@ -297,7 +297,7 @@
 	j.done = func(res splitter.Result, _ []byte) {
 		c.tell(func() {
 			if c.gossip != nil {
-				c.gossip.mesh.Saw(n.uid, res.OK, j.sent)
+				c.gossip.mesh.Saw(n.uid, res.OK, true, j.sent)
 			}
 			then(res.Report)
 		})
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -38,9 +38,11 @@
 func (g *gossip) landed(n *node, sent float64, o splitter.Outcome) {
 	switch {
 	case o == splitter.Committed || o == splitter.Answered:
-		g.mesh.Saw(n.uid, true, sent)
-	case slices.Contains([]splitter.Outcome{splitter.Failed, splitter.TimedOut, splitter.Broken, splitter.NoConn}, o):
-		g.mesh.Saw(n.uid, false, sent)
+		g.mesh.Saw(n.uid, true, false, sent)
+	case slices.Contains([]splitter.Outcome{splitter.Failed, splitter.TimedOut, splitter.Broken}, o):
+		g.mesh.Saw(n.uid, false, false, sent)
+	case o == splitter.NoConn: // as a probe that is not answered: it is not there
+		g.mesh.Saw(n.uid, false, true, sent)
 	}
 }
 
--- /dev/null
+++ b/relay/gossip_test.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eiderway/mesh"
+	"eiderway/standin"
+)
+
+var (
+	fleetSize = flag.Int("fleet", 5, "routers of the fleet that gossips")
+	fleetFor  = flag.Duration("fleetfor", 3*time.Second, "how long a fault lasts")
+	fleetAll  = flag.Bool("fleetall", false, "all faults, with and without gossip")
+)
+
+// fleetRun is what a fleet did while one replica had a fault.
+type fleetRun struct {
+	sent, lost atomic.Int64  // txns; those that were declined or rolled back
+	at         int64         // statements that went to the node at fault
+	until      time.Duration // from the fault to the last of them
+	doubts     int64
+}
+
+func freePort(t *testing.T, network string) string {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer c.Close()
+		return c.LocalAddr().String()
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// playFleet runs routers with little traffic each before a primary and five replicas, one of which gets a fault.
+func playFleet(t *testing.T, gossips bool, fault standin.Fault) *fleetRun {
+	n := *fleetSize
+	g, err := standin.NewGroup(0, 5)
+	require.NoError(t, err)
+	defer g.Close()
+	g.Run = func(string) []byte { return standin.Row("ok") }
+	d, err := standin.NewDiscovery(g)
+	require.NoError(t, err)
+	defer d.Close()
+	dir := t.TempDir()
+	members := ""
+	addrs := make([]string, n)
+	for i := range n {
+		public, err := mesh.NewKey(filepath.Join(dir, fmt.Sprint(i)))
+		require.NoError(t, err)
+		members += fmt.Sprintf("    - {name: r%d, keys: [%q]}\n", i, mesh.ShowKey(ed25519.PublicKey(public)))
+		addrs[i] = freePort(t, "udp")
+	}
+	routers := make([]*router, n)
+	for i := range n {
+		cfg := configure(t, d.Addr(), 1024)
+		require.NoError(t, json.Unmarshal(d.List(), &cfg.Known))
+		cfg.terms.Splitter.NodesCheck = true // else a hung replica is never proven fresh, and gets nothing anyway
+		if gossips {
+			own := fmt.Sprintf("gossip:\n  name: r%d\n  listen: %s\n  key: %s\n  seeds: [%s]\n  members:\n%s", i, addrs[i], filepath.Join(dir, fmt.Sprint(i)), addrs[0], members)
+			path := filepath.Join(dir, fmt.Sprintf("%d.yaml", i))
+			require.NoError(t, os.WriteFile(path, []byte(own), 0o600))
+			require.NoError(t, cfg.ReadOwn(path))
+		}
+		routers[i] = startRouter(t, cfg)
+	}
+	run := &fleetRun{}
+	var all sync.WaitGroup
+	stop := make(chan struct{})
+	for i, r := range routers {
+		all.Go(func() {
+			c, err := standin.Dial(r.addr, patience)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			every := 300 * time.Millisecond // most routers carry little traffic, some far more
+			if i%5 < 2 {
+				every = 20 * time.Millisecond
+			}
+			tick := time.NewTicker(every)
+			defer tick.Stop()
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				case <-tick.C:
+				}
+				run.sent.Add(1)
+				kind := "look"
+				if k%10 == 9 {
+					kind = "claim"
+				}
+				a, err := c.Ask(statement(fmt.Sprintf("r%d-%d", i, k), kind, 1000), patience)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if a.Code != "" {
+					run.lost.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(7 * time.Second) // voices of peers heard of for under 5 s count nothing
+	ill := g.Nodes()[3]
+	before, from := ill.Asked(), time.Now()
+	ill.Set(fault)
+	time.Sleep(*fleetFor)
+	run.at, run.until = ill.Asked()-before, max(0, ill.LastAsked().Sub(from))
+	close(stop)
+	all.Wait()
+	for _, r := range routers {
+		r.stop()
+		require.NoError(t, <-r.done)
+		for _, e := range r.log.AllEntries() {
+			if e.Message == "gossip" {
+				run.doubts += e.Data["doubts"].(int64)
+			}
+		}
+	}
+	require.Empty(t, standin.Misplaced(g.History(), func(text string) bool { return strings.Contains(text, "c=claim") }))
+	ran := map[string]int{}
+	for _, r := range g.History() {
+		if strings.Contains(r.Text, "c=claim") {
+			id, _, _ := strings.Cut(r.Text, ",")
+			ran[id]++
+			require.Equal(t, 1, ran[id], "a claim ran twice: %s", r.Text)
+		}
+	}
+	return run
+}
+
+// TestGossipFleet has a replica hang before routers that gossip: doubts come up, and no rule suffers. With -fleetall it
+// compares all faults with and without gossip.
+func TestGossipFleet(t *testing.T) {
+	if !*fleetAll {
+		run := playFleet(t, true, standin.Hangs)
+		require.Greater(t, run.doubts, int64(0), "doubts reach the module")
+		t.Logf("%d txns, %d lost; %d statements to the hung node, the last after %v; %d words of doubt", run.sent.Load(), run.lost.Load(), run.at, run.until, run.doubts)
+		return
+	}
+	for name, fault := range map[string]standin.Fault{"hangs": standin.Hangs, "fails": standin.Fails, "loses": standin.Loses} {
+		for _, on := range []bool{false, true} {
+			run := playFleet(t, on, fault)
+			t.Logf("%s, gossip %v: %d txns, %d lost; %d statements to the node, the last after %.1f s; %d words of doubt", name, on, run.sent.Load(),
+				run.lost.Load(), run.at, run.until.Seconds(), run.doubts)
+		}
+	}
+}
+
+// TestGossipOff: without the section there is no gossip at all; with one that can't begin the router does not start.
+func TestGossipOff(t *testing.T) {
+	cfg := configure(t, "127.0.0.1:1", 1024)
+	c := newCore(cfg, nil, t.Context(), nil, 1)
+	require.Nil(t, c.gossip)
+	require.NoError(t, c.noGossip)
+	path := filepath.Join(t.TempDir(), "own.yaml")
+	require.NoError(t, os.WriteFile(path, []byte("gossip:\n  name: r1\n  listen: 127.0.0.1:1\n  key: /nowhere\n  members: [{name: r1, keys: ["+
+		"11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=]}]\n"), 0o600))
+	require.NoError(t, cfg.ReadOwn(path))
+	require.ErrorContains(t, Run(t.Context(), cfg, nil), "gossip: stat /nowhere")
+}
--- a/rumour/api.go
+++ b/rumour/api.go
@@ -18,6 +18,14 @@
 	Acquit             // a node it accused answers it again
 )
 
+// Why says what kind of trouble an accusation is about.
+type Why uint8
+
+const (
+	Silent Why = iota // it does not answer: a probe that is answered says otherwise
+	Fails             // what is submitted to it fails or is lost: only an answered submission says otherwise
+)
+
 // Record is a peer's own word. Only its origin can make it; others pass it on as it is.
 type Record struct {
 	Kind   Kind
@@ -28,6 +36,7 @@
 	Zone   int     // of Alive
 	List   int64   // of Alive: the version of its member list
 	Node   int     // of Accuse and Acquit
+	Why    Why     // of Accuse
 	Size   int     // bytes, signed and all
 	Sealed []byte  // as it goes over the wire; this package only carries it
 }
@@ -69,31 +78,32 @@
 }
 
 const (
-	beat       = 1.0     // s between an instance's signs of life, while there are few
-	beatTold   = 3       // times a sign of life is passed on by each: one in twenty misses it, and has the next
-	beatBytes  = 150.0   // bytes of one, with its part of a datagram's envelope
-	beatShare  = 0.75    // share of the bytes that signs of life may take: the rest is for voices
-	seedEvery  = 10.0    // s between looks at a seed
-	beatsLost  = 6       // signs of life that may be lost until a peer counts as gone: at 30% loss one in a thousand is
-	rounds     = 0.2     // s between rounds of sending: five rounds reach all of a few hundred
-	fanout     = 2       // peers that a round sends to: one loss in three still lets a rumour grow
-	retell     = 3.0     // times log2 of the peers that a record is passed on
-	seasoned   = 5.0     // s a peer must have been heard of until its voices count
-	stale      = 10.0    // s a record may be old by its origin's clock, beyond what that clock is known to be off
-	skewMost   = 300.0   // s a clock may be off: beyond it a peer is left out
-	keepPeers  = 4096    // peers that are remembered: beyond it, those gone for longest go
-	keepGone   = 120.0   // s a peer that is gone is remembered, with its record
-	voiceEvery = 0.5     // s: one voice a peer a node in as long counts, the others say nothing new
-	voiceLasts = 3.0     // s a voice is believed unless said again
-	sayEvery   = 1.0     // s until an accusation that holds is said again
-	evidence   = 5.0     // s, half-life of what this router saw itself
-	evidenceOf = 1.5     // failures, faded, from which it accuses
-	evidenceIn = 0.5     // share of what it saw that must have failed
-	crowdShare = 0.5     // a peer that accuses more than this share of the nodes has a trouble of its own
-	crowdLeast = 3       // nodes accused until that can be told
-	budget     = 1.0 / 3 // share of a group that may be doubted by voices alone
-	wrongCost  = 1.0     // weight that a voice takes from its peer when own evidence says otherwise
-	rightGain  = 0.5     // and that it gets back when own evidence says the same
-	wrongFades = 60.0    // s, half-life of that
-	freshness  = 1.0     // s own good evidence speaks against a voice that comes after it
+	beat        = 1.0     // s between an instance's signs of life, while there are few
+	beatTold    = 3       // times a sign of life is passed on by each: one in twenty misses it, and has the next
+	beatBytes   = 150.0   // bytes of one, with its part of a datagram's envelope
+	beatShare   = 0.75    // share of the bytes that signs of life may take: the rest is for voices
+	seedEvery   = 10.0    // s between looks at a seed
+	beatsLost   = 6       // signs of life that may be lost until a peer counts as gone: at 30% loss one in a thousand is
+	rounds      = 0.2     // s between rounds of sending: five rounds reach all of a few hundred
+	fanout      = 2       // peers that a round sends to: one loss in three still lets a rumour grow
+	retell      = 3.0     // times log2 of the peers that a record is passed on
+	seasoned    = 5.0     // s a peer must have been heard of until its voices count
+	stale       = 10.0    // s a record may be old by its origin's clock, beyond what that clock is known to be off
+	skewMost    = 300.0   // s a clock may be off: beyond it a peer is left out
+	keepPeers   = 4096    // peers that are remembered: beyond it, those gone for longest go
+	keepGone    = 120.0   // s a peer that is gone is remembered, with its record
+	voiceEvery  = 0.5     // s: one voice a peer a node in as long counts, the others say nothing new
+	voiceLasts  = 3.0     // s a voice is believed unless said again
+	sayEvery    = 1.0     // s until an accusation that holds is said again
+	evidence    = 5.0     // s, half-life of what this router saw itself
+	evidenceOf  = 1.5     // failures, faded, from which it accuses
+	evidenceIn  = 0.5     // share of what it saw that must have failed,
+	evidenceRow = 2       // or as many in a row: what was good a while ago says nothing of a node that hangs now
+	crowdShare  = 0.5     // a peer that accuses more than this share of the nodes has a trouble of its own
+	crowdLeast  = 3       // nodes accused until that can be told
+	budget      = 1.0 / 3 // share of a group that may be doubted by voices alone
+	wrongCost   = 1.0     // weight that a voice takes from its peer when own evidence says otherwise
+	rightGain   = 0.5     // and that it gets back when own evidence says the same
+	wrongFades  = 60.0    // s, half-life of that
+	freshness   = 1.0     // s own good evidence speaks against a voice that comes after it
 )
--- a/rumour/rumour.go
+++ b/rumour/rumour.go
@@ -41,11 +41,8 @@
 // node is a member of the cluster as this instance sees it and hears of it.
 type node struct {
 	id, group int
-	good, bad float64 // own evidence, faded
-	faded     float64
-	goodAt    float64 // the newest good one
-	badAt     float64
-	accused   bool // by us
+	sight     [2]sight // own evidence: of whether it answers, and of what is submitted to it
+	accused   bool     // by us
 	said      float64
 	voices    map[int]voice // by peer; emptied as they end
 	doubted   bool
@@ -55,8 +52,21 @@
 type voice struct {
 	at    float64 // when it came
 	until float64
+	why   Why
 }
 
+// sight is own evidence of one kind, faded.
+type sight struct {
+	good, bad float64
+	faded     float64
+	goodAt    float64 // the newest good one, by when it was sent
+	badAt     float64
+	streak    int // failures since the last good one
+}
+
+// good tells whether it speaks against a voice that comes now.
+func (s *sight) fine(now float64) bool { return now-s.goodAt < freshness && s.badAt < s.goodAt }
+
 // New makes a Mill that knows nobody.
 func New(t Terms) *Mill {
 	return &Mill{terms: t, rng: rand.New(rand.NewSource(t.Seed)), nodes: map[int]*node{}, credit: t.Bytes,
@@ -72,7 +82,8 @@
 		n.group = group
 		return
 	}
-	m.nodes[id] = &node{id: id, group: group, voices: map[int]voice{}, goodAt: math.Inf(-1), badAt: math.Inf(-1)}
+	none := sight{goodAt: math.Inf(-1), badAt: math.Inf(-1)}
+	m.nodes[id] = &node{id: id, group: group, voices: map[int]voice{}, sight: [2]sight{none, none}}
 	m.order = append(m.order, id)
 }
 
@@ -90,35 +101,42 @@
 // List tells the version of our member list.
 func (m *Mill) List(rev int64) { m.list = rev }
 
-// Saw tells what a submission or probe of ours that was sent at a time has shown of a node.
-func (m *Mill) Saw(id int, good bool, sent, now float64) []Doubt {
+// Saw tells what a submission, or a probe, of ours that was sent at a time has shown of a node. A probe says nothing of
+// what becomes of submissions; an answered submission says that the node answers, too.
+func (m *Mill) Saw(id int, good, probe bool, sent, now float64) []Doubt {
 	n := m.nodes[id]
 	if n == nil {
 		return nil
 	}
-	n.fade(now)
-	if !good {
-		n.bad++
-		n.badAt = now
-		for _, who := range sorted(n.voices) { // it is as they said
-			if p := m.at(who); p != nil {
-				p.wrong, p.wrongAt = max(0, p.lost(now)-rightGain), now
-				p.right++
-				m.counted.Right++
-			}
+	for why := range n.sight {
+		s := &n.sight[why]
+		s.fade(now)
+		switch {
+		case probe && Why(why) == Fails, !probe && !good && Why(why) == Silent:
+		case good:
+			s.good++
+			s.streak = 0
+			s.goodAt = max(s.goodAt, sent)
+		default:
+			s.bad++
+			s.streak++
+			s.badAt = now
 		}
-		return nil
 	}
-	n.good++
-	n.goodAt = max(n.goodAt, sent)
-	// What was said before we asked, and we got an answer: they are wrong, or it has passed. Whoever goes on saying so
-	// loses weight for it.
+	// What was said before we asked, and is not so: they are wrong, or it has passed. Whoever goes on saying so loses
+	// weight for it. Who is right gets weight back.
 	for _, who := range sorted(n.voices) {
-		if n.voices[who].at > sent {
-			continue
+		v, p := n.voices[who], m.at(who)
+		switch {
+		case v.at > sent || probe && v.why == Fails || p == nil:
+		case good:
+			m.wrong(who, now)
+			delete(n.voices, who)
+		default:
+			p.wrong, p.wrongAt = max(0, p.lost(now)-rightGain), now
+			p.right++
+			m.counted.Right++
 		}
-		m.wrong(who, now)
-		delete(n.voices, who)
 	}
 	if n.doubted && len(n.voices) == 0 {
 		n.doubted = false
@@ -137,9 +155,9 @@
 	return keys
 }
 
-func (n *node) fade(now float64) {
-	f := math.Exp2(-max(0, now-n.faded) / evidence)
-	n.good, n.bad, n.faded = n.good*f, n.bad*f, now
+func (s *sight) fade(now float64) {
+	f := math.Exp2(-max(0, now-s.faded) / evidence)
+	s.good, s.bad, s.faded = s.good*f, s.bad*f, now
 }
 
 func (m *Mill) at(who int) *peer {
@@ -231,11 +249,14 @@
 		return
 	}
 	p.accused[n.id] = now + voiceLasts
-	if now-n.goodAt < freshness && n.badAt < n.goodAt {
+	if r.Why > Fails {
+		return
+	}
+	if n.sight[r.Why].fine(now) {
 		m.wrong(r.Origin, now) // we have just had an answer
 		return
 	}
-	n.voices[r.Origin] = voice{now, now + voiceLasts}
+	n.voices[r.Origin] = voice{now, now + voiceLasts, r.Why}
 }
 
 // weigh tells whether voices make a node doubted. Voices of one zone alone are one way to the node, which may be cut:
@@ -327,11 +348,13 @@
 	accusing := 0
 	for _, id := range m.order {
 		n := m.nodes[id]
-		n.fade(now)
+		for why := range n.sight {
+			n.sight[why].fade(now)
+		}
 		if n.doubted || len(n.voices) > 0 {
 			e.Doubts = append(e.Doubts, m.weigh(n, now)...)
 		}
-		if n.failing() {
+		if _, failing := n.failing(); failing {
 			accusing++
 		}
 	}
@@ -339,10 +362,12 @@
 	ill := accusing >= crowdLeast && float64(accusing) > crowdShare*float64(len(m.nodes))
 	for _, id := range m.order {
 		n := m.nodes[id]
-		switch failing := n.failing() && !ill && m.terms.Accuse; {
+		why, failing := n.failing()
+		failing = failing && !ill && m.terms.Accuse
+		switch {
 		case failing && (!n.accused || now-n.said >= sayEvery):
 			n.accused, n.said = true, now
-			e.Own = append(e.Own, m.own(Record{Kind: Accuse, Node: id}, now))
+			e.Own = append(e.Own, m.own(Record{Kind: Accuse, Node: id, Why: why}, now))
 		case !failing && n.accused:
 			n.accused = false
 			e.Own = append(e.Own, m.own(Record{Kind: Acquit, Node: id}, now))
@@ -356,9 +381,15 @@
 	return e
 }
 
-// failing tells whether what we saw of a node is bad enough to say so.
-func (n *node) failing() bool {
-	return n.bad >= evidenceOf && n.bad > evidenceIn*(n.good+n.bad) && n.badAt > n.goodAt
+// failing tells whether what we saw of a node is bad enough to say so, and of what kind it is.
+func (n *node) failing() (Why, bool) {
+	for why := range n.sight {
+		s := &n.sight[why]
+		if s.bad >= evidenceOf && s.badAt > s.goodAt && (s.streak >= evidenceRow || s.bad > evidenceIn*(s.good+s.bad)) {
+			return Why(why), true
+		}
+	}
+	return 0, false
 }
 
 func (m *Mill) own(r Record, now float64) Record {
@@ -423,8 +454,8 @@
 // Beliefs tells of all nodes of which there is something to tell.
 func (m *Mill) Beliefs(now float64) (out []Believed) {
 	for _, id := range m.order {
-		if n := m.nodes[id]; n.doubted || len(n.voices) > 0 || n.bad > evidenceIn {
-			out = append(out, Believed{id, n.doubted, n.good, n.bad, sorted(n.voices)})
+		if n := m.nodes[id]; n.doubted || len(n.voices) > 0 || n.sight[Silent].bad+n.sight[Fails].bad > evidenceIn {
+			out = append(out, Believed{id, n.doubted, n.sight[Fails].good, n.sight[Silent].bad + n.sight[Fails].bad, sorted(n.voices)})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Believed) int { return cmp.Compare(a.Node, b.Node) })
--- a/rumour/rumour_test.go
+++ b/rumour/rumour_test.go
@@ -25,7 +25,9 @@
 //	leave PEER, restart PEER, hush PEER  it goes, starts with a new epoch, falls silent
 //	clock PEER SECONDS                   its clock is off by as much
 //	replay PEER                          its last record comes again
-//	good NODE, bad NODE                  own evidence
+//	good NODE, bad NODE                  own evidence of a submission
+//	up NODE, down NODE                   of a probe
+//	fail PEER NODE                       a voice says that submissions to it fail
 //	forget NODE, node NODE               it is gone for good; it is there, new
 //	doubt NODE, trust NODE               it is doubted now; it is not
 //	weight PEER LOW HIGH                 what its voice is worth
@@ -151,8 +153,10 @@
 		s.peers[arg(1)].skew = s.number(f[2])
 	case "replay":
 		s.doubts(s.mill.Take(s.last[arg(1)], s.now).Doubts)
-	case "good", "bad":
-		s.doubts(s.mill.Saw(arg(1), f[0] == "good", s.now, s.now))
+	case "fail":
+		s.take(arg(1), Record{Kind: Accuse, Node: arg(2), Why: Fails})
+	case "good", "bad", "up", "down":
+		s.doubts(s.mill.Saw(arg(1), f[0] == "good" || f[0] == "up", f[0] == "up" || f[0] == "down", s.now, s.now))
 		s.now += 0.001
 	case "forget":
 		s.mill.Forget(arg(1))
--- a/rumour/sim.go
+++ b/rumour/sim.go
@@ -101,7 +101,7 @@
 }
 
 // Saw tells an instance what it saw of a node.
-func (s *Sim) Saw(i, node int, good bool) { s.note(i, s.Mills[i].Saw(node, good, s.Now, s.Now)) }
+func (s *Sim) Saw(i, node int, good bool) { s.note(i, s.Mills[i].Saw(node, good, false, s.Now, s.Now)) }
 
 func (s *Sim) note(i int, all []Doubt) {
 	for _, d := range all {
--- a/standin/node.go
+++ b/standin/node.go
@@ -60,6 +60,7 @@
 	open    map[net.Conn]bool
 	fault   atomic.Int32
 	asked   atomic.Int64
+	last    atomic.Int64 // Unix ns of the newest of them
 }
 
 // Fault is a trouble of a node.
@@ -75,6 +76,9 @@
 // Set gives a node a trouble, or ends it.
 func (n *Node) Set(f Fault) { n.fault.Store(int32(f)) }
 
+// LastAsked tells when the newest of them came.
+func (n *Node) LastAsked() time.Time { return time.Unix(0, n.last.Load()) }
+
 // Asked tells how many statements, probes left out, have come.
 func (n *Node) Asked() int64 { return n.asked.Load() }
 
@@ -178,6 +182,7 @@
 			count := n.asked.Load()
 			if !probe {
 				count = n.asked.Add(1)
+				n.last.Store(time.Now().UnixNano())
 			}
 			switch f := Fault(n.fault.Load()); {
 			case f == Hangs:
