Signs of life take a quarter of the gossip's bytes

Cause: at rest 20 instances sent as much as their bound allows, 8.4 kB a second each, for signs of life alone.

--- a/rumour/api.go
+++ b/rumour/api.go
@@ -81,7 +81,7 @@
 	beat        = 1.0     // s between an instance's signs of life, while there are few
 	beatTold    = 3       // times a sign of life is passed on by each: one in twenty misses it, and has the next
 	beatBytes   = 150.0   // bytes of one, with its part of a datagram's envelope
-	beatShare   = 0.75    // share of the bytes that signs of life may take: the rest is for voices
+	beatShare   = 0.25    // share of the bytes that signs of life may take: a peer that is gone needs no quick word
 	seedEvery   = 10.0    // s between looks at a seed
 	beatsLost   = 6       // signs of life that may be lost until a peer counts as gone: at 30% loss one in a thousand is
 	rounds      = 0.2     // s between rounds of sending: five rounds reach all of a few hundred
