--- a/shape/norm.go
+++ b/shape/norm.go
@@ -125,19 +125,11 @@
 			}
 		case kWord:
 			s.Empty, values = false, false
-			n := len(s.Norm)
-			if n > s.lead {
-				n++
-			}
-			norm := s.Norm[:n+t.end-t.at]
-			if n > s.lead {
-				norm[n-1] = ' '
-			}
-			word := norm[n:]
-			for i, c := range text[t.at:t.end] {
+			src := text[t.at:t.end]
+			word := s.more(len(src))
+			for i, c := range src {
 				word[i] = lowers[c]
 			}
-			s.Norm = norm
 		case kUnicode:
 			s.Empty, values = false, false
 			s.add(text[t.at:t.end])
@@ -159,12 +151,24 @@
 	}
 }
 
+// more makes room for a token of a length behind what there is; Read has seen to it that Norm need not move.
+func (s *Scratch) more(length int) []byte {
+	n := len(s.Norm)
+	if n > s.lead {
+		s.Norm = s.Norm[:n+1+length]
+		s.Norm[n] = ' '
+		return s.Norm[n+1:]
+	}
+	s.Norm = s.Norm[:n+length]
+	return s.Norm[n:]
+}
+
 func (s *Scratch) add(b []byte) {
-	n := s.Norm
-	if len(n) > s.lead {
-		n = append(n, ' ')
+	if room := s.more(len(b)); len(b) == 1 {
+		room[0] = b[0]
+	} else {
+		copy(room, b)
 	}
-	s.Norm = append(n, b...)
 }
 
 // sign tells whether the operator before a number is its sign: nothing that has a value stands before it.
