--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -259,6 +260,7 @@
 					x.Keys = append(x.Keys, fmt.Sprintf("%x", id))
 				}
 			}
+			slices.Sort(x.Keys)
 			s.Peers = append(s.Peers, x)
 		}
 		for _, b := range m.mill.Beliefs(now) {
--- a/relay/classes_test.go
+++ b/relay/classes_test.go
@@ -333,6 +333,12 @@
 	c.ask("SELECT 1")
 	_, _, code, _ := c.answer()
 	require.Empty(t, code)
+	ran := map[string]int{}
+	for _, r := range f.group.History() {
+		ran[r.Text]++
+		require.Equal(t, 1, ran[r.Text], "%s ran twice", r.Text)
+		require.True(t, r.Primary || !strings.HasPrefix(r.Text, "INSERT"), r.Text)
+	}
 }
 
 func TestStatementTimeout(t *testing.T) {
--- a/shape/api.go
+++ b/shape/api.go
@@ -9,6 +9,9 @@
 
 import "eiderway/splitter"
 
+//go:generate go tool goyacc -v "" -p shape -o grammar.go grammar.y
+//go:generate gofmt -w grammar.go
+
 // Kind is a txn type that statements are classed as.
 type Kind struct {
 	Name   string
