An instance that has left stays gone: late signs of life and its last round

A probe that printed each leave and each peer that came back showed the leave sent in both datagrams of the last round, and then, in the failing run, a dozen peers counting the instance as there again: "revived 11 seq 7 left at seq 8", the sign of life that others were still passing on. It then took six intervals (25 s at 20 peers) to be gone for silence.

Ruled out: the leave lost (it was in every datagram sent), a bound of bytes (credit is full by the round a second ahead), the wait (another 5 s would only have hidden it).

At fault: lives in rumour/peers.go took any sign of life of the epoch that had left; admit now turns them away. Beside it, carry gave a leave the rank of accusations, so in a storm of over eight of them the last round could go without it: it now goes first.

--- a/rumour/peers.go
+++ b/rumour/peers.go
@@ -18,6 +18,7 @@
 	skew       float64 // s its clock is ahead of ours, the least seen: delays only make it look behind
 	known      bool
 	gone       bool
+	left       bool    // by its own word: nothing more of this epoch comes from it
 	wrong      float64 // weight lost by wrong voices
 	wrongAt    float64
 	right      int
@@ -87,7 +88,8 @@
 	case math.Abs(r.At-now) > skewMost:
 		m.counted.Skewed++
 		return nil, false
-	case r.Epoch < p.epoch:
+	case r.Epoch < p.epoch, r.Epoch == p.epoch && p.left:
+		// A sign of life that others still pass on would make it be there again, after it has left.
 		m.counted.Old++
 		return nil, false
 	case r.Epoch > p.epoch: // it started anew, and has all to prove again but its record
@@ -154,10 +156,12 @@
 // carry has a record passed on.
 func (m *Mill) carry(r Record) {
 	times := int(math.Ceil(retell * math.Log2(float64(m.live)+2)))
-	rank := 0
-	if r.Kind == Alive {
-		rank = 1
-		times = beatTold
+	rank := 1
+	switch r.Kind {
+	case Alive:
+		rank, times = 2, beatTold
+	case Leave:
+		rank = 0 // its origin has one round left to tell it in, however much else there is to tell
 	}
 	// A newer sign of life of the same peer, or a newer word on the same node, takes the place of the older.
 	if i := slices.IndexFunc(m.items, func(x item) bool {
--- a/rumour/rumour.go
+++ b/rumour/rumour.go
@@ -224,6 +224,7 @@
 		e.Behind = r.List > m.list
 	case Leave:
 		m.goes(p)
+		p.left = true
 	case Accuse, Acquit:
 		if n := m.nodes[r.Node]; n != nil {
 			m.hear(n, p, r, now)
--- a/rumour/rumour_test.go
+++ b/rumour/rumour_test.go
@@ -32,6 +32,7 @@
 //	doubt NODE, trust NODE               it is doubted now; it is not
 //	weight PEER LOW HIGH                 what its voice is worth
 //	tells KIND NODE, silent              what it had told since the last such line
+//	under-way PEER, late PEER            it makes a sign of life that comes with the line late
 //	live N                               peers that are there
 type scene struct {
 	t     *testing.T
@@ -49,6 +50,7 @@
 	zone       int
 	skew       float64
 	hushed     bool
+	underWay   Record
 }
 
 func (s *scene) number(text string) float64 {
@@ -143,6 +145,12 @@
 	case "leave":
 		s.take(arg(1), Record{Kind: Leave, Node: -1})
 		s.peers[arg(1)].hushed = true
+	case "under-way": // a sign of life that comes later, by the line late
+		p := s.peers[arg(1)]
+		p.seq++
+		p.underWay = Record{Kind: Alive, Node: -1, Origin: arg(1), Epoch: p.epoch, Seq: p.seq, At: s.now, Zone: p.zone, Size: recordBytes}
+	case "late":
+		s.doubts(s.mill.Take(s.peers[arg(1)].underWay, s.now).Doubts)
 	case "hush":
 		s.peers[arg(1)].hushed = true
 	case "restart":
@@ -389,3 +397,24 @@
 	require.Empty(t, run(false))
 	require.Empty(t, run(true))
 }
+
+// TestLeaveGoesFirst: in the one round that an instance that goes has left, every datagram says so, whatever else there is
+// to tell.
+func TestLeaveGoesFirst(t *testing.T) {
+	m := New(Terms{Seed: 1, Epoch: 1, Bytes: 8192, Datagram: 1100, Accuse: true})
+	for who := range 19 {
+		m.Take(Record{Kind: Alive, Origin: who, Epoch: 1, Seq: 1, At: 1e6, Node: -1, Size: recordBytes}, 1e6)
+	}
+	for node := range 40 {
+		m.Sealed(Record{Kind: Accuse, Origin: -1, Epoch: 1, Seq: int64(node + 1), At: 1e6, Node: node, Size: recordBytes})
+	}
+	r := m.Going(1e6)
+	r.Size = recordBytes
+	m.Sealed(r)
+	sends := m.Round(1e6)
+	require.NotEmpty(t, sends)
+	for _, s := range sends {
+		require.Equal(t, Leave, s.Records[0].Kind)
+		require.Greater(t, len(s.Records), 5)
+	}
+}
