Probes, held and declined txns are counted by their causes

Change: the module gives each probe its cause (first look, ordinary, window, held txn, read that asks, set aside, connection lost, peers' doubt), says which probes let a txn go that could not have gone before, and why txns are held or declined; the router counts them, with the connections that probes had to open, and prints them on SIGUSR1.

--- a/relay/core.go
+++ b/relay/core.go
@@ -290,9 +290,11 @@
 	c.finish(c.txns[txn], pgwire.AppendError(nil, "ERROR", "08007", "rolled back, its effect is not known", ""))
 }
 
-func (c *core) Probe(node int, then func(splitter.Report)) {
-	c.counters.probes.Add(1)
-	j := &job{sent: c.now, until: c.now + c.terms.Splitter.ConnectIn}
+func (c *core) Count(what splitter.What, why splitter.Cause) { c.counters.causes[what][why].Add(1) }
+
+func (c *core) Probe(node int, why splitter.Cause, then func(splitter.Report)) {
+	c.counters.probed[why].Add(1)
+	j := &job{sent: c.now, until: c.now + c.terms.Splitter.ConnectIn, why: why}
 	n := c.nodes[node]
 	j.done = func(res splitter.Result, _ []byte) {
 		c.tell(func() {
--- a/relay/counters.go
+++ b/relay/counters.go
@@ -21,7 +21,10 @@
 	taken, committed, declined, rolledBack, left atomic.Int64 // txns
 	malformed                                    atomic.Int64 // statements
 	turnedAway, silent, madeRoom                 atomic.Int64 // clients
-	submitted, probes                            atomic.Int64
+	submitted                                    atomic.Int64
+	probed                                       [splitter.CauseCount]atomic.Int64
+	probeOpened                                  [splitter.CauseCount]atomic.Int64 // connections that a probe had to open
+	causes                                       [splitter.WhatCount][splitter.CauseCount]atomic.Int64
 	outcomes                                     [splitter.Answered + 1]atomic.Int64
 	clientsOpened, clientsClosed                 atomic.Int64
 	linksOpened, linksReused, linksClosed        atomic.Int64
@@ -34,6 +37,18 @@
 	"cancelled", "missed", "full", "no_conn", "unsent",
 	"answered"}
 
+// byCause makes fields of what is not zero, and their sum.
+func byCause(all *[splitter.CauseCount]atomic.Int64) (logrus.Fields, int64) {
+	fields, sum := logrus.Fields{}, int64(0)
+	for i := range all {
+		if n := all[i].Load(); n > 0 {
+			fields[splitter.Cause(i).String()] = n
+			sum += n
+		}
+	}
+	return fields, sum
+}
+
 // watch prints the counters each time they are asked for.
 func (k *counters) watch(life context.Context, g *errgroup.Group, c *core, h *clients) {
 	asked := make(chan os.Signal, 1)
@@ -58,7 +73,8 @@
 	k.log.WithFields(logrus.Fields{"taken": k.taken.Load(), "committed": k.committed.Load(),
 		"declined": k.declined.Load(), "rolled_back": k.rolledBack.Load(), "left": k.left.Load(),
 		"malformed": k.malformed.Load()}).Info("txns")
-	outcomes := logrus.Fields{"sent": k.submitted.Load(), "probes": k.probes.Load()}
+	probed, probes := byCause(&k.probed)
+	outcomes := logrus.Fields{"sent": k.submitted.Load(), "probes": probes}
 	for i, name := range outcomeNames {
 		if n := k.outcomes[i].Load(); n > 0 {
 			outcomes[name] = n
@@ -70,6 +86,13 @@
 		"made_room": k.madeRoom.Load()}).Info("clients")
 	k.log.WithFields(logrus.Fields{"opened": k.linksOpened.Load(), "reused": k.linksReused.Load(),
 		"closed": k.linksClosed.Load(), "open": len(c.sockets), "none_left": k.noSockets.Load()}).Info("nodes")
+	k.log.WithFields(probed).Info("probes by cause")
+	opened, _ := byCause(&k.probeOpened)
+	k.log.WithFields(opened).Info("probes by cause that opened a connection")
+	for what, text := range [splitter.WhatCount]string{"probes by cause that let a txn go", "txns held by cause", "txns declined by cause"} {
+		fields, _ := byCause(&k.causes[what])
+		k.log.WithFields(fields).Info(text)
+	}
 	if c.classes != nil {
 		c.classes.print(k.log)
 	}
--- a/relay/node.go
+++ b/relay/node.go
@@ -33,7 +33,8 @@
 	link  *link // that has it; the node's actor alone reads and sets this
 	sent  float64
 	until float64
-	moot  atomic.Bool // not to be written any more
+	why   splitter.Cause // of a probe
+	moot  atomic.Bool    // not to be written any more
 	done  func(splitter.Result, []byte)
 
 	longest int    // bytes of a result of any form; 0: the platform's one row of one column
@@ -208,6 +209,9 @@
 		return false
 	}
 	c.counters.linksOpened.Add(1)
+	if j.st == nil {
+		c.counters.probeOpened[j.why].Add(1)
+	}
 	l.nc = nc
 	context.AfterFunc(l.ctx, func() { nc.SetDeadline(past) })
 	return true
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -285,7 +285,9 @@
 	h.finish(t)
 }
 
-func (h *host) Probe(node int, then func(splitter.Report)) {
+func (h *host) Count(splitter.What, splitter.Cause) {}
+
+func (h *host) Probe(node int, _ splitter.Cause, then func(splitter.Report)) {
 	h.probes[node] = append(h.probes[node], then)
 	h.act("poll", action{Node: h.names[node]})
 }
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -148,6 +148,43 @@
 	ListMoved // it is to be had elsewhere from now on; a watch that stands goes on there
 )
 
+// What is counted, each with its Cause.
+type What int
+
+const (
+	Freed     What = iota // probes whose answer let a txn go that could not have gone before it
+	Held                  // txns that could not go when they arrived
+	Turned                // txns that were declined
+	WhatCount             // how many there are
+)
+
+// Cause says why a node is probed, or why a txn waits or was declined.
+type Cause int
+
+const (
+	FirstLook  Cause = iota // of a probe: a member that was never looked at
+	Ordinary                // the design's ordinary interval
+	InWindow                // a failover window, or no primary is known
+	HeldTxn                 // a txn waits for role evidence
+	ReadAsks                // a read finds no replica proven fresh enough, or the proven ones full
+	SetAside                // the member is out of the read set
+	ConnLost                // it refused a connection
+	PeersDoubt              // peers have trouble with it
+	Behind                  // of a txn: others of its type wait in front of it
+	NoPrimary               // no member is known as primary, or it has to show that it still is
+	NoProof                 // no replica is proven fresh enough
+	NoRoom                  // members that could take it are full, cold or resting
+	Tried                   // it was submitted before, in vain
+	CauseCount              // how many there are
+)
+
+func (w What) String() string { return [WhatCount]string{"freed", "held", "turned"}[w] }
+
+func (c Cause) String() string {
+	return [CauseCount]string{"first_look", "ordinary", "window", "held_txn", "read_asks", "set_aside", "conn_lost",
+		"peers_doubt", "behind", "no_primary", "no_proof", "no_room", "tried"}[c]
+}
+
 // Host is what a router acts through. Closures run later, never inside the call.
 type Host interface {
 	Now() float64
@@ -155,7 +192,8 @@
 	Cancel(txn int) // the submission that is out
 	Decline(txn int, pause float64)
 	RollBack(txn int)
-	Probe(node int, then func(Report))
+	Probe(node int, why Cause, then func(Report))
+	Count(what What, why Cause)
 	After(at float64, then func())
 	CloseIdle(node int) // connections to it that are not in use
 	Forget(node int)    // nothing is asked of it any more, its index may stand for another
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -58,9 +58,11 @@
 func (w *world) Note(string)                   {}
 func (w *world) do(f string, args ...any)      { w.did = append(w.did, fmt.Sprintf(f, args...)) }
 
-func (w *world) Probe(node int, then func(Report)) {
+func (w *world) Count(what What, why Cause) { w.do("count %s %s", what, why) }
+
+func (w *world) Probe(node int, why Cause, then func(Report)) {
 	name := w.names[node]
-	w.do("probe %s", name)
+	w.do("probe %s %s", name, why)
 	w.After(w.now+0.001, func() {
 		if role := w.roles[name]; role != nil {
 			then(w.report(role))
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -80,6 +80,7 @@
 	armed  bool           // a tick is due
 	due    float64        // when
 	woke   float64        // end of the last stall of this router itself
+	sent   int            // submissions so far
 }
 
 // kind is a txn type with what experience says of it.
@@ -152,6 +153,7 @@
 	ranZone int
 	out     *flight
 	avoid   *node // the last one to fail it
+	why     Cause // what holds it
 	started bool  // the answer has begun to flow
 	over    bool
 }
@@ -297,7 +299,7 @@
 	g := r.group(x.Group)
 	_, turn := math.Modf(golden * float64(r.terms.Me+r.count))
 	r.count++
-	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, arrived: now, turn: turn}
+	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, arrived: now, turn: turn, why: Behind}
 	if x.Cost > 0 {
 		// Its own usual latency: a costly txn must not look lost or a node slow by the cheap ones of its type,
 		// nor they by it. It harms where costs are wrong; a stale one fades where it is learned.
@@ -310,6 +312,9 @@
 	g.waiting[t.Type] = append(g.waiting[t.Type], t)
 	r.probes(g)
 	r.pump(g)
+	if t.tries == 0 {
+		r.host.Count(Held, t.why)
+	}
 }
 
 // Doubt says that peers have trouble with a node, until a time; one that is past ends it. It is looked at sooner, so that
@@ -324,7 +329,7 @@
 	begins := now >= n.doubted && now < until
 	n.doubted = until
 	if begins && r.terms.Probes && !n.probing && !n.closed {
-		r.probe(n, r.group(n.Group))
+		r.probe(n, r.group(n.Group), PeersDoubt)
 	}
 }
 
@@ -387,8 +392,10 @@
 		if g.held {
 			n = r.candidate(g)
 		}
-		if n != nil && r.room(n, t) {
+		if t.why = NoPrimary; n != nil && r.room(n, t) {
 			return n
+		} else if n != nil {
+			t.why = NoRoom
 		}
 		return nil
 	}
@@ -417,7 +424,7 @@
 				return n
 			}
 		}
-		if len(usable) > 0 {
+		if t.why = NoRoom; len(usable) > 0 {
 			return nil
 		}
 	}
@@ -431,6 +438,9 @@
 			best, least = n, busy
 		}
 	}
+	if t.why = NoRoom; !proven {
+		t.why = NoProof
+	}
 	if best == nil && asks && (!proven || g.credit >= float64(len(g.members))) && r.ask(usable, t) {
 		if !proven {
 			return nil
@@ -465,7 +475,7 @@
 		if best == nil {
 			break
 		}
-		r.probe(best, t.g)
+		r.probe(best, t.g, ReadAsks)
 	}
 	return asked > 0
 }
@@ -610,6 +620,7 @@
 	f := &flight{t: t, sent: now}
 	t.out = f
 	t.tries++
+	r.sent++
 	t.g.live++
 	n.out = append(n.out, f)
 	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.landed(f, n, res) })
@@ -689,6 +700,10 @@
 	if t.LateValue == 0 && r.host.Now() > t.arrived+t.SLA/2 {
 		pause = r.terms.MaxPause // no answer will be in time any more
 	}
+	if t.tries > 0 {
+		t.why = Tried
+	}
+	r.host.Count(Turned, t.why)
 	r.host.Decline(t.ID, pause)
 }
 
@@ -759,7 +774,7 @@
 		}
 		if refused && r.terms.Probes && !n.probing {
 			n.refused = now
-			r.probe(n, g)
+			r.probe(n, g, ConnLost)
 		}
 		if g.pri == n {
 			r.hold(g)
@@ -939,14 +954,17 @@
 		if n.probing || n.closed {
 			continue
 		}
-		every, owed := ordinary, n.probed == 0
+		every, owed, why := ordinary, n.probed == 0, Ordinary
 		switch {
 		case held:
-			every, owed = hurried, true
+			every, owed, why = hurried, true, HeldTxn
 		case now < g.until || g.pri == nil:
-			every = hurried
+			every, why = hurried, InWindow
 		case n.aside:
-			every = asideProbe
+			every, why = asideProbe, SetAside
+		}
+		if n.probed == 0 {
+			why = FirstLook
 		}
 		if n.probed > 0 && now-n.probed < every*(0.9+0.2*r.rng.Float64()) {
 			continue
@@ -958,7 +976,7 @@
 			}
 			g.credit--
 		}
-		r.probe(n, g)
+		r.probe(n, g, why)
 	}
 	g.next += due // the first one left out
 }
@@ -973,10 +991,15 @@
 	return false
 }
 
-func (r *Router) probe(n *node, g *group) {
+func (r *Router) probe(n *node, g *group, why Cause) {
 	now := r.host.Now()
 	n.probing, n.probed = true, now
-	r.host.Probe(n.Node, func(rep Report) { r.answered(n, g, now, rep) })
+	r.host.Probe(n.Node, why, func(rep Report) {
+		before := r.sent
+		if r.answered(n, g, now, rep); r.sent > before {
+			r.host.Count(Freed, why)
+		}
+	})
 }
 
 // answered takes what a probe brought. While no member answers at all the role record is frozen: the fault
