Gossip tells overdue answers, asks for a newer list, and is played through an hour of faults

Need: voices came after two failures of each of a quorum, as late as most routers' own evidence, so gossip spared no txns; two bounds stood in the host; a peer's newer member list was only counted.

Change: the Mill watches submissions that are out, and takes an answer overdue by eight usual latencies as silence, which a probe or any answer takes back; rounds are twice as quick while an accusation is untold. The bound on what is looked at and how often twins are told moved from mesh to rumour (bounds.go), where scenarios play them.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -52,11 +52,9 @@
 }
 
 const (
-	tickEvery  = 100 * time.Millisecond
-	mailMost   = 1024 // datagrams and words that wait: beyond it they are dropped, as the network would
-	twinsEvery = 5.0  // s
-	mostZones  = 64   // zones that are told apart
-	floodGrace = 8.0  // s of its peers' bytes that may come at once
+	tickEvery = 100 * time.Millisecond
+	mailMost  = 1024 // datagrams and words that wait: beyond it they are dropped, as the network would
+	mostZones = 64   // zones that are told apart
 )
 
 // Mesh is one instance's side.
@@ -75,7 +73,6 @@
 	named   []string       // by index; "" is free
 	addrs   []netip.AddrPort
 	alive   []rumour.Record // the newest sign of life of each
-	told    []float64       // until when its twins are not told of each other again
 	zones   map[string]int
 	nodes   map[string]int
 	uids    []string
@@ -85,9 +82,7 @@
 	seed    int
 	key     ed25519.PrivateKey
 	counts  Counts
-	inMu    sync.Mutex
-	inLeft  float64
-	inAt    time.Time
+	inlet   rumour.Inlet    // the reader's alone
 	warned  map[string]bool // what was logged once; bounded by the names trusted
 }
 
@@ -115,7 +110,7 @@
 	}
 	m := &Mesh{terms: t, owner: owner, conn: conn, wake: make(chan struct{}, 1), start: now, zero: float64(now.UnixMicro()) / 1e6,
 		names: map[string]int{}, zones: map[string]int{}, nodes: map[string]int{}, senders: map[keyID]*sender{}, key: t.Key,
-		warned: map[string]bool{}, inAt: now}
+		warned: map[string]bool{}, inlet: rumour.Inlet{Bytes: t.Bytes}}
 	m.Trust(t.Trust, t.Networks)
 	m.mill = rumour.New(rumour.Terms{Seed: t.Seed, Epoch: t.Epoch, Zone: m.zone(t.Zone), Bytes: t.Bytes,
 		Datagram: mostPacket - headBytes - ed25519.SignatureSize, Accuse: t.Accuse})
@@ -212,9 +207,18 @@
 
 // Saw tells what a submission or probe showed of a node.
 func (m *Mesh) Saw(uid string, good, probe bool, sent float64) {
+	m.of(uid, func(id int) { m.doubts(m.mill.Saw(id, good, probe, sent, m.now())) })
+}
+
+// Out tells that a submission has left for a node; Back that it came to an end that shows nothing.
+func (m *Mesh) Out(uid string, sent float64) { m.of(uid, func(id int) { m.mill.Out(id, sent) }) }
+
+func (m *Mesh) Back(uid string, sent float64) { m.of(uid, func(id int) { m.mill.Back(id, sent) }) }
+
+func (m *Mesh) of(uid string, f func(id int)) {
 	m.offer(func() {
 		if id, ok := m.nodes[uid]; ok {
-			m.doubts(m.mill.Saw(id, good, probe, sent, m.now()))
+			f(id)
 		}
 	})
 }
@@ -322,7 +326,7 @@
 		m.counts.Network.Add(1)
 		return
 	}
-	if !m.allows(len(b), len(t.names)) {
+	if !m.inlet.Allows(len(b), len(t.names), m.now()) {
 		m.counts.Flood.Add(1)
 		return
 	}
@@ -344,23 +348,6 @@
 	m.offer(func() { m.take(e, words, from) })
 }
 
-// allows bounds what is looked at, by the bytes that all who are trusted may send.
-func (m *Mesh) allows(n, peers int) bool {
-	m.inMu.Lock()
-	defer m.inMu.Unlock()
-	rate := m.terms.Bytes * math.Max(4, float64(peers))
-	now := time.Now()
-	m.inLeft = math.Min(rate*floodGrace, m.inLeft+rate*now.Sub(m.inAt).Seconds())
-	if m.inAt = now; m.inLeft == 0 {
-		m.inLeft = rate
-	}
-	if m.inLeft < float64(n) {
-		return false
-	}
-	m.inLeft -= float64(n)
-	return true
-}
-
 // take hands the records of a datagram to the Mill.
 func (m *Mesh) take(e envelope, words []word, from netip.AddrPort) {
 	s := m.senders[e.key]
@@ -412,10 +399,8 @@
 func (m *Mesh) twins(e envelope, words []word, from netip.AddrPort) {
 	name := m.trust.Load().names[e.key]
 	id, ok := m.names[name]
-	if now := m.now(); !ok || len(m.alive[id].Sealed) == 0 || now < m.told[id] {
+	if !ok || len(m.alive[id].Sealed) == 0 || !m.mill.Twins(id, m.now()) {
 		return
-	} else {
-		m.told[id] = now + twinsEvery
 	}
 	m.once("twins "+name, "two processes have the name "+name)
 	m.datagram(from, []rumour.Record{m.alive[id]})
@@ -453,7 +438,6 @@
 		m.named = append(m.named, name)
 		m.addrs = append(m.addrs, netip.AddrPort{})
 		m.alive = append(m.alive, rumour.Record{})
-		m.told = append(m.told, 0)
 	}
 	return id
 }
--- a/relay/core.go
+++ b/relay/core.go
@@ -265,6 +265,9 @@
 	h.job = j
 	n := c.nodes[node]
 	j.node = n
+	if c.gossip != nil {
+		c.gossip.mesh.Out(n.uid, j.sent)
+	}
 	n.tell(func() { n.start(j) })
 }
 
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -43,6 +43,9 @@
 		g.mesh.Saw(n.uid, false, false, sent)
 	case o == splitter.NoConn: // as a probe that is not answered: it is not there
 		g.mesh.Saw(n.uid, false, true, sent)
+		g.mesh.Back(n.uid, sent)
+	default:
+		g.mesh.Back(n.uid, sent)
 	}
 }
 
@@ -56,7 +59,11 @@
 	})
 }
 
-func (g *gossip) Behind() { g.core.counters.behind.Add(1) }
+// Behind has the list looked at, for a peer has a newer version of it. Nodes are taken from discovery alone.
+func (g *gossip) Behind() {
+	g.core.counters.behind.Add(1)
+	g.core.list.look()
+}
 
 func (g *gossip) Log(text string) { g.core.log.Warn("gossip: " + text) }
 
--- a/relay/list.go
+++ b/relay/list.go
@@ -80,6 +80,7 @@
 	mu    sync.Mutex // over the address and the call that is out there
 	addr  string
 	leave context.CancelFunc
+	soon  bool // the next call does not wait
 }
 
 func newList(c *core, addr string, rev, memoryMB int64) *list {
@@ -112,6 +113,23 @@
 	}
 }
 
+// look has a watch that stands ask at once, without a wait: there is news that it has not brought.
+func (l *list) look() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.soon = true
+	l.leave()
+}
+
+// looks tells whether look was called since it was last asked.
+func (l *list) looks() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	soon := l.soon
+	l.soon = false
+	return soon
+}
+
 func (l *list) at() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,6 +171,9 @@
 		case ctx.Err() == nil && l.at() != addr:
 			l.http.CloseIdleConnections()
 			continue
+		case ctx.Err() == nil && l.looks():
+			hold, slack = 0, callSlack
+			continue
 		case errors.Is(err, context.DeadlineExceeded) && hold > 0:
 			l.core.counters.watchesHung.Add(1)
 			hold, slack = 0, callSlack
@@ -178,7 +199,7 @@
 	defer cancel()
 	l.mu.Lock()
 	l.leave = cancel
-	moved := l.addr != addr
+	moved := l.addr != addr || l.soon && hold > 0
 	l.mu.Unlock()
 	if moved {
 		cancel()
--- a/rumour/api.go
+++ b/rumour/api.go
@@ -85,6 +85,7 @@
 	seedEvery   = 10.0    // s between looks at a seed
 	beatsLost   = 6       // signs of life that may be lost until a peer counts as gone: at 30% loss one in a thousand is
 	rounds      = 0.2     // s between rounds of sending: five rounds reach all of a few hundred
+	hasty       = 0.1     // s between them while an accusation has not been told yet: a second less until all know
 	fanout      = 2       // peers that a round sends to: one loss in three still lets a rumour grow
 	retell      = 3.0     // times log2 of the peers that a record is passed on
 	seasoned    = 5.0     // s a peer must have been heard of until its voices count
@@ -99,6 +100,10 @@
 	evidenceOf  = 1.5     // failures, faded, from which it accuses
 	evidenceIn  = 0.5     // share of what it saw that must have failed,
 	evidenceRow = 2       // or as many in a row: what was good a while ago says nothing of a node that hangs now
+	lateTimes   = 8.0     // usual latencies from which an answer is overdue: of exponential work one in 3,000 takes as long
+	lateLeast   = 0.05    // s that an answer may take at least: a pause of this process must not look like a node's
+	lateGain    = 0.02    // weight of the newest latency in what is usual
+	outMost     = 256     // submissions that are watched at a node: beyond it the newest are not
 	crowdShare  = 0.5     // a peer that accuses more than this share of the nodes has a trouble of its own
 	crowdLeast  = 3       // nodes accused until that can be told
 	budget      = 1.0 / 3 // share of a group that may be doubted by voices alone
--- a/rumour/peers.go
+++ b/rumour/peers.go
@@ -24,6 +24,7 @@
 	right      int
 	accused    map[int]float64 // nodes it accuses, until when; emptied as voices end
 	seqs       window
+	twins      float64 // until when its twins are not told of each other again
 }
 
 // window remembers which of the last numbers came: replays and repeats do not get through, late ones do.
--- a/rumour/rumour.go
+++ b/rumour/rumour.go
@@ -29,13 +29,18 @@
 	credited  float64
 	leaving   bool
 	notes     []string
+	askedFor  int64   // the version of the list that was asked for last
+	askAt     float64 // not again before
+	ticked    float64 // the last Tick
+	usual     float64 // s, latency of submissions, all nodes together; 0: none was answered yet
+	urgent    bool    // an accusation of ours, or one that came, has not been told yet
 	counted   Counts
 }
 
 // Counts tell what a Mill has done.
 type Counts struct {
-	Taken, Old, Repeated, Skewed, Dropped, Held, Voices, Unseasoned, Frequent, Crowds, Wrong, Right, Doubts, Overruled int64
-	Out                                                                                                                int64 // bytes
+	Taken, Old, Repeated, Skewed, Dropped, Held, Voices, Unseasoned, Frequent, Crowds, Wrong, Right, Doubts, Overruled, Overdue int64
+	Out                                                                                                                         int64 // bytes
 }
 
 // node is a member of the cluster as this instance sees it and hears of it.
@@ -47,6 +52,12 @@
 	voices    map[int]voice // by peer; emptied as they end
 	doubted   bool
 	until     float64
+	out       []outing // submissions without an end yet, oldest first; emptied by their ends, outMost at most
+}
+
+type outing struct {
+	sent    float64
+	overdue bool // counted
 }
 
 type voice struct {
@@ -101,6 +112,44 @@
 // List tells the version of our member list.
 func (m *Mill) List(rev int64) { m.list = rev }
 
+// Out tells that a submission has left for a node. Its end is told by Saw, or by Back where it shows nothing.
+func (m *Mill) Out(id int, sent float64) {
+	if n := m.nodes[id]; n != nil && len(n.out) < outMost {
+		n.out = append(n.out, outing{sent: sent})
+	}
+}
+
+// Back ends what Out began.
+func (m *Mill) Back(id int, sent float64) {
+	if n := m.nodes[id]; n != nil {
+		if i := slices.IndexFunc(n.out, func(o outing) bool { return o.sent == sent }); i >= 0 {
+			n.out = slices.Delete(n.out, i, i+1)
+		}
+	}
+}
+
+// overdue counts submissions whose answers should be there by far: each is taken as silence, before it times out. A
+// probe that is answered, or any answer, says otherwise. It covers nodes that hang, on which else each of many quiet
+// routers loses a submission of its own to find out; it harms where a type of txn takes eight usual latencies: voices
+// of a quorum then cost that node a probe and its turn, no more.
+func (m *Mill) overdue(n *node, now float64) {
+	if m.usual == 0 || now-m.ticked > lateLeast+2*hasty {
+		return // or this process has paused
+	}
+	limit := max(lateLeast, lateTimes*m.usual)
+	s := &n.sight[Silent]
+	for i := range n.out {
+		if o := &n.out[i]; !o.overdue && now-o.sent > limit {
+			o.overdue = true
+			if o.sent > s.goodAt {
+				s.fade(now)
+				s.bad, s.badAt, s.streak = s.bad+2*evidenceOf, now, s.streak+evidenceRow
+				m.counted.Overdue++
+			}
+		}
+	}
+}
+
 // Saw tells what a submission, or a probe, of ours that was sent at a time has shown of a node. A probe says nothing of
 // what becomes of submissions; an answered submission says that the node answers, too.
 func (m *Mill) Saw(id int, good, probe bool, sent, now float64) []Doubt {
@@ -108,6 +157,15 @@
 	if n == nil {
 		return nil
 	}
+	if !probe {
+		m.Back(id, sent)
+		if good {
+			if m.usual == 0 {
+				m.usual = max(now-sent, 1e-6)
+			}
+			m.usual += lateGain * (now - sent - m.usual)
+		}
+	}
 	for why := range n.sight {
 		s := &n.sight[why]
 		s.fade(now)
@@ -221,7 +279,7 @@
 	switch r.Kind {
 	case Alive:
 		m.lives(p, &r, now)
-		e.Behind = r.List > m.list
+		e.Behind = m.behind(r.List, now)
 	case Leave:
 		m.goes(p)
 		p.left = true
@@ -233,6 +291,7 @@
 	default:
 		return Effects{}
 	}
+	m.urgent = m.urgent || r.Kind == Accuse
 	m.carry(r)
 	return e
 }
@@ -336,6 +395,9 @@
 // through Sealed before Sends are asked for by the next call of Round.
 func (m *Mill) Tick(now float64) (e Effects) {
 	m.sweep(now)
+	if m.ticked == 0 {
+		m.ticked = now
+	}
 	for _, p := range m.peers {
 		if p == nil {
 			continue
@@ -349,6 +411,7 @@
 	accusing := 0
 	for _, id := range m.order {
 		n := m.nodes[id]
+		m.overdue(n, now)
 		for why := range n.sight {
 			n.sight[why].fade(now)
 		}
@@ -359,6 +422,7 @@
 			accusing++
 		}
 	}
+	m.ticked = now
 	// When half of the world fails us, the trouble is ours.
 	ill := accusing >= crowdLeast && float64(accusing) > crowdShare*float64(len(m.nodes))
 	for _, id := range m.order {
@@ -367,6 +431,7 @@
 		failing = failing && !ill && m.terms.Accuse
 		switch {
 		case failing && (!n.accused || now-n.said >= sayEvery):
+			m.urgent = m.urgent || !n.accused
 			n.accused, n.said = true, now
 			e.Own = append(e.Own, m.own(Record{Kind: Accuse, Node: id, Why: why}, now))
 		case !failing && n.accused:
@@ -404,9 +469,14 @@
 
 // Round tells what to send now, if a round is due.
 func (m *Mill) Round(now float64) []Send {
-	if now-m.roundAt < rounds*0.99 {
+	every := rounds
+	if m.urgent {
+		every = hasty
+	}
+	if now-m.roundAt < every*0.99 {
 		return nil
 	}
+	m.urgent = false
 	if math.IsInf(m.credited, 1) {
 		m.credited = now
 	}
--- a/rumour/rumour_test.go
+++ b/rumour/rumour_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math"
+	"math/rand"
 	"os"
 	"path/filepath"
 	"slices"
@@ -32,6 +33,10 @@
 //	doubt NODE, trust NODE               it is doubted now; it is not
 //	weight PEER LOW HIGH                 what its voice is worth
 //	tells KIND NODE, silent              what it had told since the last such line
+//	answer NODE SECONDS                  a submission was answered after as long
+//	out NODE, back NODE                  one leaves, and comes to an end that shows nothing
+//	list N, version PEER N, asks TIMES   our list's version, a peer's; the list was asked for as often so far
+//	twins PEER yes|no                    two processes of its name are told of each other now
 //	under-way PEER, late PEER            it makes a sign of life that comes with the line late
 //	live N                               peers that are there
 type scene struct {
@@ -43,6 +48,8 @@
 	last  map[int]Record
 	until map[int]float64
 	told  []Record
+	out   map[int]float64
+	asked int // for the list
 }
 
 type speaker struct {
@@ -65,7 +72,11 @@
 	p.seq++
 	r.Origin, r.Epoch, r.Seq, r.At, r.Zone, r.Size = who, p.epoch, p.seq, s.now+p.skew, p.zone, recordBytes
 	s.last[who] = r
-	s.doubts(s.mill.Take(r, s.now).Doubts)
+	e := s.mill.Take(r, s.now)
+	if e.Behind {
+		s.asked++
+	}
+	s.doubts(e.Doubts)
 }
 
 func (s *scene) doubts(all []Doubt) {
@@ -145,6 +156,23 @@
 	case "leave":
 		s.take(arg(1), Record{Kind: Leave, Node: -1})
 		s.peers[arg(1)].hushed = true
+	case "answer":
+		sent := s.now - s.number(f[2])
+		s.mill.Out(arg(1), sent)
+		s.doubts(s.mill.Saw(arg(1), true, false, sent, s.now))
+	case "out":
+		s.out[arg(1)] = s.now
+		s.mill.Out(arg(1), s.now)
+	case "back":
+		s.mill.Back(arg(1), s.out[arg(1)])
+	case "list":
+		s.mill.List(int64(arg(1)))
+	case "version":
+		s.take(arg(1), Record{Kind: Alive, Node: -1, List: int64(arg(2))})
+	case "asks":
+		require.Equal(s.t, arg(1), s.asked, s.where)
+	case "twins":
+		require.Equal(s.t, f[2] == "yes", s.mill.Twins(arg(1), s.now), s.where)
 	case "under-way": // a sign of life that comes later, by the line late
 		p := s.peers[arg(1)]
 		p.seq++
@@ -201,7 +229,7 @@
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
-			s := &scene{t: t, now: 1e6, peers: map[int]*speaker{}, last: map[int]Record{}, until: map[int]float64{}}
+			s := &scene{t: t, now: 1e6, peers: map[int]*speaker{}, last: map[int]Record{}, until: map[int]float64{}, out: map[int]float64{}}
 			for i, line := range strings.Split(string(text), "\n") {
 				line, _, _ = strings.Cut(line, "#")
 				if f := strings.Fields(line); len(f) > 0 {
@@ -218,7 +246,7 @@
 func TestFewChangeNothing(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(2, 40).Draw(rt, "peers")
-		s := &scene{t: t, now: 1e6, peers: map[int]*speaker{}, last: map[int]Record{}, until: map[int]float64{}}
+		s := &scene{t: t, now: 1e6, peers: map[int]*speaker{}, last: map[int]Record{}, until: map[int]float64{}, out: map[int]float64{}}
 		s.play(strings.Fields("mill nodes=6"))
 		for i := range n {
 			s.play([]string{"peers", fmt.Sprintf("%d-%d", i, i), fmt.Sprintf("zone=%d", i%3)})
@@ -418,3 +446,81 @@
 		require.Greater(t, len(s.Records), 5)
 	}
 }
+
+var hour = flag.Float64("hour", 120, "s of random faults in virtual time")
+
+// TestHour plays random faults: nodes hang or fail, instances have a bad network of their own, some lie, a zone is cut. No
+// healthy node is ever doubted by an instance that reaches it, nodes that are ill for long are, and no doubt begins or goes on longer after its fault
+// than voices last and are on their way.
+func TestHour(t *testing.T) {
+	const n, nodes, step = 20, 12, 0.2
+	const onWay = 2.0 // s until a voice has come to all, passed on by those who lose one in ten
+	s := NewSim(n, Terms{Bytes: 8192, Datagram: 1100, Accuse: true}, 5, func(i int, t *Terms) { t.Zone = i % 2 })
+	s.Loss = 0.1
+	for _, m := range s.Mills {
+		for node := range nodes {
+			m.Node(node, node/4)
+		}
+	}
+	rng := rand.New(rand.NewSource(7))
+	type fault struct{ from, until, share float64 }
+	sick := make([]fault, nodes) // a share of what is submitted to it fails
+	ill := make([]fault, n)      // a share of what it submits anywhere fails
+	liar := make([]fault, n)
+	cut := fault{}
+	on := func(f fault) bool { return s.Now >= f.from && s.Now < f.until }
+	begin := func(f *fault, most, share float64) bool {
+		free := s.Now > f.until+8
+		if free {
+			*f = fault{s.Now, s.Now + 2 + most*rng.Float64(), share}
+		}
+		return free
+	}
+	s.Cut = func(from, to int) bool { return on(cut) && from%2 != to%2 }
+	long, seen := 0, map[[2]float64]bool{}
+	s.Run(8)
+	for end := s.Now + *hour; s.Now < end; {
+		switch {
+		case rng.Float64() < 0.02:
+			f := &sick[rng.Intn(nodes)]
+			if begin(f, 10, min(1, 0.5+rng.Float64())) && f.share == 1 && f.until-f.from > 5 {
+				long++ // and fails all that is submitted to it
+			}
+		case rng.Float64() < 0.02:
+			begin(&ill[rng.Intn(n)], 20, 0.9*rng.Float64())
+		case rng.Float64() < 0.02:
+			begin(&liar[rng.Intn(3)], 20, 1) // three of 20 are below the quorum
+		case rng.Float64() < 0.005:
+			begin(&cut, 10, 1)
+		}
+		before := len(s.Doubts)
+		for i := range n {
+			for node := range nodes {
+				if rng.Float64() < 0.25 {
+					bad := on(sick[node]) && rng.Float64() < sick[node].share || on(ill[i]) && rng.Float64() < ill[i].share ||
+						on(cut) && i%2 != node%2
+					s.Saw(i, node, !bad && !(on(liar[i]) && node%3 == int(s.Now)%3))
+				}
+			}
+		}
+		s.Run(step)
+		for _, d := range s.Doubts[before:] {
+			if f := sick[d.Node]; d.Until > d.At {
+				if f.share == 1 && f.until-f.from > 5 && d.At < f.until {
+					seen[[2]float64{float64(d.Node), f.from}] = true
+				}
+				if d.Mill%2 != d.Node%2 && d.At < cut.until+voiceLasts+onWay && d.At >= cut.from {
+					continue // this one can't reach it
+				}
+				if own := ill[d.Mill]; own.share > 0.5 && d.At < own.until+voiceLasts+onWay && d.At >= own.from {
+					continue // nor this one, mostly
+				}
+				require.Less(t, d.At, f.until+voiceLasts+onWay, "instance %d doubts node %d, healthy since %.1f s", d.Mill, d.Node, d.At-f.until)
+				require.GreaterOrEqual(t, d.At, f.from)
+			}
+		}
+	}
+	t.Logf("%.0f s, %d instances: %d nodes failed all for over 5 s, %d of them were doubted by somebody; %d words of doubt, none of a healthy node",
+		*hour, n, long, len(seen), len(s.Doubts))
+	require.Greater(t, 3*len(seen), long, "it is no silence")
+}
