Routers of a tier tell each other what nodes have told: package lore, its host, the module's Told

The module takes positions as facts with their own date and roles as hints whom to ask; it asks for itself as before where peers are silent.

--- /dev/null
+++ b/lore/lore.go
@@ -0,0 +1,407 @@
+package lore
+
+// This file owns the words and who keeps them. It must never make a position younger than its node told it, nor take a
+// peer's word for a role: that is only passed on as a hint.
+
+import (
+	"encoding/binary"
+	"math"
+	"math/rand"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Book is one router's part. Its tables: nodes are emptied by Forget, groups grow with the groups ever listed, peers are
+// as many as the terms name.
+type Book struct {
+	terms   Terms
+	rng     *rand.Rand
+	every   float64
+	nodes   []*node
+	groups  map[int]*group
+	order   []*group
+	deaf    []float64 // by router: passed over until then
+	out     Effects
+	counted Counts
+}
+
+// node is what is known of a member.
+type node struct {
+	id      int
+	key     uint32
+	g       *group
+	own     float64 // newest position that it has told to this router
+	pos     float64 // newest that it has told to anybody
+	claimed float64 // newest position at which it was primary
+	at      float64 // when pos became newer
+	told    float64 // newest position that was told to all
+	news    float64 // last time that we told it
+	part    float64 // of the news of it that we tell
+	looked  float64
+}
+
+// group is a primary with its replicas.
+type group struct {
+	id      int
+	members []*node
+	keeper  int     // whose word came last; -1: nobody's
+	heard   float64 // when
+	asked   int     // whom we asked to keep, -1: nobody
+	askedAt float64
+	waits   float64 // a word is waited for until then
+	waited  float64 // the last time that this began
+	kept    float64 // by us, until then
+	due     float64 // our next tell
+	hurry   float64 // a txn somewhere waits for a primary until then
+	looks   float64 // that wants have paid for
+}
+
+// New makes a Book that knows nothing.
+func New(t Terms) *Book {
+	return &Book{terms: t, rng: rand.New(rand.NewSource(t.Seed)), groups: map[int]*group{}, deaf: make([]float64, t.Routers),
+		every: min(mostEvery, max(leastEvery, everyShare*t.Bound))}
+}
+
+// Effects hands over what is to be done, once.
+func (b *Book) Effects() Effects {
+	out := b.out
+	b.out = Effects{}
+	return out
+}
+
+// Counted tells the counts.
+func (b *Book) Counted() Counts { return b.counted }
+
+// Node names a member of the list. Its name is the same at every router.
+func (b *Book) Node(id int, name string, groupID int) {
+	for id >= len(b.nodes) {
+		b.nodes = append(b.nodes, nil)
+	}
+	if b.nodes[id] != nil || groupID < 0 || groupID > math.MaxUint16 {
+		return
+	}
+	g := b.group(groupID)
+	n := &node{id: id, key: uint32(xxhash.Sum64String(name)) & keyMask, g: g, part: 1}
+	b.nodes[id] = n
+	g.members = append(g.members, n)
+}
+
+// Forget ends a node: its index may stand for another.
+func (b *Book) Forget(id int) {
+	if id >= len(b.nodes) || b.nodes[id] == nil {
+		return
+	}
+	g := b.nodes[id].g
+	for i, n := range g.members {
+		if n.id == id {
+			g.members = append(g.members[:i:i], g.members[i+1:]...)
+			break
+		}
+	}
+	b.nodes[id] = nil
+}
+
+func (b *Book) group(id int) *group {
+	g := b.groups[id]
+	if g == nil {
+		g = &group{id: id, keeper: -1, asked: -1, heard: math.Inf(-1), askedAt: math.Inf(-1), waited: math.Inf(-1)}
+		b.groups[id] = g
+		b.order = append(b.order, g)
+	}
+	return g
+}
+
+// live tells whether a keeper speaks, we or another.
+func (b *Book) live(g *group, now float64) bool { return now < g.kept || now-g.heard < lives*b.every }
+
+// Saw takes what a node has told to this router, in an answer or a report.
+func (b *Book) Saw(id int, pos float64, primary bool, now float64) {
+	if id >= len(b.nodes) || b.nodes[id] == nil || pos <= 0 || pos > now+future {
+		return
+	}
+	n := b.nodes[id]
+	n.own = max(n.own, pos)
+	b.learn(n, pos, primary, now)
+	g := n.g
+	if now < g.kept || !b.live(g, now) {
+		return
+	}
+	// The keeper has it from others, too. Each router's part in that is as large as told positions are old.
+	if pos-n.told < newsShare*b.every || now-n.news < newsShare*b.every || b.rng.Float64() >= n.part {
+		return
+	}
+	n.news = now
+	b.counted.News++
+	b.send(g.keeper, news, g, []*node{n})
+}
+
+func (b *Book) learn(n *node, pos float64, primary bool, now float64) {
+	if primary && pos > n.claimed {
+		n.claimed = pos
+	}
+	if pos > n.pos {
+		n.pos, n.at = pos, now
+	}
+}
+
+// Arrived says that a read with a bound has come for a group. Where this router has no proof of its own, it is for such
+// reads that a group is kept: a router with enough traffic asks for nothing.
+func (b *Book) Arrived(id int, now float64) {
+	g := b.groups[id]
+	if g == nil {
+		return
+	}
+	for _, n := range g.members {
+		if n.own > now-b.terms.Bound && n.claimed < n.own {
+			return
+		}
+	}
+	b.want(g, false, now)
+}
+
+// Want says that a txn waits for a group's primary to show.
+func (b *Book) Want(id int, now float64) {
+	if g := b.groups[id]; g != nil {
+		b.want(g, true, now)
+	}
+}
+
+func (b *Book) want(g *group, primary bool, now float64) {
+	if b.terms.Routers < 2 {
+		return
+	}
+	if now < g.kept {
+		b.serve(g, primary, now)
+		return
+	}
+	to, kind := g.keeper, want
+	if primary {
+		kind = wantPrimary
+	}
+	switch {
+	case b.live(g, now):
+		every := hurry / 2
+		if !primary {
+			every = lingers / 4
+			if b.rng.Float64() >= wantsOf/float64(b.terms.Routers) {
+				return
+			}
+		}
+		if now-g.askedAt < every {
+			return
+		}
+	case g.asked >= 0 && now-g.askedAt < patience:
+		return
+	default:
+		if g.asked >= 0 && g.heard < g.askedAt {
+			b.counted.Silent++
+			b.deaf[g.asked] = now + deaf
+		}
+		to = b.candidate(g, now)
+		if kind == want {
+			kind = wantAnswer
+		}
+		if now-g.waited > deaf || b.waiting(g, now) {
+			// Its word is worth waiting for, once; if it does not come this router looks for itself, and asks on.
+			if !b.waiting(g, now) {
+				g.waited = now
+			}
+			g.waits = g.waited + patience
+			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: g.waits})
+		}
+	}
+	g.asked, g.askedAt = to, now
+	if to == b.terms.Me {
+		g.asked = -1
+		b.serve(g, primary, now)
+		return
+	}
+	b.counted.Wants++
+	b.send(to, kind, g, nil)
+}
+
+func (b *Book) waiting(g *group, now float64) bool { return now < g.waits }
+
+// candidate is the router that should keep a group: of those that are not known to be deaf, the one that comes first by a
+// hash of both numbers. All come to the same one without asking anybody, and each has a group or so to keep.
+func (b *Book) candidate(g *group, now float64) int {
+	best, most := b.terms.Me, uint64(0)
+	for i := range b.terms.Routers {
+		if i != b.terms.Me && now < b.deaf[i] {
+			continue
+		}
+		if h := rank(g.id, i); h >= most {
+			best, most = i, h
+		}
+	}
+	return best
+}
+
+func rank(group, router int) uint64 {
+	var key [8]byte
+	binary.BigEndian.PutUint32(key[:], uint32(group))
+	binary.BigEndian.PutUint32(key[4:], uint32(router))
+	return xxhash.Sum64(key[:])
+}
+
+// serve keeps a group for as long as it is wanted.
+func (b *Book) serve(g *group, primary bool, now float64) {
+	if now >= g.kept {
+		g.due = now
+	}
+	g.kept = now + lingers
+	if primary {
+		g.hurry = now + hurry
+	}
+	g.looks = min(looksMost, g.looks+looksFor)
+}
+
+// Take takes a datagram that came from the address of a peer, and tells whether it was one of ours.
+func (b *Book) Take(from int, datagram []byte, now float64) bool {
+	m, err := parse(datagram, now, b.unit())
+	if err != nil || m.from != from || from == b.terms.Me || from < 0 || from >= len(b.deaf) {
+		b.counted.Spoilt++
+		return false
+	}
+	b.counted.Taken++
+	b.deaf[from] = 0
+	g := b.groups[m.group]
+	if g == nil {
+		b.counted.Unknown++
+		return true
+	}
+	words := b.words(g, m, now)
+	switch m.kind {
+	case want, wantAnswer, wantPrimary:
+		b.serve(g, m.kind == wantPrimary, now)
+		if m.kind == wantAnswer {
+			if all := b.useful(g, now, false); len(all) > 0 {
+				b.counted.Replies++
+				b.send(from, tell, g, all)
+			}
+		}
+	case news:
+		if now < g.kept && len(words) > 0 {
+			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true, Words: words})
+		}
+	case tell:
+		if now < g.kept && rank(g.id, from) > rank(g.id, b.terms.Me) {
+			g.kept = 0 // it comes first; whoever can't hear it asks us again
+		}
+		if !b.live(g, now) || g.keeper < 0 || from == g.keeper || rank(g.id, from) > rank(g.id, g.keeper) {
+			g.keeper = from
+		}
+		g.heard = now
+		for i, w := range words {
+			n := b.nodes[w.Node]
+			n.told = max(n.told, w.Pos)
+			if now-m.positions[i] < youngShare*b.every {
+				n.part = max(newsLeast, n.part*newsLess)
+			} else {
+				n.part = min(1, n.part*newsMore)
+			}
+		}
+		b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true, Words: words})
+	}
+	return true
+}
+
+// words takes in what a message says of members, and keeps of the message what they are. A key that two members share says
+// nothing of either.
+func (b *Book) words(g *group, m *message, now float64) (out []Word) {
+	kept := m.positions[:0]
+	for i, key := range m.keys {
+		var n *node
+		for _, x := range g.members {
+			if x.key == key && n != nil {
+				n = nil
+				break
+			} else if x.key == key {
+				n = x
+			}
+		}
+		if n == nil || m.positions[i] > now+future {
+			continue
+		}
+		b.learn(n, m.positions[i], m.primaries[i], now)
+		out = append(out, Word{n.id, m.positions[i], m.primaries[i]})
+		kept = append(kept, m.positions[i])
+	}
+	m.positions = kept
+	return out
+}
+
+// useful are the members of which there is something to tell: a position young enough to prove something, a primary.
+func (b *Book) useful(g *group, now float64, fresh bool) (all []*node) {
+	for _, n := range g.members {
+		if now-n.pos < b.terms.Bound && (!fresh || n.pos > n.told) {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// Next tells when Step is due; +Inf: not until something comes.
+func (b *Book) Next() float64 {
+	next := math.Inf(1)
+	for _, g := range b.order {
+		if g.due < g.kept {
+			next = min(next, g.due)
+		}
+	}
+	return next
+}
+
+// Step tells all what is new of the groups that this router keeps, and looks at members of which nobody has news.
+func (b *Book) Step(now float64) {
+	for _, g := range b.order {
+		if now >= g.kept || now < g.due {
+			continue
+		}
+		b.look(g, now)
+		all := b.useful(g, now, true)
+		for _, n := range all {
+			n.told = n.pos
+		}
+		b.counted.Tells++
+		b.send(All, tell, g, all)
+		g.due = now + b.every
+		b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true})
+	}
+}
+
+// look probes for all: while a txn waits for a primary, or none is known, every member; else, as far as wants have paid for
+// it, those of which nobody has told anything for a while, the longest first.
+func (b *Book) look(g *group, now float64) {
+	known := false
+	for _, n := range g.members {
+		known = known || n.claimed > 0
+	}
+	whole := now < g.hurry || !known
+	for whole || g.looks >= 1 {
+		var oldest *node
+		for _, n := range g.members {
+			due := now-n.looked >= lookAgain && (whole || now-n.at > lookAfter*b.terms.Bound)
+			if due && (oldest == nil || n.at < oldest.at) {
+				oldest = n
+			}
+		}
+		if oldest == nil {
+			return
+		}
+		if !whole {
+			g.looks--
+		}
+		oldest.looked = now
+		b.counted.Looks++
+		b.out.Looks = append(b.out.Looks, oldest.id)
+	}
+}
+
+func (b *Book) unit() float64 { return b.terms.Bound / steps }
+
+func (b *Book) send(to int, k kind, g *group, about []*node) {
+	bytes := format(k, b.terms.Me, g.id, about, b.unit())
+	b.counted.Bytes += int64(len(bytes))
+	b.out.Sends = append(b.out.Sends, Send{To: to, Bytes: bytes})
+}
--- /dev/null
+++ b/lore/wire.go
@@ -0,0 +1,97 @@
+package lore
+
+// This file owns the form of a datagram: a head of 13 bytes (kind, checksum, sender, group, the newest position in ms) and
+// four for each node (a hash of its name, how much older its position is, whether it was primary). It must never round a
+// position up.
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type kind byte
+
+const (
+	version     = 0x10
+	want        = kind(version + iota) // keep this group on
+	wantAnswer                         // and answer at once, since we know nothing
+	wantPrimary                        // a txn waits for its primary
+	news                               // what a node has told us
+	tell                               // what nodes have told, by the keeper
+)
+
+const (
+	headBytes = 1 + 4 + 2 + 2 + 4
+	wordBytes = 4
+	mostBytes = 256 // that a datagram between routers may have on the platform
+	keyMask   = 1<<24 - 1
+	primaryIs = 0x80
+	oldest    = 0x7f // of an age; an older position is left out
+)
+
+var errSpoilt = errors.New("no datagram of ours")
+
+type message struct {
+	kind      kind
+	from      int
+	group     int
+	keys      []uint32
+	positions []float64
+	primaries []bool
+}
+
+// format makes a datagram about nodes; those that do not fit, or are too old beside the newest, are left out.
+func format(k kind, from, groupID int, about []*node, unit float64) []byte {
+	newest := 0.0
+	for _, n := range about {
+		newest = max(newest, n.pos)
+	}
+	base := math.Floor(newest * 1000) // ms
+	b := make([]byte, 5, headBytes+len(about)*wordBytes)
+	b[0] = byte(k)
+	b = binary.BigEndian.AppendUint16(b, uint16(from))
+	b = binary.BigEndian.AppendUint16(b, uint16(groupID))
+	b = binary.BigEndian.AppendUint32(b, uint32(uint64(base)))
+	for _, n := range about {
+		age := math.Ceil((base/1000 - n.pos) / unit)
+		if age = max(age, 0); age > oldest || len(b)+wordBytes > mostBytes {
+			continue
+		}
+		last := byte(age)
+		if n.claimed >= n.pos {
+			last |= primaryIs
+		}
+		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last)
+	}
+	binary.BigEndian.PutUint32(b[1:], sum(b))
+	return b
+}
+
+// sum covers all but itself: a datagram that was garbled on its way must not prove anything.
+func sum(b []byte) uint32 {
+	h := xxhash.Sum64(b[5:]) ^ uint64(b[0])*0x9e3779b97f4a7c15
+	return uint32(h ^ h>>32)
+}
+
+// parse reads a datagram. Its positions are taken as the last time before now, or a little after, that has their lower 32
+// bits of milliseconds.
+func parse(b []byte, now, unit float64) (*message, error) {
+	if len(b) < headBytes || (len(b)-headBytes)%wordBytes != 0 || len(b) > mostBytes || binary.BigEndian.Uint32(b[1:]) != sum(b) {
+		return nil, errSpoilt
+	}
+	m := &message{kind: kind(b[0]), from: int(binary.BigEndian.Uint16(b[5:])), group: int(binary.BigEndian.Uint16(b[7:]))}
+	if m.kind < want || m.kind > tell {
+		return nil, errSpoilt
+	}
+	ms := uint64(math.Floor((now + future) * 1000))
+	base := ms - uint64(uint32(ms)-binary.BigEndian.Uint32(b[9:]))
+	for at := headBytes; at < len(b); at += wordBytes {
+		m.keys = append(m.keys, uint32(b[at])<<16|uint32(b[at+1])<<8|uint32(b[at+2]))
+		m.positions = append(m.positions, float64(base)/1000-float64(b[at+3]&^primaryIs)*unit)
+		m.primaries = append(m.primaries, b[at+3]&primaryIs != 0)
+	}
+	return m, nil
+}
--- a/relay/core.go
+++ b/relay/core.go
@@ -54,6 +54,8 @@
 	list      *list
 	gossip    *gossip  // nil: peers are not spoken to
 	noGossip  error    // why it could not begin
+	talk      *talk    // nil: routers of the tier don't tell each other
+	noTalk    error    // why it could not begin
 	classes   *classes // nil: statements without our comment are not served
 	counters  *counters
 	sockets   chan struct{} // one for each connection to a node
@@ -81,6 +83,7 @@
 			c.noGossip = g.err
 		}
 	}
+	c.talk, c.noTalk = newTalk(c, cfg)
 	c.members(splitter.ListRemembered, cfg.Known.Targets)
 	return c
 }
@@ -140,6 +143,10 @@
 	} else {
 		x.Type = c.terms.Types[h.st.Type]
 	}
+	if c.talk != nil && c.terms.Bounded(x.Type) {
+		c.talk.book.Arrived(x.Group, c.now)
+		c.talk.act()
+	}
 	c.router.Arrive(x)
 }
 
@@ -175,6 +182,9 @@
 	if c.gossip != nil {
 		c.gossip.landed(n, sent, res.Outcome)
 	}
+	if c.talk != nil {
+		c.talk.saw(n, res.Report)
+	}
 	if h.class != nil {
 		res.As = c.classes.landed(h.class, res, code)
 	}
@@ -242,6 +252,9 @@
 		if c.gossip != nil && m.State == splitter.On && m.Group >= 0 {
 			c.gossip.mesh.Node(e.UID, m.Group)
 		}
+		if c.talk != nil && m.State == splitter.On {
+			c.talk.book.Node(id, e.UID, m.Group)
+		}
 		list = append(list, m)
 	}
 	c.router.Members(kind, list)
@@ -293,6 +306,13 @@
 	c.finish(c.txns[txn], pgwire.AppendError(nil, "ERROR", "08007", "rolled back, its effect is not known", ""))
 }
 
+func (c *core) Want(group int) {
+	if c.talk != nil {
+		c.talk.book.Want(group, c.now)
+		c.tell(c.talk.act)
+	}
+}
+
 func (c *core) Count(what splitter.What, why splitter.Cause) { c.counters.causes[what][why].Add(1) }
 
 func (c *core) Probe(node int, why splitter.Cause, then func(splitter.Report)) {
@@ -304,6 +324,9 @@
 			if c.gossip != nil {
 				c.gossip.mesh.Saw(n.uid, res.OK, true, j.sent)
 			}
+			if c.talk != nil {
+				c.talk.saw(n, res.Report)
+			}
 			then(res.Report)
 		})
 	}
@@ -329,6 +352,9 @@
 	if c.gossip != nil {
 		c.gossip.mesh.Forget(n.uid)
 	}
+	if c.talk != nil {
+		c.talk.book.Forget(node)
+	}
 	n.tell(n.retire)
 }
 
--- a/relay/counters.go
+++ b/relay/counters.go
@@ -100,6 +100,12 @@
 		k.log.WithFields(logrus.Fields{"doubts": k.doubts.Load(), "behind": k.behind.Load(), "bytes_in": c.gossip.mesh.Counts().BytesIn.Load(),
 			"bytes_out": c.gossip.mesh.Counts().BytesOut.Load()}).Info("gossip")
 	}
+	if c.talk != nil {
+		n := c.talk.counted()
+		k.log.WithFields(logrus.Fields{"wants": n.Wants, "news": n.News, "tells": n.Tells, "replies": n.Replies, "looks": n.Looks,
+			"bytes": n.Bytes, "taken": n.Taken, "spoilt": n.Spoilt, "unknown": n.Unknown, "silent": n.Silent,
+			"dropped": c.talk.dropped.Load()}).Info("knowing")
+	}
 	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_hung": k.watchesHung.Load(),
 		"watches_ended": k.watchesEnded.Load(),
 		"rev":           c.list.shown.Load()}).Info("list")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,7 +38,12 @@
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
-	Limits    struct {
+
+	PeerListen string   `json:"peer_listen"` // datagrams of the routers of this tier come here
+	Peers      []string `json:"peers"`       // where they come from and go to, by their numbers
+	PeersAll   string   `json:"peers_all"`   // for all at once
+
+	Limits struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int64   `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
@@ -228,6 +233,13 @@
 	if c.gossip != nil {
 		g.Go(func() error { return c.gossip.mesh.Run(life) })
 	}
+	if c.noTalk != nil {
+		listener.Close()
+		return c.noTalk
+	}
+	if c.talk != nil {
+		c.talk.run(life, g)
+	}
 	if c.classes != nil {
 		g.Go(func() error { return c.classes.run(life) })
 	}
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -285,6 +285,8 @@
 	h.finish(t)
 }
 
+func (h *host) Want(int) {}
+
 func (h *host) Count(splitter.What, splitter.Cause) {}
 
 func (h *host) Probe(node int, _ splitter.Cause, then func(splitter.Report)) {
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -148,6 +148,13 @@
 	ListMoved // it is to be had elsewhere from now on; a watch that stands goes on there
 )
 
+// Word is what a node has told to a peer: its position, and whether it was primary at that time.
+type Word struct {
+	Node    int
+	Pos     float64
+	Primary bool
+}
+
 // What is counted, each with its Cause.
 type What int
 
@@ -170,6 +177,7 @@
 	SetAside                // the member is out of the read set
 	ConnLost                // it refused a connection
 	PeersDoubt              // peers have trouble with it
+	ForAll                  // peers want to know
 	Behind                  // of a txn: others of its type wait in front of it
 	NoPrimary               // no member is known as primary, or it has to show that it still is
 	NoProof                 // no replica is proven fresh enough
@@ -182,7 +190,7 @@
 
 func (c Cause) String() string {
 	return [CauseCount]string{"first_look", "ordinary", "window", "held_txn", "read_asks", "set_aside", "conn_lost",
-		"peers_doubt", "behind", "no_primary", "no_proof", "no_room", "tried"}[c]
+		"peers_doubt", "for_all", "behind", "no_primary", "no_proof", "no_room", "tried"}[c]
 }
 
 // Host is what a router acts through. Closures run later, never inside the call.
@@ -194,6 +202,7 @@
 	RollBack(txn int)
 	Probe(node int, why Cause, then func(Report))
 	Count(what What, why Cause)
+	Want(group int) // a txn waits for its primary to show, and peers are said to look at it
 	After(at float64, then func())
 	CloseIdle(node int) // connections to it that are not in use
 	Forget(node int)    // nothing is asked of it any more, its index may stand for another
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -58,6 +58,8 @@
 func (w *world) Note(string)                   {}
 func (w *world) do(f string, args ...any)      { w.did = append(w.did, fmt.Sprintf(f, args...)) }
 
+func (w *world) Want(int) { w.do("want") }
+
 func (w *world) Count(what What, why Cause) { w.do("count %s %s", what, why) }
 
 func (w *world) Probe(node int, why Cause, then func(Report)) {
@@ -138,6 +140,8 @@
 //	cut ID SECONDS                            its submission is waited for as long
 //	wait SECONDS, stall SECONDS               time passes, the second without the router being run
 //	doubt NAME SECONDS                        peers doubt it for as long
+//	told SECONDS [[primary:]NAME AGE] ...     peers look at the group for as long; what they say of positions
+//	look NAME                                 they want to know of it
 //	expect WHAT                               it did this since the last expect; names may be A|B
 //	never WHAT                                it did not
 //	held ID ...                               txns neither out nor over
@@ -219,6 +223,15 @@
 		then(Result{Outcome: outcome, Latency: w.now - w.sent[id], Ended: w.over[id], As: as, Report: w.report(f)})
 	case "doubt":
 		w.router.Doubt(slices.Index(w.names, f[1]), w.now+w.number(f[2]))
+	case "told": // until, then words
+		var words []Word
+		for i := 2; i < len(f); i += 2 {
+			name, primary := strings.CutPrefix(f[i], "primary:")
+			words = append(words, Word{Node: slices.Index(w.names, name), Pos: w.now - w.number(f[i+1]), Primary: primary})
+		}
+		w.router.Told(0, w.now+w.number(f[1]), len(words) > 0, words)
+	case "look":
+		w.router.Look(slices.Index(w.names, f[1]))
 	case "cut":
 		require.InDelta(w.t, w.number(f[2]), w.cut[int(w.number(f[1]))], 0.01, w.where)
 	case "wait":
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -124,6 +124,7 @@
 
 // group is a primary with its replicas, and the txns that wait for one of them.
 type group struct {
+	id      int
 	members []*node
 	pri     *node
 	held    bool    // writes wait until a member shows that it is primary
@@ -133,6 +134,10 @@
 	credit  float64 // probes that txns have paid for
 	next    int     // the member that is due first
 	mute    int     // probes of any member in a row that failed
+	told    float64 // peers look at the members for all until then
+	word    float64 // their last word
+	hint    *node   // the member that they call primary
+	hinted  float64 // as of when
 	waiting map[int][]*txn
 	// Commits of sessions, where the router itself must remember them: the newest and the ones before,
 	// which are dropped as the newest grow old. What is forgotten every read must see.
@@ -244,6 +249,9 @@
 		return
 	}
 	g.members = slices.DeleteFunc(g.members, func(m *node) bool { return m == n })
+	if g.hint == n {
+		g.hint = nil
+	}
 	if g.pri == n {
 		g.pri = nil
 		r.hold(g)
@@ -268,7 +276,7 @@
 
 func (r *Router) group(id int) *group {
 	if r.groups[id] == nil {
-		r.groups[id] = &group{held: true, waiting: map[int][]*txn{}}
+		r.groups[id] = &group{id: id, held: true, waiting: map[int][]*txn{}}
 		r.order = append(r.order, r.groups[id])
 	}
 	return r.groups[id]
@@ -333,6 +341,37 @@
 	}
 }
 
+// Told takes what peers say of a group that they look at for all, until a time; heard tells that they do speak. A position
+// holds from its date on, whoever tells it, so it proves a replica fresh. A role is a hint whom to ask: only a member's own
+// word moves the primary. Meanwhile this router asks no more than that for itself: it covers routers with so little traffic
+// that each would have to ask for every txn what others know. It harms where all that peers say is old: reads then wait for
+// one word before they ask as ever.
+func (r *Router) Told(group int, until float64, heard bool, words []Word) {
+	g, now := r.group(group), r.clock()
+	if g.told = max(g.told, until); heard {
+		g.word = now
+	}
+	for _, w := range words {
+		if w.Node >= len(r.nodes) || r.nodes[w.Node] == nil || r.nodes[w.Node].Group != group || w.Pos > now+tick {
+			continue
+		}
+		n := r.nodes[w.Node]
+		n.pos, n.known = max(n.pos, w.Pos), true
+		if w.Primary && w.Pos > g.hinted {
+			g.hint, g.hinted = n, w.Pos
+		}
+	}
+	r.probes(g)
+	r.pump(g)
+}
+
+// Look probes a node that peers want to know of.
+func (r *Router) Look(node int) {
+	if n := r.nodes[node]; n != nil && r.terms.Probes && !n.probing && !n.closed {
+		r.probe(n, r.group(n.Group), ForAll)
+	}
+}
+
 // Left says that the client of a txn is gone. Nothing is owed or sent for it any more.
 func (r *Router) Left(id int) {
 	if t := r.txns[id]; t != nil {
@@ -405,7 +444,7 @@
 	first := false // a first look at a member is out
 	for _, n := range g.members {
 		switch {
-		case n.closed || n.aside || n == g.pri:
+		case n.closed || n.aside || n == g.pri || n == g.hint && g.pri == nil:
 		case n.known || !r.terms.ProbeRoles:
 			usable = append(usable, n)
 		default:
@@ -441,7 +480,11 @@
 	if t.why = NoRoom; !proven {
 		t.why = NoProof
 	}
-	if best == nil && asks && (!proven || g.credit >= float64(len(g.members))) && r.ask(usable, t) {
+	told := r.host.Now() < g.told
+	if best == nil && asks && told && !proven && g.word <= t.arrived {
+		return nil // the next word is due
+	}
+	if best == nil && asks && (!proven || !told && g.credit >= float64(len(g.members))) && r.ask(usable, t) {
 		if !proven {
 			return nil
 		}
@@ -947,12 +990,15 @@
 	if !r.terms.Probes {
 		return
 	}
-	held := g.held && r.waits(g)
+	held, told := g.held && r.waits(g), now < g.told
 	due := len(g.members)
+	if held && told {
+		r.host.Want(g.id)
+	}
 	for i := range g.members {
 		n := g.members[(g.next+i)%len(g.members)]
-		if n.probing || n.closed {
-			continue
+		if n.probing || n.closed || told && !n.aside && (!held || n != g.pri && n != g.hint) {
+			continue // while peers look, this router asks who they say is primary, and those that failed it
 		}
 		every, owed, why := ordinary, n.probed == 0, Ordinary
 		switch {
@@ -984,7 +1030,7 @@
 // waits tells whether a txn waits for role evidence: a write, or any while no member is known as primary.
 func (r *Router) waits(g *group) bool {
 	for l, q := range g.waiting {
-		if len(q) > 0 && (g.pri == nil || r.kinds[l].Need == NeedPrimary) {
+		if len(q) > 0 && (g.pri == nil && r.host.Now() >= g.told || r.kinds[l].Need == NeedPrimary) {
 			return true
 		}
 	}
--- a/terms/own.go
+++ b/terms/own.go
@@ -32,6 +32,7 @@
 	Classing *Classing
 	Admin    *Admin
 	Gossip   *Gossip
+	Knowing  *Knowing
 }
 
 // Gossip is the section of the talk among instances. Members and Networks change on SIGHUP, the key too.
@@ -60,12 +61,20 @@
 	Socket string
 }
 
+// Knowing is the section of what the routers of a tier tell each other of nodes, where the configuration names peers.
+type Knowing struct {
+	Tell bool // false: this router neither tells nor listens
+}
+
 type ownFile struct {
 	Classing *classingFile `yaml:"classing"`
 	Admin    *struct {
 		Socket string `yaml:"socket"`
 	} `yaml:"admin"`
-	Gossip *gossipFile `yaml:"gossip"`
+	Gossip  *gossipFile `yaml:"gossip"`
+	Knowing *struct {
+		Tell *bool `yaml:"tell"`
+	} `yaml:"knowing"`
 }
 
 type gossipFile struct {
@@ -224,6 +233,11 @@
 	} else if d.has(".gossip") {
 		d.wrong(".gossip", "the section is empty; it needs at least name, listen, key and members")
 	}
+	if f.Knowing != nil {
+		own.Knowing = &Knowing{Tell: f.Knowing.Tell == nil || *f.Knowing.Tell}
+	} else if d.has(".knowing") {
+		d.wrong(".knowing", "the section is empty; tell: true stands for its default")
+	}
 	return own, d.err
 }
 
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -19,6 +19,12 @@
 	Zero      float64 // s, the host's time from which the simulator counts positions
 	IdleClose float64 // s after which a node closes an idle connection at the latest
 	Reports   bool    // probes bring load reports
+	Peers     bool    // routers of the tier may speak to each other
+}
+
+// Bounded tells whether a txn type is a read whose data may be so old and no older.
+func (t *Terms) Bounded(typ int) bool {
+	return typ < len(t.Splitter.Types) && t.Splitter.Types[typ].Need == splitter.NeedBounded
 }
 
 // Zone gives a zone its index, also one the settings do not name.
@@ -58,6 +64,7 @@
 		MayCancel      bool
 		Probes         bool
 		RetryAfter     bool
+		Peers          bool
 		MaxRetryAfter  float64
 		ConnectTimeout float64
 		IdleClose      float64
@@ -90,7 +97,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	d := &Terms{Types: map[string]int{}, Zones: map[string]int{}, Zero: f.Extra.Zero / 1000,
-		IdleClose: f.Limits.IdleClose / 1000, Reports: f.Telemetry.How != "none"}
+		IdleClose: f.Limits.IdleClose / 1000, Reports: f.Telemetry.How != "none", Peers: f.Limits.Peers}
 	for _, z := range f.Zones {
 		d.Zone(z)
 	}
