Keepers tell each replica's share of the reads; a lapsed group ends its timer

Change: routers tell the keeper how long reads took; it moves the replicas' shares of the choices towards equal strain and tells them; a replica that has not answered a router yet counts as busier by far, since it wants a handshake.

--- a/lore/lore.go
+++ b/lore/lore.go
@@ -38,6 +38,9 @@
 	news    float64 // last time that we told it
 	part    float64 // of the news of it that we tell
 	looked  float64
+	strain  float64 // latency of reads as a share of their SLA time, of late; 0: not known
+	strains float64 // when one was last told
+	share   float64 // of the reads, beside the others of its group
 }
 
 // group is a primary with its replicas.
@@ -81,7 +84,7 @@
 		return
 	}
 	g := b.group(groupID)
-	n := &node{id: id, key: uint32(xxhash.Sum64String(name)) & keyMask, g: g, part: 1}
+	n := &node{id: id, key: uint32(xxhash.Sum64String(name)) & keyMask, g: g, part: 1, share: 1}
 	b.nodes[id] = n
 	g.members = append(g.members, n)
 }
@@ -114,25 +117,72 @@
 // live tells whether a keeper speaks, we or another.
 func (b *Book) live(g *group, now float64) bool { return now < g.kept || now-g.heard < lives*b.every }
 
-// Saw takes what a node has told to this router, in an answer or a report.
-func (b *Book) Saw(id int, pos float64, primary bool, now float64) {
-	if id >= len(b.nodes) || b.nodes[id] == nil || pos <= 0 || pos > now+future {
+// Saw takes what a node has told to this router, in an answer or a report; pos 0: nothing. Strain is the latency of a read
+// as a share of its SLA time, over 1 where none was answered in time; 0: it was no read.
+func (b *Book) Saw(id int, pos float64, primary bool, strain, now float64) {
+	if id >= len(b.nodes) || b.nodes[id] == nil || pos > now+future {
 		return
 	}
 	n := b.nodes[id]
 	n.own = max(n.own, pos)
 	b.learn(n, pos, primary, now)
 	g := n.g
+	if now < g.kept {
+		n.strained(strain, now)
+	}
 	if now < g.kept || !b.live(g, now) {
 		return
 	}
-	// The keeper has it from others, too. Each router's part in that is as large as told positions are old.
-	if pos-n.told < newsShare*b.every || now-n.news < newsShare*b.every || b.rng.Float64() >= n.part {
+	// The keeper has positions from others, too. Each router's part in that is as large as told ones are old.
+	late := strain > 1
+	if !late && (pos-n.told < newsShare*b.every || now-n.news < newsShare*b.every || b.rng.Float64() >= n.part) {
 		return
 	}
 	n.news = now
 	b.counted.News++
+	was := n.strain
+	n.strain = strain
 	b.send(g.keeper, news, g, []*node{n})
+	n.strain = was
+}
+
+// strained takes the latency of a read.
+func (n *node) strained(strain, now float64) {
+	if strain <= 0 {
+		return
+	}
+	if n.strain == 0 {
+		n.strain = strain
+	}
+	n.strain += strainGain * (strain - n.strain)
+	n.strains = now
+}
+
+// balance moves the shares of a group's replicas towards equal strain. Routers with a read now and then can't see that a
+// node is slower or busier than the others, nor that all of them choose the same one; together they can. It covers nodes of
+// different speed, crowds and neighbours that take a node's time; it harms where latencies are no sign of load.
+func (g *group) balance(now float64) {
+	sum, count := 0.0, 0.0
+	for _, n := range g.members {
+		if n.claimed < n.pos && n.strain > 0 && now-n.strains < strainOld {
+			sum, count = sum+n.strain, count+1
+		}
+	}
+	most := 0.0
+	for _, n := range g.members {
+		switch {
+		case n.strain == 0 || now-n.strains >= strainOld:
+			n.strain, n.share = 0, n.share*shareBack
+		case n.claimed < n.pos:
+			n.share *= math.Pow(sum/count/n.strain, shareGain)
+		}
+		if n.claimed < n.pos {
+			most = max(most, n.share)
+		}
+	}
+	for _, n := range g.members {
+		n.share = min(1, max(shareLeast, n.share/max(most, shareLeast)))
+	}
 }
 
 func (b *Book) learn(n *node, pos float64, primary bool, now float64) {
@@ -323,8 +373,16 @@
 		if n == nil || m.positions[i] > now+future {
 			continue
 		}
-		b.learn(n, m.positions[i], m.primaries[i], now)
-		out = append(out, Word{n.id, m.positions[i], m.primaries[i]})
+		w := Word{Node: n.id, Pos: m.positions[i], Primary: m.primaries[i]}
+		switch {
+		case m.kind == tell:
+			w.Share = m.values[i]
+			n.share = w.Share
+		case now < g.kept && !m.primaries[i]:
+			n.strained(m.values[i], now)
+		}
+		b.learn(n, w.Pos, w.Primary, now)
+		out = append(out, w)
 		kept = append(kept, m.positions[i])
 	}
 	m.positions = kept
@@ -355,18 +413,25 @@
 // Step tells all what is new of the groups that this router keeps, and looks at members of which nobody has news.
 func (b *Book) Step(now float64) {
 	for _, g := range b.order {
-		if now >= g.kept || now < g.due {
+		if now >= g.kept {
+			g.kept = 0
+			continue
+		}
+		if now < g.due {
 			continue
 		}
 		b.look(g, now)
+		g.balance(now)
 		all := b.useful(g, now, true)
-		for _, n := range all {
+		own := make([]Word, len(all))
+		for i, n := range all {
 			n.told = n.pos
+			own[i] = Word{n.id, n.pos, n.claimed >= n.pos, n.share}
 		}
 		b.counted.Tells++
 		b.send(All, tell, g, all)
 		g.due = now + b.every
-		b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true})
+		b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true, Words: own})
 	}
 }
 
--- a/lore/wire.go
+++ b/lore/wire.go
@@ -1,8 +1,8 @@
 package lore
 
 // This file owns the form of a datagram: a head of 13 bytes (kind, checksum, sender, group, the newest position in ms) and
-// four for each node (a hash of its name, how much older its position is, whether it was primary). It must never round a
-// position up.
+// five for each node (a hash of its name, how much older its position is, whether it was primary, and a number: the strain it
+// showed in news, its share in what is told). It must never round a position up.
 
 import (
 	"encoding/binary"
@@ -25,11 +25,13 @@
 
 const (
 	headBytes = 1 + 4 + 2 + 2 + 4
-	wordBytes = 4
+	wordBytes = 5
 	mostBytes = 256 // that a datagram between routers may have on the platform
 	keyMask   = 1<<24 - 1
 	primaryIs = 0x80
-	oldest    = 0x7f // of an age; an older position is left out
+	oldest    = 0x7f // of an age: it is as old or older, and proves nothing
+	octave    = 16.0 // steps of a number in which it doubles
+	middle    = 128  // the step that stands for one; 0 for nothing
 )
 
 var errSpoilt = errors.New("no datagram of ours")
@@ -41,9 +43,25 @@
 	keys      []uint32
 	positions []float64
 	primaries []bool
+	values    []float64
 }
 
-// format makes a datagram about nodes; those that do not fit, or are too old beside the newest, are left out.
+// step rounds a number to what travels of it, number the other way round.
+func step(x float64) byte {
+	if x <= 0 {
+		return 0
+	}
+	return byte(min(255, max(1, math.Round(math.Log2(x)*octave)+middle)))
+}
+
+func number(s byte) float64 {
+	if s == 0 {
+		return 0
+	}
+	return math.Exp2((float64(s) - middle) / octave)
+}
+
+// format makes a datagram about nodes; those that do not fit are left out.
 func format(k kind, from, groupID int, about []*node, unit float64) []byte {
 	newest := 0.0
 	for _, n := range about {
@@ -57,19 +75,26 @@
 	b = binary.BigEndian.AppendUint32(b, uint32(uint64(base)))
 	for _, n := range about {
 		age := math.Ceil((base/1000 - n.pos) / unit)
-		if age = max(age, 0); age > oldest || len(b)+wordBytes > mostBytes {
-			continue
+		if len(b)+wordBytes > mostBytes {
+			break
 		}
-		last := byte(age)
+		last := byte(min(max(age, 0), oldest))
 		if n.claimed >= n.pos {
 			last |= primaryIs
 		}
-		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last)
+		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last, step(value(k, n)))
 	}
 	binary.BigEndian.PutUint32(b[1:], sum(b))
 	return b
 }
 
+func value(k kind, n *node) float64 {
+	if k == tell {
+		return n.share
+	}
+	return n.strain
+}
+
 // sum covers all but itself: a datagram that was garbled on its way must not prove anything.
 func sum(b []byte) uint32 {
 	h := xxhash.Sum64(b[5:]) ^ uint64(b[0])*0x9e3779b97f4a7c15
@@ -90,7 +115,12 @@
 	base := ms - uint64(uint32(ms)-binary.BigEndian.Uint32(b[9:]))
 	for at := headBytes; at < len(b); at += wordBytes {
 		m.keys = append(m.keys, uint32(b[at])<<16|uint32(b[at+1])<<8|uint32(b[at+2]))
-		m.positions = append(m.positions, float64(base)/1000-float64(b[at+3]&^primaryIs)*unit)
+		pos := float64(base)/1000 - float64(b[at+3]&^primaryIs)*unit
+		if b[at+3]&^primaryIs == oldest {
+			pos = 0
+		}
+		m.positions = append(m.positions, pos)
+		m.values = append(m.values, number(b[at+4]))
 		m.primaries = append(m.primaries, b[at+3]&primaryIs != 0)
 	}
 	return m, nil
--- a/relay/core.go
+++ b/relay/core.go
@@ -183,7 +183,7 @@
 		c.gossip.landed(n, sent, res.Outcome)
 	}
 	if c.talk != nil {
-		c.talk.saw(n, res.Report)
+		c.talk.saw(n, h, res)
 	}
 	if h.class != nil {
 		res.As = c.classes.landed(h.class, res, code)
@@ -325,7 +325,7 @@
 				c.gossip.mesh.Saw(n.uid, res.OK, true, j.sent)
 			}
 			if c.talk != nil {
-				c.talk.saw(n, res.Report)
+				c.talk.saw(n, nil, res)
 			}
 			then(res.Report)
 		})
--- a/relay/lore.go
+++ b/relay/lore.go
@@ -22,6 +22,7 @@
 
 const (
 	longestWord = 512 // bytes of a datagram that are read: longer ones are none of ours
+	lateStrain  = 2.0 // of a read without an answer in time, or that a full node turned away
 	mostWords   = 512 // datagrams that wait for the core, or to be sent: beyond it they are dropped, as the network would
 )
 
@@ -157,7 +158,7 @@
 			t.core.router.Told(told.Group, told.Until, told.Heard, words)
 		}
 		for _, node := range e.Looks {
-			t.core.router.Look(node)
+			t.core.router.Look(node, splitter.ForAll)
 		}
 	}
 	if next := t.book.Next(); next < t.armed {
@@ -173,10 +174,22 @@
 	t.mu.Unlock()
 }
 
-// saw tells the book what a node has told of itself.
-func (t *talk) saw(n *node, r splitter.Report) {
-	if id, ok := t.core.byUID[n.uid]; ok && r.Pos > 0 {
-		t.book.Saw(id, r.Pos, r.Role == splitter.RolePrimary, t.core.now)
+// saw tells the book what a node has told of itself, and how long a read with a bound took; of one that was not answered in
+// time, over its SLA time.
+func (t *talk) saw(n *node, h *held, res splitter.Result) {
+	strain := 0.0
+	if h != nil && h.class == nil {
+		if typ := t.core.terms.Types[h.st.Type]; t.core.terms.Bounded(typ) {
+			switch res.Outcome {
+			case splitter.Committed:
+				strain = res.Latency / t.core.terms.Splitter.Types[typ].SLA
+			case splitter.TimedOut, splitter.Full:
+				strain = lateStrain
+			}
+		}
+	}
+	if id, ok := t.core.byUID[n.uid]; ok && (res.Pos > 0 || strain > 0) {
+		t.book.Saw(id, res.Pos, res.Role == splitter.RolePrimary, strain, t.core.now)
 		t.act()
 	}
 }
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -231,7 +231,7 @@
 		}
 		w.router.Told(0, w.now+w.number(f[1]), len(words) > 0, words)
 	case "look":
-		w.router.Look(slices.Index(w.names, f[1]))
+		w.router.Look(slices.Index(w.names, f[1]), ForAll)
 	case "cut":
 		require.InDelta(w.t, w.number(f[2]), w.cut[int(w.number(f[1]))], 0.01, w.where)
 	case "wait":
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -56,6 +56,7 @@
 	forgetAfter  = 60.0  // s a node is off the list until it is forgotten: an old list comes again sooner
 	leastPace    = 0.02  // pace of the quickest node that still counts
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
+	strange      = 20.0  // how much busier a replica counts that has not answered here: it wants a connection first
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
@@ -119,6 +120,7 @@
 	out     []*flight
 	started float64 // when it last came up cold, by list or by its own signs
 	doubted float64 // peers doubt it until then
+	share   float64 // of reads that it bears, by what peers say; 0: they have not said
 	down    bool    // its process seemed gone
 }
 
@@ -325,38 +327,44 @@
 	}
 }
 
-// Doubt says that peers have trouble with a node, until a time; one that is past ends it. It is looked at sooner, so that
-// own evidence comes sooner, and comes later among replicas that are known. It is never left out for it, and no primary
-// changes by it. It covers what one router sees late: nodes that hang, fail or lose answers. It harms when peers are wrong:
-// a probe, and load on the other replicas until that has come back.
+// Doubt says that peers have trouble with a node, until a time; one that is past ends it. It is looked at
+// sooner, so that own evidence comes sooner, and comes later among replicas that are known. It is never left
+// out for it, and no primary changes by it. It covers what one router sees late: nodes that hang, fail or lose
+// answers. It harms when peers are wrong: a probe, and load on the other replicas until that has come back.
 func (r *Router) Doubt(node int, until float64) {
-	if node >= len(r.nodes) || r.nodes[node] == nil {
-		return
+	if n, now := r.nodes[node], r.clock(); n != nil {
+		if now >= n.doubted && now < until {
+			r.Look(node, PeersDoubt)
+		}
+		n.doubted = until
 	}
-	n, now := r.nodes[node], r.clock()
-	begins := now >= n.doubted && now < until
-	n.doubted = until
-	if begins && r.terms.Probes && !n.probing && !n.closed {
-		r.probe(n, r.group(n.Group), PeersDoubt)
+}
+
+// Look probes a node that peers doubt, or want to know of.
+func (r *Router) Look(node int, why Cause) {
+	if n := r.nodes[node]; n != nil && r.terms.Probes && !n.probing && !n.closed {
+		r.probe(n, r.group(n.Group), why)
 	}
 }
 
-// Told takes what peers say of a group that they look at for all, until a time; heard tells that they do speak. A position
-// holds from its date on, whoever tells it, so it proves a replica fresh. A role is a hint whom to ask: only a member's own
-// word moves the primary. Meanwhile this router asks no more than that for itself: it covers routers with so little traffic
-// that each would have to ask for every txn what others know. It harms where all that peers say is old: reads then wait for
-// one word before they ask as ever.
+// Told takes what peers say of a group that they look at for all, until a time; heard tells that they do
+// speak. A position holds from its date on, whoever tells it, so it proves a replica fresh. A role is a hint
+// whom to ask: only a member's own word moves the primary. A share is what all routers together find that a
+// replica bears. Meanwhile this router asks no more than that for itself. It covers routers with so little
+// traffic that each would have to ask for every txn what others know. It harms where all that peers say is
+// old: reads then wait for one word before they ask as ever.
 func (r *Router) Told(group int, until float64, heard bool, words []Word) {
 	g, now := r.group(group), r.clock()
 	if g.told = max(g.told, until); heard {
 		g.word = now
 	}
 	for _, w := range words {
-		if w.Node >= len(r.nodes) || r.nodes[w.Node] == nil || r.nodes[w.Node].Group != group || w.Pos > now+tick {
+		n := r.nodes[w.Node]
+		if n == nil || w.Pos > now+tick {
 			continue
 		}
-		n := r.nodes[w.Node]
-		n.pos, n.known = max(n.pos, w.Pos), true
+		n.pos, n.share = max(n.pos, w.Pos), cmp.Or(w.Share, n.share)
+		n.known = n.known || w.Pos > 0
 		if w.Primary && w.Pos > g.hinted {
 			g.hint, g.hinted = n, w.Pos
 		}
@@ -365,13 +373,6 @@
 	r.pump(g)
 }
 
-// Look probes a node that peers want to know of.
-func (r *Router) Look(node int) {
-	if n := r.nodes[node]; n != nil && r.terms.Probes && !n.probing && !n.closed {
-		r.probe(n, r.group(n.Group), ForAll)
-	}
-}
-
 // Left says that the client of a txn is gone. Nothing is owed or sent for it any more.
 func (r *Router) Left(id int) {
 	if t := r.txns[id]; t != nil {
@@ -616,7 +617,12 @@
 // busy compares replicas: what is out, at the pace shown. Own submissions differ, and so do routers' choices.
 func (r *Router) busy(n *node, t *txn) float64 {
 	b := float64(len(n.out)+1) * max(n.pace, leastPace) / (1.01 - n.fails)
-	b *= 1 + chance*(r.rng.Float64()-0.5)
+	if b *= 1 + chance*(r.rng.Float64()-0.5); n.share > 0 && r.host.Now() < t.g.told {
+		// Its share of the choices, where one router sees too little to tell. A connection that is there is used.
+		if b = r.rng.ExpFloat64() * float64(len(n.out)+1) / n.share / (1.01 - n.fails); n.heard == 0 {
+			b *= strange
+		}
+	}
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
@@ -1000,7 +1006,7 @@
 		if n.probing || n.closed || told && !n.aside && (!held || n != g.pri && n != g.hint) {
 			continue // while peers look, this router asks who they say is primary, and those that failed it
 		}
-		every, owed, why := ordinary, n.probed == 0, Ordinary
+		every, owed, why := ordinary, n.probed == 0 && !n.known, Ordinary
 		switch {
 		case held:
 			every, owed, why = hurried, true, HeldTxn
