Where peers tell strains, a read goes to the less strained of two members, the primary among them

Shares that the keeper moved did not help, they swung. Until now a read went to the replica whose probe came back first, the less busy of two; and to the primary where no proof came.

Change: strains (latencies as shares of SLA times, of all routers) are told, and the module takes the less strained of two members drawn by chance, the primary counted as half as busy again.

--- a/lore/api.go
+++ b/lore/api.go
@@ -28,7 +28,7 @@
 	Node    int
 	Pos     float64 // it has applied all commits up to this time
 	Primary bool    // it was primary then
-	Share   float64 // the part of its group's reads that it should get beside the others', 1 at most; 0: not told
+	Strain  float64 // of late, latencies there as shares of SLA times, by all routers; 0: not known
 }
 
 // Told are words on a group that came from a peer, for the module.
@@ -79,10 +79,6 @@
 	hurry      = 0.3   // s that a group is looked at as a whole after a word that a txn waits for its primary
 	future     = 0.02  // s that a position may be ahead of the clock here
 	steps      = 100.0 // parts of a bound in which ages travel
-	strainGain = 0.1   // weight of the newest latency in a node's strain: about the last dozen of all routers
-	shareGain  = 0.15  // power of the mean strain over a node's by which its share moves with each tell: slower than
-	// what has been told takes to show in latencies, some 0.2 s, or shares would swing
-	shareLeast = 0.02 // of the most loaded node: enough to be seen getting better
-	shareBack  = 1.1  // factor on a share of which no latency is known any more
-	strainOld  = 1.0  // s until none is
+	strainGain = 0.2   // weight of the newest latency in a node's strain: about the last half dozen of all routers
+	strainOld  = 1.0   // s after which it says nothing any more
 )
--- a/lore/lore.go
+++ b/lore/lore.go
@@ -40,7 +40,6 @@
 	looked  float64
 	strain  float64 // latency of reads as a share of their SLA time, of late; 0: not known
 	strains float64 // when one was last told
-	share   float64 // of the reads, beside the others of its group
 }
 
 // group is a primary with its replicas.
@@ -84,7 +83,7 @@
 		return
 	}
 	g := b.group(groupID)
-	n := &node{id: id, key: uint32(xxhash.Sum64String(name)) & keyMask, g: g, part: 1, share: 1}
+	n := &node{id: id, key: uint32(xxhash.Sum64String(name)) & keyMask, g: g, part: 1}
 	b.nodes[id] = n
 	g.members = append(g.members, n)
 }
@@ -117,8 +116,8 @@
 // live tells whether a keeper speaks, we or another.
 func (b *Book) live(g *group, now float64) bool { return now < g.kept || now-g.heard < lives*b.every }
 
-// Saw takes what a node has told to this router, in an answer or a report; pos 0: nothing. Strain is the latency of a read
-// as a share of its SLA time, over 1 where none was answered in time; 0: it was no read.
+// Saw takes what a node has told to this router, in an answer or a report; pos 0: nothing. Strain is the latency of a
+// txn as a share of its SLA time, over 1 where none was answered in time; 0: it was none.
 func (b *Book) Saw(id int, pos float64, primary bool, strain, now float64) {
 	if id >= len(b.nodes) || b.nodes[id] == nil || pos > now+future {
 		return
@@ -146,7 +145,8 @@
 	n.strain = was
 }
 
-// strained takes the latency of a read.
+// strained takes the latency of a txn. What all routers see of a node together tells how busy it is, where each of them has
+// a txn there now and then.
 func (n *node) strained(strain, now float64) {
 	if strain <= 0 {
 		return
@@ -158,33 +158,6 @@
 	n.strains = now
 }
 
-// balance moves the shares of a group's replicas towards equal strain. Routers with a read now and then can't see that a
-// node is slower or busier than the others, nor that all of them choose the same one; together they can. It covers nodes of
-// different speed, crowds and neighbours that take a node's time; it harms where latencies are no sign of load.
-func (g *group) balance(now float64) {
-	sum, count := 0.0, 0.0
-	for _, n := range g.members {
-		if n.claimed < n.pos && n.strain > 0 && now-n.strains < strainOld {
-			sum, count = sum+n.strain, count+1
-		}
-	}
-	most := 0.0
-	for _, n := range g.members {
-		switch {
-		case n.strain == 0 || now-n.strains >= strainOld:
-			n.strain, n.share = 0, n.share*shareBack
-		case n.claimed < n.pos:
-			n.share *= math.Pow(sum/count/n.strain, shareGain)
-		}
-		if n.claimed < n.pos {
-			most = max(most, n.share)
-		}
-	}
-	for _, n := range g.members {
-		n.share = min(1, max(shareLeast, n.share/max(most, shareLeast)))
-	}
-}
-
 func (b *Book) learn(n *node, pos float64, primary bool, now float64) {
 	if primary && pos > n.claimed {
 		n.claimed = pos
@@ -376,10 +349,9 @@
 		w := Word{Node: n.id, Pos: m.positions[i], Primary: m.primaries[i]}
 		switch {
 		case m.kind == tell:
-			w.Share = m.values[i]
-			n.share = w.Share
-		case now < g.kept && !m.primaries[i]:
-			n.strained(m.values[i], now)
+			w.Strain = m.strains[i]
+		case now < g.kept:
+			n.strained(m.strains[i], now)
 		}
 		b.learn(n, w.Pos, w.Primary, now)
 		out = append(out, w)
@@ -421,12 +393,14 @@
 			continue
 		}
 		b.look(g, now)
-		g.balance(now)
 		all := b.useful(g, now, true)
 		own := make([]Word, len(all))
 		for i, n := range all {
 			n.told = n.pos
-			own[i] = Word{n.id, n.pos, n.claimed >= n.pos, n.share}
+			if now-n.strains > strainOld {
+				n.strain = 0
+			}
+			own[i] = Word{n.id, n.pos, n.claimed >= n.pos, n.strain}
 		}
 		b.counted.Tells++
 		b.send(All, tell, g, all)
--- a/lore/wire.go
+++ b/lore/wire.go
@@ -1,8 +1,8 @@
 package lore
 
 // This file owns the form of a datagram: a head of 13 bytes (kind, checksum, sender, group, the newest position in ms) and
-// five for each node (a hash of its name, how much older its position is, whether it was primary, and a number: the strain it
-// showed in news, its share in what is told). It must never round a position up.
+// five for each node (a hash of its name, how much older its position is, whether it was primary, and its strain: of
+// one txn in news, of late in what is told). It must never round a position up.
 
 import (
 	"encoding/binary"
@@ -30,7 +30,7 @@
 	keyMask   = 1<<24 - 1
 	primaryIs = 0x80
 	oldest    = 0x7f // of an age: it is as old or older, and proves nothing
-	octave    = 16.0 // steps of a number in which it doubles
+	octave    = 16.0 // steps of a strain in which it doubles
 	middle    = 128  // the step that stands for one; 0 for nothing
 )
 
@@ -43,10 +43,10 @@
 	keys      []uint32
 	positions []float64
 	primaries []bool
-	values    []float64
+	strains   []float64
 }
 
-// step rounds a number to what travels of it, number the other way round.
+// step rounds a strain to what travels of it, number the other way round.
 func step(x float64) byte {
 	if x <= 0 {
 		return 0
@@ -82,19 +82,12 @@
 		if n.claimed >= n.pos {
 			last |= primaryIs
 		}
-		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last, step(value(k, n)))
+		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last, step(n.strain))
 	}
 	binary.BigEndian.PutUint32(b[1:], sum(b))
 	return b
 }
 
-func value(k kind, n *node) float64 {
-	if k == tell {
-		return n.share
-	}
-	return n.strain
-}
-
 // sum covers all but itself: a datagram that was garbled on its way must not prove anything.
 func sum(b []byte) uint32 {
 	h := xxhash.Sum64(b[5:]) ^ uint64(b[0])*0x9e3779b97f4a7c15
@@ -120,7 +113,7 @@
 			pos = 0
 		}
 		m.positions = append(m.positions, pos)
-		m.values = append(m.values, number(b[at+4]))
+		m.strains = append(m.strains, number(b[at+4]))
 		m.primaries = append(m.primaries, b[at+3]&primaryIs != 0)
 	}
 	return m, nil
--- a/relay/lore.go
+++ b/relay/lore.go
@@ -174,18 +174,16 @@
 	t.mu.Unlock()
 }
 
-// saw tells the book what a node has told of itself, and how long a read with a bound took; of one that was not answered in
-// time, over its SLA time.
+// saw tells the book what a node has told of itself, and how long a txn took; of one that was not answered in time, over
+// its SLA time.
 func (t *talk) saw(n *node, h *held, res splitter.Result) {
 	strain := 0.0
 	if h != nil && h.class == nil {
-		if typ := t.core.terms.Types[h.st.Type]; t.core.terms.Bounded(typ) {
-			switch res.Outcome {
-			case splitter.Committed:
-				strain = res.Latency / t.core.terms.Splitter.Types[typ].SLA
-			case splitter.TimedOut, splitter.Full:
-				strain = lateStrain
-			}
+		switch res.Outcome {
+		case splitter.Committed:
+			strain = res.Latency / t.core.terms.Splitter.Types[t.core.terms.Types[h.st.Type]].SLA
+		case splitter.TimedOut, splitter.Full:
+			strain = lateStrain
 		}
 	}
 	if id, ok := t.core.byUID[n.uid]; ok && (res.Pos > 0 || strain > 0) {
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -153,7 +153,7 @@
 	Node    int
 	Pos     float64
 	Primary bool
-	Share   float64 // the part of its group's reads that it should get beside the others', 1 at most; 0: not told
+	Strain  float64 // of late, latencies there as shares of SLA times, by all routers; 0: not known
 }
 
 // What is counted, each with its Cause.
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -56,7 +56,9 @@
 	forgetAfter  = 60.0  // s a node is off the list until it is forgotten: an old list comes again sooner
 	leastPace    = 0.02  // pace of the quickest node that still counts
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
-	strange      = 20.0  // how much busier a replica counts that has not answered here: it wants a connection first
+	choices      = 2     // members that are compared where peers tell paces: what all know, all would choose
+	spared       = 1.5   // how much busier a primary counts among them: writes have nowhere else to go
+	strange      = 1.5   // how much busier one counts that has not answered here: it wants a connection first
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
@@ -120,7 +122,7 @@
 	out     []*flight
 	started float64 // when it last came up cold, by list or by its own signs
 	doubted float64 // peers doubt it until then
-	share   float64 // of reads that it bears, by what peers say; 0: they have not said
+	strain  float64 // its pace by what peers say
 	down    bool    // its process seemed gone
 }
 
@@ -349,8 +351,7 @@
 
 // Told takes what peers say of a group that they look at for all, until a time; heard tells that they do
 // speak. A position holds from its date on, whoever tells it, so it proves a replica fresh. A role is a hint
-// whom to ask: only a member's own word moves the primary. A share is what all routers together find that a
-// replica bears. Meanwhile this router asks no more than that for itself. It covers routers with so little
+// whom to ask: only a member's own word moves the primary. A strain is the pace that all routers together see. Meanwhile this router asks no more than that for itself. It covers routers with so little
 // traffic that each would have to ask for every txn what others know. It harms where all that peers say is
 // old: reads then wait for one word before they ask as ever.
 func (r *Router) Told(group int, until float64, heard bool, words []Word) {
@@ -363,7 +364,7 @@
 		if n == nil || w.Pos > now+tick {
 			continue
 		}
-		n.pos, n.share = max(n.pos, w.Pos), cmp.Or(w.Share, n.share)
+		n.pos, n.strain = max(n.pos, w.Pos), w.Strain
 		n.known = n.known || w.Pos > 0
 		if w.Primary && w.Pos > g.hinted {
 			g.hint, g.hinted = n, w.Pos
@@ -443,9 +444,10 @@
 	var least float64
 	usable := make([]*node, 0, len(g.members))
 	first := false // a first look at a member is out
+	told, seen := r.host.Now() < g.told, 0
 	for _, n := range g.members {
 		switch {
-		case n.closed || n.aside || n == g.pri || n == g.hint && g.pri == nil:
+		case n.closed || n.aside || !told && n == g.pri:
 		case n.known || !r.terms.ProbeRoles:
 			usable = append(usable, n)
 		default:
@@ -468,12 +470,16 @@
 			return nil
 		}
 	}
+	if told {
+		r.rng.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	}
 	for _, n := range usable {
 		fresh := r.fresh(n, t)
 		proven = proven || fresh
-		if !fresh || !r.room(n, t) {
+		if !fresh || !r.room(n, t) || told && seen == choices {
 			continue
 		}
+		seen++
 		if busy := r.busy(n, t); best == nil || busy < least {
 			best, least = n, busy
 		}
@@ -481,7 +487,6 @@
 	if t.why = NoRoom; !proven {
 		t.why = NoProof
 	}
-	told := r.host.Now() < g.told
 	if best == nil && asks && told && !proven && g.word <= t.arrived {
 		return nil // the next word is due
 	}
@@ -616,13 +621,17 @@
 
 // busy compares replicas: what is out, at the pace shown. Own submissions differ, and so do routers' choices.
 func (r *Router) busy(n *node, t *txn) float64 {
-	b := float64(len(n.out)+1) * max(n.pace, leastPace) / (1.01 - n.fails)
-	if b *= 1 + chance*(r.rng.Float64()-0.5); n.share > 0 && r.host.Now() < t.g.told {
-		// Its share of the choices, where one router sees too little to tell. A connection that is there is used.
-		if b = r.rng.ExpFloat64() * float64(len(n.out)+1) / n.share / (1.01 - n.fails); n.heard == 0 {
-			b *= strange
+	pace := n.pace
+	if r.host.Now() < t.g.told {
+		if pace = n.strain; n == t.g.pri || n == t.g.hint {
+			pace *= spared
+		}
+		if n.heard == 0 {
+			pace = max(pace, leastPace) * strange
 		}
 	}
+	b := float64(len(n.out)+1) * max(pace, leastPace) / (1.01 - n.fails)
+	b *= 1 + chance*(r.rng.Float64()-0.5)
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
 	}
