--- a/lore/api.go
+++ b/lore/api.go
@@ -28,7 +28,7 @@
 	Node    int
 	Pos     float64 // it has applied all commits up to this time
 	Primary bool    // it was primary then
-	Strain  float64 // of late, latencies there as shares of SLA times, by all routers; 0: not known
+	Load    int     // submissions of all routers that are out there
 }
 
 // Told are words on a group that came from a peer, for the module.
@@ -79,6 +79,6 @@
 	hurry      = 0.3   // s that a group is looked at as a whole after a word that a txn waits for its primary
 	future     = 0.02  // s that a position may be ahead of the clock here
 	steps      = 100.0 // parts of a bound in which ages travel
-	strainGain = 0.2   // weight of the newest latency in a node's strain: about the last half dozen of all routers
-	strainOld  = 1.0   // s after which it says nothing any more
+	outLasts   = 3.0   // s after which a submission counts as ended though nobody has said so: a word was lost
+	outMost    = 250   // submissions that are counted at a node
 )
--- a/lore/lore.go
+++ b/lore/lore.go
@@ -38,8 +38,13 @@
 	news    float64 // last time that we told it
 	part    float64 // of the news of it that we tell
 	looked  float64
-	strain  float64 // latency of reads as a share of their SLA time, of late; 0: not known
-	strains float64 // when one was last told
+	outs    []out // submissions of all routers, oldest first, while this router keeps the group; emptied by their ends
+}
+
+// out is a submission that a router has told of.
+type out struct {
+	router int
+	at     float64
 }
 
 // group is a primary with its replicas.
@@ -116,46 +121,82 @@
 // live tells whether a keeper speaks, we or another.
 func (b *Book) live(g *group, now float64) bool { return now < g.kept || now-g.heard < lives*b.every }
 
-// Saw takes what a node has told to this router, in an answer or a report; pos 0: nothing. Strain is the latency of a
-// txn as a share of its SLA time, over 1 where none was answered in time; 0: it was none.
-func (b *Book) Saw(id int, pos float64, primary bool, strain, now float64) {
-	if id >= len(b.nodes) || b.nodes[id] == nil || pos > now+future {
-		return
-	}
-	n := b.nodes[id]
-	n.own = max(n.own, pos)
-	b.learn(n, pos, primary, now)
-	g := n.g
-	if now < g.kept {
-		n.strained(strain, now)
-	}
-	if now < g.kept || !b.live(g, now) {
+// Saw takes what a node has told to this router, in an answer or a report.
+func (b *Book) Saw(id int, pos float64, primary bool, now float64) {
+	n := b.saw(id, pos, primary, now)
+	if n == nil || now < n.g.kept || !b.live(n.g, now) {
 		return
 	}
 	// The keeper has positions from others, too. Each router's part in that is as large as told ones are old.
-	late := strain > 1
-	if !late && (pos-n.told < newsShare*b.every || now-n.news < newsShare*b.every || b.rng.Float64() >= n.part) {
+	if pos-n.told < newsShare*b.every || now-n.news < newsShare*b.every || b.rng.Float64() >= n.part {
 		return
 	}
 	n.news = now
 	b.counted.News++
-	was := n.strain
-	n.strain = strain
-	b.send(g.keeper, news, g, []*node{n})
-	n.strain = was
+	b.send(n.g.keeper, news, n.g, []*node{n})
 }
 
-// strained takes the latency of a txn. What all routers see of a node together tells how busy it is, where each of them has
-// a txn there now and then.
-func (n *node) strained(strain, now float64) {
-	if strain <= 0 {
+func (b *Book) saw(id int, pos float64, primary bool, now float64) *node {
+	if id >= len(b.nodes) || b.nodes[id] == nil || pos > now+future {
+		return nil
+	}
+	n := b.nodes[id]
+	n.own = max(n.own, pos)
+	b.learn(n, pos, primary, now)
+	return n
+}
+
+// Out says that a submission of this router leaves for a node, Back that it has ended, with what the node told then (0:
+// nothing). Only all routers together know how busy a node is where each has a txn there now and then; what their answers
+// show of it is older than a queue lasts.
+func (b *Book) Out(id int, now float64) {
+	if id >= len(b.nodes) || b.nodes[id] == nil {
 		return
 	}
-	if n.strain == 0 {
-		n.strain = strain
+	if n := b.nodes[id]; now < n.g.kept {
+		n.leaves(b.terms.Me, now)
+	} else if b.live(n.g, now) {
+		b.counted.News++
+		b.send(n.g.keeper, leaves, n.g, []*node{n})
 	}
-	n.strain += strainGain * (strain - n.strain)
-	n.strains = now
+}
+
+func (b *Book) Back(id int, pos float64, primary bool, now float64) {
+	n := b.saw(id, pos, primary, now)
+	switch {
+	case n == nil:
+	case now < n.g.kept:
+		n.ends(b.terms.Me)
+	case b.live(n.g, now):
+		b.counted.News++
+		n.news = now
+		b.send(n.g.keeper, ends, n.g, []*node{n})
+	}
+}
+
+func (n *node) leaves(router int, now float64) {
+	if len(n.outs) < outMost {
+		n.outs = append(n.outs, out{router, now})
+	}
+}
+
+func (n *node) ends(router int) {
+	for i, o := range n.outs {
+		if o.router == router {
+			n.outs = append(n.outs[:i], n.outs[i+1:]...)
+			return
+		}
+	}
+}
+
+// load counts submissions that are out, without those whose ends must have been lost.
+func (n *node) load(now float64) int {
+	lost := 0
+	for lost < len(n.outs) && now-n.outs[lost].at > outLasts {
+		lost++
+	}
+	n.outs = append(n.outs[:0], n.outs[lost:]...)
+	return len(n.outs)
 }
 
 func (b *Book) learn(n *node, pos float64, primary bool, now float64) {
@@ -272,6 +313,11 @@
 	if now >= g.kept {
 		g.due = now
 	}
+	if now >= g.kept {
+		for _, n := range g.members {
+			n.outs = nil
+		}
+	}
 	g.kept = now + lingers
 	if primary {
 		g.hurry = now + hurry
@@ -303,7 +349,7 @@
 				b.send(from, tell, g, all)
 			}
 		}
-	case news:
+	case news, leaves, ends:
 		if now < g.kept && len(words) > 0 {
 			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true, Words: words})
 		}
@@ -318,6 +364,9 @@
 		for i, w := range words {
 			n := b.nodes[w.Node]
 			n.told = max(n.told, w.Pos)
+			if w.Pos == 0 {
+				continue
+			}
 			if now-m.positions[i] < youngShare*b.every {
 				n.part = max(newsLeast, n.part*newsLess)
 			} else {
@@ -349,9 +398,14 @@
 		w := Word{Node: n.id, Pos: m.positions[i], Primary: m.primaries[i]}
 		switch {
 		case m.kind == tell:
-			w.Strain = m.strains[i]
+			w.Load = m.loads[i]
 		case now < g.kept:
-			n.strained(m.strains[i], now)
+			if m.kind == leaves {
+				n.leaves(m.from, now)
+			} else if m.kind == ends {
+				n.ends(m.from)
+			}
+			w.Load = len(n.outs)
 		}
 		b.learn(n, w.Pos, w.Primary, now)
 		out = append(out, w)
@@ -397,10 +451,7 @@
 		own := make([]Word, len(all))
 		for i, n := range all {
 			n.told = n.pos
-			if now-n.strains > strainOld {
-				n.strain = 0
-			}
-			own[i] = Word{n.id, n.pos, n.claimed >= n.pos, n.strain}
+			own[i] = Word{n.id, n.pos, n.claimed >= n.pos, n.load(now)}
 		}
 		b.counted.Tells++
 		b.send(All, tell, g, all)
--- a/lore/wire.go
+++ b/lore/wire.go
@@ -1,8 +1,8 @@
 package lore
 
 // This file owns the form of a datagram: a head of 13 bytes (kind, checksum, sender, group, the newest position in ms) and
-// five for each node (a hash of its name, how much older its position is, whether it was primary, and its strain: of
-// one txn in news, of late in what is told). It must never round a position up.
+// five for each node (a hash of its name, how much older its position is, whether it was primary, and in what is told the
+// submissions that are out there). It must never round a position up.
 
 import (
 	"encoding/binary"
@@ -20,6 +20,8 @@
 	wantAnswer                         // and answer at once, since we know nothing
 	wantPrimary                        // a txn waits for its primary
 	news                               // what a node has told us
+	leaves                             // a submission of ours leaves for it
+	ends                               // one has ended, and what it told then
 	tell                               // what nodes have told, by the keeper
 )
 
@@ -30,8 +32,6 @@
 	keyMask   = 1<<24 - 1
 	primaryIs = 0x80
 	oldest    = 0x7f // of an age: it is as old or older, and proves nothing
-	octave    = 16.0 // steps of a strain in which it doubles
-	middle    = 128  // the step that stands for one; 0 for nothing
 )
 
 var errSpoilt = errors.New("no datagram of ours")
@@ -43,22 +43,7 @@
 	keys      []uint32
 	positions []float64
 	primaries []bool
-	strains   []float64
-}
-
-// step rounds a strain to what travels of it, number the other way round.
-func step(x float64) byte {
-	if x <= 0 {
-		return 0
-	}
-	return byte(min(255, max(1, math.Round(math.Log2(x)*octave)+middle)))
-}
-
-func number(s byte) float64 {
-	if s == 0 {
-		return 0
-	}
-	return math.Exp2((float64(s) - middle) / octave)
+	loads     []int
 }
 
 // format makes a datagram about nodes; those that do not fit are left out.
@@ -82,7 +67,7 @@
 		if n.claimed >= n.pos {
 			last |= primaryIs
 		}
-		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last, step(n.strain))
+		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last, byte(min(len(n.outs), math.MaxUint8)))
 	}
 	binary.BigEndian.PutUint32(b[1:], sum(b))
 	return b
@@ -113,7 +98,7 @@
 			pos = 0
 		}
 		m.positions = append(m.positions, pos)
-		m.strains = append(m.strains, number(b[at+4]))
+		m.loads = append(m.loads, int(b[at+4]))
 		m.primaries = append(m.primaries, b[at+3]&primaryIs != 0)
 	}
 	return m, nil
--- a/relay/core.go
+++ b/relay/core.go
@@ -183,7 +183,7 @@
 		c.gossip.landed(n, sent, res.Outcome)
 	}
 	if c.talk != nil {
-		c.talk.saw(n, h, res)
+		c.talk.landed(n, res.Report)
 	}
 	if h.class != nil {
 		res.As = c.classes.landed(h.class, res, code)
@@ -281,6 +281,10 @@
 	if c.gossip != nil {
 		c.gossip.mesh.Out(n.uid, j.sent)
 	}
+	if c.talk != nil {
+		c.talk.book.Out(node, c.now)
+		c.tell(c.talk.act)
+	}
 	n.tell(func() { n.start(j) })
 }
 
@@ -325,7 +329,7 @@
 				c.gossip.mesh.Saw(n.uid, res.OK, true, j.sent)
 			}
 			if c.talk != nil {
-				c.talk.saw(n, nil, res)
+				c.talk.saw(n, res.Report)
 			}
 			then(res.Report)
 		})
--- a/relay/lore.go
+++ b/relay/lore.go
@@ -22,7 +22,6 @@
 
 const (
 	longestWord = 512 // bytes of a datagram that are read: longer ones are none of ours
-	lateStrain  = 2.0 // of a read without an answer in time, or that a full node turned away
 	mostWords   = 512 // datagrams that wait for the core, or to be sent: beyond it they are dropped, as the network would
 )
 
@@ -174,20 +173,18 @@
 	t.mu.Unlock()
 }
 
-// saw tells the book what a node has told of itself, and how long a txn took; of one that was not answered in time, over
-// its SLA time.
-func (t *talk) saw(n *node, h *held, res splitter.Result) {
-	strain := 0.0
-	if h != nil && h.class == nil {
-		switch res.Outcome {
-		case splitter.Committed:
-			strain = res.Latency / t.core.terms.Splitter.Types[t.core.terms.Types[h.st.Type]].SLA
-		case splitter.TimedOut, splitter.Full:
-			strain = lateStrain
-		}
+// saw tells the book what a probe has shown of a node.
+func (t *talk) saw(n *node, r splitter.Report) {
+	if id, ok := t.core.byUID[n.uid]; ok && r.Pos > 0 {
+		t.book.Saw(id, r.Pos, r.Role == splitter.RolePrimary, t.core.now)
+		t.act()
 	}
-	if id, ok := t.core.byUID[n.uid]; ok && (res.Pos > 0 || strain > 0) {
-		t.book.Saw(id, res.Pos, res.Role == splitter.RolePrimary, strain, t.core.now)
+}
+
+// landed tells the book that a submission has ended, with what the node told of itself.
+func (t *talk) landed(n *node, r splitter.Report) {
+	if id, ok := t.core.byUID[n.uid]; ok {
+		t.book.Back(id, r.Pos, r.Role == splitter.RolePrimary, t.core.now)
 		t.act()
 	}
 }
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -153,7 +153,7 @@
 	Node    int
 	Pos     float64
 	Primary bool
-	Strain  float64 // of late, latencies there as shares of SLA times, by all routers; 0: not known
+	Load    int // submissions of all routers that are out there
 }
 
 // What is counted, each with its Cause.
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -56,7 +56,7 @@
 	forgetAfter  = 60.0  // s a node is off the list until it is forgotten: an old list comes again sooner
 	leastPace    = 0.02  // pace of the quickest node that still counts
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
-	choices      = 2     // members that are compared where peers tell paces: what all know, all would choose
+	choices      = 2     // members that are compared where peers tell loads: what all know, all would choose
 	spared       = 1.5   // how much busier a primary counts among them: writes have nowhere else to go
 	strange      = 1.5   // how much busier one counts that has not answered here: it wants a connection first
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
@@ -122,7 +122,7 @@
 	out     []*flight
 	started float64 // when it last came up cold, by list or by its own signs
 	doubted float64 // peers doubt it until then
-	strain  float64 // its pace by what peers say
+	load    float64 // submissions of all routers there, by what peers say
 	down    bool    // its process seemed gone
 }
 
@@ -351,7 +351,7 @@
 
 // Told takes what peers say of a group that they look at for all, until a time; heard tells that they do
 // speak. A position holds from its date on, whoever tells it, so it proves a replica fresh. A role is a hint
-// whom to ask: only a member's own word moves the primary. A strain is the pace that all routers together see. Meanwhile this router asks no more than that for itself. It covers routers with so little
+// whom to ask: only a member's own word moves the primary. A load is what all routers together have out there. Meanwhile this router asks no more than that for itself. It covers routers with so little
 // traffic that each would have to ask for every txn what others know. It harms where all that peers say is
 // old: reads then wait for one word before they ask as ever.
 func (r *Router) Told(group int, until float64, heard bool, words []Word) {
@@ -364,7 +364,7 @@
 		if n == nil || w.Pos > now+tick {
 			continue
 		}
-		n.pos, n.strain = max(n.pos, w.Pos), w.Strain
+		n.pos, n.load = max(n.pos, w.Pos), float64(w.Load)
 		n.known = n.known || w.Pos > 0
 		if w.Primary && w.Pos > g.hinted {
 			g.hint, g.hinted = n, w.Pos
@@ -621,16 +621,15 @@
 
 // busy compares replicas: what is out, at the pace shown. Own submissions differ, and so do routers' choices.
 func (r *Router) busy(n *node, t *txn) float64 {
-	pace := n.pace
+	b := float64(len(n.out)+1) * max(n.pace, leastPace) / (1.01 - n.fails)
 	if r.host.Now() < t.g.told {
-		if pace = n.strain; n == t.g.pri || n == t.g.hint {
-			pace *= spared
+		if b = (n.load + 1) / (1.01 - n.fails); n == t.g.pri || n == t.g.hint {
+			b *= spared
 		}
 		if n.heard == 0 {
-			pace = max(pace, leastPace) * strange
+			b *= strange
 		}
 	}
-	b := float64(len(n.out)+1) * max(pace, leastPace) / (1.01 - n.fails)
 	b *= 1 + chance*(r.rng.Float64()-0.5)
 	if n.Zone != r.terms.Zone {
 		b *= zoneBias
