A silent tier is not waited for group by group; who was called primary is asked first

Change: one silent keeper ends the waiting for all groups until somebody speaks; the member last called primary is asked first, the others once it fails; reads keep to members that have answered here before.

--- a/lore/lore.go
+++ b/lore/lore.go
@@ -21,6 +21,7 @@
 	groups  map[int]*group
 	order   []*group
 	deaf    []float64 // by router: passed over until then
+	silent  float64   // the last time that one did not answer, and nobody has spoken since
 	out     Effects
 	counted Counts
 }
@@ -55,8 +56,6 @@
 	heard   float64 // when
 	asked   int     // whom we asked to keep, -1: nobody
 	askedAt float64
-	waits   float64 // a word is waited for until then
-	waited  float64 // the last time that this began
 	kept    float64 // by us, until then
 	due     float64 // our next tell
 	hurry   float64 // a txn somewhere waits for a primary until then
@@ -65,7 +64,7 @@
 
 // New makes a Book that knows nothing.
 func New(t Terms) *Book {
-	return &Book{terms: t, rng: rand.New(rand.NewSource(t.Seed)), groups: map[int]*group{}, deaf: make([]float64, t.Routers),
+	return &Book{terms: t, rng: rand.New(rand.NewSource(t.Seed)), groups: map[int]*group{}, silent: math.Inf(-1), deaf: make([]float64, t.Routers),
 		every: min(mostEvery, max(leastEvery, everyShare*t.Bound))}
 }
 
@@ -111,7 +110,7 @@
 func (b *Book) group(id int) *group {
 	g := b.groups[id]
 	if g == nil {
-		g = &group{id: id, keeper: -1, asked: -1, heard: math.Inf(-1), askedAt: math.Inf(-1), waited: math.Inf(-1)}
+		g = &group{id: id, keeper: -1, asked: -1, heard: math.Inf(-1), askedAt: math.Inf(-1)}
 		b.groups[id] = g
 		b.order = append(b.order, g)
 	}
@@ -260,18 +259,16 @@
 		if g.asked >= 0 && g.heard < g.askedAt {
 			b.counted.Silent++
 			b.deaf[g.asked] = now + deaf
+			b.silent = now
 		}
 		to = b.candidate(g, now)
 		if kind == want {
 			kind = wantAnswer
 		}
-		if now-g.waited > deaf || b.waiting(g, now) {
-			// Its word is worth waiting for, once; if it does not come this router looks for itself, and asks on.
-			if !b.waiting(g, now) {
-				g.waited = now
-			}
-			g.waits = g.waited + patience
-			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: g.waits})
+		if now-b.silent > deaf {
+			// Its word is worth waiting for. Once one does not come this router looks for itself for a while, whatever
+			// the group: peers that are silent are so of all.
+			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + patience})
 		}
 	}
 	g.asked, g.askedAt = to, now
@@ -284,8 +281,6 @@
 	b.send(to, kind, g, nil)
 }
 
-func (b *Book) waiting(g *group, now float64) bool { return now < g.waits }
-
 // candidate is the router that should keep a group: of those that are not known to be deaf, the one that comes first by a
 // hash of both numbers. All come to the same one without asking anybody, and each has a group or so to keep.
 func (b *Book) candidate(g *group, now float64) int {
@@ -333,7 +328,7 @@
 		return false
 	}
 	b.counted.Taken++
-	b.deaf[from] = 0
+	b.deaf[from], b.silent = 0, math.Inf(-1)
 	g := b.groups[m.group]
 	if g == nil {
 		b.counted.Unknown++
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -58,7 +58,6 @@
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
 	choices      = 2     // members that are compared where peers tell loads: what all know, all would choose
 	spared       = 1.5   // how much busier a primary counts among them: writes have nowhere else to go
-	strange      = 1.5   // how much busier one counts that has not answered here: it wants a connection first
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
@@ -470,8 +469,9 @@
 			return nil
 		}
 	}
-	if told {
+	if told { // two by chance, those first that have answered here: others want a connection
 		r.rng.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+		slices.SortStableFunc(usable, func(a, b *node) int { return cmp.Compare(min(b.heard, 1), min(a.heard, 1)) })
 	}
 	for _, n := range usable {
 		fresh := r.fresh(n, t)
@@ -623,12 +623,10 @@
 func (r *Router) busy(n *node, t *txn) float64 {
 	b := float64(len(n.out)+1) * max(n.pace, leastPace) / (1.01 - n.fails)
 	if r.host.Now() < t.g.told {
-		if b = (n.load + 1) / (1.01 - n.fails); n == t.g.pri || n == t.g.hint {
-			b *= spared
-		}
-		if n.heard == 0 {
-			b *= strange
-		}
+		b = (n.load + 1) / (1.01 - n.fails)
+	}
+	if n == t.g.pri || n == t.g.hint {
+		b *= spared
 	}
 	b *= 1 + chance*(r.rng.Float64()-0.5)
 	if n.Zone != r.terms.Zone {
@@ -1009,9 +1007,11 @@
 	if held && told {
 		r.host.Want(g.id)
 	}
+	// Who was last called primary is asked first, also once peers have fallen silent.
+	first := told || g.hint != nil && g.hint.bad == 0 && !g.hint.aside && g.hint.denied < g.hinted && g.pri != g.hint
 	for i := range g.members {
 		n := g.members[(g.next+i)%len(g.members)]
-		if n.probing || n.closed || told && !n.aside && (!held || n != g.pri && n != g.hint) {
+		if n.probing || n.closed || told && !n.aside && !held || first && !n.aside && held && n != g.pri && n != g.hint {
 			continue // while peers look, this router asks who they say is primary, and those that failed it
 		}
 		every, owed, why := ordinary, n.probed == 0 && !n.known, Ordinary
