--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -329,9 +329,8 @@
 }
 
 // Doubt says that peers have trouble with a node, until a time; one that is past ends it. It is looked at
-// sooner, so that own evidence comes sooner, and comes later among replicas that are known. It is never left
-// out for it, and no primary changes by it. It covers what one router sees late: nodes that hang, fail or lose
-// answers. It harms when peers are wrong: a probe, and load on the other replicas until that has come back.
+// sooner and comes later among replicas; it is never left out for it, and no primary changes by it. It covers
+// what one router sees late: nodes that hang or fail. It harms when peers are wrong: a probe, load elsewhere.
 func (r *Router) Doubt(node int, until float64) {
 	if n, now := r.nodes[node], r.clock(); n != nil {
 		if now >= n.doubted && now < until {
@@ -348,25 +347,21 @@
 	}
 }
 
-// Told takes what peers say of a group that they look at for all, until a time; heard tells that they do
-// speak. A position holds from its date on, whoever tells it, so it proves a replica fresh. A role is a hint
-// whom to ask: only a member's own word moves the primary. A load is what all routers together have out there. Meanwhile this router asks no more than that for itself. It covers routers with so little
-// traffic that each would have to ask for every txn what others know. It harms where all that peers say is
-// old: reads then wait for one word before they ask as ever.
+// Told takes what peers say of a group that they look at for all until a time; heard: they do speak. A position
+// holds from its date on, so it proves a replica fresh; a role is a hint whom to ask: only a member's own word
+// moves the primary. Meanwhile this router asks no more for itself. It covers routers too quiet to know; it
+// harms where all that peers say is old: reads then wait for one word before they ask.
 func (r *Router) Told(group int, until float64, heard bool, words []Word) {
 	g, now := r.group(group), r.clock()
 	if g.told = max(g.told, until); heard {
 		g.word = now
 	}
 	for _, w := range words {
-		n := r.nodes[w.Node]
-		if n == nil || w.Pos > now+tick {
-			continue
-		}
-		n.pos, n.load = max(n.pos, w.Pos), float64(w.Load)
-		n.known = n.known || w.Pos > 0
-		if w.Primary && w.Pos > g.hinted {
-			g.hint, g.hinted = n, w.Pos
+		if n := r.nodes[w.Node]; n != nil && w.Pos <= now+tick {
+			n.pos, n.load, n.known = max(n.pos, w.Pos), float64(w.Load), n.known || w.Pos > 0
+			if w.Primary && w.Pos > g.hinted {
+				g.hint, g.hinted = n, w.Pos
+			}
 		}
 	}
 	r.probes(g)
@@ -432,11 +427,10 @@
 		if g.held {
 			n = r.candidate(g)
 		}
-		if t.why = NoPrimary; n != nil && r.room(n, t) {
+		if t.why = NoPrimary; n == nil || r.room(n, t) {
 			return n
-		} else if n != nil {
-			t.why = NoRoom
 		}
+		t.why = NoRoom
 		return nil
 	}
 	var best *node
@@ -505,10 +499,9 @@
 	return best
 }
 
-// ask asks replicas that are not proven fresh enough for a read for their positions, the least busy first,
-// each once for a txn at most, and tells whether it did: where none is proven the read waits for the first
-// news. It covers routers too quiet to learn positions from answers, replicas that lag, proofs that ran out,
-// and replicas, once crowded, that could help full ones; it is wasted where reports are older than the bound.
+// ask asks replicas that are not proven fresh enough for a read for their positions, the least busy first, each
+// once for a txn at most, and tells whether it did. It covers routers too quiet to learn from answers, replicas
+// that lag, and replicas, once crowded, that could help full ones; it is wasted where reports are too old.
 func (r *Router) ask(usable []*node, t *txn) bool {
 	now := r.host.Now()
 	asked := 0
@@ -551,10 +544,9 @@
 	return best
 }
 
-// long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are
-// not crowded: else a crowd would make txns long, and gathering them the crowd. Long txns may stop a replica
-// from applying the log, so they are gathered on few replicas, the others stay fresh. It also keeps them from
-// filling every node's cores at once; it could harm where they are most of the load and block nothing.
+// long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are not
+// crowded: else a crowd would make txns long, and gathering them the crowd. Long txns may stop a replica from
+// applying the log, so they are gathered on few; it could harm where they are most of the load and block nothing.
 func (r *Router) long(t *txn) bool {
 	if t.Need != NeedAny {
 		return false
@@ -837,9 +829,8 @@
 	}
 }
 
-// short acts on a node that refuses connections and answers probes: it has all the connections it takes, so
-// it is neither dead nor changed, and idle ones that routers keep are what others lack. It covers limits that
-// are squeezed and tables that many routers fill; it costs handshakes.
+// short acts on a node that refuses connections and answers probes: it is neither dead nor changed, and idle
+// connections that routers keep are what others lack. It covers limits that are squeezed; it costs handshakes.
 func (r *Router) short(n *node) {
 	now := r.host.Now()
 	n.refused, n.aside, n.full = 0, false, now+scarce
@@ -1007,12 +998,12 @@
 	if held && told {
 		r.host.Want(g.id)
 	}
-	// Who was last called primary is asked first, also once peers have fallen silent.
-	first := told || g.hint != nil && g.hint.bad == 0 && !g.hint.aside && g.hint.denied < g.hinted && g.pri != g.hint
+	first := told || g.pri == nil && g.hint != nil && g.hint.bad == 0 // who peers say is primary
 	for i := range g.members {
 		n := g.members[(g.next+i)%len(g.members)]
-		if n.probing || n.closed || told && !n.aside && !held || first && !n.aside && held && n != g.pri && n != g.hint {
-			continue // while peers look, this router asks who they say is primary, and those that failed it
+		asked := held && (!first || n == g.pri || n == g.hint) // while peers look, only for what is their hint
+		if n.probing || n.closed || !n.aside && !asked && (told || held) {
+			continue
 		}
 		every, owed, why := ordinary, n.probed == 0 && !n.known, Ordinary
 		switch {
@@ -1044,7 +1035,7 @@
 // waits tells whether a txn waits for role evidence: a write, or any while no member is known as primary.
 func (r *Router) waits(g *group) bool {
 	for l, q := range g.waiting {
-		if len(q) > 0 && (g.pri == nil && r.host.Now() >= g.told || r.kinds[l].Need == NeedPrimary) {
+		if len(q) > 0 && (g.pri == nil && g.hint == nil || r.kinds[l].Need == NeedPrimary) {
 			return true
 		}
 	}
