--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -349,8 +349,8 @@
 
 // Told takes what peers say of a group that they look at for all until a time; heard: they do speak. A position
 // holds from its date on, so it proves a replica fresh; a role is a hint whom to ask: only a member's own word
-// moves the primary. Meanwhile this router asks no more for itself. It covers routers too quiet to know; it
-// harms where all that peers say is old: reads then wait for one word before they ask.
+// moves the primary. Meanwhile this router asks no more for itself. It covers routers too quiet to know, and
+// harms where peers say old things: reads then wait for one word before they ask.
 func (r *Router) Told(group int, until float64, heard bool, words []Word) {
 	g, now := r.group(group), r.clock()
 	if g.told = max(g.told, until); heard {
@@ -481,10 +481,8 @@
 	if t.why = NoRoom; !proven {
 		t.why = NoProof
 	}
-	if best == nil && asks && told && !proven && g.word <= t.arrived {
-		return nil // the next word is due
-	}
-	if best == nil && asks && (!proven || !told && g.credit >= float64(len(g.members))) && r.ask(usable, t) {
+	due := told && !proven && g.word <= t.arrived // the next word
+	if best == nil && asks && (!proven || !told && g.credit >= float64(len(g.members))) && (due || r.ask(usable, t)) {
 		if !proven {
 			return nil
 		}
