--- a/lore/api.go
+++ b/lore/api.go
@@ -67,6 +67,8 @@
 	deaf       = 5.0   // s for which one that did not is passed over
 	lingers    = 2.0   // s that a group is kept after the last want
 	wantsOf    = 4.0   // wants that reach a keeper while each router could send one: more say nothing new
+	lackGain   = 0.1   // weight of the newest read in the share of reads that come without a proof of our own: the last dozen
+	lackFrom   = 0.3   // share from which a group is wanted: below it what others know would spare little
 	newsShare  = 0.5   // of the time between tells that a position must be newer than the told one to be news
 	newsLess   = 0.8   // factor on a router's part in the news of a node whose told positions are young,
 	newsMore   = 1.5   // and where they are old
--- a/lore/lore.go
+++ b/lore/lore.go
@@ -60,6 +60,7 @@
 	due     float64 // our next tell
 	hurry   float64 // a txn somewhere waits for a primary until then
 	looks   float64 // that wants have paid for
+	lacks   float64 // share of our reads of late for which we had no proof of our own
 }
 
 // New makes a Book that knows nothing.
@@ -110,7 +111,7 @@
 func (b *Book) group(id int) *group {
 	g := b.groups[id]
 	if g == nil {
-		g = &group{id: id, keeper: -1, asked: -1, heard: math.Inf(-1), askedAt: math.Inf(-1)}
+		g = &group{id: id, keeper: -1, asked: -1, lacks: 1, heard: math.Inf(-1), askedAt: math.Inf(-1)}
 		b.groups[id] = g
 		b.order = append(b.order, g)
 	}
@@ -214,12 +215,15 @@
 	if g == nil {
 		return
 	}
+	lacks := 1.0
 	for _, n := range g.members {
 		if n.own > now-b.terms.Bound && n.claimed < n.own {
-			return
+			lacks = 0
 		}
 	}
-	b.want(g, false, now)
+	if g.lacks += lackGain * (lacks - g.lacks); lacks > 0 && g.lacks > lackFrom {
+		b.want(g, false, now)
+	}
 }
 
 // Want says that a txn waits for a group's primary to show.
