--- a/lore/api.go
+++ b/lore/api.go
@@ -65,6 +65,8 @@
 	lives      = 3.0   // tells that may be missed until a keeper counts as silent
 	patience   = 0.15  // s until a keeper that was asked must have spoken: there and back, and a look at a node
 	deaf       = 5.0   // s for which one that did not is passed over
+	trustGain  = 0.2   // weight of the newest search in the share of keepers that speak when asked: half a dozen groups tell
+	trustFrom  = 0.5   // share from which reads wait for a word
 	lingers    = 2.0   // s that a group is kept after the last want
 	wantsOf    = 4.0   // wants that reach a keeper while each router could send one: more say nothing new
 	lackGain   = 0.1   // weight of the newest read in the share of reads that come without a proof of our own: the last dozen
--- a/lore/lore.go
+++ b/lore/lore.go
@@ -21,7 +21,7 @@
 	groups  map[int]*group
 	order   []*group
 	deaf    []float64 // by router: passed over until then
-	silent  float64   // the last time that one did not answer, and nobody has spoken since
+	trust   float64   // share of the keepers asked of late that have spoken
 	out     Effects
 	counted Counts
 }
@@ -65,7 +65,7 @@
 
 // New makes a Book that knows nothing.
 func New(t Terms) *Book {
-	return &Book{terms: t, rng: rand.New(rand.NewSource(t.Seed)), groups: map[int]*group{}, silent: math.Inf(-1), deaf: make([]float64, t.Routers),
+	return &Book{terms: t, rng: rand.New(rand.NewSource(t.Seed)), groups: map[int]*group{}, trust: 1, deaf: make([]float64, t.Routers),
 		every: min(mostEvery, max(leastEvery, everyShare*t.Bound))}
 }
 
@@ -263,15 +263,15 @@
 		if g.asked >= 0 && g.heard < g.askedAt {
 			b.counted.Silent++
 			b.deaf[g.asked] = now + deaf
-			b.silent = now
+			b.trust -= trustGain * b.trust
 		}
 		to = b.candidate(g, now)
 		if kind == want {
 			kind = wantAnswer
 		}
-		if now-b.silent > deaf {
-			// Its word is worth waiting for. Once one does not come this router looks for itself for a while, whatever
-			// the group: peers that are silent are so of all.
+		if b.trust > trustFrom {
+			// Its word is worth waiting for, unless most of late have not come: then peers are cut off, whatever the
+			// group, and this router looks for itself while it asks on.
 			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + patience})
 		}
 	}
@@ -332,7 +332,7 @@
 		return false
 	}
 	b.counted.Taken++
-	b.deaf[from], b.silent = 0, math.Inf(-1)
+	b.deaf[from] = 0
 	g := b.groups[m.group]
 	if g == nil {
 		b.counted.Unknown++
@@ -359,6 +359,9 @@
 		if !b.live(g, now) || g.keeper < 0 || from == g.keeper || rank(g.id, from) > rank(g.id, g.keeper) {
 			g.keeper = from
 		}
+		if g.asked >= 0 && g.heard < g.askedAt {
+			b.trust += trustGain * (1 - b.trust)
+		}
 		g.heard = now
 		for i, w := range words {
 			n := b.nodes[w.Node]
