Reads fall back to the member that peers called primary where this router knows none

While peers are cut off, routers that never asked for the primary themselves had none to fall back to. It has been primary by its own word, so a read there is excused until it says otherwise.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -488,7 +488,8 @@
 		}
 		g.credit -= askWidth // where others are proven, txns pay for it as for ordinary probes
 	}
-	if n := g.pri; best == nil && !first && n != nil && !g.held && !n.aside {
+	if n := cmp.Or(g.pri, g.hint); best == nil && !first && n != nil && !n.aside && (!g.held || g.pri == nil &&
+		n.bad == 0 && n.denied < g.hinted) {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
 		if r.room(n, t) && float64(len(n.out)) < max(1, n.limit/2) {
 			return n
