A hint ends with its member's own word; scenarios of what peers tell

Seen in a scenario of a peer that lies: once peers had fallen silent, a replica that had been called primary was asked again and again, since it answered, and the others never.

--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -140,7 +140,8 @@
 //	cut ID SECONDS                            its submission is waited for as long
 //	wait SECONDS, stall SECONDS               time passes, the second without the router being run
 //	doubt NAME SECONDS                        peers doubt it for as long
-//	told SECONDS [[primary:]NAME AGE] ...     peers look at the group for as long; what they say of positions
+//	told SECONDS [[primary:]NAME[=LOAD] AGE] ...  peers look at the group for as long; what they say of positions; a
+//	                                          load has as many letters as submissions are out there
 //	look NAME                                 they want to know of it
 //	expect WHAT                               it did this since the last expect; names may be A|B
 //	never WHAT                                it did not
@@ -227,7 +228,8 @@
 		var words []Word
 		for i := 2; i < len(f); i += 2 {
 			name, primary := strings.CutPrefix(f[i], "primary:")
-			words = append(words, Word{Node: slices.Index(w.names, name), Pos: w.now - w.number(f[i+1]), Primary: primary})
+			name, load, _ := strings.Cut(name, "=")
+			words = append(words, Word{Node: slices.Index(w.names, name), Pos: w.now - w.number(f[i+1]), Primary: primary, Load: len(load)})
 		}
 		w.router.Told(0, w.now+w.number(f[1]), len(words) > 0, words)
 	case "look":
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -263,9 +263,8 @@
 	r.host.Forget(n.Node)
 }
 
-// close acts on a drain at once, well before the grace is over: held txns and resubmissions stay away as
-// well. A drain holds until the node has started anew, whatever a later list says: a list may be an old one
-// come again, and one that calls the node gone takes nothing back.
+// close acts on a drain at once, for held txns and resubmissions as well. A drain holds until the node has
+// started anew, whatever a later list says: it may be an old one, and "gone" takes nothing back.
 func (r *Router) close(n *node, s State) {
 	if n.gone = cmp.Or(n.gone, r.host.Now()); s != Gone {
 		n.gone = 0
@@ -285,9 +284,9 @@
 	return r.groups[id]
 }
 
-// clock tells the time, and notices a stall of the router itself by a gap in its own ticks. What was out
-// meanwhile looks slow, silent or lost and says nothing of the nodes. It also covers a paused process or a
-// slow host; it could harm only by hiding a trouble that begins during the stall for one round of answers.
+// clock tells the time, and notices a stall of the router itself by a gap in its own ticks: what was out
+// looks slow or lost and says nothing of the nodes. It could harm only by hiding a trouble that begins
+// meanwhile.
 func (r *Router) clock() float64 {
 	now := r.host.Now()
 	if r.armed && now > r.due+stall {
@@ -347,10 +346,10 @@
 	}
 }
 
-// Told takes what peers say of a group that they look at for all until a time; heard: they do speak. A position
-// holds from its date on, so it proves a replica fresh; a role is a hint whom to ask: only a member's own word
-// moves the primary. Meanwhile this router asks no more for itself. It covers routers too quiet to know, and
-// harms where peers say old things: reads then wait for one word before they ask.
+// Told takes what peers say of a group that they look at for all until a time; heard: they do speak. A
+// position holds from its date on, so it proves a replica fresh; a role is a hint whom to ask: only a
+// member's own word moves the primary. Meanwhile this router asks no more for itself. It covers routers too
+// quiet to know, and harms where peers say old things: reads then wait for one word before they ask.
 func (r *Router) Told(group int, until float64, heard bool, words []Word) {
 	g, now := r.group(group), r.clock()
 	if g.told = max(g.told, until); heard {
@@ -488,8 +487,8 @@
 		}
 		g.credit -= askWidth // where others are proven, txns pay for it as for ordinary probes
 	}
-	if n := cmp.Or(g.pri, g.hint); best == nil && !first && n != nil && !n.aside && (!g.held || g.pri == nil &&
-		n.bad == 0 && n.denied < g.hinted) {
+	n := cmp.Or(g.pri, g.hint)
+	if best == nil && !first && n != nil && !n.aside && (!g.held || g.pri == nil && n.bad == 0) {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
 		if r.room(n, t) && float64(len(n.out)) < max(1, n.limit/2) {
 			return n
@@ -498,9 +497,10 @@
 	return best
 }
 
-// ask asks replicas that are not proven fresh enough for a read for their positions, the least busy first, each
-// once for a txn at most, and tells whether it did. It covers routers too quiet to learn from answers, replicas
-// that lag, and replicas, once crowded, that could help full ones; it is wasted where reports are too old.
+// ask asks replicas that are not proven fresh enough for a read for their positions, the least busy first,
+// each once for a txn at most, and tells whether it did. It covers routers too quiet to learn from answers,
+// replicas that lag, and replicas, once crowded, that could help full ones; it is wasted where reports are
+// too old.
 func (r *Router) ask(usable []*node, t *txn) bool {
 	now := r.host.Now()
 	asked := 0
@@ -543,9 +543,10 @@
 	return best
 }
 
-// long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are not
-// crowded: else a crowd would make txns long, and gathering them the crowd. Long txns may stop a replica from
-// applying the log, so they are gathered on few; it could harm where they are most of the load and block nothing.
+// long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are
+// not crowded: else a crowd would make txns long, and gathering them the crowd. Long txns may stop a replica
+// from applying the log, so they are gathered on few; it could harm where they are most of the load and block
+// nothing.
 func (r *Router) long(t *txn) bool {
 	if t.Need != NeedAny {
 		return false
@@ -558,9 +559,8 @@
 	return false
 }
 
-// fresh tells whether a replica is known to hold what a read needs. Where nodes check, its position when
-// last heard will do, since a wrong guess costs a miss; where they don't, only a position proves it, since
-// a position told holds for ever.
+// fresh tells whether a replica is known to hold what a read needs. Where nodes check, a guess will do, since
+// a wrong one costs a miss; where they don't, only a position proves it, which holds for ever.
 func (r *Router) fresh(n *node, t *txn) bool {
 	now := r.host.Now()
 	need := 0.0
@@ -829,7 +829,8 @@
 }
 
 // short acts on a node that refuses connections and answers probes: it is neither dead nor changed, and idle
-// connections that routers keep are what others lack. It covers limits that are squeezed; it costs handshakes.
+// connections that routers keep are what others lack. It covers limits that are squeezed; it costs
+// handshakes.
 func (r *Router) short(n *node) {
 	now := r.host.Now()
 	n.refused, n.aside, n.full = 0, false, now+scarce
@@ -909,7 +910,11 @@
 		if answer {
 			n.denied = now
 		}
-		if g := r.group(n.Group); g.pri == n && (answer || at > n.claimed) {
+		g := r.group(n.Group)
+		if g.hint == n && (answer || at > g.hinted) {
+			g.hint = nil
+		}
+		if g.pri == n && (answer || at > n.claimed) {
 			g.pri = nil
 			r.hold(g)
 		}
@@ -984,9 +989,8 @@
 	}
 }
 
-// probes sends the probes that are due in a group while it has txns. A first look at a member and what a held
-// write waits for come at once; all else is paid for by txns, so that many routers with little traffic do not
-// spend more on watching a group than it earns them.
+// probes sends the probes that are due in a group while it has txns. A first look and what a held write waits
+// for come at once; all else is paid for by txns, so that quiet routers don't spend more than a group earns.
 func (r *Router) probes(g *group) {
 	now := r.host.Now()
 	if !r.terms.Probes {
