--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -1,10 +1,8 @@
-// Package splitter decides where each txn of a replicated database cluster goes. It holds all decisions of
-// eiderway.
+// Package splitter decides where each txn of a replicated database cluster goes: all of eiderway's routing.
 //
 // How to call it: New makes a router; hand it each member list (Members), each txn (Arrive) and each client
 // that left (Left). It acts through the Host given to New and learns through the closures it hands to that
-// Host. The interface, Host included, is in api.go; docs/design.md says what comes from the source and what
-// is ours.
+// Host. The interface is in api.go; docs/design.md says what comes from the source and what is ours.
 package splitter
 
 import (
@@ -285,8 +283,7 @@
 }
 
 // clock tells the time, and notices a stall of the router itself by a gap in its own ticks: what was out
-// looks slow or lost and says nothing of the nodes. It could harm only by hiding a trouble that begins
-// meanwhile.
+// looks slow or lost and says nothing of the nodes. It could harm by hiding a trouble that begins meanwhile.
 func (r *Router) clock() float64 {
 	now := r.host.Now()
 	if r.armed && now > r.due+stall {
@@ -481,7 +478,8 @@
 		t.why = NoProof
 	}
 	due := told && !proven && g.word <= t.arrived // the next word
-	if best == nil && asks && (!proven || !told && g.credit >= float64(len(g.members))) && (due || r.ask(usable, t)) {
+	rich := !told && g.credit >= float64(len(g.members))
+	if best == nil && asks && (!proven || rich) && (due || r.ask(usable, t)) {
 		if !proven {
 			return nil
 		}
@@ -498,9 +496,8 @@
 }
 
 // ask asks replicas that are not proven fresh enough for a read for their positions, the least busy first,
-// each once for a txn at most, and tells whether it did. It covers routers too quiet to learn from answers,
-// replicas that lag, and replicas, once crowded, that could help full ones; it is wasted where reports are
-// too old.
+// each once for a txn, and tells whether it did. It covers routers too quiet to learn from answers, replicas
+// that lag, and crowded ones that could help full ones; it is wasted where reports are too old.
 func (r *Router) ask(usable []*node, t *txn) bool {
 	now := r.host.Now()
 	asked := 0
@@ -544,9 +541,8 @@
 }
 
 // long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are
-// not crowded: else a crowd would make txns long, and gathering them the crowd. Long txns may stop a replica
-// from applying the log, so they are gathered on few; it could harm where they are most of the load and block
-// nothing.
+// not crowded: else a crowd would make txns long. Long txns may stop a replica from applying the log, so they
+// are gathered on few; it could harm where they are most of the load and block nothing.
 func (r *Router) long(t *txn) bool {
 	if t.Need != NeedAny {
 		return false
@@ -559,8 +555,8 @@
 	return false
 }
 
-// fresh tells whether a replica is known to hold what a read needs. Where nodes check, a guess will do, since
-// a wrong one costs a miss; where they don't, only a position proves it, which holds for ever.
+// fresh tells whether a replica is known to hold what a read needs. Where nodes check, a guess will do: a
+// wrong one costs a miss; where they don't, only a position proves it, which holds for ever.
 func (r *Router) fresh(n *node, t *txn) bool {
 	now := r.host.Now()
 	need := 0.0
@@ -829,8 +825,7 @@
 }
 
 // short acts on a node that refuses connections and answers probes: it is neither dead nor changed, and idle
-// connections that routers keep are what others lack. It covers limits that are squeezed; it costs
-// handshakes.
+// connections that routers keep are what others lack. It covers squeezed limits; it costs handshakes.
 func (r *Router) short(n *node) {
 	now := r.host.Now()
 	n.refused, n.aside, n.full = 0, false, now+scarce
