--- a/cmd/eiderway/gossip.go
+++ b/cmd/eiderway/gossip.go
@@ -12,8 +12,9 @@
 )
 
 type key struct {
-	New  keyNew  `cmd:"" help:"Make a key of this instance in a file, and print its public part."`
-	Show keyShow `cmd:"" help:"Print the public part of a key, as settings have it, and its fingerprint."`
+	New    keyNew    `cmd:"" help:"Make a key of this instance in a file, and print its public part."`
+	Rotate keyRotate `cmd:"" help:"Make the next key beside one in use, or with --commit put it in its place."`
+	Show   keyShow   `cmd:"" help:"Print the public part of a key, as settings have it, and its fingerprint."`
 }
 
 type keyNew struct {
@@ -29,6 +30,39 @@
 	return nil
 }
 
+type keyRotate struct {
+	File   string `arg:"" help:"The key's file in use." type:"path"`
+	Commit bool   `help:"The next key is trusted everywhere: let it take the place of the one in use, which is kept as FILE.old."`
+}
+
+func (k *keyRotate) Run() error {
+	next := k.File + ".next"
+	if _, err := mesh.ReadKey(k.File); err != nil {
+		return err
+	}
+	if !k.Commit {
+		public, err := mesh.NewKey(next)
+		if err != nil {
+			return err
+		}
+		fmt.Println(mesh.ShowKey(public))
+		fmt.Fprintln(os.Stderr, "add it to this instance's keys under members everywhere, SIGHUP everywhere, then rotate with --commit")
+		return nil
+	}
+	if _, err := mesh.ReadKey(next); err != nil {
+		return fmt.Errorf("there is no next key to put in place: %w", err)
+	}
+	// The file in use is there at every moment: a link to it first, then the next key over it.
+	if err := os.Link(k.File, k.File+".old"); err != nil {
+		return err
+	}
+	if err := os.Rename(next, k.File); err != nil {
+		return err
+	}
+	fmt.Fprintln(os.Stderr, "SIGHUP this instance; once peers hear it under the new key take the old one out of members everywhere")
+	return nil
+}
+
 type keyShow struct {
 	File string `arg:"" help:"A key's file." type:"path"`
 }
--- a/relay/admin.go
+++ b/relay/admin.go
@@ -82,9 +82,13 @@
 		}
 		return
 	}
+	if strings.TrimSpace(line) == "counters" {
+		json.NewEncoder(nc).Encode(c.metrics())
+		return
+	}
 	most := 0
 	if _, err := fmt.Sscanf(strings.TrimSpace(line), "shapes %d", &most); err != nil || most < 1 || most > mostLines || c.classes == nil {
-		json.NewEncoder(nc).Encode(map[string]string{"error": "ask `shapes N` (section classing) or `peers` (section gossip); the section must be on"})
+		json.NewEncoder(nc).Encode(map[string]string{"error": "ask `counters`, `shapes N` (section classing) or `peers` (section gossip); the section must be on"})
 		return
 	}
 	got := make(chan Shapes, 1)
--- a/relay/classes_test.go
+++ b/relay/classes_test.go
@@ -314,6 +314,10 @@
 	require.Eventually(t, func() bool { s, _ := ask("shapes 5"); return len(s.Lines) == 1 && s.Lines[0].P50 > 0 }, patience, time.Millisecond)
 	s, _ := ask("shapes 5")
 	require.Equal(t, []any{int64(10), 0.9, "select $0", 1.0}, []any{s.Classed, s.HitRate, s.Lines[0].Shape, s.Lines[0].Work})
+	var counters []Counter
+	_, told := ask("counters")
+	require.NoError(t, json.Unmarshal([]byte(told), &counters))
+	require.Contains(t, counters, Counter{"eiderway_txns_total", "Txns by what became of them.", []string{"state", "committed"}, 10})
 	_, text := ask("drop everything")
 	require.Contains(t, text, "error")
 	info, err := os.Stat(path)
