--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -14,7 +15,9 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"eiderway/pgwire"
 )
@@ -273,6 +276,25 @@
 	require.Len(t, next.statements(), 1)
 }
 
+// TestLook has the list looked at while a watch stands: a call without a wait comes at once, and the watch goes on from it.
+func TestLook(t *testing.T) {
+	d := newDiscovery(t)
+	cfg := configure(t, d.Listener.Addr().String(), 1024)
+	life, end := context.WithCancel(t.Context())
+	tasks, _ := errgroup.WithContext(life)
+	c := newCore(cfg, logrus.New(), life, tasks, 10)
+	tasks.Go(func() error { return c.list.run(life) })
+	require.Contains(t, await(t, d.calls), "from=1&hold_ms=2000")
+	c.list.look()
+	require.Contains(t, await(t, d.calls), "from=1&hold_ms=0")
+	d.news <- listOf(7, true)
+	require.Contains(t, await(t, d.calls), "from=7&hold_ms=2000")
+	require.Zero(t, c.counters.watchesEnded.Load())
+	require.Zero(t, c.counters.watchesHung.Load())
+	end()
+	require.NoError(t, tasks.Wait())
+}
+
 // TestReload moves discovery while a txn is out and a watch stands, then while none does.
 func TestReload(t *testing.T) {
 	pri, d, next := newStandIn(t, member(true)), newDiscovery(t), newDiscovery(t)
--- a/relay/standins_test.go
+++ b/relay/standins_test.go
@@ -187,14 +187,27 @@
 	*httptest.Server
 	news  chan string // "503" fails the call, "endless" is a list without end
 	calls chan string // the queries of the calls
+	mu    sync.Mutex
+	last  context.CancelFunc // ends the call before: one that its client has left must not take what the next one asks for
 }
 
 func newDiscovery(t *testing.T) *discovery {
-	d := &discovery{news: make(chan string, 10), calls: make(chan string, 1000)}
+	d := &discovery{news: make(chan string, 10), calls: make(chan string, 1000), last: func() {}}
 	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		d.mu.Lock()
+		d.last()
+		d.last = cancel
+		d.mu.Unlock()
 		d.calls <- r.URL.RawQuery
 		select {
 		case text := <-d.news:
+			if ctx.Err() != nil {
+				d.news <- text
+				<-r.Context().Done()
+				return
+			}
 			if text == "503" {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
@@ -202,7 +215,8 @@
 				_, err = w.Write(make([]byte, 1<<16))
 			}
 			fmt.Fprint(w, text)
-		case <-r.Context().Done():
+		case <-ctx.Done():
+			<-r.Context().Done() // it hangs on
 		}
 	}))
 	t.Cleanup(d.Close)
