--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -54,7 +54,7 @@
 	forgetAfter  = 60.0  // s a node is off the list until it is forgotten: an old list comes again sooner
 	leastPace    = 0.02  // pace of the quickest node that still counts
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
-	choices      = 3     // members that are compared where peers tell loads: what all know, all would choose
+	choices      = 2     // members that are compared where peers tell loads: what all know, all would choose
 	spared       = 1.5   // how much busier a primary counts among them: writes have nowhere else to go
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
@@ -612,7 +612,7 @@
 	if r.host.Now() < t.g.told {
 		b = (n.load + 1) / (1.01 - n.fails)
 	}
-	if n == t.g.pri || n == t.g.hint || n.heard == 0 && r.host.Now() < t.g.told {
+	if n == t.g.pri || n == t.g.hint {
 		b *= spared
 	}
 	b *= 1 + chance*(r.rng.Float64()-0.5)
