--- a/relay/relay.go
+++ b/relay/relay.go
@@ -222,21 +222,26 @@
 	g, life := errgroup.WithContext(life)
 	each := (cfg.Limits.Sockets - ownDescriptors) / 2 // a txn out takes one of each kind
 	c := newCore(cfg, log, life, g, each)
+	// leave ends what was begun, where the router can't start.
+	leave := func(err error) error {
+		listener.Close()
+		end()
+		g.Wait()
+		return err
+	}
+	if c.noGossip != nil {
+		return leave(fmt.Errorf("gossip: %w", c.noGossip))
+	}
+	if c.noTalk != nil {
+		return leave(c.noTalk)
+	}
 	hub := newClients(c, listener, cfg.Limits.Sockets, each, cfg.Limits.MemoryMB)
 	c.counters.watch(life, g, c, hub)
 	g.Go(func() error { return c.run(life) })
 	g.Go(func() error { return c.list.run(life) })
-	if c.noGossip != nil {
-		listener.Close()
-		return fmt.Errorf("gossip: %w", c.noGossip)
-	}
 	if c.gossip != nil {
 		g.Go(func() error { return c.gossip.mesh.Run(life) })
 	}
-	if c.noTalk != nil {
-		listener.Close()
-		return c.noTalk
-	}
 	if c.talk != nil {
 		c.talk.run(life, g)
 	}
@@ -245,8 +250,7 @@
 	}
 	if cfg.Own != nil && cfg.Own.Admin != nil {
 		if err := listenAdmin(life, g, c, cfg.Own.Admin.Socket); err != nil {
-			listener.Close()
-			return err
+			return leave(err)
 		}
 	}
 	g.Go(func() error {
