--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,9 +10,6 @@
 	"fmt"
 	"math"
 	"math/rand"
-	"testing"
-
-	"github.com/stretchr/testify/require"
 
 	"eiderway/lore"
 	"eiderway/splitter"
