Leases in service: host, settings, watch of the list, drains in turn, eiderway lease and drain

Need: package lease decided for nobody. Change: relay/tier.go has the routers' socket (lore and lease share it), relay/lease.go the book's host, relay/ask.go and drain.go the admin socket's questions; section lease of the settings, off by default; Follow has one router of a zone watch the list and the others fetch in turn.

--- a/cmd/eiderway/main.go
+++ b/cmd/eiderway/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -78,10 +79,17 @@
 		Shapes  shapes      `cmd:"" help:"Ask a router for the shapes of statements that it knows."`
 		Peers   peers       `cmd:"" help:"Ask a router for its peers, and what is believed of nodes."`
 		Key     key         `cmd:"" help:"Keys of instances that speak to each other."`
+		Lease   leaseCmd    `cmd:"" help:"Tasks that one router of the tier does at a time."`
+		Drain   drainCmd    `cmd:"" help:"Have a router's clients leave, in its turn, and tell how far that is."`
 		Demo    demo        `cmd:"" help:"Run a small cluster of stand-ins and a router on loopback, and show what is served where."`
 		Version showVersion `cmd:"" help:"Show the version."`
 	}
 	k := kong.Parse(&cli, kong.Name("eiderway"),
 		kong.Description("A read and write splitter for replicated database clusters."))
-	k.FatalIfErrorf(k.Run())
+	err := k.Run()
+	if e := (exit{}); errors.As(err, &e) {
+		fmt.Fprintln(os.Stderr, "eiderway:", e.text)
+		os.Exit(e.code)
+	}
+	k.FatalIfErrorf(err)
 }
--- a/lease/api.go
+++ b/lease/api.go
@@ -101,6 +101,7 @@
 	silence    = 2.0  // spans without a word after which the others do
 	laterBy    = 0.25 // of a span, each later than the one before it in the order,
 	latest     = 5.0  // but not by more spans than this
+	standsBack = 3.0  // spans for which a router that was better gone is not after the task
 	kept       = 0.25 // of a span that a council keeps a task for the router it was handed to
 	hurried    = 0.01 // s between asks of that one
 	patience   = 0.3  // s until a check that has found no answer gives way to another
--- a/lease/book.go
+++ b/lease/book.go
@@ -263,14 +263,33 @@
 	return false
 }
 
-// Leave gives back all that this router holds or is after: it is about to go.
-func (b *Book) Leave(now float64) {
+// Leave gives back all that this router holds or is after, but for one task: it is about to go.
+func (b *Book) Leave(but string, now float64) {
 	for _, s := range b.seats {
-		s.task.wanted = false
-		b.end(s, -1, now)
+		if s.task.Name != but {
+			s.task.wanted = false
+			b.end(s, -1, now)
+		}
+	}
+}
+
+// StandBack gives a task up for some leases, without wanting it less: others may do it better now.
+func (b *Book) StandBack(name string, now float64) {
+	k := b.tasks[name]
+	if k == nil || !k.wanted {
+		return
+	}
+	for _, s := range k.seats {
+		if s.claim.holds(now, b.g) {
+			b.end(s, -1, now)
+			s.asking, s.next = true, now+standsBack*b.terms.Span
+		}
 	}
 }
 
+// Stands tells whether all routers would hold a task at all times.
+func (b *Book) Stands(name string) bool { return b.tasks[name] != nil && b.tasks[name].Standing }
+
 // Tell gives a task's holder its word to all: false, this router does not hold it, or the word is too long.
 func (b *Book) Tell(name, text string, now float64) bool {
 	k := b.tasks[name]
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -353,7 +353,7 @@
 					f.act(i)
 				case "leave":
 					i := router(1)
-					f.books[i].Leave(f.clock(i))
+					f.books[i].Leave("", f.clock(i))
 					f.act(i)
 				case "give":
 					i := router(1)
--- a/relay/admin.go
+++ b/relay/admin.go
@@ -1,7 +1,8 @@
 package relay
 
 // This file owns the Unix socket that operators ask on: one question a connection, in a line, and its answer in JSON.
-// It must never change anything.
+// What changes something goes through
+// the book of leases or the clients' drain.
 
 import (
 	"bufio"
@@ -20,7 +21,7 @@
 
 const (
 	askedIn    = 2 * time.Second // a question is there by then, its answer taken
-	mostAsking = 4               // connections at a time
+	mostAsking = 4 + mostHolds   // connections at a time
 	mostLines  = 10_000          // shapes that are told
 )
 
@@ -74,6 +75,9 @@
 	if err != nil {
 		return
 	}
+	if c.askedLease(nc, strings.TrimSpace(line)) {
+		return
+	}
 	if strings.TrimSpace(line) == "peers" && c.gossip != nil {
 		if s, ok := c.gossip.status(); ok {
 			json.NewEncoder(nc).Encode(s)
@@ -88,7 +92,7 @@
 	}
 	most := 0
 	if _, err := fmt.Sscanf(strings.TrimSpace(line), "shapes %d", &most); err != nil || most < 1 || most > mostLines || c.classes == nil {
-		json.NewEncoder(nc).Encode(map[string]string{"error": "ask `counters`, `shapes N` (section classing) or `peers` (section gossip); the section must be on"})
+		json.NewEncoder(nc).Encode(map[string]string{"error": "ask `counters`, `drain`, `shapes N` (section classing), `peers` (section gossip) or `lease status` (section lease); the section must be on"})
 		return
 	}
 	got := make(chan Shapes, 1)
--- a/relay/clients.go
+++ b/relay/clients.go
@@ -41,7 +41,9 @@
 	mu       sync.Mutex
 	open     map[*client]bool
 	all      sync.WaitGroup
-	closing  bool          // new clients are to leave as soon as they have been answered
+	closing  bool         // new clients are to leave as soon as they have been answered
+	draining atomic.Int32 // by hand: drainNot, drainWaits, drainRuns
+	stopping atomic.Bool
 	large    chan struct{} // one for each client with a large statement
 }
 
@@ -63,8 +65,10 @@
 }
 
 func newClients(c *core, l net.Listener, sockets, most int, memoryMB int64) *clients {
-	return &clients{core: c, listener: l, ample: sockets / ampleShare, most: most, open: map[*client]bool{},
+	h := &clients{core: c, listener: l, ample: sockets / ampleShare, most: most, open: map[*client]bool{},
 		large: make(chan struct{}, max(1, memoryMB/largeShare/largeMB))}
+	c.hub = h
+	return h
 }
 
 // run accepts until a stop is asked for and the last connections have come, then waits for the last answer.
@@ -77,6 +81,10 @@
 			return
 		}
 		h.core.log.Info("stopping")
+		h.stopping.Store(true)
+		if h.core.leases != nil {
+			h.core.leases.leave()
+		}
 		time.Sleep(lastArrivals)
 		h.leaveAll()
 		time.Sleep(lastRequests - lastArrivals)
--- a/relay/core.go
+++ b/relay/core.go
@@ -52,10 +52,13 @@
 	byUID     map[string]int
 	groups    map[int]bool
 	list      *list
-	gossip    *gossip  // nil: peers are not spoken to
-	noGossip  error    // why it could not begin
-	talk      *talk    // nil: routers of the tier don't tell each other
-	noTalk    error    // why it could not begin
+	gossip    *gossip // nil: peers are not spoken to
+	noGossip  error   // why it could not begin
+	tier      *tier   // nil: routers of the tier don't speak to each other
+	talk      *talk   // nil: they don't tell each other of nodes
+	leases    *leases // nil: they have no tasks of which one holder is wanted
+	noTier    error   // why one of them could not begin
+	hub       *clients
 	classes   *classes // nil: statements without our comment are not served
 	counters  *counters
 	sockets   chan struct{} // one for each connection to a node
@@ -83,7 +86,14 @@
 			c.noGossip = g.err
 		}
 	}
-	c.talk, c.noTalk = newTalk(c, cfg)
+	if c.tier, c.noTier = newTier(c, cfg); c.noTier == nil {
+		c.talk = newTalk(c, cfg)
+		c.leases, c.noTier = newLeases(c, cfg)
+	}
+	if c.talk == nil && c.leases == nil && c.tier != nil { // nobody speaks
+		c.tier.conn.Close()
+		c.tier = nil
+	}
 	c.members(splitter.ListRemembered, cfg.Known.Targets)
 	return c
 }
--- a/relay/counters.go
+++ b/relay/counters.go
@@ -104,7 +104,12 @@
 		n := c.talk.counted()
 		k.log.WithFields(logrus.Fields{"wants": n.Wants, "news": n.News, "tells": n.Tells, "replies": n.Replies, "looks": n.Looks,
 			"bytes": n.Bytes, "taken": n.Taken, "spoilt": n.Spoilt, "unknown": n.Unknown, "silent": n.Silent,
-			"dropped": c.talk.dropped.Load()}).Info("knowing")
+			"dropped": c.tier.dropped.Load()}).Info("knowing")
+	}
+	if c.leases != nil {
+		n := c.leases.counted()
+		k.log.WithFields(logrus.Fields{"asks": n.Asks, "grants": n.Grants, "refusals": n.Refusals, "words": n.Acts, "checks": n.Checks,
+			"bytes": n.Bytes, "taken": n.Taken, "spoilt": n.Spoilt, "strange": n.Strange, "stale": n.Stales, "delayed": n.Delayed}).Info("leases")
 	}
 	k.log.WithFields(logrus.Fields{"calls": k.listCalls.Load(), "watches_hung": k.watchesHung.Load(),
 		"watches_ended": k.watchesEnded.Load(),
--- /dev/null
+++ b/relay/lease.go
@@ -0,0 +1,208 @@
+package relay
+
+// This file owns the core's side of package lease: the core's goroutine alone calls the book. It says which tasks operators
+// and the parts of this router want, passes on who holds them, and has the list's watcher and the drain follow. It must
+// never decide who holds what.
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"strconv"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"eiderway/lease"
+	"eiderway/terms"
+)
+
+type leases struct {
+	core     *core
+	book     *lease.Book
+	armed    float64 // the time of the timer that is set
+	listTask string  // of this zone; "": each router watches the list for itself
+	drain    string  // of this zone; "": a drain waits for nobody
+	peers    int
+	texts    map[string]string            // newest word of each slot that was obeyed here, so that each is logged once
+	holds    map[string]func(lease.Event) // whoever asked for a task here and is to hear of it
+	mu       sync.Mutex
+	shown    lease.Counts
+}
+
+// newLeases begins where our settings have the section. nil: they have not.
+func newLeases(c *core, cfg *Config) (*leases, error) {
+	if cfg.Own == nil || cfg.Own.Lease == nil {
+		return nil, nil
+	}
+	if c.tier == nil {
+		return nil, fmt.Errorf("lease: the configuration names no peers, or its settings do not allow them")
+	}
+	own := cfg.Own.Lease
+	l := &leases{core: c, armed: math.Inf(1), peers: len(c.tier.peers), texts: map[string]string{}, holds: map[string]func(lease.Event){}}
+	t := own.Terms
+	t.Tasks = append([]lease.Task(nil), t.Tasks...)
+	t.Me, t.Seed = cfg.terms.Splitter.Me, int64(cfg.seed)
+	if t.Routers == 0 {
+		t.Routers = l.peers
+	}
+	if err := l.fits(t.Routers, t.Former); err != nil {
+		return nil, err
+	}
+	var life [8]byte
+	if _, err := rand.Read(life[:]); err != nil {
+		return nil, err
+	}
+	t.Life = binary.BigEndian.Uint64(life[:])
+	if own.List != nil {
+		l.listTask = "list/" + cfg.zone()
+		t.Tasks = append(t.Tasks, lease.Task{Name: l.listTask, Every: own.List.Every, Standing: true})
+		c.list.follow = lease.NewFollow(lease.FollowTerms{Seed: int64(cfg.seed), Quiet: own.List.Quiet, Pace: own.List.Pace, Routers: l.peers})
+	}
+	if own.Drain != nil {
+		l.drain = "drain/" + cfg.zone()
+		t.Tasks = append(t.Tasks, lease.Task{Name: l.drain, Slots: own.Drain.Slots})
+	}
+	var err error
+	l.book, err = lease.New(t, c.now)
+	return l, err
+}
+
+func (l *leases) fits(routers, former int) error {
+	if max(routers, former) > l.peers {
+		return fmt.Errorf("lease: routers and former are %d and %d, but the configuration names %d peers", routers, former, l.peers)
+	}
+	return nil
+}
+
+// reread takes over which routers make up the councils.
+func (l *leases) reread(own *terms.Own) error {
+	if own.Lease == nil {
+		return fmt.Errorf("lease: the section goes with the next start only")
+	}
+	routers, former := own.Lease.Terms.Routers, own.Lease.Terms.Former
+	if routers == 0 {
+		routers = l.peers
+	}
+	if err := l.fits(routers, former); err != nil {
+		return err
+	}
+	l.core.tell(func() {
+		l.book.Routers(routers, former, l.core.now)
+		l.act()
+	})
+	return nil
+}
+
+// act does what the book asks for, and sets its timer.
+func (l *leases) act() {
+	for {
+		e := l.book.Effects()
+		if len(e.Sends)+len(e.Events) == 0 {
+			break
+		}
+		for _, s := range e.Sends {
+			l.core.tier.send(s.To, s.Bytes)
+		}
+		for _, x := range e.Events {
+			l.happened(x)
+		}
+	}
+	if next := l.book.Next(); next < l.armed {
+		l.armed = next
+		l.core.After(next, func() {
+			l.armed = math.Inf(1)
+			l.book.Step(l.core.now)
+			l.act()
+		})
+	}
+	l.mu.Lock()
+	l.shown = l.book.Counted()
+	l.mu.Unlock()
+}
+
+var happenings = [...]string{lease.Took: "took", lease.Lost: "lost", lease.Obeyed: "obeyed", lease.Stale: "stale"}
+
+func (l *leases) happened(x lease.Event) {
+	fields := logrus.Fields{"what": happenings[x.Kind], "task": x.Task, "slot": x.Slot, "token": x.Token, "holder": x.Holder}
+	entry := l.core.log.WithFields(fields)
+	switch x.Kind {
+	case lease.Took, lease.Lost:
+		entry.WithField("until", fmt.Sprintf("%.6f", x.Until)).Info("lease")
+		if hear := l.holds[x.Task]; hear != nil {
+			hear(x)
+		}
+	case lease.Stale:
+		entry.WithField("number", x.Number).Warn("lease")
+	case lease.Obeyed:
+		key := x.Task + "#" + strconv.Itoa(x.Slot)
+		entry = entry.WithFields(logrus.Fields{"number": x.Number, "text": x.Text})
+		if l.texts[key] != x.Text && x.Task != l.listTask {
+			l.texts[key] = x.Text
+			entry.Info("lease")
+		} else {
+			entry.Debug("lease")
+		}
+	}
+	if x.Task != l.listTask {
+		return
+	}
+	switch list := l.core.list; x.Kind {
+	case lease.Took, lease.Lost:
+		list.holds(x.Kind == lease.Took)
+		if x.Kind == lease.Took {
+			l.book.Tell(l.listTask, strconv.FormatInt(list.shown.Load(), 10), l.core.now)
+		}
+	case lease.Obeyed:
+		if rev, err := strconv.ParseInt(x.Text, 10, 64); err == nil && x.Holder != l.core.tier.me {
+			list.heard(rev, l.core.now)
+		}
+	}
+}
+
+// listed tells the others of a list that this router's watch has brought.
+func (l *leases) listed(rev int64) {
+	l.core.tell(func() {
+		l.book.Tell(l.listTask, strconv.FormatInt(rev, 10), l.core.now)
+		l.act()
+	})
+}
+
+// unlisted stands back from the watch of the list: this router's has failed, another's may not.
+func (l *leases) unlisted() {
+	l.core.tell(func() {
+		l.book.StandBack(l.listTask, l.core.now)
+		l.act()
+	})
+}
+
+// leave gives back what this router holds, but for the slot of its drain: that one runs out by itself, while it restarts.
+func (l *leases) leave() {
+	l.core.tell(func() {
+		l.book.Leave(l.drain, l.core.now)
+		l.act()
+	})
+}
+
+// asks runs in the core's goroutine and waits for it. ok: the core is still there.
+func (l *leases) asks(f func()) (ok bool) {
+	done := make(chan struct{})
+	l.core.tell(func() {
+		f()
+		l.act()
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-l.core.life.Done():
+		return false
+	}
+}
+
+func (l *leases) counted() lease.Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shown
+}
--- a/relay/list.go
+++ b/relay/list.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"eiderway/lease"
 	"eiderway/splitter"
 )
 
@@ -81,11 +82,14 @@
 	addr  string
 	leave context.CancelFunc
 	soon  bool // the next call does not wait
+
+	follow *lease.Follow // under mu; nil: this router watches for itself
+	wake   chan struct{} // there is news for who waits by it
 }
 
 func newList(c *core, addr string, rev, memoryMB int64) *list {
 	l := &list{core: c, addr: addr, leave: func() {}, rev: rev, most: min(longestList, memoryMB<<20/listShare),
-		asked: make(chan struct{}, 1)}
+		asked: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 	l.http = &http.Client{
 		Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: longestHeader,
 			DialContext: (&net.Dialer{KeepAlive: -1}).DialContext},
@@ -109,6 +113,8 @@
 	if l.addr != addr {
 		l.addr = addr
 		l.leave()
+		l.soon = l.soon || l.follow != nil // nobody's word counts for the new one
+		l.stir()
 		l.core.tell(func() { l.core.members(splitter.ListMoved, nil) })
 	}
 }
@@ -119,6 +125,7 @@
 	defer l.mu.Unlock()
 	l.soon = true
 	l.leave()
+	l.stir()
 }
 
 // looks tells whether look was called since it was last asked.
@@ -154,15 +161,81 @@
 		}
 		l.core.log.WithError(err).Warn("the watch of the list ended")
 		l.core.counters.watchesEnded.Add(1)
+		if l.follow != nil {
+			l.core.leases.unlisted()
+		}
 		l.core.tell(func() { l.core.members(splitter.ListRefused, nil) })
 	}
 }
 
+// holds says whether this router watches for its zone, heard brings the word of the one that does. Both are the core's.
+func (l *list) holds(on bool) {
+	l.mu.Lock()
+	l.follow.Holds(on)
+	l.mu.Unlock()
+	l.stir()
+}
+
+func (l *list) heard(rev int64, now float64) {
+	l.mu.Lock()
+	l.follow.Heard(rev, now)
+	l.mu.Unlock()
+	l.stir()
+}
+
+func (l *list) stir() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// got tells who follows us, or whom we follow, what a call has brought.
+func (l *list) got(rev int64) {
+	if l.follow == nil {
+		return
+	}
+	l.mu.Lock()
+	l.follow.Got(rev)
+	l.mu.Unlock()
+	l.core.leases.listed(rev)
+}
+
+// waits returns when a call is due, and tells whether it is one that does not wait for news.
+func (l *list) waits(ctx context.Context) (now bool) {
+	for l.follow != nil {
+		l.mu.Lock()
+		do, until := l.follow.Next(l.core.clock.now())
+		soon := l.soon
+		l.mu.Unlock()
+		if do != lease.Wait || soon {
+			return do == lease.Fetch
+		}
+		due := time.NewTimer(time.Until(l.core.clock.at(until)))
+		select {
+		case <-ctx.Done():
+		case <-l.wake:
+		case <-due.C:
+		}
+		due.Stop()
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return false
+}
+
 // watch tells the core all news until a call fails at the address that is in force. Of one that hangs, which is how
 // a connection ends that was cut off, news is asked for at once on another: it must not wait for the module's pause.
 func (l *list) watch(ctx context.Context) error {
 	hold, slack := holdFor, holdSlack
 	for {
+		if l.waits(ctx) {
+			hold, slack = 0, callSlack
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		addr := l.at()
 		news, err := l.call(ctx, addr, hold, slack)
 		switch {
@@ -183,6 +256,7 @@
 		}
 		l.rev = news.Rev
 		l.shown.Store(news.Rev)
+		l.got(news.Rev)
 		if g := l.core.gossip; g != nil {
 			g.mesh.List(news.Rev)
 		}
--- a/relay/lore_test.go
+++ b/relay/lore_test.go
@@ -111,12 +111,12 @@
 	}
 	none := func(cfg *Config) *core {
 		c := newCore(cfg, logrus.New(), t.Context(), nil, 1)
-		require.NoError(t, c.noTalk)
+		require.NoError(t, c.noTier)
 		return c
 	}
 	c := none(fresh())
 	require.NotNil(t, c.talk)
-	c.talk.conn.Close()
+	c.tier.conn.Close()
 	for _, change := range []func(*Config){
 		func(c *Config) { c.terms.Peers = false },
 		func(c *Config) { c.PeerListen = "" },
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -51,9 +51,22 @@
 		}
 		counter("words_bytes_total", "Bytes of them as they left.", n.Bytes)
 		counter("words_taken_total", "Datagrams taken from them.", n.Taken)
-		counter("words_refused_total", "Datagrams that were none of theirs, or came where there was no room.", n.Spoilt+t.dropped.Load())
+		counter("words_refused_total", "Datagrams that were none of theirs, or came where there was no room.", n.Spoilt+c.tier.dropped.Load())
 		counter("keepers_silent_total", "Keepers that did not answer.", n.Silent)
 	}
+	if l := c.leases; l != nil {
+		n := l.counted()
+		for _, x := range []struct {
+			kind string
+			n    int64
+		}{{"ask", n.Asks}, {"grant", n.Grants}, {"refusal", n.Refusals}, {"word", n.Acts}, {"check", n.Checks}} {
+			counter("lease_sent_total", "Datagrams on leases, by kind.", x.n, "kind", x.kind)
+		}
+		counter("lease_bytes_total", "Bytes of them as they left.", n.Bytes)
+		counter("lease_stale_total", "Words of holders that another had followed.", n.Stales)
+		counter("lease_strange_total", "Datagrams of a task or a set of routers that is not ours.", n.Strange)
+		counter("lease_spoilt_total", "Datagrams on leases that were none of ours.", n.Spoilt)
+	}
 	if g := c.gossip; g != nil {
 		n := g.mesh.Counts()
 		counter("gossip_bytes_total", "Bytes of the gossip.", n.BytesIn.Load(), "way", "in")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -115,13 +115,22 @@
 
 // reread reads the configuration again and takes over what may change while serving: where discovery is. One that
 // fails its checks is left aside, and what only a new start can change is told.
-func (c *Config) reread(l *list, classes *classes, gossip *gossip, log *logrus.Logger) {
+func (c *Config) reread(l *list, classes *classes, gossip *gossip, leases *leases, log *logrus.Logger) {
 	if gossip != nil {
 		gossip.reread(c.ownPath, c.seed)
 	}
 	if classes != nil {
 		classes.reread(c.ownPath, c.seed)
 	}
+	if leases != nil {
+		own, err := terms.ReadOwn(c.ownPath, c.seed)
+		if err == nil {
+			err = leases.reread(own)
+		}
+		if err != nil {
+			log.WithError(err).Warn("the new set of routers for leases is left aside")
+		}
+	}
 	next, err := ReadConfig(c.path)
 	if err != nil {
 		log.WithError(err).Warn("the new configuration is left aside")
@@ -225,6 +234,9 @@
 	// leave ends what was begun, where the router can't start.
 	leave := func(err error) error {
 		listener.Close()
+		if c.tier != nil {
+			c.tier.conn.Close()
+		}
 		end()
 		g.Wait()
 		return err
@@ -232,8 +244,8 @@
 	if c.noGossip != nil {
 		return leave(fmt.Errorf("gossip: %w", c.noGossip))
 	}
-	if c.noTalk != nil {
-		return leave(c.noTalk)
+	if c.noTier != nil {
+		return leave(c.noTier)
 	}
 	hub := newClients(c, listener, cfg.Limits.Sockets, each, cfg.Limits.MemoryMB)
 	c.counters.watch(life, g, c, hub)
@@ -242,8 +254,11 @@
 	if c.gossip != nil {
 		g.Go(func() error { return c.gossip.mesh.Run(life) })
 	}
-	if c.talk != nil {
-		c.talk.run(life, g)
+	if c.tier != nil {
+		c.tier.run(life, g)
+	}
+	if c.leases != nil {
+		c.tell(c.leases.act)
 	}
 	if c.classes != nil {
 		g.Go(func() error { return c.classes.run(life) })
@@ -259,7 +274,7 @@
 			case <-life.Done():
 				return nil
 			case <-again:
-				cfg.reread(c.list, c.classes, c.gossip, log)
+				cfg.reread(c.list, c.classes, c.gossip, c.leases, log)
 			}
 		}
 	})
--- a/terms/own.go
+++ b/terms/own.go
@@ -33,6 +33,7 @@
 	Admin    *Admin
 	Gossip   *Gossip
 	Knowing  *Knowing
+	Lease    *Lease
 }
 
 // Gossip is the section of the talk among instances. Members and Networks change on SIGHUP, the key too.
@@ -75,6 +76,7 @@
 	Knowing *struct {
 		Tell *bool `yaml:"tell"`
 	} `yaml:"knowing"`
+	Lease *leaseFile `yaml:"lease"`
 }
 
 type gossipFile struct {
@@ -238,6 +240,11 @@
 	} else if d.has(".knowing") {
 		d.wrong(".knowing", "the section is empty; tell: true stands for its default")
 	}
+	if f.Lease != nil {
+		own.Lease = d.lease(f.Lease)
+	} else if d.has(".lease") {
+		d.wrong(".lease", "the section is empty; {} stands for its defaults")
+	}
 	return own, d.err
 }
 
--- a/terms/own_test.go
+++ b/terms/own_test.go
@@ -147,3 +147,36 @@
 		require.NotNil(t, own)
 	})
 }
+
+func TestLease(t *testing.T) {
+	own, err := readOwn(t, "lease: {}\n")
+	require.NoError(t, err)
+	require.Equal(t, []any{3.0, 0.01, 5, 0, float64(64 << 10)}, []any{own.Lease.Terms.Span, own.Lease.Terms.Drift, own.Lease.Terms.Council,
+		own.Lease.Terms.Routers, own.Lease.Terms.Bytes})
+	require.Nil(t, own.Lease.List)
+	text := `lease:
+  span: 2s
+  longest_way: 300ms
+  council: 3
+  list: {quiet: 3s, every: 500ms}
+  drain: {slots: 2}
+  tasks:
+    - {name: reindex}
+    - {name: beat, every: 100ms, standing: true, slots: 2}
+`
+	own, err = readOwn(t, text)
+	require.NoError(t, err)
+	require.Equal(t, []any{2.0, 3.0, 50.0, 2}, []any{own.Lease.Terms.Span, own.Lease.List.Quiet, own.Lease.List.Pace, own.Lease.Drain.Slots})
+	require.Len(t, own.Lease.Terms.Tasks, 2)
+	for _, x := range [][3]string{{"span: 2s", "span: 500ms", "2:9: lease.span: 500ms, counted as 0.49s"}, {"council: 3", "council: 4", "4:12: lease.council: 4 is no odd"},
+		{"council: 3", "former: 5\n  routers: 5", "lease.former: the former set"}, {"name: beat", "name: reindex", "lease.tasks[1]: a task needs a name of its own"},
+		{"quiet: 3s", "quiet: 600ms", "5:17: lease.list.quiet: shorter than two words"}, {"slots: 2}\n  tasks", "slots: 0}\n  tasks", "6:18: lease.drain.slots"},
+		{"every: 100ms", "evry: 100ms", "9:"}, {"{slots: 2}\n  tasks", "\n  tasks", "lease.drain: the section is empty"},
+		{"council: 3", "drift: 0.5", "lease.drift"}, {"every: 100ms", "every: 1us", "lease.tasks[1].every"}} {
+		require.Contains(t, text, x[0])
+		_, err := readOwn(t, strings.Replace(text, x[0], x[1], 1))
+		require.ErrorContains(t, err, x[2])
+	}
+	_, err = readOwn(t, "lease:\n")
+	require.ErrorContains(t, err, "lease: the section is empty")
+}
