Rig of trials: processes of the program, ways between them that break, a judge

Need: how routers behave together was shown inside one process only. Change: trial/ starts processes of the program with discovery, nodes, clients and ways of its own on loopback, and breaks them on a time line or by a seed; trial/judge reads the history, sharing no code with what it judges; eiderlab trial and judge; a variant by build tag for planted faults and clocks. Stand-ins: a face of discovery for each router, slow and stuck nodes.

--- /dev/null
+++ b/cmd/eiderlab/main.go
@@ -0,0 +1,190 @@
+// Command eiderlab is the laboratory: it plays trials with several processes of the program and breaks what is between them.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"eiderway/trial"
+	"eiderway/trial/judge"
+)
+
+// Exit codes beside 0.
+const (
+	exitWrong = 1 // a trial has shown something wrong, or not what it expects
+	exitVoid  = 2 // the rig itself was late: nothing is shown
+)
+
+type trialCmd struct {
+	Paths     []string      `arg:"" help:"Trials, or folders of them." type:"existingpath"`
+	Processes int           `help:"Routers, in place of what the trial says."`
+	Seed      int64         `help:"In place of the trial's."`
+	For       time.Duration `help:"How long, in place of what the trial says."`
+	Keep      string        `help:"A folder for programs, logs and histories; else they are kept only of trials that show something." type:"path"`
+	JSON      bool          `help:"Verdicts as JSON lines." name:"json"`
+}
+
+var errWrong, errVoid = errors.New("a trial has shown something wrong"), errors.New("the rig was late: that shows nothing")
+
+func (t *trialCmd) Run() error {
+	var files []string
+	for _, p := range t.Paths {
+		if info, err := os.Stat(p); err == nil && info.IsDir() {
+			found, err := filepath.Glob(filepath.Join(p, "*.yaml"))
+			if err != nil {
+				return err
+			}
+			slices.Sort(found)
+			files = append(files, found...)
+		} else {
+			files = append(files, p)
+		}
+	}
+	if len(files) == 0 {
+		return errors.New("no trial there: trials are files that end in .yaml")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir := t.Keep
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "eiderlab-"); err != nil {
+			return err
+		}
+	}
+	programs := map[bool]string{}
+	var worst error
+	for i, file := range files {
+		spec, err := trial.Load(file, func(s *trial.Spec) {
+			if t.Processes > 0 {
+				s.Fleet.Routers = t.Processes
+			}
+			if t.Seed != 0 {
+				s.Seed = t.Seed
+			}
+			if t.For > 0 {
+				s.For = t.For.String()
+			}
+		})
+		if err != nil {
+			return err
+		}
+		planted := spec.Plant != "" || spec.Clock != ""
+		if programs[planted] == "" {
+			if err := os.MkdirAll(dir, 0o700); err != nil {
+				return err
+			}
+			if programs[planted], err = trial.Build(ctx, dir, planted); err != nil {
+				return err
+			}
+		}
+		name := strings.TrimSuffix(filepath.Base(file), ".yaml")
+		progress := func(text string) {
+			if !t.JSON {
+				fmt.Fprintf(os.Stderr, "[%d/%d] %s: %s\n", i+1, len(files), name, text)
+			}
+		}
+		res, err := trial.Run(ctx, spec, trial.Options{Dir: filepath.Join(dir, name), Program: programs[planted], Progress: progress})
+		if err != nil {
+			return fmt.Errorf("%s: %w", file, err)
+		}
+		if t.JSON {
+			json.NewEncoder(os.Stdout).Encode(map[string]any{"trial": name, "seed": spec.Seed, "routers": spec.Fleet.Routers, "failed": res.Failed,
+				"late_ms": res.Late.Milliseconds(), "started_ms": res.Started.Milliseconds(), "memory": res.Memory, "verdict": res.Verdict})
+		} else {
+			show(name, spec, res)
+		}
+		switch {
+		case res.Verdict.Void != "" && worst == nil:
+			worst = errVoid
+		case res.Verdict.Void == "" && len(res.Failed) > 0:
+			worst = errWrong
+		}
+	}
+	if t.Keep == "" && worst == nil {
+		os.RemoveAll(dir)
+	} else {
+		fmt.Fprintln(os.Stderr, "histories and logs:", dir)
+	}
+	return worst
+}
+
+// show prints a verdict.
+func show(name string, s *trial.Spec, res *trial.Result) {
+	v := res.Verdict
+	verdict := "holds"
+	switch {
+	case v.Void != "":
+		verdict = "void: " + v.Void
+	case len(res.Failed) > 0:
+		verdict = "FAILS"
+	}
+	fmt.Printf("%s: %s; %d routers, seed %d, up after %s, rig late by %s at most, %.1f MB a router\n", name, verdict, s.Fleet.Routers, s.Seed,
+		res.Started.Round(time.Millisecond), res.Late.Round(time.Millisecond), float64(res.Memory)/1e6/float64(s.Fleet.Routers))
+	fmt.Printf("  txns %d, served %d; holders changed %d times, words obeyed %d", v.Counts["send"], v.Counts["served"], v.Changes, v.Counts["obeyed"])
+	if n := len(v.Gaps); n > 0 {
+		fmt.Printf(", without a holder %.3f s in the middle, %.3f s at most", v.Gaps[n/2], v.Gaps[n-1])
+	}
+	fmt.Println()
+	for _, f := range res.Failed {
+		fmt.Println("  " + f)
+	}
+	for _, f := range v.Wrong {
+		fmt.Printf("  %s: %s\n", f.Rule, f.Why)
+		for _, e := range f.Story {
+			text, _ := json.Marshal(e)
+			fmt.Printf("    %s\n", text)
+		}
+	}
+}
+
+type judgeCmd struct {
+	History string `arg:"" help:"A history that was kept." type:"existingfile"`
+}
+
+func (j *judgeCmd) Run() error {
+	in, err := os.Open(j.History)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	events, err := judge.Read(in)
+	if err != nil {
+		return err
+	}
+	v := judge.Judge(events)
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", " ")
+	out.Encode(v)
+	if len(v.Wrong) > 0 {
+		return errWrong
+	}
+	return nil
+}
+
+func main() {
+	var cli struct {
+		Trial trialCmd `cmd:"" help:"Play trials. Exit code 0: all hold, 1: one does not, 2: the rig was late and nothing is shown."`
+		Judge judgeCmd `cmd:"" help:"Judge a history again."`
+	}
+	k := kong.Parse(&cli, kong.Name("eiderlab"), kong.Description("Experiments with processes of eiderway."))
+	switch err := k.Run(); {
+	case errors.Is(err, errVoid):
+		fmt.Fprintln(os.Stderr, "eiderlab:", err)
+		os.Exit(exitVoid)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "eiderlab:", err)
+		os.Exit(exitWrong)
+	}
+}
--- a/lease/claim.go
+++ b/lease/claim.go
@@ -98,7 +98,7 @@
 // holds tells whether this router may act now.
 func (c *claim) holds(now float64, g guards) bool {
 	c.lapse(now, g)
-	return c.held && now < c.ends(g)
+	return c.held && (now < c.ends(g) || !g.hold)
 }
 
 // lapse drops a token whose grants have run out: another may have held the task since.
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -403,6 +403,7 @@
 	{"a holder counts from the answer, not from its question", "three members, two candidates", func(g *guards) { g.echo = false }},
 	{"a holder acts before a quorum has noted its token", "three members, two candidates", func(g *guards) { g.stored = false }},
 	{"a token outlives its grants", "three members, two candidates", func(g *guards) { g.lapse = false }},
+	{"a holder acts on when its lease is over", "three members, two candidates", func(g *guards) { g.hold, g.lapse = false, false }},
 	{"a router obeys whoever speaks last", "three members, two candidates", func(g *guards) { g.fence, g.check = false, false }},
 	{"the former set of routers is not asked", "two sets of routers", func(g *guards) { g.joint = false }},
 }
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -47,7 +47,7 @@
 		fail("the section lease is off")
 	case len(words) == 2 && words[1] == "status":
 		var seats []lease.Seat
-		if l.asks(func() { seats = l.book.Seats(c.now) }) {
+		if l.asks(func() { seats = l.book.Seats(l.now()) }) {
 			out.Encode(map[string]any{"me": c.tier.me, "seats": seats, "counts": l.counted()})
 		}
 	case len(words) == 3 && words[1] == "hold":
@@ -55,14 +55,14 @@
 	case len(words) == 3 && words[1] == "release":
 		if known := l.operators(words[2]); !known {
 			fail("%q is none of the tasks in the settings", words[2])
-		} else if l.asks(func() { l.book.Want(words[2], false, c.now) }) {
+		} else if l.asks(func() { l.book.Want(words[2], false, l.now()) }) {
 			out.Encode(LeaseState{State: "lost", Task: words[2]})
 		}
 	case len(words) == 4 && words[1] == "give":
 		to, err := strconv.Atoi(words[3])
 		done := false
 		if err == nil {
-			l.asks(func() { done = l.book.Give(words[2], to, c.now) })
+			l.asks(func() { done = l.book.Give(words[2], to, l.now()) })
 		}
 		if !done {
 			fail("this router does not hold %q, or %q is no other router's number", words[2], words[3])
@@ -72,7 +72,7 @@
 	case len(words) >= 4 && words[1] == "tell":
 		_, text, _ := strings.Cut(line, words[2]+" ")
 		done := false
-		l.asks(func() { done = l.operators(words[2]) && l.book.Tell(words[2], strings.TrimSpace(text), c.now) })
+		l.asks(func() { done = l.operators(words[2]) && l.book.Tell(words[2], strings.TrimSpace(text), l.now()) })
 		if !done {
 			fail("this router does not hold %q, or the text is too long", words[2])
 		} else {
@@ -122,12 +122,12 @@
 				default:
 				}
 			}
-			for _, s := range l.book.Seats(l.core.now) {
+			for _, s := range l.book.Seats(l.now()) {
 				if s.Task == task && s.Held { // a standing one
 					events <- lease.Event{Kind: lease.Took, Task: task, Token: s.Token}
 				}
 			}
-			l.book.Want(task, true, l.core.now)
+			l.book.Want(task, true, l.now())
 		}
 	}) {
 		return
@@ -139,7 +139,7 @@
 	defer l.asks(func() {
 		delete(l.holds, task)
 		if !l.book.Stands(task) {
-			l.book.Want(task, false, l.core.now)
+			l.book.Want(task, false, l.now())
 		}
 	})
 	closed := gone(nc)
--- a/relay/clients.go
+++ b/relay/clients.go
@@ -350,6 +350,9 @@
 		}
 		select {
 		case a := <-c.answers:
+			if plant == "answers twice" {
+				a = append(a[:len(a):len(a)], a...)
+			}
 			return c.write(a)
 		default:
 		}
--- a/relay/core.go
+++ b/relay/core.go
@@ -252,6 +252,9 @@
 			c.byUID[e.UID] = id
 			c.tasks.Go(func() error { return n.run(c.life) })
 		}
+		if plant == "forgets a drain" && e.State == "Terminating" {
+			e.State = "Ready"
+		}
 		m := splitter.Member{Node: id, Name: e.UID, Group: -1, Zone: c.terms.Zone(e.Zone), State: e.state(),
 			Born: e.Boot / 1000}
 		if e.Group != nil {
@@ -296,6 +299,11 @@
 		c.tell(c.talk.act)
 	}
 	n.tell(func() { n.start(j) })
+	if plant == "resends" {
+		twin := &job{st: j.st, sent: j.sent, until: j.until, longest: j.longest, pins: j.pins, node: n}
+		twin.done = func(splitter.Result, []byte) {}
+		n.tell(func() { n.start(twin) })
+	}
 }
 
 func (c *core) Cancel(txn int) {
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -29,7 +29,7 @@
 				h.stay()
 			}
 		}
-		l.book.Want(l.drain, true, l.core.now)
+		l.book.Want(l.drain, true, l.now())
 		l.act()
 	})
 	return true
@@ -46,7 +46,7 @@
 	if l := h.core.leases; l != nil && l.drain != "" {
 		l.asks(func() {
 			delete(l.holds, l.drain)
-			l.book.Want(l.drain, false, l.core.now)
+			l.book.Want(l.drain, false, l.now())
 		})
 	}
 	if h.draining.Swap(drainNot) != drainNot {
--- a/relay/lease.go
+++ b/relay/lease.go
@@ -65,7 +65,7 @@
 		t.Tasks = append(t.Tasks, lease.Task{Name: l.drain, Slots: own.Drain.Slots})
 	}
 	var err error
-	l.book, err = lease.New(t, c.now)
+	l.book, err = lease.New(t, l.now())
 	return l, err
 }
 
@@ -89,12 +89,15 @@
 		return err
 	}
 	l.core.tell(func() {
-		l.book.Routers(routers, former, l.core.now)
+		l.book.Routers(routers, former, l.now())
 		l.act()
 	})
 	return nil
 }
 
+// now is the time that the book goes by: the core's.
+func (l *leases) now() float64 { return plantedNow(l.core.now) }
+
 // act does what the book asks for, and sets its timer.
 func (l *leases) act() {
 	for {
@@ -111,9 +114,9 @@
 	}
 	if next := l.book.Next(); next < l.armed {
 		l.armed = next
-		l.core.After(next, func() {
+		l.core.After(l.core.now+next-l.now(), func() {
 			l.armed = math.Inf(1)
-			l.book.Step(l.core.now)
+			l.book.Step(l.now())
 			l.act()
 		})
 	}
@@ -125,7 +128,7 @@
 var happenings = [...]string{lease.Took: "took", lease.Lost: "lost", lease.Obeyed: "obeyed", lease.Stale: "stale"}
 
 func (l *leases) happened(x lease.Event) {
-	fields := logrus.Fields{"what": happenings[x.Kind], "task": x.Task, "slot": x.Slot, "token": x.Token, "holder": x.Holder}
+	fields := logrus.Fields{"at": fmt.Sprintf("%.6f", l.now()), "what": happenings[x.Kind], "task": x.Task, "slot": x.Slot, "token": x.Token, "holder": x.Holder}
 	entry := l.core.log.WithFields(fields)
 	switch x.Kind {
 	case lease.Took, lease.Lost:
@@ -152,7 +155,7 @@
 	case lease.Took, lease.Lost:
 		list.holds(x.Kind == lease.Took)
 		if x.Kind == lease.Took {
-			l.book.Tell(l.listTask, strconv.FormatInt(list.shown.Load(), 10), l.core.now)
+			l.book.Tell(l.listTask, strconv.FormatInt(list.shown.Load(), 10), l.now())
 		}
 	case lease.Obeyed:
 		if rev, err := strconv.ParseInt(x.Text, 10, 64); err == nil && x.Holder != l.core.tier.me {
@@ -164,7 +167,7 @@
 // listed tells the others of a list that this router's watch has brought.
 func (l *leases) listed(rev int64) {
 	l.core.tell(func() {
-		l.book.Tell(l.listTask, strconv.FormatInt(rev, 10), l.core.now)
+		l.book.Tell(l.listTask, strconv.FormatInt(rev, 10), l.now())
 		l.act()
 	})
 }
@@ -172,7 +175,7 @@
 // unlisted stands back from the watch of the list: this router's has failed, another's may not.
 func (l *leases) unlisted() {
 	l.core.tell(func() {
-		l.book.StandBack(l.listTask, l.core.now)
+		l.book.StandBack(l.listTask, l.now())
 		l.act()
 	})
 }
@@ -180,7 +183,7 @@
 // leave gives back what this router holds, but for the slot of its drain: that one runs out by itself, while it restarts.
 func (l *leases) leave() {
 	l.core.tell(func() {
-		l.book.Leave(l.drain, l.core.now)
+		l.book.Leave(l.drain, l.now())
 		l.act()
 	})
 }
--- a/relay/tier.go
+++ b/relay/tier.go
@@ -114,7 +114,7 @@
 func (t *tier) took(peer int, b []byte) {
 	switch c := t.core; {
 	case len(b) > 0 && b[0] >= lease.First && c.leases != nil:
-		c.leases.book.Take(peer, b, c.now)
+		c.leases.book.Take(peer, b, c.leases.now())
 		c.leases.act()
 	case c.talk != nil:
 		c.talk.book.Take(peer, b, c.now)
--- a/standin/client.go
+++ b/standin/client.go
@@ -79,3 +79,12 @@
 		}
 	}
 }
+
+// More tells whether more has come than the answer that was taken.
+func (c *Client) More() bool {
+	if c.buf.Unread() > 0 {
+		return true
+	}
+	c.nc.SetDeadline(time.Now().Add(time.Millisecond))
+	return c.buf.Fill(c.nc) == nil
+}
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -3,11 +3,14 @@
 // This file owns the discovery: it hands out the list of the groups' nodes, and news of it.
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,8 +22,48 @@
 	rev    int64
 	list   []Entry
 	news   chan struct{} // closed when the list changes
+	faces  []*Face
 }
 
+// Face is the discovery as one router sees it: at an address of its own, with endpoints of its own.
+type Face struct {
+	d      *Discovery
+	ln     net.Listener
+	server *http.Server
+	seen   func(Entry) Entry
+	calls  atomic.Int64
+	told   atomic.Int64 // the newest revision that went out
+	toldAt atomic.Int64 // when, in Unix ns
+}
+
+// Face opens one. seen gives an entry the endpoint that the router is to use.
+func (d *Discovery) Face(seen func(Entry) Entry) (*Face, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f := &Face{d: d, ln: ln, seen: seen}
+	f.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.calls.Add(1)
+		d.answer(w, r, f)
+	})}
+	go f.server.Serve(ln)
+	d.mu.Lock()
+	d.faces = append(d.faces, f)
+	d.mu.Unlock()
+	return f, nil
+}
+
+// Addr tells where it listens, Calls how many calls have come, Told the newest revision that went out and when.
+func (f *Face) Addr() string { return f.ln.Addr().String() }
+
+func (f *Face) Calls() int64 { return f.calls.Load() }
+
+func (f *Face) Told() (int64, time.Time) { return f.told.Load(), time.Unix(0, f.toldAt.Load()) }
+
+// List is the list as JSON, as this router sees it.
+func (f *Face) List() json.RawMessage { return f.d.listed(f) }
+
 // Entry is a node in the list, in discovery's form.
 type Entry struct {
 	UID      string `json:"uid"`
@@ -40,7 +83,7 @@
 	d := &Discovery{ln: ln, rev: 1, news: make(chan struct{})}
 	for _, g := range groups {
 		for _, n := range g.nodes {
-			d.list = append(d.list, Entry{UID: n.Name, Endpoint: n.Addr(), Zone: "a", Group: g.Number, State: "Ready"})
+			d.list = append(d.list, Entry{UID: n.Name, Endpoint: n.Addr(), Zone: cmp.Or(n.Zone, "a"), Group: g.Number, State: "Ready"})
 		}
 	}
 	d.server = &http.Server{Handler: http.HandlerFunc(d.serve)}
@@ -52,7 +95,14 @@
 func (d *Discovery) Addr() string { return d.ln.Addr().String() }
 
 // Close ends it.
-func (d *Discovery) Close() { d.server.Close() }
+func (d *Discovery) Close() {
+	d.server.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range d.faces {
+		f.server.Close()
+	}
+}
 
 // Set changes the state of a node: Ready, Terminating or Gone.
 func (d *Discovery) Set(uid, state string) {
@@ -69,14 +119,24 @@
 }
 
 // List is the list as JSON, as a router's configuration has it.
-func (d *Discovery) List() json.RawMessage {
+func (d *Discovery) List() json.RawMessage { return d.listed(nil) }
+
+func (d *Discovery) listed(f *Face) json.RawMessage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	text, _ := json.Marshal(map[string]any{"rev": d.rev, "all": true, "targets": d.list})
+	list := slices.Clone(d.list)
+	if f != nil {
+		for i := range list {
+			list[i] = f.seen(list[i])
+		}
+	}
+	text, _ := json.Marshal(map[string]any{"rev": d.rev, "all": true, "targets": list})
 	return text
 }
 
-func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
+func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) { d.answer(w, r, nil) }
+
+func (d *Discovery) answer(w http.ResponseWriter, r *http.Request, f *Face) {
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
 	d.mu.Lock()
@@ -92,5 +152,11 @@
 			return
 		}
 	}
-	w.Write(d.List())
+	w.Write(d.listed(f))
+	if f != nil {
+		d.mu.Lock()
+		f.told.Store(d.rev)
+		d.mu.Unlock()
+		f.toldAt.Store(time.Now().UnixNano())
+	}
 }
--- a/standin/node.go
+++ b/standin/node.go
@@ -61,6 +61,9 @@
 	fault   atomic.Int32
 	asked   atomic.Int64
 	last    atomic.Int64 // Unix ns of the newest of them
+	takes   atomic.Int64 // ns that a statement takes beyond the group's time
+	stuck   atomic.Int64 // Unix ns at which its position stands still; 0: it does not
+	Zone    string       // as discovery tells it; "" is a
 }
 
 // Fault is a trouble of a node.
@@ -73,6 +76,25 @@
 	Loses         // runs all and loses every second answer
 )
 
+// Slow has each statement take longer, by so much.
+func (n *Node) Slow(by time.Duration) { n.takes.Store(int64(by)) }
+
+// Stick has a node's position stand still: it applies no commit any more, though it answers. Off: it goes on.
+func (n *Node) Stick(on bool) {
+	if on {
+		n.stuck.Store(time.Now().UnixNano())
+	} else {
+		n.stuck.Store(0)
+	}
+}
+
+// Put has a row stand from the beginning.
+func (g *Group) Put(table, key, body string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.log = append(g.log, commit{table: table, key: key, body: body})
+}
+
 // Set gives a node a trouble, or ends it.
 func (n *Node) Set(f Fault) { n.fault.Store(int32(f)) }
 
@@ -223,6 +245,9 @@
 	mode, pos := "read-write", now
 	if !primary {
 		mode, pos = "read-only", now.Add(-g.Lag)
+		if at := n.stuck.Load(); at > 0 && at < pos.UnixNano() {
+			pos = time.Unix(0, at)
+		}
 	}
 	out := pgwire.Append(nil, 'S', "mode\x00"+mode+"\x00")
 	out = pgwire.Append(out, 'S', fmt.Sprintf("wal_time\x00%d\x00", pos.UnixMilli()))
@@ -249,7 +274,7 @@
 	if g.TakesOf != nil {
 		takes = g.TakesOf(text)
 	}
-	if takes > 0 {
+	if takes += time.Duration(n.takes.Load()); takes > 0 {
 		time.Sleep(takes)
 	}
 	writes := g.Writes
@@ -314,6 +339,9 @@
 			if primary {
 				g.log = append(g.log, commit{at: time.Now(), table: after("into"), key: literals[0], body: literals[1]})
 			}
+			if strings.Contains(strings.ToLower(text), " returning ") {
+				return Row(literals[1])
+			}
 			return pgwire.Append(Row(literals[1])[:0], 'C', "INSERT 0 1\x00")
 		}
 	case "update":
