Trials: clocks beyond the bound, lost memory, sets of routers, replaced nodes, operators' commands

Need: what holds only under what is assumed has to fail beyond it, and the hard cases of knowing had no processes.

--- a/cmd/eiderlab/main.go
+++ b/cmd/eiderlab/main.go
@@ -137,6 +137,9 @@
 		fmt.Printf(", without a holder %.3f s in the middle, %.3f s at most", v.Gaps[n/2], v.Gaps[n-1])
 	}
 	fmt.Println()
+	if len(res.Spread) > 0 {
+		fmt.Printf("  calls for the list %d; seconds until all had a new one: %.3f\n", res.Calls, res.Spread)
+	}
 	for _, f := range res.Failed {
 		fmt.Println("  " + f)
 	}
--- a/cmd/eiderway/lease.go
+++ b/cmd/eiderway/lease.go
@@ -181,7 +181,7 @@
 
 func (l *leaseTell) Run() error {
 	if strings.ContainsAny(l.Text, "\n\r") {
-		return errors.New("a word is one line")
+		return errors.New("a word is in one line")
 	}
 	return l.once("lease tell " + l.Task + " " + l.Text)
 }
--- a/lease/api.go
+++ b/lease/api.go
@@ -22,6 +22,7 @@
 	Former  int    // the same before a change that is under way; 0: none
 	Life    uint64 // differs from that of any earlier start
 	Seed    int64
+	First   uint64  // tokens are above it: a wall clock's has them rise though all routers forget at once
 	Span    float64 // s, how long a grant lasts by the clock of who gave it
 	Drift   float64 // share by which a clock may go too fast or too slowly
 	Council int     // routers that are asked for a task, odd
--- a/lease/book.go
+++ b/lease/book.go
@@ -154,7 +154,7 @@
 			quorum[k] = append(quorum[k], slices.Index(s.members, r))
 		}
 	}
-	top := s.claim.top
+	top := max(s.claim.top, t.First)
 	s.claim = claim{me: b.me, began: math.Nextafter(now, math.Inf(1)), top: top, votes: make([]vote, len(s.members)), quorum: quorum}
 	if !slices.Contains(s.members, t.Me) {
 		s.mine = nil
@@ -328,7 +328,7 @@
 		s.was = false
 	}
 	if held && !s.was && s.gift > 0 {
-		if s.claim.token != s.gift+1 {
+		if s.claim.after != s.gift {
 			b.end(s, -1, now) // what was handed over is long another's
 			return
 		}
--- a/lease/claim.go
+++ b/lease/claim.go
@@ -14,6 +14,8 @@
 	began  float64 // what was asked before counts no more
 	token  uint64  // chosen; 0: not yet
 	top    uint64  // the newest token known to this router
+	seen   uint64  // the newest that members have told since the claim began
+	after  uint64  // what that was when token was chosen
 	held   bool
 	votes  []vote
 	quorum [][]int // for each set of routers the indices of its council's votes
@@ -39,7 +41,7 @@
 	if g.echo && (a.to != c.me || a.at < c.began) {
 		return
 	}
-	c.top = max(c.top, a.token)
+	c.top, c.seen = max(c.top, a.token), max(c.seen, a.token)
 	v := &c.votes[i]
 	if a.at >= v.at {
 		v.at, v.serial = a.at, a.serial
@@ -57,7 +59,7 @@
 		v.stored = max(v.stored, from+hold)
 	}
 	if c.token == 0 && now < c.until(func(v vote) float64 { return v.until }, g) {
-		c.token = c.top + 1
+		c.token, c.after = c.top+1, c.seen
 		c.top = c.token
 	}
 	if now < c.ends(g) {
@@ -112,7 +114,7 @@
 }
 
 func (c *claim) drop() {
-	c.token, c.held = 0, false
+	c.token, c.held, c.seen = 0, false, 0
 	for i := range c.votes {
 		c.votes[i].stored = 0
 	}
--- a/relay/lease.go
+++ b/relay/lease.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -56,7 +57,7 @@
 	if _, err := rand.Read(life[:]); err != nil {
 		return nil, err
 	}
-	t.Life = binary.BigEndian.Uint64(life[:])
+	t.Life, t.First = binary.BigEndian.Uint64(life[:]), uint64(time.Now().UnixMilli())
 	zones := slices.Sorted(maps.Keys(cfg.terms.Zones))
 	if own.List != nil {
 		l.listTask = "list/" + cfg.zone()
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -33,7 +33,13 @@
 	seen   func(Entry) Entry
 	calls  atomic.Int64
 	told   atomic.Int64 // the newest revision that went out
-	toldAt atomic.Int64 // when, in Unix ns
+}
+
+// Rev tells the newest revision.
+func (d *Discovery) Rev() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rev
 }
 
 // Face opens one. seen gives an entry the endpoint that the router is to use.
@@ -54,12 +60,12 @@
 	return f, nil
 }
 
-// Addr tells where it listens, Calls how many calls have come, Told the newest revision that went out and when.
+// Addr tells where it listens, Calls how many calls have come, Told the newest revision that went out.
 func (f *Face) Addr() string { return f.ln.Addr().String() }
 
 func (f *Face) Calls() int64 { return f.calls.Load() }
 
-func (f *Face) Told() (int64, time.Time) { return f.told.Load(), time.Unix(0, f.toldAt.Load()) }
+func (f *Face) Told() int64 { return f.told.Load() }
 
 // List is the list as JSON, as this router sees it.
 func (f *Face) List() json.RawMessage { return f.d.listed(f) }
@@ -104,6 +110,22 @@
 	}
 }
 
+// Add lists another node, which is ready.
+func (d *Discovery) Add(n *Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list = append(d.list, Entry{UID: n.Name, Endpoint: n.Addr(), Zone: cmp.Or(n.Zone, "a"), Group: n.group.Number, State: "Ready",
+		Boot: time.Now().UnixMilli()})
+	d.changed()
+}
+
+// changed makes a new revision of the list. Its lock is held.
+func (d *Discovery) changed() {
+	d.rev++
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
 // Set changes the state of a node: Ready, Terminating or Gone.
 func (d *Discovery) Set(uid, state string) {
 	d.mu.Lock()
@@ -113,9 +135,7 @@
 			d.list[i].State = state
 		}
 	}
-	d.rev++
-	close(d.news)
-	d.news = make(chan struct{})
+	d.changed()
 }
 
 // List is the list as JSON, as a router's configuration has it.
@@ -157,6 +177,5 @@
 		d.mu.Lock()
 		f.told.Store(d.rev)
 		d.mu.Unlock()
-		f.toldAt.Store(time.Now().UnixNano())
 	}
 }
--- a/standin/node.go
+++ b/standin/node.go
@@ -76,6 +76,21 @@
 	Loses         // runs all and loses every second answer
 )
 
+// Twin starts another replica of a node's group and zone, under a name of its own.
+func (n *Node) Twin() (*Node, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	g := n.group
+	g.mu.Lock()
+	twin := &Node{Name: fmt.Sprintf("g%d-n%d", g.Number, len(g.nodes)), Zone: n.Zone, group: g, ln: ln, open: map[net.Conn]bool{}}
+	g.nodes = append(g.nodes, twin)
+	g.mu.Unlock()
+	g.all.Go(twin.accept)
+	return twin, nil
+}
+
 // Slow has each statement take longer, by so much.
 func (n *Node) Slow(by time.Duration) { n.takes.Store(int64(by)) }
 
@@ -121,7 +136,11 @@
 }
 
 // Nodes tells the group's nodes, the primary first as it was made.
-func (g *Group) Nodes() []*Node { return g.nodes }
+func (g *Group) Nodes() []*Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.nodes)
+}
 
 // History tells what was run so far.
 func (g *Group) History() []Ran {
@@ -141,7 +160,7 @@
 
 // Close ends the nodes and waits until they have.
 func (g *Group) Close() {
-	for _, n := range g.nodes {
+	for _, n := range g.Nodes() {
 		n.Stop()
 	}
 	g.all.Wait()
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -53,6 +53,23 @@
 			if n := r.holder(rest); n >= 0 {
 				out = append(out, r.routers[(n+1)%len(r.routers)])
 			}
+		case kind == "others":
+			n := r.holder(rest)
+			for _, x := range r.routers {
+				if x.n != n {
+					out = append(out, x)
+				}
+			}
+		case kind == "first", kind == "from": // the first so many, or all from one on
+			n, err := strconv.Atoi(rest)
+			if err != nil || n < 0 || n > len(r.routers) {
+				return nil, fmt.Errorf("%q is no number of routers", name)
+			}
+			if kind == "first" {
+				out = append(out, r.routers[:n]...)
+			} else {
+				out = append(out, r.routers[n:]...)
+			}
 		case kind == "zone":
 			for _, x := range r.routers {
 				if x.zone == rest {
@@ -104,6 +121,8 @@
 
 func (r *rig) fault(ctx context.Context, f *Fault) error {
 	switch f.What {
+	case "replace":
+		return r.replace(ctx, f)
 	case "drain-node", "undrain-node", "hang", "fail", "lose", "slow", "stick", "heal":
 		return r.nodeFault(ctx, f)
 	}
@@ -251,6 +270,45 @@
 	return nil
 }
 
+// replace has other nodes, under other names, take the place of replicas: the old ones drain, and are gone after a time.
+// Text, a duration, is how much slower the new ones are while they are cold, which is as long again.
+func (r *rig) replace(ctx context.Context, f *Fault) error {
+	nodes, err := r.nodes(f.Who)
+	if err != nil {
+		return err
+	}
+	cold, err := span(f.Text, 0)
+	if err != nil {
+		return err
+	}
+	for _, old := range nodes {
+		n, err := old.Twin()
+		if err != nil {
+			return err
+		}
+		for _, x := range r.routers {
+			l, err := newLink(n.Addr())
+			if err != nil {
+				return err
+			}
+			r.mu.Lock()
+			x.links[n.Name] = l
+			r.mu.Unlock()
+		}
+		n.Slow(cold)
+		r.note(judge.Event{Kind: "fault", Router: -1, Node: old.Name, What: f.What, Text: n.Name})
+		r.list.Add(n)
+		r.list.Set(old.Name, "Terminating")
+		r.note(judge.Event{Kind: "told", Router: -1, Node: old.Name, What: "Terminating"})
+		r.later(ctx, max(f.span, time.Millisecond), func() {
+			r.list.Set(old.Name, "Gone")
+			old.Stop()
+			n.Slow(0)
+		})
+	}
+	return nil
+}
+
 // want asks for a task on a router's admin socket, and asks again when it is lost or the router is back, until dropped.
 func (r *rig) want(task string, x *router) error {
 	key := fmt.Sprint(task, x.n)
@@ -285,6 +343,29 @@
 	return nil
 }
 
+// spreads measures how long it takes until all routers that run have what the list says now.
+func (r *rig) spreads(ctx context.Context, node string) {
+	rev, from := r.list.Rev(), time.Now()
+	r.healing.Go(func() {
+		for ctx.Err() == nil {
+			missing := 0
+			for _, x := range r.routers {
+				r.mu.Lock()
+				out := x.stopped || x.proc.frozen
+				r.mu.Unlock()
+				if told := x.face.Told(); told < rev && !out {
+					missing++
+				}
+			}
+			if missing == 0 {
+				r.note(judge.Event{Kind: "known", Router: -1, Node: node, Until: time.Since(from).Seconds()})
+				return
+			}
+			time.Sleep(lookEach / 2)
+		}
+	})
+}
+
 func (r *rig) nodeFault(ctx context.Context, f *Fault) error {
 	nodes, err := r.nodes(f.Who)
 	if err != nil {
@@ -318,6 +399,7 @@
 		case "drain-node", "undrain-node":
 			state := map[string]string{"drain-node": "Terminating", "undrain-node": "Ready"}[f.What]
 			r.list.Set(n.Name, state)
+			r.spreads(ctx, n.Name)
 			r.note(judge.Event{Kind: "told", Router: -1, Node: n.Name, What: state})
 			heal = func() {
 				r.list.Set(n.Name, "Ready")
--- a/trial/judge/judge.go
+++ b/trial/judge/judge.go
@@ -65,6 +65,7 @@
 	graceTold    = 6.0  // s after which a change of the list counts as told, whatever came of it
 	grace        = 1.5  // s that a node may be sent something after that
 	mostFindings = 5    // of a rule
+	saidLate     = 0.3  // s that a line may be on its way
 	checkWithin  = 30 * time.Second
 	latest       = 0.05 // s that the rig may have been late
 )
@@ -103,9 +104,25 @@
 	j.txns(history)
 	j.nodes(history)
 	j.leases(history)
+	j.drains(history)
 	return j.v
 }
 
+// drains: a router lets its clients go only while it holds a slot of its zone's.
+func (j *judge) drains(history []Event) {
+	last := map[int]Event{} // what a router said last of its slot
+	for _, e := range history {
+		switch {
+		case e.Kind == "lease" && strings.HasPrefix(e.Task, "drain/") && (e.What == "took" || e.What == "lost"):
+			last[e.Router] = e
+		case e.Kind == "said" && e.What == "drain" && (strings.Contains(e.Text, `"draining"`) || strings.Contains(e.Text, `"drained"`)):
+			if was := last[e.Router]; was.What != "took" && e.T > was.T+saidLate {
+				j.wrong("drains in turn", fmt.Sprintf("router %d drains and holds no slot", e.Router), was, e)
+			}
+		}
+	}
+}
+
 type judge struct {
 	v        Verdict
 	found    map[string]int
@@ -310,8 +327,10 @@
 			}
 			newest[at] = e
 			word := fmt.Sprint(s, e.Token, e.Number)
-			if e.Holder == e.Router {
+			if e.Holder == e.Router { // what it does itself is an act like any other's
 				said[word] = e.T
+				acts[s] = append(acts[s], porcupine.Operation{ClientId: e.Router, Input: rank[fmt.Sprint(s, e.Token, e.Holder)], Call: int64(e.T * 1e6),
+					Return: int64(e.T*1e6) + 1})
 			} else if from, ok := said[word]; ok {
 				acts[s] = append(acts[s], porcupine.Operation{ClientId: e.Router, Input: rank[fmt.Sprint(s, e.Token, e.Holder)], Call: int64(from * 1e6), Return: int64(e.T*1e6) + 1})
 			}
--- a/trial/rig.go
+++ b/trial/rig.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -48,6 +49,7 @@
 	Dir      string // for the program, logs and the history; made if need be
 	Program  string // built before; "": built here
 	Progress func(string)
+	Ready    func(program string, sockets []string) // runs while the trial does, once all routers serve
 }
 
 // Result is a run's.
@@ -57,6 +59,8 @@
 	Started time.Duration // until all routers served
 	Late    time.Duration // the rig's own timer, at most
 	Memory  int64         // bytes resident of all routers together, at the end
+	Calls   int64         // for the list, of all routers
+	Spread  []float64     // s until all routers had a list, each time it changed
 	Failed  []string      // what was expected and is not so
 }
 
@@ -146,6 +150,13 @@
 	length, _ := span(spec.For, defaultFor)
 	live, stop := context.WithTimeout(ctx, length)
 	var all sync.WaitGroup
+	if opt.Ready != nil {
+		var sockets []string
+		for _, x := range r.routers {
+			sockets = append(sockets, x.socket)
+		}
+		all.Go(func() { opt.Ready(r.program, sockets) })
+	}
 	all.Go(func() { r.watchLate(live) })
 	r.load(live, &all)
 	err = r.faults(live)
@@ -177,6 +188,14 @@
 		return nil, err
 	}
 	res.Verdict = judge.Judge(events)
+	for _, x := range r.routers {
+		res.Calls += x.face.Calls()
+	}
+	for _, e := range events {
+		if e.Kind == "known" {
+			res.Spread = append(res.Spread, e.Until)
+		}
+	}
 	res.expect(spec)
 	return res, nil
 }
@@ -290,6 +309,8 @@
 			}
 		}
 		if x.face, err = r.list.Face(func(e standin.Entry) standin.Entry {
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			e.Endpoint = x.links[e.UID].addr()
 			return e
 		}); err != nil {
@@ -345,10 +366,12 @@
 	return r.writeOwn(x, "")
 }
 
+var routersLine = regexp.MustCompile(`(?m)^  routers: .*\n`)
+
 func (r *rig) writeOwn(x *router, sets string) error {
 	own := r.spec.Settings
 	if sets != "" {
-		own = strings.Replace(own, "lease:\n", "lease:\n"+sets, 1)
+		own = strings.Replace(routersLine.ReplaceAllString(own, ""), "lease:\n", "lease:\n"+sets, 1)
 	}
 	return os.WriteFile(x.own, []byte(fmt.Sprintf("admin:\n  socket: %s\n%s", x.socket, own)), 0o600)
 }
@@ -424,10 +447,10 @@
 
 // heard takes a line that a router says.
 func (r *rig) heard(p *process, line string) {
-	if !strings.Contains(line, `msg=lease`) && !strings.Contains(line, `msg="lease"`) {
+	f := fields(line)
+	if f["msg"] != "lease" {
 		return
 	}
-	f := fields(line)
 	num := func(name string) uint64 { n, _ := strconv.ParseUint(f[name], 10, 64); return n }
 	unix := func(name string) float64 {
 		t, err := strconv.ParseFloat(f[name], 64)
--- a/trial/spec.go
+++ b/trial/spec.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"math/rand"
 	"os"
@@ -54,11 +55,12 @@
 }
 
 // Fault is something that breaks. What: kill, term, start, restart, freeze, alone, cut, half, drain-node, undrain-node, hang,
-// fail, lose, slow, stick, heal, want, drop, tell, give, drain, undrain, strangers, sets.
+// fail, lose, slow, stick, heal, want, drop, tell, give, drain, undrain, strangers, sets, replace.
 type Fault struct {
-	At       string   `yaml:"at"`
-	What     string   `yaml:"what"`
-	Who      []string `yaml:"who"` // routers by number, holder:TASK, other:TASK (one that does not hold it), zone:Z, all; or nodes by name
+	At   string   `yaml:"at"`
+	What string   `yaml:"what"`
+	Who  []string `yaml:"who"` // routers by number, holder:TASK, other:TASK (one that does not hold it), others:TASK (all
+	// but the holder), first:N, from:N, zone:Z, all; or nodes by name or zone:Z
 	To       []string `yaml:"to"`  // of a cut, its other end; of a give
 	For      string   `yaml:"for"` // then it heals; "": it does not
 	Task     string   `yaml:"task"`
@@ -72,7 +74,8 @@
 	Longest string   `yaml:"longest"`
 	From    string   `yaml:"from"`
 	Whats   []string `yaml:"whats"`
-	Task    string   `yaml:"task"` // whose holder is hit in every second
+	Task    string   `yaml:"task"`  // whose holder is hit by
+	Share   float64  `yaml:"share"` // of the faults, half where it is 0
 }
 
 // Expect is what must hold beside the rules.
@@ -84,7 +87,7 @@
 }
 
 var whats = []string{"kill", "term", "start", "restart", "freeze", "alone", "cut", "half", "drain-node", "undrain-node", "hang", "fail", "lose", "slow",
-	"stick", "heal", "want", "drop", "tell", "give", "drain", "undrain", "strangers", "sets"}
+	"stick", "heal", "want", "drop", "tell", "give", "drain", "undrain", "strangers", "sets", "replace"}
 
 const (
 	mostRouters  = 200
@@ -180,7 +183,7 @@
 	for at := from; at < length-longest; at += every {
 		x := Fault{What: d.Whats[rng.Intn(len(d.Whats))], at: at + time.Duration(rng.Float64()*float64(every)), Task: d.Task}
 		x.span = leastLongest + time.Duration(rng.Float64()*float64(longest-leastLongest))
-		if x.Who = []string{fmt.Sprint(rng.Intn(s.Fleet.Routers))}; d.Task != "" && rng.Intn(2) == 0 {
+		if x.Who = []string{fmt.Sprint(rng.Intn(s.Fleet.Routers))}; d.Task != "" && rng.Float64() < cmp.Or(d.Share, 0.5) {
 			x.Who = []string{"holder:" + d.Task}
 		}
 		x.To = []string{fmt.Sprint(rng.Intn(s.Fleet.Routers))}
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -1,14 +1,18 @@
 package trial
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"flag"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"eiderway/trial/judge"
@@ -94,6 +98,52 @@
 	}
 }
 
+// TestCommands: eiderway lease and drain, as operators and their scripts use them.
+func TestCommands(t *testing.T) {
+	spec, err := Load(filepath.Join("testdata", "ci", "hands.yaml"), func(s *Spec) {
+		s.Name, s.For, s.Faults, s.Fleet.Routers, s.Expect, s.Load.Rate = "commands", "6s", nil, 3, Expect{}, 0
+	})
+	require.NoError(t, err)
+	res, err := Run(t.Context(), spec, Options{Dir: t.TempDir(), Program: programs[false], Ready: func(program string, sockets []string) {
+		run := func(code int, says string, args ...string) {
+			out, err := exec.Command(program, args...).CombinedOutput()
+			got := 0
+			if e := (*exec.ExitError)(nil); errors.As(err, &e) {
+				got = e.ExitCode()
+			}
+			assert.Equal(t, code, got, "%v: %s", args, out)
+			assert.Contains(t, string(out), says, "%v", args)
+		}
+		hold := exec.Command(program, "lease", "hold", "job", "--socket", sockets[0])
+		pipe, err := hold.StdoutPipe()
+		assert.NoError(t, err)
+		assert.NoError(t, hold.Start())
+		line, err := bufio.NewReader(pipe).ReadString('\n')
+		assert.NoError(t, err)
+		assert.Contains(t, line, "held token=")
+		run(0, "job", "lease", "status", "--socket", sockets[0])
+		run(0, `"held":true`, "lease", "status", "--json", "--socket", sockets[0])
+		run(0, "", "lease", "tell", "job", "hello there", "--socket", sockets[0])
+		run(1, "does not hold", "lease", "tell", "job", "hello", "--socket", sockets[1])
+		run(1, "is asked for here already", "lease", "hold", "job", "--socket", sockets[0])
+		run(4, "not to be had in time", "lease", "hold", "job", "--wait", "300ms", "--socket", sockets[1])
+		run(1, "none of the tasks", "lease", "hold", "other", "--socket", sockets[1])
+		run(1, "no other router's number", "lease", "give", "job", "9", "--socket", sockets[0])
+		run(0, "", "lease", "give", "job", "2", "--socket", sockets[0])
+		e := (*exec.ExitError)(nil)
+		assert.ErrorAs(t, hold.Wait(), &e)
+		assert.Equal(t, 3, e.ExitCode(), "it was given away")
+		run(0, "", "lease", "release", "job", "--socket", sockets[2])
+		run(0, "serving", "drain", "status", "--socket", sockets[1])
+		run(0, "drained", "drain", "--socket", sockets[1])
+		run(0, "drained", "drain", "status", "--socket", sockets[1])
+		run(0, "serving", "drain", "cancel", "--socket", sockets[1])
+		run(1, "a word is in one line", "lease", "tell", "job", "two\nlines", "--socket", sockets[1])
+	}})
+	require.NoError(t, err)
+	require.Empty(t, res.Failed)
+}
+
 // TestSpec: the same seed draws the same faults, and what is wrong in a trial is told.
 func TestSpec(t *testing.T) {
 	path := filepath.Join("testdata", "ci", "drawn.yaml")
