A router that no quorum answers stands back from a lease, so that it keeps nobody else from it

Seen: in the trial one-way the holder's questions arrived and the answers did not; for as long as that lasted nobody held the task. Checked: members went on granting to the old holder with each of its questions (their log, the scenario one-way), and its own claim had lapsed as it should; book.go asked on at half a span. Change: a hold that lapses, or a span of questions that no quorum answers, is given back to all members, and the next question waits one to eight spans.

--- a/lease/api.go
+++ b/lease/api.go
@@ -95,23 +95,24 @@
 }
 
 const (
-	renewals   = 4.0  // a holder asks anew as often in a span: two rounds may be lost
-	asksIn     = 12.0 // a candidate that has no answers asks as often in a span
-	slowest    = 2.0  // asks in a span of one that has had none for long
-	stagger    = 0.05 // of a span that a candidate waits longer than the one before it in the order
-	places     = 3    // candidates for a standing task that ask without having missed the holder
-	silence    = 2.0  // spans without a word after which the others do
-	laterBy    = 0.25 // of a span, each later than the one before it in the order,
-	latest     = 5.0  // but not by more spans than this
-	standsBack = 3.0  // spans for which a router that was better gone is not after the task
-	kept       = 0.25 // of a span that a council keeps a task for the router it was handed to
-	hurried    = 0.01 // s between asks of that one
-	patience   = 0.3  // s until a check that has found no answer gives way to another
-	resaid     = 0.5  // of a span between the same word told again, where the task has no pace of its own
-	counts     = 5    // times that routers are asked to say that they obey a new word
-	margin     = 0.1  // of a span that a member is silent for beyond it, for what reading the clock leaves out
-	waiters    = 3    // turned away of late, who are told when a task is free
-	mostText   = 170  // bytes of a holder's word: what a datagram has left
-	mostSeats  = 64   // slots of all tasks
-	mostRouter = 4096 // routers of a tier
+	renewals    = 4.0  // a holder asks anew as often in a span: two rounds may be lost
+	asksIn      = 12.0 // a candidate that has no answers asks as often in a span
+	slowest     = 2.0  // asks in a span of one that has had none for long
+	mostRetreat = 4    // spans, and as much again, that a candidate stands back at most when no quorum answers
+	stagger     = 0.05 // of a span that a candidate waits longer than the one before it in the order
+	places      = 3    // candidates for a standing task that ask without having missed the holder
+	silence     = 2.0  // spans without a word after which the others do
+	laterBy     = 0.25 // of a span, each later than the one before it in the order,
+	latest      = 5.0  // but not by more spans than this
+	standsBack  = 3.0  // spans for which a router that was better gone is not after the task
+	kept        = 0.25 // of a span that a council keeps a task for the router it was handed to
+	hurried     = 0.01 // s between asks of that one
+	patience    = 0.3  // s until a check that has found no answer gives way to another
+	resaid      = 0.5  // of a span between the same word told again, where the task has no pace of its own
+	counts      = 5    // times that routers are asked to say that they obey a new word
+	margin      = 0.1  // of a span that a member is silent for beyond it, for what reading the clock leaves out
+	waiters     = 3    // turned away of late, who are told when a task is free
+	mostText    = 170  // bytes of a holder's word: what a datagram has left
+	mostSeats   = 64   // slots of all tasks
+	mostRouter  = 4096 // routers of a tier
 )
--- a/lease/book.go
+++ b/lease/book.go
@@ -42,31 +42,33 @@
 
 // seat is a slot of a task.
 type seat struct {
-	task    *task
-	slot    int
-	key     uint32
-	members []int // of all councils in force
-	places  []int // of each council: members by their places in it
-	council [][]int
-	mine    *member // nil: we are in no council
-	claim   claim
-	fence   fence
-	asking  bool    // we are after it
-	next    float64 // ask then
-	misses  int     // rounds of questions since an answer
-	handed  float64 // it was handed to us, until then
-	gift    uint64  // under which token, where we were not after it; 0: we were
-	heard   float64 // when its holder was last heard of
-	speak   float64 // our next word
-	number  uint64
-	text    string
-	fresh   uint64       // the number with which text was new
-	obeyed  map[int]bool // routers that obey text
-	was     bool         // we held it when last looked at,
-	under   uint64       // by that token,
-	lasts   float64      // until then
-	changes int64
-	backed  float64 // another slot was tried since, until then
+	task     *task
+	slot     int
+	key      uint32
+	members  []int // of all councils in force
+	places   []int // of each council: members by their places in it
+	council  [][]int
+	mine     *member // nil: we are in no council
+	claim    claim
+	fence    fence
+	asking   bool    // we are after it
+	next     float64 // ask then
+	misses   int     // rounds of questions since an answer
+	retreats int     // times that no quorum answered, since one did
+	since    float64 // when this series of questions began; 0: none is under way
+	handed   float64 // it was handed to us, until then
+	gift     uint64  // under which token, where we were not after it; 0: we were
+	heard    float64 // when its holder was last heard of
+	speak    float64 // our next word
+	number   uint64
+	text     string
+	fresh    uint64       // the number with which text was new
+	obeyed   map[int]bool // routers that obey text
+	was      bool         // we held it when last looked at,
+	under    uint64       // by that token,
+	lasts    float64      // until then
+	changes  int64
+	backed   float64 // another slot was tried since, until then
 }
 
 // New makes a Book. It is silent as a member for a whole lease: what it granted before it forgot may still run.
@@ -213,7 +215,7 @@
 // begin goes after one of a task's slots.
 func (b *Book) begin(k *task, now float64) {
 	s := k.seats[k.trying]
-	s.asking, s.misses = true, 0
+	s.asking, s.misses, s.since = true, 0, 0
 	s.next = now
 	if k.Standing {
 		s.next = now + b.standBack(s, now)
@@ -326,6 +328,9 @@
 	if s.was && (!held || s.under != s.claim.token) {
 		b.event(Event{Kind: Lost, Token: s.under, Until: min(now, s.lasts)}, s)
 		s.was = false
+		if s.asking {
+			b.retreat(s, now)
+		}
 	}
 	if held && !s.was && s.gift > 0 {
 		if s.claim.after != s.gift {
@@ -407,6 +412,13 @@
 		b.end(s, -1, now)
 		return
 	}
+	if s.since == 0 {
+		s.since = now
+	}
+	if !held && now-max(s.since, s.claim.heard()) > span {
+		b.retreat(s, now)
+		return
+	}
 	if blocked, until := s.claim.blocked(now); !held && blocked && s.handed < now {
 		b.yield(s, until, now)
 		return
@@ -446,7 +458,7 @@
 	// Each waits by its place, and a little by chance: of two who have met once one comes first the next time.
 	span := b.terms.Span
 	s.next = until + span*stagger*(0.1+float64(min(b.place(s), 2*places))+b.rng.Float64())
-	s.misses = 0
+	s.misses, s.since = 0, 0
 	if k := s.task; len(k.seats) > 1 {
 		s.asking = false
 		k.trying = (s.slot + 1) % len(k.seats)
@@ -462,6 +474,18 @@
 	}
 }
 
+// retreat stands back, longer each time, from a seat on which no quorum answers: perhaps our questions arrive and only the
+// answers don't, and then they keep it from all others.
+func (b *Book) retreat(s *seat, now float64) {
+	s.claim.release(now)
+	for _, r := range s.members {
+		b.say(r, s, message{Kind: release, At: now, Who: noOne}, now)
+	}
+	s.misses, s.since = 0, 0
+	s.retreats = min(s.retreats+1, mostRetreat)
+	s.next = now + b.terms.Span*float64(s.retreats)*(1+b.rng.Float64())
+}
+
 // word says our word to all, and hears it itself.
 func (b *Book) word(s *seat, now float64) {
 	if !s.claim.holds(now, b.g) {
@@ -508,7 +532,9 @@
 	if a.to != b.me {
 		return
 	}
-	s.misses = 0
+	if s.misses = 0; s.claim.heard() >= s.since {
+		s.retreats = 0
+	}
 	if !a.granted && a.holder.router != b.terms.Me && a.left > 0 && a.holder.life != 0 {
 		s.heard = now
 	}
--- a/lease/claim.go
+++ b/lease/claim.go
@@ -84,6 +84,9 @@
 	return least
 }
 
+// heard tells when the newest question was put that a quorum has answered, in whatever way.
+func (c *claim) heard() float64 { return c.until(func(v vote) float64 { return v.at }, allGuards) }
+
 // ends tells until when this router may act.
 func (c *claim) ends(g guards) float64 {
 	if c.token == 0 {
--- a/trial/rig.go
+++ b/trial/rig.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -96,6 +97,8 @@
 	udp     netip.AddrPort
 	config  string
 	own     string
+	gossip  string // a section of own
+	key     string
 	socket  string
 	face    *standin.Face
 	disc    *link
@@ -327,6 +330,11 @@
 			}
 		}
 	}
+	if f.Gossip {
+		if err := r.keys(r.ended); err != nil {
+			return err
+		}
+	}
 	for _, x := range r.routers {
 		if err := r.configure(x); err != nil {
 			return err
@@ -357,7 +365,7 @@
 	if err := os.WriteFile(x.config, cfg, 0o600); err != nil {
 		return err
 	}
-	if r.spec.Settings == "" {
+	if r.spec.Settings == "" && !r.spec.Fleet.Gossip {
 		return nil
 	}
 	// A Unix socket's path is short.
@@ -373,7 +381,31 @@
 	if sets != "" {
 		own = strings.Replace(routersLine.ReplaceAllString(own, ""), "lease:\n", "lease:\n"+sets, 1)
 	}
-	return os.WriteFile(x.own, []byte(fmt.Sprintf("admin:\n  socket: %s\n%s", x.socket, own)), 0o600)
+	return os.WriteFile(x.own, []byte(fmt.Sprintf("admin:\n  socket: %s\n%s%s", x.socket, own, x.gossip)), 0o600)
+}
+
+// keys makes a key for each router with the program, and the section gossip from all of them.
+func (r *rig) keys(ctx context.Context) error {
+	var members, addrs []string
+	for _, x := range r.routers {
+		addr, err := r.freePort()
+		if err != nil {
+			return err
+		}
+		addrs = append(addrs, addr.String())
+		x.key = filepath.Join(r.opt.Dir, fmt.Sprintf("r%d.key", x.n))
+		os.Remove(x.key)
+		public, err := exec.CommandContext(ctx, r.program, "key", "new", x.key).Output()
+		if err != nil {
+			return fmt.Errorf("a key: %w", err)
+		}
+		members = append(members, fmt.Sprintf("    - {name: r%d, keys: [%s]}\n", x.n, strings.TrimSpace(string(public))))
+	}
+	for _, x := range r.routers {
+		x.gossip = fmt.Sprintf("gossip:\n  name: r%d\n  listen: %s\n  key: %s\n  seeds: [%s]\n  networks: [127.0.0.0/8]\n  members:\n%s", x.n, addrs[x.n], x.key,
+			strings.Join(addrs[:min(3, len(addrs))], ", "), strings.Join(members, ""))
+	}
+	return nil
 }
 
 func (r *rig) startAll(ctx context.Context) error {
--- a/trial/spec.go
+++ b/trial/spec.go
@@ -29,6 +29,7 @@
 		Groups   int      `yaml:"groups"`   // each a primary and
 		Replicas int      `yaml:"replicas"` // as many replicas
 		Lag      string   `yaml:"lag"`      // they apply a commit this late
+		Gossip   bool     `yaml:"gossip"`   // the section gossip for each router, with keys and ports of its own
 	} `yaml:"fleet"`
 	Load struct {
 		Clients int     `yaml:"clients"`
