--- a/cmd/eiderlab/main.go
+++ b/cmd/eiderlab/main.go
@@ -137,6 +137,10 @@
 		fmt.Printf(", without a holder %.3f s in the middle, %.3f s at most", v.Gaps[n/2], v.Gaps[n-1])
 	}
 	fmt.Println()
+	if len(res.Asked) > 0 {
+		fmt.Printf("  declined %d, unanswered %d, late or failed %d; statements to zone %s a half second before the fault: %d, after it: %d\n", v.Counts["declined"],
+			v.Counts["unanswered"], v.Counts["send"]-v.Counts["served"]-v.Counts["declined"]-v.Counts["unanswered"], s.Measure, res.Asked[0], res.Asked[1:])
+	}
 	if len(res.Spread) > 0 {
 		fmt.Printf("  calls for the list %d; seconds until all had a new one: %.3f\n", res.Calls, res.Spread)
 	}
--- a/trial/judge/judge.go
+++ b/trial/judge/judge.go
@@ -95,6 +95,13 @@
 			if e.Until > latest && j.v.Void == "" {
 				j.v.Void = fmt.Sprintf("the rig was late by %.0f ms at %.3f s", e.Until*1000, e.T)
 			}
+		case "answer":
+			switch e.Code {
+			case "53300", "57P03":
+				j.v.Counts["declined"]++
+			case "none":
+				j.v.Counts["unanswered"]++
+			}
 		case "skew":
 			j.skewed[e.Router] = true
 		case "fault":
--- a/trial/rig.go
+++ b/trial/rig.go
@@ -31,6 +31,7 @@
 	startWithin = 30 * time.Second // a router serves by then, on a machine that is busy
 	lookEach    = 10 * time.Millisecond
 	endWithin   = 6 * time.Second
+	countEach   = 500 * time.Millisecond
 	bound       = 0.2 // s, of a read's age
 	lookWait    = 0.8 // s that clients wait
 	payWait     = 1.5
@@ -62,6 +63,7 @@
 	Memory  int64         // bytes resident of all routers together, at the end
 	Calls   int64         // for the list, of all routers
 	Spread  []float64     // s until all routers had a list, each time it changed
+	Asked   []int64       // statements to the nodes of the zone that is measured, in half seconds from the first fault on
 	Failed  []string      // what was expected and is not so
 }
 
@@ -162,6 +164,9 @@
 	}
 	all.Go(func() { r.watchLate(live) })
 	r.load(live, &all)
+	if spec.Measure != "" && len(spec.Faults) > 0 {
+		all.Go(func() { res.Asked = r.counts(live, spec.Faults[0].at) })
+	}
 	err = r.faults(live)
 	<-live.Done()
 	stop()
@@ -286,7 +291,9 @@
 		}
 		g.Lag = lag
 		for k, n := range g.Nodes() {
-			n.Zone = f.Zones[(i+k)%len(f.Zones)]
+			if n.Zone = f.Zones[(i+k)%len(f.Zones)]; f.Still {
+				n.Zone = f.Zones[k%len(f.Zones)]
+			}
 		}
 		for k := range keysOf {
 			g.Put("objects", keyName(k), "0")
@@ -523,6 +530,33 @@
 	return least
 }
 
+// counts counts the statements that come to the nodes of a zone, probes left out, in half seconds.
+func (r *rig) counts(ctx context.Context, from time.Duration) (out []int64) {
+	asked := func() (n int64) {
+		for _, g := range r.groups {
+			for _, x := range g.Nodes() {
+				if x.Zone == r.spec.Measure {
+					n += x.Asked()
+				}
+			}
+		}
+		return n
+	}
+	begin, was := time.Now(), int64(0)
+	for k := 0; ; k++ {
+		select {
+		case <-ctx.Done():
+			return out
+		case <-time.After(time.Until(begin.Add(from + time.Duration(k)*countEach))):
+		}
+		if now := asked(); k > 0 {
+			out, was = append(out, now-was), now
+		} else {
+			out, was = append(out, int64(float64(now)/from.Seconds()*countEach.Seconds())), now // before: the mean
+		}
+	}
+}
+
 // watchLate measures the rig's own timer.
 func (r *rig) watchLate(ctx context.Context) {
 	for tick := time.NewTicker(lookEach); ; {
--- a/trial/spec.go
+++ b/trial/spec.go
@@ -29,6 +29,7 @@
 		Groups   int      `yaml:"groups"`   // each a primary and
 		Replicas int      `yaml:"replicas"` // as many replicas
 		Lag      string   `yaml:"lag"`      // they apply a commit this late
+		Still    bool     `yaml:"still"`    // all primaries in the first zone; else spread, too
 		Gossip   bool     `yaml:"gossip"`   // the section gossip for each router, with keys and ports of its own
 	} `yaml:"fleet"`
 	Load struct {
@@ -42,6 +43,7 @@
 	Ways     Ways    `yaml:"ways"`     // between routers, at all times
 	Faults   []Fault `yaml:"faults"`
 	Drawn    *Drawn  `yaml:"drawn"`
+	Measure  string  `yaml:"measure"` // a zone whose nodes' statements are counted by half seconds, from the first fault on
 	Expect   Expect  `yaml:"expect"`
 }
 
