A check that is under way when a router comes to hold the task itself counts no more

Seen: ten minutes of drawn faults on twenty processes (1,264 changes of holder): at 170.4 s router 16 obeyed its own word number 10 under one token and 13 ms later holder 9's under an older one. Checked: both holds were apart; the older word's check had been asked before 16 took the task, and its answers came late (kept datagrams); fence.go's confirmed took them whatever was obeyed since, for own words went past the check. Ruled out: a second finding of that run, holds that overlap by 0.245 s, was the judge's: a holder that is killed while frozen had been counted until its death; it counts until it froze now (a test).

Change: own words go through the fence and end a check; a checked word must be newer than what is obeyed.

--- a/lease/book.go
+++ b/lease/book.go
@@ -495,8 +495,7 @@
 	s.speak = now + b.every(s)
 	s.number++
 	w := word{by: b.me, token: s.claim.token, number: s.number, text: s.text}
-	if s.fence.now.token < w.token || s.fence.now.by == w.by {
-		s.fence.now = w
+	if s.fence.says(w, b.g) {
 		b.event(Event{Kind: Obeyed, Token: w.token, Holder: w.by.router, Number: w.number, Text: w.text}, s)
 	}
 	b.counted.Acts++
@@ -678,7 +677,7 @@
 			b.say(from, s, message{Kind: checked, Other: m.Other, Yes: s.mine.confirms(m.Token, who{int(m.Who), m.WhoLife})}, now)
 		}
 	case checked:
-		if w, ok := s.fence.confirmed(from, m.Other, m.Yes, s.council); ok {
+		if w, ok := s.fence.confirmed(from, m.Other, m.Yes, s.council, b.g); ok {
 			b.obey(s, w, now)
 		}
 	}
--- a/lease/fence.go
+++ b/lease/fence.go
@@ -58,8 +58,21 @@
 	return unknown
 }
 
+// says takes this router's own word, as the holder. A check that is under way asks for what came before it: its answers, late
+// as they may be, count no more.
+func (f *fence) says(w word, g guards) bool {
+	if g.fence && w.by != f.now.by && w.token <= f.now.token {
+		return false
+	}
+	f.now = w
+	if g.own {
+		f.yes = nil
+	}
+	return true
+}
+
 // confirmed takes a member's answer to a check. Where a quorum of every council has said yes, the word is to be obeyed.
-func (f *fence) confirmed(from int, nonce uint64, yes bool, councils [][]int) (word, bool) {
+func (f *fence) confirmed(from int, nonce uint64, yes bool, councils [][]int, g guards) (word, bool) {
 	if f.yes == nil || nonce != f.nonce || !yes {
 		return word{}, false
 	}
@@ -75,6 +88,10 @@
 			return word{}, false
 		}
 	}
-	f.now, f.yes = f.next, nil
+	f.yes = nil
+	if g.fence && f.next.token <= f.now.token {
+		return word{}, false
+	}
+	f.now = f.next
 	return f.now, true
 }
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -213,7 +213,7 @@
 		w.net = append(w.net, flying{kind: checked, from: f.to, to: f.from, nonce: f.nonce, yes: w.members[f.to].confirms(f.token, f.by), hold: f.hold})
 	case checked:
 		was := w.fence.now
-		if x, ok := w.fence.confirmed(f.from, f.nonce, f.yes, w.councils); ok {
+		if x, ok := w.fence.confirmed(f.from, f.nonce, f.yes, w.councils, g); ok {
 			w.obey(x, f.hold, was)
 		}
 	}
--- a/lease/search_test.go
+++ b/lease/search_test.go
@@ -241,6 +241,30 @@
 			w.speaks(g, 1, true)
 			w.comes(g, act)
 		}, worldTerms{members: 3, candidates: 2, rounds: 10, words: 4, forgets: 1}},
+	{"a word is checked, and before the answers are there this router has held the task itself", func(g *guards) { g.own, g.fence = false, false },
+		"a word of hold 1 (token 1) is obeyed after one of hold 2 (token 2)", func(w *world, g guards) {
+			w.elects(g, 0, []int{0, 1, 2}, []int{0, 1, 2})
+			old := len(w.net)
+			w.do(step{speaks, 0, 0}, g)
+			w.sends(g, func(f flying) bool { return f.kind == act })
+			for k := range w.net {
+				w.net[k].kept = k >= old
+			}
+			for _, m := range []int{0, 1, 2} { // they confirm, and their answers stay on the way
+				k := slices.IndexFunc(w.net, func(f flying) bool { return f.kind == check && f.to == m })
+				w.do(step{delivers, k, 0}, g)
+			}
+			for k := range w.net {
+				w.net[k].kept = true
+			}
+			w.waits(g, allOver)
+			w.elects(g, 1, []int{0, 1, 2}, []int{0, 1, 2})
+			was, c := w.fence.now, &w.claims[1]
+			if x := (word{by: c.me, token: c.token, number: 1}); c.holds(w.candidate(1), g) && w.fence.says(x, g) {
+				w.obey(x, w.held[1].n, was)
+			}
+			w.comes(g, checked)
+		}, worldTerms{members: 3, candidates: 2, rounds: 10, words: 4}},
 	{"a council that forgot gives out a token from before", func(g *guards) { g.fence = false },
 		"token 1 is obeyed after 2", func(w *world, g guards) {
 			w.elects(g, 0, []int{0, 1, 2}, []int{0, 1, 2})
--- a/trial/judge/judge.go
+++ b/trial/judge/judge.go
@@ -293,16 +293,25 @@
 	acts := map[seat][]porcupine.Operation{}
 	rank := map[string]uint64{} // of the newest hold under a token, by when it began
 	begun := map[seat]uint64{}
+	frozen := map[int]float64{} // since when
 	for _, e := range history {
 		s := seat{e.Task, e.Slot}
 		who := [2]int{e.Router, e.Life}
 		switch {
+		case e.Kind == "fault" && e.What == "freeze":
+			frozen[e.Router] = e.T
+		case e.Kind == "fault" && e.What == "thaw":
+			delete(frozen, e.Router)
 		case e.Kind == "end" || e.Kind == "fault" && (e.What == "kill"):
 			for _, x := range open[who] {
 				if x.open {
 					x.to, x.open = e.T, false
 				}
+				if at, ok := frozen[e.Router]; ok { // it never woke: it has done nothing since
+					x.to = min(x.to, at)
+				}
 			}
+			delete(frozen, e.Router)
 			delete(open, who)
 		case e.Kind == "lease" && e.What == "took":
 			if open[who] == nil {
