--- a/trial/judge/judge.go
+++ b/trial/judge/judge.go
@@ -302,7 +302,7 @@
 			frozen[e.Router] = e.T
 		case e.Kind == "fault" && e.What == "thaw":
 			delete(frozen, e.Router)
-		case e.Kind == "end" || e.Kind == "fault" && (e.What == "kill"):
+		case e.Kind == "end":
 			for _, x := range open[who] {
 				if x.open {
 					x.to, x.open = e.T, false
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -209,7 +209,7 @@
 		"drained":             {"nothing to a node that drains", []judge.Event{{T: 1, Kind: "told", Node: "n", What: "Terminating"}, ran(9, "a", "look", "", false)}},
 		"two holders":         {"one holder", []judge.Event{took(3, 0, 1), took(4, 1, 2), lost(4.001, 0, 1), lost(5, 1, 2)}},
 		"killed holder":       {"", []judge.Event{took(3, 0, 1), {T: 3.5, Kind: "end", Life: 1}, took(4, 1, 2), lost(5, 1, 2)}},
-		"killed while frozen": {"", []judge.Event{took(3, 0, 1), {T: 3.2, Kind: "fault", What: "freeze"}, took(4, 1, 2), {T: 4.5, Kind: "end", Life: 1}, lost(5, 1, 2)}},
+		"killed while frozen": {"", []judge.Event{took(3, 0, 1), {T: 3.2, Kind: "fault", What: "freeze"}, took(4, 1, 2), {T: 4.4, Kind: "fault", What: "kill"}, {T: 4.5, Kind: "end", Life: 1}, lost(5, 1, 2)}},
 		"tokens":              {"tokens rise", []judge.Event{took(3, 0, 2), lost(4, 0, 2), took(4, 1, 2), lost(5, 1, 2)}},
 		"one token":           {"one holder a token", []judge.Event{obeyed(3, 2, 0, 1, 1), obeyed(3.1, 3, 1, 1, 1)}},
 		"older word":          {"no older word is obeyed", []judge.Event{obeyed(3, 2, 0, 2, 1), obeyed(3.1, 2, 1, 1, 1)}},
