--- a/cmd/eiderlab/main.go
+++ b/cmd/eiderlab/main.go
@@ -32,6 +32,7 @@
 	Seed      int64         `help:"In place of the trial's."`
 	For       time.Duration `help:"How long, in place of what the trial says."`
 	Keep      string        `help:"A folder for programs, logs and histories; else they are kept only of trials that show something." type:"path"`
+	Program   string        `help:"A program that was built before, in place of building it; without plants." type:"existingfile"`
 	JSON      bool          `help:"Verdicts as JSON lines." name:"json"`
 }
 
@@ -81,6 +82,9 @@
 			return err
 		}
 		planted := spec.Plant != "" || spec.Clock != ""
+		if !planted && t.Program != "" {
+			programs[planted] = t.Program
+		}
 		if programs[planted] == "" {
 			if err := os.MkdirAll(dir, 0o700); err != nil {
 				return err
