A zone's return begins with two routers at least, in an order by rank

Seen: thirty processes, a zone well again after fast failures: nobody had returned 3.5 s later. Checked: a sixteenth of thirty by a hash threshold was nobody, so a step without traffic waited 3 s each time (zone.go, uses). Change: routers return by their place in an order, two first.

--- a/zone/api.go
+++ b/zone/api.go
@@ -96,6 +96,7 @@
 	flapShare  = 0.25   // a return that failed before it came so far was a look, and counts for nothing
 	calm       = 60.0   // s after which failed returns are forgotten
 	firstShare = 0.0625 // of the routers return first,
+	firstLooks = 2.0    // but so many at least,
 	growth     = 2.0    // then twice as many
 	stepEvery  = 0.4    // s after each step, at least,
 	stepGood   = 4      // and with so many good ones since
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -85,6 +85,7 @@
 	loud   bool    // our last counts had bad ones, or it is returning: a good word is news
 	out    bool    // left, or returning
 	share  float64 // of routers that use it while out
+	place  int     // ours in the order in which they return
 	since  float64 // of the last step
 	flaps  int
 	failed float64 // when it was last left
@@ -117,7 +118,7 @@
 	b.Forget(id)
 	z := b.zones[hash(name)]
 	if z == nil {
-		z = &zone{name: name, key: hash(name), words: map[int]word{}, share: 1, failed: math.Inf(-1)}
+		z = &zone{name: name, key: hash(name), words: map[int]word{}, place: b.place(hash(name)), share: 1, failed: math.Inf(-1)}
 		b.zones[z.key] = z
 		b.order = append(b.order, z)
 		slices.SortFunc(b.order, func(a, b *zone) int { return strings.Compare(a.name, b.name) })
@@ -315,7 +316,7 @@
 		b.counted.Returns++
 		event.Kind = Back
 	default:
-		z.share, z.since = min(1, max(firstShare, z.share*growth)), now
+		z.share, z.since = min(1, max(firstShare, firstLooks/float64(b.terms.Routers), z.share*growth)), now
 		event.Kind = Returning
 	}
 	event.Share = z.share
@@ -325,13 +326,24 @@
 
 // uses tells whether this router is among those that use a zone: the order is the same at all, and another for each zone.
 func (b *Book) uses(z *zone) bool {
-	if !z.out || z.share >= 1 {
-		return true
+	return !z.out || float64(z.place) < z.share*float64(b.terms.Routers)
+}
+
+// place is this router's in the order for a zone.
+func (b *Book) place(key uint32) (place int) {
+	rank := func(router int) uint64 {
+		var b [8]byte
+		binary.BigEndian.PutUint32(b[:], key)
+		binary.BigEndian.PutUint32(b[4:], uint32(router))
+		return xxhash.Sum64(b[:])
+	}
+	own := rank(b.terms.Me)
+	for r := range b.terms.Routers {
+		if rank(r) < own {
+			place++
+		}
 	}
-	var key [8]byte
-	binary.BigEndian.PutUint32(key[:], z.key)
-	binary.BigEndian.PutUint32(key[4:], uint32(b.terms.Me))
-	return float64(xxhash.Sum64(key[:])>>11)/(1<<53) < z.share
+	return place
 }
 
 // doubt has the splitter prefer other zones, or ends that.
