--- a/lease/book.go
+++ b/lease/book.go
@@ -609,7 +609,7 @@
 		if m.Who != noOne {
 			next = int(m.Who)
 		}
-		if s.mine.released(by, m.At, next, now, b.terms.Span) {
+		if s.mine.released(by, m.At, next, now, b.terms.Span, b.g) {
 			for _, r := range s.mine.waits {
 				if next < 0 || r == next {
 					b.say(r, s, message{Kind: free}, now)
--- a/lease/member.go
+++ b/lease/member.go
@@ -11,10 +11,10 @@
 
 // guards are what keeps holders apart, each of which a test takes out alone.
 type guards struct {
-	drift, wait, silent, echo, serial, stored, lapse, hold, fence, check, own, joint bool
+	drift, wait, silent, echo, serial, stored, lapse, hold, fence, check, own, joint, late bool
 }
 
-var allGuards = guards{true, true, true, true, true, true, true, true, true, true, true, true}
+var allGuards = guards{true, true, true, true, true, true, true, true, true, true, true, true, true}
 
 // asking is a candidate's question, with the token it has chosen (0: none yet) and the member's grant, as it knows it, under
 // which it did.
@@ -42,6 +42,7 @@
 	quiet  float64 // it grants nothing before
 	to     who
 	until  float64 // its grant runs
+	asks   float64 // its newest question that was granted
 	serial uint64  // of its grants to one after the other; begins with its life, so that no other start has the same
 	token  uint64  // newest
 	by     who     // whose that is
@@ -70,9 +71,9 @@
 		return out
 	}
 	if m.to != a.from {
-		m.to, m.serial = a.from, m.serial+1
+		m.to, m.serial, m.asks = a.from, m.serial+1, a.at
 	}
-	m.next, m.until = -1, now+span
+	m.next, m.until, m.asks = -1, now+span, max(m.asks, a.at)
 	if a.token > 0 && (!g.serial || a.serial == m.serial) && a.token >= m.token {
 		m.token, m.by, out.stored = a.token, a.from, true
 	}
@@ -91,12 +92,13 @@
 	}
 }
 
-// released takes a grant back, keeps the task for who comes next, and tells whether it was free by that.
-func (m *member) released(from who, at float64, next int, now, span float64) bool {
+// released takes a grant back, keeps the task for who comes next, and tells whether it was free by that. What was asked for
+// after the release was sent, and has overtaken it, stays granted.
+func (m *member) released(from who, at float64, next int, now, span float64, g guards) bool {
 	if m.left != from || at > m.leftAt {
 		m.left, m.leftAt = from, at
 	}
-	if m.to != from || now >= m.until {
+	if m.to != from || now >= m.until || g.late && at < m.asks {
 		return false
 	}
 	m.until, m.next, m.nextTo = now, next, now+kept*span
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -195,7 +195,7 @@
 		}
 		w.claims[f.to].answered(f.from, f.grant, w.candidate(f.to), span, g)
 	case release:
-		w.members[f.to].released(f.by, f.at, -1, w.clocks[f.to], modelSpan)
+		w.members[f.to].released(f.by, f.at, -1, w.clocks[f.to], modelSpan, g)
 	case act:
 		w.nonces++
 		was := w.fence.now
--- a/lease/search_test.go
+++ b/lease/search_test.go
@@ -37,7 +37,7 @@
 	num(uint64(w.tick), uint64(w.crashes), uint64(w.forgets), w.lives, uint64(w.doubled))
 	for _, m := range w.members {
 		num(m.serial, m.token, uint64(m.to.router), m.to.life, uint64(m.by.router), m.by.life, uint64(m.left.router))
-		flo(m.quiet, m.until, m.leftAt)
+		flo(m.quiet, m.until, m.leftAt, m.asks)
 	}
 	for i, c := range w.claims {
 		num(c.token, c.top, uint64(w.asked[i]))
@@ -278,6 +278,18 @@
 			w.elects(g, 1, []int{0, 1, 2}, []int{0, 1, 2})
 			w.speaks(g, 1, true)
 		}, worldTerms{members: 3, candidates: 2, rounds: 10, words: 4, forgets: 1}},
+	{"a holder gives the task back and asks anew, and its release comes after that", func(g *guards) { g.late = false },
+		"2 hold at once, at tick 1", func(w *world, g guards) {
+			w.elects(g, 0, []int{0, 1, 2}, []int{0, 1, 2})
+			w.do(step{gives, 0, 0}, g)
+			for k := range w.net {
+				w.net[k].kept = true
+			}
+			w.waits(g, 1)
+			w.elects(g, 0, []int{0, 1, 2}, []int{0, 1, 2})
+			w.comes(g, release)
+			w.elects(g, 1, []int{0, 1, 2}, []int{0, 1, 2})
+		}, worldTerms{members: 3, candidates: 2, rounds: 10}},
 	{"questions of a holder long gone come to members that granted to another since", func(g *guards) { g.serial = false },
 		"a word of hold 1 (token 6) is obeyed after one of hold 2 (token 1)", func(w *world, g guards) {
 			w.claims[0].top = 5
@@ -312,5 +324,5 @@
 }
 
 func (s step) String() string {
-	return fmt.Sprintf("%s %d", [...]string{"asks", "speaks", "delivers", "doubles", "drops", "tick", "crash", "all crash", "gives"}[s.what], s.a)
+	return fmt.Sprintf("%s %d", [...]string{"asks", "speaks", "delivers", "doubles", "drops", "tick", "crash", "all crash", "gives", "brings"}[s.what], s.a)
 }
