--- a/cmd/eiderlab/main.go
+++ b/cmd/eiderlab/main.go
@@ -145,8 +145,11 @@
 		fmt.Printf("  declined %d, unanswered %d, late or failed %d; statements to zone %s a half second before the fault: %d, after it: %d\n", v.Counts["declined"],
 			v.Counts["unanswered"], v.Counts["send"]-v.Counts["served"]-v.Counts["declined"]-v.Counts["unanswered"], s.Measure, res.Asked[0], res.Asked[1:])
 	}
+	if res.Falls > 0 {
+		fmt.Printf("  nodes fell over %d times\n", res.Falls)
+	}
 	if len(res.Spread) > 0 {
-		fmt.Printf("  calls for the list %d; seconds until all had a new one: %.3f\n", res.Calls, res.Spread)
+		fmt.Printf("  calls for the list %d, %d refused; seconds until all had a new one: %.3f\n", res.Calls, res.Refused, res.Spread)
 	}
 	for _, f := range res.Failed {
 		fmt.Println("  " + f)
--- a/cmd/eiderway/main.go
+++ b/cmd/eiderway/main.go
@@ -81,6 +81,7 @@
 		Key     key         `cmd:"" help:"Keys of instances that speak to each other."`
 		Lease   leaseCmd    `cmd:"" help:"Tasks that one router of the tier does at a time."`
 		Drain   drainCmd    `cmd:"" help:"Have a router's clients leave, in its turn, and tell how far that is."`
+		Zone    zoneCmd     `cmd:"" help:"Zones that all routers leave and return to together."`
 		Demo    demo        `cmd:"" help:"Run a small cluster of stand-ins and a router on loopback, and show what is served where."`
 		Version showVersion `cmd:"" help:"Show the version."`
 	}
--- a/relay/admin.go
+++ b/relay/admin.go
@@ -92,7 +92,7 @@
 	}
 	most := 0
 	if _, err := fmt.Sscanf(strings.TrimSpace(line), "shapes %d", &most); err != nil || most < 1 || most > mostLines || c.classes == nil {
-		json.NewEncoder(nc).Encode(map[string]string{"error": "ask `counters`, `drain`, `shapes N` (section classing), `peers` (section gossip) or `lease status` (section lease); the section must be on"})
+		json.NewEncoder(nc).Encode(map[string]string{"error": "ask `counters`, `drain`, `shapes N` (section classing), `peers` (section gossip) `lease status` (section lease) or `zone status` (section zones); the section must be on"})
 		return
 	}
 	got := make(chan Shapes, 1)
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -32,19 +32,15 @@
 // askedLease answers a question about leases or the drain. It tells whether it was one.
 func (c *core) askedLease(nc net.Conn, line string) bool {
 	words := strings.Fields(line)
-	if len(words) == 0 || words[0] != "lease" && words[0] != "drain" && line != "zones" {
+	if len(words) == 0 || words[0] != "lease" && words[0] != "drain" && words[0] != "zone" {
 		return false
 	}
 	out := json.NewEncoder(nc)
-	if line == "zones" {
-		if c.zones == nil {
-			out.Encode(LeaseState{Error: "the section zones is off"})
-		} else if states, ok := c.zones.states(); ok {
-			out.Encode(states)
-		}
+	fail := func(format string, args ...any) { out.Encode(LeaseState{Error: fmt.Sprintf(format, args...)}) }
+	if words[0] == "zone" {
+		c.askedZone(nc, out, words[1:], fail)
 		return true
 	}
-	fail := func(format string, args ...any) { out.Encode(LeaseState{Error: fmt.Sprintf(format, args...)}) }
 	if words[0] == "drain" {
 		c.askedDrain(nc, out, words[1:], fail)
 		return true
--- a/relay/core.go
+++ b/relay/core.go
@@ -151,11 +151,9 @@
 		c.Decline(h.id, 0)
 		return
 	}
-	x := splitter.Txn{ID: h.id, Group: h.st.Group, Until: at + h.st.Wait, Session: session(h.st.Key), Wrote: h.st.Wrote}
+	x := splitter.Txn{ID: h.id, Group: h.st.Group, Type: c.typeOf(h), Until: at + h.st.Wait, Session: session(h.st.Key), Wrote: h.st.Wrote}
 	if h.class != nil {
-		x.Type, x.Cost = h.typ, h.class.Cost
-	} else {
-		x.Type = c.terms.Types[h.st.Type]
+		x.Cost = h.class.Cost
 	}
 	if c.talk != nil && c.terms.Bounded(x.Type) {
 		c.talk.book.Arrived(x.Group, c.now)
@@ -164,6 +162,14 @@
 	c.router.Arrive(x)
 }
 
+// typeOf is the txn type that a txn came as.
+func (c *core) typeOf(h *held) int {
+	if h.class != nil {
+		return h.typ
+	}
+	return c.terms.Types[h.st.Type]
+}
+
 // session gives the key of a session as a number.
 func session(key string) int64 {
 	if n, err := strconv.ParseUint(key, 16, 64); err == nil {
@@ -200,7 +206,7 @@
 		c.talk.landed(n, res.Report)
 	}
 	if c.zones != nil {
-		c.zones.landed(n, res.Outcome)
+		c.zones.landed(n, c.typeOf(h), res)
 	}
 	if h.class != nil {
 		res.As = c.classes.landed(h.class, res, code)
@@ -276,7 +282,7 @@
 			c.talk.book.Node(id, e.UID, m.Group)
 		}
 		if c.zones != nil && m.State == splitter.On {
-			c.zones.book.Node(id, e.UID, e.Zone)
+			c.zones.book.Node(id, e.UID, e.Zone, m.Group)
 		}
 		list = append(list, m)
 	}
--- a/relay/lease.go
+++ b/relay/lease.go
@@ -21,6 +21,9 @@
 	"eiderway/terms"
 )
 
+// zonesTask is the router's that numbers the steps in which zones are left and returned to.
+const zonesTask = "zones/all"
+
 type leases struct {
 	core     *core
 	book     *lease.Book
@@ -67,6 +70,9 @@
 		}
 		c.list.follow = lease.NewFollow(lease.FollowTerms{Seed: int64(cfg.seed), Quiet: own.List.Quiet, Pace: own.List.Pace, Routers: l.peers})
 	}
+	if every := cfg.Own.Zones; every != nil && every.Every > 0 {
+		t.Tasks = append(t.Tasks, lease.Task{Name: zonesTask, Every: every.Every, Standing: true})
+	}
 	if own.Drain != nil {
 		l.drain = "drain/" + cfg.zone()
 		for _, zone := range zones {
@@ -158,6 +164,9 @@
 			entry.Debug("lease")
 		}
 	}
+	if x.Task == zonesTask {
+		l.core.zones.numbered(x)
+	}
 	if x.Task != l.listTask {
 		return
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -58,6 +58,7 @@
 		n := z.counted()
 		counter("zone_left_total", "Times that a zone was left.", n.Leaves)
 		counter("zone_back_total", "Times that all routers used a zone again.", n.Returns)
+		counter("zone_words_total", "Words on the steps of zones that this router told as their holder.", n.Words)
 		counter("zone_bytes_total", "Bytes of counts told to peers, as they left.", n.Bytes)
 	}
 	if l := c.leases; l != nil {
--- a/relay/zone.go
+++ b/relay/zone.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"eiderway/lease"
 	"eiderway/splitter"
 	"eiderway/zone"
 )
@@ -34,7 +35,7 @@
 	if _, err := rand.Read(life[:]); err != nil {
 		return nil, err
 	}
-	t := zone.Terms{Routers: 1, Zone: cfg.zone(), Life: binary.BigEndian.Uint32(life[:])}
+	t := zone.Terms{Routers: 1, Zone: cfg.zone(), Life: binary.BigEndian.Uint32(life[:]), Every: cfg.Own.Zones.Every, Regions: cfg.Own.Zones.Regions}
 	if c.tier != nil {
 		t.Me, t.Routers = c.tier.me, len(c.tier.peers)
 	}
@@ -42,11 +43,12 @@
 }
 
 // landed tells what a submission showed of a node's zone. Refusals, misses and what was never sent show nothing.
-func (z *zones) landed(n *node, o splitter.Outcome) {
+func (z *zones) landed(n *node, typ int, res splitter.Result) {
+	o := res.Outcome
 	ok := o == splitter.Committed || o == splitter.Answered
 	if id, there := z.core.byUID[n.uid]; there && (ok || slices.Contains([]splitter.Outcome{splitter.Failed, splitter.TimedOut, splitter.Broken,
 		splitter.NoConn}, o)) {
-		z.book.Saw(id, ok, z.core.now)
+		z.book.Saw(id, typ, ok, res.Latency, z.core.now)
 		z.act()
 	}
 }
@@ -60,14 +62,18 @@
 		}
 	}
 	for _, x := range e.Events {
-		z.core.log.WithFields(logrus.Fields{"zone": x.Zone, "step": [...]string{"left", "returning", "back"}[x.Kind], "share": fmt.Sprintf("%.3f", x.Share),
-			"bad": x.Bad, "good": x.Good, "voices": x.Voices, "bad_elsewhere": fmt.Sprintf("%.2f", x.Else)}).Warn("zone")
+		z.core.log.WithFields(logrus.Fields{"zone": x.Zone, "step": x.Kind.String(), "share": fmt.Sprintf("%.3f", x.Share),
+			"told": x.Told, "hand": x.Hand.String(), "bad": x.Bad, "late": x.Late, "good": x.Good, "voices": x.Voices, "bad_elsewhere": fmt.Sprintf("%.2f", x.Else)}).Warn("zone")
 	}
 	for _, d := range e.Doubts {
 		if d.Node < len(z.core.nodes) && z.core.nodes[d.Node] != nil {
 			z.core.router.Doubt(d.Node, d.Until)
 		}
 	}
+	if l := z.core.leases; e.Word != "" && l != nil {
+		l.book.Tell(zonesTask, e.Word, l.now())
+		z.core.tell(l.act)
+	}
 	if next := z.book.Next(); next < z.armed {
 		z.armed = next
 		z.core.After(next, func() {
@@ -87,14 +93,37 @@
 	return z.shown
 }
 
-// states asks for the zones; ok: the core is still there.
-func (z *zones) states() (out []zone.State, ok bool) {
-	got := make(chan []zone.State, 1)
-	z.core.tell(func() { got <- z.book.States(z.core.now) })
+// numbered takes what the lease on the steps says: whether this router numbers them, or which are to be obeyed.
+func (z *zones) numbered(x lease.Event) {
+	switch x.Kind {
+	case lease.Took, lease.Lost:
+		z.book.Holds(x.Kind == lease.Took, x.Token, z.core.now)
+	case lease.Obeyed:
+		if err := z.book.Obey(x.Holder, x.Text, z.core.now); err != nil {
+			z.core.log.WithError(err).WithField("holder", x.Holder).Warn("zone: a word that can't be read")
+		}
+	}
+	z.act()
+}
+
+// asks runs in the core's goroutine and waits for it. ok: the core is still there.
+func (z *zones) asks(f func()) (ok bool) {
+	done := make(chan struct{})
+	z.core.tell(func() {
+		f()
+		z.act()
+		close(done)
+	})
 	select {
-	case out = <-got:
-		return out, true
+	case <-done:
+		return true
 	case <-z.core.life.Done():
-		return nil, false
+		return false
 	}
 }
+
+// states asks for the zones; ok: the core is still there.
+func (z *zones) states() (out []zone.State, ok bool) {
+	ok = z.asks(func() { out = z.book.States(z.core.now) })
+	return out, ok
+}
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -23,6 +23,45 @@
 	list   []Entry
 	news   chan struct{} // closed when the list changes
 	faces  []*Face
+
+	every   time.Duration // an answer takes it as long, one after the other; 0: no time
+	places  int           // calls that may wait for that: more are refused
+	free    time.Time     // when it is done with those that wait
+	refused int64
+}
+
+// Bears has it bear few callers: so many answers a second, and calls that wait for one. More are refused with 503. Watches
+// cost nothing until they are answered.
+func (d *Discovery) Bears(answers float64, waiting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.every, d.places = time.Duration(float64(time.Second)/answers), waiting
+}
+
+// Refused tells how many calls were.
+func (d *Discovery) Refused() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refused
+}
+
+// turn waits for a call's place; false: there is none.
+func (d *Discovery) turn() bool {
+	d.mu.Lock()
+	now := time.Now()
+	if d.every > 0 && d.free.Sub(now) > time.Duration(d.places)*d.every {
+		d.refused++
+		d.mu.Unlock()
+		return false
+	}
+	if d.free.Before(now) {
+		d.free = now
+	}
+	d.free = d.free.Add(d.every)
+	wait := d.free.Sub(now)
+	d.mu.Unlock()
+	time.Sleep(wait)
+	return true
 }
 
 // Face is the discovery as one router sees it: at an address of its own, with endpoints of its own.
@@ -168,10 +207,18 @@
 		case <-r.Context().Done():
 			return
 		case <-time.After(time.Duration(hold) * time.Millisecond):
+			if !d.turn() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 			w.Write([]byte(`{"rev":` + strconv.FormatInt(rev, 10) + `,"all":false,"targets":[]}`))
 			return
 		}
 	}
+	if !d.turn() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Write(d.listed(f))
 	if f != nil {
 		d.mu.Lock()
--- a/standin/node.go
+++ b/standin/node.go
@@ -64,6 +64,7 @@
 	takes   atomic.Int64 // ns that a statement takes beyond the group's time
 	stuck   atomic.Int64 // Unix ns at which its position stands still; 0: it does not
 	Zone    string       // as discovery tells it; "" is a
+	bears   bears
 }
 
 // Fault is a trouble of a node.
@@ -185,6 +186,10 @@
 		if err != nil {
 			return
 		}
+		if n.bears.down() {
+			nc.Close()
+			continue
+		}
 		n.group.mu.Lock()
 		n.open[nc] = true
 		n.group.mu.Unlock()
@@ -229,6 +234,8 @@
 			case f == Hangs:
 			case f == Fails && !probe:
 				out = append(out, pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "XX000", "a fault", ""))...)
+			case !probe && !n.turn():
+				return
 			case f == Loses && !probe && count%2 == 0:
 				n.answer(state, text)
 			default:
--- a/terms/own.go
+++ b/terms/own.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"os"
@@ -69,7 +70,17 @@
 }
 
 // Zones is the section that has routers leave a zone together whose nodes fail, and return at a pace.
-type Zones struct{}
+type Zones struct {
+	Every   float64           // s between the words of the one that numbers the steps; 0: each goes by its own sums
+	Regions map[string]string // by zone; a zone that is not named is a region of its own
+}
+
+type zonesFile struct {
+	Steps *struct {
+		Every string `yaml:"every"`
+	} `yaml:"steps"`
+	Regions map[string][]string `yaml:"regions"`
+}
 
 type ownFile struct {
 	Classing *classingFile `yaml:"classing"`
@@ -81,7 +92,7 @@
 		Tell *bool `yaml:"tell"`
 	} `yaml:"knowing"`
 	Lease *leaseFile `yaml:"lease"`
-	Zones *struct{}  `yaml:"zones"`
+	Zones *zonesFile `yaml:"zones"`
 }
 
 type gossipFile struct {
@@ -246,7 +257,7 @@
 		d.wrong(".knowing", "the section is empty; tell: true stands for its default")
 	}
 	if f.Zones != nil {
-		own.Zones = &Zones{}
+		own.Zones = d.zones(f.Zones, f.Lease != nil)
 	} else if d.has(".zones") {
 		d.wrong(".zones", "the section is empty; {} turns it on")
 	}
@@ -258,6 +269,36 @@
 	return own, d.err
 }
 
+const (
+	leastWords = 0.05 // s
+	mostWords  = 2.0
+)
+
+// zones reads the section zones.
+func (d *doc) zones(f *zonesFile, leases bool) *Zones {
+	z := &Zones{Regions: map[string]string{}}
+	switch {
+	case f.Steps != nil:
+		if z.Every = d.span(".zones.steps.every", cmp.Or(f.Steps.Every, "400ms"), leastWords); z.Every > mostWords {
+			d.wrong(".zones.steps.every", "%s is over %gs: routers would go by old steps", f.Steps.Every, mostWords)
+		}
+		if !leases {
+			d.wrong(".zones.steps", "the steps are numbered by who holds a lease: the section lease is needed; {} stands for its defaults")
+		}
+	case d.has(".zones.steps"):
+		d.wrong(".zones.steps", "the section is empty; {} stands for its defaults")
+	}
+	for _, region := range slices.Sorted(maps.Keys(f.Regions)) {
+		for _, name := range f.Regions[region] {
+			if was := z.Regions[name]; was != "" || name == "" {
+				d.wrong(".zones.regions."+region, "%q is in %q already, or has no name", name, was)
+			}
+			z.Regions[name] = region
+		}
+	}
+	return z
+}
+
 // gossip reads the section gossip.
 func (d *doc) gossip(f *gossipFile) *Gossip {
 	g := &Gossip{Name: f.Name, Key: f.Key, Members: map[string][]ed25519.PublicKey{}, Tell: f.Tell == nil || *f.Tell}
--- a/terms/own_test.go
+++ b/terms/own_test.go
@@ -180,6 +180,21 @@
 	own, err = readOwn(t, "zones: {}\n")
 	require.NoError(t, err)
 	require.NotNil(t, own.Zones)
+	own, err = readOwn(t, "zones: {steps: {}, regions: {east: [a, b]}}\nlease: {}\n")
+	require.NoError(t, err)
+	require.Equal(t, &Zones{Every: 0.4, Regions: map[string]string{"a": "east", "b": "east"}}, own.Zones)
+	for text, why := range map[string]string{
+		"zones: {steps: {}}\n":                          "the section lease is needed",
+		"zones:\n  steps:\nlease: {}\n":                 "2:9: zones.steps: the section is empty",
+		"zones: {steps: {every: 9s}}\nlease: {}\n":      "is over 2s",
+		"zones: {steps: {every: 1ms}}\nlease: {}\n":     "zones.steps.every",
+		"zones: {regions: {east: [a, b], west: [b]}}\n": `"b" is in "east" already`,
+		"zones: {steps: {each: 1s}}\nlease: {}\n":       "each",
+		"zones: {regions: {east: [\"\"]}}\n":            "has no name",
+	} {
+		_, err = readOwn(t, text)
+		require.ErrorContains(t, err, why, text)
+	}
 	_, err = readOwn(t, "zones:\n")
 	require.ErrorContains(t, err, "zones: the section is empty")
 	_, err = readOwn(t, "lease:\n")
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -123,7 +123,7 @@
 	switch f.What {
 	case "replace":
 		return r.replace(ctx, f)
-	case "drain-node", "undrain-node", "hang", "fail", "lose", "slow", "stick", "heal":
+	case "drain-node", "undrain-node", "hang", "fail", "lose", "slow", "stick", "cold", "heal":
 		return r.nodeFault(ctx, f)
 	}
 	routers, err := r.who(f.Who)
@@ -244,8 +244,9 @@
 		if cancel != nil {
 			cancel()
 		}
-	case "tell", "give", "drain", "undrain":
-		question := map[string]string{"tell": "lease tell " + f.Task + " " + f.Text, "drain": "drain", "undrain": "drain cancel"}[f.What]
+	case "tell", "give", "drain", "undrain", "zone":
+		question := map[string]string{"zone": "zone " + f.Text,
+			"tell": "lease tell " + f.Task + " " + f.Text, "drain": "drain", "undrain": "drain cancel"}[f.What]
 		if f.What == "give" {
 			if len(to) == 0 || to[0] == x {
 				return nil
@@ -390,6 +391,9 @@
 			n.Set(standin.Loses)
 		case "stick":
 			n.Stick(true)
+		case "cold": // its process is down for a time, and comes back cold
+			n.Restart(f.span)
+			continue
 		case "slow":
 			by, err := time.ParseDuration(f.Text)
 			if err != nil {
--- a/trial/rig.go
+++ b/trial/rig.go
@@ -31,8 +31,10 @@
 	lookEach    = 10 * time.Millisecond
 	endWithin   = 6 * time.Second
 	countEach   = 500 * time.Millisecond
-	bound       = 0.2 // s, of a read's age
-	lookWait    = 0.8 // s that clients wait
+	fallsAt     = time.Second // work that waits at a node, by which it falls over,
+	downFor     = time.Second // for as long
+	bound       = 0.2         // s, of a read's age
+	lookWait    = 0.8         // s that clients wait
 	payWait     = 1.5
 )
 
@@ -60,8 +62,10 @@
 	Started time.Duration // until all routers served
 	Late    time.Duration // the rig's own timer, at most
 	Memory  int64         // bytes resident of all routers together, at the end
-	Calls   int64         // for the list, of all routers
+	Calls   int64         // for the list, of all routers,
+	Refused int64         // and those of them that were refused
 	Spread  []float64     // s until all routers had a list, each time it changed
+	Falls   int           // of nodes that were pushed over
 	Asked   []int64       // statements to the nodes of the zone that is measured, in half seconds from the first fault on
 	Failed  []string      // what was expected and is not so
 }
@@ -198,6 +202,12 @@
 	for _, x := range r.routers {
 		res.Calls += x.face.Calls()
 	}
+	res.Refused = r.list.Refused()
+	for _, g := range r.groups {
+		for _, n := range g.Nodes() {
+			res.Falls += n.Falls()
+		}
+	}
 	for _, e := range events {
 		if e.Kind == "known" {
 			res.Spread = append(res.Spread, e.Until)
@@ -223,6 +233,20 @@
 			miss("the rule %q was to be broken, and was not", rule)
 		}
 	}
+	if s.Expect.Falls != nil && res.Falls > *s.Expect.Falls {
+		miss("nodes fell over %d times, %d at most were expected", res.Falls, *s.Expect.Falls)
+	}
+	for _, u := range []*Used{s.Expect.Left, s.Expect.Back} {
+		if u == nil {
+			continue
+		}
+		from, _ := span(u.From, 0)
+		until, _ := span(u.Until, 0)
+		if share, ok := res.Used(from, until); !ok || u.Most > 0 && share > u.Most || share < u.Least {
+			miss("from %s until %s after the first fault zone %s had %.2f of its ordinary statements; statements by half seconds: %d", from, until, s.Measure, share,
+				res.Asked)
+		}
+	}
 	if v.Changes < s.Expect.Changes {
 		miss("%d changes of holder, %d were expected", v.Changes, s.Expect.Changes)
 	}
@@ -234,6 +258,19 @@
 	}
 }
 
+// Used is the share of its ordinary statements that came to the measured zone between two times after the first fault.
+func (res *Result) Used(from, until time.Duration) (share float64, ok bool) {
+	a, b := int(from/countEach), int(until/countEach)
+	if len(res.Asked) < b+1 || a >= b || res.Asked[0] == 0 {
+		return 0, false
+	}
+	n := int64(0)
+	for _, x := range res.Asked[a+1 : b+1] {
+		n += x
+	}
+	return float64(n) / float64(b-a) / float64(res.Asked[0]), true
+}
+
 // since is the time of a history.
 func (r *rig) since() float64 { return time.Since(r.begin).Seconds() }
 
@@ -290,6 +327,10 @@
 		}
 		g.Lag = lag
 		for k, n := range g.Nodes() {
+			if f.Bears > 0 {
+				warm, _ := span(f.Warm, 0)
+				n.Bears(standin.Work{Rate: f.Bears, Cold: f.Cold, Warm: warm, Falls: fallsAt, Down: downFor})
+			}
 			if n.Zone = f.Zones[(i+k)%len(f.Zones)]; f.Still {
 				n.Zone = f.Zones[k%len(f.Zones)]
 			}
@@ -303,6 +344,9 @@
 	if r.list, err = standin.NewDiscovery(r.groups...); err != nil {
 		return err
 	}
+	if d := r.spec.Discovery; d.Bears > 0 {
+		r.list.Bears(d.Bears, d.Waiting)
+	}
 	for n := range f.Routers {
 		x := &router{n: n, zone: f.Zones[n%len(f.Zones)], links: map[string]*link{}}
 		r.routers = append(r.routers, x)
--- a/trial/spec.go
+++ b/trial/spec.go
@@ -31,12 +31,19 @@
 		Lag      string   `yaml:"lag"`      // they apply a commit this late
 		Still    bool     `yaml:"still"`    // all primaries in the first zone; else spread, too
 		Gossip   bool     `yaml:"gossip"`   // the section gossip for each router, with keys and ports of its own
+		Bears    float64  `yaml:"bears"`    // statements a second that a node can do; 0: any number. Then also:
+		Cold     float64  `yaml:"cold"`     // share of that right after a start,
+		Warm     string   `yaml:"warm"`     // until it can do all; with a second's work waiting it falls over for a second
 	} `yaml:"fleet"`
 	Load struct {
 		Clients int     `yaml:"clients"`
 		Rate    float64 `yaml:"rate"`   // txns a second of all of them
 		Writes  float64 `yaml:"writes"` // share
 	} `yaml:"load"`
+	Discovery struct {
+		Bears   float64 `yaml:"bears"`   // answers a second; 0: any number
+		Waiting int     `yaml:"waiting"` // calls that may wait for one: more are refused
+	} `yaml:"discovery"`
 	Settings string  `yaml:"settings"` // our own settings of every router; %admin% is its admin socket
 	Plant    string  `yaml:"plant"`    // a fault in the program itself: a variant of it is built
 	Clock    string  `yaml:"clock"`    // of odd routers, in a variant: "rate=1.05", "offset=3600"; the even ones' is right
@@ -58,7 +65,7 @@
 }
 
 // Fault is something that breaks. What: kill, term, start, restart, freeze, alone, cut, half, drain-node, undrain-node, hang,
-// fail, lose, slow, stick, heal, want, drop, tell, give, drain, undrain, strangers, sets, replace.
+// fail, lose, slow, stick, cold, heal, want, drop, tell, give, drain, undrain, zone, strangers, sets, replace.
 type Fault struct {
 	At   string   `yaml:"at"`
 	What string   `yaml:"what"`
@@ -86,11 +93,22 @@
 	Changes int      `yaml:"changes"` // of holders, at least
 	Served  float64  `yaml:"served"`  // share of txns, at least
 	Obeyed  int      `yaml:"obeyed"`  // words, at least
+	Falls   *int     `yaml:"falls"`   // of nodes that were pushed over, at most
+	Left    *Used    `yaml:"left"`    // how little the measured zone is used,
+	Back    *Used    `yaml:"back"`    // and how much again
 	Rules   []string `yaml:"broken"`  // these rules must be broken: the trial shows what happens beyond what is assumed
 }
 
+// Used says which share of its ordinary statements comes to the measured zone between two times after the first fault.
+type Used struct {
+	From  string  `yaml:"from"`
+	Until string  `yaml:"until"`
+	Most  float64 `yaml:"most"`
+	Least float64 `yaml:"least"`
+}
+
 var whats = []string{"kill", "term", "start", "restart", "freeze", "alone", "cut", "half", "drain-node", "undrain-node", "hang", "fail", "lose", "slow",
-	"stick", "heal", "want", "drop", "tell", "give", "drain", "undrain", "strangers", "sets", "replace"}
+	"stick", "heal", "want", "drop", "tell", "give", "drain", "undrain", "strangers", "sets", "replace", "cold", "zone"}
 
 const (
 	mostRouters  = 200
@@ -136,11 +154,27 @@
 	if f.Groups < 1 {
 		f.Groups = 1
 	}
-	for _, d := range []struct{ name, text string }{{"for", s.For}, {"fleet.lag", f.Lag}, {"ways.delay", s.Ways.Delay}} {
+	for _, d := range []struct{ name, text string }{{"for", s.For}, {"fleet.lag", f.Lag}, {"fleet.warm", f.Warm}, {"ways.delay", s.Ways.Delay}} {
 		if _, err := span(d.text, 0); err != nil {
 			return fmt.Errorf("%s: %w", d.name, err)
 		}
 	}
+	if d := s.Discovery; d.Bears < 0 || d.Waiting < 0 {
+		return fmt.Errorf("discovery: %g answers a second, %d that wait; neither can be less than 0", d.Bears, d.Waiting)
+	}
+	for _, u := range []*Used{s.Expect.Left, s.Expect.Back} {
+		if u == nil {
+			continue
+		}
+		from, err1 := span(u.From, 0)
+		until, err2 := span(u.Until, 0)
+		if err1 != nil || err2 != nil || from >= until || s.Measure == "" {
+			return fmt.Errorf("expect.left, expect.back: from %q until %q is no time, or no zone is measured", u.From, u.Until)
+		}
+	}
+	if f.Bears < 0 || f.Cold < 0 || f.Cold > 1 {
+		return fmt.Errorf("fleet.bears, fleet.cold: %g statements a second, a share of %g when cold", f.Bears, f.Cold)
+	}
 	s.Ways.delay, _ = span(s.Ways.Delay, 0)
 	for i := range s.Faults {
 		x := &s.Faults[i]
--- a/zone/api.go
+++ b/zone/api.go
@@ -4,11 +4,13 @@
 //
 // How to call it: New makes a Book from Terms. The host names the nodes (Node, Forget), tells how each submission of this
 // router ended (Saw), hands over each datagram of a peer (Take), calls Step when it is due (Next), and after each call does
-// what Effects asks for. Time (seconds of a clock that no step moves) is handed in, ids are small indices that the host
+// what Effects asks for. Where one router numbers the steps for all, the host says whether that is this one (Holds), has its
+// Words told, and hands over those that are to be obeyed (Obey); who holds, and that no older word comes after a newer one,
+// is package lease's matter. Time (seconds of a clock that no step moves) is handed in, ids are small indices that the host
 // gives. There is no chance in it: one history of calls gives one history of effects.
 //
-// What travels are counts: how many submissions to a zone ended well and badly of late, at one router. No verdict does:
-// each router sums what it has heard and judges for itself. The ways weighed: docs/zones.md.
+// What travels are counts: how many submissions to a zone ended well, late and badly of late, at one router, or at all that
+// a gatherer has heard of. No verdict does, but the holder's numbered steps. The ways weighed: docs/zones.md.
 package zone
 
 // All stands for every other router.
@@ -17,8 +19,10 @@
 // Terms are what a Book is told at start.
 type Terms struct {
 	Me, Routers int
-	Zone        string // this router's
-	Life        uint32 // differs from that of an earlier start
+	Zone        string            // this router's
+	Life        uint32            // differs from that of an earlier start
+	Every       float64           // s between the holder's words; 0: nobody numbers steps
+	Regions     map[string]string // of zones that fail together for one cause; one that is not named is its own
 }
 
 // Send is a datagram for a peer, or for All.
@@ -33,23 +37,42 @@
 	Until float64
 }
 
+// Hand is what operators have ordered for a zone.
+type Hand uint8
+
+const (
+	Auto  Hand = iota // nothing: evidence decides
+	Leave             // it is left, whatever evidence says
+	Hold              // it stays as it is
+)
+
+func (h Hand) String() string { return [...]string{"auto", "leave", "hold"}[h] }
+
 // Kind of a step.
 type Kind int
 
 const (
 	Left      Kind = iota // the zone is left
 	Returning             // a share of the routers uses it again
+	Slower                // a smaller share does: its nodes are late
 	Back                  // all do
+	Ordered               // operators have ordered something
 )
 
+func (k Kind) String() string {
+	return [...]string{"left", "returning", "slower", "back", "ordered"}[k]
+}
+
 // Event is a step, with the figures it was taken on.
 type Event struct {
-	Kind      Kind
-	Zone      string
-	Share     float64 // of routers that use it
-	Bad, Good int     // of all routers, of late
-	Voices    int     // routers that had bad ones
-	Else      float64 // share of bad ones in other zones
+	Kind            Kind
+	Zone            string
+	Share           float64 // of routers that use it
+	Bad, Late, Good int     // of all routers, of late
+	Voices          int     // routers that had bad or late ones
+	Else            float64 // share of bad ones in other zones
+	Told            bool    // the holder's word said so
+	Hand            Hand
 }
 
 // Effects are what the host is asked to do.
@@ -57,24 +80,39 @@
 	Sends  []Send
 	Doubts []Doubt
 	Events []Event
+	Word   string // the holder's newest, to all; "": no news
 }
 
 // Counts tell what a Book has done.
 type Counts struct {
 	Tells, Bytes, Taken, Spoilt, Old int64
-	Leaves, Returns                  int64
+	Leaves, Returns, Words, Wishes   int64
 }
 
 // State is a zone as this router sees it.
 type State struct {
-	Zone      string  `json:"zone"`
-	Nodes     int     `json:"nodes"`
-	Share     float64 `json:"share"`
-	Uses      bool    `json:"uses"` // this router does
-	Bad, Good int
-	Voices    int     `json:"voices"`
-	Until     float64 `json:"until"` // s until the next step is weighed
-	Flaps     int     `json:"flaps"`
+	Zone   string  `json:"zone"`
+	Nodes  int     `json:"nodes"`
+	Share  float64 `json:"share"`
+	Uses   bool    `json:"uses"` // this router does
+	Bad    int     `json:"bad"`
+	Late   int     `json:"late"`
+	Good   int     `json:"good"`
+	Voices int     `json:"voices"`
+	Flaps  int     `json:"flaps"`
+	Hand   string  `json:"hand"`
+	Number uint64  `json:"number"` // of the newest order
+	Told   bool    `json:"told"`   // by the holder's word, else by this router's own sums
+	Holder int     `json:"holder"` // who numbers steps; -1: nobody is heard
+}
+
+// Bears tells what this router has seen the other zones bear, before a zone is left by hand. Rates are of this router.
+type Bears struct {
+	Zone  string  `json:"zone"`
+	Now   float64 `json:"now"`   // answers a second of all zones
+	Moves float64 `json:"moves"` // of them from the zone that is to be left
+	Seen  float64 `json:"seen"`  // the most a second that the others gave together while under a tenth were late or bad
+	Stays []int   `json:"stays"` // groups that have members in this zone only
 }
 
 const (
@@ -83,26 +121,46 @@
 	tellEvery  = 0.05   // s between a router's counts of a zone
 	fresh      = 0.6    // s that a peer's counts are gone by: a window and its way
 	oldWord    = 0.25   // s that a datagram may have been longer on its way than the quickest of that peer's
+	gatherFrom = 64     // routers from which on counts are gathered by some: each to all would be too many,
+	gatherers  = 5      // for each zone: most may be gone or cut off
+	sumEvery   = 0.1    // s between their sums
 	leastBad   = 8      // bad ones, of all routers, that make a zone's trouble worth a look
 	badShare   = 0.35   // of its outcomes from which it is left: half of the answers lost, less those still awaited
+	lateShare  = 0.6    // the same where late ones count: most of them, since late answers are of use
 	elseShare  = 0.5    // of a zone's share that other zones may have: with more the trouble is everywhere
 	voices     = 3      // routers that must have bad ones,
 	ownBad     = 4      // or so many of this router's own,
 	ownShare   = 0.8    // of its own, and
 	manyNodes  = 2      // nodes that must have failed: one bad node is the splitter's matter
 	nodeShare  = 0.5    // of the zone's nodes that were used
+	lateBy     = 4.0    // times its usual latency from which an answer is late,
+	lateLeast  = 0.005  // s, and so much: below it, the machine's own unrest
+	learnFirst = 5      // answers from which the usual is known, by their mean; then
+	quicker    = 0.1    // weight of one that is quicker than usual,
+	slower     = 0.01   // of one that is slower, and
+	muchSlower = 0.002  // of a late one: what stays so is usual after some hundred
 	stay       = 1.0    // s that a zone is left for before anybody returns,
 	stayMost   = 16.0   // doubled with each return that failed of late, up to this
 	flapShare  = 0.25   // a return that failed before it came so far was a look, and counts for nothing
 	calm       = 60.0   // s after which failed returns are forgotten
+	shareParts = 1e4    // a share is a whole number of such parts, as a word has it
 	firstShare = 0.0625 // of the routers return first,
 	firstLooks = 2.0    // but so many at least,
-	growth     = 2.0    // then twice as many
+	growth     = 2.0    // then twice as many,
+	careful    = 1.2    // or so much more beyond half of the share at which nodes were late
 	stepEvery  = 0.4    // s after each step, at least,
 	stepGood   = 4      // and with so many good ones since
 	stepWait   = 3.0    // s after which a step without traffic is taken all the same
 	failedBack = 0.25   // share of bad ones with which a return has failed, of at least
 	failedBad  = 3      // so many
+	lateBack   = 0.3    // share of late ones from which the share is halved
 	doubtFor   = 0.6    // s that a doubt is given for, and renewed in
 	renewEach  = 0.2    // s
+	wordFresh  = 1.5    // s without a word of the holder's after which each goes by its own sums,
+	wordsLost  = 3.0    // or so many words' time
+	ahead      = 0.5    // s by which own evidence may be ahead of the holder's word
+	wishEach   = 0.1    // s between tries of an order
+	wishFor    = 5.0    // s until it is given up
+	mostSaid   = 6      // zones in a word: what a datagram has room for
+	peakFor    = 600.0  // s by which what zones were seen to bear is half forgotten
 )
--- /dev/null
+++ b/zone/steps.go
@@ -0,0 +1,161 @@
+package zone
+
+// This file owns the steps: when a zone is left, what share of the routers uses it again, and whose word on that counts. It
+// must never leave a zone for what happens everywhere, nor for one node, nor move one that operators hold.
+
+import "math"
+
+// follows tells whether a holder's word paces the steps: one that was heard of late.
+func (b *Book) follows(now float64) bool {
+	return !b.holds && now-b.heard < max(wordFresh, b.terms.Every*wordsLost)
+}
+
+// weigh looks whether a zone's step is due. Whoever sees that a zone fails leaves it at once. How it returns is the holder's
+// to say where its word had it left, or else by our own sums.
+func (b *Book) weigh(z *zone, now float64) {
+	if z.hand != Auto {
+		return
+	}
+	s := b.sees(z, now)
+	if !z.out && s.late+s.bad == 0 {
+		return
+	}
+	other := b.elsewhere(z, now)
+	if b.holds && z.out && !z.wide && s.homes.several() {
+		z.wide = true
+		b.say()
+	}
+	troubled := func(late bool) bool { return other.share(late) <= elseShare*s.share(late) && now-z.since > tellEvery }
+	kind, share := Left, 0.0
+	switch {
+	case !z.out:
+		if !b.ill(z, s, other, now) {
+			return
+		}
+		if z.flaps++; now-z.failed > calm {
+			z.flaps = 0
+		}
+		z.failed, z.most, z.alone = now, 1, true
+		b.counted.Leaves++
+	case z.share > 0 && s.bad >= failedBad && s.share(false) >= failedBack && troubled(false):
+		if z.failed = now; z.share >= flapShare {
+			z.flaps++
+		}
+		z.alone = true
+		b.counted.Leaves++
+	case b.follows(now) && !z.alone: // the rest is the holder's to say
+		return
+	case z.share > 0 && s.late+s.bad >= failedBad && s.share(true) >= lateBack && troubled(true):
+		if now-z.since < stepEvery {
+			return
+		}
+		kind, share = Slower, z.share/growth
+		if z.most = share; share < b.first() {
+			kind, share, z.failed, z.most = Left, 0, now, 1
+			b.counted.Leaves++
+		}
+	case z.share == 0 && now-z.since < min(stayMost, stay*math.Pow(2, float64(z.flaps))):
+		return
+	case z.share > 0 && (now-z.since < stepEvery || s.good < stepGood && now-z.since < stepWait):
+		return
+	case z.share >= 1:
+		b.step(z, Back, 1, s, other, now)
+		return
+	case z.share == 0:
+		kind, share = Returning, b.first()
+	case z.share >= z.most:
+		kind, share = Returning, min(1, z.share*careful)
+	default:
+		kind, share = Returning, min(1, z.share*growth)
+	}
+	b.step(z, kind, share, s, other, now)
+}
+
+// first is the share that returns first.
+func (b *Book) first() float64 { return min(1, max(firstShare, firstLooks/float64(b.terms.Routers))) }
+
+// step takes one.
+func (b *Book) step(z *zone, kind Kind, share float64, s, other sight, now float64) {
+	z.out, z.share, z.since = kind != Back, math.Round(share*shareParts)/shareParts, now
+	if kind == Back {
+		z.alone, z.wide, z.renew = false, false, 0
+		b.counted.Returns++
+	} else {
+		z.wide = z.wide || s.homes.several()
+	}
+	b.happened(z, Event{Kind: kind, Bad: s.bad, Late: s.late, Good: s.good, Voices: s.voices, Else: other.share(true)})
+	b.doubt(z, now)
+	if b.holds {
+		b.say()
+	}
+}
+
+func (b *Book) happened(z *zone, e Event) {
+	e.Zone, e.Share, e.Hand = z.name, z.share, z.hand
+	b.out.Events = append(b.out.Events, e)
+}
+
+// uses tells whether this router is among those that use a zone: the order is the same at all, and another for each zone.
+func (b *Book) uses(z *zone) bool {
+	return !z.out || float64(z.place) < z.share*float64(b.terms.Routers)
+}
+
+// doubt has the splitter prefer other zones, or ends that.
+func (b *Book) doubt(z *zone, now float64) {
+	until := now
+	if !b.uses(z) {
+		until = now + doubtFor
+	}
+	for _, n := range z.nodes {
+		b.out.Doubts = append(b.out.Doubts, Doubt{n.id, until})
+	}
+	z.renew = now + renewEach
+}
+
+// Next is when Step is due.
+func (b *Book) Next() float64 {
+	next := math.Inf(1)
+	for _, z := range b.order {
+		if z.out {
+			next = min(next, z.renew)
+		}
+	}
+	for _, w := range b.wishes {
+		next = min(next, w.next)
+	}
+	return next
+}
+
+// Step does what is due.
+func (b *Book) Step(now float64) {
+	b.urge(now)
+	for _, z := range b.order {
+		if !z.out || now < z.renew {
+			continue
+		}
+		b.weigh(z, now)
+		if z.out {
+			b.doubt(z, now)
+			if z.loud || z.share > 0 {
+				b.tell(z, now)
+			}
+		}
+	}
+}
+
+// bears notes how much a zone was seen to give here while all was well with it.
+func (z *zone) bears(now float64) {
+	if now-z.peakAt < window/slots {
+		return
+	}
+	var s sight
+	for _, n := range z.nodes {
+		x := n.seen.sum(now)
+		s.good, s.late, s.bad = s.good+x[good], s.late+x[late], s.bad+x[bad]
+	}
+	z.peak *= math.Pow(0.5, (now-z.peakAt)/peakFor)
+	z.peakAt = now
+	if s.share(true) < 0.1 {
+		z.peak = max(z.peak, float64(s.good)/window)
+	}
+}
--- a/zone/wire.go
+++ b/zone/wire.go
@@ -1,10 +1,13 @@
 package zone
 
-// This file owns the form of a datagram: 31 bytes.
+// This file owns the form of datagrams and of the holder's word.
 
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -12,41 +15,128 @@
 // First is the first byte of a datagram of ours; package lore's are below 0x20, package lease's below 0x30.
 const First = 0x30
 
-const mostBytes = 31
+const (
+	kindCounts = First + iota // what one router saw of a zone
+	kindSum                   // what a gatherer has heard of it
+	kindWish                  // an order for the holder
+)
+
+const mostBytes = 64
 
 var errSpoilt = errors.New("no datagram of ours")
 
-// counts is a datagram: what one router saw of a zone in a window.
+// head begins each datagram.
+type head struct {
+	From uint16
+	Life uint32
+	At   uint32 // ms, of the sender's clock
+	Zone uint32 // a hash of its name
+}
+
+// counts is what one router saw of a zone in a window.
 type counts struct {
-	From      uint16
-	Life      uint32
-	At        uint32 // ms, of the sender's clock
-	Zone      uint32 // a hash of its name
-	Home      uint32 // of the sender's own zone
-	Good, Bad uint16
-	Nodes     uint16 // that had bad ones, a bit each
-	Used      uint16 // that had any
+	head
+	Home            uint32 // hash of the sender's own zone
+	Good, Late, Bad uint16
+	Nodes           uint16 // that had late or bad ones, a bit each
+	Used            uint16 // that had any
+}
+
+// sum is what a gatherer has heard in a window.
+type sum struct {
+	head
+	Good, Late, Bad uint32
+	Voices          uint16
+	Homes           homes // of the voices
+	Nodes, Used     uint16
+}
+
+// wish asks the holder for an order. One that has its number is told to a holder that does not know of it; a new one bears
+// the number of the order that it follows, so that it counts once, however often it comes.
+type wish struct {
+	head
+	Number uint64
+	What   uint8
 }
 
-func (c *counts) format() []byte {
+func format(kind byte, x any) []byte {
 	b := make([]byte, 5, mostBytes)
-	b[0] = First
-	b, _ = binary.Append(b, binary.BigEndian, c)
-	binary.BigEndian.PutUint32(b[1:], sum(b))
+	b[0] = kind
+	b, _ = binary.Append(b, binary.BigEndian, x)
+	binary.BigEndian.PutUint32(b[1:], check(b))
 	return b
 }
 
-func sum(b []byte) uint32 {
+func check(b []byte) uint32 {
 	h := xxhash.Sum64(b[5:]) ^ uint64(b[0])*0x9e3779b97f4a7c15
 	return uint32(h ^ h>>32)
 }
 
-func parse(b []byte) (c counts, err error) {
-	if len(b) != mostBytes || b[0] != First || binary.BigEndian.Uint32(b[1:]) != sum(b) {
-		return c, errSpoilt
+// parse gives a *counts, *sum or *wish.
+func parse(b []byte) (any, *head, error) {
+	if len(b) < 5 || binary.BigEndian.Uint32(b[1:]) != check(b) {
+		return nil, nil, errSpoilt
+	}
+	var x any
+	var h *head
+	switch b[0] {
+	case kindCounts:
+		c := &counts{}
+		x, h = c, &c.head
+	case kindSum:
+		s := &sum{}
+		x, h = s, &s.head
+	case kindWish:
+		w := &wish{}
+		x, h = w, &w.head
+	default:
+		return nil, nil, errSpoilt
+	}
+	if n, err := binary.Decode(b[5:], binary.BigEndian, x); err != nil || n != len(b)-5 {
+		return nil, nil, errSpoilt
 	}
-	_, err = binary.Decode(b[5:], binary.BigEndian, &c)
-	return c, err
+	return x, h, nil
 }
 
 func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// said is an entry of the holder's word: a zone that is out, or that operators have ordered something for.
+type said struct {
+	key    uint32
+	share  float64
+	hand   Hand
+	number uint64
+}
+
+// formatWord writes a word: KEY:SHARE:HAND:NUMBER, by commas; "-" where there is nothing to say.
+func formatWord(all []said) string {
+	var parts []string
+	for _, s := range all {
+		parts = append(parts, fmt.Sprintf("%x:%s:%d:%x", s.key, strconv.FormatFloat(s.share, 'g', 4, 64), s.hand, s.number))
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, ",")
+}
+
+func parseWord(text string) (out []said, err error) {
+	if text == "-" || text == "" {
+		return nil, nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		f := strings.Split(part, ":")
+		if len(f) != 4 {
+			return nil, errSpoilt
+		}
+		key, err1 := strconv.ParseUint(f[0], 16, 32)
+		share, err2 := strconv.ParseFloat(f[1], 64)
+		hand, err3 := strconv.ParseUint(f[2], 10, 8)
+		number, err4 := strconv.ParseUint(f[3], 16, 64)
+		if errors.Join(err1, err2, err3, err4) != nil || !(share >= 0 && share <= 1) || hand > uint64(Hold) {
+			return nil, errSpoilt
+		}
+		out = append(out, said{uint32(key), share, Hand(hand), number})
+	}
+	return out, nil
+}
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -1,9 +1,12 @@
 package zone
 
-// This file owns the evidence and the steps. It must never leave a zone for what happens everywhere, nor for one node.
+// This file owns the evidence: what this router saw, and what others have told of theirs. It must never take what was long on
+// its way for what is now.
 
 import (
+	"cmp"
 	"encoding/binary"
+	"fmt"
 	"math"
 	"math/bits"
 	"slices"
@@ -21,19 +24,35 @@
 	offsets []offset // by peer
 	out     Effects
 	counted Counts
+	holds   bool   // this router numbers the steps
+	token   uint64 // of that
+	ordered uint64 // orders numbered under it
+	leader  int    // whose word was obeyed last; -1: nobody's
+	heard   float64
+	wishes  []*wanted
 }
 
 type node struct {
-	id   int
-	bit  uint16 // that stands for it in what is told: of two nodes in sixteen one is not told from the other
-	zone *zone
-	seen tally
+	id, group int
+	bit       uint16 // that stands for it in what is told: of two nodes in sixteen one is not told from the other
+	zone      *zone
+	seen      tally
 }
 
-// tally is good and bad outcomes of the last window, by parts of it.
+// outcome of a submission.
+type outcome int
+
+const (
+	good outcome = iota
+	late
+	bad
+	outcomes
+)
+
+// tally is outcomes of the last window, by parts of it.
 type tally struct {
-	part      int64 // number of the newest
-	good, bad [slots]uint16
+	part int64 // number of the newest
+	n    [outcomes][slots]uint16
 }
 
 func (t *tally) roll(now float64) {
@@ -42,59 +61,96 @@
 		*t = tally{part: part}
 	}
 	for ; t.part < part; t.part++ {
-		t.good[(t.part+1)%slots], t.bad[(t.part+1)%slots] = 0, 0
+		for o := range outcomes {
+			t.n[o][(t.part+1)%slots] = 0
+		}
 	}
 }
 
-func (t *tally) add(ok bool, now float64) {
+func (t *tally) add(o outcome, now float64) {
 	t.roll(now)
-	if ok {
-		t.good[t.part%slots]++
-	} else {
-		t.bad[t.part%slots]++
-	}
+	t.n[o][t.part%slots]++
 }
 
-func (t *tally) sum(now float64) (good, bad int) {
+func (t *tally) sum(now float64) (out [outcomes]int) {
 	t.roll(now)
-	for i := range slots {
-		good, bad = good+int(t.good[i]), bad+int(t.bad[i])
+	for o := range outcomes {
+		for _, n := range t.n[o] {
+			out[o] += int(n)
+		}
+	}
+	return out
+}
+
+// usual is how long an answer of a zone takes, by txn type.
+type usual struct {
+	n    int
+	mean float64
+}
+
+// learn takes a latency, and tells whether it is late.
+func (u *usual) learn(latency float64) bool {
+	if u.n < learnFirst {
+		u.n++
+		u.mean += (latency - u.mean) / float64(u.n)
+		return false
 	}
-	return good, bad
+	gain, over := slower, latency > lateBy*u.mean+lateLeast
+	switch {
+	case over:
+		gain = muchSlower
+	case latency < u.mean:
+		gain = quicker
+	}
+	u.mean += gain * (latency - u.mean)
+	return over
 }
 
 // offset is between a peer's clock and ours, with the quickest way seen.
 type offset struct {
 	life uint32
 	ms   float64
-	at   uint32 // of its newest word
 	has  bool
 }
 
 type word struct {
-	at float64
-	counts
+	at   float64
+	life uint32
+	sent uint32
+	sight
 }
 
 type zone struct {
 	name   string
 	key    uint32
+	region string
 	nodes  []*node
+	usual  []usual      // by txn type
 	words  map[int]word // of peers, the newest of each
+	sums   map[int]word // of gatherers
 	told   float64
+	summed float64
 	loud   bool    // our last counts had bad ones, or it is returning: a good word is news
 	out    bool    // left, or returning
+	alone  bool    // by our own sums, not by the holder's word
+	wide   bool    // routers of several zones have trouble with it: it is for the holder's word
 	share  float64 // of routers that use it while out
+	most   float64 // share up to which it returns quickly
 	place  int     // ours in the order in which they return
+	gather []int   // who adds up what all say of it
 	since  float64 // of the last step
 	flaps  int
 	failed float64 // when it was last left
 	renew  float64
+	hand   Hand
+	number uint64  // of that order; 0: there was none
+	peak   float64 // answers a second that it was seen to bear, here
+	peakAt float64
 }
 
 // New makes a Book that has seen nothing.
 func New(t Terms) *Book {
-	return &Book{terms: t, zones: map[uint32]*zone{}, offsets: make([]offset, t.Routers)}
+	return &Book{terms: t, zones: map[uint32]*zone{}, offsets: make([]offset, t.Routers), leader: -1, heard: math.Inf(-1)}
 }
 
 // Effects hands over what is to be done, once.
@@ -107,8 +163,30 @@
 // Counted tells the counts.
 func (b *Book) Counted() Counts { return b.counted }
 
-// Node names a member of the list and its zone. One without a zone is in none.
-func (b *Book) Node(id int, uid, name string) {
+// zone finds one by its key; a word may name one whose nodes are not listed here yet.
+func (b *Book) zone(key uint32, name string) *zone {
+	z := b.zones[key]
+	if z == nil {
+		z = &zone{key: key, words: map[int]word{}, sums: map[int]word{}, share: 1, most: 1, failed: math.Inf(-1)}
+		z.place, z.gather = b.ranks(key)
+		b.zones[key] = z
+		b.order = append(b.order, z)
+	}
+	if z.name == "" || name != "" {
+		z.name = name
+		if name == "" {
+			z.name = fmt.Sprintf("?%x", key)
+		}
+		if z.region = b.terms.Regions[z.name]; z.region == "" {
+			z.region = z.name
+		}
+		slices.SortFunc(b.order, func(a, b *zone) int { return strings.Compare(a.name, b.name) })
+	}
+	return z
+}
+
+// Node names a member of the list, its group and its zone. One without a zone is in none.
+func (b *Book) Node(id int, uid, name string, group int) {
 	for id >= len(b.nodes) {
 		b.nodes = append(b.nodes, nil)
 	}
@@ -116,14 +194,8 @@
 		return
 	}
 	b.Forget(id)
-	z := b.zones[hash(name)]
-	if z == nil {
-		z = &zone{name: name, key: hash(name), words: map[int]word{}, place: b.place(hash(name)), share: 1, failed: math.Inf(-1)}
-		b.zones[z.key] = z
-		b.order = append(b.order, z)
-		slices.SortFunc(b.order, func(a, b *zone) int { return strings.Compare(a.name, b.name) })
-	}
-	n := &node{id: id, bit: 1 << (hash(uid) % 16), zone: z}
+	z := b.zone(hash(name), name)
+	n := &node{id: id, group: group, bit: 1 << (hash(uid) % 16), zone: z}
 	b.nodes[id] = n
 	z.nodes = append(z.nodes, n)
 }
@@ -138,63 +210,109 @@
 	b.nodes[id] = nil
 }
 
-// Saw tells how a submission ended. What a node turns away or misses shows nothing of its zone, and is not told here.
-func (b *Book) Saw(id int, ok bool, now float64) {
-	if id >= len(b.nodes) || b.nodes[id] == nil {
+// Saw tells how a submission of a txn type ended, and after how long. What a node turns away or misses shows nothing of its
+// zone, and is not told here.
+func (b *Book) Saw(id, typ int, ok bool, latency, now float64) {
+	if id >= len(b.nodes) || b.nodes[id] == nil || typ < 0 {
 		return
 	}
 	n := b.nodes[id]
-	n.seen.add(ok, now)
 	z := n.zone
-	if (!ok || z.loud) && now-z.told >= tellEvery {
+	for typ >= len(z.usual) {
+		z.usual = append(z.usual, usual{})
+	}
+	o := bad
+	if ok {
+		if o = good; z.usual[typ].learn(latency) {
+			o = late
+		}
+	}
+	n.seen.add(o, now)
+	z.bears(now)
+	if (o != good || z.loud) && now-z.told >= tellEvery {
 		b.tell(z, now)
 	}
 	b.weigh(z, now)
 }
 
 // own sums what this router saw of a zone.
-func (z *zone) own(now float64) (c counts) {
+func (b *Book) own(z *zone, now float64) (s sight) {
 	for _, n := range z.nodes {
-		good, bad := n.seen.sum(now)
-		c.Good, c.Bad = c.Good+uint16(good), c.Bad+uint16(bad)
-		if good+bad > 0 {
-			c.Used |= n.bit
+		x := n.seen.sum(now)
+		s.good, s.late, s.bad = s.good+x[good], s.late+x[late], s.bad+x[bad]
+		if x[good]+x[late]+x[bad] > 0 {
+			s.used |= n.bit
 		}
-		if bad > 0 {
-			c.Nodes |= n.bit
+		if x[late]+x[bad] > 0 {
+			s.nodes |= n.bit
 		}
 	}
-	return c
+	if s.late+s.bad > 0 {
+		s.voices, s.homes = 1, homes{hash(b.terms.Zone)}
+	}
+	return s
 }
 
-// tell says our counts of a zone to all.
+// send writes a datagram, with our head.
+func (b *Book) send(to int, kind byte, h *head, x any, z *zone, now float64) {
+	*h = head{uint16(b.terms.Me), b.terms.Life, uint32(int64(now * 1000)), z.key}
+	text := format(kind, x)
+	b.counted.Tells++
+	b.counted.Bytes += int64(len(text))
+	b.out.Sends = append(b.out.Sends, Send{to, text})
+}
+
+// tell says our counts of a zone, to all or to those who gather.
 func (b *Book) tell(z *zone, now float64) {
-	c := z.own(now)
-	z.told, z.loud = now, c.Bad > 0 || z.out
+	s := b.own(z, now)
+	z.told, z.loud = now, s.late+s.bad > 0 || z.out
 	if b.terms.Routers < 2 {
 		return
 	}
-	c.From, c.Life, c.At = uint16(b.terms.Me), b.terms.Life, uint32(int64(now*1000))
-	c.Zone, c.Home = z.key, hash(b.terms.Zone)
-	text := c.format()
-	b.counted.Tells++
-	b.counted.Bytes += int64(len(text))
-	b.out.Sends = append(b.out.Sends, Send{All, text})
+	c := counts{Home: hash(b.terms.Zone), Good: uint16(s.good), Late: uint16(s.late), Bad: uint16(s.bad), Nodes: s.nodes, Used: s.used}
+	if b.terms.Routers < gatherFrom {
+		b.send(All, kindCounts, &c.head, &c, z, now)
+		return
+	}
+	for _, r := range z.gather {
+		if r != b.terms.Me {
+			b.send(r, kindCounts, &c.head, &c, z, now)
+		}
+	}
+	b.addUp(z, now)
+}
+
+// addUp tells all what we have heard, where we gather.
+func (b *Book) addUp(z *zone, now float64) {
+	if now-z.summed < sumEvery || !slices.Contains(z.gather, b.terms.Me) {
+		return
+	}
+	s := b.hears(z, now)
+	if s.late+s.bad == 0 && !z.out {
+		return
+	}
+	z.summed = now
+	x := sum{Good: uint32(s.good), Late: uint32(s.late), Bad: uint32(s.bad), Voices: uint16(s.voices), Homes: s.homes, Nodes: s.nodes, Used: s.used}
+	b.send(All, kindSum, &x.head, &x, z, now)
 }
 
 // Take takes a datagram that came from the address of a peer, and tells whether it was one of ours. One that was long on its
 // way, or overtaken, says nothing.
 func (b *Book) Take(from int, datagram []byte, now float64) bool {
-	c, err := parse(datagram)
-	if err != nil || int(c.From) != from || from == b.terms.Me || from >= len(b.offsets) {
+	x, h, err := parse(datagram)
+	if err != nil || int(h.From) != from || from == b.terms.Me || from >= len(b.offsets) {
 		b.counted.Spoilt++
 		return false
 	}
 	b.counted.Taken++
+	if w, ok := x.(*wish); ok { // its number says whether it is old
+		b.asked(w, now)
+		return true
+	}
 	o := &b.offsets[from]
-	ms := now*1000 - float64(c.At)
-	if !o.has || o.life != c.Life {
-		*o = offset{life: c.Life, ms: ms, has: true}
+	ms := now*1000 - float64(h.At)
+	if !o.has || o.life != h.Life {
+		*o = offset{life: h.Life, ms: ms, has: true}
 	}
 	if d := math.Remainder(ms-o.ms, 1<<32); d < 0 {
 		o.ms = ms
@@ -202,194 +320,163 @@
 		b.counted.Old++
 		return true
 	}
-	z := b.zones[c.Zone]
+	z := b.zones[h.Zone]
 	if z == nil || len(z.nodes) == 0 {
 		return true
 	}
-	if was, ok := z.words[from]; ok && was.Life == c.Life && int32(c.At-was.At) < 0 {
+	w, in := word{at: now, life: h.Life, sent: h.At}, z.words
+	switch x := x.(type) {
+	case *counts:
+		w.sight = sight{good: int(x.Good), late: int(x.Late), bad: int(x.Bad), nodes: x.Nodes, used: x.Used}
+		if x.Late+x.Bad > 0 {
+			w.voices, w.homes = 1, homes{x.Home}
+		}
+	case *sum:
+		in = z.sums
+		w.sight = sight{good: int(x.Good), late: int(x.Late), bad: int(x.Bad), voices: int(x.Voices), homes: x.Homes, nodes: x.Nodes, used: x.Used}
+	}
+	if was, ok := in[from]; ok && was.life == h.Life && int32(h.At-was.sent) < 0 {
 		b.counted.Old++
 		return true
 	}
-	z.words[from] = word{now, c}
+	in[from] = w
+	b.addUp(z, now)
 	b.weigh(z, now)
 	return true
 }
 
-// sight is what all routers together saw of a zone of late.
+// homes are the zones of the routers that have trouble, the first two in order: whether there are two, and if not which one
+// it is, is all that matters. 0 is none.
+type homes [2]uint32
+
+func (h homes) several() bool { return h[1] != 0 }
+
+func (h homes) with(o homes) homes {
+	if o == (homes{}) || o == h {
+		return h
+	}
+	all := []uint32{h[0], h[1], o[0], o[1]}
+	slices.Sort(all)
+	all = slices.Compact(slices.DeleteFunc(all, func(x uint32) bool { return x == 0 }))
+	var out homes
+	copy(out[:], all)
+	return out
+}
+
+// sight is what some routers together saw of a zone of late.
 type sight struct {
-	good, bad, voices, homes int
-	mine                     bool // some of them in this router's own zone
-	nodes, used              uint16
+	good, late, bad, voices int
+	homes                   homes
+	nodes, used             uint16
+}
+
+func (s *sight) add(o sight) {
+	s.good, s.late, s.bad, s.voices = s.good+o.good, s.late+o.late, s.bad+o.bad, s.voices+o.voices
+	s.homes, s.nodes, s.used = s.homes.with(o.homes), s.nodes|o.nodes, s.used|o.used
 }
 
-func (s sight) share() float64 {
-	if s.good+s.bad == 0 {
+func (s *sight) all() int { return s.good + s.late + s.bad }
+
+// share is that of bad ones; of those that were late, too.
+func (s *sight) share(late bool) float64 {
+	if s.all() == 0 {
 		return 0
 	}
-	return float64(s.bad) / float64(s.good+s.bad)
+	if late {
+		return float64(s.bad+s.late) / float64(s.all())
+	}
+	return float64(s.bad) / float64(s.all())
 }
 
-func (b *Book) sees(z *zone, now float64) (s sight) {
-	own := z.own(now)
-	own.Home = hash(b.terms.Zone)
-	homes := map[uint32]bool{}
-	hear := func(c counts) {
-		s.good, s.bad = s.good+int(c.Good), s.bad+int(c.Bad)
-		s.nodes, s.used = s.nodes|c.Nodes, s.used|c.Used
-		if c.Bad > 0 {
-			s.voices++
-			homes[c.Home] = true
-			s.mine = s.mine || c.Home == own.Home
-		}
-	}
-	hear(own)
+// hears adds up what this router saw and what others have told it of theirs.
+func (b *Book) hears(z *zone, now float64) sight {
+	s := b.own(z, now)
 	for from, w := range z.words {
 		if now-w.at > fresh {
 			delete(z.words, from)
 			continue
 		}
-		hear(w.counts)
+		s.add(w.sight)
 	}
-	s.homes = len(homes)
 	return s
 }
 
-// elsewhere is the share of bad outcomes in other zones, by what this router knows.
-func (b *Book) elsewhere(z *zone, now float64) (share float64, used bool) {
-	var all sight
+// sees is the fullest sight that there is: gatherers' overlap, so they are not added up.
+func (b *Book) sees(z *zone, now float64) sight {
+	s := b.hears(z, now)
+	for _, from := range b.sumsOf(z, now) {
+		if w := z.sums[from]; w.all() > s.all() {
+			s = w.sight
+		}
+	}
+	return s
+}
+
+// sumsOf lists whose sums count, in order.
+func (b *Book) sumsOf(z *zone, now float64) (out []int) {
+	for from, w := range z.sums {
+		if now-w.at > fresh {
+			delete(z.sums, from)
+		} else {
+			out = append(out, from)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// elsewhere is what other regions show, by what this router knows.
+func (b *Book) elsewhere(z *zone, now float64) (all sight) {
 	for _, o := range b.order {
-		if o != z {
-			s := b.sees(o, now)
-			all.good, all.bad = all.good+s.good, all.bad+s.bad
+		if o.region != z.region {
+			all.add(b.sees(o, now))
 		}
 	}
-	return all.share(), all.good+all.bad > 0
+	return all
 }
 
-// ill tells whether a zone fails as such.
-func (b *Book) ill(z *zone, s sight, other float64, used bool, now float64) bool {
+// ill tells whether a zone fails as such, or is late as such.
+func (b *Book) ill(z *zone, s, other sight, now float64) bool {
 	switch {
-	case !used || other > elseShare*s.share(): // no other zone to compare with, or the trouble is there too
+	case other.all() == 0: // no other to compare with
 		return false
-	case s.homes < 2 && !s.mine: // it is the way there from another zone
+	case !s.homes.several() && s.homes[0] != hash(b.terms.Zone): // it is the way there from another zone
 		return false
 	case bits.OnesCount16(s.nodes) < min(manyNodes, len(z.nodes)) || float64(bits.OnesCount16(s.nodes)) < nodeShare*float64(bits.OnesCount16(s.used)):
 		return false
 	}
-	own := z.own(now)
-	if int(own.Bad) >= ownBad && float64(own.Bad) >= ownShare*float64(own.Bad+own.Good) {
-		return true
-	}
-	return s.bad >= leastBad && s.share() >= badShare && s.voices >= min(voices, b.terms.Routers)
-}
-
-// weigh looks whether a zone's step is due.
-func (b *Book) weigh(z *zone, now float64) {
-	s := b.sees(z, now)
-	other, used := b.elsewhere(z, now)
-	event := Event{Zone: z.name, Bad: s.bad, Good: s.good, Voices: s.voices, Else: other}
-	switch {
-	case !z.out:
-		if !b.ill(z, s, other, used, now) {
-			return
+	own := b.own(z, now)
+	for _, late := range []bool{false, true} {
+		n, mine, least := s.bad, own.bad, badShare
+		if late {
+			n, mine, least = n+s.late, mine+own.late, lateShare
 		}
-		if z.flaps++; now-z.failed > calm {
-			z.flaps = 0
+		if other.share(late) > elseShare*s.share(late) { // the trouble is there too
+			continue
 		}
-		z.failed = now
-		z.out, z.share, z.since = true, 0, now
-		b.counted.Leaves++
-		event.Kind = Left
-	case z.share > 0 && s.bad >= failedBad && s.share() >= failedBack && other <= elseShare*s.share() && now-z.since > tellEvery:
-		if z.failed = now; z.share >= flapShare {
-			z.flaps++
+		if !late && mine >= ownBad && float64(mine) >= ownShare*float64(own.all()) || n >= leastBad && s.share(late) >= least && s.voices >= min(voices, b.terms.Routers) {
+			return true
 		}
-		z.share, z.since = 0, now
-		b.counted.Leaves++
-		event.Kind = Left
-	case z.share == 0 && now-z.since < min(stayMost, stay*math.Pow(2, float64(z.flaps))):
-		return
-	case z.share > 0 && (now-z.since < stepEvery || s.good < stepGood && now-z.since < stepWait):
-		return
-	case z.share >= 1:
-		z.out, z.renew = false, 0
-		b.counted.Returns++
-		event.Kind = Back
-	default:
-		z.share, z.since = min(1, max(firstShare, firstLooks/float64(b.terms.Routers), z.share*growth)), now
-		event.Kind = Returning
 	}
-	event.Share = z.share
-	b.out.Events = append(b.out.Events, event)
-	b.doubt(z, now)
-}
-
-// uses tells whether this router is among those that use a zone: the order is the same at all, and another for each zone.
-func (b *Book) uses(z *zone) bool {
-	return !z.out || float64(z.place) < z.share*float64(b.terms.Routers)
+	return false
 }
 
-// place is this router's in the order for a zone.
-func (b *Book) place(key uint32) (place int) {
+// ranks gives our place in the order for a zone, in which routers return; and where there are many, its last ones: they add
+// up what all say of it.
+func (b *Book) ranks(key uint32) (place int, gather []int) {
 	rank := func(router int) uint64 {
 		var b [8]byte
 		binary.BigEndian.PutUint32(b[:], key)
 		binary.BigEndian.PutUint32(b[4:], uint32(router))
 		return xxhash.Sum64(b[:])
 	}
-	own := rank(b.terms.Me)
-	for r := range b.terms.Routers {
-		if rank(r) < own {
-			place++
-		}
+	all := make([]int, b.terms.Routers)
+	for r := range all {
+		all[r] = r
 	}
-	return place
-}
-
-// doubt has the splitter prefer other zones, or ends that.
-func (b *Book) doubt(z *zone, now float64) {
-	until := now
-	if !b.uses(z) {
-		until = now + doubtFor
+	slices.SortFunc(all, func(a, b int) int { return cmp.Compare(rank(a), rank(b)) })
+	if b.terms.Routers >= gatherFrom {
+		gather = all[len(all)-gatherers:]
 	}
-	for _, n := range z.nodes {
-		b.out.Doubts = append(b.out.Doubts, Doubt{n.id, until})
-	}
-	z.renew = now + renewEach
-}
-
-// Next is when Step is due.
-func (b *Book) Next() float64 {
-	next := math.Inf(1)
-	for _, z := range b.order {
-		if z.out {
-			next = min(next, z.renew)
-		}
-	}
-	return next
-}
-
-// Step does what is due.
-func (b *Book) Step(now float64) {
-	for _, z := range b.order {
-		if !z.out || now < z.renew {
-			continue
-		}
-		b.weigh(z, now)
-		if z.out {
-			b.doubt(z, now)
-			if z.loud || z.share > 0 {
-				b.tell(z, now)
-			}
-		}
-	}
-}
-
-// States tells the zones.
-func (b *Book) States(now float64) (out []State) {
-	for _, z := range b.order {
-		s := b.sees(z, now)
-		out = append(out, State{Zone: z.name, Nodes: len(z.nodes), Share: z.share, Uses: b.uses(z), Bad: s.bad, Good: s.good, Voices: s.voices, Flaps: z.flaps})
-	}
-	return out
+	return slices.Index(all, b.terms.Me), gather
 }
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -24,20 +24,30 @@
 	rng     *rand.Rand
 	now     float64
 	zones   []string
+	regions map[string]string
 	books   []*Book
 	home    []string
 	doubted [][]float64 // by router and node
 	nodes   []string    // their zones
 	ill     []float64   // share of their answers that are bad
+	slow    []float64   // times its usual latency that each takes
+	asks    []int       // reads of each
 	late    float64     // s until a bad one is known
-	cut     map[string]bool
-	rate    float64 // reads a second of a router
+	holder  int         // who numbers the steps; -1: nobody
+	dead    []bool      // by router
+	token   uint64
+	mute    map[int]bool    // holders whose words go nowhere
+	cut     map[string]bool // ways from routers of a zone to nodes and routers of another
+	silent  map[string]bool // only to routers
+	rate    float64         // reads a second of a router
 	queue   queue
 	count   int
 	asked   map[string]int
 	bytes   int
 	events  []Event
 	steps   int
+	word    string
+	speaks  int // numbers a holder's series of words
 }
 
 type due struct {
@@ -65,17 +75,17 @@
 	heap.Push(&f.queue, due{f.now + d, f.count, do})
 }
 
-func newFleet(t *testing.T, routers int, zones []string, nodesEach int, rate float64) *fleet {
-	f := &fleet{t: t, rng: rand.New(rand.NewSource(1)), now: 100, zones: zones, cut: map[string]bool{}, rate: rate, asked: map[string]int{}, late: 0.003}
+func newFleet(t *testing.T, routers int, zones []string, nodesEach int, rate float64, regions map[string]string) *fleet {
+	f := &fleet{regions: regions, t: t, rng: rand.New(rand.NewSource(1)), now: 100, zones: zones, cut: map[string]bool{}, rate: rate, holder: -1, dead: make([]bool, routers), mute: map[int]bool{}, silent: map[string]bool{}, asked: map[string]int{}, late: 0.003}
 	for k := range nodesEach * len(zones) {
 		f.nodes = append(f.nodes, zones[k%len(zones)])
-		f.ill = append(f.ill, 0)
+		f.ill, f.slow, f.asks = append(f.ill, 0), append(f.slow, 1), append(f.asks, 0)
 	}
 	for i := range routers {
 		f.home = append(f.home, zones[i%len(zones)])
-		b := New(Terms{Me: i, Routers: routers, Zone: f.home[i], Life: uint32(i + 1)})
+		b := New(Terms{Me: i, Routers: routers, Zone: f.home[i], Life: uint32(i + 1), Every: 0.4, Regions: f.regions})
 		for k, z := range f.nodes {
-			b.Node(k, fmt.Sprint("n", k), z)
+			b.Node(k, fmt.Sprint("n", k), z, k%3)
 		}
 		f.books = append(f.books, b)
 		f.doubted = append(f.doubted, make([]float64, len(f.nodes)))
@@ -91,12 +101,16 @@
 	e := f.books[i].Effects()
 	f.events = append(f.events, e.Events...)
 	f.steps += len(e.Events)
+	if e.Word != "" && i == f.holder {
+		f.word = e.Word
+		f.speak(i)
+	}
 	for _, d := range e.Doubts {
 		f.doubted[i][d.Node] = d.Until
 	}
 	for _, s := range e.Sends {
 		for k := range f.books {
-			if k != i && !f.cut[f.home[i]+">"+f.home[k]] {
+			if k != i && (s.To == All || s.To == k) && !f.dead[k] && !f.silent[f.home[i]+">"+f.home[k]] && !f.cut[f.home[i]+">"+f.home[k]] {
 				f.bytes += len(s.Bytes)
 				f.after(0.0005+0.005*f.rng.Float64(), func() {
 					f.books[k].Take(i, s.Bytes, f.clock(k))
@@ -107,7 +121,44 @@
 	}
 }
 
+// speak has the holder's word go to all, and again until there is another: what package lease does where all is well.
+func (f *fleet) speak(i int) {
+	f.speaks++
+	n, text := f.speaks, f.word
+	for k := range f.books {
+		if k != i && !f.dead[k] && !f.mute[i] {
+			f.after(0.0005+0.005*f.rng.Float64(), func() {
+				if f.speaks == n { // a newer one is obeyed else
+					require.NoError(f.t, f.books[k].Obey(i, text, f.clock(k)))
+					f.act(k)
+				}
+			})
+		}
+	}
+	f.after(0.4, func() {
+		if f.speaks == n && f.holder == i && !f.dead[i] {
+			f.speak(i)
+		}
+	})
+}
+
+// hold has a router number the steps, or nobody.
+func (f *fleet) hold(i int) {
+	if was := f.holder; was >= 0 {
+		f.books[was].Holds(false, 0, f.clock(was))
+	}
+	f.speaks++
+	if f.holder = i; i >= 0 {
+		f.token++
+		f.books[i].Holds(true, f.token, f.clock(i))
+		f.act(i)
+	}
+}
+
 func (f *fleet) tick(i int) {
+	if f.dead[i] {
+		return
+	}
 	if f.books[i].Next() <= f.clock(i) {
 		f.books[i].Step(f.clock(i))
 		f.act(i)
@@ -116,6 +167,9 @@
 }
 
 func (f *fleet) read(i int) {
+	if f.dead[i] {
+		return
+	}
 	f.after(f.rng.ExpFloat64()/f.rate, func() { f.read(i) })
 	var best []int
 	least := math.Inf(1)
@@ -130,13 +184,17 @@
 	}
 	n := best[f.rng.Intn(len(best))]
 	f.asked[f.nodes[n]]++
+	f.asks[n]++
 	bad := f.rng.Float64() < f.ill[n] || f.cut[f.home[i]+">"+f.nodes[n]]
-	wait := 0.003
+	wait := 0.003 * (0.5 + f.rng.Float64()) * f.slow[n]
 	if bad {
 		wait = f.late
 	}
 	f.after(wait, func() {
-		f.books[i].Saw(n, !bad, f.clock(i))
+		if f.dead[i] {
+			return
+		}
+		f.books[i].Saw(n, 0, !bad, wait, f.clock(i))
 		f.act(i)
 	})
 }
@@ -156,7 +214,7 @@
 // using counts the routers, of a home or all (""), that use a zone.
 func (f *fleet) using(zone, home string) (n int) {
 	for i, b := range f.books {
-		if home != "" && f.home[i] != home {
+		if f.dead[i] || home != "" && f.home[i] != home {
 			continue
 		}
 		for _, s := range b.States(f.clock(i)) {
@@ -179,6 +237,7 @@
 			require.NoError(t, err)
 			defer in.Close()
 			var f *fleet
+			regions := map[string]string{}
 			lines := bufio.NewScanner(in)
 			for at := 1; lines.Scan(); at++ {
 				line, _, _ := strings.Cut(lines.Text(), "#")
@@ -193,8 +252,41 @@
 					return x
 				}
 				switch w[0] {
+				case "region": // NAME ZONE...; before the fleet
+					for _, z := range w[2:] {
+						regions[z] = w[1]
+					}
 				case "fleet": // routers, nodes of a zone, reads a second of a router, zones
-					f = newFleet(t, int(num(1)), w[4:], int(num(2)), num(3))
+					f = newFleet(t, int(num(1)), w[4:], int(num(2)), num(3), regions)
+				case "holder": // numbers the steps from now on; -1: nobody
+					f.hold(int(num(1)))
+				case "mute": // this holder's words go nowhere, though it goes on
+					f.mute[int(num(1))] = true
+				case "kill": // routers from one number to another
+					for i := int(num(1)); i <= int(num(2)); i++ {
+						f.dead[i] = true
+					}
+				case "order": // WHAT ZONE, asked of a router; "not" where it has to be refused
+					what := map[string]Hand{"auto": Auto, "leave": Leave, "hold": Hold}[w[1]]
+					i := int(num(3))
+					err := f.books[i].Order(w[2], what, f.clock(i))
+					if len(w) > 4 {
+						require.Error(t, err, where)
+					} else {
+						require.NoError(t, err, where)
+					}
+					f.act(i)
+				case "slow": // a zone or all, times its usual latency, and perhaps how many of its nodes
+					most := len(f.nodes)
+					if len(w) > 3 {
+						most = int(num(3))
+					}
+					for k, z := range f.nodes {
+						if (z == w[1] || w[1] == "all") && most > 0 {
+							f.slow[k] = num(2)
+							most--
+						}
+					}
 				case "ill": // a zone or all, share of bad answers, and perhaps how many of its nodes
 					most := len(f.nodes)
 					if len(w) > 3 {
@@ -208,6 +300,8 @@
 					}
 				case "late":
 					f.late = num(1)
+				case "silence": // no datagram gets from one zone's routers to another's
+					f.silent[w[1]] = true
 				case "cut", "mend":
 					f.cut[w[1]] = w[0] == "cut"
 				case "wait":
@@ -224,10 +318,11 @@
 					}
 				case "start": // a router starts anew
 					i := int(num(1))
-					f.books[i] = New(Terms{Me: i, Routers: len(f.books), Zone: f.home[i], Life: 99})
+					f.dead[i] = false
+					f.books[i] = New(Terms{Me: i, Routers: len(f.books), Zone: f.home[i], Life: 99, Every: 0.4, Regions: f.regions})
 					f.doubted[i] = make([]float64, len(f.nodes))
 					for k, z := range f.nodes {
-						f.books[i].Node(k, fmt.Sprint("n", k), z)
+						f.books[i].Node(k, fmt.Sprint("n", k), z, k%3)
 					}
 				case "expect": // using ZONE MOST [HOME], uses ZONE LEAST [HOME], asked ZONE MOST, steps MOST
 					home := ""
@@ -241,6 +336,22 @@
 						require.GreaterOrEqual(t, f.using(w[2], home), int(num(3)), where)
 					case "asked":
 						require.LessOrEqual(t, f.asked[w[2]], int(num(3)), where)
+					case "hand": // ZONE WHAT: so all know it
+						for i, b := range f.books {
+							for _, s := range b.States(f.clock(i)) {
+								if s.Zone == w[2] && !f.dead[i] {
+									require.Equal(t, w[3], s.Hand, "%s, router %d", where, i)
+								}
+							}
+						}
+					case "same": // ZONE: all have the same share of it
+						for i, b := range f.books {
+							for k, s := range b.States(f.clock(i)) {
+								if s.Zone == w[2] && !f.dead[i] {
+									require.Equal(t, f.books[f.holder].States(f.clock(f.holder))[k].Share, s.Share, "%s, router %d", where, i)
+								}
+							}
+						}
 					case "steps":
 						require.LessOrEqual(t, f.steps, int(num(2)), where)
 					default:
@@ -264,7 +375,7 @@
 			if n > *most {
 				break
 			}
-			f := newFleet(t, n, zones, 12/len(zones)+2, 600/float64(n))
+			f := newFleet(t, n, zones, 12/len(zones)+2, 600/float64(n), nil)
 			f.run(2)
 			for k, z := range f.nodes {
 				if z == "c" {
@@ -292,14 +403,14 @@
 
 func TestWords(t *testing.T) {
 	b := New(Terms{Me: 0, Routers: 3, Zone: "a", Life: 1})
-	b.Node(0, "n0", "a")
-	b.Node(1, "n1", "b")
-	b.Node(2, "n2", "b")
+	b.Node(0, "n0", "a", 0)
+	b.Node(1, "n1", "b", 0)
+	b.Node(2, "n2", "b", 0)
 	word := func(life, at uint32, bad uint16) []byte {
-		return (&counts{From: 1, Life: life, At: at, Zone: hash("b"), Home: hash("a"), Bad: bad, Nodes: 3, Used: 3}).format()
+		return format(kindCounts, &counts{head: head{From: 1, Life: life, At: at, Zone: hash("b")}, Home: hash("a"), Bad: bad, Nodes: 3, Used: 3})
 	}
 	good := word(5, 1000, 9)
-	require.Len(t, good, mostBytes)
+	require.Len(t, good, 33)
 	for i := range good {
 		spoilt := slices.Clone(good)
 		spoilt[i] ^= 4
@@ -319,8 +430,8 @@
 	b.Forget(1)
 	b.Forget(2)
 	require.True(t, b.Take(1, word(6, 50, 3), 53.25), "of a zone without nodes")
-	b.Node(1, "n1", "b")
-	b.Node(1, "n1", "a") // it was moved
+	b.Node(1, "n1", "b", 0)
+	b.Node(1, "n1", "a", 0) // it was moved
 	require.Len(t, b.zones[hash("b")].nodes, 0)
 	require.True(t, math.IsInf(b.Next(), 1))
 }
