Zones: returning routers look at unused nodes; old failures count less once a doubt ends

Ruled out: doubts (ended), failures remembered (none had failed there). Cause: a replica is read from while an answer or word has proven it fresh, and one that nobody uses proves nothing; place() asks only where nothing else is proven. So the share moved nothing (package zone, steps.go: it only ended doubts).

Change: routers that use a returning zone probe its nodes that they have not used of late, each its even part of six probes a second and node, up to 3 s after the last step.

--- a/relay/counters.go
+++ b/relay/counters.go
@@ -109,7 +109,7 @@
 	if c.zones != nil {
 		n := c.zones.counted()
 		k.log.WithFields(logrus.Fields{"tells": n.Tells, "bytes": n.Bytes, "taken": n.Taken, "spoilt": n.Spoilt, "old": n.Old, "left": n.Leaves,
-			"back": n.Returns, "words": n.Words, "wishes": n.Wishes}).Info("zones")
+			"back": n.Returns, "looks": n.Looks, "words": n.Words, "wishes": n.Wishes}).Info("zones")
 	}
 	if c.leases != nil {
 		n := c.leases.counted()
--- a/relay/zone.go
+++ b/relay/zone.go
@@ -70,6 +70,11 @@
 			z.core.router.Doubt(d.Node, d.Until)
 		}
 	}
+	for _, n := range e.Looks {
+		if n < len(z.core.nodes) && z.core.nodes[n] != nil {
+			z.core.router.Look(n, splitter.ForAll)
+		}
+	}
 	if l := z.core.leases; e.Word != "" && l != nil {
 		l.book.Tell(zonesTask, e.Word, l.now())
 		z.core.tell(l.act)
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -332,7 +332,9 @@
 		if now >= n.doubted && now < until {
 			r.Look(node, PeersDoubt)
 		}
-		n.doubted = until
+		if n.doubted = until; until <= now { // what failed then says little of now
+			n.fails = min(n.fails, failTrial)
+		}
 	}
 }
 
@@ -726,10 +728,7 @@
 
 // again tells whether a txn may be submitted once more.
 func (r *Router) again(t *txn) bool {
-	if t.tries >= r.terms.MaxSubmissions || r.host.Now() >= r.last(t) {
-		return false
-	}
-	return t.ran == 0 || t.Effect == Repeatable || t.Effect == Referenced
+	return t.tries < r.terms.MaxSubmissions && r.host.Now() < r.last(t) && (t.ran == 0 || t.Effect != OnceOnly)
 }
 
 // giveUp gives a txn its final answer at once. A decline says that trying again is harmless.
--- a/zone/api.go
+++ b/zone/api.go
@@ -79,6 +79,7 @@
 type Effects struct {
 	Sends  []Send
 	Doubts []Doubt
+	Looks  []int // nodes to probe: nobody has used them, so nobody knows how fresh they are
 	Events []Event
 	Word   string // the holder's newest, to all; "": no news
 }
@@ -87,6 +88,7 @@
 type Counts struct {
 	Tells, Bytes, Taken, Spoilt, Old int64
 	Leaves, Returns, Words, Wishes   int64
+	Looks                            int64
 }
 
 // State is a zone as this router sees it.
@@ -154,6 +156,8 @@
 	failedBack = 0.25   // share of bad ones with which a return has failed, of at least
 	failedBad  = 3      // so many
 	lateBack   = 0.3    // share of late ones from which the share is halved
+	lookRate   = 6.0    // probes a second that a node of a zone bears that is returned to, from all routers that use it,
+	settling   = 3.0    // s beyond the last step
 	doubtFor   = 0.6    // s that a doubt is given for, and renewed in
 	renewEach  = 0.2    // s
 	wordFresh  = 1.5    // s without a word of the holder's after which each goes by its own sums,
--- a/zone/steps.go
+++ b/zone/steps.go
@@ -76,9 +76,10 @@
 
 // step takes one.
 func (b *Book) step(z *zone, kind Kind, share float64, s, other sight, now float64) {
+	z.settled = kind == Back
 	z.out, z.share, z.since = kind != Back, math.Round(share*shareParts)/shareParts, now
 	if kind == Back {
-		z.alone, z.wide, z.renew = false, false, 0
+		z.alone, z.wide = false, false
 		b.counted.Returns++
 	} else {
 		z.wide = z.wide || s.homes.several()
@@ -112,11 +113,17 @@
 	z.renew = now + renewEach
 }
 
+// settles tells whether a zone has been returned to just now.
+func (b *Book) settles(z *zone, now float64) bool {
+	z.settled = z.settled && now-z.since < settling
+	return z.settled
+}
+
 // Next is when Step is due.
 func (b *Book) Next() float64 {
 	next := math.Inf(1)
 	for _, z := range b.order {
-		if z.out {
+		if z.out || z.settled {
 			next = min(next, z.renew)
 		}
 	}
@@ -130,9 +137,13 @@
 func (b *Book) Step(now float64) {
 	b.urge(now)
 	for _, z := range b.order {
-		if !z.out || now < z.renew {
+		if now < z.renew || !z.out && !b.settles(z, now) {
 			continue
 		}
+		z.renew = now + renewEach
+		if b.uses(z) {
+			b.look(z, now)
+		}
 		b.weigh(z, now)
 		if z.out {
 			b.doubt(z, now)
@@ -143,6 +154,25 @@
 	}
 }
 
+// look has routers that return probe nodes that they have not used of late, each its even part of what nodes bear. Whether a
+// replica may be read from is known from its answers, and one that nobody uses gives none: it would hardly be used again,
+// whatever its zone's share.
+func (b *Book) look(z *zone, now float64) {
+	users := max(1, z.share*float64(b.terms.Routers))
+	z.looks = min(z.looks+renewEach*lookRate*float64(len(z.nodes))/users, float64(len(z.nodes)))
+	for range z.nodes {
+		if z.looks < 1 {
+			return
+		}
+		z.looked = (z.looked + 1) % len(z.nodes)
+		if n := z.nodes[z.looked]; n.seen.sum(now) == ([outcomes]int{}) {
+			z.looks--
+			b.counted.Looks++
+			b.out.Looks = append(b.out.Looks, n.id)
+		}
+	}
+}
+
 // bears notes how much a zone was seen to give here while all was well with it.
 func (z *zone) bears(now float64) {
 	if now-z.peakAt < window/slots {
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -121,31 +121,34 @@
 }
 
 type zone struct {
-	name   string
-	key    uint32
-	region string
-	nodes  []*node
-	usual  []usual      // by txn type
-	words  map[int]word // of peers, the newest of each
-	sums   map[int]word // of gatherers
-	told   float64
-	summed float64
-	loud   bool    // our last counts had bad ones, or it is returning: a good word is news
-	out    bool    // left, or returning
-	alone  bool    // by our own sums, not by the holder's word
-	wide   bool    // routers of several zones have trouble with it: it is for the holder's word
-	share  float64 // of routers that use it while out
-	most   float64 // share up to which it returns quickly
-	place  int     // ours in the order in which they return
-	gather []int   // who adds up what all say of it
-	since  float64 // of the last step
-	flaps  int
-	failed float64 // when it was last left
-	renew  float64
-	hand   Hand
-	number uint64  // of that order; 0: there was none
-	peak   float64 // answers a second that it was seen to bear, here
-	peakAt float64
+	name    string
+	key     uint32
+	region  string
+	nodes   []*node
+	usual   []usual      // by txn type
+	words   map[int]word // of peers, the newest of each
+	sums    map[int]word // of gatherers
+	told    float64
+	summed  float64
+	loud    bool    // our last counts had bad ones, or it is returning: a good word is news
+	out     bool    // left, or returning
+	alone   bool    // by our own sums, not by the holder's word
+	wide    bool    // routers of several zones have trouble with it: it is for the holder's word
+	share   float64 // of routers that use it while out
+	most    float64 // share up to which it returns quickly
+	place   int     // ours in the order in which they return
+	gather  []int   // who adds up what all say of it
+	since   float64 // of the last step
+	flaps   int
+	failed  float64 // when it was last left
+	renew   float64
+	settled bool    // it was returned to, and is looked at still
+	looked  int     // the node that was looked at last, by its place among them
+	looks   float64 // that may be made now
+	hand    Hand
+	number  uint64  // of that order; 0: there was none
+	peak    float64 // answers a second that it was seen to bear, here
+	peakAt  float64
 }
 
 // New makes a Book that has seen nothing.
