--- a/trial/faults.go
+++ b/trial/faults.go
@@ -123,6 +123,10 @@
 	switch f.What {
 	case "replace":
 		return r.replace(ctx, f)
+	case "cut-nodes":
+		return r.cutNodes(ctx, f)
+	case "promote":
+		return r.promote(f)
 	case "drain-node", "undrain-node", "hang", "fail", "lose", "slow", "stick", "cold", "heal":
 		return r.nodeFault(ctx, f)
 	}
@@ -150,6 +154,55 @@
 	return nil
 }
 
+// cutNodes cuts the ways of routers to nodes, there and back; Text: "there" or "back" cuts one direction only.
+func (r *rig) cutNodes(ctx context.Context, f *Fault) error {
+	routers, err := r.who(f.Who)
+	if err != nil {
+		return err
+	}
+	nodes, err := r.nodes(f.To)
+	if err != nil {
+		return err
+	}
+	var gates []*gate
+	for _, x := range routers {
+		r.note(judge.Event{Kind: "fault", Router: x.n, What: f.What, Until: f.span.Seconds()})
+		for _, n := range nodes {
+			r.mu.Lock()
+			l := x.links[n.Name]
+			r.mu.Unlock()
+			if f.Text != "back" {
+				gates = append(gates, l.gates[0])
+			}
+			if f.Text != "there" {
+				gates = append(gates, l.gates[1])
+			}
+		}
+	}
+	for _, g := range gates {
+		g.set(true)
+	}
+	r.later(ctx, f.span, func() {
+		for _, g := range gates {
+			g.set(false)
+		}
+	})
+	return nil
+}
+
+// promote makes replicas the primaries of their groups.
+func (r *rig) promote(f *Fault) error {
+	for _, g := range r.groups {
+		for i, n := range g.Nodes() {
+			if slices.Contains(f.Who, n.Name) {
+				r.note(judge.Event{Kind: "fault", Router: -1, Node: n.Name, What: f.What, Promote: true})
+				g.Promote(i)
+			}
+		}
+	}
+	return nil
+}
+
 func (r *rig) routerFault(ctx context.Context, f *Fault, x *router, to []*router) error {
 	p := x.proc
 	switch f.What {
--- a/zone/steps.go
+++ b/zone/steps.go
@@ -156,8 +156,16 @@
 
 // look has routers that return probe nodes that they have not used of late, each its even part of what nodes bear. Whether a
 // replica may be read from is known from its answers, and one that nobody uses gives none: it would hardly be used again,
-// whatever its zone's share.
+// whatever its zone's share. One that has its even part of this router's submissions needs no looks: they would draw more.
 func (b *Book) look(z *zone, now float64) {
+	mine, all, nodes := b.own(z, now), sight{}, 0
+	for _, o := range b.order {
+		all.add(b.own(o, now))
+		nodes += len(o.nodes)
+	}
+	if all.all() > 0 && mine.all()*nodes >= all.all()*len(z.nodes) {
+		return
+	}
 	users := max(1, z.share*float64(b.terms.Routers))
 	z.looks = min(z.looks+renewEach*lookRate*float64(len(z.nodes))/users, float64(len(z.nodes)))
 	for range z.nodes {
