--- a/zone/api.go
+++ b/zone/api.go
@@ -129,7 +129,7 @@
 	leastBad   = 8      // bad ones, of all routers, that make a zone's trouble worth a look
 	badShare   = 0.35   // of its outcomes from which it is left: half of the answers lost, less those still awaited
 	lateShare  = 0.6    // the same where late ones count: most of them, since late answers are of use
-	elseShare  = 0.5    // of a zone's share that other zones may have: with more the trouble is everywhere
+	elseShare  = 0.4    // of a zone's share that other zones may have: with more the trouble is everywhere
 	deviations = 4.0    // by which it must differ: looks are taken thousands of times a day
 	voices     = 3      // routers that must have bad ones,
 	ownBad     = 4      // or so many of this router's own,
@@ -157,8 +157,8 @@
 	failedBack = 0.25   // share of bad ones with which a return has failed, of at least
 	failedBad  = 3      // so many
 	lateBack   = 0.3    // share of late ones from which the share is halved
-	lookRate   = 12.0   // probes a second that a node of a zone bears that is returned to, from all routers that use it,
-	settling   = 6.0    // s beyond the last step
+	lookRate   = 6.0    // probes a second that a node of a zone bears that is returned to, from all routers that use it,
+	settling   = 3.0    // s beyond the last step
 	doubtFor   = 0.6    // s that a doubt is given for, and renewed in
 	renewEach  = 0.2    // s
 	wordFresh  = 1.5    // s without a word of the holder's after which each goes by its own sums,
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -142,7 +142,7 @@
 	flaps   int
 	failed  float64 // when it was last left
 	renew   float64
-	doubted bool // its nodes were, when last looked at
+	doubted bool    // its nodes were, when last looked at
 	settled bool    // it was returned to, and is looked at still
 	looked  int     // the node that was looked at last, by its place among them
 	looks   float64 // that may be made now
