Trials: eiderway zone as operators use it, asked of any router

Need: orders by hand are for all routers, whichever is asked, and refused where nobody numbers the steps. Change: TestZoneCommands starts three processes and runs leave, its dry run, return, hold, auto and status, with and without numbered steps.

--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -105,15 +105,7 @@
 	})
 	require.NoError(t, err)
 	res, err := Run(t.Context(), spec, Options{Dir: t.TempDir(), Program: programs[false], Ready: func(program string, sockets []string) {
-		run := func(code int, says string, args ...string) {
-			out, err := exec.Command(program, args...).CombinedOutput()
-			got := 0
-			if e := (*exec.ExitError)(nil); errors.As(err, &e) {
-				got = e.ExitCode()
-			}
-			assert.Equal(t, code, got, "%v: %s", args, out)
-			assert.Contains(t, string(out), says, "%v", args)
-		}
+		run := runs(t, program)
 		hold := exec.Command(program, "lease", "hold", "job", "--socket", sockets[0])
 		pipe, err := hold.StdoutPipe()
 		assert.NoError(t, err)
@@ -144,6 +136,56 @@
 	require.Empty(t, res.Failed)
 }
 
+// runs calls the program, and looks at its exit code and at something that it says.
+func runs(t *testing.T, program string) func(code int, says string, args ...string) {
+	return func(code int, says string, args ...string) {
+		out, err := exec.Command(program, args...).CombinedOutput()
+		got := 0
+		if e := (*exec.ExitError)(nil); errors.As(err, &e) {
+			got = e.ExitCode()
+		}
+		assert.Equal(t, code, got, "%v: %s", args, out)
+		assert.Contains(t, string(out), says, "%v", args)
+	}
+}
+
+// TestZoneCommands: eiderway zone, as operators use it, asked of any router.
+func TestZoneCommands(t *testing.T) {
+	for _, steps := range []bool{true, false} {
+		spec, err := Load(filepath.Join("testdata", "ci", "zone-hand.yaml"), func(s *Spec) {
+			s.Name, s.For, s.Faults, s.Fleet.Routers, s.Expect, s.Measure = "commands", "12s", nil, 3, Expect{}, ""
+			if !steps {
+				s.Settings, s.For = "zones: {}\n", "2s"
+			}
+		})
+		require.NoError(t, err)
+		res, err := Run(t.Context(), spec, Options{Dir: t.TempDir(), Program: programs[false], Ready: func(program string, sockets []string) {
+			run := runs(t, program)
+			if !steps {
+				run(1, "no router numbers the steps now", "zone", "leave", "c", "--socket", sockets[0])
+				run(0, "own sums", "zone", "status", "--socket", sockets[0])
+				return
+			}
+			for tries := 0; tries < 100; tries++ { // until a router numbers the steps, and this one has heard it
+				if out, _ := exec.Command(program, "zone", "status", "--socket", sockets[1]).CombinedOutput(); strings.Contains(string(out), "router ") {
+					break
+				}
+			}
+			run(1, `"x" is no zone`, "zone", "leave", "x", "--socket", sockets[1])
+			run(0, "answers a second in all", "zone", "leave", "c", "--dry", "--socket", sockets[1])
+			run(0, "leave c: ordered, used by 0.000", "zone", "leave", "c", "--socket", sockets[0])
+			run(0, "leave c: ordered", "zone", "leave", "c", "--socket", sockets[2]) // again, of another: nothing to do
+			run(0, "leave", "zone", "status", "--socket", sockets[1])
+			run(0, `"hand":"leave"`, "zone", "status", "--json", "--socket", sockets[2])
+			run(0, "hold c: ordered", "zone", "hold", "c", "--socket", sockets[1])
+			run(0, "return c: ordered, used by 1.000", "zone", "return", "c", "--socket", sockets[2])
+			run(0, "auto c: ordered", "zone", "auto", "c", "--socket", sockets[0])
+		}})
+		require.NoError(t, err)
+		require.Empty(t, res.Failed)
+	}
+}
+
 // TestSpec: the same seed draws the same faults, and what is wrong in a trial is told.
 func TestSpec(t *testing.T) {
 	path := filepath.Join("testdata", "ci", "drawn.yaml")
