--- a/trial/faults.go
+++ b/trial/faults.go
@@ -313,6 +313,18 @@
 				r.note(judge.Event{Kind: "said", Router: x.n, What: f.What, Task: f.Task, Text: line})
 			})
 		})
+	case "rename": // Text: OLD=NEW in its settings, as after an upgrade; it is restarted at once
+		from, to, ok := strings.Cut(f.Text, "=")
+		if !ok || x.stopped {
+			return nil
+		}
+		x.renames = append(x.renames, from, to)
+		if err := r.writeOwn(x, ""); err != nil {
+			return err
+		}
+		x.stopped = true
+		p.kill()
+		return r.start(x)
 	case "sets": // Text: routers and former, as settings have them; SIGHUP follows
 		if err := r.writeOwn(x, f.Text); err != nil {
 			return err
--- a/trial/rig.go
+++ b/trial/rig.go
@@ -110,7 +110,8 @@
 	links   map[string]*link // by node
 	proc    *process
 	life    int
-	stopped bool // meant to be down
+	stopped bool     // meant to be down
+	renames []string // old and new names in its settings, in turns
 }
 
 // Run plays a trial and judges it.
@@ -427,7 +428,7 @@
 var routersLine = regexp.MustCompile(`(?m)^  routers: .*\n`)
 
 func (r *rig) writeOwn(x *router, sets string) error {
-	own := r.spec.Settings
+	own := strings.NewReplacer(x.renames...).Replace(r.spec.Settings)
 	if sets != "" {
 		own = strings.Replace(routersLine.ReplaceAllString(own, ""), "lease:\n", "lease:\n"+sets, 1)
 	}
--- a/trial/spec.go
+++ b/trial/spec.go
@@ -66,7 +66,7 @@
 
 // Fault is something that breaks. What: kill, term, start, restart, freeze, alone, cut, half, drain-node, undrain-node, hang,
 // fail, lose, slow, stick, cold, heal, want, drop, tell, give, drain, undrain, zone, strangers, sets, replace,
-// cut-nodes, promote.
+// cut-nodes, promote, rename.
 type Fault struct {
 	At   string   `yaml:"at"`
 	What string   `yaml:"what"`
@@ -110,7 +110,7 @@
 
 var whats = []string{"kill", "term", "start", "restart", "freeze", "alone", "cut", "half", "drain-node", "undrain-node", "hang", "fail", "lose", "slow",
 	"stick", "heal", "want", "drop", "tell", "give", "drain", "undrain", "strangers", "sets", "replace", "cold", "zone",
-	"cut-nodes", "promote"}
+	"cut-nodes", "promote", "rename"}
 
 const (
 	mostRouters  = 200
