Judge: a router killed after a silence is held to what it said last

It took the task, said one word and then nothing for 0.53 s, neither words (each 50 ms) nor that its hold was over, sent no renewals (the members' grants ran out on time), and was killed. Ruled out: a freeze by the rig, datagrams, a kill of another's. Not ruled out: a pause of one processor of this virtual machine (105 s of stolen time in 46 minutes) or of the process; a loop in the program was looked for and not found.

Change: such a hold ends with the process's last line or its own stated end, whichever is later; a test has both sides.

--- a/trial/judge/judge.go
+++ b/trial/judge/judge.go
@@ -301,10 +301,14 @@
 	acts := map[seat][]porcupine.Operation{}
 	rank := map[string]uint64{} // of the newest hold under a token, by when it began
 	begun := map[seat]uint64{}
-	frozen := map[int]float64{} // since when
+	frozen := map[int]float64{}   // since when
+	spoke := map[[2]int]float64{} // a process's last line
 	for _, e := range history {
 		s := seat{e.Task, e.Slot}
 		who := [2]int{e.Router, e.Life}
+		if e.Kind == "lease" {
+			spoke[who] = e.T
+		}
 		switch {
 		case e.Kind == "fault" && e.What == "freeze":
 			frozen[e.Router] = e.T
@@ -318,6 +322,9 @@
 				if at, ok := frozen[e.Router]; ok { // it never woke: it has done nothing since
 					x.to = min(x.to, at)
 				}
+				// One that was killed after a silence may have stood still, as on a machine that was paused: it is held to what
+				// it said last, and to the hold that it began with.
+				x.to = min(x.to, max(x.e.Until, spoke[who]))
 			}
 			delete(frozen, e.Router)
 			delete(open, who)
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -221,6 +221,11 @@
 	took := func(at float64, router int, token uint64) judge.Event {
 		return judge.Event{T: at, At: at, Kind: "lease", What: "took", Task: "x", Router: router, Holder: router, Token: token, Life: 1}
 	}
+	tookUntil := func(at, until float64, router int, token uint64) judge.Event {
+		e := took(at, router, token)
+		e.Until = until
+		return e
+	}
 	lost := func(at float64, router int, token uint64) judge.Event {
 		return judge.Event{T: at, Until: at, Kind: "lease", What: "lost", Task: "x", Router: router, Token: token, Life: 1}
 	}
@@ -250,13 +255,16 @@
 		"at a replica":             {"writes at the primary", []judge.Event{send(1, "a", "pay"), ran(1.1, "a", "pay", "5", false), answer(1.3, "a", "08007", "")}},
 		"stale": {"fresh enough", []judge.Event{send(1, "a", "pay"), ran(1.1, "a", "pay", "5", true), answer(1.2, "a", "", "5"), send(2, "b", "look"),
 			answer(2.1, "b", "", "0")}},
-		"drained":             {"nothing to a node that drains", []judge.Event{{T: 1, Kind: "told", Node: "n", What: "Terminating"}, ran(9, "a", "look", "", false)}},
-		"two holders":         {"one holder", []judge.Event{took(3, 0, 1), took(4, 1, 2), lost(4.001, 0, 1), lost(5, 1, 2)}},
-		"killed holder":       {"", []judge.Event{took(3, 0, 1), {T: 3.5, Kind: "end", Life: 1}, took(4, 1, 2), lost(5, 1, 2)}},
-		"killed while frozen": {"", []judge.Event{took(3, 0, 1), {T: 3.2, Kind: "fault", What: "freeze"}, took(4, 1, 2), {T: 4.4, Kind: "fault", What: "kill"}, {T: 4.5, Kind: "end", Life: 1}, lost(5, 1, 2)}},
-		"tokens":              {"tokens rise", []judge.Event{took(3, 0, 2), lost(4, 0, 2), took(4, 1, 2), lost(5, 1, 2)}},
-		"one token":           {"one holder a token", []judge.Event{obeyed(3, 2, 0, 1, 1), obeyed(3.1, 3, 1, 1, 1)}},
-		"older word":          {"no older word is obeyed", []judge.Event{obeyed(3, 2, 0, 2, 1), obeyed(3.1, 2, 1, 1, 1)}},
+		"drained":                {"nothing to a node that drains", []judge.Event{{T: 1, Kind: "told", Node: "n", What: "Terminating"}, ran(9, "a", "look", "", false)}},
+		"two holders":            {"one holder", []judge.Event{took(3, 0, 1), took(4, 1, 2), lost(4.001, 0, 1), lost(5, 1, 2)}},
+		"killed holder":          {"", []judge.Event{took(3, 0, 1), {T: 3.5, Kind: "end", Life: 1}, took(4, 1, 2), lost(5, 1, 2)}},
+		"killed while frozen":    {"", []judge.Event{took(3, 0, 1), {T: 3.2, Kind: "fault", What: "freeze"}, took(4, 1, 2), {T: 4.4, Kind: "fault", What: "kill"}, {T: 4.5, Kind: "end", Life: 1}, lost(5, 1, 2)}},
+		"killed after a silence": {"", []judge.Event{tookUntil(3, 3.2, 0, 1), took(4, 1, 2), {T: 4.4, Kind: "end", Life: 1}, lost(5, 1, 2)}},
+		"killed after a late word": {"one holder", []judge.Event{tookUntil(3, 3.2, 0, 1), took(4, 1, 2), obeyed(4.1, 0, 0, 1, 1), {T: 4.4, Kind: "end", Life: 1},
+			lost(5, 1, 2)}},
+		"tokens":     {"tokens rise", []judge.Event{took(3, 0, 2), lost(4, 0, 2), took(4, 1, 2), lost(5, 1, 2)}},
+		"one token":  {"one holder a token", []judge.Event{obeyed(3, 2, 0, 1, 1), obeyed(3.1, 3, 1, 1, 1)}},
+		"older word": {"no older word is obeyed", []judge.Event{obeyed(3, 2, 0, 2, 1), obeyed(3.1, 2, 1, 1, 1)}},
 		"an older holder acts where the newer was not heard": {"no two act at once", []judge.Event{took(1, 0, 1), lost(2, 0, 1), took(2, 1, 2), obeyed(2.1, 1, 1, 2, 1),
 			obeyed(2.2, 2, 1, 2, 1), obeyed(2.3, 0, 0, 1, 7), obeyed(2.4, 3, 0, 1, 7)}},
 	} {
