Zones: a word has room for five zones, and is not asked for what it leaves out

Seen by reading: six entries of a word may take 197 bytes, a lease's datagram holds 170, so a full word was never told. Lines: mostSaid (zone/api.go), Tell refuses what is longer. And an order that is over, left out of a full word, would have been sent to its holder by every router with each word. Change: five zones; an order beyond that is refused at once; what a full word leaves out is not asked for. Tests have a word at its longest, words that are none, orders beyond the room.

--- a/zone/api.go
+++ b/zone/api.go
@@ -166,6 +166,6 @@
 	ahead      = 0.5    // s by which own evidence may be ahead of the holder's word
 	wishEach   = 0.1    // s between tries of an order
 	wishFor    = 5.0    // s until it is given up
-	mostSaid   = 6      // zones in a word: what a datagram has room for
+	mostSaid   = 5      // zones in a word: what a datagram of package lease has room for
 	peakFor    = 600.0  // s by which what zones were seen to bear is half forgotten
 )
--- a/zone/hand.go
+++ b/zone/hand.go
@@ -74,8 +74,10 @@
 		case x.number > z.number:
 			b.takes(z, x.hand, x.number)
 		case x.number < z.number: // it does not know of our order
-			b.send(from, kindWish, new(head), &wish{head: head{uint16(b.terms.Me), b.terms.Life, uint32(int64(now * 1000)), z.key}, Number: z.number,
-				What: uint8(z.hand)}, z, now)
+			if len(all) < mostSaid || z.hand != Auto { // a full word leaves out what is over
+				w := wish{Number: z.number, What: uint8(z.hand)}
+				b.send(from, kindWish, &w.head, &w, z, now)
+			}
 			continue
 		}
 		b.follow(z, x, now)
@@ -148,6 +150,8 @@
 		return fmt.Errorf("%q is no zone of the list", name)
 	case z.hand == what && (what != Auto || !z.out):
 		return nil
+	case what != Auto && z.hand == Auto && b.ordersStand() >= mostSaid:
+		return fmt.Errorf("orders stand for %d zones already: a word has room for no more", mostSaid)
 	case b.holds:
 		b.rule(z, what, b.number(), now)
 		return nil
@@ -160,6 +164,16 @@
 	return nil
 }
 
+// ordersStand counts the zones that are left or held by hand.
+func (b *Book) ordersStand() (n int) {
+	for _, z := range b.order {
+		if z.hand != Auto {
+			n++
+		}
+	}
+	return n
+}
+
 // urge sends the orders that no word has shown yet.
 func (b *Book) urge(now float64) {
 	b.wishes = slices.DeleteFunc(b.wishes, func(w *wanted) bool { return now >= w.until || w.zone.number > w.base && w.zone.hand == w.what })
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -521,3 +521,59 @@
 		require.Less(t, float64(vain)/float64(flaps), 0.15*2*ordinary)
 	})
 }
+
+// TestHolderWord: a word that is full fits a datagram of package lease, and what is none is an error that changes nothing.
+func TestHolderWord(t *testing.T) {
+	var all []said
+	for range mostSaid {
+		all = append(all, said{math.MaxUint32, 0.0667, Hold, 1_900_000_000_000<<12 + 4095})
+	}
+	text := formatWord(all)
+	require.LessOrEqual(t, len(text), 170)
+	back, err := parseWord(text)
+	require.NoError(t, err)
+	require.Equal(t, all, back)
+	b := New(Terms{Me: 0, Routers: 3, Zone: "a", Life: 1, Every: 0.4})
+	b.Node(0, "n0", "a", 0)
+	b.Node(1, "n1", "b", 0)
+	key := fmt.Sprintf("%x", hash("b"))
+	for _, wrong := range []string{"x", key, key + ":0.5:0", key + ":2:0:1", key + ":NaN:0:1", key + ":-1:0:1", key + ":0.5:3:1", key + ":0.5:0:-1", key + ":0.5:0:1,"} {
+		require.Error(t, b.Obey(1, wrong, 10), wrong)
+	}
+	require.Equal(t, 1.0, b.zones[hash("b")].share)
+	require.Equal(t, -1, b.leader)
+	require.NoError(t, b.Obey(1, key+":0:1:7", 10))
+	require.Equal(t, Leave, b.zones[hash("b")].hand)
+	require.Equal(t, []Doubt{{1, 10 + doubtFor}}, b.Effects().Doubts)
+	require.NoError(t, b.Obey(2, key+":1:0:6", 10.1), "an older order")
+	e := b.Effects()
+	require.Equal(t, Leave, b.zones[hash("b")].hand)
+	require.Len(t, e.Sends, 1, "its holder is told of the newer one")
+	require.Equal(t, 2, e.Sends[0].To)
+}
+
+// TestOrdersHaveRoom: there may be as many orders at a time as a word has room for; more zones than that may have had one.
+func TestOrdersHaveRoom(t *testing.T) {
+	b := New(Terms{Me: 0, Routers: 3, Zone: "z0", Life: 1, Every: 0.4})
+	for k := range 2 * mostSaid {
+		b.Node(k, fmt.Sprint("n", k), fmt.Sprint("z", k), 0)
+	}
+	b.Holds(true, 9, 10)
+	for k := range mostSaid {
+		require.NoError(t, b.Order(fmt.Sprint("z", k), Hold, 10))
+	}
+	require.ErrorContains(t, b.Order(fmt.Sprint("z", mostSaid), Leave, 10), "no more")
+	for k := range mostSaid {
+		require.NoError(t, b.Order(fmt.Sprint("z", k), Auto, 11))
+	}
+	require.NoError(t, b.Order(fmt.Sprint("z", mostSaid), Leave, 11))
+	text := b.Effects().Word
+	require.Contains(t, text, fmt.Sprintf("%x:0:1:", hash(fmt.Sprint("z", mostSaid))), "what stands comes first")
+	other := New(Terms{Me: 1, Routers: 3, Zone: "z0", Life: 2, Every: 0.4})
+	for k := range 2 * mostSaid {
+		other.Node(k, fmt.Sprint("n", k), fmt.Sprint("z", k), 0)
+		other.zones[hash(fmt.Sprint("z", k))].number = 1 // it has heard orders that are over
+	}
+	require.NoError(t, other.Obey(0, text, 11))
+	require.Empty(t, other.Effects().Sends, "what a full word leaves out is not told to its holder")
+}
