Core: timers that set themselves anew wait for the next turn; a planted fault acts as it says

Cause: with the guard taken out, a hold whose time is past is due at once, again and again (lease/book.go, look and Next), and the core ran timers that were set while it ran timers, so neither mail nor the end had a turn (relay/core.go, run).

Change: the core runs only what was set before this turn; a hold without its guard is looked at a span later, and the variant acts on.

--- a/lease/book.go
+++ b/lease/book.go
@@ -349,7 +349,9 @@
 			}
 		}
 	}
-	s.lasts = s.claim.ends(b.g)
+	if s.lasts = s.claim.ends(b.g); held && s.lasts <= now { // only where a test has taken the guard out
+		s.lasts = now + b.terms.Span
+	}
 }
 
 func (b *Book) event(e Event, s *seat) {
--- a/relay/core.go
+++ b/relay/core.go
@@ -120,7 +120,8 @@
 			mail[i] = nil
 		}
 		c.now = c.clock.now()
-		for len(c.timers) > 0 && c.timers[0].at <= c.now {
+		// What these set anew waits for the next turn, however soon it is due: mail and the end come in between.
+		for armed := c.armed; len(c.timers) > 0 && c.timers[0].at <= c.now && c.timers[0].set <= armed; {
 			heap.Pop(&c.timers).(timer).then()
 		}
 		next := time.Hour
