--- a/zone/hand.go
+++ b/zone/hand.go
@@ -108,7 +108,7 @@
 		kind = Left
 		b.counted.Leaves++
 	}
-	z.out, z.share, z.since, z.alone, z.settled = x.share < 1, x.share, now, false, kind == Back
+	z.out, z.share, z.since, z.alone = x.share < 1, x.share, now, false
 	if kind == Left {
 		z.failed = now
 	}
--- a/zone/steps.go
+++ b/zone/steps.go
@@ -76,7 +76,6 @@
 
 // step takes one.
 func (b *Book) step(z *zone, kind Kind, share float64, s, other sight, now float64) {
-	z.settled = kind == Back
 	z.out, z.share, z.since = kind != Back, math.Round(share*shareParts)/shareParts, now
 	if kind == Back {
 		z.alone, z.wide = false, false
@@ -115,17 +114,14 @@
 	}
 }
 
-// settles tells whether a zone has been returned to just now.
-func (b *Book) settles(z *zone, now float64) bool {
-	z.settled = z.settled && now-z.since < settling
-	return z.settled
-}
+// looksOn tells whether a zone is looked at: it is out, or was returned to just now.
+func (z *zone) looksOn() bool { return z.out || z.renew < z.since+settling }
 
 // Next is when Step is due.
 func (b *Book) Next() float64 {
 	next := math.Inf(1)
 	for _, z := range b.order {
-		if z.out || z.settled {
+		if z.looksOn() {
 			next = min(next, z.renew)
 		}
 	}
@@ -139,7 +135,7 @@
 func (b *Book) Step(now float64) {
 	b.urge(now)
 	for _, z := range b.order {
-		if now < z.renew || !z.out && !b.settles(z, now) {
+		if now < z.renew || !z.looksOn() {
 			continue
 		}
 		z.renew = now + renewEach
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -143,7 +143,6 @@
 	failed  float64 // when it was last left
 	renew   float64
 	doubted bool    // its nodes were, when last looked at
-	settled bool    // it was returned to, and is looked at still
 	looked  int     // the node that was looked at last, by its place among them
 	looks   float64 // that may be made now
 	hand    Hand
@@ -171,7 +170,7 @@
 func (b *Book) zone(key uint32, name string) *zone {
 	z := b.zones[key]
 	if z == nil {
-		z = &zone{key: key, words: map[int]word{}, sums: map[int]word{}, share: 1, most: 1, failed: math.Inf(-1)}
+		z = &zone{key: key, words: map[int]word{}, sums: map[int]word{}, share: 1, most: 1, failed: math.Inf(-1), since: math.Inf(-1)}
 		z.place, z.gather = b.ranks(key)
 		b.zones[key] = z
 		b.order = append(b.order, z)
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -199,6 +199,15 @@
 	})
 }
 
+// sicken sets the share of bad answers of a zone's nodes.
+func (f *fleet) sicken(zone string, share float64) {
+	for k, z := range f.nodes {
+		if z == zone {
+			f.ill[k] = share
+		}
+	}
+}
+
 func (f *fleet) run(d float64) {
 	for end := f.now + d; ; {
 		if len(f.queue) == 0 || f.queue[0].at > end {
@@ -382,11 +391,7 @@
 					f.hold(holder)
 				}
 				f.run(2)
-				for k, z := range f.nodes {
-					if z == "c" {
-						f.ill[k] = 1
-					}
-				}
+				f.sicken("c", 1)
 				from, before := f.now, f.asked["c"]
 				for f.using("c", "") > n/10 && f.now < from+5 {
 					f.run(0.01)
@@ -394,9 +399,7 @@
 				left, vain := f.now-from, f.asked["c"]-before
 				f.run(from + 3 - f.now)
 				told := float64(f.bytes) / float64(n) / (f.now - from)
-				for k := range f.ill {
-					f.ill[k] = 0
-				}
+				f.sicken("c", 0)
 				clear(f.asked)
 				steps, back := f.steps, f.now
 				for f.using("c", "") < n && f.now < back+20 {
@@ -500,17 +503,11 @@
 		flaps := max(3, int(*long*100))
 		vain, well := 0, 0
 		for range flaps {
-			for k, z := range f.nodes {
-				if z == "c" {
-					f.ill[k] = 1
-				}
-			}
+			f.sicken("c", 1)
 			clear(f.asked)
 			f.run(2)
 			vain += f.asked["c"]
-			for k := range f.ill {
-				f.ill[k] = 0
-			}
+			f.sicken("c", 0)
 			clear(f.asked)
 			f.run(8)
 			well += f.asked["c"]
