Zones: an order by hand waits for a router that numbers the steps

Cause: TestZoneCommands asked for the holder a hundred times in a row and then went on whether or not there was one. The same is met by an operator whose order falls into a change of holder: refused, though the next holder is there a second later. The way of the order itself was ruled out: with a holder known all commands passed.

Change: an order that meets no holder waits for one, up to the five seconds that an unanswered order had already; it is refused at once only where zones.steps is off.

--- a/zone/hand.go
+++ b/zone/hand.go
@@ -142,7 +142,7 @@
 }
 
 // Order asks for something by hand, for all. It takes effect once a holder's word has shown it (States); after some seconds
-// without that it is given up.
+// without that, as where nobody comes to number the steps, it is given up.
 func (b *Book) Order(name string, what Hand, now float64) error {
 	z := b.zones[hash(name)]
 	switch {
@@ -155,8 +155,8 @@
 	case b.holds:
 		b.rule(z, what, b.number(), now)
 		return nil
-	case !b.follows(now):
-		return errors.New("no router numbers the steps now: orders for all need one")
+	case b.terms.Every == 0:
+		return errors.New("no router numbers the steps here (zones.steps is off): orders for all need one")
 	}
 	b.wishes = slices.DeleteFunc(b.wishes, func(w *wanted) bool { return w.zone == z })
 	b.wishes = append(b.wishes, &wanted{z, what, z.number, now, now + wishFor})
@@ -184,7 +184,7 @@
 		w.next, w.base = now+wishEach, w.zone.number
 		if b.holds {
 			b.rule(w.zone, w.what, b.number(), now)
-		} else if b.leader >= 0 {
+		} else if b.leader >= 0 { // else it waits for the first to be heard
 			b.counted.Wishes++
 			x := wish{Number: w.base, What: uint8(w.what)}
 			b.send(b.leader, kindWish, &x.head, &x, w.zone, now)
