--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -177,7 +177,7 @@
 			run(0, "answers a second in all", "zone", "leave", "c", "--dry", "--socket", sockets[1])
 			run(0, "leave c: ordered, used by 0.000", "zone", "leave", "c", "--socket", sockets[0])
 			run(0, "leave c: ordered", "zone", "leave", "c", "--socket", sockets[2]) // again, of another: nothing to do
-			shows("leave", "zone", "status") // all routers know of it, and whose word it was
+			shows("leave", "zone", "status")                                         // all routers know of it, and whose word it was
 			shows("router ", "zone", "status")
 			run(0, `"hand":"leave"`, "zone", "status", "--json", "--socket", sockets[2])
 			run(0, "hold c: ordered", "zone", "hold", "c", "--socket", sockets[1])
