Module: each router keeps to the members that come first in an order of its own

Need: a zone that was left came back to 0.5 to 0.75 of its former share where peers tell loads. Seen in the module's own state: reads prefer members that have answered here before, for their connections; that holds for ever, so whoever stood in for a zone, or for one node, stays preferred beside those that are back, and a new node waits until those known have no room. Ruled out before: a probe that counts as an answer (the return then ends at 1.15 to 1.4 of the share).

Change: place sorts by a hash of the router's number and the member's name, once a member, in place of a shuffle and a sort by who has answered. The first two that are proven and have room are compared, as before. What a router knows of a member's answers goes.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -10,6 +10,8 @@
 	"math"
 	"math/rand"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -102,7 +104,7 @@
 	known   bool    // it has told of itself
 	pos     float64 // it has applied all commits up to this time
 	lag     float64 // s behind when last heard
-	heard   float64 // last answer to a txn
+	rank    uint64  // its place among a group's members for this router: a hash of both
 	refused float64 // when it last refused a connection at once; 0: it has answered a probe since
 	full    float64 // until then a refusal says that it has all the connections it takes
 	probed  float64 // last probe
@@ -215,6 +217,7 @@
 				continue
 			}
 			n = &node{limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
+			n.rank = xxhash.Sum64(append([]byte(m.Name), byte(r.terms.Me), byte(r.terms.Me>>8)))
 			n.Group = m.Group
 			r.nodes[m.Node] = n
 			g := r.group(m.Group)
@@ -460,9 +463,8 @@
 			return nil
 		}
 	}
-	if told { // two by chance, those first that have answered here: others want a connection
-		r.rng.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-		slices.SortStableFunc(usable, func(a, b *node) int { return cmp.Compare(min(b.heard, 1), min(a.heard, 1)) })
+	if told { // each router has its own order, so it keeps to a few: others want a connection
+		slices.SortFunc(usable, func(a, b *node) int { return cmp.Compare(a.rank, b.rank) })
 	}
 	for _, n := range usable {
 		fresh := r.fresh(n, t)
@@ -755,7 +757,6 @@
 	t, g := f.t, f.t.g
 	timed := f.sent >= r.woke // its latency is the node's
 	if slices.Contains([]Outcome{Committed, Missed, Full, Failed, Answered}, res.Outcome) {
-		n.heard = now
 		r.hear(n, res.Report, true)
 	}
 	switch res.Outcome {
@@ -831,7 +832,7 @@
 	n.refused, n.aside, n.full = 0, false, now+scarce
 	if now > r.scarce {
 		for _, m := range r.nodes {
-			if m != nil && len(m.out) == 0 && m.heard > 0 {
+			if m != nil && len(m.out) == 0 {
 				r.host.CloseIdle(m.Node)
 			}
 		}
