Knowing: keepers tell those who have a use for a group, not all

Arithmetic: a router has a txn for a group each 1/r seconds and is told 12.5 times a second. Telling it on for two seconds after its last word costs 25 words, asking anew costs two and one wait there and back. At 0.5 txns a second and group (300 routers here) a third of the routers have no use for it at a time, at 0.15 (1,000) three quarters.

Change: the keeper notes when each router's last word on a group came, and tells those of the last two seconds, and the three that come to keep it next, so that two keepers still hear of each other; all at once from three quarters on. A router that has hardly any proof of its own shows its submissions to a keeper that spoke within the last minute, so it is told again. A write asks where no member has told this router that it is primary: else each router would look at all members for its first one (seen: probes 0.28 to 0.48 a txn at 1,000). A question is asked once more after half of the patience, since words get lost and a second keeper costs more. Wants pay for looks at most each 0.1 s. The table of who has a use lives while a group is kept.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	lag              = 0.03
 	warm, lasts      = 2.0, 6.0 // s until figures count, and in all
 	hangs            = 4.0      // s, when one replica hangs
+	replaced         = 3        // of five replicas
 )
 
 // Way is what of the peers' words reaches the module.
@@ -32,6 +33,15 @@
 	Talk, Loads, Primes bool
 }
 
+// Day is what happens in a play.
+type Day int
+
+const (
+	Hang    Day = iota // one replica hangs
+	Lag                // all replicas stand still: only primaries can be read from, and they are too few for all
+	Replace            // three of five replicas of each group are replaced by others; figures count from a second after that
+)
+
 type event struct {
 	at  float64
 	set int
@@ -59,6 +69,8 @@
 	primary bool
 	free    [cores]float64
 	hung    bool
+	gone    bool
+	stands  float64 // its position stands still from then on; 0: it does not
 	served  int
 }
 
@@ -74,6 +86,7 @@
 	txns, probes, shakes, good, words, held int
 	bytes                                   float64 // as they are received
 	lastAtHung                              float64
+	from                                    float64 // when figures begin to count
 }
 
 func (f *Fleet) at(t float64, do func()) {
@@ -81,7 +94,7 @@
 	heap.Push(&f.queue, event{t, f.set, do})
 }
 
-func (f *Fleet) counts() bool { return f.now >= 1e9+warm }
+func (f *Fleet) counts() bool { return f.now >= f.from }
 
 // router is a Host.
 type router struct {
@@ -162,7 +175,7 @@
 			res.Report = r.told(s)
 			if f.counts() {
 				s.served++
-				if !t.over && t.arrived >= 1e9+warm && f.now-t.arrived <= t.sla {
+				if !t.over && t.arrived >= f.from && f.now-t.arrived <= t.sla {
 					f.good++
 				}
 			}
@@ -178,6 +191,9 @@
 
 func (r *router) told(s *server) splitter.Report {
 	rep := splitter.Report{OK: true, Role: splitter.RoleReplica, Pos: r.f.now - lag, Load: -1}
+	if s.stands > 0 {
+		rep.Pos = min(rep.Pos, s.stands)
+	}
 	if s.primary {
 		rep.Role, rep.Pos = splitter.RolePrimary, r.f.now
 	}
@@ -264,16 +280,44 @@
 	r.next++
 	t := &txn{arrived: f.now, sla: []float64{0.4, 1}[typ]}
 	r.txns[id] = t
-	if r.way.Talk && typ == 0 {
-		r.book.Arrived(group, f.now)
+	if r.way.Talk {
+		r.book.Arrived(group, typ == 1, f.now)
 		r.act()
 	}
 	r.split.Arrive(splitter.Txn{ID: id, Group: group, Type: typ, Until: f.now + 3*t.sla})
 }
 
+// replace puts other servers in the place of most replicas.
+func (f *Fleet) replace() {
+	var list []splitter.Member
+	for id, s := range f.servers {
+		if !s.primary && id%(replicas+1) > replaced {
+			continue
+		} else if !s.primary {
+			s.gone = true
+			f.servers = append(f.servers, &server{name: s.name + "-new", group: s.group})
+		}
+	}
+	for id, s := range f.servers {
+		if !s.gone {
+			list = append(list, splitter.Member{Node: id, Name: s.name, Group: s.group})
+		}
+	}
+	for _, r := range f.routers {
+		for id, s := range f.servers {
+			if s.gone {
+				r.book.Forget(id)
+			} else {
+				r.book.Node(id, s.name, s.group)
+			}
+		}
+		r.split.Members(splitter.ListAll, list)
+	}
+}
+
 // Play runs routers at one whole load. Some carry several times the mean.
-func Play(n int, w Way, seed int64) *Fleet {
-	f := &Fleet{now: 1e9, rng: rand.New(rand.NewSource(seed))}
+func Play(n int, w Way, d Day, seed int64) *Fleet {
+	f := &Fleet{now: 1e9, from: 1e9 + warm, rng: rand.New(rand.NewSource(seed))}
 	var list []splitter.Member
 	for g := range groups {
 		for i := range replicas + 1 {
@@ -312,7 +356,21 @@
 		}
 		f.at(f.now+every*f.rng.ExpFloat64(), again)
 	}
-	f.at(1e9+hangs, func() { f.servers[2].hung = true })
+	switch d {
+	case Hang:
+		f.at(1e9+hangs, func() { f.servers[2].hung = true })
+	case Lag:
+		f.at(1e9+warm/2, func() {
+			for _, s := range f.servers {
+				if !s.primary {
+					s.stands = f.now
+				}
+			}
+		})
+	case Replace:
+		f.from = 1e9 + hangs
+		f.at(f.from-1, f.replace)
+	}
 	for len(f.queue) > 0 && f.queue[0].at < 1e9+lasts {
 		e := heap.Pop(&f.queue).(event)
 		f.now = e.at
@@ -321,16 +379,30 @@
 	return f
 }
 
-// Figures tells them in a line.
-func (f *Fleet) Figures() string {
+// Sum is the figures of a play; by txn where nothing else is said.
+type Sum struct {
+	Probes, Handshakes, Words float64 // words of 256 bytes, as they are received
+	Held, InTime              float64 // shares
+	Even                      float64 // statements to the least loaded replica, of those to the most loaded; NaN: none had any
+	LastAtHung                float64 // s after a replica hung until nothing more came there
+}
+
+// Sum adds up.
+func (f *Fleet) Sum() Sum {
 	txns := float64(f.txns)
 	least, most := math.MaxInt, 0
 	for _, s := range f.servers {
-		if !s.primary && s.group > 0 {
+		if !s.primary && s.group > 0 && !s.gone {
 			least, most = min(least, s.served), max(most, s.served)
 		}
 	}
+	return Sum{Probes: float64(f.probes) / txns, Handshakes: float64(f.shakes) / txns, Words: f.bytes / 256 / txns, Held: float64(f.held) / txns,
+		InTime: float64(f.good) / txns, Even: float64(least) / float64(most), LastAtHung: max(0, f.lastAtHung-1e9-hangs)}
+}
+
+// Figures tells them in a line.
+func (f *Fleet) Figures() string {
+	s := f.Sum()
 	return fmt.Sprintf("probes %.3f, handshakes %.3f, words of 256 bytes %.3f a txn; held %.2f, in time %.3f; least and most loaded replica %.2f; last at the hung %.1f s",
-		float64(f.probes)/txns, float64(f.shakes)/txns, f.bytes/256/txns, float64(f.held)/txns, float64(f.good)/txns,
-		float64(least)/float64(most), max(0, f.lastAtHung-1e9-hangs))
+		s.Probes, s.Handshakes, s.Words, s.Held, s.InTime, s.Even, s.LastAtHung)
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,22 +15,27 @@
 	alone, all := Way{Name: "alone"}, Way{"together", true, true, true}
 	if *sizes == "all" {
 		for _, n := range []int{3, 10, 30, 100, 300, 1000} {
+			for d, name := range []string{"lags", "replaced"} {
+				for _, w := range []Way{alone, all} {
+					t.Logf("%d routers, %s, %s: %s", n, w.Name, name, Play(n, w, Lag+Day(d), 1).Figures())
+				}
+			}
 			for _, w := range []Way{alone, {"positions", true, false, false}, {"positions and roles", true, false, true},
 				{"positions and loads", true, true, false}, all} {
-				t.Logf("%d routers, %s: %s", n, w.Name, Play(n, w, 1).Figures())
+				t.Logf("%d routers, %s: %s", n, w.Name, Play(n, w, Hang, 1).Figures())
 			}
 		}
 		return
 	}
 	const n = 60
-	a, b := Play(n, alone, 1), Play(n, all, 1)
+	a, b := Play(n, alone, Hang, 1), Play(n, all, Hang, 1)
 	t.Logf("alone: %s", a.Figures())
 	t.Logf("together: %s", b.Figures())
 	require.Less(t, 4*b.probes*a.txns, a.probes*b.txns, "probes a txn, under a quarter")
 	require.Less(t, 4*b.held*a.txns, a.held*b.txns)
 	require.Greater(t, float64(b.good)/float64(b.txns), float64(a.good)/float64(a.txns)-0.02)
-	require.Equal(t, b.Figures(), Play(n, all, 1).Figures(), "one seed, one history")
-	few := Play(3, all, 1)
+	require.Equal(t, b.Figures(), Play(n, all, Hang, 1).Figures(), "one seed, one history")
+	few := Play(3, all, Hang, 1)
 	t.Logf("three: %s", few.Figures())
 	require.Less(t, few.bytes/256/float64(few.txns), 0.1, "few routers with traffic of their own tell little")
 }
--- a/lore/lore.go
+++ b/lore/lore.go
@@ -4,9 +4,11 @@
 // peer's word for a role: that is only passed on as a hint.
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"math/rand"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -32,6 +34,7 @@
 	key     uint32
 	g       *group
 	own     float64 // newest position that it has told to this router
+	mine    bool    // it has told this router that it is primary
 	pos     float64 // newest that it has told to anybody
 	claimed float64 // newest position at which it was primary
 	at      float64 // when pos became newer
@@ -56,11 +59,15 @@
 	heard   float64 // when
 	asked   int     // whom we asked to keep, -1: nobody
 	askedAt float64
-	kept    float64 // by us, until then
-	due     float64 // our next tell
-	hurry   float64 // a txn somewhere waits for a primary until then
-	looks   float64 // that wants have paid for
-	lacks   float64 // share of our reads of late for which we had no proof of our own
+	again   kind      // what we ask it once more when half of our patience is over; 0: nothing
+	kept    float64   // by us, until then
+	due     float64   // our next tell
+	hurry   float64   // a txn somewhere waits for a primary until then
+	looks   float64   // that wants have paid for
+	paid    float64   // when the last one did
+	lacks   float64   // share of our reads of late for which we had no proof of our own
+	users   []float64 // by router, while we keep it: when its last word on the group came
+	next    []int     // who keeps it where we are not heard, the first ones: they hear all that is told
 }
 
 // New makes a Book that knows nothing.
@@ -118,6 +125,12 @@
 	return g
 }
 
+// shows tells whether the keeper hears of our submissions: while it speaks to us, and for a while after that if we have hardly
+// any proof of our own. Who has no use for a group is not told of it, and that is how it is seen to have one again.
+func (b *Book) shows(g *group, now float64) bool {
+	return b.live(g, now) || g.lacks > lackFrom && g.keeper >= 0 && now-g.heard < keeperFor
+}
+
 // live tells whether a keeper speaks, we or another.
 func (b *Book) live(g *group, now float64) bool { return now < g.kept || now-g.heard < lives*b.every }
 
@@ -142,6 +155,7 @@
 	}
 	n := b.nodes[id]
 	n.own = max(n.own, pos)
+	n.mine = n.mine || primary
 	b.learn(n, pos, primary, now)
 	return n
 }
@@ -155,7 +169,7 @@
 	}
 	if n := b.nodes[id]; now < n.g.kept {
 		n.leaves(b.terms.Me, now)
-	} else if b.live(n.g, now) {
+	} else if b.shows(n.g, now) {
 		b.counted.News++
 		b.send(n.g.keeper, leaves, n.g, []*node{n})
 	}
@@ -167,7 +181,7 @@
 	case n == nil:
 	case now < n.g.kept:
 		n.ends(b.terms.Me)
-	case b.live(n.g, now):
+	case b.shows(n.g, now):
 		b.counted.News++
 		n.news = now
 		b.send(n.g.keeper, ends, n.g, []*node{n})
@@ -208,13 +222,20 @@
 	}
 }
 
-// Arrived says that a read with a bound has come for a group. Where this router has no proof of its own, it is for such
-// reads that a group is kept: a router with enough traffic asks for nothing.
-func (b *Book) Arrived(id int, now float64) {
+// Arrived says that a read with a bound, or a write, has come for a group. Where this router has no proof of its own, it is
+// for such reads that a group is kept: a router with enough traffic asks for nothing. A write asks where no member has told
+// this router that it is primary: else each router would look at all of them for its first one.
+func (b *Book) Arrived(id int, write bool, now float64) {
 	g := b.groups[id]
 	if g == nil {
 		return
 	}
+	if write {
+		if !slices.ContainsFunc(g.members, func(n *node) bool { return n.mine }) && !b.live(g, now) {
+			b.want(g, true, now)
+		}
+		return
+	}
 	lacks := 1.0
 	for _, n := range g.members {
 		if n.own > now-b.terms.Bound && n.claimed < n.own {
@@ -275,7 +296,10 @@
 			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + patience})
 		}
 	}
-	g.asked, g.askedAt = to, now
+	g.asked, g.askedAt, g.again = to, now, 0
+	if !b.live(g, now) {
+		g.again = kind
+	}
 	if to == b.terms.Me {
 		g.asked = -1
 		b.serve(g, primary, now)
@@ -316,12 +340,16 @@
 		for _, n := range g.members {
 			n.outs = nil
 		}
+		g.users = make([]float64, b.terms.Routers)
 	}
 	g.kept = now + lingers
 	if primary {
 		g.hurry = now + hurry
 	}
-	g.looks = min(looksMost, g.looks+looksFor)
+	if now-g.paid >= payEvery {
+		g.paid = now
+		g.looks = min(looksMost, g.looks+looksFor)
+	}
 }
 
 // Take takes a datagram that came from the address of a peer, and tells whether it was one of ours.
@@ -339,6 +367,9 @@
 		return true
 	}
 	words := b.words(g, m, now)
+	if m.kind != tell {
+		defer g.used(from, now)
+	}
 	switch m.kind {
 	case want, wantAnswer, wantPrimary:
 		b.serve(g, m.kind == wantPrimary, now)
@@ -354,7 +385,7 @@
 		}
 	case tell:
 		if now < g.kept && rank(g.id, from) > rank(g.id, b.terms.Me) {
-			g.kept = 0 // it comes first; whoever can't hear it asks us again
+			g.kept, g.users = 0, nil // it comes first; whoever can't hear it asks us again
 		}
 		if !b.live(g, now) || g.keeper < 0 || from == g.keeper || rank(g.id, from) > rank(g.id, g.keeper) {
 			g.keeper = from
@@ -434,6 +465,9 @@
 		if g.due < g.kept {
 			next = min(next, g.due)
 		}
+		if g.again > 0 {
+			next = min(next, g.askedAt+patience/2)
+		}
 	}
 	return next
 }
@@ -441,8 +475,15 @@
 // Step tells all what is new of the groups that this router keeps, and looks at members of which nobody has news.
 func (b *Book) Step(now float64) {
 	for _, g := range b.order {
+		if g.again > 0 && now >= g.askedAt+patience/2 {
+			if g.asked >= 0 && g.heard < g.askedAt { // our question or its answer may have been lost
+				b.counted.Wants++
+				b.send(g.asked, g.again, g, nil)
+			}
+			g.again = 0
+		}
 		if now >= g.kept {
-			g.kept = 0
+			g.kept, g.users = 0, nil
 			continue
 		}
 		if now < g.due {
@@ -456,12 +497,49 @@
 			own[i] = Word{n.id, n.pos, n.claimed >= n.pos, n.load(now)}
 		}
 		b.counted.Tells++
-		b.send(All, tell, g, all)
+		b.tell(g, all, now)
 		g.due = now + b.every
 		b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true, Words: own})
 	}
 }
 
+// used notes that a router has a use for what we tell of a group.
+func (g *group) used(router int, now float64) {
+	if g.users != nil {
+		g.users[router] = now
+	}
+}
+
+// tell tells the routers that have had a use for the group of late, or all where most have. Those who keep it next hear of
+// it, too: two that keep one group must come to know of each other.
+func (b *Book) tell(g *group, all []*node, now float64) {
+	var to []int
+	for r, at := range g.users {
+		if r != b.terms.Me && (now-at < usesFor || slices.Contains(b.nextOf(g), r)) {
+			to = append(to, r)
+		}
+	}
+	if float64(len(to)) >= mostUse*float64(b.terms.Routers-1) {
+		to = []int{All}
+	}
+	for _, r := range to {
+		b.send(r, tell, g, all)
+	}
+}
+
+// nextOf are the first routers that come to keep a group.
+func (b *Book) nextOf(g *group) []int {
+	if g.next == nil {
+		all := make([]int, b.terms.Routers)
+		for i := range all {
+			all[i] = i
+		}
+		slices.SortFunc(all, func(x, y int) int { return cmp.Compare(rank(g.id, y), rank(g.id, x)) })
+		g.next = slices.Clone(all[:min(nextKeepers, len(all))])
+	}
+	return g.next
+}
+
 // look probes for all: while a txn waits for a primary, or none is known, every member; else, as far as wants have paid for
 // it, those of which nobody has told anything for a while, the longest first.
 func (b *Book) look(g *group, now float64) {
--- a/lore/lore_test.go
+++ b/lore/lore_test.go
@@ -24,12 +24,12 @@
 //	node NAME [GROUP], forget NAME         of the list
 //	saw NAME AGE [primary]                 a probe of ours has shown that it stands as long ago
 //	out NAME, back NAME AGE                a submission of ours leaves, ends
-//	read [TIMES], primary                  reads come; a txn waits for its primary
+//	read [TIMES], write, primary           reads come; a write; a txn waits for its primary
 //	from ROUTER KIND [NAME AGE [primary] [load=N]]...   a datagram; KIND is want, answer, waits, news, leaves, ends, tell
 //	late ROUTER SECONDS KIND ...           one that was as long on its way
 //	garbled ROUTER, stranger ROUTER        one with a bit turned; one that says it is another's
 //	wait SECONDS
-//	expect WHAT..., never WHAT...          since the last expect: KIND to ROUTER|all [NAMES], look NAME, told NAME AGE, due,
+//	expect WHAT..., never WHAT...          since the last expect: KIND to ROUTER|NUMBER|all [NAMES], look NAME, told NAME AGE, due,
 //	                                       heard
 //	rests yes|no                           nothing is due
 //	load NAME N                            submissions that are counted there
@@ -109,7 +109,7 @@
 		s.did = append(s.did, "look "+s.name(id))
 	}
 	for _, x := range e.Sends {
-		to := "all"
+		to := map[bool]string{true: "all", false: strconv.Itoa(x.To)}[x.To == All]
 		for name := range map[string]bool{"first": true, "second": true, "last": true} {
 			if x.To != All && x.To == s.router(name) {
 				to = name
@@ -167,13 +167,15 @@
 		s.book.Out(s.names[f[1]], s.now)
 	case "back":
 		s.book.Back(s.names[f[1]], s.now-s.number(f[2]), false, s.now)
+	case "write":
+		s.book.Arrived(0, true, s.now)
 	case "read":
 		times := 1
 		if len(f) > 1 {
 			times = int(s.number(f[1]))
 		}
 		for range times {
-			s.book.Arrived(0, s.now)
+			s.book.Arrived(0, false, s.now)
 		}
 	case "primary":
 		s.book.Want(0, s.now)
@@ -282,7 +284,7 @@
 			i, n := rng.Intn(routers), rng.Intn(nodes)
 			switch rng.Intn(5) {
 			case 0:
-				books[i].Arrived(0, now)
+				books[i].Arrived(0, rng.Intn(4) == 0, now)
 			case 1:
 				if rng.Intn(3) > 0 {
 					stands[n] = max(stands[n], now-rng.Float64()*0.5) // else it stands still
--- a/relay/core.go
+++ b/relay/core.go
@@ -156,8 +156,8 @@
 	if h.class != nil {
 		x.Cost = h.class.Cost
 	}
-	if c.talk != nil && c.terms.Bounded(x.Type) {
-		c.talk.book.Arrived(x.Group, c.now)
+	if write := c.terms.Writes(x.Type); c.talk != nil && (write || c.terms.Bounded(x.Type)) {
+		c.talk.book.Arrived(x.Group, write, c.now)
 		c.talk.act()
 	}
 	c.router.Arrive(x)
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -27,6 +27,11 @@
 	return typ < len(t.Splitter.Types) && t.Splitter.Types[typ].Need == splitter.NeedBounded
 }
 
+// Writes tells whether a txn type needs the primary.
+func (t *Terms) Writes(typ int) bool {
+	return typ < len(t.Splitter.Types) && t.Splitter.Types[typ].Need == splitter.NeedPrimary
+}
+
 // Zone gives a zone its index, also one the settings do not name.
 func (t *Terms) Zone(name string) int {
 	z, ok := t.Zones[name]
