Laboratory: experiments compare ways, paired by seed, with intervals and a report

Need: each part of zones and of knowing is to be taken out alone, with several seeds, and figures came from single runs read by hand.

Change: package lab plays the same trials (processes) or plays (virtual time) in several ways with the same seeds, some at a time, works out figures from their histories, and tells medians and differences with a bootstrap interval over the pairs, or that none can be told; as text, JSON, or one HTML page with pictures. eiderlab compare.

--- a/cmd/eiderlab/main.go
+++ b/cmd/eiderlab/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,13 +10,13 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
+	"eiderway/lab"
 	"eiderway/trial"
 	"eiderway/trial/judge"
 )
@@ -41,19 +42,11 @@
 func (t *trialCmd) Run() error {
 	var files []string
 	for _, p := range t.Paths {
-		if info, err := os.Stat(p); err == nil && info.IsDir() {
-			found, err := filepath.Glob(filepath.Join(p, "*.yaml"))
-			if err != nil {
-				return err
-			}
-			slices.Sort(found)
-			files = append(files, found...)
-		} else {
-			files = append(files, p)
+		found, err := trial.Files(p)
+		if err != nil {
+			return err
 		}
-	}
-	if len(files) == 0 {
-		return errors.New("no trial there: trials are files that end in .yaml")
+		files = append(files, found...)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -163,6 +156,65 @@
 	}
 }
 
+type compareCmd struct {
+	Experiment string `arg:"" help:"An experiment: trials or plays, ways and seeds." type:"existingfile"`
+	Seeds      int    `help:"In place of what the experiment says."`
+	Parallel   int    `help:"Runs at a time, in place of what the experiment says."`
+	Report     string `help:"Write a report there, one HTML file." type:"path"`
+	Keep       string `help:"A folder for programs, logs and histories; else they are kept only if a rule was broken." type:"path"`
+	JSON       bool   `help:"All figures as JSON." name:"json"`
+}
+
+func (c *compareCmd) Run() error {
+	x, err := lab.Load(c.Experiment, func(x *lab.Experiment) {
+		x.Seeds, x.Parallel = cmp.Or(c.Seeds, x.Seeds), cmp.Or(c.Parallel, x.Parallel)
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir := c.Keep
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "eiderlab-"); err != nil {
+			return err
+		}
+	} else if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	cases, err := lab.Perform(ctx, x, lab.Options{Dir: dir, Progress: func(text string) { fmt.Fprintln(os.Stderr, text) }})
+	if err != nil {
+		return err
+	}
+	broken := 0
+	for _, x := range cases {
+		broken += len(x.Broken())
+	}
+	if c.Keep == "" && broken == 0 {
+		os.RemoveAll(dir)
+	} else {
+		fmt.Fprintln(os.Stderr, "histories and logs:", dir)
+	}
+	if c.Report != "" {
+		out, err := os.Create(c.Report)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(x.HTML(out, cases), out.Close()); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		err = json.NewEncoder(os.Stdout).Encode(cases)
+	} else {
+		err = x.Text(os.Stdout, cases)
+	}
+	if err == nil && broken > 0 {
+		err = errWrong
+	}
+	return err
+}
+
 type judgeCmd struct {
 	History string `arg:"" help:"A history that was kept." type:"existingfile"`
 }
@@ -189,8 +241,9 @@
 
 func main() {
 	var cli struct {
-		Trial trialCmd `cmd:"" help:"Play trials. Exit code 0: all hold, 1: one does not, 2: the rig was late and nothing is shown."`
-		Judge judgeCmd `cmd:"" help:"Judge a history again."`
+		Trial   trialCmd   `cmd:"" help:"Play trials. Exit code 0: all hold, 1: one does not, 2: the rig was late and nothing is shown."`
+		Compare compareCmd `cmd:"" help:"Play an experiment: the same trials or plays in several ways, paired by seed. Exit code 1: a rule was broken."`
+		Judge   judgeCmd   `cmd:"" help:"Judge a history again."`
 	}
 	k := kong.Parse(&cli, kong.Name("eiderlab"), kong.Description("Experiments with processes of eiderway."))
 	switch err := k.Run(); {
--- a/trial/spec.go
+++ b/trial/spec.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math/rand"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -139,6 +140,27 @@
 	return s, nil
 }
 
+// FaultLasts tells how long the first fault lasts; 0: there is none, or it does not heal.
+func (s *Spec) FaultLasts() time.Duration {
+	if len(s.Faults) == 0 {
+		return 0
+	}
+	return s.Faults[0].span
+}
+
+// Files are the trials of a folder, in order, or the one file that is named.
+func Files(path string) ([]string, error) {
+	if info, err := os.Stat(path); err != nil || !info.IsDir() {
+		return []string{path}, err
+	}
+	found, err := filepath.Glob(filepath.Join(path, "*.yaml"))
+	slices.Sort(found)
+	if err == nil && len(found) == 0 {
+		err = fmt.Errorf("%s: no trial there: trials are files that end in .yaml", path)
+	}
+	return found, err
+}
+
 func span(text string, or time.Duration) (time.Duration, error) {
 	if text == "" {
 		return or, nil
