Laboratory: a way may be a program with a part taken out; experiments of zones

Need: parts of zones are to be taken out alone, and a fixed ramp put beside the return, without leaving variants in the program.

Change: a way's edit names a text that is there once and what takes its place; the program is built from an overlay, and a test looks that kept edits still apply.

--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -37,9 +37,17 @@
 	Program   string  `yaml:"program"`   // of a trial: one that was built before, from the experiment's folder
 	Settings  *string `yaml:"settings"`  // of a trial: our own settings, in place of the trial's
 	Processes int     `yaml:"processes"` // of a trial
+	Edit      *Edit   `yaml:"edit"`      // of a trial: the program is built with a part taken out, or done in another way
 	Words     string  `yaml:"words"`     // of a play: what peers' words bring: none, positions, roles, loads, all
 }
 
+// Edit is a change of the program's text, made for a way alone: nothing of it stays. The text must be there once.
+type Edit struct {
+	File string `yaml:"file"` // from the module's root
+	From string `yaml:"from"`
+	To   string `yaml:"to"`
+}
+
 // Play is one in virtual time.
 type Play struct {
 	Routers int    `yaml:"routers"`
@@ -92,14 +100,16 @@
 	}
 	seen := map[string]bool{}
 	for i, w := range x.Ways {
-		ofTrial := w.Program != "" || w.Settings != nil || w.Processes != 0
+		ofTrial := w.Program != "" || w.Settings != nil || w.Processes != 0 || w.Edit != nil
 		switch {
 		case w.Name == "" || seen[w.Name]:
 			return fmt.Errorf("ways[%d].name: %q is empty or was named before", i, w.Name)
 		case w.Words != "" && len(x.Trials) > 0:
 			return fmt.Errorf("ways[%d].words is for plays", i)
 		case ofTrial && len(x.Plays) > 0:
-			return fmt.Errorf("ways[%d]: program, settings and processes are for trials", i)
+			return fmt.Errorf("ways[%d]: program, settings, edit and processes are for trials", i)
+		case w.Program != "" && w.Edit != nil:
+			return fmt.Errorf("ways[%d]: a program that was built before can't be edited", i)
 		case w.Processes < 0:
 			return fmt.Errorf("ways[%d].processes: %d", i, w.Processes)
 		}
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -83,6 +83,7 @@
 		"trials: [x.yaml]\nseeds: 1\nways: [{name: a, words: all}]\n":                              "is for plays",
 		"trials: [x.yaml]\nseeds: 1\nways: [{name: a}, {name: a}]\n":                               "named before",
 		"trials: [x.yaml]\nseeds: 1\nways: [{name: a, program: nowhere}]\n":                        "ways[0].program",
+		"trials: [x.yaml]\nseeds: 1\nways: [{name: a, program: x.yaml, edit: {file: x}}]\n":        "can't be edited",
 		"trials: [x.yaml]\nseeds: 1\nfigures: [luck]\nways: [{name: a}]\n":                         `"luck" is none of`,
 		"trials: [x.yaml]\nseeds: 1\nluck: 1\n":                                                    "unknown field",
 	} {
@@ -96,3 +97,25 @@
 	_, err = Perform(t.Context(), x, Options{Dir: t.TempDir(), Progress: func(string) {}})
 	require.Error(t, err, "no such trial")
 }
+
+// TestExperimentFiles: those that are kept can be read, and the texts that they take out are there.
+func TestExperimentFiles(t *testing.T) {
+	files, err := filepath.Glob("experiments/*.yaml")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		x, err := Load(file)
+		require.NoError(t, err)
+		cases, err := x.cases()
+		require.NoError(t, err)
+		require.NotEmpty(t, cases)
+		for _, w := range x.Ways {
+			if w.Edit != nil {
+				_, _, err := w.overlay(t.Context(), t.TempDir())
+				require.NoError(t, err)
+			}
+		}
+	}
+	_, _, err = (&Way{Name: "a", Edit: &Edit{File: "zone/steps.go", From: "no such text"}}).overlay(t.Context(), t.TempDir())
+	require.ErrorContains(t, err, "0 times")
+}
--- a/lab/play.go
+++ b/lab/play.go
@@ -5,9 +5,14 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -46,8 +51,17 @@
 	if err != nil {
 		return nil, err
 	}
-	build := sync.OnceValues(func() (string, error) { return trial.Build(ctx, opt.Dir, false) })
-	planted := sync.OnceValues(func() (string, error) { return trial.Build(ctx, opt.Dir, true) })
+	built := map[builds]func() (string, error){}
+	for i, w := range x.Ways {
+		for _, planted := range []bool{false, true} {
+			built[builds{i, planted}] = sync.OnceValues(func() (string, error) {
+				if w.Program != "" && !planted {
+					return w.Program, nil
+				}
+				return w.build(ctx, filepath.Join(opt.Dir, fmt.Sprintf("way-%d", i)), planted)
+			})
+		}
+	}
 	var mu sync.Mutex
 	done, all := 0, len(cases)*len(x.Ways)*x.Seeds
 	g, ctx := errgroup.WithContext(ctx)
@@ -61,7 +75,9 @@
 					if ctx.Err() != nil {
 						return ctx.Err()
 					}
-					run, err := x.one(ctx, c, w, int64(k+1), filepath.Join(opt.Dir, c.Name, fmt.Sprintf("%d-%d", i, k+1)), build, planted)
+					run, err := x.one(ctx, c, w, int64(k+1), filepath.Join(opt.Dir, c.Name, fmt.Sprintf("%d-%d", i, k+1)), func(planted bool) (string, error) {
+						return built[builds{i, planted}]()
+					})
 					if err != nil {
 						return fmt.Errorf("%s, %s, seed %d: %w", c.Name, w.Name, k+1, err)
 					}
@@ -84,8 +100,50 @@
 	return cases, nil
 }
 
+// builds names a program: of a way, and whether it is the variant for plants and clocks.
+type builds struct {
+	way     int
+	planted bool
+}
+
+// build makes a way's program.
+func (w *Way) build(ctx context.Context, dir string, planted bool) (string, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", err
+	}
+	if w.Edit == nil {
+		return trial.Build(ctx, dir, planted)
+	}
+	flag, overlay, err := w.overlay(ctx, dir)
+	if err != nil {
+		return "", err
+	}
+	return trial.Build(ctx, dir, planted, flag, overlay)
+}
+
+// overlay writes down a way's edit for go build, and gives the arguments for it.
+func (w *Way) overlay(ctx context.Context, dir string) (flag, overlay string, err error) {
+	out, err := exec.CommandContext(ctx, "go", "list", "-m", "-f", "{{.Dir}}").Output()
+	if err != nil {
+		return "", "", fmt.Errorf("where the module lies: %w", err)
+	}
+	file := filepath.Join(strings.TrimSpace(string(out)), w.Edit.File)
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", "", err
+	}
+	if n := strings.Count(string(text), w.Edit.From); n != 1 || w.Edit.From == "" {
+		return "", "", fmt.Errorf("way %q: its text is %d times in %s, not once", w.Name, n, w.Edit.File)
+	}
+	edited := filepath.Join(dir, "edited.go")
+	overlay = filepath.Join(dir, "overlay.json")
+	list, _ := json.Marshal(map[string]any{"Replace": map[string]string{file: edited}})
+	err = errors.Join(os.WriteFile(edited, []byte(strings.Replace(string(text), w.Edit.From, w.Edit.To, 1)), 0o600), os.WriteFile(overlay, list, 0o600))
+	return "-overlay", overlay, err
+}
+
 // one plays a case in a way, once.
-func (x *Experiment) one(ctx context.Context, c *Case, w Way, seed int64, dir string, build, planted func() (string, error)) (*Run, error) {
+func (x *Experiment) one(ctx context.Context, c *Case, w Way, seed int64, dir string, program func(planted bool) (string, error)) (*Run, error) {
 	if c.file == "" {
 		return ofPlay(seed, fleet.Play(c.play.Routers, words[w.Words], days[c.play.Day], seed)), nil
 	}
@@ -101,16 +159,11 @@
 		if err != nil {
 			return nil, err
 		}
-		program := w.Program
-		if spec.Plant != "" || spec.Clock != "" {
-			program, err = planted()
-		} else if program == "" {
-			program, err = build()
-		}
+		built, err := program(spec.Plant != "" || spec.Clock != "")
 		if err != nil {
 			return nil, err
 		}
-		res, err := trial.Run(ctx, spec, trial.Options{Dir: dir, Program: program})
+		res, err := trial.Run(ctx, spec, trial.Options{Dir: dir, Program: built})
 		if err != nil {
 			return nil, err
 		}
--- a/trial/process.go
+++ b/trial/process.go
@@ -20,14 +20,16 @@
 	"time"
 )
 
-// Build builds the program as the deploy file does, or the variant that a plant or a clock needs, into a folder.
-func Build(ctx context.Context, dir string, variant bool) (string, error) {
+// Build builds the program as the deploy file does, or the variant that a plant or a clock needs, into a folder. more are
+// arguments for go build.
+func Build(ctx context.Context, dir string, variant bool, more ...string) (string, error) {
 	out := filepath.Join(dir, "eiderway")
 	args := []string{"build", "-ldflags=-linkmode=external", "-o", out}
 	if variant {
 		out = filepath.Join(dir, "eiderway-planted")
 		args = []string{"build", "-tags", "planted", "-o", out}
 	}
+	args = append(args, more...)
 	cmd := exec.CommandContext(ctx, "go", append(args, "eiderway/cmd/eiderway")...)
 	cmd.Env = append(os.Environ(), "CGO_ENABLED=1")
 	if text, err := cmd.CombinedOutput(); err != nil {
