Module: own orders are taken back; a doubt's end forgets who stood in

Tried, and left out: an order of each router's own by a hash. Ruled out as the cause of the loss: keepers' tells (the same build with tells to all).

Change: members that have answered come first, as before; when a doubt of a member ends, all of its group count as if they had not, so chance takes any of them anew. What it guards against: stand-ins kept. What it may harm: up to two handshakes a group and router after each doubt.

--- a/lore/api.go
+++ b/lore/api.go
@@ -78,7 +78,7 @@
 	youngShare  = 0.6   // of the time between tells up to which a told position is young
 	keeperFor   = 60.0  // s after its last word for which a keeper is told of submissions: they show that its words are of use
 	usesFor     = 2.0   // s after its last word on a group for which a router is told of it
-	mostUse     = 0.75  // share of the routers from which all are told: one datagram to all is less work here
+	mostUse     = 0.4   // share of the routers from which all are told: who is not asks, and waits, and looks for itself where words are lost
 	nextKeepers = 3     // that are told in any case
 	looksFor    = 2.0   // looks that a want pays for: as many as a read of its own would have sent
 	payEvery    = 0.1   // s between wants that do: more of them say nothing new
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -10,8 +10,6 @@
 	"math"
 	"math/rand"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -104,7 +102,7 @@
 	known   bool    // it has told of itself
 	pos     float64 // it has applied all commits up to this time
 	lag     float64 // s behind when last heard
-	rank    uint64  // its place among a group's members for this router: a hash of both
+	heard   float64 // last answer to a txn since a doubt of a member ended
 	refused float64 // when it last refused a connection at once; 0: it has answered a probe since
 	full    float64 // until then a refusal says that it has all the connections it takes
 	probed  float64 // last probe
@@ -216,9 +214,7 @@
 			if m.Group < 0 {
 				continue
 			}
-			n = &node{limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
-			n.rank = xxhash.Sum64(append([]byte(m.Name), byte(r.terms.Me), byte(r.terms.Me>>8)))
-			n.Group = m.Group
+			n = &node{Member: Member{Group: m.Group}, limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
 			r.nodes[m.Node] = n
 			g := r.group(m.Group)
 			g.members = append(g.members, n)
@@ -335,8 +331,11 @@
 		if now >= n.doubted && now < until {
 			r.Look(node, PeersDoubt)
 		}
-		if n.doubted = until; until <= now { // what failed then says little of now
+		if n.doubted = until; until <= now { // what failed then, and who stood in for it, says little of now
 			n.fails = 0
+			for _, m := range r.group(n.Group).members {
+				m.heard = 0
+			}
 		}
 	}
 }
@@ -463,8 +462,9 @@
 			return nil
 		}
 	}
-	if told { // each router has its own order, so it keeps to a few: others want a connection
-		slices.SortFunc(usable, func(a, b *node) int { return cmp.Compare(a.rank, b.rank) })
+	if told { // two by chance, those first that have answered here: others want a connection
+		r.rng.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+		slices.SortStableFunc(usable, func(a, b *node) int { return cmp.Compare(min(b.heard, 1), min(a.heard, 1)) })
 	}
 	for _, n := range usable {
 		fresh := r.fresh(n, t)
@@ -757,6 +757,7 @@
 	t, g := f.t, f.t.g
 	timed := f.sent >= r.woke // its latency is the node's
 	if slices.Contains([]Outcome{Committed, Missed, Full, Failed, Answered}, res.Outcome) {
+		n.heard = now
 		r.hear(n, res.Report, true)
 	}
 	switch res.Outcome {
@@ -832,7 +833,7 @@
 	n.refused, n.aside, n.full = 0, false, now+scarce
 	if now > r.scarce {
 		for _, m := range r.nodes {
-			if m != nil && len(m.out) == 0 {
+			if m != nil && len(m.out) == 0 && m.heard > 0 {
 				r.host.CloseIdle(m.Node)
 			}
 		}
@@ -959,8 +960,7 @@
 
 // hold keeps writes until a member shows that it is primary, old or new, and probes fast meanwhile.
 func (r *Router) hold(g *group) {
-	g.held, g.heldAt = true, r.host.Now()
-	g.until = r.host.Now() + window
+	g.held, g.heldAt, g.until = true, r.host.Now(), r.host.Now()+window
 }
 
 // setAside takes a node out of the read set until it has answered probes and rested; then it tries one txn.
