Trials: rigs of one process don't take each other's ports

Seen: an experiment with four runs at a time ended with 'router 20 has ended'; its log says bind: address already in use. A port is found by trying and given back until its router starts, and the next rig finds it meanwhile; each rig knew its own ports only. lab/play.go and the router's own listening were ruled out by that log.

Change: ports are noted for all rigs of a process until the rig that has them ends.

--- a/trial/rig.go
+++ b/trial/rig.go
@@ -91,7 +91,6 @@
 	asks    map[string]context.CancelFunc // of tasks that an admin socket is asked for
 	asking  sync.WaitGroup
 	ended   context.Context
-	ports   map[string]bool
 	sockets string // a folder with a short name
 }
 
@@ -124,7 +123,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &rig{spec: spec, opt: opt, starter: newStarter(), pairs: map[[2]int]*pair{}, ports: map[string]bool{}, holders: map[string]map[int]bool{}, ended: ctx,
+	r := &rig{spec: spec, opt: opt, starter: newStarter(), pairs: map[[2]int]*pair{}, holders: map[string]map[int]bool{}, ended: ctx,
 		asks: map[string]context.CancelFunc{}, skewed: strings.Contains(spec.Clock, "rate")}
 	defer close(r.starter.asks)
 	if _, by, ok := strings.Cut(spec.Clock, "offset="); ok {
@@ -294,14 +293,17 @@
 	portTries = 200
 )
 
+// ports are those that rigs of this process have, by address: several may run at a time. Emptied by each rig's end.
+var ports sync.Map
+
 // freePort finds a port that nobody has, for a router that is started later, perhaps more than once.
 func (r *rig) freePort() (netip.AddrPort, error) {
 	for range portTries {
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.Intn(manyPorts))
-		if r.ports[addr] {
+		if _, taken := ports.LoadOrStore(addr, r); taken {
 			continue
 		}
-		l, err := net.Listen("tcp", addr)
+		l, err := net.Listen("tcp", addr) // one that another program has stays noted, and is not tried again
 		if err != nil {
 			continue
 		}
@@ -311,7 +313,6 @@
 			continue
 		}
 		c.Close()
-		r.ports[addr] = true
 		return netip.MustParseAddrPort(addr), nil
 	}
 	return netip.AddrPort{}, errors.New("no free port was found")
@@ -689,6 +690,12 @@
 	for _, p := range r.pairs {
 		p.close()
 	}
+	ports.Range(func(addr, rig any) bool {
+		if rig == r {
+			ports.Delete(addr)
+		}
+		return true
+	})
 	for _, g := range r.groups {
 		g.Close()
 	}
