--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -102,7 +102,7 @@
 	known   bool    // it has told of itself
 	pos     float64 // it has applied all commits up to this time
 	lag     float64 // s behind when last heard
-	heard   float64 // last answer to a txn since a doubt of a member ended
+	heard   float64 // last answer to a txn
 	refused float64 // when it last refused a connection at once; 0: it has answered a probe since
 	full    float64 // until then a refusal says that it has all the connections it takes
 	probed  float64 // last probe
@@ -214,7 +214,8 @@
 			if m.Group < 0 {
 				continue
 			}
-			n = &node{Member: Member{Group: m.Group}, limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
+			n = &node{limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
+			n.Group = m.Group
 			r.nodes[m.Node] = n
 			g := r.group(m.Group)
 			g.members = append(g.members, n)
@@ -331,11 +332,8 @@
 		if now >= n.doubted && now < until {
 			r.Look(node, PeersDoubt)
 		}
-		if n.doubted = until; until <= now { // what failed then, and who stood in for it, says little of now
+		if n.doubted = until; until <= now { // what failed then says little of now
 			n.fails = 0
-			for _, m := range r.group(n.Group).members {
-				m.heard = 0
-			}
 		}
 	}
 }
@@ -960,7 +958,8 @@
 
 // hold keeps writes until a member shows that it is primary, old or new, and probes fast meanwhile.
 func (r *Router) hold(g *group) {
-	g.held, g.heldAt, g.until = true, r.host.Now(), r.host.Now()+window
+	g.held, g.heldAt = true, r.host.Now()
+	g.until = r.host.Now() + window
 }
 
 // setAside takes a node out of the read set until it has answered probes and rested; then it tries one txn.
