Laboratory: servers in virtual time, and zones there with the true module

Need: how a fleet leaves a zone and returns was shown by zone's own tests, which have no splitter, and by thirty processes before nodes that rest. What 300 and 1,000 routers do to nodes that are half loaded, cold or pushed over was not seen.

Change: package model, a node without I/O: cores behind one queue, crowding, connections, a cold start, a log that one process applies, falling over; faults as data. Experiments name them.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -12,7 +12,7 @@
 // TestFleet plays quiet routers alone and together at one whole load. With -routers all it prints the table of 3 to 1,000
 // routers, and what each part of the peers' words brings.
 func TestFleet(t *testing.T) {
-	alone, all := Way{Name: "alone"}, Way{"together", true, true, true}
+	alone, all := Way{Name: "alone"}, Way{Name: "together", Talk: true, Loads: true, Primes: true}
 	if *sizes == "all" {
 		for _, n := range []int{3, 10, 30, 100, 300, 1000} {
 			for d, name := range []string{"lags", "replaced"} {
@@ -20,8 +20,8 @@
 					t.Logf("%d routers, %s, %s: %s", n, w.Name, name, Play(n, w, Lag+Day(d), 1).Figures())
 				}
 			}
-			for _, w := range []Way{alone, {"positions", true, false, false}, {"positions and roles", true, false, true},
-				{"positions and loads", true, true, false}, all} {
+			for _, w := range []Way{alone, {Name: "positions", Talk: true}, {Name: "positions and roles", Talk: true, Primes: true},
+				{Name: "positions and loads", Talk: true, Loads: true}, all} {
 				t.Logf("%d routers, %s: %s", n, w.Name, Play(n, w, Hang, 1).Figures())
 			}
 		}
--- /dev/null
+++ b/fleet/router.go
@@ -0,0 +1,262 @@
+package fleet
+
+// This file owns a router's side: the host of its module and books. It must never decide anything for them.
+
+import (
+	"math"
+
+	"eiderway/lore"
+	"eiderway/model"
+	"eiderway/splitter"
+	"eiderway/zone"
+)
+
+// router is a Host.
+type router struct {
+	f     *Fleet
+	me    int
+	split *splitter.Router
+	book  *lore.Book
+	zones *zone.Book
+	open  map[int]bool
+	txns  map[int]*txn
+	next  int
+	armed float64
+}
+
+type txn struct {
+	arrived, sla float64
+	typ          int
+	over         bool
+}
+
+func newRouter(f *Fleet, me, of int, seed int64) *router {
+	r := &router{f: f, me: me, open: map[int]bool{}, txns: map[int]*txn{}, armed: math.Inf(1)}
+	r.book = lore.New(lore.Terms{Me: me, Routers: of, Seed: seed + int64(me), Bound: bound})
+	t := zone.Terms{Me: me, Routers: of, Zone: zones[me%len(zones)], Life: uint32(me + 1)}
+	if f.way.Numbers {
+		t.Every = stepsEvery
+	}
+	r.zones = zone.New(t)
+	r.split = splitter.New(splitter.Terms{Seed: seed + int64(me), Me: me, Routers: of, Zone: me % len(zones), Probes: true, ProbeRoles: true, Cancels: true,
+		MaxSubmissions: 8, MaxPause: 1, ConnectIn: 0.25, ColdFrom: 0.2, WarmAfter: 16, Overload: 2.5, Fall: 1.5,
+		Types: []splitter.TxnType{{Need: splitter.NeedBounded, Bound: bound, SLA: 0.4, Value: 1},
+			{Need: splitter.NeedPrimary, Effect: splitter.Referenced, Window: 2, SLA: 1, Value: 6, LateValue: 0.5}}}, r)
+	r.split.Members(splitter.ListAll, f.list())
+	for id, s := range f.servers {
+		r.names(id, s)
+	}
+	return r
+}
+
+// names tells the books of a node.
+func (r *router) names(id int, s *server) {
+	r.book.Node(id, s.name, s.group)
+	r.zones.Node(id, s.name, zones[s.zone], s.group)
+}
+
+func (r *router) Now() float64               { return r.f.now }
+func (r *router) After(at float64, f func()) { r.f.At(at, f) }
+func (r *router) CloseIdle(int)              {}
+func (r *router) Cancel(int)                 {}
+func (r *router) Forget(int)                 {}
+func (r *router) Watch()                     {}
+func (r *router) Note(string)                {}
+func (r *router) Want(g int) {
+	if r.f.way.Talk {
+		r.book.Want(g, r.f.now)
+		r.f.At(r.f.now, r.act)
+	}
+}
+func (r *router) Count(what splitter.What, why splitter.Cause) {
+	if what == splitter.Held && r.f.counts() {
+		r.f.held++
+	}
+}
+func (r *router) Decline(id int, _ float64) {
+	if r.txns[id].over = true; r.f.counts() {
+		r.f.declined++
+	}
+}
+func (r *router) RollBack(id int) { r.txns[id].over = true }
+
+func (r *router) connect(node int) (anew bool) {
+	if r.open[node] {
+		return false
+	}
+	r.open[node] = true
+	if r.f.counts() {
+		r.f.shakes++
+	}
+	return true
+}
+
+func (r *router) Submit(id, node int, until float64, then func(splitter.Result)) {
+	f, s, t, sent := r.f, r.f.servers[node], r.txns[id], r.f.now
+	if f.way.Talk {
+		r.book.Out(node, sent)
+		f.At(sent, r.act)
+	}
+	if node == 2 {
+		f.lastAtHung = sent
+	}
+	settled := false
+	land := func(o splitter.Outcome, rep splitter.Report) {
+		if settled {
+			return
+		}
+		settled = true
+		res := splitter.Result{Outcome: o, Latency: f.now - sent, Report: rep}
+		if o == splitter.Broken || o == splitter.NoConn {
+			r.open[node] = false
+		}
+		if o == splitter.Committed {
+			if f.counts() {
+				s.served++
+				if !t.over && t.arrived >= f.from && f.now-t.arrived <= t.sla {
+					f.good++
+				}
+			}
+			res.Ended, t.over = true, true
+		}
+		if f.way.Talk {
+			r.book.Back(node, rep.Pos, rep.Role == splitter.RolePrimary, f.now)
+		}
+		if f.way.Zones {
+			r.zones.Saw(node, t.typ, o == splitter.Committed, res.Latency, f.now)
+		}
+		r.act()
+		then(res)
+	}
+	f.At(until, func() { land(splitter.TimedOut, splitter.Report{Load: -1}) })
+	s.Run(r.connect(node), func(a model.Answer) {
+		f.At(f.now+0.001, func() {
+			land([]splitter.Outcome{splitter.Committed, splitter.Failed, splitter.Broken, splitter.NoConn}[a.Outcome], report(a))
+		})
+	})
+}
+
+// report is what a node told of itself.
+func report(a model.Answer) splitter.Report {
+	if a.Outcome != model.Done {
+		return splitter.Report{Load: -1}
+	}
+	rep := splitter.Report{OK: true, Role: splitter.RoleReplica, Pos: a.Pos, Load: -1}
+	if a.Primary {
+		rep.Role = splitter.RolePrimary
+	}
+	return rep
+}
+
+func (r *router) Probe(node int, _ splitter.Cause, then func(splitter.Report)) {
+	f, s := r.f, r.f.servers[node]
+	if f.counts() {
+		f.probes++
+	}
+	wait := 0.001
+	if r.connect(node) {
+		wait += ordinary.Handshake
+	}
+	f.At(f.now+wait, func() {
+		a, ok := s.Probe()
+		if !ok {
+			r.open[node] = false
+			f.At(f.now+unanswered, func() { then(splitter.Report{Load: -1}) })
+			return
+		}
+		rep := report(a)
+		rep.Pos -= 0.1 * f.rng.Float64() // reports are refreshed now and then
+		if f.way.Talk {
+			r.book.Saw(node, rep.Pos, a.Primary, f.now)
+			r.act()
+		}
+		then(rep)
+	})
+}
+
+// send has a datagram go its way: 1 to 40 ms, and one in fifty is lost.
+func (r *router) send(to int, b []byte, take func(peer *router)) {
+	f := r.f
+	for _, peer := range f.routers {
+		if peer == r || to != lore.All && to != peer.me {
+			continue
+		}
+		if f.counts() {
+			f.words++
+			f.bytes += float64(len(b))
+		}
+		if f.rng.Float64() >= lossOf {
+			f.way1(func() {
+				take(peer)
+				peer.act()
+			})
+		}
+	}
+}
+
+// act does what the books ask for.
+func (r *router) act() {
+	f := r.f
+	for {
+		e, z := r.book.Effects(), r.zones.Effects()
+		if len(e.Sends)+len(e.Looks)+len(e.Told)+len(z.Sends)+len(z.Looks)+len(z.Doubts) == 0 && z.Word == "" {
+			break
+		}
+		for _, s := range e.Sends {
+			r.send(s.To, s.Bytes, func(peer *router) { peer.book.Take(r.me, s.Bytes, f.now) })
+		}
+		for _, s := range z.Sends {
+			r.send(s.To, s.Bytes, func(peer *router) { peer.zones.Take(r.me, s.Bytes, f.now) })
+		}
+		for _, told := range e.Told {
+			words := make([]splitter.Word, len(told.Words))
+			for i, w := range told.Words {
+				words[i] = splitter.Word(w)
+				words[i].Primary = w.Primary && f.way.Primes
+				if !f.way.Loads {
+					words[i].Load = 0
+				}
+			}
+			r.split.Told(told.Group, told.Until, told.Heard, words)
+		}
+		for _, d := range z.Doubts {
+			r.split.Doubt(d.Node, d.Until)
+		}
+		for _, n := range append(e.Looks, z.Looks...) {
+			r.split.Look(n, splitter.ForAll)
+		}
+		if z.Word != "" {
+			f.word = z.Word
+			f.speak(r)
+		}
+	}
+	if next := min(r.book.Next(), r.zones.Next()); next < r.armed {
+		r.armed = next
+		f.At(next, func() {
+			r.armed = math.Inf(1)
+			if r.book.Next() <= f.now {
+				r.book.Step(f.now)
+			}
+			if r.zones.Next() <= f.now {
+				r.zones.Step(f.now)
+			}
+			r.act()
+		})
+	}
+}
+
+func (r *router) arrive(group, typ int) {
+	f := r.f
+	if f.counts() {
+		f.txns++
+	}
+	id := r.next
+	r.next++
+	t := &txn{arrived: f.now, typ: typ, sla: []float64{0.4, 1}[typ]}
+	r.txns[id] = t
+	if f.way.Talk {
+		r.book.Arrived(group, typ == 1, f.now)
+		r.act()
+	}
+	r.split.Arrive(splitter.Txn{ID: id, Group: group, Type: typ, Until: f.now + 3*t.sla})
+}
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -38,7 +38,7 @@
 	Settings  *string `yaml:"settings"`  // of a trial: our own settings, in place of the trial's
 	Processes int     `yaml:"processes"` // of a trial
 	Edit      *Edit   `yaml:"edit"`      // of a trial: the program is built with a part taken out, or done in another way
-	Words     string  `yaml:"words"`     // of a play: what peers' words bring: none, positions, roles, loads, all
+	Words     string  `yaml:"words"`     // of a play: what peers' words bring: none, positions, roles, loads, all; all and zones, numbered
 }
 
 // Edit is a change of the program's text, made for a way alone: nothing of it stays. The text must be there once.
@@ -51,7 +51,7 @@
 // Play is one in virtual time.
 type Play struct {
 	Routers int    `yaml:"routers"`
-	Day     string `yaml:"day"` // hang, lag, replace
+	Day     string `yaml:"day"` // hang, lag, replace, zone-fails, zone-loses, zone-slow, zone-hangs, zone-cold
 }
 
 const (
@@ -61,9 +61,11 @@
 )
 
 var (
-	days  = map[string]fleet.Day{"hang": fleet.Hang, "lag": fleet.Lag, "replace": fleet.Replace}
+	days  = map[string]fleet.Day{"hang": fleet.Hang, "lag": fleet.Lag, "replace": fleet.Replace, "zone-fails": fleet.ZoneFails, "zone-loses": fleet.ZoneLoses,
+		"zone-slow": fleet.ZoneSlow, "zone-hangs": fleet.ZoneHangs, "zone-cold": fleet.ZoneCold}
 	words = map[string]fleet.Way{"none": {}, "positions": {Talk: true}, "roles": {Talk: true, Primes: true}, "loads": {Talk: true, Loads: true},
-		"all": {Talk: true, Loads: true, Primes: true}}
+		"all":   {Talk: true, Loads: true, Primes: true},
+		"zones": {Talk: true, Loads: true, Primes: true, Zones: true}, "numbered": {Talk: true, Loads: true, Primes: true, Zones: true, Numbers: true}}
 )
 
 // Load reads an experiment. changes are made before it is checked.
@@ -155,7 +157,7 @@
 // cases lists what is played in each way: files of trials, or plays, each with its name.
 func (x *Experiment) cases() (out []*Case, err error) {
 	for _, p := range x.Plays {
-		out = append(out, &Case{Name: fmt.Sprintf("%s, %d routers", p.Day, p.Routers), play: p})
+		out = append(out, &Case{Name: fmt.Sprintf("%s, %d routers", p.Day, p.Routers), Fault: fleet.ZoneIll(days[p.Day]), play: p})
 	}
 	for _, p := range x.Trials {
 		files, err := trial.Files(x.path(p))
--- a/lab/play.go
+++ b/lab/play.go
@@ -145,7 +145,7 @@
 // one plays a case in a way, once.
 func (x *Experiment) one(ctx context.Context, c *Case, w Way, seed int64, dir string, program func(planted bool) (string, error)) (*Run, error) {
 	if c.file == "" {
-		return ofPlay(seed, fleet.Play(c.play.Routers, words[w.Words], days[c.play.Day], seed)), nil
+		return ofPlay(seed, fleet.Play(c.play.Routers, words[w.Words], days[c.play.Day], seed), c.Fault), nil
 	}
 	void := 0
 	for {
