--- a/cmd/eiderlab/main.go
+++ b/cmd/eiderlab/main.go
@@ -223,6 +223,8 @@
 	From     int64    `help:"The first one's seed; each play has the next." default:"1"`
 	Routers  int      `help:"At most." default:"30"`
 	Parallel int      `help:"Plays at a time; 0: one a processor." default:"0"`
+	Way      string   `help:"Of all plays; else it is drawn."`
+	Than     string   `help:"A second way, for the same plays: where is the first one worse?"`
 	Plant    string   `help:"A fault of the rig's own in all of them, to see that it is found."`
 	Rule     []string `help:"Look for these rules only."`
 	Save     string   `help:"A folder for what is found." default:"found" type:"path"`
@@ -232,9 +234,14 @@
 	if h.Plant != "" && !slices.Contains(fleet.Plants, h.Plant) {
 		return fmt.Errorf("--plant: %q is none of %s", h.Plant, strings.Join(fleet.Plants, ", "))
 	}
+	for flag, way := range map[string]string{"--way": h.Way, "--than": h.Than} {
+		if ways := lab.HuntWays(); way != "" && !slices.Contains(ways, way) {
+			return fmt.Errorf("%s: %q is none of %s", flag, way, strings.Join(ways, ", "))
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	out, err := lab.Hunt{Seeds: h.Plays, From: h.From, Routers: h.Routers, Parallel: cmp.Or(h.Parallel, runtime.NumCPU()), Plant: h.Plant, Rules: h.Rule,
+	out, err := lab.Hunt{Seeds: h.Plays, From: h.From, Routers: h.Routers, Parallel: cmp.Or(h.Parallel, runtime.NumCPU()), Way: h.Way, Than: h.Than, Plant: h.Plant, Rules: h.Rule,
 		Progress: func(text string) { fmt.Fprintln(os.Stderr, text) }}.Run(ctx)
 	if err != nil {
 		return err
@@ -247,8 +254,14 @@
 		}
 		fmt.Printf("  %s: %s\n    %d of %d faults are left: %s\n", x.Rule, x.Why, len(x.Setup.Faults), x.Faults, path)
 	}
+	if h.Than != "" {
+		fmt.Printf("served, on the average of the plays: %+.4f from %s, %+.4f to %+.4f in 95 of 100 draws\n", out.Mean.Mean, h.Than, out.Mean.Low, out.Mean.High)
+	}
 	fmt.Println("the least served:")
 	for _, l := range out.Lowest {
+		if h.Than != "" {
+			fmt.Printf("  %+.3f,", l.Served-l.Than)
+		}
 		fmt.Printf("  %.3f: seed %d, %d routers, %s:", l.Served, l.Setup.Seed, l.Setup.Routers, l.Setup.Way.Name)
 		for _, x := range l.Setup.Faults {
 			fmt.Printf(" %s", x.What)
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -223,6 +223,7 @@
 	case "promote":
 		for _, s := range f.servers {
 			if s.group == node.group && s != node && !node.gone && node.state == splitter.On {
+				s.Probe() // it has all up to now, and follows from here
 				s.Primary = false
 			}
 		}
--- a/lab/hunt.go
+++ b/lab/hunt.go
@@ -27,6 +27,8 @@
 	From     int64 // the first one's seed
 	Routers  int   // at most
 	Parallel int
+	Way      string   // of all plays: alone, together, zones, numbered; "": drawn
+	Than     string   // a second way, for the same plays: where is Way worse?
 	Plant    string   // in all of them: see fleet.Plants
 	Rules    []string // to be looked for; none: all
 	Progress func(string)
@@ -44,14 +46,15 @@
 type Hunted struct {
 	Plays  int
 	Txns   int
-	Found  []*Found // by seed
-	Lowest []Low    // shares served, the lowest first
+	Found  []*Found   // by seed
+	Lowest []Low      // shares served, the lowest first; or the differences
+	Mean   Difference // of what is served, from the second way
 }
 
-// Low is a play in which little was served.
+// Low is a play in which little was served, or less than in the second way.
 type Low struct {
-	Setup  fleet.Setup
-	Served float64
+	Setup        fleet.Setup
+	Served, Than float64
 }
 
 const (
@@ -67,6 +70,22 @@
 var huntWays = []fleet.Way{{Name: "alone"}, {Name: "together", Talk: true, Loads: true, Primes: true},
 	{Name: "zones", Talk: true, Loads: true, Primes: true, Zones: true}, {Name: "numbered", Talk: true, Loads: true, Primes: true, Zones: true, Numbers: true}}
 
+// HuntWays are the names of the ways.
+func HuntWays() (out []string) {
+	for _, w := range huntWays {
+		out = append(out, w.Name)
+	}
+	return out
+}
+
+// in gives a play in another way; "": as it is.
+func in(s fleet.Setup, way string) fleet.Setup {
+	if i := slices.IndexFunc(huntWays, func(w fleet.Way) bool { return w.Name == way }); i >= 0 {
+		s.Way = huntWays[i]
+	}
+	return s
+}
+
 // Draw gives the play of a seed: the same one each time.
 func Draw(seed int64, most int) fleet.Setup {
 	rng := rand.New(rand.NewSource(seed))
@@ -133,7 +152,7 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			s := Draw(h.From+int64(k), max(h.Routers, fewRouters))
+			s := in(Draw(h.From+int64(k), max(h.Routers, fewRouters)), h.Way)
 			s.Plant = h.Plant
 			f := s.Play()
 			var found *Found
@@ -145,11 +164,15 @@
 					break
 				}
 			}
+			than := 0.0
+			if h.Than != "" {
+				than = in(s, h.Than).Play().Served()
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			done++
 			out.Txns += f.Sent()
-			out.Lowest = append(out.Lowest, Low{s, f.Served()})
+			out.Lowest = append(out.Lowest, Low{s, f.Served(), than})
 			if found != nil {
 				out.Found = append(out.Found, found)
 				h.Progress(fmt.Sprintf("[%d/%d] seed %d: %s: %s", done, h.Seeds, s.Seed, found.Rule, found.Why))
@@ -164,8 +187,15 @@
 	}
 	slices.SortFunc(out.Found, func(a, b *Found) int { return cmp.Compare(a.Setup.Seed, b.Setup.Seed) })
 	slices.SortFunc(out.Lowest, func(a, b Low) int {
-		return cmp.Or(cmp.Compare(a.Served, b.Served), cmp.Compare(a.Setup.Seed, b.Setup.Seed))
+		return cmp.Or(cmp.Compare(a.Served-a.Than, b.Served-b.Than), cmp.Compare(a.Setup.Seed, b.Setup.Seed))
 	})
+	if h.Than != "" {
+		var base, other []float64
+		for _, l := range out.Lowest {
+			base, other = append(base, l.Than), append(other, l.Served)
+		}
+		out.Mean = differ(base, other)
+	}
 	out.Lowest = out.Lowest[:min(leastLow, len(out.Lowest))]
 	return out, nil
 }
--- a/model/model.go
+++ b/model/model.go
@@ -91,7 +91,7 @@
 
 // New makes a node that has run for long.
 func New(t Terms, c Clock, seed int64) *Node {
-	return &Node{terms: t, clock: c, rng: rand.New(rand.NewSource(seed)), free: make([]float64, max(1, t.Cores)), started: math.Inf(-1)}
+	return &Node{terms: t, clock: c, rng: rand.New(rand.NewSource(seed)), free: make([]float64, max(1, t.Cores)), started: math.Inf(-1), lagAt: c.Now()}
 }
 
 // Set says what is wrong with it from now on.
@@ -146,7 +146,8 @@
 // pos is the time up to which it has applied all.
 func (n *Node) pos() float64 {
 	now := n.clock.Now()
-	if n.Primary {
+	if n.Primary { // it has all, and begins from here if it is one no more
+		n.lag, n.lagAt = 0, now
 		return now
 	}
 	busy := 0
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -162,6 +162,11 @@
 	require.InDelta(t, terms.Lag, lag(), 0.05)
 	n.Primary = true
 	require.Zero(t, lag())
+	c.run(c.now + 100)
+	n.Probe()
+	n.Primary = false
+	load(c, n, 400, 0.1, 2)
+	require.Less(t, lag(), 0.05, "it follows from when it was primary last")
 }
 
 // TestIll: what is wrong with a node shows in what comes back, as a share where it is one.
