--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -255,7 +255,7 @@
 	}
 	for g := range groups {
 		for i := range replicas + 1 {
-			f.add(fmt.Sprintf("s-%d-%d", g, i), g, i%len(zones), terms).Primary = i == 0
+			f.add(fmt.Sprintf("s-%d-%d", g, i), g, i%len(zones), terms).Lead(i == 0)
 		}
 	}
 	var end float64
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -223,11 +223,10 @@
 	case "promote":
 		for _, s := range f.servers {
 			if s.group == node.group && s != node && !node.gone && node.state == splitter.On {
-				s.Probe() // it has all up to now, and follows from here
-				s.Primary = false
+				s.Lead(false)
 			}
 		}
-		node.Primary = node.Primary || !node.gone && node.state == splitter.On
+		node.Lead(node.Primary || !node.gone && node.state == splitter.On)
 	case "cut-peers", "cut-nodes":
 		way := x.Zone + ">" + x.To
 		if what == "cut-nodes" {
@@ -260,7 +259,7 @@
 		w.note(judge.Event{Kind: "fault", Router: me, What: "freeze", Until: r.still - f.now})
 	case "kill":
 		r.dead = true
-		w.note(judge.Event{Kind: "end", Router: me, Life: r.life + 1})
+		w.note(judge.Event{Kind: "end", Router: me, Life: r.life + 1, Until: cmp.Or(x.For, upAfter)})
 		f.At(f.now+cmp.Or(x.For, upAfter), func() {
 			if f.routers[me] != r {
 				return
--- a/model/model.go
+++ b/model/model.go
@@ -67,7 +67,7 @@
 
 // Node is a server. Its table: what is out, emptied by answers and by Crash.
 type Node struct {
-	Primary bool
+	Primary bool // to be read; Lead sets it
 	terms   Terms
 	clock   Clock
 	rng     *rand.Rand
@@ -79,6 +79,7 @@
 	lag     float64 // beyond Terms.Lag, as of
 	lagAt   float64
 	stands  float64 // position that it stands still at; 0: it does not
+	led     float64 // until then it was primary
 	ran     int
 	came    int
 	falls   int
@@ -103,6 +104,14 @@
 	n.ill = x
 }
 
+// Lead has it be primary, or be one no more: then it has all that it committed, and follows from there.
+func (n *Node) Lead(on bool) {
+	if n.Primary && !on {
+		n.led = n.pos()
+	}
+	n.Primary = on
+}
+
 // Start has it begin anew now, cold.
 func (n *Node) Start() {
 	n.started, n.lag, n.lagAt = n.clock.Now(), 0, n.clock.Now()
@@ -166,7 +175,7 @@
 	if n.stands > 0 {
 		pos = min(pos, n.stands)
 	}
-	return pos
+	return max(pos, n.led)
 }
 
 // waiting is how long a statement that comes now waits for a core.
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -160,11 +160,13 @@
 	require.InDelta(t, 5+terms.Lag, lag(), 0.1)
 	n.Set(Ill{})
 	require.InDelta(t, terms.Lag, lag(), 0.05)
-	n.Primary = true
+	n.Lead(true)
 	require.Zero(t, lag())
+	n.Set(Ill{Stands: true})
 	c.run(c.now + 100)
-	n.Probe()
-	n.Primary = false
+	n.Lead(false)
+	require.Zero(t, lag(), "it has what it committed")
+	n.Set(Ill{})
 	load(c, n, 400, 0.1, 2)
 	require.Less(t, lag(), 0.05, "it follows from when it was primary last")
 }
