--- a/standin/node.go
+++ b/standin/node.go
@@ -311,7 +311,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ran = append(g.ran, Ran{n.Name, primary, text, now})
+	at := now
+	if primary && writes(text) { // as the log has it: of two writes of a row the later one by this time is what stays
+		at = time.Now()
+	}
+	g.ran = append(g.ran, Ran{n.Name, primary, text, at})
 	if !primary && writes(text) {
 		return status(append(out, pgwire.AppendError(nil, "ERROR", "25006", "cannot execute "+first+" in a read-only transaction", "")...))
 	}
