Fleet: a test of zones with the true module

Change: TestZones, thirty routers told and numbered, a zone that fails and one that comes back cold.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -39,3 +39,27 @@
 	t.Logf("three: %s", few.Figures())
 	require.Less(t, few.bytes/256/float64(few.txns), 0.1, "few routers with traffic of their own tell little")
 }
+
+// TestZones: nodes that are half loaded, a third of them ill together. Routers that leave the zone together send it less in vain
+// than those that tell each other of nodes, and nobody pushes a node over, also where the zone comes back cold.
+func TestZones(t *testing.T) {
+	told := Way{Name: "told", Talk: true, Loads: true, Primes: true}
+	numbered := told
+	numbered.Name, numbered.Zones, numbered.Numbers = "numbered", true, true
+	vain := func(s Sum) (n int64) {
+		for _, x := range s.Asked[2:11] {
+			n += x
+		}
+		return n
+	}
+	for _, d := range []Day{ZoneFails, ZoneCold} {
+		a, b := Play(30, told, d, 1).Sum(), Play(30, numbered, d, 1).Sum()
+		t.Logf("day %d: told %v, numbered %v", d, a.Asked, b.Asked)
+		require.Zero(t, b.Falls)
+		require.Greater(t, b.InTime, 0.95)
+		if d != ZoneCold {
+			require.Less(t, 2*vain(b), vain(a))
+		}
+		require.Greater(t, b.Asked[len(b.Asked)-1], b.Asked[0]/2, "it is used again")
+	}
+}
