--- a/fleet/router.go
+++ b/fleet/router.go
@@ -151,12 +151,13 @@
 	if node == 2 {
 		f.lastAtHung = sent
 	}
-	settled, body := false, ""
+	settled, body, stop := false, "", func() {}
 	land := func(o splitter.Outcome, rep splitter.Report) {
 		if settled {
 			return
 		}
 		settled, t.out, t.cancel = true, false, nil
+		stop() // the connection is closed, or has its answer
 		res := splitter.Result{Outcome: o, Latency: f.now - sent, Report: rep}
 		if o == splitter.Broken || o == splitter.NoConn {
 			r.open[node] = false
@@ -197,7 +198,7 @@
 	if f.plant == "resends" && t.typ == onceOnly {
 		s.Run(false, do, func(model.Answer) {})
 	}
-	s.Run(r.connect(node), do, func(a model.Answer) {
+	stop = s.Run(r.connect(node), do, func(a model.Answer) {
 		r.at(f.now+0.001, func() {
 			land([]splitter.Outcome{splitter.Committed, splitter.Failed, splitter.Broken, splitter.NoConn, splitter.Missed}[a.Outcome], r.report(a))
 		})
--- a/model/model.go
+++ b/model/model.go
@@ -72,7 +72,9 @@
 	clock   Clock
 	rng     *rand.Rand
 	ill     Ill
-	free    []float64 // when each core has done what it has
+	busy    int     // cores
+	queue   []*job  // waits for one, oldest first
+	queued  float64 // s of work that is in it
 	out     []*job
 	started float64 // -Inf: long ago
 	downTo  float64
@@ -87,12 +89,16 @@
 
 type job struct {
 	then func(Answer)
+	do   func() bool
+	work float64 // s, at full speed
+	lost bool
+	runs bool
 	over bool
 }
 
 // New makes a node that has run for long.
 func New(t Terms, c Clock, seed int64) *Node {
-	return &Node{terms: t, clock: c, rng: rand.New(rand.NewSource(seed)), free: make([]float64, max(1, t.Cores)), started: math.Inf(-1), lagAt: c.Now()}
+	return &Node{terms: t, clock: c, rng: rand.New(rand.NewSource(seed)), started: math.Inf(-1), lagAt: c.Now()}
 }
 
 // Set says what is wrong with it from now on.
@@ -115,15 +121,13 @@
 // Start has it begin anew now, cold.
 func (n *Node) Start() {
 	n.started, n.lag, n.lagAt = n.clock.Now(), 0, n.clock.Now()
-	for i := range n.free {
-		n.free[i] = n.started
-	}
 }
 
 // Crash ends all that is out, and has it down for a time; then it starts cold.
 func (n *Node) Crash(down float64) {
 	now := n.clock.Now()
 	n.downTo = now + down
+	n.queue, n.queued = nil, 0
 	for _, j := range slices.Clone(n.out) {
 		n.clock.At(now, func() { n.end(j, Answer{Outcome: Broken}) })
 	}
@@ -146,7 +150,7 @@
 	if age := n.clock.Now() - n.started; age < n.terms.Warm {
 		s = n.terms.Cold + (1-n.terms.Cold)*age/n.terms.Warm
 	}
-	if over := len(n.out) - 2*len(n.free); over > 0 {
+	if over := len(n.out) - 2*n.cores(); over > 0 {
 		s /= 1 + n.terms.Crowd*float64(over)
 	}
 	return s
@@ -159,17 +163,11 @@
 		n.lag, n.lagAt = 0, now
 		return now
 	}
-	busy := 0
-	for _, f := range n.free {
-		if f > now {
-			busy++
-		}
-	}
-	by := now - n.lagAt
-	if n.lagAt = now; busy == len(n.free) {
+	by, cores := now-n.lagAt, n.cores()
+	if n.lagAt = now; n.busy >= cores {
 		n.lag += n.terms.Crowded * by
 	} else {
-		n.lag = max(0, n.lag-by*float64(len(n.free)-busy)/float64(len(n.free)))
+		n.lag = max(0, n.lag-by*float64(cores-n.busy)/float64(cores))
 	}
 	pos := now - n.terms.Lag - n.lag
 	if n.stands > 0 {
@@ -178,62 +176,91 @@
 	return max(pos, n.led)
 }
 
-// waiting is how long a statement that comes now waits for a core.
-func (n *Node) waiting() float64 { return max(0, slices.Min(n.free)-n.clock.Now()) }
+func (n *Node) cores() int { return max(1, n.terms.Cores) }
+
+// waiting is about how long a statement that comes now waits for a core.
+func (n *Node) waiting() float64 { return n.queued / n.speed() / float64(n.cores()) }
 
 // Run gives it a statement; connect says that it comes on a new connection. do is called when it runs, whether or not anybody
 // hears of it, and tells whether the node takes it; nil: it does. then is called once, or never where the answer is lost:
-// whoever asked gives up by a time of its own.
-func (n *Node) Run(connect bool, do func() bool, then func(Answer)) {
+// whoever asked gives up by a time of its own, and calls stop: what has not begun by then does not run, what has goes on.
+func (n *Node) Run(connect bool, do func() bool, then func(Answer)) (stop func()) {
 	now := n.clock.Now()
 	if n.Down() || n.ill.Cut || connect && n.ill.Refuses {
 		if !n.ill.Cut {
 			n.clock.At(now, func() { then(Answer{Outcome: NoConn}) })
 		}
-		return
+		return func() {}
 	}
 	n.came++
-	j := &job{then: then}
+	j := &job{then: then, do: do, lost: n.rng.Float64() < n.ill.Loses}
 	n.out = append(n.out, j)
+	stop = func() {
+		if !j.runs {
+			n.unqueue(j)
+		}
+		n.drop(j)
+	}
 	switch {
 	case n.ill.Hangs:
-		return
+		return stop
 	case n.rng.Float64() < n.ill.Fails:
 		n.clock.At(now+0.001, func() { n.end(j, Answer{Outcome: Error}) })
-		return
+		return stop
 	}
-	work := n.terms.Work * n.rng.ExpFloat64()
-	if connect {
-		work += n.terms.Handshake
-	}
-	core := 0
-	for i, f := range n.free {
-		if f < n.free[core] {
-			core = i
-		}
+	if j.work = n.terms.Work * n.rng.ExpFloat64(); connect {
+		j.work += n.terms.Handshake
 	}
-	done := max(now, n.free[core]) + work/n.speed()
-	n.pos() // its lag up to now, before it gets busier
-	n.free[core] = done
+	n.queue, n.queued = append(n.queue, j), n.queued+j.work
+	n.begin()
 	if n.terms.Falls > 0 && n.waiting() > n.terms.Falls {
 		n.falls++
 		n.Crash(n.terms.Down)
-		return
 	}
-	lost := n.rng.Float64() < n.ill.Loses
-	n.clock.At(done+n.ill.Slower, func() {
-		if !j.over {
-			a := Answer{Outcome: Done, Pos: n.pos(), Primary: n.Primary}
-			if n.ran++; do != nil && !do() {
-				a.Outcome = Refused
-			}
-			if lost || n.ill.Hangs {
-				n.drop(j)
-				return
+	return stop
+}
+
+func (n *Node) unqueue(j *job) {
+	if i := slices.Index(n.queue, j); i >= 0 {
+		n.queue, n.queued = slices.Delete(n.queue, i, i+1), n.queued-j.work
+	}
+}
+
+// begin has cores that are free take what waits.
+func (n *Node) begin() {
+	for n.busy < n.cores() && len(n.queue) > 0 {
+		n.pos() // its lag up to now, before it gets busier
+		j := n.queue[0]
+		n.unqueue(j)
+		n.busy++
+		j.runs = true
+		began := n.started
+		n.clock.At(n.clock.Now()+j.work/n.speed(), func() {
+			n.pos()
+			n.busy--
+			if n.started == began && !n.Down() { // else it went down meanwhile
+				n.clock.At(n.clock.Now()+n.ill.Slower, func() { n.done(j) })
 			}
-			n.end(j, a)
-		}
-	})
+			n.begin()
+		})
+	}
+}
+
+// done is the end of a statement that ran; perhaps nobody waits for it any more.
+func (n *Node) done(j *job) {
+	if n.Down() {
+		return
+	}
+	n.ran++
+	a := Answer{Outcome: Done, Pos: n.pos(), Primary: n.Primary}
+	if j.do != nil && !j.do() {
+		a.Outcome = Refused
+	}
+	if j.lost || n.ill.Hangs {
+		n.drop(j)
+		return
+	}
+	n.end(j, a)
 }
 
 // drop has nobody wait for a statement's answer any more.
