Knowing: each want pays for looks again, as before

A keeper with much traffic of its own looks as often as its reads ask for it; capped, replicas proved nothing and reads were declined, since nobody else asks while a keeper speaks.

--- a/lore/api.go
+++ b/lore/api.go
@@ -81,7 +81,6 @@
 	mostUse     = 0.4   // share of the routers from which all are told: who is not asks, and waits, and looks for itself where words are lost
 	nextKeepers = 3     // that are told in any case
 	looksFor    = 2.0   // looks that a want pays for: as many as a read of its own would have sent
-	payEvery    = 0.1   // s between wants that do: more of them say nothing new
 	looksMost   = 12.0  // and that may be saved up
 	lookAfter   = 0.5   // of the bound without news of a node until it is looked at
 	lookAgain   = 0.1   // s between looks at a node: reports are hardly refreshed sooner
--- a/lore/lore.go
+++ b/lore/lore.go
@@ -64,7 +64,6 @@
 	due     float64   // our next tell
 	hurry   float64   // a txn somewhere waits for a primary until then
 	looks   float64   // that wants have paid for
-	paid    float64   // when the last one did
 	lacks   float64   // share of our reads of late for which we had no proof of our own
 	users   []float64 // by router, while we keep it: when its last word on the group came
 	next    []int     // who keeps it where we are not heard, the first ones: they hear all that is told
@@ -346,10 +345,7 @@
 	if primary {
 		g.hurry = now + hurry
 	}
-	if now-g.paid >= payEvery {
-		g.paid = now
-		g.looks = min(looksMost, g.looks+looksFor)
-	}
+	g.looks = min(looksMost, g.looks+looksFor)
 }
 
 // Take takes a datagram that came from the address of a peer, and tells whether it was one of ours.
