Laboratory: one way to read a YAML file; a figure that nobody used goes

Seen, reading the whole change again: experiments and plays were read by the same lines twice; model.Terms.Bears was called by a test only.

Nothing else changes.

Measured: tests of lab, model and fleet pass.

--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -70,13 +70,9 @@
 
 // Load reads an experiment. changes are made before it is checked.
 func Load(path string, changes ...func(*Experiment)) (*Experiment, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
 	x := &Experiment{dir: filepath.Dir(path), Parallel: 1}
-	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(x); err != nil {
-		return nil, fmt.Errorf("%s: %s", path, strings.ReplaceAll(yaml.FormatError(err, false, false), "\n", " "))
+	if err := strict(path, x); err != nil {
+		return nil, err
 	}
 	for _, change := range changes {
 		change(x)
@@ -87,6 +83,18 @@
 	return x, nil
 }
 
+// strict reads a YAML file into something; what it does not know is an error with its place.
+func strict(path string, into any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(into); err != nil {
+		return fmt.Errorf("%s: %s", path, strings.ReplaceAll(yaml.FormatError(err, false, false), "\n", " "))
+	}
+	return nil
+}
+
 func (x *Experiment) check() error {
 	if (len(x.Trials) > 0) == (len(x.Plays) > 0) {
 		return fmt.Errorf("name trials or plays, and not both")
--- a/lab/hunt.go
+++ b/lab/hunt.go
@@ -4,7 +4,6 @@
 // small as they can be while they still show the same. It must never call a play wrong that the judge does not.
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -215,13 +214,9 @@
 
 // Read reads a play.
 func Read(path string) (s fleet.Setup, err error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
+	if err := strict(path, &s); err != nil {
 		return s, err
 	}
-	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(&s); err != nil {
-		return s, fmt.Errorf("%s: %s", path, strings.ReplaceAll(yaml.FormatError(err, false, false), "\n", " "))
-	}
 	switch {
 	case s.Routers < 1 || s.Routers > mostRouters:
 		return s, fmt.Errorf("%s: routers: %d is no number from 1 to %d", path, s.Routers, mostRouters)
--- a/model/model.go
+++ b/model/model.go
@@ -10,7 +10,6 @@
 package model
 
 import (
-	"cmp"
 	"math"
 	"math/rand"
 	"slices"
@@ -283,6 +282,3 @@
 	}
 	return Answer{Outcome: Done, Pos: n.pos(), Primary: n.Primary}, true
 }
-
-// Bears is how many statements a second it can do while warm and not crowded.
-func (t Terms) Bears() float64 { return float64(max(1, t.Cores)) / cmp.Or(t.Work, math.Inf(1)) }
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"math/rand"
 	"testing"
 
@@ -201,5 +200,4 @@
 	n.Run(true, nil, func(a Answer) { refused = a.Outcome })
 	c.run(c.now)
 	require.Equal(t, NoConn, refused)
-	require.False(t, math.IsInf(terms.Bears(), 1))
 }
