Module: what a member answers outweighs its probes; held writes look where probes fail

The counters of a scratch copy showed declines for no_primary and no_proof, no submissions; the boxes stood idle, so it was neither load nor the outage of one of them. The assumption that did not carry over: that a member which does not answer probes does not serve. Change: an answered txn ends a row of failed probes. A member that serves while a probe sent before gets no answer shows that probes fail; for 30 s then no probe sets aside, a held write asks members itself (a miss never ran), a member set aside shows itself by one txn, resting longer after each failure. First looks that fail leave guesses where nodes check. Also against probes that are lost, refused or overdue by a busy agent. It could harm where a member answers old txns after it stopped taking new ones: a txn's wait more. Scenarios probes-fail and probes-fail-fresh fail before.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -29,6 +29,7 @@
 	goodProbes   = 2     // good ones until it rejoins (design)
 	frozenRounds = 3     // rounds without any answer, the last one begun, that freeze the role record (design)
 	rest         = 0.5   // s a member set aside stays there at least
+	restMost     = 16.0  // times that, for one that fails each trial: the longest outages are tens of seconds
 	failGain     = 0.2   // weight of the newest outcome in a node's share of failures
 	failLimit    = 0.5   // share of failures from which a node is set aside: it fails most
 	failTrial    = 0.4   // share it comes back with, so that one more failure sets it aside again
@@ -80,6 +81,7 @@
 	armed  bool           // a tick is due
 	due    float64        // when
 	woke   float64        // end of the last stall of this router itself
+	blind  float64        // until then probes are known to fail at members that serve
 	sent   int            // submissions so far
 }
 
@@ -111,6 +113,8 @@
 	good    int // good probes in a row
 	aside   bool
 	back    float64 // not back before this
+	rests   float64 // s it rests when its next trial fails
+	missed  float64 // when the last probe that failed was sent
 	fails   float64 // share of txns that failed of late
 	pace    float64 // latency as a share of the SLA time, of late
 	limit   float64 // submissions of ours it bears at once
@@ -437,7 +441,7 @@
 	told, seen := r.host.Now() < g.told, 0
 	for _, n := range g.members {
 		switch {
-		case n.closed || n.aside || !told && n == g.pri:
+		case n.closed || n.aside && !r.trial(n) || !told && n == g.pri:
 		case n.known || !r.terms.ProbeRoles:
 			usable = append(usable, n)
 		default:
@@ -522,18 +526,19 @@
 }
 
 // candidate finds the member on which a held write itself looks for the primary. It acts only where probes
-// tell no roles: a miss never ran, so members are asked in turn, the list's primary first, one write at a
-// time.
+// tell no roles, or don't come through: a miss never ran, so members are asked in turn, the list's primary
+// first, one write at a time, none again before the hurried interval.
 func (r *Router) candidate(g *group) *node {
-	if r.terms.ProbeRoles {
+	now := r.host.Now()
+	if r.terms.ProbeRoles && now >= r.blind {
 		return nil
 	}
 	var best *node
 	for _, n := range g.members {
-		if n.closed || n.aside {
+		if n.closed || n.aside && !r.trial(n) || now < n.denied+hurried {
 			continue
 		}
-		if len(n.out) > 0 {
+		if slices.ContainsFunc(n.out, func(f *flight) bool { return f.t.Need == NeedPrimary }) {
 			return nil
 		}
 		if best == nil || n.denied < best.denied || n.denied == best.denied && n.Primary && !best.Primary {
@@ -543,6 +548,12 @@
 	return best
 }
 
+// trial tells whether a member that was set aside may show by one txn that it serves again, where probes
+// can't: they are known to fail. It covers probes that get lost; it costs a txn's wait at a dead member.
+func (r *Router) trial(n *node) bool {
+	return r.host.Now() < r.blind && r.host.Now() >= n.back && len(n.out) == 0
+}
+
 // long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are
 // not crowded: else a crowd would make txns long. Long txns may stop a replica from applying the log, so they
 // are gathered on few; it could harm where they are most of the load and block nothing.
@@ -576,7 +587,8 @@
 	if n.pos >= need {
 		return true
 	}
-	return r.terms.NodesCheck && !t.g.held && now-n.lag > need+spare*(now-need)
+	guess := r.terms.NodesCheck && (!t.g.held || n.pos == 0)
+	return guess && now-n.lag > need+spare*(now-need)
 }
 
 // room tells whether a node can take one more submission of ours.
@@ -757,6 +769,12 @@
 	if slices.Contains([]Outcome{Committed, Missed, Full, Failed, Answered}, res.Outcome) {
 		n.heard = now
 		r.hear(n, res.Report, true)
+		if n.bad > 0 && f.sent >= n.missed {
+			r.blind = now + window // it serves, and did not answer a probe sent before
+		}
+		if n.bad = 0; n.aside && now < r.blind && res.Outcome != Failed {
+			r.rejoin(n)
+		}
 	}
 	switch res.Outcome {
 	case Committed:
@@ -814,6 +832,7 @@
 		if res.Outcome == NoConn {
 			r.setAside(n)
 		}
+		n.down = n.down || refused && now < r.blind
 		if refused && r.terms.Probes && !n.probing {
 			n.refused = now
 			r.probe(n, g, ConnLost)
@@ -967,11 +986,21 @@
 	now := r.host.Now()
 	if !n.aside {
 		n.aside, n.good = true, 0
-		n.back = now + rest
+		n.back, n.rests = now+rest, 2*rest
+	} else if now >= n.back { // a trial failed
+		n.back, n.rests = now+n.rests, min(2*n.rests, restMost*rest)
 	}
 	n.limit = 1
 }
 
+// rejoin takes a member back into the read set. One that was down is cold, before the list says so.
+func (r *Router) rejoin(n *node) {
+	if n.down {
+		n.down, n.started = false, r.host.Now()
+	}
+	n.aside, n.limit, n.fails = false, 1, min(n.fails, failTrial)
+}
+
 func (r *Router) tick() {
 	r.clock()
 	r.armed = false
@@ -991,7 +1020,7 @@
 	if !r.terms.Probes {
 		return
 	}
-	held, told := g.held && r.waits(g), now < g.told
+	held, told := g.held && r.waits(g) && now >= r.blind, now < g.told
 	due := len(g.members)
 	if held && told {
 		r.host.Want(g.id)
@@ -1060,10 +1089,13 @@
 		return
 	}
 	if !rep.OK {
-		n.good = 0
+		n.good, n.missed = 0, sent
 		n.bad++
 		g.mute++
-		if n.bad >= badProbes && g.mute <= (frozenRounds-1)*len(g.members) {
+		if !n.known && r.terms.NodesCheck {
+			n.known, n.lag = true, 0 // it was looked at in vain, and checks reads itself
+		}
+		if n.bad >= badProbes && now >= r.blind && g.mute <= (frozenRounds-1)*len(g.members) {
 			n.down = true
 			r.setAside(n)
 			if g.pri == n && !g.held {
@@ -1085,8 +1117,7 @@
 		g.held = false // the old primary is there after all
 	}
 	if n.aside && n.good >= goodProbes && now >= n.back {
-		n.aside = false
-		n.limit, n.fails = 1, min(n.fails, failTrial)
+		r.rejoin(n)
 	}
 	r.pump(g)
 }
