Module: too late is what even the quickest tenth of answers could not meet

The assumption that did not carry over: that a mean says whether an answer can come in time; it is skewed by heavy tails and by stalls. Change: each txn type keeps the latency that one answer in ten stays under, moved by every answer; a txn is too late when less is left. Also against means spoilt by slow nodes and stalls. It harms under overload, where what is sent with little time left is mostly wasted.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -47,6 +47,8 @@
 	chance       = 0.5   // width of the chance in the choice of a replica: routers alike must not choose alike
 	golden       = 0.618 // steps of this spread any numbers of routers and txns evenly over the turns
 	workShare    = 5.0   // SLA times a txn's work is expected to fit in, until answers tell
+	quickShare   = 0.1   // share of answers that come within a txn type's quick time
+	quickGain    = 0.2   // how far one answer moves that time: the last few dozen tell
 	overdue      = 8.0   // times its usual latency an answer takes at least before it counts as lost
 	heldShare    = 0.5   // share of its client's wait by which a write that was never sent is declined
 	spare        = 0.2   // share of a bound kept free where a position is a guess
@@ -88,9 +90,10 @@
 // kind is a txn type with what experience says of it.
 type kind struct {
 	TxnType
-	work float64 // s, usual latency
-	free float64 // s, the same at nodes that are not crowded
-	base float64 // s, what paces are shares of
+	work  float64 // s, usual latency
+	free  float64 // s, the same at nodes that are not crowded
+	quick float64 // s, latency that one answer in ten stays under
+	base  float64 // s, what paces are shares of
 }
 
 // node is a member with its entry in the role record.
@@ -180,7 +183,8 @@
 	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)),
 		groups: map[int]*group{}, txns: map[int]*txn{}, late: reportLate}
 	for i, t := range terms.Types {
-		r.kinds = append(r.kinds, &kind{t, t.SLA / workShare, t.SLA / workShare, t.SLA})
+		work := t.SLA / workShare
+		r.kinds = append(r.kinds, &kind{t, work, work, quickShare * work, t.SLA})
 		r.ranked = append(r.ranked, i)
 	}
 	value := func(i int) float64 { return r.kinds[i].Value / r.kinds[i].SLA }
@@ -314,7 +318,7 @@
 	if x.Cost > 0 {
 		// Its own usual latency: a costly txn must not look lost or a node slow by the cheap ones of its type,
 		// nor they by it. It harms where costs are wrong; a stale one fades where it is learned.
-		t.kind = &kind{t.TxnType, x.Cost, x.Cost, max(t.SLA, workShare*x.Cost)}
+		t.kind = &kind{t.TxnType, x.Cost, x.Cost, quickShare * x.Cost, max(t.SLA, workShare*x.Cost)}
 	}
 	r.txns[x.ID] = t
 	g.live++
@@ -657,7 +661,7 @@
 // whatever holds it up; it harms where a primary comes in the second half.
 func (r *Router) tooLate(t *txn) bool {
 	now := r.host.Now()
-	return now >= r.last(t)-t.work || t.tries == 0 && t.Need == NeedPrimary &&
+	return now >= r.last(t)-t.quick || t.tries == 0 && t.Need == NeedPrimary &&
 		now >= t.arrived+heldShare*(t.Until-t.arrived)-2*tick
 }
 
@@ -788,6 +792,9 @@
 		}
 		if timed {
 			t.work += workGain * (res.Latency - t.work)
+			if t.quick *= 1 + quickGain*quickShare; res.Latency < t.quick {
+				t.quick *= 1 - quickGain
+			}
 			if n.pace < slowPace {
 				t.free += workGain * (res.Latency - t.free)
 			}
