Module: at 400 routers: crowds, slow connections, held writes, full nodes, session misses

Scenarios crowd, full, held-long, open-connections, session-missed each fail with the module before.

--- a/splitter/api.go
+++ b/splitter/api.go
@@ -55,6 +55,7 @@
 	AskList        bool    // the member list comes only when watched
 	OnlyDrainBinds bool    // a node gone without a drain may still be used
 	ConnectIn      float64 // a connection not there by then is not had
+	IdleClose      float64 // a connection not in use for this long is closed
 	MaxSubmissions int     // a txn
 	MaxPause       float64 // the longest pause a client heeds; 0: none
 	ColdFrom       float64 // share of its capacity a node starts with
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -122,9 +122,10 @@
 	{Need: NeedSession, SLA: 0.4, Value: 1},
 	{Need: NeedCurrent, SLA: 0.4, Value: 1},
 	{Need: NeedAny, SLA: 0.5, Value: 1, LateValue: 0.5},
+	{Need: NeedAny, SLA: 0.5, Value: 1, LateValue: 0.2},
 }
 
-var typeNames = []string{"read", "write", "once", "any", "long", "session", "current", "late"}
+var typeNames = []string{"read", "write", "once", "any", "long", "session", "current", "late", "stale"}
 
 var outcomeNames = map[string]Outcome{"committed": Committed, "failed": Failed, "timedout": TimedOut,
 	"broken": Broken, "cancelled": Cancelled, "missed": Missed, "full": Full, "noconn": NoConn, "unknown": Unknown, "answered": Answered}
@@ -145,12 +146,13 @@
 //	look NAME                                 they want to know of it
 //	expect WHAT                               it did this since the last expect; names may be A|B
 //	never WHAT                                it did not
+//	most N WHAT                               it did this N times at most
 //	held ID ...                               txns neither out nor over
 func (w *world) play(f []string) {
 	switch f[0] {
 	case "router":
 		t := Terms{Seed: 1, Routers: 1, Types: types, Probes: true, ProbeRoles: true, Cancels: true,
-			MaxSubmissions: 8, MaxPause: 1, ColdFrom: 0.2, WarmAfter: 16, Overload: 3, Fall: 2, ConnectIn: 0.25}
+			MaxSubmissions: 8, MaxPause: 1, ColdFrom: 0.2, WarmAfter: 16, Overload: 3, Fall: 2, ConnectIn: 0.25, IdleClose: 15}
 		for _, o := range f[1:] {
 			name, n, _ := strings.Cut(o, "=")
 			switch name {
@@ -247,6 +249,14 @@
 	case "never":
 		i := slices.IndexFunc(w.did, func(s string) bool { return matches(s, f[1:]) })
 		require.Less(w.t, i, 0, "%s: %v in %v", w.where, f[1:], w.did)
+	case "most":
+		count := 0
+		for _, s := range w.did {
+			if matches(s, f[2:]) {
+				count++
+			}
+		}
+		require.LessOrEqual(w.t, float64(count), w.number(f[1]), "%s: %v", w.where, w.did)
 	case "held":
 		for _, s := range f[1:] {
 			id := int(w.number(s))
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -20,6 +20,8 @@
 	hurried      = 0.1   // s between probes in a failover window (design)
 	window       = 30.0  // s that a failover window lasts at most (design)
 	settle       = 1.0   // s of window left once an answer, not a probe, has confirmed the primary
+	heldPace     = 0.25  // share of the time writes have been held until members are asked again for one of them
+	slowest      = 1.0   // s between probes of a member while writes are held at most
 	asideProbe   = 0.25  // s between probes of a member set aside: two take less than its rest
 	probeShare   = 0.25  // probes that a txn pays for beside those that it waits for
 	askWidth     = 2     // replicas asked at a time for a proof of position: the second spares a step
@@ -62,29 +64,34 @@
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
+	shareSpan    = 4.0   // s over which the share of txns answered in time is taken
+	shareLeast   = 2.0   // times what was answered in time that is sent: more than half is in vain
+	lateLeast    = 0.5   // share of its value that a late answer must keep to be waited for in a crowd
+	crowdShare   = 0.8   // share answered in time under which there is one: in calm it is nearly all
+	shareFree    = 4.0   // txns in that time that are sent whatever became of others
+	fullMost     = 1.0   // s a full node is left alone at most: a full queue takes about as long to work off
 	reportLate   = 0.1   // s, how old a probe's report is taken to be until a primary's own reports tell
 )
 
 // Router is one router. Routers share nothing.
 type Router struct {
-	host   Host
-	terms  Terms
-	rng    *rand.Rand
-	nodes  []*node        // by index; emptied of nodes long off the list
-	groups map[int]*group // grows with the groups ever listed
-	order  []*group       // groups as first met
-	kinds  []*kind        // by txn type
-	ranked []int          // txn types, most value for the work first
-	txns   map[int]*txn   // held txns; emptied by their final answers
-	late   float64        // s, how old reports are when they arrive
-	refuse int            // refused watches in a row
-	scarce float64        // until then connections are scarce
-	count  int            // txns so far
-	armed  bool           // a tick is due
-	due    float64        // when
-	woke   float64        // end of the last stall of this router itself
-	blind  float64        // until then probes are known to fail at members that serve
-	sent   int            // submissions so far
+	host        Host
+	terms       Terms
+	rng         *rand.Rand
+	nodes       []*node        // by index; emptied of nodes long off the list
+	groups      map[int]*group // grows with the groups ever listed
+	order       []*group       // groups as first met
+	kinds       []*kind        // by txn type
+	ranked      []int          // txn types, most value for the work first
+	txns        map[int]*txn   // held txns; emptied by their final answers
+	setup       float64        // s that a new connection adds to a txn, of late
+	late        float64        // s, how old reports are when they arrive
+	refuse      int            // refused watches in a row
+	scarce      float64        // until then connections are scarce
+	count, sent int            // txns, submissions so far
+	due         float64        // when the next tick is, +Inf: none
+	woke        float64        // end of the last stall of this router itself
+	blind       float64        // until then probes are known to fail at members that serve
 }
 
 // kind is a txn type with what experience says of it.
@@ -99,89 +106,88 @@
 // node is a member with its entry in the role record.
 type node struct {
 	Member
-	closed  bool    // drains or is gone
-	drained bool    // it was listed as draining, and has not started anew since
-	gone    float64 // since when it is off the list; 0: it is on
-	claimed float64 // latest time at which it was primary by its own word
-	denied  float64 // latest time at which an answer told that it was not
-	known   bool    // it has told of itself
-	pos     float64 // it has applied all commits up to this time
-	lag     float64 // s behind when last heard
-	heard   float64 // last answer to a txn
-	refused float64 // when it last refused a connection at once; 0: it has answered a probe since
-	full    float64 // until then a refusal says that it has all the connections it takes
-	probed  float64 // last probe
-	probing bool
-	bad     int // failed probes in a row
-	good    int // good probes in a row
-	aside   bool
-	back    float64 // not back before this
-	rests   float64 // s it rests when its next trial fails
-	missed  float64 // when the last probe that failed was sent
-	fails   float64 // share of txns that failed of late
-	pace    float64 // latency as a share of the SLA time, of late
-	limit   float64 // submissions of ours it bears at once
-	next    float64 // none before this
-	cut     float64 // last time the limit shrank
-	out     []*flight
-	started float64 // when it last came up cold, by list or by its own signs
-	doubted float64 // peers doubt it until then
-	load    float64 // submissions of all routers there, by what peers say
-	down    bool    // its process seemed gone
+	closed, drained       bool    // drains or is gone; was listed as draining, and has not started anew since
+	gone                  float64 // since when it is off the list; 0: it is on
+	claimed, denied       float64 // latest time it was primary by its own word; latest that denies it
+	pos, lag              float64 // it has applied all commits up to this time; s behind when last heard
+	heard                 float64 // last answer to a txn
+	refused, full         float64 // when it last refused a connection, 0: answered since; full till then
+	probed, missed        float64 // when the last probe was sent, the last that failed
+	known, probing, aside bool    // it has told of itself; a probe is out; it is out of the read set
+	bad, good             int     // probes in a row
+	back, rests           float64 // not back before this; s it rests when its next trial fails
+	fails                 float64 // share of txns that failed of late
+	pace                  float64 // latency as a share of the SLA time, of late
+	limit, cut            float64 // submissions of ours it bears at once; when that last shrank
+	next, crowded         float64 // no submission before this; s it is left alone when it turns one away as full
+	out                   []*flight
+	idle                  []float64 // since when each connection that should be open is not in use
+	started               float64   // when it last came up cold, by list or by its own signs
+	doubted               float64   // peers doubt it until then
+	load                  float64   // submissions of all routers there, by what peers say
+	down                  bool      // its process seemed gone
 }
 
 // group is a primary with its replicas, and the txns that wait for one of them.
 type group struct {
-	id      int
-	members []*node
-	pri     *node
-	held    bool    // writes wait until a member shows that it is primary
-	heldAt  float64 // evidence must be newer than this
-	until   float64 // end of the failover window
-	live    int     // txns held and submissions out
-	credit  float64 // probes that txns have paid for
-	next    int     // the member that is due first
-	mute    int     // probes of any member in a row that failed
-	told    float64 // peers look at the members for all until then
-	word    float64 // their last word
-	hint    *node   // the member that they call primary
-	hinted  float64 // as of when
-	waiting map[int][]*txn
-	// Commits of sessions, where the router itself must remember them: the newest and the ones before,
-	// which are dropped as the newest grow old. What is forgotten every read must see.
-	wrote, before map[int64]float64
-	turned        float64 // when wrote was begun
-	forgot        float64 // commits up to this are in neither
+	id            int
+	members       []*node
+	pri           *node
+	held          bool            // writes wait until a member shows that it is primary
+	heldAt, since float64         // evidence must be newer than this; since when they wait
+	until         float64         // end of the failover window
+	live          int             // txns held and submissions out
+	credit        float64         // probes that txns have paid for
+	next          int             // the member that is due first
+	mute          int             // probes of any member in a row that failed
+	shares        map[bool]*share // of writes, of reads
+	told, word    float64         // peers look at the members for all until then; their last word
+	hint          *node           // the member that they call primary
+	hinted        float64         // as of when
+	waiting       map[int][]*txn
+	// Commits of sessions kept here: the newest, and those before, dropped in time: every read must see them.
+	wrote, before  map[int64]float64
+	turned, forgot float64 // when wrote was begun; commits up to this are in neither
+}
+
+// share is how many txns of late were answered in time. It fades with time.
+type share struct{ asked, got, at float64 }
+
+func (s *share) count(now float64, inTime bool) {
+	f := math.Exp((s.at - now) / shareSpan)
+	if s.asked, s.got, s.at = s.asked*f+1, s.got*f, now; inTime {
+		s.got++
+	}
 }
 
 // txn is a held txn. Its flight's result is handed to the step that the flight carries.
 type txn struct {
 	Txn
 	*kind
-	g       *group
-	arrived float64
-	turn    float64 // its place in the turns at fresh nodes, 0 to 1
-	tries   int
-	ran     float64 // when the first submission that may have run was sent; 0: none
-	ranZone int
-	out     *flight
-	avoid   *node // the last one to fail it
-	why     Cause // what holds it
-	started bool  // the answer has begun to flow
-	over    bool
+	g             *group
+	arrived       float64
+	turn          float64 // its place in the turns at fresh nodes, 0 to 1
+	tries         int
+	ran           float64 // when the first submission that may have run was sent; 0: none
+	ranZone       int
+	out           *flight
+	avoid         *node // the last one to fail it
+	why           Cause // what holds it
+	queued        bool  // it ended in a queue, or was one too many for them
+	started, over bool  // the answer has begun to flow; it is the client's
 }
 
 // flight is a submission that is out.
 type flight struct {
-	t      *txn
-	sent   float64
-	called bool // off
+	t              *txn
+	sent           float64
+	opened, called bool // a connection for it; off
 }
 
 // New starts a router with nothing but its terms.
 func New(terms Terms, host Host) *Router {
 	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)),
-		groups: map[int]*group{}, txns: map[int]*txn{}, late: reportLate}
+		groups: map[int]*group{}, txns: map[int]*txn{}, late: reportLate, due: math.Inf(1)}
 	for i, t := range terms.Types {
 		work := t.SLA / workShare
 		r.kinds = append(r.kinds, &kind{t, work, work, quickShare * work, t.SLA})
@@ -199,8 +205,7 @@
 func (r *Router) Members(kind ListKind, list []Member) {
 	now := r.host.Now()
 	if kind == ListRefused {
-		// The notice does not say whether a watch stands, and the list is one service for all: ask again,
-		// later and later, at a time of our own.
+		// It does not say whether a watch stands, and the list serves all: asked again, later and later.
 		r.refuse = min(r.refuse+1, askMost)
 		r.host.After(now+float64(r.refuse)*(0.5+r.rng.Float64())*askAgain, r.host.Watch)
 		return
@@ -222,8 +227,7 @@
 			if m.Group < 0 {
 				continue
 			}
-			n = &node{limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
-			n.Group = m.Group
+			n = &node{Member: Member{Group: m.Group}, limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
 			r.nodes[m.Node] = n
 			g := r.group(m.Group)
 			g.members = append(g.members, n)
@@ -231,8 +235,7 @@
 		m.Group = n.Group
 		n.drained = n.drained && m.Born <= n.Born
 		if m.Born > 0 && m.Born > n.started {
-			n.started = m.Born
-			n.limit = min(n.limit, limitStart)
+			n.started, n.limit = m.Born, min(n.limit, limitStart)
 		}
 		n.Member = m
 		r.close(n, m.State)
@@ -251,11 +254,10 @@
 }
 
 // forget empties the tables of a node that was replaced, once no list and no answer can bring it up again.
-// One that serves on, as where only drains bind, is kept.
 func (r *Router) forget(n *node) {
 	g := r.group(n.Group)
 	if !n.closed && !n.down {
-		return
+		return // it serves on, as where only drains bind
 	}
 	g.members = slices.DeleteFunc(g.members, func(m *node) bool { return m == n })
 	if g.hint == n {
@@ -284,7 +286,8 @@
 
 func (r *Router) group(id int) *group {
 	if r.groups[id] == nil {
-		r.groups[id] = &group{id: id, held: true, waiting: map[int][]*txn{}}
+		r.groups[id] = &group{id: id, held: true, since: r.host.Now(), waiting: map[int][]*txn{},
+			shares: map[bool]*share{true: {}, false: {}}}
 		r.order = append(r.order, r.groups[id])
 	}
 	return r.groups[id]
@@ -294,7 +297,7 @@
 // looks slow or lost and says nothing of the nodes. It could harm by hiding a trouble that begins meanwhile.
 func (r *Router) clock() float64 {
 	now := r.host.Now()
-	if r.armed && now > r.due+stall {
+	if now > r.due+stall {
 		r.woke, r.due = now, now
 	}
 	return now
@@ -302,8 +305,8 @@
 
 // arm sees to it that clocks are looked at while anything is held or out. A router at rest costs nothing.
 func (r *Router) arm() {
-	if !r.armed {
-		r.armed, r.due = true, r.host.Now()+tick
+	if math.IsInf(r.due, 1) {
+		r.due = r.host.Now() + tick
 		r.host.After(r.due, r.tick)
 	}
 }
@@ -316,8 +319,7 @@
 	r.count++
 	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, arrived: now, turn: turn, why: Behind}
 	if x.Cost > 0 {
-		// Its own usual latency: a costly txn must not look lost or a node slow by the cheap ones of its type,
-		// nor they by it. It harms where costs are wrong; a stale one fades where it is learned.
+		// Costly and cheap ones of a type must not look lost or slow by each other. It harms where costs are wrong.
 		t.kind = &kind{t.TxnType, x.Cost, x.Cost, quickShare * x.Cost, max(t.SLA, workShare*x.Cost)}
 	}
 	r.txns[x.ID] = t
@@ -332,9 +334,8 @@
 	}
 }
 
-// Doubt says that peers have trouble with a node, until a time; one that is past ends it. It is looked at
-// sooner and comes later among replicas; it is never left out for it, and no primary changes by it. It covers
-// what one router sees late: nodes that hang or fail. It harms when peers are wrong: a probe, load elsewhere.
+// Doubt says that peers have trouble with a node, until a time; one that is past ends it. It is looked at and
+// comes later among replicas, no more. It covers what one router sees late; it harms when peers are wrong.
 func (r *Router) Doubt(node int, until float64) {
 	if n, now := r.nodes[node], r.clock(); n != nil {
 		if now >= n.doubted && now < until {
@@ -354,9 +355,8 @@
 }
 
 // Told takes what peers say of a group that they look at for all until a time; heard: they do speak. A
-// position holds from its date on, so it proves a replica fresh; a role is a hint whom to ask: only a
-// member's own word moves the primary. Meanwhile this router asks no more for itself. It covers routers too
-// quiet to know, and harms where peers say old things: reads then wait for one word before they ask.
+// position proves from its date on; a role is a hint whom to ask: only a member's own word moves the primary.
+// It covers routers too quiet to know, and harms where peers say old things: reads wait one word too long.
 func (r *Router) Told(group int, until float64, heard bool, words []Word) {
 	g, now := r.group(group), r.clock()
 	if g.told = max(g.told, until); heard {
@@ -418,13 +418,27 @@
 			if n == nil {
 				break
 			}
-			r.submit(q[i], n)
+			if t := q[i]; r.surplus(t) {
+				r.giveUp(t)
+			} else {
+				r.submit(t, n)
+			}
 			q = slices.Delete(q, i, i+1)
 		}
 		g.waiting[l] = q
 	}
 }
 
+// surplus tells whether a txn is one too many: so few were answered in time of late that sending all keeps
+// queues full. It covers overload and shared slowness; it harms where failures have another cause.
+func (r *Router) surplus(t *txn) bool {
+	s := t.g.shares[t.Need == NeedPrimary]
+	f := math.Exp((s.at - r.host.Now()) / shareSpan)
+	over := r.rng.Float64()*(s.asked*f+1) < (s.asked-shareLeast*s.got)*f-shareFree
+	t.queued = t.queued || over
+	return over
+}
+
 // place finds the member for a txn: the design's ordinary path.
 func (r *Router) place(t *txn) *node {
 	g := t.g
@@ -439,9 +453,8 @@
 		t.why = NoRoom
 		return nil
 	}
-	best, least := (*node)(nil), 0.0
+	best, least, first := (*node)(nil), 0.0, false // first: a first look at a member is out
 	usable := make([]*node, 0, len(g.members))
-	first := false // a first look at a member is out
 	told, seen := r.host.Now() < g.told, 0
 	for _, n := range g.members {
 		switch {
@@ -506,15 +519,12 @@
 	return best
 }
 
-// ask asks replicas that are not proven fresh enough for a read for their positions, the least busy first,
-// each once for a txn, and tells whether it did. It covers routers too quiet to learn from answers, replicas
-// that lag, and crowded ones that could help full ones; it is wasted where reports are too old.
+// ask asks replicas not proven fresh enough for a read for their positions, the least busy first, each once
+// for a txn. It covers quiet routers and replicas that lag or are full; it is wasted where reports are old.
 func (r *Router) ask(usable []*node, t *txn) bool {
 	now := r.host.Now()
-	asked := 0
-	for ; asked < askWidth; asked++ {
-		var best *node
-		least := math.Inf(1)
+	for asked := range askWidth {
+		best, least := (*node)(nil), math.Inf(1)
 		for _, n := range usable {
 			spared := n.probing || n.probed >= t.arrived || now-n.probed <= hurried || r.fresh(n, t)
 			if busy := r.busy(n, t); !spared && busy < least {
@@ -522,16 +532,15 @@
 			}
 		}
 		if best == nil {
-			break
+			return asked > 0
 		}
 		r.probe(best, t.g, ReadAsks)
 	}
-	return asked > 0
+	return true
 }
 
-// candidate finds the member on which a held write itself looks for the primary. It acts only where probes
-// tell no roles, or don't come through: a miss never ran, so members are asked in turn, the list's primary
-// first, one write at a time, none again before the hurried interval.
+// candidate finds the member where a held write looks for the primary itself, as probes tell no roles or are
+// lost: a miss never ran, so members are asked in turn, the list's primary first, by one write at a time.
 func (r *Router) candidate(g *group) *node {
 	now := r.host.Now()
 	if r.terms.ProbeRoles && now >= r.blind {
@@ -558,9 +567,8 @@
 	return r.host.Now() < r.blind && r.host.Now() >= n.back && len(n.out) == 0
 }
 
-// long tells whether a txn that any member may answer lasts longer than the shortest bound, where nodes are
-// not crowded: else a crowd would make txns long. Long txns may stop a replica from applying the log, so they
-// are gathered on few; it could harm where they are most of the load and block nothing.
+// long tells whether a txn for any member lasts longer than the shortest bound where nodes are not crowded.
+// It may stop log apply, so such are gathered on few; it harms where they are most of the load.
 func (r *Router) long(t *txn) bool {
 	if t.Need != NeedAny {
 		return false
@@ -576,23 +584,22 @@
 // fresh tells whether a replica is known to hold what a read needs. Where nodes check, a guess will do: a
 // wrong one costs a miss; where they don't, only a position proves it, which holds for ever.
 func (r *Router) fresh(n *node, t *txn) bool {
-	now := r.host.Now()
-	need := 0.0
+	now, need := r.host.Now(), r.need(t)
+	guess := r.terms.NodesCheck && (!t.g.held || n.pos == 0)
+	return n.pos >= need || guess && now-n.lag > need+spare*(now-need)
+}
+
+// need is the time up to which a member must have applied all commits for a txn.
+func (r *Router) need(t *txn) float64 {
 	switch t.Need {
-	case NeedAny:
-		return true
 	case NeedBounded:
-		need = now - t.Bound + margin
+		return r.host.Now() - t.Bound + margin
 	case NeedSession:
-		need = max(t.Wrote, t.g.forgot, t.g.wrote[t.Session], t.g.before[t.Session])
+		return max(t.Wrote, t.g.forgot, t.g.wrote[t.Session], t.g.before[t.Session])
 	case NeedCurrent:
-		need = t.arrived
+		return t.arrived
 	}
-	if n.pos >= need {
-		return true
-	}
-	guess := r.terms.NodesCheck && (!t.g.held || n.pos == 0)
-	return guess && now-n.lag > need+spare*(now-need)
+	return 0
 }
 
 // room tells whether a node can take one more submission of ours.
@@ -606,16 +613,16 @@
 	if age >= r.terms.WarmAfter {
 		return true
 	}
-	// Cold. A few routers keep what is out there, from all, within what overload allows beyond the work done
-	// meanwhile. For many that is under a txn each: then a txn goes there in its turn, by its router's number
-	// and its own, and the node gets the part of its even share that it is surely warm for, a primary less.
+	// Cold. A few routers keep what is out there, from all, within what overload allows beyond the work done.
+	// For many that is under a txn each: then txns go there in turn, by their router's number and their own, and
+	// the node gets the part of its even share that it is surely warm for, a primary less.
 	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
 	routers := float64(max(2, r.terms.Routers))
-	budget := (r.terms.Overload-1)*r.terms.Fall*coldCores*share - t.work*routers
+	out := t.work
 	for _, f := range n.out {
-		budget -= f.t.work * routers
+		out += f.t.work
 	}
-	if budget >= 0 {
+	if out*routers <= (r.terms.Overload-1)*r.terms.Fall*coldCores*share {
 		return true
 	}
 	if t.Need == NeedPrimary && !t.g.held {
@@ -627,7 +634,11 @@
 
 // busy compares replicas: what is out, at the pace shown. Own submissions differ, and so do routers' choices.
 func (r *Router) busy(n *node, t *txn) float64 {
-	b := float64(len(n.out)+1) * max(n.pace, leastPace) / (1.01 - n.fails)
+	pace := max(n.pace, leastPace)
+	if !n.open(r) {
+		pace += r.setup / t.SLA
+	}
+	b := float64(len(n.out)+1) * pace / (1.01 - n.fails)
 	if r.host.Now() < t.g.told {
 		b = (n.load + 1) / (1.01 - n.fails)
 	}
@@ -644,10 +655,16 @@
 	return b
 }
 
+// open tells whether a connection to a node is thought to be open and not in use.
+func (n *node) open(r *Router) bool {
+	k := len(n.idle)
+	return k > 0 && r.host.Now() < n.idle[k-1]+r.terms.IdleClose
+}
+
 // last is when a txn is given up if it still waits: when its answer could not earn anything any more.
 func (r *Router) last(t *txn) float64 {
 	end := t.Until - 2*tick
-	if t.LateValue == 0 {
+	if r.prompt(t) {
 		end = min(end, t.arrived+t.SLA)
 	}
 	if t.ran > 0 && t.Effect == Referenced {
@@ -656,9 +673,15 @@
 	return end
 }
 
-// tooLate tells whether an answer could hardly come in time any more; sent now, it would be work for nothing.
-// A write never sent by half of its client's wait is declined while the client can still turn elsewhere,
-// whatever holds it up; it harms where a primary comes in the second half.
+// prompt tells whether a txn is wanted in time or not at all: a late answer earns nothing, or less than half
+// while many come too late, when the room it takes makes others late. It covers queues that only grow.
+func (r *Router) prompt(t *txn) bool {
+	s := t.g.shares[t.Need == NeedPrimary]
+	return t.LateValue == 0 || t.LateValue < lateLeast && s.asked > shareFree && s.got < crowdShare*s.asked
+}
+
+// tooLate tells whether not even a quick answer would come in time. A write never sent by half of its wait is
+// declined while its client can turn elsewhere; it harms where a primary comes in the second half.
 func (r *Router) tooLate(t *txn) bool {
 	now := r.host.Now()
 	return now >= r.last(t)-t.quick || t.tries == 0 && t.Need == NeedPrimary &&
@@ -668,7 +691,7 @@
 func (r *Router) submit(t *txn, n *node) {
 	now := r.host.Now()
 	until := t.Until
-	if t.LateValue == 0 {
+	if r.prompt(t) {
 		until = min(until, t.arrived+t.SLA)
 	}
 	// An answer overdue by far was lost, not late: in a third of its time the txn goes on, where a repeat does
@@ -678,7 +701,8 @@
 	if harmless && third > usual {
 		until = now + third
 	}
-	f := &flight{t: t, sent: now}
+	f := &flight{t: t, sent: now, opened: !n.open(r)}
+	n.idle = n.idle[:max(0, len(n.idle)-1)]
 	t.out = f
 	t.tries++
 	r.sent++
@@ -689,8 +713,7 @@
 
 // landed takes the result of a submission, and the txn its next step.
 func (r *Router) landed(f *flight, n *node, res Result) {
-	now := r.clock()
-	t := f.t
+	t, now := f.t, r.clock()
 	n.out = slices.DeleteFunc(n.out, func(x *flight) bool { return x == f })
 	t.out = nil
 	t.g.live--
@@ -701,8 +724,15 @@
 		// A read that a replica turned away as a write is one. Against statements that hide their writes.
 		t.Type, t.kind = res.As-1, r.kinds[res.As-1]
 	}
+	if !res.is(TimedOut, Broken, NoConn, Cancelled) { // these end a connection
+		n.idle = append(n.idle, now)
+	}
+	if f.opened && f.sent >= r.woke && res.is(Committed, TimedOut) {
+		r.setup += paceGain * (max(0, res.Latency-t.work) - r.setup)
+	}
 	r.learn(f, n, res)
 	if now < r.scarce && len(n.out) == 0 && res.Outcome != NoConn {
+		n.idle = nil
 		r.host.CloseIdle(n.Node)
 	}
 	defer r.pump(t.g)
@@ -710,19 +740,16 @@
 		r.end(t)
 		return
 	}
-	if t.ran == 0 && !slices.Contains([]Outcome{Missed, Full, NoConn, Unsent}, res.Outcome) {
+	if t.ran == 0 && !res.is(Missed, Full, NoConn, Unsent) {
 		t.ran, t.ranZone = f.sent, n.Zone
 	}
 	t.avoid = n
-	if t.started || !r.again(t) {
+	if t.started || t.tries >= r.terms.MaxSubmissions || now >= r.last(t) || t.ran > 0 && t.Effect == OnceOnly {
 		r.giveUp(t)
 		return
 	}
-	wait := 0.0
-	if res.Outcome == Full || n == t.g.pri && (res.Outcome == Failed || res.Outcome == NoConn) {
-		wait = min(againMost, againFirst*math.Pow(2, float64(t.tries-1)))
-	}
-	if wait == 0 || now+wait > r.last(t) {
+	wait := min(againMost, againFirst*math.Pow(2, float64(t.tries-1)))
+	if n != t.g.pri || !res.is(Failed, NoConn) || now+wait > r.last(t) {
 		r.requeue(t)
 		return
 	}
@@ -742,20 +769,18 @@
 	t.g.waiting[t.Type] = slices.Insert(q, i, t)
 }
 
-// again tells whether a txn may be submitted once more.
-func (r *Router) again(t *txn) bool {
-	return t.tries < r.terms.MaxSubmissions && r.host.Now() < r.last(t) && (t.ran == 0 || t.Effect != OnceOnly)
-}
-
 // giveUp gives a txn its final answer at once. A decline says that trying again is harmless.
 func (r *Router) giveUp(t *txn) {
 	r.end(t)
+	if t.queued {
+		t.g.shares[t.Need == NeedPrimary].count(r.host.Now(), false)
+	}
 	if t.ran > 0 && t.Effect != Repeatable && !(t.Effect == Referenced && t.Scope == ScopeAll) {
 		r.host.RollBack(t.ID)
 		return
 	}
 	pause := 0.0
-	if t.LateValue == 0 && r.host.Now() > t.arrived+t.SLA/2 {
+	if r.prompt(t) && r.host.Now() > t.arrived+t.SLA/2 {
 		pause = r.terms.MaxPause // no answer will be in time any more
 	}
 	if t.tries > 0 {
@@ -765,12 +790,13 @@
 	r.host.Decline(t.ID, pause)
 }
 
+func (res Result) is(set ...Outcome) bool { return slices.Contains(set, res.Outcome) }
+
 // learn feeds the role record and the health of a node from a result.
 func (r *Router) learn(f *flight, n *node, res Result) {
 	now := r.host.Now()
-	t, g := f.t, f.t.g
-	timed := f.sent >= r.woke // its latency is the node's
-	if slices.Contains([]Outcome{Committed, Missed, Full, Failed, Answered}, res.Outcome) {
+	t, g, timed := f.t, f.t.g, f.sent >= r.woke // timed: its latency is the node's
+	if res.is(Committed, Missed, Full, Failed, Answered) {
 		n.heard = now
 		r.hear(n, res.Report, true)
 		if n.bad > 0 && f.sent >= n.missed {
@@ -780,9 +806,11 @@
 			r.rejoin(n)
 		}
 	}
+	t.queued = t.queued || timed && res.is(Full, TimedOut)
 	switch res.Outcome {
 	case Committed:
-		n.fails *= 1 - failGain
+		n.fails, n.crowded = n.fails*(1-failGain), 0
+		g.shares[t.Need == NeedPrimary].count(now, now <= t.arrived+t.SLA || !timed)
 		if t.Need == NeedPrimary {
 			r.claim(n, now)
 			r.remember(t, res.Pos)
@@ -808,13 +836,13 @@
 	case Answered:
 		n.fails *= 1 - failGain // no word on its role: an error may come before the node looks at that
 	case Failed:
-		// Told at once, so the txn goes on elsewhere, and what the node does answer is of use.
-		n.fails += failGain * (1 - n.fails)
+		n.fails += failGain * (1 - n.fails) // told at once: what it does answer is of use
 	case Full:
-		n.limit = max(1, n.limit/2)
+		// What waits there comes first: it is left alone, longer each time in a row.
+		n.limit, n.crowded = max(1, n.limit/2), min(2*n.crowded+againFirst, fullMost)
+		n.next = max(n.next, now+n.crowded)
 	case TimedOut, Cancelled:
-		// Lost or slow: pace and limit follow answers, so that a node that loses some keeps the rest.
-		if timed {
+		if timed { // pace and limit follow answers, so that a node that loses some keeps the rest
 			t.work += workGain * max(0, res.Latency-t.work)
 			r.lost(n)
 		}
@@ -825,7 +853,7 @@
 				r.hold(g)
 			}
 		} else {
-			n.lag = max(n.lag, t.Bound)
+			n.lag = max(n.lag, min(now-r.need(t), sessionSpan)) // so far behind at least
 		}
 	case NoConn, Broken:
 		refused := res.Outcome == NoConn && res.Latency < r.terms.ConnectIn/2
@@ -833,8 +861,7 @@
 			r.short(n)
 			break
 		}
-		// The process may be down, the way to it cut, or a connection lost by chance. A probe tells soon;
-		// until then the primary gets no writes. One connection that can't be had is enough.
+		// Down, cut off, or lost by chance: a probe tells soon, and until then a primary gets no writes.
 		r.lost(n)
 		if res.Outcome == NoConn {
 			r.setAside(n)
@@ -858,6 +885,7 @@
 	if now > r.scarce {
 		for _, m := range r.nodes {
 			if m != nil && len(m.out) == 0 && m.heard > 0 {
+				m.idle = nil
 				r.host.CloseIdle(m.Node)
 			}
 		}
@@ -984,20 +1012,22 @@
 
 // hold keeps writes until a member shows that it is primary, old or new, and probes fast meanwhile.
 func (r *Router) hold(g *group) {
-	g.held, g.heldAt = true, r.host.Now()
-	g.until = r.host.Now() + window
+	now := r.host.Now()
+	if !g.held {
+		g.since = now
+	}
+	g.held, g.heldAt, g.until = true, now, now+window
 }
 
 // setAside takes a node out of the read set until it has answered probes and rested; then it tries one txn.
 func (r *Router) setAside(n *node) {
 	now := r.host.Now()
 	if !n.aside {
-		n.aside, n.good = true, 0
-		n.back, n.rests = now+rest, 2*rest
-	} else if now >= n.back { // a trial failed
+		n.aside, n.good, n.back, n.rests = true, 0, now, rest
+	}
+	if n.limit = 1; now >= n.back { // newly, or a trial has failed
 		n.back, n.rests = now+n.rests, min(2*n.rests, restMost*rest)
 	}
-	n.limit = 1
 }
 
 // rejoin takes a member back into the read set. One that was down is cold, before the list says so.
@@ -1010,7 +1040,7 @@
 
 func (r *Router) tick() {
 	r.clock()
-	r.armed = false
+	r.due = math.Inf(1)
 	for _, g := range r.order {
 		if g.live > 0 {
 			r.arm()
@@ -1027,7 +1057,8 @@
 	if !r.terms.Probes {
 		return
 	}
-	held, told := g.held && r.waits(g) && now >= r.blind, now < g.told
+	waiting := r.waits(g)
+	held, told := g.held && waiting > 0 && now >= r.blind, now < g.told
 	due := len(g.members)
 	if held && told {
 		r.host.Want(g.id)
@@ -1042,7 +1073,7 @@
 		every, owed, why := ordinary, n.probed == 0 && !n.known, Ordinary
 		switch {
 		case held:
-			every, owed, why = hurried, true, HeldTxn
+			every, owed, why = min(slowest, max(hurried, heldPace*(now-g.since)/float64(waiting))), true, HeldTxn
 		case now < g.until || g.pri == nil:
 			every, why = hurried, InWindow
 		case n.aside:
@@ -1066,14 +1097,14 @@
 	g.next += due // the first one left out
 }
 
-// waits tells whether a txn waits for role evidence: a write, or any while no member is known as primary.
-func (r *Router) waits(g *group) bool {
+// waits tells how many txns wait for role evidence: writes, or all while no member is known as primary.
+func (r *Router) waits(g *group) (count int) {
 	for l, q := range g.waiting {
-		if len(q) > 0 && (g.pri == nil && g.hint == nil || r.kinds[l].Need == NeedPrimary) {
-			return true
+		if g.pri == nil && g.hint == nil || r.kinds[l].Need == NeedPrimary {
+			count += len(q)
 		}
 	}
-	return false
+	return count
 }
 
 func (r *Router) probe(n *node, g *group, why Cause) {
@@ -1087,8 +1118,7 @@
 	})
 }
 
-// answered takes what a probe brought. While no member answers at all the role record is frozen: the fault
-// may be the router's own.
+// answered takes what a probe brought. While no member answers any, the record is frozen: it may be us.
 func (r *Router) answered(n *node, g *group, sent float64, rep Report) {
 	now := r.clock()
 	n.probing = false
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -109,8 +109,8 @@
 	t := splitter.Terms{Seed: seed, Me: f.Me, Routers: f.Balancers, Zone: d.Zone(f.MyZone),
 		NodesCheck:   f.Extra.WhenBehind == "bounce" || f.Extra.WhenBehind == "await",
 		SessionsKept: f.Extra.SessionMarks == "kept", Probes: f.Limits.Probes, Cancels: f.Limits.MayCancel,
-		ConnectIn: f.Limits.ConnectTimeout / 1000,
-		AskList:   f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
+		ConnectIn: f.Limits.ConnectTimeout / 1000, IdleClose: f.Limits.IdleClose / 1000,
+		AskList: f.MembershipMode == "subscribe", OnlyDrainBinds: f.Invariants.DrainBindsAlone,
 		MaxSubmissions: f.Limits.SendCap, ColdFrom: f.Invariants.ColdFrom, WarmAfter: f.Invariants.WarmAfter / 1000,
 		Overload: f.Invariants.OverloadFactor, Fall: f.Invariants.Fall / 1000}
 	t.ProbeRoles = t.Probes && d.Reports && slices.Contains(f.Telemetry.Names, "x1")
