Module: a crowd works off sooner, and its end is seen; quick answers speak against one

Per node counters: no node idle, 30 to 50% lost at all of them, so not one bad node. Change: what counts fades in 2 s in place of 4; in a crowd 1.2 times what was answered in time is sent, out of it 4 times, so that the end is not held up; an answer quicker than usual counts twice, as no queue stood there; one txn says nothing.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -30,7 +30,7 @@
 	badProbes    = 3     // failed probes in a row until a member leaves the read set (design)
 	goodProbes   = 2     // good ones until it rejoins (design)
 	frozenRounds = 3     // rounds without any answer, the last one begun, that freeze the role record (design)
-	rest         = 0.5   // s a member set aside stays there at least
+	rest         = 0.5   // s a member set aside stays there at least, and a full one is left alone at most
 	restMost     = 16.0  // times that, for one that fails each trial: the longest outages are tens of seconds
 	failGain     = 0.2   // weight of the newest outcome in a node's share of failures
 	failLimit    = 0.5   // share of failures from which a node is set aside: it fails most
@@ -64,12 +64,12 @@
 	zoneBias     = 1.15  // a replica in another zone counts as this much busier
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
-	shareSpan    = 4.0   // s over which the share of txns answered in time is taken
-	shareLeast   = 2.0   // times what was answered in time that is sent: more than half is in vain
+	shareSpan    = 2.0   // s over which the share of txns answered in time is taken
+	shareLeast   = 1.2   // times what was answered in time that is sent in a crowd, so that it works off
+	shareMost    = 4.0   // and while what is sent is answered in time: twice as many in less than a second
 	lateLeast    = 0.5   // share of its value that a late answer must keep to be waited for in a crowd
 	crowdShare   = 0.8   // share answered in time under which there is one: in calm it is nearly all
-	shareFree    = 4.0   // txns in that time that are sent whatever became of others
-	fullMost     = 1.0   // s a full node is left alone at most: a full queue takes about as long to work off
+	shareFree    = 1.0   // txns in that time that say nothing: one is lost by chance, or costs much
 	reportLate   = 0.1   // s, how old a probe's report is taken to be until a primary's own reports tell
 )
 
@@ -150,14 +150,12 @@
 	turned, forgot float64 // when wrote was begun; commits up to this are in neither
 }
 
-// share is how many txns of late were answered in time. It fades with time.
-type share struct{ asked, got, at float64 }
+// share is how many txns of late came, were sent, were answered in time (quick ones twice). It fades with time.
+type share struct{ asked, sent, got, at float64 }
 
-func (s *share) count(now float64, inTime bool) {
+func (s *share) count(now, sent, got float64) {
 	f := math.Exp((s.at - now) / shareSpan)
-	if s.asked, s.got, s.at = s.asked*f+1, s.got*f, now; inTime {
-		s.got++
-	}
+	s.asked, s.sent, s.got, s.at = s.asked*f+1, s.sent*f+sent, s.got*f+got, now
 }
 
 // txn is a held txn. Its flight's result is handed to the step that the flight carries.
@@ -434,7 +432,11 @@
 func (r *Router) surplus(t *txn) bool {
 	s := t.g.shares[t.Need == NeedPrimary]
 	f := math.Exp((s.at - r.host.Now()) / shareSpan)
-	over := r.rng.Float64()*(s.asked*f+1) < (s.asked-shareLeast*s.got)*f-shareFree
+	most := shareMost
+	if s.got < crowdShare*s.sent {
+		most = shareLeast
+	}
+	over := r.rng.Float64()*(s.asked*f+1) < (s.asked-most*s.got)*f-shareFree
 	t.queued = t.queued || over
 	return over
 }
@@ -570,15 +572,8 @@
 // long tells whether a txn for any member lasts longer than the shortest bound where nodes are not crowded.
 // It may stop log apply, so such are gathered on few; it harms where they are most of the load.
 func (r *Router) long(t *txn) bool {
-	if t.Need != NeedAny {
-		return false
-	}
-	for _, k := range r.kinds {
-		if k.Need == NeedBounded && t.free > k.Bound {
-			return true
-		}
-	}
-	return false
+	return t.Need == NeedAny &&
+		slices.ContainsFunc(r.kinds, func(k *kind) bool { return k.Need == NeedBounded && t.free > k.Bound })
 }
 
 // fresh tells whether a replica is known to hold what a read needs. Where nodes check, a guess will do: a
@@ -677,7 +672,7 @@
 // while many come too late, when the room it takes makes others late. It covers queues that only grow.
 func (r *Router) prompt(t *txn) bool {
 	s := t.g.shares[t.Need == NeedPrimary]
-	return t.LateValue == 0 || t.LateValue < lateLeast && s.asked > shareFree && s.got < crowdShare*s.asked
+	return t.LateValue == 0 || t.LateValue < lateLeast && s.sent > shareFree && s.got < crowdShare*s.sent
 }
 
 // tooLate tells whether not even a quick answer would come in time. A write never sent by half of its wait is
@@ -773,7 +768,7 @@
 func (r *Router) giveUp(t *txn) {
 	r.end(t)
 	if t.queued {
-		t.g.shares[t.Need == NeedPrimary].count(r.host.Now(), false)
+		t.g.shares[t.Need == NeedPrimary].count(r.host.Now(), min(1, float64(t.tries)), 0)
 	}
 	if t.ran > 0 && t.Effect != Repeatable && !(t.Effect == Referenced && t.Scope == ScopeAll) {
 		r.host.RollBack(t.ID)
@@ -810,7 +805,13 @@
 	switch res.Outcome {
 	case Committed:
 		n.fails, n.crowded = n.fails*(1-failGain), 0
-		g.shares[t.Need == NeedPrimary].count(now, now <= t.arrived+t.SLA || !timed)
+		got := 0.0
+		if res.Latency < t.free {
+			got = 2 // no queue there
+		} else if now <= t.arrived+t.SLA || !timed {
+			got = 1
+		}
+		g.shares[t.Need == NeedPrimary].count(now, 1, got)
 		if t.Need == NeedPrimary {
 			r.claim(n, now)
 			r.remember(t, res.Pos)
@@ -839,7 +840,7 @@
 		n.fails += failGain * (1 - n.fails) // told at once: what it does answer is of use
 	case Full:
 		// What waits there comes first: it is left alone, longer each time in a row.
-		n.limit, n.crowded = max(1, n.limit/2), min(2*n.crowded+againFirst, fullMost)
+		n.limit, n.crowded = max(1, n.limit/2), min(2*n.crowded+againFirst, rest)
 		n.next = max(n.next, now+n.crowded)
 	case TimedOut, Cancelled:
 		if timed { // pace and limit follow answers, so that a node that loses some keeps the rest
