Module: retries whose time is used up are declined in a crowd, which shows sooner

Counters: losses at all nodes alike, the lost node hardly used, so neither its health nor its probes. Clients mark retries there (marks_retry), which the adapter did not pass on. Change: Txn.Again from the wire. In a crowd a retry whose late answer is worth under half is declined at once. A crowd shows where fewer than usual are quick (1.4 of sent, quick ones twice; in calm over half are quick), in place of 0.8 in time; one factor of 1.2 in and out of it. It harms where a retry follows a quick failure within a crowd.

--- a/simwire/host.go
+++ b/simwire/host.go
@@ -177,7 +177,7 @@
 	}
 	h.txns[ev.Txn] = t
 	x := splitter.Txn{ID: t.txn, Group: ev.ClusterNo, Until: ev.ValidUntil / 1000,
-		Session: ev.Sess}
+		Session: ev.Sess, Again: ev.Resent}
 	x.Type = h.terms.Unnamed
 	if k, ok := h.terms.Types[ev.Class]; ok {
 		x.Type = k
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -50,6 +50,7 @@
 	TokenMs    *float64            `json:"tokenMs"`
 	ValidUntil float64             `json:"validUntil"`
 	Sess       int64               `json:"sess"`
+	Resent     bool                `json:"resent"`
 	Class      string              `json:"class"`
 	ClusterNo  int                 `json:"clusterNo"`
 	Mark       int                 `json:"mark"`
--- a/splitter/api.go
+++ b/splitter/api.go
@@ -71,6 +71,7 @@
 	Type    int
 	Until   float64 // expiry: when the client gives up
 	Session int64
+	Again   bool    // the client says that it tries it again
 	Wrote   float64 // when the session last wrote, where the client brings that; 0: never
 	Cost    float64 // s a submission of it usually takes, where that is known better than by its type; 0: it is not
 }
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -137,6 +137,7 @@
 //	refused, moved                            a watch was refused; the list is to be had elsewhere
 //	node NAME primary|replica LAG|unclear|silent    what it tells from now on when probed
 //	txn ID TYPE [EXPIRY [COST]]               a txn of session 7 arrives
+//	again ID TYPE [EXPIRY [COST]]             the same, tried again by its client
 //	answer ID OUTCOME [as=TYPE] [primary|replica LAG]   its submission ends; it proved to be of that type
 //	cut ID SECONDS                            its submission is waited for as long
 //	wait SECONDS, stall SECONDS               time passes, the second without the router being run
@@ -198,10 +199,10 @@
 		if f[2] == "silent" {
 			delete(w.roles, f[1])
 		}
-	case "txn":
+	case "txn", "again":
 		typ := slices.Index(typeNames, f[2])
 		require.GreaterOrEqual(w.t, typ, 0, w.where)
-		x := Txn{ID: int(w.number(f[1])), Type: typ, Until: w.now + 10, Session: 7}
+		x := Txn{ID: int(w.number(f[1])), Type: typ, Until: w.now + 10, Session: 7, Again: f[0] == "again"}
 		if len(f) > 3 {
 			x.Until = w.now + w.number(f[3])
 		}
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -65,10 +65,9 @@
 	againFirst   = 0.03  // s before a write goes again to a primary that failed it, doubled each time
 	againMost    = 0.25  // s
 	shareSpan    = 2.0   // s over which the share of txns answered in time is taken
-	shareLeast   = 1.2   // times what was answered in time that is sent in a crowd, so that it works off
-	shareMost    = 4.0   // and while what is sent is answered in time: twice as many in less than a second
+	shareLeast   = 1.2   // times what was answered in time that is sent: a crowd works off, and its end shows
 	lateLeast    = 0.5   // share of its value that a late answer must keep to be waited for in a crowd
-	crowdShare   = 0.8   // share answered in time under which there is one: in calm it is nearly all
+	crowdShare   = 1.4   // share of them, quick ones twice, under which there is a crowd: in calm half are quick
 	shareFree    = 1.0   // txns in that time that say nothing: one is lost by chance, or costs much
 	reportLate   = 0.1   // s, how old a probe's report is taken to be until a primary's own reports tell
 )
@@ -150,7 +149,7 @@
 	turned, forgot float64 // when wrote was begun; commits up to this are in neither
 }
 
-// share is how many txns of late came, were sent, were answered in time (quick ones twice). It fades with time.
+// share is how many txns of late came, were sent, were answered in time (quick ones twice). It fades.
 type share struct{ asked, sent, got, at float64 }
 
 func (s *share) count(now, sent, got float64) {
@@ -432,11 +431,10 @@
 func (r *Router) surplus(t *txn) bool {
 	s := t.g.shares[t.Need == NeedPrimary]
 	f := math.Exp((s.at - r.host.Now()) / shareSpan)
-	most := shareMost
-	if s.got < crowdShare*s.sent {
-		most = shareLeast
+	if t.Again && s.asked*f > shareFree && t.LateValue < lateLeast && s.got < crowdShare*s.sent {
+		return true // its first try has most likely used up its time
 	}
-	over := r.rng.Float64()*(s.asked*f+1) < (s.asked-most*s.got)*f-shareFree
+	over := r.rng.Float64()*(s.asked*f+1) < (s.asked-shareLeast*s.got)*f-shareFree
 	t.queued = t.queued || over
 	return over
 }
