Knowing: what has left and ended is told in numbers, so that no word's order counts

A doubted node counts as ten times as busy, which is no more than that: routers read from c.

Change: leaves and ends carry how many of the sender's have left for, and ended at, that node so far (modulo 256, in a byte that they had and did not use).

--- a/lore/api.go
+++ b/lore/api.go
@@ -87,6 +87,6 @@
 	hurry       = 0.3   // s that a group is looked at as a whole after a word that a txn waits for its primary
 	future      = 0.02  // s that a position may be ahead of the clock here
 	steps       = 100.0 // parts of a bound in which ages travel
-	outLasts    = 3.0   // s after which a submission counts as ended though nobody has said so: a word was lost
-	outMost     = 250   // submissions that are counted at a node
+	outLasts    = 3.0   // s after a router's last word on a node for which what it has out there counts: its end was lost
+	nearBy      = 64    // words on a node by which one may be overtaken, or so many lost; who is further off has started anew
 )
--- a/lore/lore.go
+++ b/lore/lore.go
@@ -42,13 +42,17 @@
 	news    float64 // last time that we told it
 	part    float64 // of the news of it that we tell
 	looked  float64
-	outs    []out // submissions of all routers, oldest first, while this router keeps the group; emptied by their ends
+	left    int            // submissions of ours that have left for it,
+	ended   int            // and those of them that have ended
+	outs    map[int]*tally // of peers, by router, while this router keeps the group; emptied by load
 }
 
-// out is a submission that a router has told of.
-type out struct {
-	router int
-	at     float64
+// tally is what a peer has told of its submissions to a node: how many have left and ended so far, each by its newest word,
+// modulo 256. So a word that is overtaken, doubled or long on its way changes nothing, and one that is lost is made up for by
+// the next.
+type tally struct {
+	left, ended byte
+	at          float64 // of the newest word
 }
 
 // group is a primary with its replicas.
@@ -145,7 +149,7 @@
 	}
 	n.news = now
 	b.counted.News++
-	b.send(n.g.keeper, news, n.g, []*node{n})
+	b.send(n.g.keeper, news, n.g, []*node{n}, now)
 }
 
 func (b *Book) saw(id int, pos float64, primary bool, now float64) *node {
@@ -166,50 +170,72 @@
 	if id >= len(b.nodes) || b.nodes[id] == nil {
 		return
 	}
-	if n := b.nodes[id]; now < n.g.kept {
-		n.leaves(b.terms.Me, now)
-	} else if b.shows(n.g, now) {
+	n := b.nodes[id]
+	if n.left++; now >= n.g.kept && b.shows(n.g, now) {
 		b.counted.News++
-		b.send(n.g.keeper, leaves, n.g, []*node{n})
+		b.send(n.g.keeper, leaves, n.g, []*node{n}, now)
 	}
 }
 
 func (b *Book) Back(id int, pos float64, primary bool, now float64) {
-	n := b.saw(id, pos, primary, now)
-	switch {
-	case n == nil:
-	case now < n.g.kept:
-		n.ends(b.terms.Me)
-	case b.shows(n.g, now):
+	if id >= len(b.nodes) || b.nodes[id] == nil {
+		return
+	}
+	n := b.nodes[id]
+	n.ended = min(n.ended+1, n.left) // what left before the node was listed anew is not counted
+	b.saw(id, pos, primary, now)
+	if now >= n.g.kept && b.shows(n.g, now) {
 		b.counted.News++
 		n.news = now
-		b.send(n.g.keeper, ends, n.g, []*node{n})
+		b.send(n.g.keeper, ends, n.g, []*node{n}, now)
 	}
 }
 
-func (n *node) leaves(router int, now float64) {
-	if len(n.outs) < outMost {
-		n.outs = append(n.outs, out{router, now})
+// hears takes a peer's word on how many of its submissions have left, or ended, so far.
+func (n *node) hears(k kind, router int, number byte, now float64) {
+	t := n.outs[router]
+	if t != nil && now-t.at <= outLasts {
+		count := &t.left
+		if k == ends {
+			count = &t.ended
+		}
+		if by := int8(number - *count); by > 0 && by <= nearBy {
+			*count, t.at = number, now
+			return
+		} else if by <= 0 && by >= -nearBy {
+			return
+		}
+	}
+	// Nothing is known of what it had out before. One that has started anew is told from one that was overtaken by how far
+	// its numbers are.
+	if t = (&tally{number, number, now}); k == leaves {
+		t.ended--
+	}
+	if n.outs == nil {
+		n.outs = map[int]*tally{}
 	}
+	n.outs[router] = t
 }
 
-func (n *node) ends(router int) {
-	for i, o := range n.outs {
-		if o.router == router {
-			n.outs = append(n.outs[:i], n.outs[i+1:]...)
-			return
-		}
+// out is how many are out. An end that comes before its begin leaves none.
+func (t *tally) out() int {
+	if out := t.left - t.ended; out <= math.MaxUint8-nearBy {
+		return int(out)
 	}
+	return 0
 }
 
-// load counts submissions that are out, without those whose ends must have been lost.
+// load counts submissions that are out, without those of peers that have said nothing more: their ends must have been lost.
 func (n *node) load(now float64) int {
-	lost := 0
-	for lost < len(n.outs) && now-n.outs[lost].at > outLasts {
-		lost++
+	all := n.left - n.ended
+	for router, t := range n.outs {
+		if now-t.at > outLasts {
+			delete(n.outs, router)
+		} else {
+			all += t.out()
+		}
 	}
-	n.outs = append(n.outs[:0], n.outs[lost:]...)
-	return len(n.outs)
+	return all
 }
 
 func (b *Book) learn(n *node, pos float64, primary bool, now float64) {
@@ -305,7 +331,7 @@
 		return
 	}
 	b.counted.Wants++
-	b.send(to, kind, g, nil)
+	b.send(to, kind, g, nil, now)
 }
 
 // candidate is the router that should keep a group: of those that are not known to be deaf, the one that comes first by a
@@ -372,7 +398,7 @@
 		if m.kind == wantAnswer {
 			if all := b.useful(g, now, false); len(all) > 0 {
 				b.counted.Replies++
-				b.send(from, tell, g, all)
+				b.send(from, tell, g, all, now)
 			}
 		}
 	case news, leaves, ends:
@@ -427,14 +453,12 @@
 		w := Word{Node: n.id, Pos: m.positions[i], Primary: m.primaries[i]}
 		switch {
 		case m.kind == tell:
-			w.Load = m.loads[i]
+			w.Load = int(m.counts[i])
 		case now < g.kept:
-			if m.kind == leaves {
-				n.leaves(m.from, now)
-			} else if m.kind == ends {
-				n.ends(m.from)
+			if m.kind == leaves || m.kind == ends {
+				n.hears(m.kind, m.from, m.counts[i], now)
 			}
-			w.Load = len(n.outs)
+			w.Load = n.load(now)
 		}
 		b.learn(n, w.Pos, w.Primary, now)
 		out = append(out, w)
@@ -474,7 +498,7 @@
 		if g.again > 0 && now >= g.askedAt+patience/2 {
 			if g.asked >= 0 && g.heard < g.askedAt { // our question or its answer may have been lost
 				b.counted.Wants++
-				b.send(g.asked, g.again, g, nil)
+				b.send(g.asked, g.again, g, nil, now)
 			}
 			g.again = 0
 		}
@@ -519,7 +543,7 @@
 		to = []int{All}
 	}
 	for _, r := range to {
-		b.send(r, tell, g, all)
+		b.send(r, tell, g, all, now)
 	}
 }
 
@@ -566,8 +590,8 @@
 
 func (b *Book) unit() float64 { return b.terms.Bound / steps }
 
-func (b *Book) send(to int, k kind, g *group, about []*node) {
-	bytes := format(k, b.terms.Me, g.id, about, b.unit())
+func (b *Book) send(to int, k kind, g *group, about []*node, now float64) {
+	bytes := format(k, b.terms.Me, g.id, about, b.unit(), now)
 	b.counted.Bytes += int64(len(bytes))
 	b.out.Sends = append(b.out.Sends, Send{To: to, Bytes: bytes})
 }
--- a/lore/lore_test.go
+++ b/lore/lore_test.go
@@ -25,7 +25,8 @@
 //	saw NAME AGE [primary]                 a probe of ours has shown that it stands as long ago
 //	out NAME, back NAME AGE                a submission of ours leaves, ends
 //	read [TIMES], write, primary           reads come; a write; a txn waits for its primary
-//	from ROUTER KIND [NAME AGE [primary] [load=N]]...   a datagram; KIND is want, answer, waits, news, leaves, ends, tell
+//	from ROUTER KIND [NAME AGE [primary] [load=N] [number=N]]...   a datagram; KIND is want, answer, waits, news, leaves, ends,
+//	                                       tell; what leaves or ends is the router's next there, or the one with that number
 //	late ROUTER SECONDS KIND ...           one that was as long on its way
 //	garbled ROUTER, stranger ROUTER        one with a bit turned; one that says it is another's
 //	wait SECONDS
@@ -43,6 +44,7 @@
 	names map[string]int
 	did   []string
 	until float64
+	told  map[string]int // what has left and ended so far, by kind, router and node
 }
 
 var kindNames = map[string]kind{"want": want, "answer": wantAnswer, "waits": wantPrimary, "news": news, "leaves": leaves, "ends": ends, "tell": tell}
@@ -75,9 +77,16 @@
 	var about []*node
 	for i := 1; i < len(f); {
 		n := &node{key: s.book.nodes[s.names[f[i]]].key, pos: at - s.number(f[i+1])}
+		if f[0] == "leaves" || f[0] == "ends" {
+			who := fmt.Sprint(f[0], from, f[i])
+			s.told[who]++
+			n.left, n.ended = s.told[who], s.told[who]
+		}
 		for i += 2; i < len(f); i++ {
 			if load, ok := strings.CutPrefix(f[i], "load="); ok {
-				n.outs = make([]out, int(s.number(load)))
+				n.left = int(s.number(load))
+			} else if number, ok := strings.CutPrefix(f[i], "number="); ok {
+				n.left, n.ended = int(s.number(number)), int(s.number(number))
 			} else if f[i] == "primary" {
 				n.claimed = n.pos
 			} else {
@@ -88,7 +97,7 @@
 	}
 	k, ok := kindNames[f[0]]
 	require.True(s.t, ok, s.where)
-	return format(k, from, 0, about, bound/steps)
+	return format(k, from, 0, about, bound/steps, at)
 }
 
 // settle writes down the effects.
@@ -229,7 +238,7 @@
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
-			s := &scene{t: t, now: 1e9, names: map[string]int{}}
+			s := &scene{t: t, now: 1e9, names: map[string]int{}, told: map[string]int{}}
 			for i, line := range strings.Split(string(text), "\n") {
 				line, _, _ = strings.Cut(line, "#")
 				if f := strings.Fields(line); len(f) > 0 {
@@ -318,6 +327,117 @@
 	})
 }
 
+// TestLoads: whatever way words take (doubled, overtaken, seconds late), a keeper counts what is out, once they have come; of
+// those that are lost, once each router's next have.
+func TestLoads(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewSource(rapid.Int64().Draw(rt, "seed")))
+		loses := rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(rt, "loses")
+		const routers = 6
+		now := 1e9
+		keeper := -1
+		var books []*Book
+		for i := range routers {
+			b := New(Terms{Me: i, Routers: routers, Seed: int64(i), Bound: bound})
+			b.Node(0, "a", 0)
+			books = append(books, b)
+			if keeper < 0 || rank(0, i) > rank(0, keeper) {
+				keeper = i
+			}
+		}
+		type flying struct {
+			at   float64
+			from int
+			b    []byte
+		}
+		var air []flying
+		settle := func(i int, lossless bool) {
+			for _, s := range books[i].Effects().Sends {
+				for to := range routers {
+					switch {
+					case to == i || s.To != All && s.To != to:
+					case i == keeper:
+						books[to].Take(i, s.Bytes, now)
+					case to == keeper && (lossless || rng.Float64() >= loses):
+						for range 1 + rng.Intn(20)/19 {
+							late := map[bool]float64{true: 1, false: 0.005}[rng.Intn(50) == 0]
+							air = append(air, flying{now + rng.Float64()*late, i, s.Bytes})
+						}
+					}
+				}
+			}
+		}
+		lands := func(until float64) {
+			for {
+				next := -1
+				for k, f := range air {
+					if f.at <= until && (next < 0 || f.at < air[next].at) {
+						next = k
+					}
+				}
+				if next < 0 {
+					break
+				}
+				f := air[next]
+				air = slices.Delete(air, next, next+1)
+				now = max(now, f.at)
+				books[keeper].Take(f.from, f.b, now)
+				settle(keeper, false)
+			}
+			now = max(now, until)
+			books[keeper].Step(now)
+			settle(keeper, false)
+		}
+		outs := make([]int, routers)
+		submits := func(i int, lossless bool) {
+			books[i].Out(0, now)
+			outs[i]++
+			settle(i, lossless)
+		}
+		ends := func(i int, lossless bool) {
+			books[i].Back(0, now, false, now)
+			outs[i]--
+			settle(i, lossless)
+		}
+		wanted := func() {
+			books[keeper].Want(0, now)
+			lands(now + 0.01)
+		}
+		books[keeper].Saw(0, now, false, now)
+		wanted()
+		for _, does := range []func(int, bool){submits, ends} { // what a router had out before it is heard is not known
+			for i := range routers {
+				does(i, true)
+			}
+			lands(now + 1)
+			wanted()
+		}
+		for range rapid.IntRange(10, 150).Draw(rt, "steps") {
+			if i := rng.Intn(routers); outs[i] > 0 && rng.Intn(2) == 0 {
+				ends(i, false)
+			} else {
+				submits(i, false)
+			}
+			lands(now + rng.Float64()*0.004)
+			books[keeper].Saw(0, now, false, now)
+			wanted()
+		}
+		for i := range routers {
+			submits(i, true)
+			submits(i, true)
+			ends(i, true)
+		}
+		lands(now + 1)
+		want := 0
+		for _, n := range outs {
+			want += n
+		}
+		if got := books[keeper].nodes[0].load(now); got != want {
+			rt.Fatalf("%d are out (%d), the keeper counts %d", want, outs, got)
+		}
+	})
+}
+
 // TestCandidates: each router keeps about its even part of the groups, and one that is deaf hands on only its own.
 func TestCandidates(t *testing.T) {
 	const routers, groups = 30, 3000
@@ -341,7 +461,7 @@
 }
 
 func FuzzParse(f *testing.F) {
-	f.Add(format(tell, 3, 1, []*node{{key: 7, pos: 1e9}, {key: 9, pos: 1e9 - 0.1, claimed: 1e9}}, bound/steps))
+	f.Add(format(tell, 3, 1, []*node{{key: 7, pos: 1e9}, {key: 9, pos: 1e9 - 0.1, claimed: 1e9}}, bound/steps, 1e9))
 	f.Add([]byte{byte(want)})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if m, err := parse(b, 1e9, bound/steps); err == nil {
--- a/lore/wire.go
+++ b/lore/wire.go
@@ -1,8 +1,9 @@
 package lore
 
 // This file owns the form of a datagram: a head of 13 bytes (kind, checksum, sender, group, the newest position in ms) and
-// five for each node (a hash of its name, how much older its position is, whether it was primary, and in what is told the
-// submissions that are out there). It must never round a position up.
+// five for each node (a hash of its name, how much older its position is, whether it was primary, and a count: in what is
+// told the submissions that are out there, in leaves and ends those of the sender that have so far). It must never round a
+// position up.
 
 import (
 	"encoding/binary"
@@ -43,11 +44,11 @@
 	keys      []uint32
 	positions []float64
 	primaries []bool
-	loads     []int
+	counts    []byte
 }
 
 // format makes a datagram about nodes; those that do not fit are left out.
-func format(k kind, from, groupID int, about []*node, unit float64) []byte {
+func format(k kind, from, groupID int, about []*node, unit, now float64) []byte {
 	newest := 0.0
 	for _, n := range about {
 		newest = max(newest, n.pos)
@@ -67,12 +68,25 @@
 		if n.claimed >= n.pos {
 			last |= primaryIs
 		}
-		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last, byte(min(len(n.outs), math.MaxUint8)))
+		b = append(b, byte(n.key>>16), byte(n.key>>8), byte(n.key), last, n.count(k, now))
 	}
 	binary.BigEndian.PutUint32(b[1:], sum(b))
 	return b
 }
 
+// count is what a word of a kind has of a node beside its position. Whoever reads it knows that it wraps.
+func (n *node) count(k kind, now float64) byte {
+	switch k {
+	case tell:
+		return byte(min(n.load(now), math.MaxUint8))
+	case leaves:
+		return byte(n.left)
+	case ends:
+		return byte(n.ended)
+	}
+	return 0
+}
+
 // sum covers all but itself: a datagram that was garbled on its way must not prove anything.
 func sum(b []byte) uint32 {
 	h := xxhash.Sum64(b[5:]) ^ uint64(b[0])*0x9e3779b97f4a7c15
@@ -98,7 +112,7 @@
 			pos = 0
 		}
 		m.positions = append(m.positions, pos)
-		m.loads = append(m.loads, int(b[at+4]))
+		m.counts = append(m.counts, b[at+4])
 		m.primaries = append(m.primaries, b[at+3]&primaryIs != 0)
 	}
 	return m, nil
