--- a/zone/hand.go
+++ b/zone/hand.go
@@ -88,6 +88,7 @@
 // follow has a zone's share as the word says. Own evidence may be ahead of it by a little; and what only our own sums say,
 // as where the way there from our zone is cut, stays ours.
 func (b *Book) follow(z *zone, x said, now float64) {
+	z.wide = z.wide || x.share < 1 // so the holder saw it: if we number the steps next, they go on from there
 	switch {
 	case x.share >= 1 && (!z.out || z.alone && z.hand == Auto):
 		return
@@ -109,8 +110,11 @@
 		b.counted.Leaves++
 	}
 	z.out, z.share, z.since, z.alone = x.share < 1, x.share, now, false
-	if kind == Left {
+	switch kind {
+	case Left:
 		z.failed = now
+	case Back:
+		z.wide = false
 	}
 	b.happened(z, Event{Kind: kind, Told: true})
 	b.doubt(z, now)
