--- a/zone/hand.go
+++ b/zone/hand.go
@@ -113,6 +113,7 @@
 	switch kind {
 	case Left:
 		z.failed = now
+		z.unlearn(now)
 	case Back:
 		z.wide = false
 	}
--- a/zone/steps.go
+++ b/zone/steps.go
@@ -77,6 +77,9 @@
 // step takes one.
 func (b *Book) step(z *zone, kind Kind, share float64, s, other sight, now float64) {
 	z.out, z.share, z.since = kind != Back, math.Round(share*shareParts)/shareParts, now
+	if kind == Left {
+		z.unlearn(now)
+	}
 	if kind == Back {
 		z.alone, z.wide = false, false
 		b.counted.Returns++
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -86,11 +86,13 @@
 type usual struct {
 	n    int
 	mean float64
+	at   float64 // when the last of the first answers came
 }
 
 // learn takes a latency, and tells whether it is late.
-func (u *usual) learn(latency float64) bool {
+func (u *usual) learn(latency, now float64) bool {
 	if u.n < learnFirst {
+		u.at = now
 		u.n++
 		u.mean += (latency - u.mean) / float64(u.n)
 		return false
@@ -106,6 +108,34 @@
 	return over
 }
 
+// borrow has a zone that is out begin with what is usual elsewhere, the longest of it, where this router knows nothing of its
+// own: else it would learn from the answers of a zone that is slow, and call them good. It may harm where a zone is far: who
+// has never used it then learns that from some hundred late answers.
+func (b *Book) borrow(z *zone, typ int) {
+	u := &z.usual[typ]
+	if u.n >= learnFirst {
+		return
+	}
+	longest := 0.0
+	for _, o := range b.order {
+		if o.region != z.region && typ < len(o.usual) && o.usual[typ].n >= learnFirst {
+			longest = max(longest, o.usual[typ].mean)
+		}
+	}
+	if longest > 0 {
+		u.n, u.mean = learnFirst, longest
+	}
+}
+
+// unlearn forgets what was learned as usual from the outcomes for which a zone is left.
+func (z *zone) unlearn(now float64) {
+	for i := range z.usual {
+		if u := &z.usual[i]; u.at > 0 && now-u.at <= window {
+			*u = usual{}
+		}
+	}
+}
+
 // offset is between a peer's clock and ours, with the quickest way seen.
 type offset struct {
 	life uint32
@@ -226,7 +256,10 @@
 	}
 	o := bad
 	if ok {
-		if o = good; z.usual[typ].learn(latency) {
+		if z.out {
+			b.borrow(z, typ)
+		}
+		if o = good; z.usual[typ].learn(latency, now) {
 			o = late
 		}
 	}
