--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -106,10 +106,9 @@
 type node struct {
 	Member
 	closed, drained       bool    // drains or is gone; was listed as draining, and has not started anew since
-	gone                  float64 // since when it is off the list; 0: it is on
 	claimed, denied       float64 // latest time it was primary by its own word; latest that denies it
 	pos, lag              float64 // it has applied all commits up to this time; s behind when last heard
-	heard, first          float64 // last answer to a txn; first one, of those that count for which members are read from
+	heard, first          float64 // last answer to a txn; first one, of those that count
 	refused, full         float64 // when it last refused a connection, 0: answered since; full till then
 	probed, missed        float64 // when the last probe was sent, the last that failed
 	known, probing, aside bool    // it has told of itself; a probe is out; it is out of the read set
@@ -121,7 +120,7 @@
 	next, crowded         float64 // no submission before this; s it is left alone when it turns one away as full
 	out                   []*flight
 	idle                  []float64 // since when each connection that should be open is not in use
-	started               float64   // when it last came up cold, by list or by its own signs
+	gone, started         float64   // since when it is off the list, 0: it is on; when it last came up cold
 	doubted, since        float64   // peers doubt it until then; and have since then
 	load                  float64   // submissions of all routers there, by what peers say
 	down                  bool      // its process seemed gone
@@ -137,8 +136,7 @@
 	until         float64         // end of the failover window
 	live          int             // txns held and submissions out
 	credit        float64         // probes that txns have paid for
-	next          int             // the member that is due first
-	mute          int             // probes of any member in a row that failed
+	next, mute    int             // the member that is due first; probes of any member in a row that failed
 	shares        map[bool]*share // of writes, of reads
 	told, word    float64         // peers look at the members for all until then; their last word
 	hint          *node           // the member that they call primary
@@ -224,7 +222,8 @@
 			if m.Group < 0 {
 				continue
 			}
-			n = &node{Member: Member{Group: m.Group}, limit: limitStart, lag: math.Inf(1), started: math.Inf(-1)}
+			n = &node{Member: Member{Group: m.Group}, limit: limitStart, lag: math.Inf(1), since: math.Inf(1),
+				started: math.Inf(-1)}
 			r.nodes[m.Node] = n
 			g := r.group(m.Group)
 			g.members = append(g.members, n)
@@ -340,15 +339,12 @@
 			r.Look(node, PeersDoubt)
 		}
 		if n.doubted = until; until <= now { // what failed then says little of now
-			n.fails = 0
-			if n.since > 0 { // nor do those that took its reads meanwhile come before it
-				for _, m := range r.group(n.Group).members {
-					if m.first >= n.since {
-						m.first = 0
-					}
+			for _, m := range r.group(n.Group).members {
+				if m.first >= n.since { // nor do those that took its reads meanwhile come before it
+					m.first = 0
 				}
 			}
-			n.since = 0
+			n.fails, n.since = 0, math.Inf(1)
 		}
 	}
 }
@@ -570,8 +566,7 @@
 	return best
 }
 
-// trial tells whether a member that was set aside may show by one txn that it serves again, where probes
-// can't: they are known to fail. It covers probes that get lost; it costs a txn's wait at a dead member.
+// trial tells whether a member set aside may show by one txn that it serves, where probes are known to fail.
 func (r *Router) trial(n *node) bool {
 	return r.host.Now() < r.blind && r.host.Now() >= n.back && len(n.out) == 0
 }
@@ -799,9 +794,7 @@
 	now := r.host.Now()
 	t, g, timed := f.t, f.t.g, f.sent >= r.woke // timed: its latency is the node's
 	if res.is(Committed, Missed, Full, Failed, Answered) {
-		if n.heard = now; n.first == 0 {
-			n.first = now
-		}
+		n.heard, n.first = now, cmp.Or(n.first, now)
 		r.hear(n, res.Report, true)
 		if n.bad > 0 && f.sent >= n.missed {
 			r.blind = now + window // it serves, and did not answer a probe sent before
@@ -993,7 +986,6 @@
 	}
 	if old == nil || old != n && at > old.claimed {
 		g.pri = n
-		g.held = g.held && at <= g.heldAt
 		if old != nil {
 			r.recall(old)
 		}
@@ -1118,11 +1110,10 @@
 }
 
 func (r *Router) probe(n *node, g *group, why Cause) {
-	now := r.host.Now()
-	n.probing, n.probed = true, now
+	n.probing, n.probed = true, r.host.Now()
 	r.host.Probe(n.Node, why, func(rep Report) {
 		before := r.sent
-		if r.answered(n, g, now, rep); r.sent > before {
+		if r.answered(n, g, n.probed, rep); r.sent > before {
 			r.host.Count(Freed, why)
 		}
 	})
