Store: a controller's state on disk, checked before use

Cause: a controller must not forget its incarnation, its promises and its copy of the control state, and must notice damage.

--- /dev/null
+++ b/control/store/contents.go
@@ -0,0 +1,90 @@
+package store
+
+import (
+	"io"
+
+	"eiderway/control/quorum"
+	"eiderway/control/replication"
+)
+
+// The buckets and keys of the file.
+const (
+	controllerBucket = "controller"
+	formatKey        = "format"
+	headKey          = "head"
+	entriesBucket    = "entries"
+)
+
+// contents is all that a file holds.
+type contents struct {
+	head    head
+	entries map[string][]byte
+	pages   int // in use
+}
+
+// newContents is the state of a new incarnation.
+func newContents(incarnation quorum.Incarnation, mayFound bool) contents {
+	return contents{head: head{
+		Incarnation: incarnation,
+		Voter:       quorum.VoterRecord{MayFound: mayFound},
+	}}
+}
+
+func (c contents) durable() replication.Durable {
+	return replication.Durable{
+		Incarnation: c.head.Incarnation,
+		Voter:       c.head.Voter,
+		Stamp:       c.head.Stamp,
+		Entries:     c.entries,
+	}
+}
+
+// checkSums tells whether the entries are those that the head was written with.
+func (c contents) checkSums() error {
+	counted := head{}
+	for key, value := range c.entries {
+		counted.add(key, value)
+	}
+	if counted.Entries != c.head.Entries {
+		return damaged("%d entries where there were %d", counted.Entries, c.head.Entries)
+	}
+	if counted.Sum != c.head.Sum {
+		return damaged("the entries do not fit their sum")
+	}
+	return nil
+}
+
+// collector takes in what walkPages visits.
+type collector struct {
+	format, head []byte
+	entries      map[string][]byte
+}
+
+func (c *collector) visit(bucket, key string, value []byte) error {
+	switch {
+	case bucket == entriesBucket:
+		c.entries[key] = append([]byte{}, value...)
+	case bucket == controllerBucket && key == formatKey:
+		c.format = append([]byte{}, value...)
+	case bucket == controllerBucket && key == headKey:
+		c.head = append([]byte{}, value...)
+	}
+	return nil
+}
+
+// readContents reads and checks the whole file without bbolt, and without its mapping.
+func readContents(file io.ReaderAt, size int64) (contents, error) {
+	found := collector{entries: map[string][]byte{}}
+	pages, err := walkPages(file, size, found.visit)
+	if err != nil {
+		return contents{}, err
+	}
+	if err := checkFormat(found.format); err != nil {
+		return contents{}, err
+	}
+	read := contents{entries: found.entries, pages: pages}
+	if read.head, err = decodeHead(found.head); err != nil {
+		return contents{}, err
+	}
+	return read, read.checkSums()
+}
