--- a/lease/book.go
+++ b/lease/book.go
@@ -46,7 +46,6 @@
 	slot     int
 	key      uint32
 	members  []int // of all councils in force
-	places   []int // of each council: members by their places in it
 	council  [][]int
 	mine     *member // nil: we are in no council
 	claim    claim
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -45,8 +45,7 @@
 	councils   [][]int
 	held       []hold // of each candidate now
 	holds      []hold // all, in the order of their true begins
-	obeyed     []uint64
-	obeyedHold int // the hold whose word was obeyed last, by its number
+	obeyedHold int    // the hold whose word was obeyed last, by its number
 	wrong      string
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,6 +60,17 @@
 	panic("unreachable")
 }
 
+// TestRetryIsToldToTheModule has the mark of a client's retry passed on, and nothing told of a first try.
+func TestRetryIsToldToTheModule(t *testing.T) {
+	c, _ := bench(t, "127.0.0.1:1", 1)
+	for _, again := range []bool{false, true} {
+		st, err := pgwire.ParseStatement(statement("t-1", "claim", 1000))
+		require.NoError(t, err)
+		st.Again = again
+		require.Equal(t, again, c.txn(&held{st: st}, 0).Again)
+	}
+}
+
 // TestOutcomes plays each row of the protocol's table, and answers that are in no table.
 func TestOutcomes(t *testing.T) {
 	say := func(parts ...[]byte) func(string, net.Conn) bool {
@@ -168,8 +179,8 @@
 
 // TestSettled has the connection that has just had its reply passed over for one that has settled.
 func TestSettled(t *testing.T) {
-	c, n := bench(t, "127.0.0.1:1", 1)
-	n = newNode(c, "s-2", "127.0.0.1:1")
+	c, _ := bench(t, "127.0.0.1:1", 1)
+	n := newNode(c, "s-2", "127.0.0.1:1")
 	var all []*link
 	for _, ago := range []time.Duration{time.Hour, time.Minute, 0, 0} {
 		_, far := net.Pipe()
--- a/rumour/peers.go
+++ b/rumour/peers.go
@@ -10,21 +10,21 @@
 
 // peer is another instance. Its entry goes keepGone after its last sign of life.
 type peer struct {
-	epoch, seq int64
-	first      float64 // when it was first heard of in this life
-	heard      float64 // the newest sign of life
-	zone       int
-	list       int64
-	skew       float64 // s its clock is ahead of ours, the least seen: delays only make it look behind
-	known      bool
-	gone       bool
-	left       bool    // by its own word: nothing more of this epoch comes from it
-	wrong      float64 // weight lost by wrong voices
-	wrongAt    float64
-	right      int
-	accused    map[int]float64 // nodes it accuses, until when; emptied as voices end
-	seqs       window
-	twins      float64 // until when its twins are not told of each other again
+	epoch   int64
+	first   float64 // when it was first heard of in this life
+	heard   float64 // the newest sign of life
+	zone    int
+	list    int64
+	skew    float64 // s its clock is ahead of ours, the least seen: delays only make it look behind
+	known   bool
+	gone    bool
+	left    bool    // by its own word: nothing more of this epoch comes from it
+	wrong   float64 // weight lost by wrong voices
+	wrongAt float64
+	right   int
+	accused map[int]float64 // nodes it accuses, until when; emptied as voices end
+	seqs    window
+	twins   float64 // until when its twins are not told of each other again
 }
 
 // window remembers which of the last numbers came: replays and repeats do not get through, late ones do.
--- a/trial/process.go
+++ b/trial/process.go
@@ -15,7 +15,6 @@
 	"runtime"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -73,7 +72,6 @@
 	ended  chan struct{}
 	frozen bool
 	log    *os.File
-	mu     sync.Mutex
 	says   map[string]bool
 }
 
