--- a/pgwire/pgwire_test.go
+++ b/pgwire/pgwire_test.go
@@ -96,6 +96,11 @@
 	require.NoError(t, err)
 	require.Equal(t, "a", s.Key)
 	require.Contains(t, string(s.AppendTo(nil, 0.2)), ", d=200 ,k=5c,r=1,")
+	require.True(t, s.Again, "r=1 marks a retry")
+
+	s, err = ParseStatement(strings.Replace(plain, "c=basket", "c=basket,r=0", 1))
+	require.NoError(t, err)
+	require.False(t, s.Again, "any other r does not")
 
 	s, err = ParseStatement("/*id=1,c=x,d=99999999999999999999,cluster=0*/ SELECT 1")
 	require.NoError(t, err)
--- a/pgwire/statement.go
+++ b/pgwire/statement.go
@@ -18,6 +18,7 @@
 	Wait    float64 // s the client waits for the answer
 	Group   int
 	Wrote   float64 // s, the position that the read must see; 0: none
+	Again   bool    // the client marks it as a retry
 	Key     string  // the first quoted value, which names the session where there are any
 	plain   bool    // it has no comment: it passes on as it came
 	waitAt  int     // where the value of d stands
@@ -87,6 +88,8 @@
 			if s.Group, err = strconv.Atoi(trimmed); err != nil || s.Group < 0 {
 				return s, fmt.Errorf("malformed cluster")
 			}
+		case "r":
+			s.Again = trimmed == "1"
 		case "after":
 			ms, err := strconv.ParseFloat(trimmed, 64)
 			if err != nil || math.IsNaN(ms) || math.IsInf(ms, 0) || ms < 0 {
--- a/relay/core.go
+++ b/relay/core.go
@@ -152,10 +152,7 @@
 		c.Decline(h.id, 0)
 		return
 	}
-	x := splitter.Txn{ID: h.id, Group: h.st.Group, Type: c.typeOf(h), Until: at + h.st.Wait, Session: session(h.st.Key), Wrote: h.st.Wrote}
-	if h.class != nil {
-		x.Cost = h.class.Cost
-	}
+	x := c.txn(h, at)
 	if write := c.terms.Writes(x.Type); c.talk != nil && (write || c.terms.Bounded(x.Type)) {
 		c.talk.book.Arrived(x.Group, write, c.now)
 		c.talk.act()
@@ -163,6 +160,23 @@
 	c.router.Arrive(x)
 }
 
+// txn is what the module is told of a held txn that came at this time.
+func (c *core) txn(h *held, at float64) splitter.Txn {
+	x := splitter.Txn{
+		ID:      h.id,
+		Group:   h.st.Group,
+		Type:    c.typeOf(h),
+		Until:   at + h.st.Wait,
+		Session: session(h.st.Key),
+		Wrote:   h.st.Wrote,
+		Again:   h.st.Again,
+	}
+	if h.class != nil {
+		x.Cost = h.class.Cost
+	}
+	return x
+}
+
 // typeOf is the txn type that a txn came as.
 func (c *core) typeOf(h *held) int {
 	if h.class != nil {
