--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 lint:
 	test -z "$$(gofmt -l .)"
 	go vet ./...
+	go tool staticcheck ./...
 
 # make run CONFIG=path/to/config.json
 run: build
--- a/cmd/eiderway/demo.go
+++ b/cmd/eiderway/demo.go
@@ -18,7 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"eiderway/relay"
-	"eiderway/standin"
+	"eiderway/testserver"
 )
 
 type demo struct {
@@ -47,7 +47,7 @@
 
 // Run starts a discovery, a primary with two replicas, and a router, all on loopback, and shows what is served where.
 func (d *demo) Run() error {
-	group, err := standin.NewGroup(0, 2)
+	group, err := testserver.NewGroup(0, 2)
 	if err != nil {
 		return err
 	}
@@ -56,7 +56,7 @@
 	group.Writes = func(text string) bool {
 		return strings.HasPrefix(text, "INSERT") || strings.Contains(text, "nextval") || strings.Contains(text, "FOR UPDATE")
 	}
-	list, err := standin.NewDiscovery(group)
+	list, err := testserver.NewDiscovery(group)
 	if err != nil {
 		return err
 	}
@@ -83,7 +83,7 @@
 		return err
 	}
 	d.report(group, served, failed)
-	if wrong := standin.Misplaced(group.History(), group.Writes); len(wrong) > 0 {
+	if wrong := testserver.Misplaced(group.History(), group.Writes); len(wrong) > 0 {
 		return fmt.Errorf("%d writes were sent to replicas, the first: %s", len(wrong), wrong[0].Text)
 	}
 	if failed > 0 || served == 0 {
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func (d *demo) configure(dir string, list *standin.Discovery) (*relay.Config, error) {
+func (d *demo) configure(dir string, list *testserver.Discovery) (*relay.Config, error) {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -127,10 +127,10 @@
 	for i := range d.Clients {
 		g.Go(func() error {
 			rng := rand.New(rand.NewSource(d.Seed + int64(i)))
-			c, err := standin.Dial(addr, demoWait)
+			c, err := testserver.Dial(addr, demoWait)
 			for try := time.Now().Add(demoWait); err != nil && time.Now().Before(try); {
 				time.Sleep(10 * time.Millisecond) // the router is starting
-				c, err = standin.Dial(addr, demoWait)
+				c, err = testserver.Dial(addr, demoWait)
 			}
 			if err != nil {
 				return err
@@ -172,7 +172,7 @@
 }
 
 // report shows what ran where, by the beginning of the statement.
-func (d *demo) report(group *standin.Group, served, failed int) {
+func (d *demo) report(group *testserver.Group, served, failed int) {
 	ran := map[string]map[string]int{}
 	for _, r := range group.History() {
 		form := strings.NewReplacer("0", "", "1", "", "2", "", "3", "", "4", "", "5", "", "6", "", "7", "", "8", "", "9", "").Replace(r.Text)
--- a/relay/classes_test.go
+++ b/relay/classes_test.go
@@ -17,12 +17,12 @@
 	"github.com/stretchr/testify/require"
 
 	"eiderway/pgwire"
-	"eiderway/standin"
+	"eiderway/testserver"
 )
 
 // fleet is a group of stand-ins that keep rows, their discovery, and a router that classes.
 type fleet struct {
-	group  *standin.Group
+	group  *testserver.Group
 	router *router
 	own    string // path of the settings
 }
@@ -36,15 +36,15 @@
     - {name: write, need: primary, effect: once-only, sla: 2s, expiry: 8s, value: 6, late_value: 0.5}
 `
 
-func startFleet(t *testing.T, own string, prepare func(*standin.Group)) *fleet {
-	g, err := standin.NewGroup(0, 2)
+func startFleet(t *testing.T, own string, prepare func(*testserver.Group)) *fleet {
+	g, err := testserver.NewGroup(0, 2)
 	require.NoError(t, err)
 	t.Cleanup(g.Close)
 	g.Lag = 20 * time.Millisecond
 	if prepare != nil {
 		prepare(g)
 	}
-	d, err := standin.NewDiscovery(g)
+	d, err := testserver.NewDiscovery(g)
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	cfg := configure(t, d.Addr(), 1024)
@@ -62,7 +62,7 @@
 // TestMixedLoad runs reads and writes in many forms through a router with two replicas. The stand-ins' history is
 // judged afterwards: no write ran at a replica, each statement was answered once and ran once.
 func TestMixedLoad(t *testing.T) {
-	f := startFleet(t, ownText, func(g *standin.Group) { g.Run = func(string) []byte { return standin.Row("ok") } })
+	f := startFleet(t, ownText, func(g *testserver.Group) { g.Run = func(string) []byte { return testserver.Row("ok") } })
 	reads := []string{"SELECT %d, body FROM objects WHERE oid = 'x'", "select count(*) from objects -- %d", "WITH a AS (SELECT %d) SELECT * FROM a",
 		"TABLE objects /* %d */", "EXPLAIN DELETE FROM objects WHERE n = %d", "SELECT lower('%d'), now()", "VALUES (%d), (2)"}
 	writes := []string{"INSERT INTO w_r_i_t_e VALUES (%d)", "SELECT pay_out(%d) AS w_r_i_t_e", "WITH w_r_i_t_e AS (DELETE FROM t WHERE n = %d RETURNING *) SELECT 1",
@@ -95,7 +95,7 @@
 	}
 	all.Wait()
 	history := f.group.History()
-	require.Empty(t, standin.Misplaced(history, marked))
+	require.Empty(t, testserver.Misplaced(history, marked))
 	ran := map[string]int{}
 	atReplicas := 0
 	for _, r := range history {
@@ -117,8 +117,8 @@
 // TestHiddenWrites sends random statements, half of them with a write hidden inside, and a replica refuses none: what
 // is misrouted shows in the history.
 func TestHiddenWrites(t *testing.T) {
-	f := startFleet(t, strings.Replace(ownText, "classing:", "classing:\n  sessions: close", 1), func(g *standin.Group) {
-		g.Run = func(string) []byte { return standin.Row("ok") }
+	f := startFleet(t, strings.Replace(ownText, "classing:", "classing:\n  sessions: close", 1), func(g *testserver.Group) {
+		g.Run = func(string) []byte { return testserver.Row("ok") }
 		g.Writes = func(string) bool { return false }
 	})
 	const clients, each = 8, 250
@@ -129,7 +129,7 @@
 		c := f.router.call(t)
 		all.Go(func() {
 			rng := rand.New(rand.NewSource(int64(i)))
-			w := &standin.Writer{Draw: rng.Intn}
+			w := &testserver.Writer{Draw: rng.Intn}
 			for n := range each {
 				hide := n%2 == 0
 				text := fmt.Sprintf("%s -- %d", w.Statement(hide), i*each+n)
@@ -145,7 +145,7 @@
 	}
 	all.Wait()
 	history := f.group.History()
-	require.Empty(t, standin.Misplaced(history, func(text string) bool { return writes[text] }))
+	require.Empty(t, testserver.Misplaced(history, func(text string) bool { return writes[text] }))
 	seen, reads := map[string]bool{}, 0
 	for _, r := range history {
 		require.False(t, seen[r.Text], "twice: %s", r.Text)
@@ -162,21 +162,21 @@
 	for i := range many {
 		many[i] = []string{fmt.Sprint(i), "x"}
 	}
-	f := startFleet(t, strings.Replace(ownText, "classing:", "classing:\n  longest_answer: 16KiB\n  sessions: close", 1), func(g *standin.Group) {
+	f := startFleet(t, strings.Replace(ownText, "classing:", "classing:\n  longest_answer: 16KiB\n  sessions: close", 1), func(g *testserver.Group) {
 		g.Run = func(text string) []byte {
 			switch {
 			case strings.Contains(text, "many"):
-				return standin.Rows([]string{"a", "b"}, many...)
+				return testserver.Rows([]string{"a", "b"}, many...)
 			case strings.Contains(text, "none"):
-				return standin.Rows([]string{"a"})
+				return testserver.Rows([]string{"a"})
 			case strings.Contains(text, "huge"):
-				return standin.Row(strings.Repeat("x", 20_000))
+				return testserver.Row(strings.Repeat("x", 20_000))
 			case strings.Contains(text, "wrong"):
 				return pgwire.AppendError(nil, "ERROR", "22012", "division by zero", "")
 			case strings.Contains(text, "halfway"):
-				return append(standin.Row("1"), pgwire.AppendError(nil, "ERROR", "22012", "division by zero", "")...)
+				return append(testserver.Row("1"), pgwire.AppendError(nil, "ERROR", "22012", "division by zero", "")...)
 			case strings.Contains(text, "; two"):
-				return append(standin.Row("1"), standin.Row("2")...)
+				return append(testserver.Row("1"), testserver.Row("2")...)
 			}
 			return pgwire.Append(nil, 'C', "UPDATE 3\x00")
 		}
@@ -229,9 +229,9 @@
 
 // TestReclassed: a comment that calls a write a read is told apart; what a replica refuses goes to the primary, once.
 func TestReclassed(t *testing.T) {
-	f := startFleet(t, ownText, func(g *standin.Group) {
+	f := startFleet(t, ownText, func(g *testserver.Group) {
 		g.Writes = marked
-		g.Run = func(string) []byte { return standin.Row("ok") }
+		g.Run = func(string) []byte { return testserver.Row("ok") }
 	})
 	c := f.router.call(t)
 	c.ask(strings.Replace(statement("a1", "look", 2000), "SELECT body FROM objects WHERE oid = '7f3a'", "DELETE FROM w_r_i_t_e", 1))
@@ -261,7 +261,7 @@
 
 // TestReread: SIGHUP takes over rules; a bad file is left aside.
 func TestReread(t *testing.T) {
-	f := startFleet(t, ownText, func(g *standin.Group) { g.Writes = func(string) bool { return false } })
+	f := startFleet(t, ownText, func(g *testserver.Group) { g.Writes = func(string) bool { return false } })
 	c := f.router.call(t)
 	at := func() (primary bool) {
 		c.ask("SELECT total(3)")
@@ -327,7 +327,7 @@
 
 // TestLeavesWhileClassed: a client that closes with a statement on its way is not answered, and nothing is kept of it.
 func TestLeavesWhileClassed(t *testing.T) {
-	f := startFleet(t, ownText, func(g *standin.Group) { g.Takes = 5 * time.Millisecond })
+	f := startFleet(t, ownText, func(g *testserver.Group) { g.Takes = 5 * time.Millisecond })
 	for i := range 30 {
 		c := f.router.call(t)
 		c.ask(fmt.Sprintf("INSERT INTO t VALUES ('%d', 'x')", i))
@@ -371,8 +371,8 @@
     - {name: volatile, need: any, effect: once-only, sla: 1s, expiry: 2s, value: 1}
     - {name: write, need: primary, effect: once-only, sla: 1s, expiry: 2s, value: 1}
 `
-	f := startFleet(t, own, func(g *standin.Group) {
-		g.Run = func(string) []byte { return standin.Row("ok") }
+	f := startFleet(t, own, func(g *testserver.Group) {
+		g.Run = func(string) []byte { return testserver.Row("ok") }
 		g.TakesOf = func(text string) time.Duration {
 			if strings.Contains(text, "report") {
 				return 600 * time.Millisecond
--- a/relay/gossip_test.go
+++ b/relay/gossip_test.go
@@ -20,7 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"eiderway/mesh"
-	"eiderway/standin"
+	"eiderway/testserver"
 )
 
 var (
@@ -51,13 +51,13 @@
 }
 
 // playFleet runs routers with little traffic each before a primary and five replicas, one of which gets a fault.
-func playFleet(t *testing.T, gossips bool, fault standin.Fault) *fleetRun {
+func playFleet(t *testing.T, gossips bool, fault testserver.Fault) *fleetRun {
 	n := *fleetSize
-	g, err := standin.NewGroup(0, 5)
+	g, err := testserver.NewGroup(0, 5)
 	require.NoError(t, err)
 	defer g.Close()
-	g.Run = func(string) []byte { return standin.Row("ok") }
-	d, err := standin.NewDiscovery(g)
+	g.Run = func(string) []byte { return testserver.Row("ok") }
+	d, err := testserver.NewDiscovery(g)
 	require.NoError(t, err)
 	defer d.Close()
 	dir := t.TempDir()
@@ -87,7 +87,7 @@
 	stop := make(chan struct{})
 	for i, r := range routers {
 		all.Go(func() {
-			c, err := standin.Dial(r.addr, patience)
+			c, err := testserver.Dial(r.addr, patience)
 			if err != nil {
 				t.Error(err)
 				return
@@ -151,7 +151,7 @@
 			}
 		}
 	}
-	require.Empty(t, standin.Misplaced(g.History(), func(text string) bool { return strings.Contains(text, "c=claim") }))
+	require.Empty(t, testserver.Misplaced(g.History(), func(text string) bool { return strings.Contains(text, "c=claim") }))
 	ran := map[string]int{}
 	for _, r := range g.History() {
 		if strings.Contains(r.Text, "c=claim") {
@@ -167,12 +167,12 @@
 // compares all faults with and without gossip.
 func TestGossipFleet(t *testing.T) {
 	if !*fleetAll {
-		run := playFleet(t, true, standin.Hangs)
+		run := playFleet(t, true, testserver.Hangs)
 		require.Greater(t, run.doubts, int64(0), "doubts reach the module")
 		t.Logf("%d txns, %d lost; %d statements to the hung node, the last after %v; %d words of doubt", run.sent.Load(), run.lost.Load(), run.at, run.until, run.doubts)
 		return
 	}
-	for name, fault := range map[string]standin.Fault{"hangs": standin.Hangs, "fails": standin.Fails, "loses": standin.Loses} {
+	for name, fault := range map[string]testserver.Fault{"hangs": testserver.Hangs, "fails": testserver.Fails, "loses": testserver.Loses} {
 		for _, on := range []bool{false, true} {
 			run := playFleet(t, on, fault)
 			t.Logf("%s, gossip %v: %d txns, %d lost; %d statements to the node, the last after %.1f s; %d words of doubt", name, on, run.sent.Load(),
--- a/relay/lore_test.go
+++ b/relay/lore_test.go
@@ -14,7 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"eiderway/standin"
+	"eiderway/testserver"
 )
 
 const tierSize = 12
@@ -22,12 +22,12 @@
 // playTier runs quiet routers before a primary and five replicas for as many reads each, and tells what they sent and
 // asked.
 func playTier(t *testing.T, talks bool, reads int) (sum map[string]int64) {
-	g, err := standin.NewGroup(0, 5)
+	g, err := testserver.NewGroup(0, 5)
 	require.NoError(t, err)
 	defer g.Close()
 	g.Lag = 10 * time.Millisecond
-	g.Run = func(string) []byte { return standin.Row("ok") }
-	d, err := standin.NewDiscovery(g)
+	g.Run = func(string) []byte { return testserver.Row("ok") }
+	d, err := testserver.NewDiscovery(g)
 	require.NoError(t, err)
 	defer d.Close()
 	peers := make([]string, tierSize)
@@ -84,7 +84,7 @@
 			}
 		}
 	}
-	require.Empty(t, standin.Misplaced(g.History(), func(text string) bool { return strings.Contains(text, "c=claim") }))
+	require.Empty(t, testserver.Misplaced(g.History(), func(text string) bool { return strings.Contains(text, "c=claim") }))
 	return sum
 }
 
--- a/shape/hidden_test.go
+++ b/shape/hidden_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"eiderway/standin"
+	"eiderway/testserver"
 )
 
 var many = flag.Int("statements", 20_000, "random statements that a write is hidden in")
@@ -18,7 +18,7 @@
 func TestHiddenWrites(t *testing.T) {
 	b, s := newBook(t, plainTerms())
 	rng := rand.New(rand.NewSource(7))
-	w := &standin.Writer{Draw: rng.Intn}
+	w := &testserver.Writer{Draw: rng.Intn}
 	needless := 0
 	for i := range *many {
 		text := w.Statement(true)
@@ -43,7 +43,7 @@
 func TestHiddenWritesShrink(t *testing.T) {
 	b, s := newBook(t, plainTerms())
 	rapid.Check(t, func(rt *rapid.T) {
-		w := &standin.Writer{Draw: func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "n") }}
+		w := &testserver.Writer{Draw: func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "n") }}
 		text := w.Statement(true)
 		s.Read([]byte(text))
 		if c := b.Class(s, 0); !c.Writes {
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"eiderway/standin"
+	"eiderway/testserver"
 	"eiderway/trial/judge"
 )
 
@@ -88,7 +88,7 @@
 }
 
 // nodes finds the nodes that a fault names: by name, or all of a zone's.
-func (r *rig) nodes(names []string) (out []*standin.Node, err error) {
+func (r *rig) nodes(names []string) (out []*testserver.Node, err error) {
 	for _, name := range names {
 		found := false
 		for _, g := range r.groups {
@@ -440,7 +440,7 @@
 	for _, n := range nodes {
 		r.note(judge.Event{Kind: "fault", Router: -1, Node: n.Name, What: f.What, Until: f.span.Seconds()})
 		heal := func() {
-			n.Set(standin.Healthy)
+			n.Set(testserver.Healthy)
 			n.Slow(0)
 			n.Stick(false)
 		}
@@ -449,11 +449,11 @@
 			heal()
 			continue
 		case "hang":
-			n.Set(standin.Hangs)
+			n.Set(testserver.Hangs)
 		case "fail":
-			n.Set(standin.Fails)
+			n.Set(testserver.Fails)
 		case "lose":
-			n.Set(standin.Loses)
+			n.Set(testserver.Loses)
 		case "stick":
 			n.Stick(true)
 		case "cold": // its process is down for a time, and comes back cold
--- a/trial/load.go
+++ b/trial/load.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"eiderway/standin"
+	"eiderway/testserver"
 	"eiderway/trial/judge"
 )
 
@@ -32,7 +32,7 @@
 	for i := range l.Clients {
 		all.Go(func() {
 			rng := r.draws(int64(i))
-			var c *standin.Client
+			var c *testserver.Client
 			at := i % len(r.routers)
 			if float64(i) < l.Hot*float64(l.Clients) {
 				at = 0
@@ -51,7 +51,7 @@
 				}
 				if c == nil {
 					var err error
-					if c, err = standin.Dial(r.routers[at].listen, time.Second); err != nil {
+					if c, err = testserver.Dial(r.routers[at].listen, time.Second); err != nil {
 						at = rng.Intn(len(r.routers)) // as a front does
 						continue
 					}
@@ -78,12 +78,12 @@
 
 // asks1 sends a txn and writes down what came. false: the connection is of no more use. A router may close a connection
 // that rests: a txn that crosses that is sent once more on a new one, as the protocol has it.
-func (r *rig) asks1(on **standin.Client, e judge.Event, text string) bool {
+func (r *rig) asks1(on **testserver.Client, e judge.Event, text string) bool {
 	c := *on
 	wait := time.Duration((e.Wait + 1) * float64(time.Second))
 	a, err := c.Ask(text, wait)
 	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		if again, dialled := standin.Dial(r.routers[e.Router].listen, time.Second); dialled == nil {
+		if again, dialled := testserver.Dial(r.routers[e.Router].listen, time.Second); dialled == nil {
 			c.Close()
 			c = again
 			*on = again
--- a/trial/rig.go
+++ b/trial/rig.go
@@ -22,7 +22,7 @@
 	"syscall"
 	"time"
 
-	"eiderway/standin"
+	"eiderway/testserver"
 	"eiderway/trial/judge"
 )
 
@@ -76,8 +76,8 @@
 	begin   time.Time
 	starter *starter
 	program string
-	groups  []*standin.Group
-	list    *standin.Discovery
+	groups  []*testserver.Group
+	list    *testserver.Discovery
 	routers []*router
 	pairs   map[[2]int]*pair
 	file    *os.File
@@ -104,7 +104,7 @@
 	gossip  string // a section of own
 	key     string
 	socket  string
-	face    *standin.Face
+	face    *testserver.Face
 	disc    *link
 	links   map[string]*link // by node
 	proc    *process
@@ -323,7 +323,7 @@
 	f := r.spec.Fleet
 	lag, _ := span(f.Lag, defaultLag)
 	for i := range f.Groups {
-		g, err := standin.NewGroup(i, f.Replicas)
+		g, err := testserver.NewGroup(i, f.Replicas)
 		if err != nil {
 			return err
 		}
@@ -331,7 +331,7 @@
 		for k, n := range g.Nodes() {
 			if f.Bears > 0 {
 				warm, _ := span(f.Warm, 0)
-				n.Bears(standin.Work{Rate: f.Bears, Cold: f.Cold, Warm: warm, Falls: fallsAt, Down: downFor})
+				n.Bears(testserver.Work{Rate: f.Bears, Cold: f.Cold, Warm: warm, Falls: fallsAt, Down: downFor})
 			}
 			if n.Zone = f.Zones[(i+k)%len(f.Zones)]; f.Still {
 				n.Zone = f.Zones[k%len(f.Zones)]
@@ -343,7 +343,7 @@
 		r.groups = append(r.groups, g)
 	}
 	var err error
-	if r.list, err = standin.NewDiscovery(r.groups...); err != nil {
+	if r.list, err = testserver.NewDiscovery(r.groups...); err != nil {
 		return err
 	}
 	if d := r.spec.Discovery; d.Bears > 0 {
@@ -363,7 +363,7 @@
 				}
 			}
 		}
-		if x.face, err = r.list.Face(func(e standin.Entry) standin.Entry {
+		if x.face, err = r.list.Face(func(e testserver.Entry) testserver.Entry {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			e.Endpoint = x.links[e.UID].addr()
@@ -516,7 +516,7 @@
 			return fmt.Errorf("router %d has ended; see %s", x.n, filepath.Join(r.opt.Dir, fmt.Sprintf("r%d.log", x.n)))
 		default:
 		}
-		c, err := standin.Dial(x.listen, time.Second)
+		c, err := testserver.Dial(x.listen, time.Second)
 		if err != nil {
 			continue
 		}
