--- /dev/null
+++ b/control/failover/call.go
@@ -0,0 +1,139 @@
+package failover
+
+import (
+	"net/http"
+	"time"
+)
+
+// record waits until the intent is committed, and asks for it again if that failed.
+func (s *service) record(now time.Duration) {
+	s.probeLeader(now)
+	if s.request.number == 0 {
+		s.phase = pausing
+	}
+}
+
+// makeCall makes the call for the target of the committed intent, at the pace that the platform bears.
+func (s *service) makeCall(now time.Duration) {
+	s.probeAll(now, s.target(), s.leader())
+	if s.reasonGone(now) && !s.callMayAct(now) {
+		s.giveUp(now)
+		return
+	}
+	if now < s.call.next || !s.manager.mayCall(now) {
+		return
+	}
+	s.manager.paceCall(now)
+	s.call.number = s.manager.number()
+	s.call.refused, s.call.notLeading = false, false
+	s.phase = awaiting
+	s.event("call", "%s is to lead", s.intent.InstanceID)
+	s.manager.effects.Calls = append(s.manager.effects.Calls, PlatformCall{
+		Number: s.call.number, Service: s.name, InstanceID: s.intent.InstanceID,
+		Holder: s.settings().Holder, Fence: s.settings().Fence,
+	})
+}
+
+// called takes the outcome of a call.
+func (s *service) called(now time.Duration, result PlatformResult) {
+	s.call.number = 0
+	s.event("call ended", "%v, status %d", result.Outcome, result.Code)
+	switch result.Outcome {
+	case Accepted:
+		s.call.acceptedUntil = now + promoteWait
+		s.call.watchFor, s.call.next = promoteWait, now+declinedRetry
+		s.earlierCallsVoid()
+	case Declined:
+		s.call.watchFor, s.call.next = s.watchOfEarlier(now), now+declinedRetry
+		s.call.refused = result.Code == http.StatusConflict
+	case NotSent:
+		s.call.watchFor, s.call.next = s.watchOfEarlier(now), now+notSentRetry
+	default:
+		s.call.unknownUntil, s.call.ownUnknown = now+s.settings().LateCall, true
+		s.call.watchFor, s.call.next = promoteWait, now+declinedRetry
+	}
+}
+
+// watchOfEarlier keeps watching for the effect of an earlier call, where this one had none.
+func (s *service) watchOfEarlier(now time.Duration) time.Duration {
+	if s.callMayAct(now) {
+		return s.call.watchFor
+	}
+	return 0
+}
+
+// earlierCallsVoid drops calls of earlier holders, once the platform has seen this holder's higher fence and refuses theirs.
+func (s *service) earlierCallsVoid() {
+	if s.othersCallsVoid() {
+		s.call.unknownUntil, s.inherited = 0, false
+	}
+}
+
+// await finds out from the instances what became of the call, and makes it again for the same target where that is safe.
+func (s *service) await(now time.Duration) {
+	target := s.target()
+	s.probeAll(now, target, s.leader())
+	if s.intent == nil {
+		s.phase = pausing
+		return
+	}
+	if s.installIfLed(now) || s.call.number != 0 {
+		return
+	}
+	if s.reasonGone(now) || s.intentOutdated(now) {
+		s.giveUp(now)
+		if s.phase != awaiting {
+			return
+		}
+	}
+	s.noteTarget(now, target)
+	if s.targetDead(now, target) {
+		s.chooseAnother(now)
+		return
+	}
+	watched := s.call.notLeading && now-s.call.notLeadingFrom >= s.call.watchFor
+	if watched && now >= s.call.next && target.answered(now-statusFresh) {
+		s.phase = calling
+		s.makeCall(now)
+	}
+}
+
+// intentOutdated tells whether the old leader goes on though an earlier holder meant to replace it, and no call may act any more.
+func (s *service) intentOutdated(now time.Duration) bool {
+	return s.why == openIntent && !s.callMayAct(now) && s.isLeading(s.leader(), max(s.frozenAt, now-statusFresh))
+}
+
+// noteTarget notes since when the target has answered without leading.
+func (s *service) noteTarget(now time.Duration, target *member) {
+	if target == nil || !target.answered(s.call.next-declinedRetry) || target.status.Primary {
+		return
+	}
+	if !s.call.notLeading {
+		s.call.notLeading, s.call.notLeadingFrom = true, target.statusAt
+	}
+	if s.call.refused && target.failures == 0 && target.statusAt > s.call.notLeadingFrom {
+		s.call.refused = false // it runs: so it was the fence, and a later holder is at work
+		s.call.next = max(s.call.next, now+fencedRetry)
+	}
+}
+
+// targetDead tells whether the target can't take over any more.
+func (s *service) targetDead(now time.Duration, target *member) bool {
+	if target == nil {
+		return true
+	}
+	if target.failures < 2 {
+		return false
+	}
+	return s.call.refused || now-max(target.lastLife, target.failingSince) >= targetDeadAfter
+}
+
+// chooseAnother goes back to choosing. Another target gets a call only when the calls for this one can't act any more.
+func (s *service) chooseAnother(now time.Duration) {
+	if s.callMayAct(now) && !s.othersCallsVoid() && !s.manager.guards.repeatAtOnce && !s.manager.guards.lateCallsForgotten {
+		return
+	}
+	s.event("target gone", "%s", s.intent.InstanceID)
+	s.phase = pausing
+	s.endRound()
+}
--- /dev/null
+++ b/control/failover/choose.go
@@ -0,0 +1,122 @@
+package failover
+
+import (
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// choose picks the instance that is to lead, once it is shown that it holds every commit that may have been acknowledged.
+func (s *service) choose(now time.Duration) {
+	chosen := s.furthest(s.heldMembers())
+	if chosen == nil || s.pauseOut(now) {
+		return
+	}
+	if missing := s.proof(chosen); missing != "" && !s.manager.guards.choiceUnproven && !s.asynchronousLimit(now) {
+		s.noteStalled(now, missing)
+		return
+	}
+	if !s.mayCallFor(now, chosen) {
+		return
+	}
+	s.phase = recording
+	s.event("chosen", "%s at %d.%d, term %d", chosen.instance.ID, chosen.heldPosition.Term, chosen.heldPosition.Number, s.round)
+	if s.manager.guards.callWithoutIntent {
+		s.intent = s.wanted(chosen)
+		s.phase = calling
+		return
+	}
+	s.ask(now, Change{Intent: s.wanted(chosen)})
+}
+
+func (s *service) wanted(chosen *member) *Intent {
+	return &Intent{
+		Service:    s.name,
+		InstanceID: chosen.instance.ID,
+		Term:       s.round,
+		Fence:      s.settings().Fence,
+		Previous:   s.view.Leader,
+	}
+}
+
+// pauseOut tells whether an answer to a pause may come within moments: the instance answers otherwise. It is waited for, since it
+// may be further.
+func (s *service) pauseOut(now time.Duration) bool {
+	return now-s.roundAt < statusFresh && lo.ContainsBy(s.present(), func(i *member) bool {
+		return i.outstanding[AskPause] != 0 && i.failures == 0 && !i.held
+	})
+}
+
+// furthest gives the instance with the highest position; among equals one that stays, then the one that lags least.
+func (s *service) furthest(held []*member) *member {
+	var best *member
+	for _, i := range held {
+		if best == nil || better(i, best) {
+			best = i
+		}
+	}
+	return best
+}
+
+func better(a, b *member) bool {
+	if a.heldPosition != b.heldPosition {
+		return b.heldPosition.Less(a.heldPosition)
+	}
+	if a.instance.Draining != b.instance.Draining {
+		return !a.instance.Draining
+	}
+	return a.status.LagMs < b.status.LagMs
+}
+
+// proof tells which instances stand against the choice; "" if it is proven. An acknowledged commit is in the logs of two instances:
+// of the leader of its term and of a replica. The chosen one is the furthest of those held, so it has the commit if
+//   - all instances but one are held: one of the two that have it is among them; or
+//   - the recorded leader is held, and no later term is known in which somebody else led; or
+//   - each instance that isn't held, but one, had fallen silent or left before the leader's position was read that the chosen
+//     one has reached (and no later term is known).
+func (s *service) proof(chosen *member) string {
+	led := s.view.Leader.InstanceID
+	laterTerm := lo.ContainsBy(s.members, func(i *member) bool {
+		return i.known && max(i.status.Term, i.status.Received.Term) > s.view.Leader.Term
+	})
+	open := lo.Filter(s.members, func(i *member, _ int) bool {
+		covered := !laterTerm && i.cover != nil && !chosen.heldPosition.Less(*i.cover)
+		return !i.held && (!covered || i.instance.ID == led)
+	})
+	leader := s.member(led)
+	if leader != nil && leader.held && !laterTerm {
+		return ""
+	}
+	spare := 1
+	if led == "" || leader == nil {
+		spare = 0 // the leader is unknown, or was forgotten: it is the one that is missing
+	}
+	if len(open) <= spare {
+		return ""
+	}
+	return strings.Join(lo.Map(open, func(i *member, _ int) string { return i.instance.ID }), " ")
+}
+
+// asynchronousLimit ends the wait for a silent replica where acknowledged commits need not be in any replica anyway.
+func (s *service) asynchronousLimit(now time.Duration) bool {
+	return s.view.SyncReplicas == 0 && s.why != leaderDrains && now-s.frozenAt >= s.settings().ReplicaLost
+}
+
+func (s *service) noteStalled(now time.Duration, missing string) {
+	if !s.stalled && now-s.roundAt >= statusFresh {
+		s.stalled = true
+		s.event("waiting", "nobody is shown to hold every acknowledged commit; open: %s", missing)
+	}
+}
+
+// mayCallFor tells whether a call for this instance may be made: not while an earlier one for another target may still act.
+func (s *service) mayCallFor(now time.Duration, chosen *member) bool {
+	if s.call.number != 0 {
+		return false
+	}
+	if s.intent == nil || s.intent.InstanceID == chosen.instance.ID || !s.callMayAct(now) {
+		return true
+	}
+	return s.othersCallsVoid() || s.manager.guards.repeatAtOnce && s.call.ownUnknown || s.manager.guards.lateCallsForgotten && !s.call.ownUnknown
+}
--- /dev/null
+++ b/control/failover/freeze.go
@@ -0,0 +1,103 @@
+package failover
+
+import (
+	"time"
+)
+
+// clear waits until every gateway keeps the freeze, and watches meanwhile whether the reason for it goes away.
+func (s *service) clear(now time.Duration) {
+	s.probeAll(now, s.leader(), s.target())
+	if s.reasonGone(now) {
+		s.giveUp(now)
+		return
+	}
+	if !s.cleared && !s.manager.guards.pauseUncleared {
+		return
+	}
+	s.phase = pausing
+	if s.intent != nil && s.intentUnsettled() {
+		s.phase = awaiting
+	}
+	s.advance(now)
+}
+
+// reasonGone tells whether the recorded leader can go on: it answers as leader to a question asked since the freeze.
+func (s *service) reasonGone(now time.Duration) bool {
+	leader := s.leader()
+	if !s.isLeading(leader, s.frozenAt) || leader.failures > 0 {
+		return false
+	}
+	if found := s.newPrimary(s.frozenAt); found != nil {
+		return false
+	}
+	switch s.why {
+	case leaderSilent, neverLed, newLeader:
+		return true
+	case leaderDrains:
+		return !leader.instance.Draining
+	}
+	return false
+}
+
+// giveUp lets the recorded leader go on, if no call may still move the lead. An intent is taken back first.
+func (s *service) giveUp(now time.Duration) {
+	if s.intent == nil || !s.intentUnsettled() {
+		s.unfreeze(now)
+		return
+	}
+	if s.callMayAct(now) {
+		return
+	}
+	s.phase = withdrawing
+	s.withdraw(now)
+}
+
+// withdraw waits until the intent is taken back. The service stays frozen until then.
+func (s *service) withdraw(now time.Duration) {
+	if s.intent == nil {
+		s.unfreeze(now)
+		return
+	}
+	s.ask(now, Change{ClearIntent: s.name})
+}
+
+// installIfLed starts to record a new leader, if there is evidence of one and no call may still make another one lead.
+func (s *service) installIfLed(now time.Duration) bool {
+	found := s.newPrimary(max(s.frozenAt, now-statusFresh))
+	if found == nil || !s.cleared {
+		return false
+	}
+	forTarget := s.intent != nil && s.intent.InstanceID == found.instance.ID
+	if s.intent != nil && !forTarget && s.callMayAct(now) {
+		return false
+	}
+	s.phase = installing
+	s.install(now)
+	return true
+}
+
+// install waits until the new leader is recorded.
+func (s *service) install(now time.Duration) {
+	s.probeAll(now, s.target())
+	s.releasePaused(now)
+	found := s.newPrimary(max(s.frozenAt, now-statusFresh))
+	if found == nil {
+		if s.request.number == 0 && now-s.frozenAt > statusFresh {
+			s.phase = clearing // it was lost again before it was recorded
+		}
+		return
+	}
+	s.askLeader(now, found)
+}
+
+// target gives the instance that is to lead by the intent.
+func (s *service) target() *member {
+	if s.intent == nil {
+		return nil
+	}
+	known := s.member(s.intent.InstanceID)
+	if known == nil || known.departed {
+		return nil
+	}
+	return known
+}
--- /dev/null
+++ b/control/failover/pause.go
@@ -0,0 +1,146 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// pause makes every replica keep still in a new term, and chooses one of them.
+func (s *service) pause(now time.Duration) {
+	s.probeLeader(now)
+	if s.installIfLed(now) {
+		return
+	}
+	if s.reasonGone(now) || s.handOverTooLong(now) {
+		s.giveUp(now)
+		if s.phase != pausing {
+			return
+		}
+	}
+	if s.why == leaderDrains && !s.catchUp(now) {
+		return
+	}
+	s.startRound(now)
+	for _, known := range s.present() {
+		s.hold(now, known)
+	}
+	s.stepDownDraining(now)
+	s.choose(now)
+}
+
+func (s *service) probeLeader(now time.Duration) {
+	if leader := s.leader(); leader != nil {
+		s.probe(now, leader, AskStatus, 0, s.settings().FastProbe)
+	}
+}
+
+// handOverTooLong ends a planned hand-over that finds no successor. The draining leader goes on for now.
+func (s *service) handOverTooLong(now time.Duration) bool {
+	if s.why != leaderDrains || now-s.frozenAt < handOverLimit {
+		return false
+	}
+	leader := s.leader()
+	if leader == nil || !s.isLeading(leader, now-statusFresh) {
+		s.why = leaderSilent // it ended on the way: from here on this is an ordinary failover
+		return false
+	}
+	s.handOver = now + handOverRetry
+	return true
+}
+
+// catchUp waits, before anything is paused, for a replica that stays to reach the draining leader's position. Nothing is
+// written meanwhile: every gateway keeps the freeze.
+func (s *service) catchUp(now time.Duration) bool {
+	if s.caughtUp {
+		return true
+	}
+	leader := s.leader()
+	if leader == nil {
+		s.why = leaderSilent
+		return true
+	}
+	s.probeAll(now, s.present()...)
+	if !s.isLeading(leader, s.clearedAt) {
+		return false
+	}
+	s.caughtUp = lo.ContainsBy(s.present(), func(i *member) bool {
+		mayWait := now-s.clearedAt < catchUpWait
+		return i != leader && i.answered(s.clearedAt) && !i.status.Primary && (!mayWait || !i.instance.Draining) &&
+			!i.status.Received.Less(leader.status.Received)
+	})
+	return s.caughtUp
+}
+
+// startRound begins a round of pauses in a new term, if there is none or its answers have grown old.
+func (s *service) startRound(now time.Duration) {
+	outdated := s.round == 0
+	for _, known := range s.members {
+		tooOld := known.held && now-known.heldAt > heldFresh
+		tooHigh := known.pauseAsked && !known.held && known.newest() > s.round && known.statusAt >= known.pauseAskedAt
+		outdated = outdated || tooOld || tooHigh
+	}
+	if !outdated {
+		return
+	}
+	s.endRound()
+	s.round = s.highestTerm() + 1
+	s.highest, s.roundAt = s.round, now
+}
+
+// hold asks an instance to keep still. After a lost answer its status tells whether it does.
+func (s *service) hold(now time.Duration, i *member) {
+	if s.manager.guards.positionsUnpaused {
+		s.holdUnpaused(now, i)
+		return
+	}
+	if i.held || i.leads(0) {
+		s.probeIfPrimary(now, i)
+		return
+	}
+	if i == s.leader() && !i.answered(s.frozenAt) {
+		return
+	}
+	if i.pauseAsked && i.failures > 0 {
+		s.probe(now, i, AskStatus, 0, s.settings().FastProbe)
+		return
+	}
+	if s.probe(now, i, AskPause, s.round, s.settings().FastProbe) {
+		if !i.pauseAsked {
+			i.pauseAsked, i.pauseAskedAt = true, now
+		}
+		i.mayBePaused = true
+	}
+}
+
+func (s *service) probeIfPrimary(now time.Duration, i *member) {
+	if i.leads(0) {
+		s.probe(now, i, AskStatus, 0, s.settings().FastProbe)
+	}
+}
+
+// holdUnpaused is what the guard keeps from happening.
+func (s *service) holdUnpaused(now time.Duration, i *member) {
+	s.probe(now, i, AskStatus, 0, s.settings().FastProbe)
+	if i.answered(s.roundAt) && !i.status.Primary {
+		i.held, i.heldAt, i.heldPosition = true, now, i.status.Received
+	}
+}
+
+// stepDownDraining asks the draining leader itself to step down, when a replica is silent and one that is held has all that the
+// leader had.
+func (s *service) stepDownDraining(now time.Duration) {
+	leader := s.leader()
+	if s.why != leaderDrains || now-s.roundAt < stepDownAfter || leader == nil || !s.isLeading(leader, s.clearedAt) {
+		return
+	}
+	held := s.heldMembers()
+	ready := lo.ContainsBy(held, func(i *member) bool { return !i.heldPosition.Less(leader.status.Received) })
+	if ready && s.proof(s.furthest(held)) != "" {
+		s.probe(now, leader, AskStepDown, s.round, s.settings().FastProbe)
+	}
+}
+
+func (s *service) heldMembers() []*member {
+	return lo.Filter(s.present(), func(i *member, _ int) bool { return i.held })
+}
--- /dev/null
+++ b/control/failover/service.go
@@ -0,0 +1,309 @@
+package failover
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"eiderway/control/feed"
+
+	"github.com/samber/lo"
+)
+
+// phase is how far the failover of a service has come.
+type phase int
+
+const (
+	// watching: the service isn't frozen.
+	watching phase = iota
+	// clearing: frozen, until every gateway keeps the freeze.
+	clearing
+	// pausing: replicas are made to keep still, and one of them is chosen.
+	pausing
+	// recording: the intent is on its way to the disks.
+	recording
+	// calling: the intent is committed, and the call is due or under way.
+	calling
+	// awaiting: the call has ended, or was an earlier holder's; the instances' terms tell what became of it.
+	awaiting
+	// installing: there is evidence of a new leader, and the record of it is on its way to the disks.
+	installing
+	// withdrawing: the old leader goes on; the intent is being taken back.
+	withdrawing
+)
+
+// reason is why a service is frozen.
+type reason int
+
+const (
+	leaderSilent reason = iota
+	leaderDrains
+	newLeader
+	openIntent
+	neverLed
+)
+
+func (r reason) String() string {
+	return [...]string{"leader silent", "leader draining", "another leader", "failover under way", "no leader"}[r]
+}
+
+// request is a change that was asked for and not decided yet. One at a time.
+type request struct {
+	number uint64
+	at     time.Duration
+	change Change
+	before feed.Leader // as recorded when it was asked for
+}
+
+// calls is what is known of the calls for the intent's target.
+type calls struct {
+	number         uint64        // of the call that is out; 0: none
+	unknownUntil   time.Duration // until then a call with an unknown outcome may act
+	ownUnknown     bool          // one of those calls is this holder's
+	acceptedUntil  time.Duration // until then an accepted call may take effect
+	next           time.Duration // no call before
+	watchFor       time.Duration // how long the target must be seen not to lead before it is called again; 0: not at all
+	notLeadingFrom time.Duration // since then it has answered as no primary
+	notLeading     bool
+	refused        bool // the platform said that the target isn't running, or that the fence is too low
+}
+
+// service is the state of one service.
+type service struct {
+	manager *Manager
+	name    string
+	view    ServiceView
+	members []*member // sorted by id
+
+	phase     phase
+	frozen    bool
+	freeze    uint64
+	why       reason
+	frozenAt  time.Duration
+	cleared   bool
+	clearedAt time.Duration
+
+	fastUntil     time.Duration
+	gatewayAnswer time.Duration // when a gateway last reported an answer of the leader
+	gatewayHeard  bool
+	failuresOnly  bool // gateways report only failures at the leader
+	failuresFrom  time.Duration
+	failuresSaid  bool
+
+	unledFrom    time.Duration // since then no leader is recorded
+	firstPrimary time.Duration
+	sawPrimary   bool
+
+	round     uint64 // term of the pause; 0: none
+	roundAt   time.Duration
+	highest   uint64 // highest term of a round
+	caughtUp  bool
+	stalled   bool // said that no choice is proven
+	handOver  time.Duration
+	intent    *Intent // committed, as far as known
+	inherited bool    // it was written by an earlier holder
+	call      calls
+	request   request
+	nextAsk   time.Duration // no change is asked for before
+}
+
+func newService(manager *Manager, now time.Duration, view ServiceView) *service {
+	s := &service{manager: manager, name: view.Name, unledFrom: now}
+	s.fastUntil = now + manager.settings.FastWindow // the first look: what did the last holder leave behind?
+	if view.Intent != nil {
+		s.inherited = true
+		s.call.unknownUntil = now + manager.settings.LateCall
+		s.call.watchFor = inheritedWait
+	}
+	return s
+}
+
+func (s *service) settings() Settings { return s.manager.settings }
+
+func (s *service) event(what string, format string, values ...any) {
+	s.manager.event(what, s.name+": "+fmt.Sprintf(format, values...))
+}
+
+// take replaces the committed view of the service.
+func (s *service) take(now time.Duration, view ServiceView) {
+	if view.Leader.InstanceID == "" && s.view.Leader.InstanceID != "" {
+		s.unledFrom = now
+	}
+	s.view = view
+	s.intent = view.Intent
+	for _, instance := range view.Instances {
+		if known := s.member(instance.ID); known != nil {
+			known.instance = instance
+			known.departed = false
+			continue
+		}
+		s.members = append(s.members, &member{instance: instance, lastLife: now})
+		s.fastUntil = max(s.fastUntil, now+learnSettle)
+	}
+	for _, known := range s.members {
+		present := slices.ContainsFunc(view.Instances, func(i feed.Instance) bool { return i.ID == known.instance.ID })
+		if !present && !known.departed {
+			known.departed, known.departedAt = true, now
+			known.held = false
+		}
+	}
+	slices.SortFunc(s.members, func(a, b *member) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	s.forgetDeparted()
+}
+
+// forgetDeparted bounds the memory of instances that have gone: the oldest of those whose log is covered go first. A
+// departed one that was draining handed its log to the instance that has its address now.
+func (s *service) forgetDeparted() {
+	s.members = lo.Filter(s.members, func(gone *member, _ int) bool {
+		return !gone.departed || !gone.instance.Draining || !s.hasSuccessor(gone)
+	})
+	gone := lo.Filter(s.members, func(i *member, _ int) bool { return i.departed })
+	if len(gone) <= mostDeparted {
+		return
+	}
+	slices.SortStableFunc(gone, func(a, b *member) int { return cmp.Compare(a.departedAt, b.departedAt) })
+	oldest := gone[0]
+	s.members = lo.Filter(s.members, func(i *member, _ int) bool { return i != oldest })
+}
+
+func (s *service) hasSuccessor(gone *member) bool {
+	return slices.ContainsFunc(s.members, func(i *member) bool {
+		return !i.departed && i.instance.Address == gone.instance.Address
+	})
+}
+
+func (s *service) member(id string) *member {
+	for _, known := range s.members {
+		if known.instance.ID == id {
+			return known
+		}
+	}
+	return nil
+}
+
+// present gives the instances that have not left.
+func (s *service) present() []*member {
+	return lo.Filter(s.members, func(i *member, _ int) bool { return !i.departed })
+}
+
+// leader gives the recorded leader, if it is there.
+func (s *service) leader() *member {
+	known := s.member(s.view.Leader.InstanceID)
+	if known == nil || known.departed {
+		return nil
+	}
+	return known
+}
+
+// isLeading tells whether an instance has shown, to a question asked since, that it leads as recorded.
+func (s *service) isLeading(i *member, since time.Duration) bool {
+	return i != nil && i.leads(since) && i.status.Term == s.view.Leader.Term && i.instance.ID == s.view.Leader.InstanceID
+}
+
+// highestTerm is the highest term met by any instance, record or round of this service.
+func (s *service) highestTerm() uint64 {
+	highest := max(s.view.Leader.Term, s.highest)
+	if s.intent != nil {
+		highest = max(highest, s.intent.Term, s.intent.Previous.Term)
+	}
+	for _, known := range s.members {
+		highest = max(highest, known.newest())
+	}
+	return highest
+}
+
+// newPrimary gives the instance that leads a later term than the recorded one, the highest if there are several.
+func (s *service) newPrimary(since time.Duration) *member {
+	var found *member
+	for _, known := range s.present() {
+		if !known.leads(since) || known.status.Term < s.view.Leader.Term {
+			continue
+		}
+		if known.status.Term == s.view.Leader.Term && s.view.Leader.InstanceID != "" {
+			continue
+		}
+		if found == nil || found.status.Term < known.status.Term {
+			found = known
+		}
+	}
+	return found
+}
+
+// advance does whatever is due.
+func (s *service) advance(now time.Duration) {
+	switch s.phase {
+	case watching:
+		s.watch(now)
+	case clearing:
+		s.clear(now)
+	case pausing:
+		s.pause(now)
+	case recording:
+		s.record(now)
+	case calling:
+		s.makeCall(now)
+	case awaiting:
+		s.await(now)
+	case installing:
+		s.install(now)
+	case withdrawing:
+		s.withdraw(now)
+	}
+}
+
+func (s *service) heard(now time.Duration, beat Heard) {
+	known := s.member(beat.InstanceID)
+	if known == nil || known.departed {
+		return
+	}
+	known.lastLife, known.cover = now, nil
+	turned := beat.Primary != known.beatPrimary
+	known.beatPrimary = beat.Primary
+	leads := beat.InstanceID == s.view.Leader.InstanceID
+	if turned || beat.Primary != leads {
+		s.fastUntil = max(s.fastUntil, now+s.settings().FastWindow)
+		if beat.Primary != leads {
+			s.probeNow(now, known)
+		}
+	}
+}
+
+// freezeFor freezes the service. Nothing that can change the lead is done before the freeze is cleared.
+func (s *service) freezeFor(now time.Duration, why reason) {
+	s.manager.freezes++
+	s.freeze = s.manager.freezes
+	s.frozen, s.frozenAt, s.why = true, now, why
+	s.cleared, s.caughtUp, s.stalled = false, false, false
+	s.phase = clearing
+	s.endRound()
+	s.event("frozen", "%v, leader %s term %d", why, s.view.Leader.InstanceID, s.view.Leader.Term)
+	s.clear(now)
+}
+
+// unfreeze lets the recorded leader go on.
+func (s *service) unfreeze(now time.Duration) {
+	s.frozen = false
+	s.phase = watching
+	s.endRound()
+	s.fastUntil = now + s.settings().FastWindow
+	s.event("unfrozen", "leader %s term %d after %v", s.view.Leader.InstanceID, s.view.Leader.Term, now-s.frozenAt)
+	s.releasePaused(now)
+}
+
+func (s *service) endRound() {
+	s.round = 0
+	for _, known := range s.members {
+		known.forgetRound()
+	}
+}
+
+// callMayAct tells whether a call for the intent's target may still take effect.
+func (s *service) callMayAct(now time.Duration) bool {
+	return s.call.number != 0 || now < s.call.unknownUntil || now < s.call.acceptedUntil
+}
+
+// othersCallsVoid tells whether only an earlier holder's calls may be on their way, which the fence of the next call voids.
+func (s *service) othersCallsVoid() bool {
+	return s.settings().FenceChecked && s.inherited && !s.call.ownUnknown && s.call.number == 0
+}
--- /dev/null
+++ b/control/failover/settings.go
@@ -0,0 +1,64 @@
+package failover
+
+import "time"
+
+// DefaultSettings returns settings that suit a service whose promote takes up to about a second. Holder, Fence,
+// FenceChecked and CallsPerS are of the deployment: the caller fills them in.
+func DefaultSettings() Settings {
+	return Settings{
+		CallsPerS:    5,
+		LeaderProbe:  3 * time.Second,
+		FastProbe:    150 * time.Millisecond,
+		FastWindow:   4 * time.Second,
+		SuspectAfter: 1200 * time.Millisecond,
+		ReplicaLost:  8 * time.Second,
+		LateCall:     15 * time.Second,
+	}
+}
+
+const (
+	// replicaProbe is the time between probes of members that don't decide what comes next.
+	replicaProbe = 500 * time.Millisecond
+	// probeGivenUp is the time after which a probe that the host never ended counts as silent.
+	probeGivenUp = 5 * time.Second
+	// gatewayAnswerFresh is how long an answer that a gateway got speaks for the leader.
+	gatewayAnswerFresh = time.Second
+	// statusFresh is how old a status may be when something is decided on it.
+	statusFresh = time.Second
+	// secondProbeWait is how long a second probe must have been out, beside one that failed.
+	secondProbeWait = 300 * time.Millisecond
+	// learnSettle is waited for the other instances once a first one says that it leads and no leader is recorded.
+	learnSettle = 700 * time.Millisecond
+	// learnLimit is the time after which a service in which nobody has ever led gets a leader.
+	learnLimit = 10 * time.Second
+	// departureMargin is added to the moment at which an instance left, before the leader's position covers it.
+	departureMargin = 500 * time.Millisecond
+	// heldFresh is how old the answer to a pause may be when one is chosen: a restart would have ended the pause.
+	heldFresh = 3 * time.Second
+	// catchUpWait bounds the wait for a replica to reach a draining leader's position.
+	catchUpWait = time.Second
+	// handOverLimit bounds a planned hand-over before its call is made.
+	handOverLimit = 3 * time.Second
+	// handOverRetry is the time between attempts of a planned hand-over.
+	handOverRetry = 2 * time.Second
+	// stepDownAfter is how long a hand-over waits for a silent replica before the leader itself is asked to step down.
+	stepDownAfter = 500 * time.Millisecond
+	// intentFresh is how old the wish for an intent may be when its call is sent: a process may have been frozen.
+	intentFresh = 4 * time.Second
+	// promoteWait is longer than a promote takes.
+	promoteWait = 4 * time.Second
+	// inheritedWait is for how long the target of an earlier holder's intent is watched before its call is made again.
+	inheritedWait = 2 * time.Second
+	// targetDeadAfter is the silence of a target, with probes failing, after which it is taken for dead.
+	targetDeadAfter = 3 * time.Second
+	// notSentRetry, declinedRetry and fencedRetry are waited before a call that had no effect is made anew.
+	notSentRetry  = 500 * time.Millisecond
+	declinedRetry = time.Second
+	fencedRetry   = 5 * time.Second
+	// changeRetry is waited before a change that was not committed is asked for again.
+	changeRetry = 200 * time.Millisecond
+	// failuresOnlyAfter is how long gateways may report only failures at a leader that answers before it is logged.
+	failuresOnlyAfter = 3 * time.Second
+	// mostDeparted bounds the instances remembered after they have left.
+	mostDeparted = 16
+)
--- /dev/null
+++ b/control/failover/watch.go
@@ -0,0 +1,166 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// watch looks after a service that isn't frozen.
+func (s *service) watch(now time.Duration) {
+	if s.intentUnsettled() {
+		s.freezeFor(now, openIntent)
+		return
+	}
+	if s.view.Leader.InstanceID == "" {
+		s.learn(now)
+		return
+	}
+	s.settleIntent(now)
+	s.aftercare(now)
+	s.look(now)
+	if why, sign := s.mustFreeze(now); sign {
+		s.freezeFor(now, why)
+		return
+	}
+	s.noteHigherTerm(now)
+}
+
+// intentUnsettled tells whether there is an intent whose target isn't the recorded leader of a later term.
+func (s *service) intentUnsettled() bool {
+	if s.intent == nil {
+		return false
+	}
+	leader, previous := s.view.Leader, s.intent.Previous
+	settled := leader.InstanceID == s.intent.InstanceID && (leader.Term > previous.Term || previous.InstanceID == leader.InstanceID)
+	return !settled
+}
+
+// settleIntent takes the intent back once its target leads and no call for it may still act.
+func (s *service) settleIntent(now time.Duration) {
+	if s.intent != nil && !s.callMayAct(now) {
+		s.ask(now, Change{ClearIntent: s.name})
+	}
+}
+
+// look probes: the leader at calm, everyone while there are signs of change.
+func (s *service) look(now time.Duration) {
+	leader := s.leader()
+	if now < s.fastUntil {
+		s.probeAll(now, leader)
+		return
+	}
+	if leader != nil {
+		s.probe(now, leader, AskStatus, 0, s.settings().LeaderProbe)
+	}
+}
+
+// mustFreeze tells whether the recorded leader can't go on, and why.
+func (s *service) mustFreeze(now time.Duration) (reason, bool) {
+	if s.newPrimaryElsewhere(now) {
+		return newLeader, true
+	}
+	others := lo.Filter(s.present(), func(i *member, _ int) bool { return i.instance.ID != s.view.Leader.InstanceID })
+	if len(others) == 0 {
+		return 0, false
+	}
+	leader := s.leader()
+	switch {
+	case leader == nil:
+		return leaderSilent, true
+	case leader.answered(now-statusFresh) && leader.failures == 0 && !leader.status.Primary:
+		return leaderSilent, true
+	case s.silent(now, leader):
+		return leaderSilent, true
+	case leader.instance.Draining && now >= s.handOver && s.mayHandOver(now, leader, others):
+		return leaderDrains, true
+	}
+	return 0, false
+}
+
+func (s *service) newPrimaryElsewhere(now time.Duration) bool {
+	found := s.newPrimary(now - statusFresh)
+	return found != nil && found.instance.ID != s.view.Leader.InstanceID
+}
+
+// silent tells whether the leader has failed to answer for so long that it is taken for gone, while no gateway gets answers
+// from it either.
+func (s *service) silent(now time.Duration, leader *member) bool {
+	if leader.failures == 0 || now-leader.failingSince < s.settings().SuspectAfter {
+		return false
+	}
+	if s.gatewayHeard && now-s.gatewayAnswer < gatewayAnswerFresh {
+		return false
+	}
+	askedAgain := leader.outstanding[AskStatus] != 0 && now-leader.askedAt[AskStatus] >= secondProbeWait
+	return leader.failures >= 2 || askedAgain
+}
+
+// mayHandOver tells whether a draining leader answers and somebody who stays can follow it.
+func (s *service) mayHandOver(now time.Duration, leader *member, others []*member) bool {
+	s.fastUntil = max(s.fastUntil, now+s.settings().FastProbe)
+	stays := lo.ContainsBy(others, func(i *member) bool {
+		return !i.instance.Draining && i.failures == 0 && i.answered(now-statusFresh) && !i.status.Primary
+	})
+	return stays && s.isLeading(leader, now-statusFresh)
+}
+
+// noteHigherTerm records that the leader itself leads a later term now.
+func (s *service) noteHigherTerm(now time.Duration) {
+	if leader := s.leader(); leader != nil && leader.leads(now-statusFresh) && leader.status.Term > s.view.Leader.Term {
+		s.askLeader(now, leader)
+	}
+}
+
+// reported takes what a gateway met at an instance.
+func (s *service) reported(now time.Duration, in Reported) {
+	if in.Report.InstanceID != s.view.Leader.InstanceID {
+		return
+	}
+	if in.Report.Answers > 0 {
+		s.gatewayHeard, s.gatewayAnswer = true, now
+		s.failuresOnly, s.failuresSaid = false, false
+	}
+	if in.Report.Failures == 0 && in.Report.ReadOnly == 0 {
+		return
+	}
+	s.fastUntil = max(s.fastUntil, now+s.settings().FastWindow)
+	if in.Report.Answers == 0 && !s.failuresOnly {
+		s.failuresOnly, s.failuresFrom = true, now
+	}
+	s.noteFailuresOnly(now)
+}
+
+// noteFailuresOnly says once that gateways fail at a leader that answers here. That alone moves no lead.
+func (s *service) noteFailuresOnly(now time.Duration) {
+	if s.failuresOnly && !s.failuresSaid && now-s.failuresFrom >= failuresOnlyAfter && s.isLeading(s.leader(), now-statusFresh) {
+		s.failuresSaid = true
+		s.event("unreachable leader", "gateways report only failures at %s, which answers here", s.view.Leader.InstanceID)
+	}
+}
+
+// learn finds out who leads a service of which no leader is recorded. Gateways send nothing there meanwhile.
+func (s *service) learn(now time.Duration) {
+	s.probeAll(now, s.present()...)
+	found := s.newPrimary(now - learnSettle - statusFresh)
+	if found == nil {
+		s.sawPrimary = false
+		s.giveLeader(now)
+		return
+	}
+	if !s.sawPrimary {
+		s.sawPrimary, s.firstPrimary = true, now
+	}
+	allAnswered := lo.EveryBy(s.present(), func(i *member) bool { return i.known })
+	if allAnswered || now-s.firstPrimary >= learnSettle {
+		s.askLeader(now, found)
+	}
+}
+
+// giveLeader starts a failover of a service in which nobody leads, though all its instances answer.
+func (s *service) giveLeader(now time.Duration) {
+	allAnswer := lo.EveryBy(s.members, func(i *member) bool { return !i.departed && i.failures == 0 && i.answered(now-2*statusFresh) })
+	if now-s.unledFrom >= learnLimit && len(s.members) > 1 && allAnswer {
+		s.freezeFor(now, neverLed)
+	}
+}
