--- a/control/configuration/api.go
+++ b/control/configuration/api.go
@@ -10,44 +10,40 @@
 
 // Contents of a configuration. Unknown fields are ignored here, and kept in the body and the digest.
 type Contents struct {
-	Number   int64     `json:"configRevision"`
-	Routes   []Route   `json:"routeTable"`
-	Services []Service `json:"serviceTable"`
+	Number   int64     `json:"configRevision" validate:"gte=1"`
+	Routes   []Route   `json:"routeTable" validate:"-"`   // checked one by one, so that an error names the route
+	Services []Service `json:"serviceTable" validate:"-"` // likewise
 	Limits   Limits    `json:"limits"`
 }
 
 // Route leads a database name to a service.
 type Route struct {
-	Name            string `json:"name"`
-	Host            string `json:"host"`
-	PathPrefix      string `json:"pathPrefix"`
-	Class           string `json:"routeClass"` // primary, bounded_stale, self_managed
-	TimeoutMs       int64  `json:"timeoutMs"`
-	TargetLatencyMs int64  `json:"targetLatencyMs"`
-	Priority        int    `json:"priority"`
-	TargetService   string `json:"targetService"`
-	MaxAttempts     int    `json:"maxAttempts"`
-	MaxStalenessMs  int64  `json:"maxStalenessMs"`
+	Name            string `json:"name" validate:"required"`
+	Host            string `json:"host" validate:"required"`
+	PathPrefix      string `json:"pathPrefix" validate:"required"`
+	Class           string `json:"routeClass" validate:"oneof=primary bounded_stale self_managed"`
+	TimeoutMs       int64  `json:"timeoutMs" validate:"gt=0"`
+	TargetLatencyMs int64  `json:"targetLatencyMs" validate:"gte=0"`
+	Priority        int    `json:"priority" validate:"gte=0"`
+	TargetService   string `json:"targetService" validate:"required"`
+	MaxAttempts     int    `json:"maxAttempts" validate:"gte=0"`
+	MaxStalenessMs  int64  `json:"maxStalenessMs" validate:"gte=0"`
 }
 
 // Service is a database service.
 type Service struct {
-	Name           string `json:"name"`
+	Name           string `json:"name" validate:"required"`
 	HealthPath     string `json:"healthPath"`
-	MaxConnections int    `json:"maxConnections"`
+	MaxConnections int    `json:"maxConnections" validate:"gte=0"`
 	Protocol       string `json:"protocol"`
-	SyncReplicas   int    `json:"syncReplicas"`
+	SyncReplicas   int    `json:"syncReplicas" validate:"gte=0"`
 }
 
 // Limits of sessions.
 type Limits struct {
-	MaxHeaderBytes  int64 `json:"maxHeaderBytes"`
-	MaxBodyBytes    int64 `json:"maxBodyBytes"`
-	HeaderTimeoutMs int64 `json:"headerTimeoutMs"`
-	IdleTimeoutMs   int64 `json:"idleTimeoutMs"`
-	TxnIdleMs       int64 `json:"txnIdleMs"`
+	MaxHeaderBytes  int64 `json:"maxHeaderBytes" validate:"gte=0"`
+	MaxBodyBytes    int64 `json:"maxBodyBytes" validate:"gte=0"`
+	HeaderTimeoutMs int64 `json:"headerTimeoutMs" validate:"gte=0"`
+	IdleTimeoutMs   int64 `json:"idleTimeoutMs" validate:"gte=0"`
+	TxnIdleMs       int64 `json:"txnIdleMs" validate:"gte=0"`
 }
-
-// In configuration.go:
-//
-//	func Parse(body []byte) (Order, error)     an error is a verdict on the content alone: the same everywhere and for ever
--- /dev/null
+++ b/control/configuration/check.go
@@ -0,0 +1,107 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// fieldChecks holds the rules that the tags of Contents, Route, Service and Limits state. It is never changed.
+var fieldChecks = newFieldChecks()
+
+func newFieldChecks() *validator.Validate {
+	checks := validator.New(validator.WithRequiredStructEnabled())
+	checks.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("json") })
+	return checks
+}
+
+// check finds the first thing for which contents that could be read can't be put in force.
+func check(contents Contents) *Refusal {
+	if refusal := checkFields("", contents); refusal != nil {
+		return refusal
+	}
+	services, refusal := checkServices(contents.Services)
+	if refusal != nil {
+		return refusal
+	}
+	return checkRoutes(contents.Routes, services)
+}
+
+// names is a set of names.
+type names map[string]struct{}
+
+func checkServices(services []Service) (names, *Refusal) {
+	known := make(names, len(services))
+	for index, service := range services {
+		where := label("service", service.Name, "serviceTable", index)
+		if refusal := checkFields(where, service); refusal != nil {
+			return nil, refusal
+		}
+		if _, twice := known[service.Name]; twice {
+			return nil, invalid(where, "has the name of another service")
+		}
+		known[service.Name] = struct{}{}
+	}
+	return known, nil
+}
+
+// place is where requests find a route.
+type place struct{ host, pathPrefix string }
+
+func checkRoutes(routes []Route, services names) *Refusal {
+	taken := make(map[place]string, len(routes))
+	for index, route := range routes {
+		where := label("route", route.Name, "routeTable", index)
+		if refusal := checkFields(where, route); refusal != nil {
+			return refusal
+		}
+		if _, known := services[route.TargetService]; !known {
+			return invalid(where, fmt.Sprintf("targetService %q is not in serviceTable", route.TargetService))
+		}
+		at := place{host: route.Host, pathPrefix: route.PathPrefix}
+		if other, found := taken[at]; found {
+			return invalid(where, fmt.Sprintf("has host %q and pathPrefix %q like route %q", at.host, at.pathPrefix, other))
+		}
+		taken[at] = route.Name
+	}
+	return nil
+}
+
+func label(row, name, table string, index int) string {
+	if name == "" {
+		return fmt.Sprintf("%s[%d]", table, index)
+	}
+	return fmt.Sprintf("%s %q", row, name)
+}
+
+// checkFields applies the rules of the tags.
+func checkFields(where string, part any) *Refusal {
+	err := fieldChecks.Struct(part)
+	if err == nil {
+		return nil
+	}
+	var failures validator.ValidationErrors
+	if !errors.As(err, &failures) {
+		return invalid(where, err.Error())
+	}
+	return invalid(where, failureText(failures[0]))
+}
+
+func failureText(failure validator.FieldError) string {
+	field := failure.Field()
+	switch failure.Tag() {
+	case "required":
+		return field + " is missing or empty"
+	case "gt":
+		return field + " must be greater than " + failure.Param()
+	case "gte":
+		return field + " must not be less than " + failure.Param()
+	case "oneof":
+		return field + " must be one of " + strings.ReplaceAll(failure.Param(), " ", ", ")
+	default:
+		return field + " is not valid"
+	}
+}
