Host: the process of a controller around its state machine

Cause: the control plane's decisions are pure and need a process that carries bytes, files and timers. Change: package host: one goroutine owns the controller behind a bounded mailbox; HTTP front, disk writer, outbox that holds messages until their write is synced, probes over kept connections, platform calls made once on a fresh connection, ends in order.

--- /dev/null
+++ b/host/loop_test.go
@@ -0,0 +1,61 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"eiderway/control/controller"
+)
+
+func TestLoopEndsWhenTheControllerMay(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, rigOptions{held: true, answer: func(input controller.Input) controller.Effects {
+		_, asked := input.(controller.Terminate)
+		return controller.Effects{MayEnd: asked}
+	}})
+	ended := make(chan struct{})
+	go func() {
+		r.loop.run(t.Context())
+		close(ended)
+	}()
+	receive(t, r.controller.ticks) // time passes without any input
+	receive(t, r.controller.ticks)
+	r.loop.inbox.post(controller.Terminate{})
+	receive(t, ended)
+	is.True(r.loop.mayEnd)
+}
+
+func TestTicksAreRarerAtRest(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, rigOptions{held: true})
+	is.Equal(r.loop.pause(), tickResting)
+	call := r.front.numbers.next()
+	r.loop.replies.open(call)
+	is.Equal(r.loop.pause(), tickWorking)
+	r.loop.replies.drop(call)
+	is.Equal(r.loop.pause(), tickResting)
+	r.loop.leads = func() bool { return true }
+	is.Equal(r.loop.pause(), tickWorking)
+}
+
+func TestCountersAreLoggedOnlyWhenTheyChanged(t *testing.T) {
+	is := is.New(t)
+	logger, lines := test.NewNullLogger()
+	counters := &counters{}
+	counterLog := counterLog{counters: counters, log: logger}
+	counterLog.tick(0)
+	is.Equal(len(lines.AllEntries()), 0) // nothing has happened
+	counters.orders.Add(2)
+	counters.steps.Add(9)
+	counterLog.tick(countersEvery - time.Millisecond)
+	is.Equal(len(lines.AllEntries()), 0) // not due
+	counterLog.tick(countersEvery)
+	is.Equal(lines.LastEntry().Data, logrus.Fields{"orders": uint64(2), "steps": uint64(9)})
+	counters.steps.Add(9)
+	counterLog.tick(2 * countersEvery)
+	is.Equal(len(lines.AllEntries()), 1)
+}
--- /dev/null
+++ b/host/open.go
@@ -0,0 +1,121 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"eiderway/control/replication"
+	"eiderway/control/store"
+	"eiderway/system"
+)
+
+const (
+	// openPause is the time between attempts to open the store while the disk refuses. Ending the process instead would
+	// only have it started again against the same disk.
+	openPause = 500 * time.Millisecond
+	// listenPause and listenAttempts bound the wait for a port that the process before this one has not let go yet.
+	listenPause    = 200 * time.Millisecond
+	listenAttempts = 25
+)
+
+// openStore opens the store, and waits for a disk in trouble.
+func openStore(ctx context.Context, boot Boot) (*store.Store, replication.Durable, error) {
+	options := store.Options{FirstStart: boot.Settings.FirstStart, Log: boot.Log}
+	told := false
+	for {
+		opened, durable, err := store.Open(boot.Settings.DataDirectory, options)
+		if err == nil {
+			return opened, durable, nil
+		}
+		if isFinal(err) {
+			return nil, replication.Durable{}, err
+		}
+		if !told {
+			boot.Log.WithError(err).Warn("disk: the store does not open; trying on")
+			told = true
+		}
+		if !sleep(ctx, openPause) {
+			return nil, replication.Durable{}, err
+		}
+	}
+}
+
+// isFinal tells errors that no wait will mend.
+func isFinal(err error) bool {
+	return errors.Is(err, store.ErrNewerFormat) || errors.Is(err, store.ErrInUse)
+}
+
+// listeners are the sockets on which the process is called.
+type listeners struct {
+	control  net.Listener // operators and instances
+	internal net.Listener // other processes of the system
+}
+
+func openListeners(ctx context.Context, settings system.Settings) (listeners, error) {
+	control, err := listenPatiently(ctx, settings.Listen.Control)
+	if err != nil {
+		return listeners{}, err
+	}
+	internal, err := listenPatiently(ctx, settings.RPCAddress())
+	if err != nil {
+		_ = control.Close()
+		return listeners{}, err
+	}
+	return listeners{control: control, internal: internal}, nil
+}
+
+func listenPatiently(ctx context.Context, address string) (net.Listener, error) {
+	for attempt := 1; ; attempt++ {
+		listener, err := listen(ctx, address)
+		if err == nil {
+			return listener, nil
+		}
+		if attempt == listenAttempts || !sleep(ctx, listenPause) {
+			return nil, eris.Wrap(err, "host")
+		}
+	}
+}
+
+// sleep waits, and tells whether the context has not ended meanwhile.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Descriptors of the process: fileDescriptors are kept by the machine for files, ownDescriptors are for connections that
+// this process makes (other controllers, instances, the platform), its disk and its listeners.
+const (
+	defaultDescriptors = 1024 // where the settings don't say: the usual limit of a process
+	fileDescriptors    = 200
+	ownDescriptors     = 400
+	controlShare       = 4 // one in four of the rest is for HTTP callers, the others for gateways and controllers
+)
+
+// connectionLimits bound the accepted connections.
+type connectionLimits struct{ control, internal int }
+
+func connectionLimitsOf(descriptors int) connectionLimits {
+	if descriptors == 0 {
+		descriptors = defaultDescriptors
+	}
+	rest := max(descriptors-fileDescriptors-ownDescriptors, descriptors/4)
+	control := rest / controlShare
+	return connectionLimits{control: control, internal: rest - control}
+}
+
+func platformAddress(settings system.Settings) string {
+	if settings.PlatformAPI == nil {
+		return ""
+	}
+	return settings.PlatformAPI.Address
+}
