Control state: orders, instances, leaders and intents as entries

Cause: controllers decide on commands against replicated entries that copies apply without understanding.

--- a/control/state/api.go
+++ b/control/state/api.go
@@ -1,8 +1,16 @@
 // Package state gives the entries of the control state their meaning.
+//
+// The control state is a set of entries, each a key and some bytes. The kind of an entry follows from the start of its
+// key; see keys.go. Commands are decided on a Transaction, which collects what they change, so that a batch of
+// commands becomes one change. Everything here is a pure function of the entries and the commands.
+//
+// Two kinds of entries are bounded. Of the taken configuration numbers the newest MaxOrders are kept: below the lowest
+// of these, once there are so many, an order is acknowledged as overtaken and not recorded, so that one with another
+// content under the same number is not found out there. Of the instances that left, the newest MaxDepartures are kept:
+// a beat that comes later than that many departures counts as that of a new instance.
 package state
 
 import (
-	"eiderway/control/failover"
 	"eiderway/control/feed"
 	"eiderway/control/replication"
 )
@@ -30,29 +38,7 @@
 // Instance is an instance as the control state has it.
 type Instance struct {
 	feed.Instance
-	CallSeq uint64 // of the call that brought the last change recorded here
+	CallSeq uint64 // of the call that brought the last change recorded here; of one that left, the highest seen
 	Left    bool   // it has left (or was lost); kept so that a late beat does not bring it back
+	Lost    bool   // with Left: it was taken for lost in silence, and has not said that it leaves
 }
-
-// In state.go:
-//
-//	type Transaction struct{ ... }                       an overlay over a Reader; commands are decided on it one by one
-//	func NewTransaction(reader Reader) *Transaction
-//	func (t *Transaction) Entry, Entries                  (a Transaction is a Reader itself)
-//	func (t *Transaction) Mutations() []replication.Mutation   what was changed, sorted by key; empty: nothing
-//
-//	func (t *Transaction) PlaceOrder(order configuration.Order) Verdict
-//	func (t *Transaction) PutInstance(instance Instance)
-//	func (t *Transaction) RemoveInstance(id string)       drops the record (old tombstones)
-//	func (t *Transaction) SetLeader(service string, leader feed.Leader)
-//	func (t *Transaction) SetIntent(intent failover.Intent)
-//	func (t *Transaction) ClearIntent(service string)
-//
-//	func Configuration(reader Reader) (number int64, body []byte, found bool)
-//	func Instances(reader Reader) []Instance              sorted by id, those that left included
-//	func InstanceByID(reader Reader, id string) (Instance, bool)
-//	func Leaders(reader Reader) map[string]feed.Leader
-//	func Intents(reader Reader) []failover.Intent
-//	func Services(reader Reader) []failover.ServiceView   every service of the configuration or of an instance, sorted
-
-var _ = failover.Intent{}
--- /dev/null
+++ b/control/state/keys.go
@@ -0,0 +1,21 @@
+package state
+
+import "fmt"
+
+// The kinds of entries, by the start of their keys. Numbers in keys have a fixed width, so that keys sort as numbers do.
+const (
+	configurationKey = "configuration/head"  // configurationHead
+	bodyPrefix       = "configuration/body/" // + number of the piece: the bytes themselves
+	orderPrefix      = "order/"              // + configuration number: orderRecord
+	instancePrefix   = "instance/"           // + instance id: instanceRecord
+	departurePrefix  = "departure/"          // + number of the departure: departureRecord
+	leaderPrefix     = "leader/"             // + service: leaderRecord
+	intentPrefix     = "intent/"             // + service: failover.Intent
+)
+
+func bodyKey(piece int) string             { return fmt.Sprintf("%s%06d", bodyPrefix, piece) }
+func orderKey(number int64) string         { return fmt.Sprintf("%s%019d", orderPrefix, number) }
+func instanceKey(id string) string         { return instancePrefix + id }
+func departureKey(departure uint64) string { return fmt.Sprintf("%s%020d", departurePrefix, departure) }
+func leaderKey(service string) string      { return leaderPrefix + service }
+func intentKey(service string) string      { return intentPrefix + service }
--- /dev/null
+++ b/control/state/order.go
@@ -0,0 +1,101 @@
+package state
+
+import (
+	"bytes"
+	"slices"
+
+	"eiderway/control/configuration"
+)
+
+// MaxOrders is how many taken configuration numbers are kept, the highest ones. With about 200 bytes each they take
+// under a megabyte, and a day holds hundreds of changes.
+const MaxOrders = 4096
+
+// bodyPiece is the most bytes of a configuration that one entry holds. Changes and snapshots travel by entries, and
+// small ones let a slow link carry other messages in between.
+const bodyPiece = 64 << 10
+
+// configurationHead describes the configuration in force. The services stand here again so that the body need not be
+// parsed each time they are asked for.
+type configurationHead struct {
+	Number   int64
+	Size     int // of the body, in bytes
+	Services []configuredService
+}
+
+type configuredService struct {
+	Name         string
+	SyncReplicas int
+}
+
+// orderRecord says which content a configuration number was taken by.
+type orderRecord struct {
+	Number int64
+	Digest string
+}
+
+// PlaceOrder decides on an order and records it. The same decision on the changed state gives Repeated, so that an
+// order sent again is acknowledged again by whichever controller holds the state then.
+func (t *Transaction) PlaceOrder(order configuration.Order) Verdict {
+	if taken, found := read[orderRecord](t, orderKey(order.Number)); found {
+		if taken.Digest == order.Digest {
+			return Repeated
+		}
+		return Conflict
+	}
+	head, inForce := read[configurationHead](t, configurationKey)
+	t.recordOrder(order)
+	if inForce && order.Number <= head.Number {
+		return Overtaken
+	}
+	t.putConfiguration(order)
+	return InForce
+}
+
+// recordOrder keeps the number as taken, and no more than MaxOrders of the highest numbers.
+func (t *Transaction) recordOrder(order configuration.Order) {
+	record := orderRecord{Number: order.Number, Digest: order.Digest}
+	t.set(orderKey(order.Number), encode(record))
+	orders := t.Entries(orderPrefix)
+	for len(orders) > MaxOrders {
+		t.drop(orders[0].Key)
+		orders = orders[1:]
+	}
+}
+
+func (t *Transaction) putConfiguration(order configuration.Order) {
+	head := configurationHead{Number: order.Number, Size: len(order.Body)}
+	for _, service := range order.Contents.Services {
+		configured := configuredService{Name: service.Name, SyncReplicas: service.SyncReplicas}
+		head.Services = append(head.Services, configured)
+	}
+	t.set(configurationKey, encode(head))
+	pieces := slices.Collect(slices.Chunk(order.Body, bodyPiece))
+	for index, piece := range pieces {
+		t.set(bodyKey(index), bytes.Clone(piece))
+	}
+	for _, entry := range t.Entries(bodyPrefix) {
+		if entry.Key >= bodyKey(len(pieces)) {
+			t.drop(entry.Key)
+		}
+	}
+}
+
+// Configuration returns the newest configuration as it was sent.
+func Configuration(reader Reader) (number int64, body []byte, found bool) {
+	head, found := read[configurationHead](reader, configurationKey)
+	if !found {
+		return 0, nil, false
+	}
+	body = make([]byte, 0, head.Size)
+	for _, piece := range reader.Entries(bodyPrefix) {
+		body = append(body, piece.Value...)
+	}
+	return head.Number, body, len(body) == head.Size
+}
+
+// ConfigurationNumber returns the number of the newest configuration, 0 if there is none.
+func ConfigurationNumber(reader Reader) int64 {
+	head, _ := read[configurationHead](reader, configurationKey)
+	return head.Number
+}
--- /dev/null
+++ b/control/state/order_test.go
@@ -0,0 +1,216 @@
+package state_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"eiderway/control/configuration"
+	"eiderway/control/feed"
+	"eiderway/control/state"
+	"eiderway/control/state/statetest"
+)
+
+// orderOf makes an order as Parse would.
+func orderOf(number int64, content string) configuration.Order {
+	digest := fmt.Sprintf("%x", sha256.Sum256([]byte(content)))
+	return configuration.Order{Number: number, Digest: digest, Body: []byte(content)}
+}
+
+// place decides on an order in a transaction of its own.
+func place(memory *statetest.Memory, order configuration.Order) state.Verdict {
+	transaction := state.NewTransaction(memory)
+	verdict := transaction.PlaceOrder(order)
+	memory.Commit(transaction)
+	return verdict
+}
+
+func TestOrderVerdicts(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	for _, step := range []struct {
+		number  int64
+		content string
+		verdict state.Verdict
+		inForce int64
+	}{
+		{30, "a", state.InForce, 30},
+		{30, "a", state.Repeated, 30},
+		{30, "b", state.Conflict, 30},
+		{34, "c", state.InForce, 34},
+		{30, "a", state.Repeated, 34}, // also after a higher number
+		{31, "d", state.Overtaken, 34},
+		{31, "d", state.Repeated, 34},
+		{31, "c", state.Conflict, 34}, // the content in force under another number is another content
+		{34, "d", state.Conflict, 34},
+		{35, "c", state.InForce, 35},
+	} {
+		is.Equal(place(memory, orderOf(step.number, step.content)), step.verdict)
+		number, _, found := state.Configuration(memory)
+		is.True(found)
+		is.Equal(number, step.inForce)
+		is.NoErr(state.Verify(memory))
+	}
+}
+
+func TestRefusedAndRepeatedOrdersChangeNothing(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	place(memory, orderOf(5, "a"))
+	transaction := state.NewTransaction(memory)
+	is.Equal(transaction.PlaceOrder(orderOf(5, "a")), state.Repeated)
+	is.Equal(transaction.PlaceOrder(orderOf(5, "b")), state.Conflict)
+	is.Equal(len(transaction.Mutations()), 0)
+}
+
+func TestOrdersOfOneBatchSeeEachOther(t *testing.T) {
+	is := is.New(t)
+	transaction := state.NewTransaction(statetest.NewMemory())
+	is.Equal(transaction.PlaceOrder(orderOf(5, "a")), state.InForce)
+	is.Equal(transaction.PlaceOrder(orderOf(5, "b")), state.Conflict)
+	is.Equal(transaction.PlaceOrder(orderOf(4, "b")), state.Overtaken)
+	number, body, found := state.Configuration(transaction)
+	is.True(found)
+	is.Equal(number, int64(5))
+	is.Equal(string(body), "a")
+}
+
+func TestTakenNumbersAreBounded(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	for number := range int64(state.MaxOrders + 10) {
+		place(memory, orderOf(number+1, "a"))
+	}
+	is.Equal(len(memory.Entries("order/")), state.MaxOrders)
+	is.Equal(place(memory, orderOf(11, "a")), state.Repeated) // the lowest that is kept
+	is.Equal(place(memory, orderOf(11, "b")), state.Conflict)
+	is.Equal(place(memory, orderOf(10, "b")), state.Overtaken) // forgotten
+	is.Equal(len(memory.Entries("order/")), state.MaxOrders)
+	is.Equal(place(memory, orderOf(11, "a")), state.Repeated) // not pushed out by what is forgotten
+	is.NoErr(state.Verify(memory))
+}
+
+func TestBodiesInPieces(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	long := strings.Repeat("0123456789abcdef", 20<<10) // five pieces
+	place(memory, orderOf(1, long))
+	_, body, _ := state.Configuration(memory)
+	is.True(bytes.Equal(body, []byte(long)))
+	for _, entry := range memory.Entries("") {
+		is.True(len(entry.Value) <= 64<<10)
+	}
+
+	transaction := state.NewTransaction(memory)
+	transaction.PlaceOrder(orderOf(2, long[:len(long)-1]+"x"))
+	written := 0
+	for _, mutation := range transaction.Mutations() {
+		written += len(mutation.Value)
+	}
+	is.True(written < 70<<10) // the pieces that are as before are not written again
+	memory.Commit(transaction)
+
+	place(memory, orderOf(3, "short"))
+	_, body, found := state.Configuration(memory)
+	is.True(found)
+	is.Equal(string(body), "short") // nothing is left of the longer one
+	is.NoErr(state.Verify(memory))
+}
+
+func TestChangesOfInstancesLeaveTheBodyAlone(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	place(memory, orderOf(1, strings.Repeat("x", 1<<20)))
+	transaction := state.NewTransaction(memory)
+	transaction.PutInstance(state.Instance{Instance: feed.Instance{ID: "i1"}})
+	is.Equal(len(transaction.Mutations()), 1)
+}
+
+// Orders come in any order, many times, to controllers that take over from each other, and answers get lost. Whatever is
+// acknowledged under one number is one content, and what was acknowledged once is acknowledged again.
+func TestNoNumberIsAcknowledgedForTwoContents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		memory := statetest.NewMemory()
+		acknowledged := make(map[int64]string)
+		highest := int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "orders") {
+			number := rapid.Int64Range(1, 8).Draw(t, "number")
+			content := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "content")
+			transaction := state.NewTransaction(memory)
+			verdict := transaction.PlaceOrder(orderOf(number, content))
+			if rapid.IntRange(0, 4).Draw(t, "fate") == 0 {
+				continue // the primary died before the change was committed, so nobody was answered
+			}
+			memory.Commit(transaction)
+			memory = memory.Clone() // another controller goes on
+			before, taken := acknowledged[number]
+			if (verdict == state.Conflict) != (taken && before != content) {
+				t.Fatalf("order %d %q: verdict %d, taken by %q", number, content, verdict, before)
+			}
+			if verdict != state.Conflict {
+				acknowledged[number] = content
+				highest = max(highest, number)
+			}
+			inForce, body, _ := state.Configuration(memory)
+			if inForce != highest || string(body) != acknowledged[highest] {
+				t.Fatalf("%d %q is in force, %d %q should be", inForce, body, highest, acknowledged[highest])
+			}
+		}
+		if err := state.Verify(memory); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// A transaction over a reader and one over what is committed step by step come to the same.
+func TestTransactionReadsAsIfCommitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		overlaid, committed := statetest.NewMemory(), statetest.NewMemory()
+		place(overlaid, orderOf(2, "base"))
+		place(committed, orderOf(2, "base"))
+		whole := state.NewTransaction(overlaid)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			step := drawStep(t)
+			step(whole)
+			one := state.NewTransaction(committed)
+			step(one)
+			committed.Commit(one)
+			if fmt.Sprint(whole.Entries("")) != fmt.Sprint(committed.Entries("")) {
+				t.Fatalf("overlay:\n%v\ncommitted:\n%v", whole.Entries(""), committed.Entries(""))
+			}
+		}
+		overlaid.Commit(whole)
+		if fmt.Sprint(overlaid.Entries("")) != fmt.Sprint(committed.Entries("")) {
+			t.Fatal("the mutations don't give what the transaction showed")
+		}
+		if err := state.Verify(overlaid); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// drawStep draws one command.
+func drawStep(t *rapid.T) func(*state.Transaction) {
+	id := rapid.SampledFrom([]string{"i1", "i2", "i3"}).Draw(t, "id")
+	switch rapid.IntRange(0, 4).Draw(t, "command") {
+	case 0:
+		order := orderOf(rapid.Int64Range(1, 5).Draw(t, "number"), rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "content"))
+		return func(transaction *state.Transaction) { transaction.PlaceOrder(order) }
+	case 1:
+		left := rapid.Bool().Draw(t, "left")
+		return func(transaction *state.Transaction) {
+			transaction.PutInstance(state.Instance{Instance: feed.Instance{ID: id, Service: "s"}, Left: left})
+		}
+	case 2:
+		return func(transaction *state.Transaction) { transaction.RemoveInstance(id) }
+	case 3:
+		return func(transaction *state.Transaction) { transaction.SetLeader("s", feed.Leader{InstanceID: id, Term: 3}) }
+	default:
+		return func(transaction *state.Transaction) { transaction.ClearIntent("s") }
+	}
+}
--- /dev/null
+++ b/control/state/service.go
@@ -0,0 +1,87 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"eiderway/control/failover"
+	"eiderway/control/feed"
+)
+
+// leaderRecord is the leader of a service as it is stored.
+type leaderRecord struct {
+	Service string
+	Leader  feed.Leader
+}
+
+// SetLeader records who leads a service.
+func (t *Transaction) SetLeader(service string, leader feed.Leader) {
+	t.set(leaderKey(service), encode(leaderRecord{Service: service, Leader: leader}))
+}
+
+// SetIntent records a failover that may be under way, in place of an earlier one of the service.
+func (t *Transaction) SetIntent(intent failover.Intent) {
+	t.set(intentKey(intent.Service), encode(intent))
+}
+
+// ClearIntent drops the record of a failover of the service, if there is one.
+func (t *Transaction) ClearIntent(service string) { t.drop(intentKey(service)) }
+
+// Leaders returns the recorded leaders by service.
+func Leaders(reader Reader) map[string]feed.Leader {
+	leaders := make(map[string]feed.Leader)
+	for _, record := range readAll[leaderRecord](reader, leaderPrefix) {
+		leaders[record.Service] = record.Leader
+	}
+	return leaders
+}
+
+// Intents returns the failovers that may be under way, sorted by service.
+func Intents(reader Reader) []failover.Intent {
+	return readAll[failover.Intent](reader, intentPrefix)
+}
+
+// Services returns each service of the configuration, of an instance that has not left, or of a failover that may be
+// under way, sorted by name.
+func Services(reader Reader) []failover.ServiceView {
+	views := make(serviceViews)
+	head, _ := read[configurationHead](reader, configurationKey)
+	for _, service := range head.Services {
+		views.of(service.Name).SyncReplicas = service.SyncReplicas
+	}
+	for _, instance := range Instances(reader) {
+		if !instance.Left {
+			view := views.of(instance.Service)
+			view.Instances = append(view.Instances, instance.Instance)
+		}
+	}
+	for _, intent := range Intents(reader) {
+		views.of(intent.Service).Intent = &intent
+	}
+	for service, leader := range Leaders(reader) {
+		if view, found := views[service]; found {
+			view.Leader = leader
+		}
+	}
+	return views.sorted()
+}
+
+// serviceViews collects what is known of services, by name.
+type serviceViews map[string]*failover.ServiceView
+
+func (v serviceViews) of(service string) *failover.ServiceView {
+	view, found := v[service]
+	if !found {
+		view = &failover.ServiceView{Name: service}
+		v[service] = view
+	}
+	return view
+}
+
+func (v serviceViews) sorted() []failover.ServiceView {
+	sorted := make([]failover.ServiceView, 0, len(v))
+	for _, name := range slices.Sorted(maps.Keys(v)) {
+		sorted = append(sorted, *v[name])
+	}
+	return sorted
+}
--- /dev/null
+++ b/control/state/state_test.go
@@ -0,0 +1,142 @@
+package state_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eiderway/control/configuration"
+	"eiderway/control/failover"
+	"eiderway/control/feed"
+	"eiderway/control/state"
+	"eiderway/control/state/statetest"
+)
+
+func instance(id, service string) state.Instance {
+	return state.Instance{
+		Instance: feed.Instance{ID: id, Service: service, Address: id + ":1", Zone: "z", Slots: 7, Draining: true},
+		CallSeq:  9,
+	}
+}
+
+func left(id, service string) state.Instance {
+	gone := instance(id, service)
+	gone.Left = true
+	return gone
+}
+
+func TestRecordsComeBackAsTheyWerePut(t *testing.T) {
+	is := is.New(t)
+	transaction := state.NewTransaction(statetest.NewMemory())
+	transaction.PutInstance(instance("i2", "s"))
+	transaction.PutInstance(left("i1", "s"))
+	is.Equal(state.Instances(transaction), []state.Instance{left("i1", "s"), instance("i2", "s")})
+	found, known := state.InstanceByID(transaction, "i2")
+	is.True(known)
+	is.Equal(found, instance("i2", "s"))
+	_, known = state.InstanceByID(transaction, "i")
+	is.True(!known) // the start of an id is no id
+
+	leader := feed.Leader{InstanceID: "i2", Term: 4}
+	transaction.SetLeader("s", leader)
+	is.Equal(state.Leaders(transaction), map[string]feed.Leader{"s": leader})
+
+	intent := failover.Intent{Service: "s", InstanceID: "i2", Term: 5, Fence: 6, Previous: leader}
+	transaction.SetIntent(intent)
+	is.Equal(state.Intents(transaction), []failover.Intent{intent})
+	transaction.ClearIntent("s")
+	is.Equal(len(state.Intents(transaction)), 0)
+
+	transaction.RemoveInstance("i1")
+	transaction.RemoveInstance("i2")
+	is.Equal(len(state.Instances(transaction)), 0)
+	is.Equal(len(transaction.Mutations()), 1) // the leader alone: what came and went leaves nothing
+}
+
+func TestServices(t *testing.T) {
+	is := is.New(t)
+	transaction := state.NewTransaction(statetest.NewMemory())
+	transaction.PlaceOrder(configuration.Order{Number: 1, Contents: configuration.Contents{
+		Services: []configuration.Service{{Name: "b", SyncReplicas: 1}, {Name: "a"}},
+	}})
+	leader := feed.Leader{InstanceID: "i1", Term: 4}
+	transaction.SetLeader("b", leader)
+	transaction.SetLeader("gone", leader)
+	transaction.PutInstance(instance("i2", "b"))
+	transaction.PutInstance(instance("i1", "b"))
+	transaction.PutInstance(instance("i3", "c"))
+	transaction.PutInstance(left("i4", "d"))
+	intent := failover.Intent{Service: "e", InstanceID: "i9"}
+	transaction.SetIntent(intent)
+	is.Equal(state.Services(transaction), []failover.ServiceView{
+		{Name: "a"},
+		{Name: "b", SyncReplicas: 1, Leader: leader, Instances: []feed.Instance{instance("i1", "b").Instance, instance("i2", "b").Instance}},
+		{Name: "c", Instances: []feed.Instance{instance("i3", "c").Instance}},
+		{Name: "e", Intent: &intent},
+	})
+}
+
+// put records an instance in a transaction of its own.
+func put(memory *statetest.Memory, instance state.Instance) {
+	transaction := state.NewTransaction(memory)
+	transaction.PutInstance(instance)
+	memory.Commit(transaction)
+}
+
+func TestDeparturesAreBoundedOldestFirst(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	put(memory, instance("here", "s"))
+	for index := range state.MaxDepartures {
+		put(memory, left(fmt.Sprintf("i%04d", state.MaxDepartures-index), "s")) // the first to leave sorts last
+	}
+	oldest, second := fmt.Sprintf("i%04d", state.MaxDepartures), fmt.Sprintf("i%04d", state.MaxDepartures-1)
+	put(memory, left(oldest, "other")) // a change of the record is no new departure
+	is.Equal(len(state.Instances(memory)), state.MaxDepartures+1)
+
+	put(memory, instance(second, "s")) // came back
+	put(memory, left("last", "s"))     // takes its place
+	put(memory, left("more", "s"))
+	for id, kept := range map[string]bool{oldest: false, second: true, "here": true, "last": true, "more": true} {
+		_, known := state.InstanceByID(memory, id)
+		is.Equal(known, kept)
+	}
+	is.Equal(len(memory.Entries("departure/")), state.MaxDepartures)
+	is.NoErr(state.Verify(memory))
+}
+
+func TestVerifyFindsWhatReadersSkip(t *testing.T) {
+	for _, lie := range []struct {
+		key   string
+		value string
+	}{
+		{"instance/i1", ""},
+		{"instance/i1", "\x01{"},
+		{"instance/i1", "\x02{}"},
+		{"instance/i1", "\x01{\"ID\":\"i2\"}"},
+		{"leader/s", "\x01[]"},
+		{"intent/s", "garbage"},
+		{"departure/00000000000000000001", "\x01{}"},
+		{"order/0000000000000000001", "\x01{}"},
+		{"configuration/head", "\x01{}"},
+		{"configuration/head", "x"},
+		{"configuration/body/000000", "shorter"},
+	} {
+		t.Run(fmt.Sprintf("%s=%q", lie.key, lie.value), func(t *testing.T) {
+			is := is.New(t)
+			memory := statetest.NewMemory()
+			place(memory, orderOf(1, "a body"))
+			is.NoErr(state.Verify(memory))
+			memory.Put(lie.key, []byte(lie.value))
+			var corruption *state.Corruption
+			is.True(errors.As(state.Verify(memory), &corruption))
+			state.Services(memory) // must not panic, as all readers
+			state.Leaders(memory)
+			state.Configuration(memory)
+			state.Instances(memory)
+			place(memory, orderOf(2, "b"))
+		})
+	}
+}
--- /dev/null
+++ b/control/state/transaction.go
@@ -0,0 +1,90 @@
+package state
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"strings"
+
+	"eiderway/control/replication"
+)
+
+// Transaction is an overlay over a Reader, which must not change meanwhile. Commands are decided on it one by one, each
+// seeing what those before it did. It is a Reader itself.
+type Transaction struct {
+	base    Reader
+	changed map[string]replication.Mutation
+}
+
+// NewTransaction starts a transaction in which nothing is changed.
+func NewTransaction(reader Reader) *Transaction {
+	return &Transaction{base: reader, changed: make(map[string]replication.Mutation)}
+}
+
+// Entry returns the value of a key. It must not be modified.
+func (t *Transaction) Entry(key string) ([]byte, bool) {
+	if mutation, found := t.changed[key]; found {
+		return mutation.Value, !mutation.Delete
+	}
+	return t.base.Entry(key)
+}
+
+// Entries returns the entries whose keys start with the prefix, sorted by key. They must not be modified.
+func (t *Transaction) Entries(prefix string) []replication.Mutation {
+	base := t.base.Entries(prefix)
+	changed := t.changedUnder(prefix)
+	if len(changed) == 0 {
+		return base
+	}
+	merged := make([]replication.Mutation, 0, len(base)+len(changed))
+	for _, entry := range base {
+		if _, replaced := t.changed[entry.Key]; !replaced {
+			merged = append(merged, entry)
+		}
+	}
+	for _, mutation := range changed {
+		if !mutation.Delete {
+			merged = append(merged, mutation)
+		}
+	}
+	sortByKey(merged)
+	return merged
+}
+
+// Mutations returns what was changed, sorted by key. It is empty if everything is as it was.
+func (t *Transaction) Mutations() []replication.Mutation {
+	mutations := t.changedUnder("")
+	sortByKey(mutations)
+	return mutations
+}
+
+func (t *Transaction) changedUnder(prefix string) []replication.Mutation {
+	var mutations []replication.Mutation
+	for key, mutation := range t.changed {
+		if strings.HasPrefix(key, prefix) {
+			mutations = append(mutations, mutation)
+		}
+	}
+	return mutations
+}
+
+func sortByKey(mutations []replication.Mutation) {
+	slices.SortFunc(mutations, func(a, b replication.Mutation) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+func (t *Transaction) set(key string, value []byte) {
+	before, found := t.base.Entry(key)
+	if found && bytes.Equal(before, value) {
+		delete(t.changed, key)
+		return
+	}
+	t.changed[key] = replication.Mutation{Key: key, Value: value}
+}
+
+func (t *Transaction) drop(key string) {
+	if _, found := t.base.Entry(key); !found {
+		delete(t.changed, key)
+		return
+	}
+	t.changed[key] = replication.Mutation{Key: key, Delete: true}
+}
--- /dev/null
+++ b/control/state/verify.go
@@ -0,0 +1,76 @@
+package state
+
+import (
+	"fmt"
+
+	"eiderway/control/failover"
+)
+
+// Corruption says which entry of the control state does not mean anything. Only a disk that gives back other bytes than
+// it took, or a fault of this package, brings that about.
+type Corruption struct {
+	Key     string
+	Problem string
+}
+
+func (c *Corruption) Error() string {
+	return fmt.Sprintf("control state entry %q: %s", c.Key, c.Problem)
+}
+
+// Verify checks that all entries of known kinds can be decoded and belong together. Readers skip those that can't be
+// decoded, so a controller should verify what it read from its disk before it offers it as a copy. The error is a
+// *Corruption.
+func Verify(reader Reader) error {
+	kinds := []func(Reader) *Corruption{
+		verifyConfiguration,
+		verifyRecords[orderRecord](orderPrefix, func(r orderRecord) string { return orderKey(r.Number) }),
+		verifyRecords[instanceRecord](instancePrefix, func(r instanceRecord) string { return instanceKey(r.ID) }),
+		verifyRecords[departureRecord](departurePrefix, func(r departureRecord) string { return departureKey(r.Departure) }),
+		verifyRecords[leaderRecord](leaderPrefix, func(r leaderRecord) string { return leaderKey(r.Service) }),
+		verifyRecords[failover.Intent](intentPrefix, func(r failover.Intent) string { return intentKey(r.Service) }),
+	}
+	for _, verify := range kinds {
+		if corruption := verify(reader); corruption != nil {
+			return corruption
+		}
+	}
+	return nil
+}
+
+// verifyRecords checks the records of one kind: each must be decoded, and stand under its own key.
+func verifyRecords[Record any](prefix string, keyOf func(Record) string) func(Reader) *Corruption {
+	return func(reader Reader) *Corruption {
+		for _, entry := range reader.Entries(prefix) {
+			var record Record
+			if err := decode(entry.Value, &record); err != nil {
+				return &Corruption{Key: entry.Key, Problem: err.Error()}
+			}
+			if key := keyOf(record); key != entry.Key {
+				return &Corruption{Key: entry.Key, Problem: fmt.Sprintf("holds the record of %q", key)}
+			}
+		}
+		return nil
+	}
+}
+
+func verifyConfiguration(reader Reader) *Corruption {
+	encoded, found := reader.Entry(configurationKey)
+	if !found {
+		return nil
+	}
+	var head configurationHead
+	if err := decode(encoded, &head); err != nil {
+		return &Corruption{Key: configurationKey, Problem: err.Error()}
+	}
+	size := 0
+	for _, piece := range reader.Entries(bodyPrefix) {
+		size += len(piece.Value)
+	}
+	if size != head.Size {
+		return &Corruption{Key: configurationKey, Problem: fmt.Sprintf("the body has %d bytes of %d", size, head.Size)}
+	}
+	if _, found := reader.Entry(orderKey(head.Number)); !found {
+		return &Corruption{Key: configurationKey, Problem: "its number is not recorded as taken"}
+	}
+	return nil
+}
