Session and gateway: a thin data path that refuses what it can't keep

Cause: clients need a gateway that follows the controllers' table under a lease. Change: package session decides what each text, answer, loss and time-out means; package gateway holds the table, the pools of backend connections, clients, the freeze and the ordered end.

--- /dev/null
+++ b/gateway/counters.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"eiderway/control/feed"
+	"eiderway/session"
+	"eiderway/wire"
+)
+
+// counters count what clients were told since the start.
+type counters struct {
+	completed  atomic.Uint64
+	busy       atomic.Uint64
+	rolledBack atomic.Uint64
+	inDoubt    atomic.Uint64
+	timedOut   atomic.Uint64
+	malformed  atomic.Uint64
+	noDatabase atomic.Uint64
+	otherError atomic.Uint64
+	ended      atomic.Uint64 // transactions that rested for too long
+
+	leaseLost bool   // belongs to the gateway's lock: a line has been written
+	printed   totals // belongs to the loop that prints
+}
+
+// totals is what is printed.
+type totals struct {
+	completed, busy, rolledBack, inDoubt, timedOut, malformed, noDatabase, otherError, ended uint64
+}
+
+// answered counts an answer to a client.
+func (c *counters) answered(answer wire.Answer) {
+	switch answer.Code {
+	case "":
+		c.completed.Add(1)
+	case wire.Busy:
+		c.busy.Add(1)
+	case wire.RolledBack:
+		c.rolledBack.Add(1)
+	case wire.InDoubt:
+		c.inDoubt.Add(1)
+	case wire.Timeout:
+		c.timedOut.Add(1)
+	case wire.Malformed:
+		c.malformed.Add(1)
+	case wire.NoDB:
+		c.noDatabase.Add(1)
+	default:
+		c.otherError.Add(1)
+	}
+}
+
+func (c *counters) totals() totals {
+	return totals{
+		completed:  c.completed.Load(),
+		busy:       c.busy.Load(),
+		rolledBack: c.rolledBack.Load(),
+		inDoubt:    c.inDoubt.Load(),
+		timedOut:   c.timedOut.Load(),
+		malformed:  c.malformed.Load(),
+		noDatabase: c.noDatabase.Load(),
+		otherError: c.otherError.Load(),
+		ended:      c.ended.Load(),
+	}
+}
+
+// printCounters writes one line if anything was counted since the last.
+func (g *Gateway) printCounters() {
+	now := g.counters.totals()
+	if now == g.counters.printed {
+		return
+	}
+	g.counters.printed = now
+	open, made, refusals := 0, 0, 0
+	for _, kept := range g.allPools() {
+		poolOpen, poolMade, poolRefusals := kept.load()
+		open, made, refusals = open+poolOpen, made+poolMade, refusals+poolRefusals
+	}
+	g.log.WithFields(logrus.Fields{
+		"completed": now.completed, "busy": now.busy, "rolledback": now.rolledBack, "indoubt": now.inDoubt,
+		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "other": now.otherError,
+		"idle_ended": now.ended, "sessions": g.sessions(), "backends": open, "dials": made, "refused": refusals,
+	}).Info("counters")
+}
+
+// reports gathers for the controller what was met at instances. The zero value is ready for use.
+type reports struct {
+	mutex      sync.Mutex
+	byInstance map[string]*feed.InstanceReport
+}
+
+// entry is called with the lock held.
+func (r *reports) entry(instanceID string) *feed.InstanceReport {
+	if r.byInstance == nil {
+		r.byInstance = map[string]*feed.InstanceReport{}
+	}
+	present := r.byInstance[instanceID]
+	if present == nil {
+		present = &feed.InstanceReport{InstanceID: instanceID}
+		r.byInstance[instanceID] = present
+	}
+	return present
+}
+
+// failed counts a connection that could not be made or broke.
+func (r *reports) failed(instanceID string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.entry(instanceID).Failures++
+}
+
+// answered counts what came of a statement.
+func (r *reports) answered(instanceID string, outcome session.Outcome) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	met := r.entry(instanceID)
+	switch {
+	case outcome.Kind != session.Answered:
+		met.Failures++
+	case outcome.Answer.Code == wire.ReadOnly:
+		met.ReadOnly++
+	default:
+		met.Answers++
+	}
+}
+
+// take hands out what was gathered, and begins anew.
+func (r *reports) take() []feed.InstanceReport {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var taken []feed.InstanceReport
+	for _, met := range r.byInstance {
+		taken = append(taken, *met)
+	}
+	r.byInstance = nil
+	slices.SortFunc(taken, func(a, b feed.InstanceReport) int { return strings.Compare(a.InstanceID, b.InstanceID) })
+	return taken
+}
+
+// putBack adds what was handed out and didn't arrive.
+func (r *reports) putBack(taken []feed.InstanceReport) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, met := range taken {
+		present := r.entry(met.InstanceID)
+		present.Answers += met.Answers
+		present.Failures += met.Failures
+		present.ReadOnly += met.ReadOnly
+	}
+}
--- /dev/null
+++ b/gateway/directory.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"eiderway/control/configuration"
+	"eiderway/control/feed"
+)
+
+// directory is what the gateway works by: the newest table that it has taken over, the configuration in it, and the
+// lease. It decides where a statement may go and whether an answer may still be passed on. It does no I/O and knows
+// no clock: now is the steady time.
+type directory struct {
+	table      feed.Table
+	limits     configuration.Limits
+	routes     map[string]configuration.Route // by database name
+	services   map[string]*service
+	most       map[string]int // connections that the configuration allows at an instance, by service
+	leaseUntil time.Duration
+	lapses     uint64 // how often the lease had run out when it was renewed
+}
+
+// service is one service of the table.
+type service struct {
+	feed.Service
+	maxConnections int
+	slots          int    // of the leader
+	address        string // of the leader; "" if it isn't among the instances
+}
+
+// placement is where a statement goes, and under what right.
+type placement struct {
+	route   configuration.Route
+	leader  feed.Leader
+	address string
+	lapses  uint64 // of the lease when it was checked last
+
+	maxConnections int
+	slots          int
+}
+
+// refusal says why there is no placement.
+type refusal string
+
+const (
+	placed          refusal = ""
+	noDatabase      refusal = "no such database"
+	noConfiguration refusal = "no configuration yet"
+	noLease         refusal = "no lease"
+	frozen          refusal = "the service is changing its leader"
+	noLeader        refusal = "the service has no known leader"
+)
+
+var (
+	errOlderTable    = eris.New("a table older than the one held")
+	errMissing       = eris.New("a table without a configuration that isn't held")
+	errConfiguration = eris.New("a configuration that can't be read")
+)
+
+// news is what a table changed, for what must be ended and for the log.
+type news struct {
+	table      bool     // there is a newer table
+	moved      []string // services whose leader changed, or that are gone
+	froze      []string // services that are frozen now and were not
+	thawed     []string // services that were frozen
+	configured bool     // there is a newer configuration
+}
+
+func newDirectory() *directory {
+	return &directory{routes: map[string]configuration.Route{}, services: map[string]*service{}}
+}
+
+// take takes over an answer to a question that was sent at sentAt. After an error nothing has changed.
+func (d *directory) take(now, sentAt time.Duration, answer feed.WatchAnswer) (news, error) {
+	var changes news
+	if answer.Table != nil {
+		taken, err := d.takeTable(*answer.Table)
+		if err != nil {
+			return news{}, err
+		}
+		changes = taken
+	}
+	d.renew(now, sentAt, answer.Lease)
+	return changes, nil
+}
+
+// renew takes over a lease. The controller counts a lease from its own answer at the latest, so time that passed
+// between the end of the old one and now isn't covered, even if the new one reaches back there.
+func (d *directory) renew(now, sentAt, lease time.Duration) {
+	until := sentAt + lease
+	if lease <= 0 || until <= d.leaseUntil {
+		return
+	}
+	if !d.leased(now) {
+		d.lapses++
+	}
+	d.leaseUntil = until
+}
+
+// leased tells whether the lease holds.
+func (d *directory) leased(now time.Duration) bool { return now < d.leaseUntil }
+
+func (d *directory) takeTable(table feed.Table) (news, error) {
+	if table.Version.Less(d.table.Version) {
+		return news{}, errOlderTable
+	}
+	if table.Version == d.table.Version {
+		return news{}, nil
+	}
+	changes := news{table: true}
+	contents, err := d.newerContents(table)
+	if err != nil {
+		return news{}, err
+	}
+	if contents != nil {
+		changes.configured = true
+		d.limits = contents.Limits
+		d.routes = routesByDatabase(contents.Routes)
+		d.most = connectionsByService(contents.Services)
+	} else {
+		table.ConfigurationNumber = d.table.ConfigurationNumber
+		table.Configuration = d.table.Configuration
+	}
+	services := d.readServices(table)
+	changes.compare(d.services, services)
+	d.table = table
+	d.services = services
+	return changes, nil
+}
+
+// newerContents reads the table's configuration if it is newer than the one held; nil if it isn't. A lower number is
+// never taken over: a process doesn't go back within its life.
+func (d *directory) newerContents(table feed.Table) (*configuration.Contents, error) {
+	if table.ConfigurationNumber <= d.table.ConfigurationNumber {
+		return nil, nil
+	}
+	if table.Configuration == nil {
+		return nil, errMissing
+	}
+	order, err := configuration.Parse(table.Configuration)
+	if err != nil {
+		return nil, eris.Wrap(errConfiguration, err.Error())
+	}
+	return &order.Contents, nil
+}
+
+// routesByDatabase gives each database name its route. Of several, which differ in their prefix, the one with the
+// shortest prefix takes it: a database name has no path.
+func routesByDatabase(routes []configuration.Route) map[string]configuration.Route {
+	byDatabase := make(map[string]configuration.Route, len(routes))
+	for _, route := range routes {
+		present, taken := byDatabase[route.Host]
+		if !taken || comesBefore(route.PathPrefix, present.PathPrefix) {
+			byDatabase[route.Host] = route
+		}
+	}
+	return byDatabase
+}
+
+func comesBefore(a, b string) bool {
+	if len(a) != len(b) {
+		return len(a) < len(b)
+	}
+	return strings.Compare(a, b) < 0
+}
+
+func (d *directory) readServices(table feed.Table) map[string]*service {
+	services := make(map[string]*service, len(table.Services))
+	for _, described := range table.Services {
+		entry := &service{Service: described, maxConnections: d.most[described.Name]}
+		for _, instance := range described.Instances {
+			if instance.ID == described.Leader.InstanceID {
+				entry.address, entry.slots = instance.Address, instance.Slots
+			}
+		}
+		services[described.Name] = entry
+	}
+	return services
+}
+
+func connectionsByService(services []configuration.Service) map[string]int {
+	most := make(map[string]int, len(services))
+	for _, configured := range services {
+		most[configured.Name] = configured.MaxConnections
+	}
+	return most
+}
+
+func (n *news) compare(before, after map[string]*service) {
+	for name, old := range before {
+		present := after[name]
+		if present == nil || !sameLeader(old.Leader, present.Leader) {
+			n.moved = append(n.moved, name)
+		}
+		if present != nil && old.Frozen && !present.Frozen {
+			n.thawed = append(n.thawed, name)
+		}
+	}
+	for name, present := range after {
+		old := before[name]
+		if present.Frozen && (old == nil || !old.Frozen) {
+			n.froze = append(n.froze, name)
+		}
+	}
+	slices.Sort(n.moved)
+	slices.Sort(n.froze)
+	slices.Sort(n.thawed)
+}
+
+// sameLeader tells whether the leadership is the same. A term that wasn't known before doesn't change it.
+func sameLeader(a, b feed.Leader) bool {
+	return a.InstanceID == b.InstanceID && (a.Term == b.Term || a.Term == 0)
+}
+
+// configured tells whether there is a configuration to work by.
+func (d *directory) configured() bool { return d.table.ConfigurationNumber > 0 }
+
+// lacks tells whether it is known that there is no such database.
+func (d *directory) lacks(now time.Duration, database string) bool {
+	_, known := d.routes[database]
+	return !known && d.configured() && d.leased(now)
+}
+
+// place says where a first statement on the database goes.
+func (d *directory) place(now time.Duration, database string) (placement, refusal) {
+	route, known := d.routes[database]
+	switch {
+	case !d.configured():
+		return placement{}, noConfiguration
+	case !d.leased(now):
+		return placement{route: route}, noLease
+	case !known:
+		return placement{}, noDatabase
+	}
+	target := d.services[route.TargetService]
+	switch {
+	case target == nil || target.Leader.InstanceID == "" || target.address == "":
+		return placement{route: route}, noLeader
+	case target.Frozen:
+		return placement{route: route}, frozen
+	}
+	return placement{
+		route:          route,
+		leader:         target.Leader,
+		address:        target.address,
+		lapses:         d.lapses,
+		maxConnections: target.maxConnections,
+		slots:          target.slots,
+	}, placed
+}
+
+// mayBegin tells whether a first statement may be sent now under a placement made before: the last check before the
+// bytes leave.
+func (d *directory) mayBegin(now time.Duration, placed placement) bool {
+	target := d.services[placed.route.TargetService]
+	return d.leads(placed) && !target.Frozen && d.leased(now)
+}
+
+// mayCommit tells whether a COMMIT may be sent now. While the service is frozen its open transactions may end: the
+// freeze isn't acknowledged before they have.
+func (d *directory) mayCommit(now time.Duration, placed placement) bool {
+	return d.leads(placed) && d.leased(now)
+}
+
+// leads tells whether the instance of the placement leads its service by the table held.
+func (d *directory) leads(placed placement) bool {
+	target := d.services[placed.route.TargetService]
+	return target != nil && sameLeader(placed.leader, target.Leader)
+}
+
+// conflicts tells whether what is under way at the instance of the placement must end before the table held is
+// acknowledged: the service is frozen, or something else leads it.
+func (d *directory) conflicts(placed placement) bool {
+	target := d.services[placed.route.TargetService]
+	return !d.leads(placed) || target.Frozen
+}
+
+// lasted tells whether the right to use the leader has lasted without a break since the placement was checked: the
+// lease still holds, had not run out meanwhile, and the leader is the same. The service may have been frozen since:
+// nothing is promoted before this gateway acknowledges the freeze, and it does that when nothing is under way there.
+func (d *directory) lasted(now time.Duration, placed placement) bool {
+	return d.leads(placed) && d.leased(now) && d.lapses == placed.lapses
+}
+
+// checked is the placement as of now: its right is counted from here on.
+func (d *directory) checked(placed placement) placement {
+	placed.lapses = d.lapses
+	return placed
+}
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,265 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"eiderway/session"
+	"eiderway/wire"
+)
+
+const (
+	// patienceShare is the part of a route's aim that a statement may wait to be offered to an instance. A refusal after
+	// more than a quarter of the aim comes late by the rules; timers fire a little late, so it is a fifth.
+	patienceShare = 5
+	// patienceLeast is the wait where the route isn't known or has no aim.
+	patienceLeast = 20 * time.Millisecond
+	// anewShare is the part of the patience after which an instance that was busy is tried again.
+	anewShare = 4
+	// defaultTimeout bounds a statement where the route says nothing; a valid configuration always does.
+	defaultTimeout = 2 * time.Second
+)
+
+// serve answers one QUERY.
+func (c *client) serve(id, text string) wire.Answer {
+	c.noticeCut()
+	decision := c.session.Take(text)
+	switch {
+	case decision.Local:
+		if decision.Rollback {
+			c.dropTransaction()
+		}
+		return decision.Answer
+	case decision.First:
+		return c.serveFirst(id, decision.Statement)
+	}
+	return c.serveInside(id, decision.Statement)
+}
+
+// serveFirst runs a statement that stands outside a transaction or begins one. If it was not run, it is tried again on
+// another connection as long as its patience lasts.
+func (c *client) serveFirst(id string, statement session.Statement) wire.Answer {
+	asked := c.gateway.now()
+	for attempt := 1; ; attempt++ {
+		under, why := c.gateway.depart(c.database, asked)
+		if why == noDatabase {
+			return wire.Refusal(wire.NoDB, c.database, wire.Idle)
+		}
+		if why != placed {
+			return c.session.Ended(statement, notRun(string(why))).Answer
+		}
+		outcome := c.runFirst(id, statement, under, asked)
+		verdict := c.session.Ended(statement, outcome)
+		c.settle(under, verdict.Fate)
+		if !worthAnother(outcome) || attempt >= under.placed.route.MaxAttempts {
+			return verdict.Answer
+		}
+		patience := patienceOf(under.placed)
+		if c.gateway.now()+patience/anewShare >= asked+patience {
+			return verdict.Answer
+		}
+		time.Sleep(patience / anewShare)
+	}
+}
+
+// worthAnother tells whether a first statement has not been run and may be tried on another connection.
+func worthAnother(outcome session.Outcome) bool {
+	if outcome.Kind == session.Answered {
+		return outcome.Answer.Code == wire.Busy && outcome.Answer.State == wire.Idle
+	}
+	return outcome.Kind == session.NotRun
+}
+
+// depart finds the leader for a first statement, and registers the flight in the same moment. Where a statement can't
+// be placed now but perhaps soon, it waits as long as its patience lasts.
+func (g *Gateway) depart(database string, asked time.Duration) (*flight, refusal) {
+	for {
+		g.mutex.Lock()
+		found, why := g.directory.place(g.now(), database)
+		changed := g.news
+		if why == placed {
+			under := &flight{placed: found}
+			g.flights[under] = struct{}{}
+			g.mutex.Unlock()
+			return under, placed
+		}
+		g.mutex.Unlock()
+		left := asked + patienceOf(found) - g.now()
+		if why == noDatabase || left <= 0 {
+			return nil, why
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// patienceOf is how long a statement may wait to be offered.
+func patienceOf(found placement) time.Duration {
+	aim := time.Duration(found.route.TargetLatencyMs) * time.Millisecond
+	return max(patienceLeast, aim/patienceShare)
+}
+
+func timeoutOf(found placement) time.Duration {
+	if found.route.TimeoutMs <= 0 {
+		return defaultTimeout
+	}
+	return time.Duration(found.route.TimeoutMs) * time.Millisecond
+}
+
+// runFirst gets a connection and runs the statement on it.
+func (c *client) runFirst(id string, statement session.Statement, under *flight, asked time.Duration) session.Outcome {
+	until := asked + patienceOf(under.placed)
+	deadline := c.gateway.started.Add(asked + timeoutOf(under.placed))
+	lent, err := c.gateway.poolFor(under.placed).acquire(c.session, under.placed.route.Priority, until)
+	if err != nil {
+		return notRun(err.Error())
+	}
+	if !c.gateway.lend(under, lent) {
+		return notRun(string(frozen))
+	}
+	return c.run(id, statement, under, deadline)
+}
+
+// serveInside runs a statement of the open transaction.
+func (c *client) serveInside(id string, statement session.Statement) wire.Answer {
+	under := c.flight
+	outcome := notRun("the transaction was ended")
+	if c.gateway.wake(under) {
+		deadline := time.Now().Add(timeoutOf(under.placed))
+		outcome = c.run(id, statement, under, deadline)
+	}
+	verdict := c.session.Ended(statement, outcome)
+	c.settle(under, verdict.Fate)
+	return verdict.Answer
+}
+
+// run puts the connection in order and runs the statement on it.
+func (c *client) run(id string, statement session.Statement, under *flight, deadline time.Time) session.Outcome {
+	lent := under.lent
+	inTransaction := c.session.Attached()
+	for _, step := range c.session.Steps(lent.state, statement) {
+		answer, err := lent.conn.QueryBy(deadline, wire.OwnID, step.Text)
+		if err != nil {
+			c.gateway.reports.failed(under.placed.leader.InstanceID)
+			return notRun("the backend connection broke")
+		}
+		if answer.Code != "" {
+			if answer.Code != wire.Busy {
+				lent.state.Distrust()
+			}
+			return stepRefused(answer, inTransaction)
+		}
+		lent.state.Done(step, inTransaction)
+	}
+	if statement.Class == session.Commit && !lent.conn.Usable() {
+		c.gateway.reports.failed(under.placed.leader.InstanceID)
+		return notRun("the backend connection broke")
+	}
+	if !c.may(statement.Class, under) {
+		return session.Outcome{Kind: session.NotRun, Reason: "the leader may not be used now", Intact: true}
+	}
+	answer, err := lent.conn.QueryBy(deadline, id, statement.BackendText())
+	outcome := outcomeOf(answer, err)
+	c.gateway.reports.answered(under.placed.leader.InstanceID, outcome)
+	outcome.Stale = !c.gateway.lasted(under)
+	return outcome
+}
+
+// stepRefused: one of the system's own statements was refused, so the client's was not sent.
+func stepRefused(answer wire.Answer, inTransaction bool) session.Outcome {
+	expected := wire.Idle
+	if inTransaction {
+		expected = wire.InTransaction
+	}
+	return session.Outcome{Kind: session.NotRun, Reason: string(answer.Code), Intact: answer.State == expected}
+}
+
+// may is the last check before the statement's bytes leave.
+func (c *client) may(class session.Class, under *flight) bool {
+	switch {
+	case class == session.Abort:
+		return true
+	case class == session.Commit:
+		return c.gateway.mayCommit(under)
+	case c.session.Attached():
+		return c.gateway.mayGoOn(under)
+	}
+	return c.gateway.mayBegin(under)
+}
+
+// outcomeOf reads what came of a statement that was sent.
+func outcomeOf(answer wire.Answer, err error) session.Outcome {
+	if err == nil {
+		return session.Outcome{Kind: session.Answered, Answer: answer}
+	}
+	var failure *wire.ConnError
+	switch {
+	case errors.As(err, &failure) && failure.Sent == wire.NotSent:
+		return notRun("the backend connection broke")
+	case errors.As(err, &failure) && failure.Timeout:
+		return session.Outcome{Kind: session.TimedOut}
+	}
+	return session.Outcome{Kind: session.Lost}
+}
+
+func notRun(reason string) session.Outcome {
+	return session.Outcome{Kind: session.NotRun, Reason: reason}
+}
+
+// settle carries out what becomes of the backend connection. It happens before the client is answered: a freeze must
+// find no flight whose client has its answer, and the client's next statement finds the connection again.
+func (c *client) settle(under *flight, fate session.Fate) {
+	lent := under.lent
+	if fate == session.Keep {
+		c.flight = under
+		c.gateway.rest(under)
+		return
+	}
+	c.flight = nil
+	c.gateway.land(under)
+	if lent == nil {
+		return
+	}
+	from := lent.home
+	switch fate {
+	case session.Free:
+		lent.state.Ended(false)
+		from.free(lent)
+	case session.Rollback:
+		from.rollback(lent)
+	default:
+		from.drop(lent)
+	}
+}
+
+// dropTransaction rolls the open transaction back, because the session has failed, has rested for too long or has ended.
+func (c *client) dropTransaction() {
+	under := c.flight
+	if under == nil {
+		return
+	}
+	fate := session.Rollback
+	if !c.gateway.wake(under) {
+		fate = session.Close
+	}
+	c.settle(under, fate)
+}
+
+// noticeCut makes up for a transaction that was cut while it rested.
+func (c *client) noticeCut() {
+	under := c.flight
+	if under == nil {
+		return
+	}
+	c.gateway.mutex.Lock()
+	cut := under.cut
+	c.gateway.mutex.Unlock()
+	if cut {
+		c.session.RolledBack()
+		c.settle(under, session.Close)
+	}
+}
--- /dev/null
+++ b/gateway/feed.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"eiderway/control/feed"
+)
+
+const (
+	// watchWait is how long a controller may hold a question back when there is no news. A lease has to outlast it by a
+	// good margin; each question costs both sides about a tenth of a millisecond.
+	watchWait = 600 * time.Millisecond
+	// watchSlack is added to it before a question is given up: a slow link and a busy machine.
+	watchSlack = time.Second
+	// freezeTime is how long open transactions and statements at a frozen leader may take to end by themselves before
+	// they are cut. Most statements take tens of milliseconds; every gateway's time counts, since the failover waits.
+	freezeTime = 300 * time.Millisecond
+	// goodbyeTime bounds the last word to the controller.
+	goodbyeTime = 300 * time.Millisecond
+)
+
+// follow asks the controllers for news until the context ends.
+func (g *Gateway) follow(ctx context.Context) {
+	search := newFinder(g.seeds())
+	for ctx.Err() == nil {
+		select {
+		case search.seeds = <-g.reseed:
+		default:
+		}
+		if !g.ask(ctx, search) {
+			pause(ctx, pauseLeast+rand.N(pauseSpread))
+		}
+	}
+}
+
+func (g *Gateway) seeds() []string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.settings.SeedRPCAddresses()
+}
+
+// ask asks one controller, and tells whether the next question may follow at once.
+func (g *Gateway) ask(ctx context.Context, search *finder) bool {
+	address := search.next(g.now())
+	if address == "" {
+		return false
+	}
+	request := g.question()
+	limited, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	sentAt := g.now()
+	answer, err := g.watcher.Watch(limited, address, request)
+	switch {
+	case err != nil:
+		g.reports.putBack(request.Reports)
+		search.failed(g.now(), address)
+		g.noticeLease()
+		return false
+	case answer.NotPrimary:
+		g.reports.putBack(request.Reports)
+		return search.sentOn(g.now(), address, answer.Primary, answer.Members)
+	}
+	search.answered(address, answer.Members)
+	g.rememberPrimary(address)
+	if !g.apply(ctx, sentAt, answer) {
+		search.failed(g.now(), address)
+		return false
+	}
+	return true
+}
+
+func (g *Gateway) question() feed.WatchRequest {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return feed.WatchRequest{
+		Gateway:       g.identity,
+		Name:          g.name,
+		Applied:       g.directory.table.Version,
+		Configuration: g.directory.table.ConfigurationNumber,
+		Wait:          watchWait,
+		Reports:       g.reports.take(),
+	}
+}
+
+// apply takes over an answer. When it returns, nothing is under way any more that the table rules out, so the next
+// question may acknowledge it.
+func (g *Gateway) apply(ctx context.Context, sentAt time.Duration, answer feed.WatchAnswer) bool {
+	g.mutex.Lock()
+	hadLease := g.directory.leased(g.now())
+	changes, err := g.directory.take(g.now(), sentAt, answer)
+	close(g.news)
+	g.news = make(chan struct{})
+	hasLease := g.directory.leased(g.now())
+	unused := g.takeUnusedPools()
+	g.mutex.Unlock()
+
+	for _, old := range unused {
+		old.close()
+	}
+	g.logChanges(changes, err)
+	g.logLease(hadLease, hasLease)
+	g.clearConflicts(ctx)
+	return err == nil
+}
+
+func (g *Gateway) logChanges(changes news, err error) {
+	if err != nil {
+		g.log.WithError(err).Warn("table refused")
+		return
+	}
+	if changes.configured {
+		g.log.WithField("number", g.configurationNumber()).Info("configuration taken over")
+	}
+	if len(changes.moved)+len(changes.froze)+len(changes.thawed) > 0 {
+		g.log.WithField("moved", changes.moved).WithField("frozen", changes.froze).
+			WithField("thawed", changes.thawed).Info("table taken over")
+	}
+}
+
+func (g *Gateway) configurationNumber() int64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.directory.table.ConfigurationNumber
+}
+
+// clearConflicts ends what is under way at leaders that are frozen or replaced: after a short time in which it may end
+// by itself, its connections are cut. It returns when nothing is left.
+func (g *Gateway) clearConflicts(ctx context.Context) {
+	if g.conflicts() == 0 {
+		return
+	}
+	patience := time.NewTimer(freezeTime)
+	defer patience.Stop()
+	for g.conflicts() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-patience.C:
+			g.cutConflicts()
+		case <-g.landed:
+		}
+	}
+}
+
+// noticeLease writes a line when the lease has run out.
+func (g *Gateway) noticeLease() {
+	g.mutex.Lock()
+	lost := g.directory.leaseUntil > 0 && !g.directory.leased(g.now()) && !g.counters.leaseLost
+	if lost {
+		g.counters.leaseLost = true
+	}
+	g.mutex.Unlock()
+	if lost {
+		g.log.Warn("lease lost")
+	}
+}
+
+func (g *Gateway) logLease(had, has bool) {
+	if has && !had {
+		g.mutex.Lock()
+		g.counters.leaseLost = false
+		g.mutex.Unlock()
+		g.log.Info("lease held")
+	}
+}
+
+func (g *Gateway) rememberPrimary(address string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.primary = address
+}
+
+// sayGoodbye tells the controller that this gateway has stopped, so that no failover waits for it. It is the last thing
+// said, and it is tried once.
+func (g *Gateway) sayGoodbye() {
+	g.mutex.Lock()
+	address := g.primary
+	g.mutex.Unlock()
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), goodbyeTime)
+	defer cancel()
+	request := g.question()
+	request.Leaving = true
+	request.Wait = 0
+	_, _ = g.watcher.Watch(ctx, address, request)
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/session/outcome.go
@@ -0,0 +1,202 @@
+package session
+
+import (
+	"eiderway/wire"
+)
+
+// OutcomeKind says how the try to run a statement ended.
+type OutcomeKind int
+
+const (
+	// Answered by the instance.
+	Answered OutcomeKind = iota
+	// NotRun: the statement was not sent, so it hasn't been run and won't be.
+	NotRun
+	// Lost: it was sent, and the connection ended without an answer.
+	Lost
+	// TimedOut: it was sent, and its time ran out before an answer.
+	TimedOut
+)
+
+// Outcome is how the try to run a statement ended.
+type Outcome struct {
+	Kind   OutcomeKind
+	Answer wire.Answer // with Answered
+	Reason string      // of NotRun, for the client
+	Intact bool        // of NotRun: the connection is sound, and in the state that it was in before
+	Stale  bool        // the gateway's right to use the leader didn't last from the sending to the answer
+}
+
+// Fate says what becomes of the backend connection.
+type Fate int
+
+const (
+	// Keep it for the session's open transaction.
+	Keep Fate = iota
+	// Free it: another session may use it.
+	Free
+	// Rollback its transaction, then free it.
+	Rollback
+	// Close it.
+	Close
+)
+
+// Verdict is what the client is told, and what becomes of the backend connection.
+type Verdict struct {
+	Answer wire.Answer
+	Fate   Fate
+}
+
+// Ended judges how a statement that Take handed out has ended.
+func (s *Session) Ended(statement Statement, outcome Outcome) Verdict {
+	switch statement.Class {
+	case Begin:
+		return s.beginEnded(outcome)
+	case Commit:
+		return s.commitEnded(outcome)
+	case Abort:
+		return s.abortEnded(outcome)
+	}
+	if s.state == wire.InTransaction {
+		return s.insideEnded(outcome)
+	}
+	return s.singleEnded(statement.Class, outcome)
+}
+
+// singleEnded judges a read or write outside a transaction. The state stays I.
+func (s *Session) singleEnded(class Class, outcome Outcome) Verdict {
+	answer := outcome.Answer
+	switch {
+	case outcome.Kind == NotRun:
+		return refused(wire.Busy, outcome.Reason, wire.Idle, intact(outcome, Free))
+	case outcome.Kind == TimedOut:
+		return refused(wire.Timeout, "", wire.Idle, Close)
+	case outcome.Kind == Lost:
+		return refused(unknown(class), "", wire.Idle, Close)
+	case answer.Code == wire.NoStmt:
+		return refused(wire.Busy, outOfSync, wire.Idle, Close)
+	case answer.Code != "":
+		answer.State = wire.Idle
+		return Verdict{Answer: answer, Fate: freeIfIdle(outcome.Answer)}
+	case answer.State != wire.Idle || outcome.Stale:
+		return refused(unknown(class), "", wire.Idle, freeIfIdle(answer))
+	}
+	return Verdict{Answer: answer, Fate: Free}
+}
+
+// unknown is what a client is told when it isn't known whether its single statement ran: a read keeps nothing.
+func unknown(class Class) wire.Code {
+	if class == Write {
+		return wire.InDoubt
+	}
+	return wire.Busy
+}
+
+func (s *Session) beginEnded(outcome Outcome) Verdict {
+	answer := outcome.Answer
+	switch {
+	case outcome.Kind == TimedOut:
+		return refused(wire.Timeout, "", wire.Idle, Close)
+	case outcome.Kind != Answered:
+		return refused(wire.Busy, outcome.Reason, wire.Idle, intact(outcome, Free))
+	case answer.Code != "":
+		answer.State = wire.Idle
+		return Verdict{Answer: answer, Fate: freeIfIdle(outcome.Answer)}
+	case answer.State != wire.InTransaction:
+		return refused(wire.Busy, "", wire.Idle, Close)
+	case outcome.Stale:
+		return refused(wire.Busy, "", wire.Idle, Rollback)
+	}
+	s.state = wire.InTransaction
+	return Verdict{Answer: answer, Fate: Keep}
+}
+
+// insideEnded judges a read or write inside a transaction: its COMMIT hasn't been sent, so an end of the connection
+// rolls it back.
+func (s *Session) insideEnded(outcome Outcome) Verdict {
+	answer := outcome.Answer
+	switch {
+	case outcome.Kind == TimedOut:
+		return s.fail(wire.Timeout, "", Close)
+	case outcome.Kind != Answered:
+		return s.fail(wire.RolledBack, outcome.Reason, intact(outcome, Rollback))
+	case answer.Code == wire.NoStmt:
+		return s.fail(wire.RolledBack, outOfSync, Close)
+	case answer.Code != "":
+		verdict := s.fail(answer.Code, answer.Text, rollbackUnlessIdle(answer))
+		verdict.Answer.Position = answer.Position
+		return verdict
+	case answer.State != wire.InTransaction:
+		return s.fail(wire.RolledBack, "", Close)
+	}
+	return Verdict{Answer: answer, Fate: Keep}
+}
+
+// fail ends the transaction with an error; the client has to end it too.
+func (s *Session) fail(code wire.Code, text string, fate Fate) Verdict {
+	s.leave(wire.Failed)
+	return refused(code, text, wire.Failed, fate)
+}
+
+func (s *Session) commitEnded(outcome Outcome) Verdict {
+	wrote := s.wrote
+	answer := outcome.Answer
+	s.leave(wire.Idle)
+	switch {
+	case outcome.Kind == NotRun:
+		return refused(wire.RolledBack, outcome.Reason, wire.Idle, intact(outcome, Rollback))
+	case outcome.Kind == TimedOut:
+		return refused(wire.Timeout, "", wire.Idle, Close)
+	case outcome.Kind == Lost && wrote:
+		return refused(wire.InDoubt, "", wire.Idle, Close)
+	case outcome.Kind == Lost:
+		return refused(wire.RolledBack, "", wire.Idle, Close)
+	case answer.Code != "":
+		answer.State = wire.Idle
+		return Verdict{Answer: answer, Fate: rollbackUnlessIdle(outcome.Answer)}
+	case wrote && (outcome.Stale || answer.State != wire.Idle):
+		return refused(wire.InDoubt, "", wire.Idle, freeIfIdle(answer))
+	case answer.State != wire.Idle:
+		return refused(wire.RolledBack, "", wire.Idle, Close)
+	}
+	return Verdict{Answer: answer, Fate: Free}
+}
+
+// abortEnded: whatever came of it at the instance, the transaction is rolled back, since a connection that didn't say
+// so is closed.
+func (s *Session) abortEnded(outcome Outcome) Verdict {
+	s.leave(wire.Idle)
+	if outcome.Kind == Answered && outcome.Answer.Code == "" && outcome.Answer.State == wire.Idle {
+		return Verdict{Answer: outcome.Answer, Fate: Free}
+	}
+	return Verdict{Answer: wire.Completed(wire.Idle), Fate: Close}
+}
+
+func refused(code wire.Code, text string, state wire.State, fate Fate) Verdict {
+	return Verdict{Answer: wire.Refusal(code, text, state), Fate: fate}
+}
+
+// outOfSync tells that the instance doesn't know a name that was prepared there. It has not run the statement.
+const outOfSync = "the backend connection lost a prepared name"
+
+// intact is the fate of a connection on which the statement was not run: as given if it is sound.
+func intact(outcome Outcome, fate Fate) Fate {
+	if outcome.Kind == NotRun && outcome.Intact {
+		return fate
+	}
+	return Close
+}
+
+func freeIfIdle(answer wire.Answer) Fate {
+	if answer.State == wire.Idle {
+		return Free
+	}
+	return Close
+}
+
+func rollbackUnlessIdle(answer wire.Answer) Fate {
+	if answer.State == wire.Idle {
+		return Free
+	}
+	return Rollback
+}
--- a/wire/reader.go
+++ b/wire/reader.go
@@ -20,6 +20,8 @@
 // sender announces.
 type Reader struct {
 	buffered *bufio.Reader
+	budget   *Budget // nil: there is none
+	claimed  int     // from the budget
 }
 
 // NewReader reads messages from source.
@@ -40,6 +42,7 @@
 // the stream goes on after its end; any other error ends the stream. io.EOF means that it ended between messages,
 // io.ErrUnexpectedEOF that it ended within one.
 func (r *Reader) ReadLine() (string, error) {
+	r.Release()
 	chunk, err := r.buffered.ReadSlice('\n')
 	if err == nil && endsWithCRLF(chunk) {
 		return checkLine(string(chunk[:len(chunk)-2]))
@@ -59,7 +62,7 @@
 		}
 		var chunk []byte
 		chunk, err = r.buffered.ReadSlice('\n')
-		if len(line)+len(chunk) > MaxMessage {
+		if len(line)+len(chunk) > MaxMessage || !r.afford(len(line)+len(chunk)) {
 			return "", ErrTooLong
 		}
 		line = append(line, chunk...)
