--- a/host/open.go
+++ b/host/open.go
@@ -44,10 +44,8 @@
 	}
 }
 
-// isFinal tells errors that no wait will mend.
-func isFinal(err error) bool {
-	return errors.Is(err, store.ErrNewerFormat) || errors.Is(err, store.ErrInUse)
-}
+// isFinal tells errors that no wait will mend. A process before this one may still be about to let go of the file.
+func isFinal(err error) bool { return errors.Is(err, store.ErrNewerFormat) }
 
 // listeners are the sockets on which the process is called.
 type listeners struct {
