Controller: state, registry, failover, tables and leases joined in one machine

Cause: the control plane's parts have to act as one, without I/O, so that a simulation can play it. Change: commands are decided at the primary batch by batch, each batch one change; reads and gateways' questions wait for a confirmation asked for after they came; freezes are cleared when every gateway has them or has no lease left.

--- a/control/controller/api.go
+++ b/control/controller/api.go
@@ -117,4 +117,4 @@
 //
 //	func New(now time.Duration, settings Settings, durable replication.Durable) *Controller
 //	func (c *Controller) Step(now time.Duration, input Input) Effects
-//	func (c *Controller) Status() Status   for `eidersystem` logs and tests
+//	func (c *Controller) Status() Status   for logs and tests
--- /dev/null
+++ b/control/controller/commands.go
@@ -0,0 +1,243 @@
+package controller
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"eiderway/control/configuration"
+	"eiderway/control/failover"
+	"eiderway/control/registry"
+	"eiderway/control/replication"
+	"eiderway/control/state"
+)
+
+const (
+	// expireEvery is the pause between looks for silent instances: short against the silence that makes one lost.
+	expireEvery = time.Second
+	// commandsPerBatch bounds a change, so that a storm of orders doesn't make one that a slow disk takes seconds for.
+	commandsPerBatch = 64
+	// commandsWaiting bounds the queue; callers beyond it are sent away at once.
+	commandsWaiting = 1024
+)
+
+// commandKind says what a command asks for.
+type commandKind int
+
+const (
+	placeOrder commandKind = iota
+	takeBeat
+	instanceLeaves
+	expireInstances
+	changeFailover
+)
+
+// command is something that may change the control state. It is decided at the primary, in turn.
+type command struct {
+	kind       commandKind
+	call       Call
+	order      configuration.Order
+	heartbeat  registry.Heartbeat
+	instanceID string
+	change     failover.Change
+
+	verdict state.Verdict // of an order, once decided
+}
+
+// batch is a set of commands that were decided together and proposed as one change.
+type batch struct {
+	request  uint64
+	started  time.Duration
+	commands []command
+}
+
+// takeOrder checks the content first: what is wrong with it is wrong everywhere and for ever.
+func (c *Controller) takeOrder(in Order) {
+	c.calls.add(in.Call, c.now+c.settings.CallWait)
+	order, err := configuration.Parse(in.Body)
+	if err != nil {
+		c.reply(Reply{Call: in.Call, Status: contentStatus(err), Body: errorBody(err.Error())})
+		return
+	}
+	c.queueCall(command{kind: placeOrder, call: in.Call, order: order})
+}
+
+// contentStatus is the answer to content that is wrong.
+func contentStatus(err error) int {
+	var refusal *configuration.Refusal
+	if errors.As(err, &refusal) && refusal.Reason == configuration.TooLarge {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+func (c *Controller) takeHeartbeat(in Heartbeat) {
+	c.calls.add(in.Call, c.now+c.settings.CallWait)
+	c.queueCall(command{kind: takeBeat, call: in.Call, heartbeat: in.Heartbeat})
+}
+
+func (c *Controller) takeInstanceLeave(in InstanceLeave) {
+	c.calls.add(in.Call, c.now+c.settings.CallWait)
+	c.queueCall(command{kind: instanceLeaves, call: in.Call, instanceID: in.InstanceID})
+}
+
+// queueCall queues a caller's command, or sends the caller to the primary.
+func (c *Controller) queueCall(command command) {
+	if c.term == nil {
+		c.redirect(command.call)
+		return
+	}
+	if len(c.term.commands) >= commandsWaiting {
+		c.unavailable(command.call)
+		return
+	}
+	c.queue(command)
+}
+
+func (c *Controller) queue(command command) { c.term.commands = append(c.term.commands, command) }
+
+// startBatch decides the waiting commands on the committed state and proposes what they change.
+func (c *Controller) startBatch() {
+	if c.term.batch != nil || len(c.term.commands) == 0 || !c.node.MayPropose() {
+		return
+	}
+	count := min(len(c.term.commands), commandsPerBatch)
+	batch := &batch{request: c.nextRequest(), started: c.now, commands: c.term.commands[:count:count]}
+	c.term.commands = c.term.commands[count:]
+	transaction := state.NewTransaction(c.node)
+	for index := range batch.commands {
+		c.decide(transaction, &batch.commands[index])
+	}
+	mutations := transaction.Mutations()
+	if len(mutations) == 0 {
+		c.finishWithoutChange(batch)
+		return
+	}
+	c.term.batch = batch
+	c.stepNode(replication.Propose{Request: batch.request, Mutations: mutations})
+}
+
+// decide runs one command on the transaction.
+func (c *Controller) decide(transaction *state.Transaction, command *command) {
+	switch command.kind {
+	case placeOrder:
+		command.verdict = transaction.PlaceOrder(command.order)
+	case takeBeat:
+		c.decideBeat(transaction, command.heartbeat)
+	case instanceLeaves:
+		c.term.registry.Leave(c.now, transaction, command.instanceID)
+	case expireInstances:
+		for _, id := range c.term.registry.Expire(c.now, transaction) {
+			c.event("instance lost", id+" has been silent for too long")
+		}
+	case changeFailover:
+		decideFailover(transaction, command.change)
+	}
+}
+
+func (c *Controller) decideBeat(transaction *state.Transaction, beat registry.Heartbeat) {
+	taken := c.term.registry.Heartbeat(c.now, transaction, beat)
+	if !taken.Fresh {
+		return
+	}
+	c.stepFailover(failover.Heard{
+		InstanceID: beat.InstanceID,
+		Service:    beat.TargetService,
+		Primary:    beat.DBRole == registry.Primary,
+	})
+}
+
+func decideFailover(transaction *state.Transaction, change failover.Change) {
+	switch {
+	case change.Leader != nil:
+		transaction.SetLeader(change.Leader.Service, change.Leader.Leader)
+	case change.Intent != nil:
+		transaction.SetIntent(*change.Intent)
+	case change.ClearIntent != "":
+		transaction.ClearIntent(change.ClearIntent)
+	}
+}
+
+// finishWithoutChange answers plain heartbeats at once while this controller was confirmed a moment ago; all else waits
+// for a confirmation, since a deposed primary may decide on old state.
+func (c *Controller) finishWithoutChange(batch *batch) {
+	fresh := c.now-c.term.confirmed <= confirmationFresh
+	for _, command := range batch.commands {
+		switch {
+		case command.kind == expireInstances:
+			// Nobody waits for it.
+		case command.kind == takeBeat && fresh:
+			c.finish(command)
+		default:
+			c.ask(question{command: &command})
+		}
+	}
+}
+
+// takeDecision ends a batch or a confirmation.
+func (c *Controller) takeDecision(decision replication.Decision) {
+	if c.term == nil {
+		return
+	}
+	if batch := c.term.batch; batch != nil && batch.request == decision.Request {
+		c.term.batch = nil
+		c.finishBatch(batch, decision.Outcome)
+		return
+	}
+	c.takeConfirmation(decision)
+}
+
+func (c *Controller) finishBatch(batch *batch, outcome replication.Outcome) {
+	if outcome != replication.Done {
+		c.refuseBatch(batch)
+		return
+	}
+	c.term.confirmed = batch.started
+	c.stateChanged()
+	for _, command := range batch.commands {
+		c.finish(command)
+	}
+}
+
+// refuseBatch ends a batch whose outcome isn't known here.
+func (c *Controller) refuseBatch(batch *batch) {
+	for _, command := range batch.commands {
+		c.refuse(command)
+	}
+}
+
+func (c *Controller) refuse(command command) {
+	if command.kind == changeFailover {
+		c.stepFailover(failover.Changed{Request: command.change.Request})
+		return
+	}
+	c.unavailable(command.call)
+}
+
+// finish answers a command whose change is committed, or that needed none.
+func (c *Controller) finish(command command) {
+	switch command.kind {
+	case placeOrder:
+		c.reply(orderReply(command))
+	case takeBeat:
+		c.reply(Reply{Call: command.call, Status: http.StatusOK, Body: c.beatBody()})
+	case instanceLeaves:
+		c.reply(Reply{Call: command.call, Status: http.StatusOK})
+	case changeFailover:
+		c.stepFailover(failover.Changed{Request: command.change.Request, Committed: true})
+	}
+}
+
+func orderReply(command command) Reply {
+	if command.verdict == state.Conflict {
+		text := "configRevision " + strconv.FormatInt(command.order.Number, 10) + " is taken by another content"
+		return Reply{Call: command.call, Status: http.StatusConflict, Body: errorBody(text)}
+	}
+	return Reply{Call: command.call, Status: http.StatusOK}
+}
+
+// beatBody names this controller for later beats, since beats are taken by the primary alone.
+func (c *Controller) beatBody() []byte {
+	return []byte(`{"beatTarget":` + strconv.Quote(c.self.Control) + `}`)
+}
--- /dev/null
+++ b/control/controller/grants.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"sort"
+	"time"
+
+	"eiderway/control/feed"
+)
+
+// grants remembers which gateways may still work by which table.
+//
+// A gateway counts its lease from the moment it sent its question, so the lease is over, at the latest, a lease's length
+// after the answer left here. What an earlier primary has granted is over a lease's length after this term began: its
+// answers needed a confirmation that came before a majority promised this epoch.
+type grants struct {
+	length   time.Duration // of a lease, with a margin for clocks
+	heldOver time.Duration // until when leases of earlier terms may last
+	gateways map[string]*grant
+}
+
+// grant is what one gateway process holds.
+type grant struct {
+	name    string
+	until   time.Duration
+	applied feed.Version
+}
+
+func newGrants(now time.Duration, length time.Duration) *grants {
+	return &grants{length: length, heldOver: now + length, gateways: map[string]*grant{}}
+}
+
+// ask notes what a gateway says it works by. Another process of the same name has ended.
+func (g *grants) ask(request feed.WatchRequest) {
+	for id, grant := range g.gateways {
+		if id != request.Gateway && grant.name == request.Name {
+			delete(g.gateways, id)
+		}
+	}
+	if request.Leaving {
+		delete(g.gateways, request.Gateway)
+		return
+	}
+	known := g.gateways[request.Gateway]
+	if known == nil {
+		known = &grant{name: request.Name}
+		g.gateways[request.Gateway] = known
+	}
+	if known.applied.Less(request.Applied) {
+		known.applied = request.Applied
+	}
+}
+
+// give notes that an answer with a lease leaves now.
+func (g *grants) give(now time.Duration, gateway string) {
+	if known := g.gateways[gateway]; known != nil {
+		known.until = now + g.length
+	}
+}
+
+// cleared tells whether no gateway may work by a table older than this version any more.
+func (g *grants) cleared(now time.Duration, version feed.Version) bool {
+	if now < g.heldOver {
+		return false
+	}
+	for _, grant := range g.gateways {
+		if grant.applied.Less(version) && now < grant.until {
+			return false
+		}
+	}
+	return true
+}
+
+// expire forgets gateways whose lease has long been over.
+func (g *grants) expire(now time.Duration) {
+	for id, grant := range g.gateways {
+		if grant.until+g.length < now {
+			delete(g.gateways, id)
+		}
+	}
+}
+
+// names lists the gateways that hold a lease, for logs and tests.
+func (g *grants) names(now time.Duration) []string {
+	var names []string
+	for _, grant := range g.gateways {
+		if now < grant.until {
+			names = append(names, grant.name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/control/controller/watches.go
@@ -0,0 +1,80 @@
+package controller
+
+import (
+	"time"
+
+	"eiderway/control/failover"
+	"eiderway/control/feed"
+)
+
+// watch is a gateway's question that waits for news or for its end.
+type watch struct {
+	call    Call
+	request feed.WatchRequest
+	until   time.Duration
+}
+
+func (c *Controller) takeWatch(in Watch) {
+	if c.term == nil {
+		c.refuseWatch(in.Call)
+		return
+	}
+	c.term.grants.ask(in.Request)
+	for _, report := range in.Request.Reports {
+		c.stepFailover(failover.Reported{Gateway: in.Request.Gateway, Report: report})
+	}
+	if in.Request.Leaving {
+		c.effects.WatchReplies = append(c.effects.WatchReplies, WatchReply{Call: in.Call})
+		return
+	}
+	wait := min(max(in.Request.Wait, 0), c.settings.WatchWait)
+	c.dropOlderWatch(in.Request.Gateway)
+	c.term.watches = append(c.term.watches, &watch{call: in.Call, request: in.Request, until: c.now + wait})
+}
+
+// dropOlderWatch answers an earlier question of the same gateway, which has been overtaken.
+func (c *Controller) dropOlderWatch(gateway string) {
+	for index, waiting := range c.term.watches {
+		if waiting.request.Gateway == gateway {
+			c.term.watches = append(c.term.watches[:index:index], c.term.watches[index+1:]...)
+			c.refuseWatch(waiting.call)
+			return
+		}
+	}
+}
+
+// answerWatches moves the questions that are due to the next confirmation.
+func (c *Controller) answerWatches() {
+	waiting := c.term.watches[:0:0]
+	for _, watch := range c.term.watches {
+		if c.term.table.version.Sequence == 0 || !c.due(watch) {
+			waiting = append(waiting, watch)
+			continue
+		}
+		c.ask(question{watch: watch})
+	}
+	c.term.watches = waiting
+}
+
+func (c *Controller) due(watch *watch) bool {
+	return c.now >= watch.until || watch.request.Applied.Less(c.term.table.version)
+}
+
+// answerWatch gives the newest table and a lease. A majority has confirmed this controller since the question came.
+func (c *Controller) answerWatch(watch *watch) {
+	answer := feed.WatchAnswer{Primary: c.self, Members: c.term.table.members, Lease: c.settings.Lease}
+	if watch.request.Applied.Less(c.term.table.version) {
+		answer.Table = c.term.table.forGateway(watch.request.Configuration)
+	}
+	c.term.grants.give(c.now, watch.request.Gateway)
+	c.effects.WatchReplies = append(c.effects.WatchReplies, WatchReply{Call: watch.call, Answer: answer})
+}
+
+// refuseWatch says who leads, as far as this controller knows. It gives no lease.
+func (c *Controller) refuseWatch(call Call) {
+	answer := feed.WatchAnswer{NotPrimary: true, Members: c.node.View().Voters}
+	if primary, known := c.node.PrimaryMember(); known {
+		answer.Primary = primary
+	}
+	c.effects.WatchReplies = append(c.effects.WatchReplies, WatchReply{Call: call, Answer: answer})
+}
