--- /dev/null
+++ b/wire/conn_test.go
@@ -0,0 +1,178 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eiderway/control/failover"
+)
+
+// farEnd listens on loopback and plays one connection of an instance.
+func farEnd(t *testing.T, play func(network net.Conn, reader *Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		network, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer network.Close()
+		play(network, NewReader(network))
+	}()
+	t.Cleanup(func() {
+		listener.Close()
+		<-ended
+	})
+	return listener.Addr().String()
+}
+
+// greeted answers CONNECT and waits for a statement.
+func greeted(network net.Conn, reader *Reader) string {
+	_, _ = reader.ReadLine()
+	_, _ = network.Write(AppendReady(nil, Idle, "3.1"))
+	line, _ := reader.ReadLine()
+	return line
+}
+
+func dialled(t *testing.T, address string) *Conn {
+	t.Helper()
+	conn, err := Dial(context.Background(), address, "service", "who", "i-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(conn.Close)
+	return conn
+}
+
+func TestQueryBringsRowsStampAndState(t *testing.T) {
+	is := is.New(t)
+	asked := make(chan string, 1)
+	conn := dialled(t, farEnd(t, func(network net.Conn, reader *Reader) {
+		asked <- greeted(network, reader)
+		_, _ = network.Write([]byte("ROW a b\r\nCOMPLETE 7.1\r\nREADY T 3.2\r\n"))
+		_, _ = reader.ReadLine()
+	}))
+	is.Equal(conn.Position(), "3.1")
+	answer, err := conn.Query(context.Background(), "5c", "FETCH 1a4")
+	is.NoErr(err)
+	is.Equal(<-asked, "QUERY 5c FETCH 1a4")
+	is.Equal(answer, Answer{Rows: []string{"a b"}, Stamp: "7.1", State: InTransaction, Position: "3.2"})
+	is.Equal(conn.State(), InTransaction)
+	is.True(conn.Usable())
+}
+
+func TestStatusAndRefusal(t *testing.T) {
+	is := is.New(t)
+	conn := dialled(t, farEnd(t, func(network net.Conn, reader *Reader) {
+		greeted(network, reader)
+		_, _ = network.Write([]byte("ROW replica 3 3.1209 4 12 2 17\r\nCOMPLETE -\r\nREADY I 3.2\r\n"))
+		_, _ = reader.ReadLine()
+		_, _ = network.Write([]byte("ERROR BUSY no slot\r\nREADY I 3.2\r\n"))
+		_, _ = reader.ReadLine()
+	}))
+	status, err := conn.Pause(context.Background(), 4)
+	is.NoErr(err)
+	is.Equal(status, failover.Status{Term: 3, Received: failover.Position{Term: 3, Number: 1209}, TermHeld: 4, LagMs: 12, Busy: 2, Connections: 17})
+	_, err = conn.Status(context.Background())
+	var refused *Refused
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Code, Busy)
+	is.True(conn.Usable()) // a refusal doesn't spoil it
+}
+
+func TestRefusedConnectIsNotSent(t *testing.T) {
+	is := is.New(t)
+	address := farEnd(t, func(network net.Conn, reader *Reader) {
+		_, _ = reader.ReadLine()
+		_, _ = network.Write([]byte("ERROR WRONGNODE i-2\r\n"))
+	})
+	_, err := Dial(context.Background(), address, "service", "who", "i-1")
+	var refused *Refused
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Code, WrongNode)
+	is.Equal(SentOf(err), NotSent)
+}
+
+// An answer that comes after the caller has given up must never be taken for the answer to another statement.
+func TestLateAnswerSpoilsTheConnection(t *testing.T) {
+	is := is.New(t)
+	givenUp := make(chan struct{})
+	conn := dialled(t, farEnd(t, func(network net.Conn, reader *Reader) {
+		greeted(network, reader)
+		<-givenUp
+		_, _ = network.Write([]byte("COMPLETE 7.1\r\nREADY I 3.2\r\n"))
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := conn.Query(ctx, "1", "PUT a b")
+	close(givenUp)
+	var failure *ConnError
+	is.True(errors.As(err, &failure))
+	is.True(failure.Timeout)
+	is.Equal(SentOf(err), MaybeRan)
+	_, err = conn.Query(context.Background(), "2", "FETCH a")
+	is.Equal(SentOf(err), NotSent)
+	is.True(!conn.Usable())
+}
+
+func TestBrokenAfterSendingMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	conn := dialled(t, farEnd(t, func(network net.Conn, reader *Reader) {
+		greeted(network, reader)
+		_, _ = network.Write([]byte("COMPLETE 7.1\r\n")) // and no READY
+	}))
+	_, err := conn.Query(context.Background(), "1", "PUT a b")
+	is.Equal(SentOf(err), MaybeRan)
+	var failure *ConnError
+	is.True(errors.As(err, &failure))
+	is.True(!failure.Timeout)
+}
+
+func TestCancelledQueryEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	conn := dialled(t, farEnd(t, func(network net.Conn, reader *Reader) {
+		greeted(network, reader)
+		cancel()
+		_, _ = reader.ReadLine()
+	}))
+	_, err := conn.Query(ctx, "1", "PUT a b")
+	is.Equal(SentOf(err), MaybeRan)
+	_, err = conn.Query(ctx, "2", "PUT a b")
+	is.Equal(SentOf(err), NotSent)
+}
+
+func TestClosedOrUnaskedConnectionsAreNotUsable(t *testing.T) {
+	is := is.New(t)
+	for _, unasked := range []string{"", "ROW x\r\n"} {
+		done := make(chan struct{})
+		release := make(chan struct{})
+		conn := dialled(t, farEnd(t, func(network net.Conn, reader *Reader) {
+			_, _ = reader.ReadLine()
+			_, _ = network.Write(AppendReady(nil, Idle, NoPosition))
+			if unasked != "" {
+				_, _ = network.Write([]byte(unasked))
+			} else {
+				network.Close()
+			}
+			close(done)
+			<-release
+		}))
+		<-done
+		for start := time.Now(); conn.Usable() && time.Since(start) < time.Second; {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(!conn.Usable())
+		close(release)
+	}
+}
--- /dev/null
+++ b/wire/reader_test.go
@@ -0,0 +1,144 @@
+package wire
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+)
+
+func TestLinesOfAllLengths(t *testing.T) {
+	for _, length := range []int{0, 1, readBuffer - 3, readBuffer - 2, readBuffer - 1, readBuffer, readBuffer + 1, 3 * readBuffer, MaxMessage - 2} {
+		line := strings.Repeat("x", length)
+		source := strings.NewReader(line + "\r\nnext\r\n")
+		reader := NewReader(source)
+		first, err := reader.ReadLine()
+		if err != nil || first != line {
+			t.Errorf("%d bytes: read %d, %v", length, len(first), err)
+		}
+		if second, err := reader.ReadLine(); err != nil || second != "next" {
+			t.Errorf("after %d bytes: %q, %v", length, second, err)
+		}
+	}
+}
+
+func TestLinesThatComeInSingleBytes(t *testing.T) {
+	is := is.New(t)
+	reader := NewReader(iotest.OneByteReader(strings.NewReader("QUERY 1 FETCH a\r\n")))
+	line, err := reader.ReadLine()
+	is.NoErr(err)
+	is.Equal(line, "QUERY 1 FETCH a")
+	_, err = reader.ReadLine()
+	is.Equal(err, io.EOF)
+}
+
+func TestTooLongMessageIsRefusedWithoutReadingOn(t *testing.T) {
+	is := is.New(t)
+	endless := &counted{source: strings.NewReader(strings.Repeat("x", 4*MaxMessage))}
+	_, err := NewReader(endless).ReadLine()
+	is.True(errors.Is(err, ErrTooLong))
+	is.True(endless.read <= MaxMessage+2*readBuffer)
+}
+
+type counted struct {
+	source io.Reader
+	read   int
+}
+
+func (c *counted) Read(into []byte) (int, error) {
+	count, err := c.source.Read(into)
+	c.read += count
+	return count, err
+}
+
+// A line break that another reader might take for the end of a message is refused, and the stream goes on after the
+// message's own end.
+func TestLoneLineBreaksAreRefused(t *testing.T) {
+	for _, broken := range []string{"a\nb", "a\rb", "\n", "\r", "a\n", "a\r", strings.Repeat("x", readBuffer) + "\nQUERY 1 PUT a b"} {
+		reader := NewReader(strings.NewReader(broken + "\r\nnext\r\n"))
+		if line, err := reader.ReadLine(); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%.20q: %q, %v", broken, line, err)
+		}
+		if line, err := reader.ReadLine(); err != nil || line != "next" {
+			t.Errorf("after %.20q: %q, %v", broken, line, err)
+		}
+	}
+}
+
+func TestEndWithinAMessage(t *testing.T) {
+	is := is.New(t)
+	_, err := NewReader(strings.NewReader("QUERY 1 FET")).ReadLine()
+	is.Equal(err, io.ErrUnexpectedEOF)
+	_, err = NewReader(strings.NewReader("QUERY 1 FETCH a\n")).ReadLine()
+	is.Equal(err, io.ErrUnexpectedEOF)
+}
+
+func TestBudgetIsSharedAndGivenBack(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("x", 3*readBuffer) + "\r\n"
+	budget := NewBudget(claimStep)
+	first := NewReader(strings.NewReader(long + "short\r\n")).WithBudget(budget)
+	second := NewReader(strings.NewReader(long)).WithBudget(budget)
+	_, err := first.ReadLine()
+	is.NoErr(err)
+	_, err = second.ReadLine()
+	is.True(errors.Is(err, ErrTooLong)) // the first still holds its message
+	_, err = first.ReadLine()
+	is.NoErr(err)
+	_, err = NewReader(strings.NewReader(long)).WithBudget(budget).ReadLine()
+	is.NoErr(err)
+}
+
+func TestAnswers(t *testing.T) {
+	is := is.New(t)
+	for _, want := range []Answer{
+		{Rows: []string{"qhzk wmt", "second"}, Stamp: "7.1f3.c", State: Idle, Position: "3.1209"},
+		{Stamp: NoStamp, State: InTransaction, Position: NoPosition},
+		{Code: ReadOnly, Text: "i-7f3a91c2", State: Failed, Position: "3.1209"},
+		{Code: Busy, State: Idle, Position: NoPosition},
+	} {
+		got, err := NewReader(strings.NewReader(string(AppendAnswer(nil, want)))).ReadAnswer()
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	for _, text := range []string{
+		"READY I -\r\n", "ROW a\r\nREADY I -\r\n", "COMPLETE\r\n", "COMPLETE x\r\nROW a\r\n", "COMPLETE x\r\nCOMPLETE x\r\n",
+		"ERROR\r\n", "COMPLETE x\r\nREADY X -\r\n", "COMPLETE x\r\nREADY I\r\n", "HELLO\r\n", "COMPLETE x\r\n", "ROW a",
+	} {
+		if answer, err := NewReader(strings.NewReader(text)).ReadAnswer(); err == nil {
+			t.Errorf("%q read as %+v", text, answer)
+		}
+	}
+}
+
+func FuzzReadLine(f *testing.F) {
+	f.Add([]byte("QUERY 1 FETCH a\r\nQUIT\r\n"))
+	f.Add([]byte("a\nb\r\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		reader := NewReader(iotest.HalfReader(strings.NewReader(string(stream))))
+		rest := string(stream)
+		for {
+			line, err := reader.ReadLine()
+			if err != nil && !errors.Is(err, ErrMalformed) {
+				return
+			}
+			want, after, found := strings.Cut(rest, "\r\n")
+			if !found {
+				t.Fatalf("a line where there is none in %q", rest)
+			}
+			if err == nil && line != want {
+				t.Fatalf("read %q of %q", line, rest)
+			}
+			if err != nil && !strings.ContainsAny(want, "\r\n") {
+				t.Fatalf("%q refused", want)
+			}
+			rest = after
+		}
+	})
+}
