--- /dev/null
+++ b/cmd/eidersystem/gateway.go
@@ -0,0 +1,16 @@
+package main
+
+import (
+	"context"
+
+	"eiderway/gateway"
+)
+
+func runGateway(ctx context.Context, process process) error {
+	return gateway.Run(ctx, gateway.Boot{
+		Settings:  process.settings,
+		Reload:    process.changed,
+		Log:       process.log,
+		Terminate: process.terminated,
+	})
+}
--- a/control/controller/grants.go
+++ b/control/controller/grants.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"sort"
 	"time"
 
 	"eiderway/control/feed"
@@ -78,15 +77,3 @@
 		}
 	}
 }
-
-// names lists the gateways that hold a lease, for logs and tests.
-func (g *grants) names(now time.Duration) []string {
-	var names []string
-	for _, grant := range g.gateways {
-		if now < grant.until {
-			names = append(names, grant.name)
-		}
-	}
-	sort.Strings(names)
-	return names
-}
