--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -50,7 +50,7 @@
 		}
 		outcome := c.runFirst(id, statement, under, asked)
 		verdict := c.session.Ended(statement, outcome)
-		c.settle(under, verdict.Fate)
+		c.settle(under, verdict)
 		if !worthAnother(outcome) || attempt >= under.placed.route.MaxAttempts {
 			return verdict.Answer
 		}
@@ -133,7 +133,7 @@
 		outcome = c.run(id, statement, under, deadline)
 	}
 	verdict := c.session.Ended(statement, outcome)
-	c.settle(under, verdict.Fate)
+	c.settle(under, verdict)
 	return verdict.Answer
 }
 
@@ -212,9 +212,9 @@
 
 // settle carries out what becomes of the backend connection. It happens before the client is answered: a freeze must
 // find no flight whose client has its answer, and the client's next statement finds the connection again.
-func (c *client) settle(under *flight, fate session.Fate) {
+func (c *client) settle(under *flight, verdict session.Verdict) {
 	lent := under.lent
-	if fate == session.Keep {
+	if verdict.Fate == session.Keep {
 		c.flight = under
 		c.gateway.rest(under)
 		return
@@ -225,9 +225,9 @@
 		return
 	}
 	from := lent.home
-	switch fate {
+	switch verdict.Fate {
 	case session.Free:
-		lent.state.Ended(false)
+		lent.state.Ended(verdict.RolledBack)
 		from.free(lent)
 	case session.Rollback:
 		from.rollback(lent)
@@ -246,7 +246,7 @@
 	if !c.gateway.wake(under) {
 		fate = session.Close
 	}
-	c.settle(under, fate)
+	c.settle(under, session.Verdict{Fate: fate})
 }
 
 // noticeCut makes up for a transaction that was cut while it rested.
@@ -260,6 +260,6 @@
 	c.gateway.mutex.Unlock()
 	if cut {
 		c.session.RolledBack()
-		c.settle(under, session.Close)
+		c.settle(under, session.Verdict{Fate: session.Close})
 	}
 }
--- a/session/outcome.go
+++ b/session/outcome.go
@@ -45,10 +45,21 @@
 type Verdict struct {
 	Answer wire.Answer
 	Fate   Fate
+
+	// RolledBack tells, with Free, that a transaction on the connection was rolled back rather than committed.
+	RolledBack bool
 }
 
 // Ended judges how a statement that Take handed out has ended.
 func (s *Session) Ended(statement Statement, outcome Outcome) Verdict {
+	inside := s.state == wire.InTransaction
+	verdict := s.judge(statement, outcome)
+	committed := statement.Class == Commit && outcome.Answer.Code == ""
+	verdict.RolledBack = inside && verdict.Fate == Free && !committed
+	return verdict
+}
+
+func (s *Session) judge(statement Statement, outcome Outcome) Verdict {
 	switch statement.Class {
 	case Begin:
 		return s.beginEnded(outcome)
