--- a/control/replication/election.go
+++ b/control/replication/election.go
@@ -477,7 +477,7 @@
 	stand.phase = fetching
 	stand.began = n.now
 	stand.base = newest
-	n.startFetch(source, stand.epoch, quorum.Stamp{})
+	n.startFetch(source.member, stand.epoch, source.stamp)
 }
 
 func (c *candidacy) promisedBy(incarnation quorum.Incarnation) bool {
@@ -490,7 +490,7 @@
 }
 
 // bestCopy is the copy of the view with the highest stamp among those that have promised.
-func (c *candidacy) bestCopy(view quorum.View) (quorum.Member, bool) {
+func (c *candidacy) bestCopy(view quorum.View) (promiseGiven, bool) {
 	best := promiseGiven{}
 	found := false
 	for _, promise := range c.promises {
@@ -502,5 +502,5 @@
 			found = true
 		}
 	}
-	return best.member, found
+	return best, found
 }
--- a/control/replication/message.go
+++ b/control/replication/message.go
@@ -81,7 +81,7 @@
 
 // Fetch asks for one piece of a snapshot.
 type Fetch struct {
-	Stamp quorum.Stamp // zero: of the newest snapshot
+	Stamp quorum.Stamp
 	Index int
 }
 
--- a/control/replication/node.go
+++ b/control/replication/node.go
@@ -148,6 +148,7 @@
 	}
 	if n.leadership != nil {
 		n.leadership.forgetSilence(n.now)
+		n.leadership.askAgain()
 	}
 	if n.candidacy != nil {
 		n.abandonCandidacy(n.now)
--- a/control/replication/primary.go
+++ b/control/replication/primary.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// askAgain lets only answers to words from now on count: what waited here while the process stood still proves nothing.
+func (l *leadership) askAgain() {
+	if l.pending != nil {
+		l.pending.round = l.round + 1
+	}
+	for index := range l.confirms {
+		l.confirms[index].round = l.round + 1
+	}
+}
+
 // takeOver begins the epoch: the state is restamped and brought to the others.
 func (n *Node) takeOver(base quorum.View) {
 	stand := n.candidacy
--- a/control/replication/search_test.go
+++ b/control/replication/search_test.go
@@ -7,6 +7,8 @@
 	"time"
 )
 
+var tracer func(string)
+
 // trouble is one thing that goes wrong in a searched world.
 type trouble struct {
 	name string
@@ -108,7 +110,9 @@
 func randomWorld(seed int64, form shape, guards disabledGuards, choices []trouble) string {
 	w := newWorld(seed, form.count, form.seeds, form.tolerance, guards)
 	w.sameWord = guards.emptyDiskVotes
+	w.trace = tracer
 	chooser := rand.New(rand.NewSource(seed * 7919))
+	w.run(50 * time.Millisecond) // the disks have the mark of the first start
 	if chooser.Intn(2) == 0 {
 		w.run(2 * time.Second) // half of the worlds meet trouble while they are founded
 	}
--- a/control/replication/snapshot.go
+++ b/control/replication/snapshot.go
@@ -41,7 +41,7 @@
 type fetch struct {
 	source   quorum.Member
 	epoch    quorum.Epoch
-	stamp    quorum.Stamp // zero: the source will tell
+	stamp    quorum.Stamp
 	next     int
 	bytes    []byte
 	request  uint64
@@ -97,7 +97,10 @@
 }
 
 func (n *Node) leadsOn(stamp quorum.Stamp) bool {
-	if n.leadership != nil && stamp.Epoch != n.leadership.epoch {
+	if n.leadership == nil {
+		return stamp == n.history.stamp // a candidate gets no changes after it
+	}
+	if stamp.Epoch != n.leadership.epoch {
 		return false
 	}
 	changes, kept := n.history.since(stamp)
@@ -174,6 +177,10 @@
 		n.drop()
 		return
 	}
+	if piece.Stamp != n.fetch.stamp && n.candidacy != nil {
+		n.abandonCandidacy(n.retrySoon()) // not the state that was promised
+		return
+	}
 	if piece.Stamp != n.fetch.stamp { // the one that was asked for is gone
 		n.fetch.stamp = piece.Stamp
 		n.fetch.next = 0
