--- a/control/configuration/contents.go
+++ b/control/configuration/contents.go
@@ -1,6 +1,9 @@
 package configuration
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // defaultPathPrefix is the prefix of a route that names none.
 const defaultPathPrefix = "/"
@@ -126,7 +129,7 @@
 	if field.kind != isText {
 		r.refuse(unreadable(from.where, name+" is not a text"))
 	}
-	return field.text
+	return strings.Clone(field.text) // a part of the body would keep all of it in memory
 }
 
 func (r *contentsReader) whole(from object, name string) int64 {
