RPC: framed gob between processes: peers, gateways' questions, a server

Cause: controllers and gateways had no way to talk. Change: one-way messages between controllers over one connection per address with bounded queues, and questions with request ids whose connection is closed when an answer stays out; bounded frames, a greeting, counters.

--- /dev/null
+++ b/control/rpc/peers_test.go
@@ -0,0 +1,147 @@
+package rpc
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"eiderway/control/replication"
+)
+
+func newPeers(t *testing.T) *Peers {
+	t.Helper()
+	log, _ := test.NewNullLogger()
+	peers := NewPeers("127.0.0.1:1", log)
+	t.Cleanup(peers.Close)
+	return peers
+}
+
+// inbox gathers the numbers of the messages that a server is handed.
+type inbox chan uint64
+
+func (i inbox) handlers() Handlers {
+	return Handlers{Message: func(message replication.Message) { i <- message.Request }}
+}
+
+func (i inbox) next(t *testing.T) uint64 {
+	t.Helper()
+	select {
+	case number := <-i:
+		return number
+	case <-time.After(patience):
+		t.Fatal("no message")
+		return 0
+	}
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	is := is.New(t)
+	arrived := make(inbox, queueLength)
+	_, address := serve(t, arrived.handlers())
+	peers := newPeers(t)
+	for number := range uint64(queueLength) {
+		peers.Send(address, message(number))
+	}
+	for number := range uint64(queueLength) {
+		is.Equal(arrived.next(t), number)
+	}
+	eventually(t, "counted", func() bool { return peers.Counts().Sent == queueLength })
+	is.Equal(peers.Counts(), PeersCounts{Sent: queueLength, Connections: 1})
+}
+
+func TestNothingIsSentToOneself(t *testing.T) {
+	is := is.New(t)
+	peers := newPeers(t)
+	peers.Send("127.0.0.1:1", message(1))
+	peers.Send("", message(1))
+	is.Equal(len(peers.senders), 0)
+}
+
+func TestConnectionIsMadeAgain(t *testing.T) {
+	is := is.New(t)
+	arrived := make(inbox, queueLength)
+	listener := listen(t)
+	address := listener.Addr().String()
+	first := Serve(listener, arrived.handlers())
+	peers := newPeers(t)
+	peers.Send(address, message(1))
+	is.Equal(arrived.next(t), uint64(1))
+	first.Close()
+
+	eventually(t, "refused", func() bool {
+		peers.Send(address, message(2)) // for nobody; the first may still be written to the connection that ended
+		return peers.Counts().Failures > 0
+	})
+	again, err := net.Listen("tcp4", address)
+	is.NoErr(err)
+	second := Serve(again, arrived.handlers())
+	defer second.Close()
+	peers.Send(address, message(3))
+	for number := arrived.next(t); number != 3; number = arrived.next(t) {
+		is.Equal(number, uint64(2)) // may have waited
+	}
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	is := is.New(t)
+	closed := listen(t)
+	is.NoErr(closed.Close())
+	peers := newPeers(t)
+	const sent = 4 * queueLength
+	for number := range uint64(sent) {
+		peers.Send(closed.Addr().String(), message(number))
+	}
+	is.True(peers.Counts().Overflowed >= sent-2*queueLength) // one queue may have been taken meanwhile
+	eventually(t, "dropped in the end", func() bool {
+		counts := peers.Counts()
+		return counts.Overflowed+counts.Expired+counts.Lost == sent
+	})
+}
+
+// A peer that takes no bytes costs its own messages only, and its connection; Send goes on returning.
+func TestPeerThatDoesNotReadIsGivenUp(t *testing.T) {
+	stalled := make(chan struct{})
+	address := script(t, func(connection *scripted) {
+		_ = connection.Conn.(*net.TCPConn).SetReadBuffer(readBuffer)
+		<-stalled
+	})
+	defer close(stalled)
+	arrived := make(inbox, queueLength)
+	_, sound := serve(t, arrived.handlers())
+	peers := newPeers(t)
+	large := replication.Message{Piece: &replication.Piece{Bytes: make([]byte, MaxFrame/2)}}
+	eventually(t, "given up", func() bool {
+		peers.Send(address, large)
+		return peers.Counts().Lost > 0
+	})
+	peers.Send(sound, message(1))
+	is.New(t).Equal(arrived.next(t), uint64(1))
+}
+
+func TestMessageThatIsTooLongDoesNotTakeOthersAlong(t *testing.T) {
+	is := is.New(t)
+	arrived := make(inbox, queueLength)
+	_, address := serve(t, arrived.handlers())
+	peers := newPeers(t)
+	peers.Send(address, message(1))
+	peers.Send(address, tooLong())
+	peers.Send(address, message(3))
+	is.Equal(arrived.next(t), uint64(1))
+	is.Equal(arrived.next(t), uint64(3))
+	is.Equal(peers.Counts().TooLong, uint64(1))
+}
+
+func TestIdleSenderIsForgottenOnlyWithAnEmptyQueue(t *testing.T) {
+	is := is.New(t)
+	peers := newPeers(t)
+	idle := newSender(peers, "127.0.0.1:2")
+	peers.senders[idle.address] = idle
+	idle.queueLocked(queued{message: message(1), since: time.Now()})
+	is.True(!peers.retire(idle))
+	peers.takeAll(idle)
+	is.True(peers.retire(idle))
+	is.Equal(len(peers.senders), 0)
+}
