--- a/cmd/eidersystem/main.go
+++ b/cmd/eidersystem/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"eiderway/control/store"
 	"eiderway/system"
 )
 
@@ -17,7 +18,7 @@
 const (
 	exitInOrder   = 0
 	exitBadUse    = 1 // bad settings or use, or something that the machine refused
-	exitInvariant = 2 // a state that can't be; also what the Go runtime ends a panic with
+	exitInvariant = 2 // a state that can't be, or a damaged one on disk; also what the Go runtime ends a panic with
 )
 
 func main() {
@@ -36,7 +37,7 @@
 	switch {
 	case err == nil:
 		return exitInOrder
-	case errors.Is(err, system.ErrInvariant):
+	case errors.Is(err, system.ErrInvariant), store.IsDamage(err):
 		return exitInvariant
 	}
 	return exitBadUse
@@ -52,11 +53,8 @@
 	}
 }
 
-// newFlagSet lets errors be told once, by execute.
-func newFlagSet(name string) *flag.FlagSet {
-	flags := flag.NewFlagSet(name, flag.ContinueOnError)
-	return flags
-}
+// newFlagSet returns errors in place of ending the process, so that execute chooses the exit code.
+func newFlagSet(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
 
 // helpOnly is for commands that need a subcommand.
 func helpOnly(context.Context, []string) error { return flag.ErrHelp }
--- a/cmd/eidersystem/state.go
+++ b/cmd/eidersystem/state.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
+
+	"eiderway/control/store"
 )
 
 func stateCommand() *ffcli.Command {
@@ -15,9 +18,9 @@
 		FlagSet:    newFlagSet("state"),
 		Exec:       helpOnly,
 		Subcommands: []*ffcli.Command{
-			stateSubcommand("check", "Check that the state is whole.", notBuiltIn),
-			stateSubcommand("dump", "Write the state to standard output.", notBuiltIn),
-			stateSubcommand("restore", "Make the state from a dump on standard input.", notBuiltIn),
+			stateSubcommand("check", "Check that the file is whole, and say what it holds.", checkState),
+			stateSubcommand("dump", "Write what the file holds to standard output, as lines of JSON.", dumpState),
+			stateSubcommand("restore", "Make the file from a dump on standard input.", restoreState),
 		},
 	}
 }
@@ -37,4 +40,8 @@
 	}
 }
 
-func notBuiltIn(string) error { return eris.New("not in this version") }
+func checkState(path string) error { return store.Inspect(path, os.Stdout) }
+
+func dumpState(path string) error { return store.Dump(path, os.Stdout) }
+
+func restoreState(path string) error { return store.Restore(os.Stdin, path) }
