--- a/control/configuration/parse_test.go
+++ b/control/configuration/parse_test.go
@@ -178,6 +178,25 @@
 	}
 }
 
+func TestDigestOfEqualNumbers(t *testing.T) {
+	for _, spellings := range [][]string{
+		{`0.5`, `5e-1`, `0.050e1`, `0.00005E+4`},
+		{`0`, `-0`, `0.0`, `0e9`},
+		{`-120`, `-12e1`, `-120.0`, `-0.12e+0003`},
+		{`18446744073709551616`, `18446744073709551616.000`, `1844674407370955161.6e1`},
+	} {
+		digests := make(map[string]bool)
+		for _, number := range spellings {
+			order, err := configuration.Parse([]byte(strings.Replace(smallest, `{}`, `{"x":`+number+`}`, 1)))
+			is.New(t).NoErr(err)
+			digests[order.Digest] = true
+		}
+		if len(digests) != 1 {
+			t.Errorf("%v have %d digests", spellings, len(digests))
+		}
+	}
+}
+
 // The digest is kept on disk: a change of its form would make conflicts of orders that are sent again.
 func TestDigestStaysAsItIs(t *testing.T) {
 	is := is.New(t)
