--- a/control/store/dump.go
+++ b/control/store/dump.go
@@ -15,7 +15,8 @@
 
 // dumpHead is the first line of a dump.
 type dumpHead struct {
-	Format int // version of the dump, the same as the file's
+	Format  int    // version of the dump, the same as the file's
+	HeadSum uint64 // over the rest of the line
 	head
 }
 
@@ -51,9 +52,13 @@
 	if err != nil {
 		return err
 	}
+	sum, err := headSum(found.head)
+	if err != nil {
+		return err
+	}
 	encoder := json.NewEncoder(out)
 	encoder.SetEscapeHTML(false)
-	if err := encoder.Encode(dumpHead{Format: formatVersion, head: found.head}); err != nil {
+	if err := encoder.Encode(dumpHead{Format: formatVersion, HeadSum: sum, head: found.head}); err != nil {
 		return eris.Wrap(err, "dump the control state")
 	}
 	keys := lo.Keys(found.entries)
@@ -87,20 +92,43 @@
 }
 
 func readDump(decoder *json.Decoder) (contents, error) {
-	var first dumpHead
-	if err := decoder.Decode(&first); err != nil {
-		return contents{}, eris.Wrap(err, "read the head of the dump")
-	}
-	if first.Format != formatVersion {
-		return contents{}, eris.Errorf("the dump has format %d, known is %d", first.Format, formatVersion)
+	read, err := readDumpHead(decoder)
+	if err != nil {
+		return contents{}, err
 	}
-	whole := contents{head: first.head, entries: map[string][]byte{}}
+	whole := contents{head: read, entries: map[string][]byte{}}
 	for decoder.More() {
 		var entry dumpEntry
 		if err := decoder.Decode(&entry); err != nil {
 			return contents{}, eris.Wrap(err, "read an entry of the dump")
 		}
+		if _, twice := whole.entries[entry.key()]; twice {
+			return contents{}, eris.Errorf("the dump has entry %q twice", entry.key())
+		}
 		whole.entries[entry.key()] = entry.value()
 	}
-	return whole, whole.checkSums()
+	return whole, eris.Wrap(whole.checkSums(), "read the dump")
+}
+
+func readDumpHead(decoder *json.Decoder) (head, error) {
+	var first dumpHead
+	if err := decoder.Decode(&first); err != nil {
+		return head{}, eris.Wrap(err, "read the head of the dump")
+	}
+	if first.Format != formatVersion {
+		return head{}, eris.Errorf("the dump has format %d, known is %d", first.Format, formatVersion)
+	}
+	sum, err := headSum(first.head)
+	if err != nil {
+		return head{}, err
+	}
+	if sum != first.HeadSum || first.Incarnation == "" {
+		return head{}, eris.New("the head of the dump does not fit its sum")
+	}
+	return first.head, nil
+}
+
+func headSum(h head) (uint64, error) {
+	text, err := json.Marshal(h)
+	return entrySum("", text), eris.Wrap(err, "encode the head of the dump")
 }
--- /dev/null
+++ b/control/store/dump_test.go
@@ -0,0 +1,97 @@
+package store
+
+import (
+	"bytes"
+	"errors"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eiderway/control/quorum"
+	"eiderway/control/replication"
+)
+
+// dumped makes a file with entries that are hard to write as text, and returns its path, its state and its dump.
+func dumped(t *testing.T) (string, replication.Durable, string) {
+	t.Helper()
+	is := is.New(t)
+	directory := t.TempDir()
+	store, state, err := Open(directory, Options{Log: silent(), NewIncarnation: numbered()})
+	is.NoErr(err)
+	writes := []replication.Write{{
+		Voter: voterRecord(7),
+		Stamp: &quorum.Stamp{Epoch: 7, Sequence: 1 << 63},
+		Mutations: []replication.Mutation{
+			put("text", `{"a": "<b> & \u2028 c"}`), put("empty", ""), put("lines", "a\nb\x00"), put("replacement", "\ufffd"),
+			put("binary", "\xff\xfe\x00"), put("key \xff", "value"), put("große", "schlüssel"),
+		},
+	}}
+	is.NoErr(store.Apply(writes))
+	is.NoErr(store.Close())
+	path := filepath.Join(directory, FileName)
+	var dump bytes.Buffer
+	is.NoErr(Dump(path, &dump))
+	return path, stateAfter(state, writes), dump.String()
+}
+
+func TestDumpAndRestore(t *testing.T) {
+	is := is.New(t)
+	path, state, dump := dumped(t)
+	is.True(strings.Contains(dump, `{"Key":"große","Value":"schlüssel"}`)) // readable
+
+	directory := t.TempDir()
+	restored := filepath.Join(directory, FileName)
+	is.NoErr(Restore(strings.NewReader(dump), restored))
+	store, found, err := Open(directory, Options{Log: silent()})
+	is.NoErr(err)
+	is.Equal(found, state)
+	is.NoErr(store.Apply(mutate(put("more", "x"))))
+	is.NoErr(store.Close())
+
+	is.True(errors.Is(Restore(strings.NewReader(dump), path), ErrExists))
+	is.True(Restore(strings.NewReader(dump), filepath.Join(directory, "other.db")) != nil)
+}
+
+func TestDumpMustBeWhole(t *testing.T) {
+	is := is.New(t)
+	_, _, dump := dumped(t)
+	lines := strings.SplitAfter(strings.TrimSuffix(dump, "\n"), "\n")
+	for name, harmed := range map[string]string{
+		"nothing":        "",
+		"a line less":    strings.Join(lines[:len(lines)-1], ""),
+		"half a line":    dump[:len(dump)-5],
+		"a line twice":   dump + lines[len(lines)-1],
+		"changed":        strings.Replace(dump, "schlüssel", "schlussel", 1),
+		"newer":          strings.Replace(dump, `"Format":1`, `"Format":2`, 1),
+		"no format":      strings.Replace(dump, `"Format":1,`, ``, 1),
+		"other promise":  strings.Replace(dump, `"Promised":7`, `"Promised":6`, 1),
+		"no identity":    strings.Replace(dump, `"Incarnation":"incarnation-1"`, `"Incarnation":""`, 1),
+		"something more": dump + "x",
+	} {
+		path := filepath.Join(t.TempDir(), FileName)
+		if err := Restore(strings.NewReader(harmed), path); err == nil {
+			t.Errorf("%s: restored", name)
+		}
+		_, err := Check(path)
+		is.True(err != nil) // nothing was left
+	}
+}
+
+func TestCheckReports(t *testing.T) {
+	is := is.New(t)
+	path, state, _ := dumped(t)
+	report, err := Check(path)
+	is.NoErr(err)
+	is.Equal(report.Incarnation, state.Incarnation)
+	is.Equal(report.Voter, state.Voter)
+	is.Equal(report.Stamp, state.Stamp)
+	is.Equal(report.Entries, len(state.Entries))
+	is.True(report.UsedBytes > 0 && report.UsedBytes <= report.FileBytes)
+	var text bytes.Buffer
+	is.NoErr(Inspect(path, &text))
+	is.True(strings.Contains(text.String(), "view         7.2, 2 voters, 2 copies\n"))
+	is.True(strings.Contains(text.String(), "voter        a core-1 at 10.0.0.1:7000, primary\n"))
+	t.Log("\n" + text.String())
+}
--- a/control/store/store_test.go
+++ b/control/store/store_test.go
@@ -142,7 +142,7 @@
 	t.Logf("file: %d bytes", info.Size())
 }
 
-func TestSecondLogLineIsOne(t *testing.T) {
+func TestDamageIsLoggedOnce(t *testing.T) {
 	is := is.New(t)
 	directory := t.TempDir()
 	is.NoErr(os.WriteFile(filepath.Join(directory, FileName), []byte("not a database"), fileMode))
