Gateway: tests end to end against a stand-in instance and controller

Cause: lease, freeze, broken connections and the ordered end need tests that bring them about. Change: stand-ins in test files, tests of each; the question's wait follows the length of the leases, since one that only outlasts a single wait leaves gaps between two answers. Measured: go test -race -count 3 ./gateway passed.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -20,6 +20,7 @@
 	routes     map[string]configuration.Route // by database name
 	services   map[string]*service
 	most       map[string]int // connections that the configuration allows at an instance, by service
+	lease      time.Duration  // the length of the newest one
 	leaseUntil time.Duration
 	lapses     uint64 // how often the lease had run out when it was renewed
 }
@@ -28,7 +29,6 @@
 type service struct {
 	feed.Service
 	maxConnections int
-	slots          int    // of the leader
 	address        string // of the leader; "" if it isn't among the instances
 }
 
@@ -40,7 +40,6 @@
 	lapses  uint64 // of the lease when it was checked last
 
 	maxConnections int
-	slots          int
 }
 
 // refusal says why there is no placement.
@@ -91,6 +90,7 @@
 // renew takes over a lease. The controller counts a lease from its own answer at the latest, so time that passed
 // between the end of the old one and now isn't covered, even if the new one reaches back there.
 func (d *directory) renew(now, sentAt, lease time.Duration) {
+	d.lease = lease
 	until := sentAt + lease
 	if lease <= 0 || until <= d.leaseUntil {
 		return
@@ -174,7 +174,7 @@
 		entry := &service{Service: described, maxConnections: d.most[described.Name]}
 		for _, instance := range described.Instances {
 			if instance.ID == described.Leader.InstanceID {
-				entry.address, entry.slots = instance.Address, instance.Slots
+				entry.address = instance.Address
 			}
 		}
 		services[described.Name] = entry
@@ -249,7 +249,6 @@
 		address:        target.address,
 		lapses:         d.lapses,
 		maxConnections: target.maxConnections,
-		slots:          target.slots,
 	}, placed
 }
 
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -9,9 +9,15 @@
 )
 
 const (
-	// watchWait is how long a controller may hold a question back when there is no news. A lease has to outlast it by a
-	// good margin; each question costs both sides about a tenth of a millisecond.
+	// watchWait is the longest that a controller may hold a question back when there is no news: each question costs
+	// both sides some work.
 	watchWait = 600 * time.Millisecond
+	// watchesInLease is how many questions that are held back fit into a lease. A lease counts from the sending of its
+	// question, so when it comes with the answer one such time is gone, and the next answer is another one away: three
+	// leave room for a slow one.
+	watchesInLease = 3
+	// watchLeast is the shortest wait that is asked for, however short the leases are.
+	watchLeast = 50 * time.Millisecond
 	// watchSlack is added to it before a question is given up: a slow link and a busy machine.
 	watchSlack = time.Second
 	// freezeTime is how long open transactions and statements at a frozen leader may take to end by themselves before
@@ -48,7 +54,7 @@
 		return false
 	}
 	request := g.question()
-	limited, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	limited, cancel := context.WithTimeout(ctx, request.Wait+watchSlack)
 	defer cancel()
 	sentAt := g.now()
 	answer, err := g.watcher.Watch(limited, address, request)
@@ -79,11 +85,19 @@
 		Name:          g.name,
 		Applied:       g.directory.table.Version,
 		Configuration: g.directory.table.ConfigurationNumber,
-		Wait:          watchWait,
+		Wait:          watchFor(g.directory.lease),
 		Reports:       g.reports.take(),
 	}
 }
 
+// watchFor is how long a controller may hold a question back under leases of this length.
+func watchFor(lease time.Duration) time.Duration {
+	if lease <= 0 {
+		return watchWait
+	}
+	return min(watchWait, max(watchLeast, lease/watchesInLease))
+}
+
 // apply takes over an answer. When it returns, nothing is under way any more that the table rules out, so the next
 // question may acknowledge it.
 func (g *Gateway) apply(ctx context.Context, sentAt time.Duration, answer feed.WatchAnswer) bool {
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -43,13 +43,14 @@
 	return !resting.cut
 }
 
-// conflicts counts the flights that the table rules out.
+// conflicts counts the flights that the table rules out. One that has no connection yet is none: it is checked again
+// before it is sent.
 func (g *Gateway) conflicts() int {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	count := 0
 	for under := range g.flights {
-		if g.directory.conflicts(under.placed) {
+		if under.lent != nil && g.directory.conflicts(under.placed) {
 			count++
 		}
 	}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,446 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eiderway/wire"
+)
+
+// verbIs meets statements of one verb with a mishap.
+func verbIs(verb wire.Verb, met mishap) func(wire.Statement) mishap {
+	return func(statement wire.Statement) mishap {
+		if statement.Verb == verb {
+			return met
+		}
+		return none
+	}
+}
+
+// hold keeps statements of one verb waiting until release is closed; arrived is closed when the first has come.
+func hold(verb wire.Verb) (meet func(wire.Statement) mishap, arrived, release chan struct{}) {
+	arrived, release = make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	return func(statement wire.Statement) mishap {
+		if statement.Verb == verb {
+			once.Do(func() { close(arrived) })
+			<-release
+		}
+		return none
+	}, arrived, release
+}
+
+func TestStatementsReachTheLeaderUnchanged(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c := w.connect("c")
+	c.must("PUT 1a4 some  data", "COMPLETE stamp / I")
+	c.must("FETCH 1a4", `COMPLETE stamp ["some  data"] / I`)
+	c.must("BEGIN", "COMPLETE stamp / T")
+	c.must("PUT 1a5 x", "COMPLETE stamp / T")
+	c.must("COMMIT", "COMPLETE stamp / I")
+	is.Equal(w.first.texts(), []string{"c1 PUT 1a4 some  data", "c2 FETCH 1a4", "c3 BEGIN", "c4 PUT 1a5 x", "c5 COMMIT"})
+	is.Equal(w.first.dials(), 1)
+	is.Equal(len(w.second.texts()), 0)
+}
+
+func TestDatabasesThatAreNotThere(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c := w.connect("c")
+	other := w.dial("o")
+	other.send("CONNECT nowhere o")
+	line, err := other.reader.ReadLine()
+	is.NoErr(err)
+	is.Equal(line, "ERROR NODB nowhere")
+	_, err = other.reader.ReadLine()
+	is.Equal(err, io.EOF)
+
+	renamed := w.table(2, "i-1", false)
+	renamed.ConfigurationNumber, renamed.Configuration = 8, configurationOf(8, "store")
+	w.controller.publish(renamed)
+	w.eventually("the table is applied", func() bool { return w.controller.applied(2) })
+	c.must("FETCH a", "ERROR NODB / I")
+	c.must("BEGIN", "ERROR NODB / I")
+	is.Equal(len(w.first.asked()), 0)
+}
+
+func TestBrokenInputReachesNobody(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c := w.connect("c")
+	for _, line := range []string{"FETCH a", "QUERY", "QUERY 1", "QUERY 1 STATUS", "QUERY 1 AFTERPOS 3.1 FETCH a", "QUERY - PUT a b", "QUERY 1 PUT a b\nQUERY 2 PUT c d", ""} {
+		c.send(line)
+		c.gets("ERROR MALFORMED / I")
+	}
+	c.must("PUT a b", "COMPLETE stamp / I") // the session goes on
+	is.Equal(w.first.texts(), []string{"c1 PUT a b"})
+	for _, line := range []string{"HELLO", "CONNECT shop", "QUERY 1 FETCH a", "CONNECT shop c i-1"} {
+		other := w.dial("o")
+		other.send(line)
+		got, err := other.reader.ReadLine()
+		is.NoErr(err)
+		is.Equal(got, "ERROR MALFORMED")
+		_, err = other.reader.ReadLine()
+		is.Equal(err, io.EOF)
+	}
+	long := w.connect("l")
+	go func() { _, _ = long.network.Write([]byte("QUERY 1 PUT a " + strings.Repeat("x", 2*wire.MaxMessage))) }()
+	_, err := io.ReadAll(long.network)
+	_ = err // a reset or an end: the session is over
+	is.Equal(len(w.first.texts()), 1)
+}
+
+func TestPipelinedInputIsAnsweredInOrder(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c := w.dial("c")
+	c.send("CONNECT shop c\r\nQUERY 1 PUT a x\r\nQUERY 2 FETCH a\r\nQUERY 3 nonsense\r\nQUERY 4 FETCH b\r\nQUIT")
+	everything, err := io.ReadAll(c.network)
+	is.NoErr(err)
+	is.Equal(string(everything), "READY I -\r\nCOMPLETE stamp\r\nREADY I 3.2\r\nROW x\r\nCOMPLETE stamp\r\nREADY I 3.2\r\n"+
+		"ERROR MALFORMED\r\nREADY I -\r\nROW \r\nCOMPLETE stamp\r\nREADY I 3.2\r\n")
+	is.Equal(w.first.texts(), []string{"1 PUT a x", "2 FETCH a", "4 FETCH b"})
+}
+
+func TestSessionsShareAConnectionAndKeepTheirNamesAndValues(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	a, b := w.connect("a"), w.connect("b")
+	a.must("PREPARE s1 PUT q2c", "COMPLETE - / I")
+	b.must("PREPARE s1 FETCH other", "COMPLETE - / I") // the same name, another shape
+	b.must("PREPARE s9 PUT q2c", "COMPLETE - / I")     // the same shape, another name
+	a.must("SETOPT zone noord", "COMPLETE - / I")
+	a.must("EXECUTE s1 1 x", "COMPLETE stamp / I")
+	b.must("EXECUTE s1 1", `COMPLETE stamp ["x"] / I`)
+	b.must("EXECUTE s9 1 y", "COMPLETE stamp / I")
+	a.must("EXECUTE s1 1 z", "COMPLETE stamp / I")
+	b.must("RELEASE s1", "COMPLETE - / I")
+	b.must("EXECUTE s1 1", "ERROR NOSTMT / I")
+	is.Equal(w.first.dials(), 1)
+	asked := w.first.asked()
+	is.Equal(len(asked), 4)
+	noord := map[string]string{"zone": "noord"}
+	for place, want := range []ran{
+		{id: "a3", text: "EXECUTE pq2c 1 x", shape: "q2c", values: noord},
+		{id: "b3", text: "EXECUTE fother 1", shape: "other", values: map[string]string{}},
+		{id: "b4", text: "EXECUTE pq2c 1 y", shape: "q2c", values: map[string]string{}},
+		{id: "a4", text: "EXECUTE pq2c 1 z", shape: "q2c", values: noord},
+	} {
+		want.connection = 1
+		is.Equal(asked[place], want)
+	}
+}
+
+func TestTransactionsHaveConnectionsOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	a, b := w.connect("a"), w.connect("b")
+	a.must("BEGIN", "COMPLETE stamp / T")
+	b.must("PUT 2 y", "COMPLETE stamp / I")
+	b.must("BEGIN", "COMPLETE stamp / T")
+	a.must("PUT 1 x", "COMPLETE stamp / T")
+	b.must("PUT 1 y", "COMPLETE stamp / T")
+	b.must("ABORT", "COMPLETE stamp / I")
+	a.must("COMMIT", "COMPLETE stamp / I")
+	asked := w.first.asked()
+	for _, one := range asked {
+		is.Equal(one.connection, map[byte]int{'a': 1, 'b': 2}[one.id[0]])
+	}
+	is.Equal(w.first.read("1"), "x")
+}
+
+// A client that leaves midway: its transaction is rolled back, and its connection serves others.
+func TestLeavingMidwayRollsBack(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	a := w.connect("a")
+	a.must("BEGIN", "COMPLETE stamp / T")
+	a.must("PUT 1 x", "COMPLETE stamp / T")
+	a.network.Close()
+	w.eventually("the transaction is rolled back", func() bool { return slices.Contains(w.first.texts(), "- ABORT") })
+	b := w.connect("b")
+	b.must("FETCH 1", `COMPLETE stamp [""] / I`)
+	is.Equal(w.first.dials(), 1)
+}
+
+func TestWithoutLeaseNothingIsStarted(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	w.controller.set(func(s *standinController) { s.lease = 0 })
+	c := w.connect("c")
+	w.eventually("the lease has run out", func() bool { return c.ask("FETCH a") == "ERROR BUSY / I" })
+	before := len(w.first.asked())
+	start := time.Now()
+	c.must("PUT a b", "ERROR BUSY / I")
+	is.True(time.Since(start) < 100*time.Millisecond) // within a quarter of the route's aim
+	c.must("BEGIN", "ERROR BUSY / I")
+	is.Equal(len(w.first.asked()), before)
+	w.controller.set(func(s *standinController) { s.lease = leaseOfTests })
+	w.eventually("it is served again", func() bool { return c.ask("FETCH a") == `COMPLETE stamp [""] / I` })
+}
+
+// The lease runs out while the instance is at work: a write that succeeds there is in doubt, and so is a COMMIT; a read
+// keeps nothing.
+func TestLeaseThatEndsBetweenSendingAndAnswer(t *testing.T) {
+	for text, want := range map[string]string{"PUT a b": "ERROR INDOUBT / I", "FETCH a": "ERROR BUSY / I", "COMMIT": "ERROR INDOUBT / I"} {
+		t.Run(text, func(t *testing.T) {
+			w := startWorld(t)
+			c := w.connect("c")
+			if text == "COMMIT" {
+				c.must("BEGIN", "COMPLETE stamp / T")
+				c.must("PUT a b", "COMPLETE stamp / T")
+			}
+			verb, _, _ := strings.Cut(text, " ")
+			meet, arrived, release := hold(wire.Verb(verb))
+			w.first.on(meet)
+			w.controller.set(func(s *standinController) { s.silent = true })
+			c.start(text)
+			<-arrived
+			time.Sleep(leaseOfTests + 50*time.Millisecond)
+			close(release)
+			c.gets(want)
+		})
+	}
+}
+
+// The same with a new lease before the answer comes: what happened in between isn't known.
+func TestLapseBeforeTheAnswerLeavesAWriteInDoubt(t *testing.T) {
+	w := startWorld(t)
+	c, other := w.connect("c"), w.connect("o")
+	meet, arrived, release := hold(wire.Put)
+	w.first.on(meet)
+	w.controller.set(func(s *standinController) { s.silent = true })
+	c.start("PUT a b")
+	<-arrived
+	time.Sleep(leaseOfTests + 50*time.Millisecond)
+	w.controller.set(func(s *standinController) { s.silent = false })
+	w.eventually("there is a lease again", func() bool { return other.ask("FETCH a") == `COMPLETE stamp [""] / I` })
+	close(release)
+	c.gets("ERROR INDOUBT / I")
+}
+
+// A COMMIT that isn't covered by a lease is not sent.
+func TestCommitWithoutLeaseIsRolledBack(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c := w.connect("c")
+	c.must("BEGIN", "COMPLETE stamp / T")
+	c.must("PUT a b", "COMPLETE stamp / T")
+	w.controller.set(func(s *standinController) { s.lease, s.silent = 0, true })
+	other := w.connect("o")
+	for start := time.Now(); time.Since(start) < leaseOfTests; {
+		c.must("PUT a b", "COMPLETE stamp / T") // it doesn't rest for too long
+		time.Sleep(leaseOfTests / 10)
+	}
+	other.must("FETCH a", "ERROR BUSY / I")
+	c.must("COMMIT", "ERROR ROLLEDBACK / I")
+	is.Equal(w.first.read("a"), "")
+}
+
+func TestFreezeWaitsForWhatEndsByItself(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c, other := w.connect("c"), w.connect("o")
+	c.must("BEGIN", "COMPLETE stamp / T")
+	c.must("PUT 1 x", "COMPLETE stamp / T")
+	w.controller.publish(w.table(2, "i-1", true))
+	w.eventually("first statements are refused", func() bool { return other.ask("FETCH 1") == "ERROR BUSY / I" })
+	is.True(!w.controller.applied(2))
+	c.must("COMMIT", "COMPLETE stamp / I")
+	w.eventually("the freeze is acknowledged", func() bool { return w.controller.applied(2) })
+	c.must("FETCH 1", "ERROR BUSY / I")
+	w.controller.publish(w.table(3, "i-2", false))
+	w.eventually("the new leader serves", func() bool { return c.ask("FETCH 1") == `COMPLETE stamp [""] / I` })
+	is.True(len(w.second.asked()) == 1)
+}
+
+// A freeze is acknowledged only when nothing is under way at the leader: what doesn't end by itself is cut.
+func TestFreezeCutsWhatDoesNotEnd(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	resting, writing, committing := w.connect("r"), w.connect("w"), w.connect("c")
+	resting.must("BEGIN", "COMPLETE stamp / T")
+	resting.must("PUT 1 x", "COMPLETE stamp / T")
+	committing.must("BEGIN", "COMPLETE stamp / T")
+	committing.must("PUT 2 x", "COMPLETE stamp / T")
+	writing.must("BEGIN", "COMPLETE stamp / T")
+	holdCommit, committed, release := hold(wire.Commit)
+	holdPut, put, releasePut := hold(wire.Put)
+	defer close(release)
+	defer close(releasePut)
+	w.first.on(func(statement wire.Statement) mishap {
+		holdPut(statement)
+		return holdCommit(statement)
+	})
+	committing.start("COMMIT")
+	<-committed
+	writing.start("PUT 3 x")
+	<-put
+	frozenAt := time.Now()
+	w.controller.publish(w.table(2, "i-1", true))
+	committing.gets("ERROR INDOUBT / I")
+	writing.gets("ERROR ROLLEDBACK / E")
+	is.True(time.Since(frozenAt) >= freezeTime)
+	w.eventually("the freeze is acknowledged", func() bool { return w.controller.applied(2) })
+	is.True(time.Since(frozenAt) < freezeTime+leaseOfTests/2)
+	resting.must("COMMIT", "ERROR ROLLEDBACK / I")
+	writing.must("ABORT", "COMPLETE - / I")
+	is.Equal(w.first.read("1"), "")
+}
+
+// A leader that is replaced while a write is under way there: its success isn't believed.
+func TestChangeOfLeaderLeavesAWriteInDoubt(t *testing.T) {
+	w := startWorld(t)
+	c, other := w.connect("c"), w.connect("o")
+	meet, arrived, release := hold(wire.Put)
+	w.first.on(meet)
+	c.start("PUT 1 x")
+	<-arrived
+	w.controller.publish(w.table(2, "i-2", false))
+	w.eventually("the new leader serves", func() bool { return other.ask("FETCH 1") == `COMPLETE stamp [""] / I` })
+	close(release)
+	c.gets("ERROR INDOUBT / I")
+}
+
+func TestConnectionCutBeforeAndAfterTheStatement(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c := w.connect("c")
+	for _, met := range []mishap{cutBefore, cutAfter} {
+		w.first.on(verbIs(wire.Put, met))
+		c.must("PUT 1 x", "ERROR INDOUBT / I")
+		w.first.on(verbIs(wire.Fetch, met))
+		c.must("FETCH 1", "ERROR BUSY / I")
+		w.first.on(nil)
+		c.must("BEGIN", "COMPLETE stamp / T")
+		w.first.on(verbIs(wire.Put, met))
+		c.must("PUT 2 x", "ERROR ROLLEDBACK / E")
+		c.must("PUT 2 x", "ERROR MALFORMED / E")
+		c.must("COMMIT", "ERROR ROLLEDBACK / I")
+		w.first.on(verbIs(wire.Commit, met))
+		c.must("BEGIN", "COMPLETE stamp / T")
+		c.must("FETCH 2", `COMPLETE stamp [""] / T`)
+		c.must("COMMIT", "ERROR ROLLEDBACK / I") // it wrote nothing
+		c.must("BEGIN", "COMPLETE stamp / T")
+		c.must("PUT 3 x", "COMPLETE stamp / T")
+		c.must("COMMIT", "ERROR INDOUBT / I")
+		w.first.on(nil)
+	}
+	c.must("FETCH 3", `COMPLETE stamp ["x"] / I`)
+	is.Equal(w.first.read("2"), "")
+}
+
+// A connection that ends while its transaction rests: COMMIT was never sent.
+func TestConnectionCutWhileTheTransactionRests(t *testing.T) {
+	w := startWorld(t)
+	c := w.connect("c")
+	c.must("BEGIN", "COMPLETE stamp / T")
+	c.must("PUT 1 x", "COMPLETE stamp / T")
+	w.first.cutAll()
+	time.Sleep(20 * time.Millisecond)
+	c.must("COMMIT", "ERROR ROLLEDBACK / I")
+	c.must("FETCH 1", `COMPLETE stamp [""] / I`) // on a new connection, although the old one was idle
+}
+
+func TestIdleConnectionThatEndedIsNotUsed(t *testing.T) {
+	w := startWorld(t)
+	c := w.connect("c")
+	c.must("PUT 1 x", "COMPLETE stamp / I")
+	w.first.cutAll()
+	time.Sleep(20 * time.Millisecond)
+	c.must("PUT 1 y", "COMPLETE stamp / I")
+}
+
+func TestRefusalsOfAnInstance(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c := w.connect("c")
+	w.first.on(verbIs(wire.Put, refuseIt))
+	c.must("PUT 1 x", "ERROR BUSY / I")
+	is.Equal(len(w.first.asked()), 2) // the route allows two attempts, and BUSY means not run
+	c.must("BEGIN", "COMPLETE stamp / T")
+	c.must("PUT 1 x", "ERROR BUSY / E")
+	is.Equal(len(w.first.asked()), 4) // inside a transaction there is one
+	c.must("ABORT", "COMPLETE - / I")
+	w.first.on(nil)
+
+	w.first.mutex.Lock()
+	w.first.most = 1
+	w.first.mutex.Unlock()
+	c.must("BEGIN", "COMPLETE stamp / T")
+	other := w.connect("o")
+	other.must("PUT 2 x", "ERROR BUSY / I")
+	c.must("COMMIT", "COMPLETE stamp / I")
+	other.must("PUT 2 x", "COMPLETE stamp / I")
+}
+
+func TestStatementThatTakesTooLong(t *testing.T) {
+	w := startWorld(t)
+	hasty := w.table(2, "i-1", false)
+	hasty.ConfigurationNumber = 8
+	hasty.Configuration = []byte(strings.Replace(string(configurationOf(8, "shop")), `"timeoutMs":3000`, `"timeoutMs":100`, 1))
+	w.controller.publish(hasty)
+	w.eventually("the table is applied", func() bool { return w.controller.applied(2) })
+	c := w.connect("c")
+	meet, _, release := hold(wire.Put)
+	w.first.on(meet)
+	defer close(release)
+	c.must("PUT 1 x", "ERROR TIMEOUT / I")
+	c.must("BEGIN", "COMPLETE stamp / T")
+	c.must("PUT 1 x", "ERROR TIMEOUT / E")
+	c.must("ABORT", "COMPLETE - / I")
+}
+
+func TestTransactionThatRestsForTooLong(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c := w.connect("c")
+	c.must("BEGIN", "COMPLETE stamp / T")
+	c.must("PUT 1 x", "COMPLETE stamp / T")
+	w.eventually("the transaction is rolled back", func() bool { return slices.Contains(w.first.texts(), "- ABORT") })
+	c.must("PUT 1 y", "ERROR ROLLEDBACK / E")
+	c.must("ABORT", "COMPLETE - / I")
+	c.must("PUT 1 z", "COMPLETE stamp / I")
+	is.Equal(w.first.read("1"), "z")
+}
+
+func TestOrderedEnd(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	resting, committing, idle, asking := w.connect("r"), w.connect("c"), w.connect("i"), w.connect("a")
+	idle.must("FETCH 1", `COMPLETE stamp [""] / I`)
+	resting.must("BEGIN", "COMPLETE stamp / T")
+	committing.must("BEGIN", "COMPLETE stamp / T")
+	committing.must("PUT 1 x", "COMPLETE stamp / T")
+	begun := time.Now()
+	close(w.terminate)
+	w.eventually("it isn't ready", func() bool { return w.readiness() == http.StatusServiceUnavailable })
+	idle.must("FETCH 1", `COMPLETE stamp [""] / I`) // it serves on
+	w.connect("n").must("FETCH 1", `COMPLETE stamp [""] / I`)
+	committing.must("PUT 2 x", "COMPLETE stamp / T")
+	committing.must("COMMIT", "COMPLETE stamp / I")
+
+	meet, arrived, release := hold(wire.Fetch)
+	w.first.on(meet)
+	asking.start("FETCH 1")
+	<-arrived
+	is.Equal(idle.answer(), "end") // after half of the grace, which is shorter here than the platform's notice
+	is.True(time.Since(begun) >= time.Second)
+	resting.must("FETCH 1", "ERROR ROLLEDBACK / E")
+	resting.must("ABORT", "COMPLETE - / I")
+	is.Equal(resting.answer(), "end")
+	close(release)
+	asking.gets(`COMPLETE stamp ["x"] / I`) // what is under way is answered
+	is.Equal(asking.answer(), "end")
+	<-w.ended
+	is.True(time.Since(begun) < 2*time.Second)
+	is.True(w.controller.saidGoodbye())
+}
