Registry: silences bear looks that are a second apart

Cause: the guard against having stood still counted only looks for lost instances and a quarter of the time to a loss; looks a second apart could have begun all silences anew for ever.

--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -35,6 +35,7 @@
 
 // Heartbeat takes a heartbeat. The transaction gets what all gateways must know of it.
 func (r *Registry) Heartbeat(now time.Duration, tx *state.Transaction, beat Heartbeat) Taken {
+	r.silence.pass(now)
 	fresh := r.take(now, tx, beat)
 	return Taken{Fresh: fresh, Changed: tx.InstanceChanged(beat.InstanceID)}
 }
@@ -121,6 +122,7 @@
 // Heard takes other evidence that an instance is alive, such as the answer to a probe. It does not bring back one that
 // left.
 func (r *Registry) Heard(now time.Duration, id string) {
+	r.silence.pass(now)
 	r.sighting(id).heard = now
 }
 
--- a/control/registry/scenario_test.go
+++ b/control/registry/scenario_test.go
@@ -24,11 +24,12 @@
 //	freeze                 nothing: the controller stood still since the line before
 //	show                   each recorded instance: ID=STATE, with @ADDRESS while it is here
 //
-// "uncommitted" before a command drops what it changed. Between lines the registry looks for lost instances every tick.
+// "uncommitted" before a command drops what it changed. Between lines the registry looks for lost instances every tick,
+// as a controller does.
 
 const (
 	scenarioLost = 5 * time.Second
-	scenarioTick = 50 * time.Millisecond
+	scenarioTick = time.Second
 )
 
 func TestScenarios(t *testing.T) {
--- a/control/registry/silence.go
+++ b/control/registry/silence.go
@@ -6,15 +6,18 @@
 	"eiderway/control/state"
 )
 
-// checksPerLoss is how often within lostAfter the instances are looked at while some of them are silent, and the
-// fraction of lostAfter for which this process may have stood still without doubt that others were silent.
+// checksPerLoss is how often within lostAfter the instances are looked at while some of them are silent.
 const checksPerLoss = 4
 
+// stillstandsPerLoss is the part of lostAfter for which nothing may reach the registry without doubt that the instances
+// were silent. Expire must be called clearly more often than that.
+const stillstandsPerLoss = 2
+
 // silence measures how long instances were silent, and spares looking at them before one can be lost.
 type silence struct {
 	lostAfter time.Duration
 	since     time.Duration // nobody counts as silent for longer than since then
-	last      time.Duration // when the time was looked at last
+	last      time.Duration // when something reached the registry last
 	next      time.Duration // no instance can be lost before
 }
 
@@ -22,18 +25,15 @@
 	return silence{lostAfter: lostAfter, since: now, last: now, next: now + lostAfter}
 }
 
-// due lets time pass and tells whether an instance may be lost. If this process stood still, what others sent meanwhile
-// may still wait to be read, and all silences begin anew.
-func (s *silence) due(now time.Duration) bool {
-	if now-s.last > s.step() {
+// pass lets time pass. If this process stood still, what others sent meanwhile may still wait to be read, and all silences
+// begin anew.
+func (s *silence) pass(now time.Duration) {
+	if now-s.last > s.lostAfter/stillstandsPerLoss {
 		s.since = now
 	}
 	s.last = now
-	return now >= s.next
 }
 
-func (s *silence) step() time.Duration { return s.lostAfter / checksPerLoss }
-
 // lostAt returns when an instance that was last heard at this time is lost.
 func (s *silence) lostAt(heard time.Duration) time.Duration {
 	return max(heard, s.since) + s.lostAfter
@@ -41,8 +41,10 @@
 
 // Expire records that instances have left which have been silent for too long, and returns their ids, sorted. The leader
 // of a service, and one that is to become leader, stays: what becomes of it is for the failover of the service to decide.
+// It is to be called regularly, several times within lostAfter, and costs little when nothing is due.
 func (r *Registry) Expire(now time.Duration, tx *state.Transaction) []string {
-	if !r.silence.due(now) {
+	r.silence.pass(now)
+	if now < r.silence.next {
 		return nil
 	}
 	var lost []string
@@ -57,7 +59,7 @@
 			r.silence.next = min(r.silence.next, lostAt)
 			continue
 		}
-		r.silence.next = min(r.silence.next, now+r.silence.step())
+		r.silence.next = min(r.silence.next, now+r.lostAfter/checksPerLoss)
 		if _, keep := kept[instance.ID]; !keep {
 			r.putLeft(tx, instance, true)
 			lost = append(lost, instance.ID)
