Host: a refusing disk is logged once, another incarnation's disk is never written

Cause: a disk that refuses writes but opens again would log at each try, and a disk that came back as another incarnation took writes until the process ended. Change: one line when writes begin to fail and one when they succeed; pauses grow until then; a foreign disk stops the writer. Tests for these, for orders of the platform, derived settings, slow senders.

--- a/host/disk.go
+++ b/host/disk.go
@@ -40,11 +40,13 @@
 	wake     chan struct{}           // holds one token while there is something to look at
 	stopping chan struct{}
 	ended    chan struct{}
+	pause    time.Duration // before the store is opened again; 0: the last write succeeded. The writer's own
 
 	mutex   sync.Mutex
 	queue   []replication.Write
 	refused bool // a write failed, and the controller has not been told yet
 	busy    bool // a transaction is under way
+	foreign bool // the disk holds another incarnation now
 }
 
 func newDiskWriter(store diskStore, self quorum.Incarnation, inbox *mailbox, log logrus.FieldLogger, counters *counters, lost context.CancelCauseFunc) *diskWriter {
@@ -115,7 +117,7 @@
 func (d *diskWriter) next() []replication.Write {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.refused {
+	if d.refused || d.foreign {
 		return nil
 	}
 	writes := d.queue
@@ -126,19 +128,31 @@
 
 func (d *diskWriter) write(writes []replication.Write) {
 	err := d.store.Apply(writes)
+	d.noteState(err)
+	d.finish(err != nil)
 	if err == nil {
-		d.finish(false)
 		d.counters.diskWrites.Add(1)
 		d.inbox.post(controller.Persisted{Write: writes[len(writes)-1].Number})
 		return
 	}
 	d.counters.diskFailures.Add(1)
-	d.log.WithError(err).Warn("disk: a write failed; nothing is acknowledged until the store is open again")
-	d.finish(true)
 	d.inbox.post(controller.DiskFailed{Write: writes[0].Number})
 	d.reopen()
 }
 
+// noteState logs when the disk begins to refuse writes and when it takes them again, not each failure in between.
+func (d *diskWriter) noteState(err error) {
+	wasFailing := d.pause > 0
+	switch {
+	case err == nil && wasFailing:
+		d.pause = 0
+		d.log.Info("disk: writes succeed again")
+	case err != nil && !wasFailing:
+		d.pause = reopenPauseFirst
+		d.log.WithError(err).Warn("disk: a write failed; nothing is acknowledged until one succeeds")
+	}
+}
+
 func (d *diskWriter) finish(refused bool) {
 	d.mutex.Lock()
 	d.busy = false
@@ -146,28 +160,27 @@
 	d.mutex.Unlock()
 }
 
-// reopen tries until the store is open or the writer is to stop.
+// reopen tries until the store is open or the writer is to stop. The pauses grow until a write succeeds.
 func (d *diskWriter) reopen() {
-	pause := reopenPauseFirst
-	for {
-		if !d.sleep(pause) {
-			return
-		}
+	for d.sleep(d.pause) {
+		d.pause = min(2*d.pause, reopenPauseMost)
 		durable, err := d.store.Reopen()
-		if err == nil {
-			d.opened(durable.Incarnation)
-			return
+		if err != nil {
+			continue
+		}
+		if durable.Incarnation != d.self {
+			d.giveUp()
 		}
-		pause = min(2*pause, reopenPauseMost)
+		return
 	}
 }
 
-func (d *diskWriter) opened(found quorum.Incarnation) {
-	if found != d.self {
-		d.lost(errOtherDisk)
-		return
-	}
-	d.log.Info("disk: the store is open again")
+// giveUp ends the process. Until then nothing is written to the disk of another incarnation.
+func (d *diskWriter) giveUp() {
+	d.mutex.Lock()
+	d.foreign = true
+	d.mutex.Unlock()
+	d.lost(errOtherDisk)
 }
 
 // sleep waits, and tells whether it was not disturbed by the end of the writer.
--- a/host/disk_test.go
+++ b/host/disk_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"eiderway/control/controller"
 	"eiderway/control/replication"
@@ -27,6 +30,15 @@
 	}
 }
 
+// stallDisk makes each transaction that begins from now on wait for the release.
+func (r *rig) stallDisk(t *testing.T) (release func()) {
+	stall := make(chan struct{})
+	r.store.set(func(m *memoryStore) { m.stall = stall })
+	release = sync.OnceFunc(func() { close(stall) })
+	t.Cleanup(release)
+	return release
+}
+
 func (r *rig) makeWrite() { r.loop.inbox.post(controller.Fetch{}) }
 
 // nextHeld returns the number of the write of the next message that was held back for one.
@@ -42,8 +54,7 @@
 func TestMessageLeavesOnceItsWriteIsSafe(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, rigOptions{answer: writesOnRequest()})
-	stall := make(chan struct{})
-	r.store.set(func(m *memoryStore) { m.stall = stall })
+	release := r.stallDisk(t)
 	r.makeWrite()
 	receive(t, r.store.applying)
 	is.Equal(receive(t, r.sent).To, "unheld")
@@ -57,7 +68,7 @@
 	receive(t, r.controller.ticks)
 	is.Equal(len(r.sent), 0)
 
-	close(stall)
+	release()
 	is.Equal(r.nextHeld(t), uint64(1))
 	is.Equal(r.nextHeld(t), uint64(2))
 	is.Equal(r.nextHeld(t), uint64(3))
@@ -69,8 +80,8 @@
 func TestRefusedWriteIsToldAndForgotten(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, rigOptions{answer: writesOnRequest()})
-	stall := make(chan struct{})
-	r.store.set(func(m *memoryStore) { m.stall, m.applyError = stall, errDisk })
+	release := r.stallDisk(t)
+	r.store.set(func(m *memoryStore) { m.applyError = errDisk })
 	r.makeWrite()
 	receive(t, r.store.applying)
 	r.makeWrite() // handed out before the controller hears of the failure: refused as well
@@ -78,7 +89,7 @@
 		wait[controller.Fetch](t, r.controller)
 	}
 	r.store.set(func(m *memoryStore) { m.stall, m.applyError, m.reopenError = nil, nil, errDisk })
-	close(stall)
+	release()
 	is.Equal(wait[controller.DiskFailed](t, r.controller).Write, uint64(1))
 	r.makeWrite()
 
@@ -91,19 +102,44 @@
 	is.Equal(r.counters.diskFailures.Load(), uint64(1))
 }
 
+func TestDiskThatKeepsRefusingIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, rigOptions{answer: writesOnRequest()})
+	logger, lines := test.NewNullLogger()
+	r.loop.disk.log = logger
+	r.store.set(func(m *memoryStore) { m.applyError = errDisk })
+	for range 3 { // the store opens again each time, and the next write is refused
+		r.makeWrite()
+		wait[controller.DiskFailed](t, r.controller)
+		receive(t, r.store.reopened)
+	}
+	r.store.set(func(m *memoryStore) { m.applyError = nil })
+	r.makeWrite()
+	wait[controller.Persisted](t, r.controller)
+	r.stop()
+	is.Equal(len(lines.AllEntries()), 2)
+	is.Equal(lines.AllEntries()[0].Level, logrus.WarnLevel)
+	is.Equal(lines.AllEntries()[1].Level, logrus.InfoLevel)
+}
+
 func TestAnotherIncarnationOnTheDiskEndsTheProcess(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, rigOptions{answer: writesOnRequest()})
 	r.store.set(func(m *memoryStore) { m.applyError, m.found = errDisk, "another" })
 	r.makeWrite()
 	is.Equal(receive(t, r.lost), errOtherDisk)
+	wait[controller.DiskFailed](t, r.controller)
+	r.store.set(func(m *memoryStore) { m.applyError = nil })
+	r.makeWrite()
+	wait[controller.Fetch](t, r.controller)
+	r.stop()
+	is.Equal(len(r.store.numbers()), 0) // nothing is written there
 }
 
 func TestStoppingWriterFinishesWhatWaits(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, rigOptions{answer: writesOnRequest()})
-	stall := make(chan struct{})
-	r.store.set(func(m *memoryStore) { m.stall = stall })
+	release := r.stallDisk(t)
 	r.makeWrite()
 	receive(t, r.store.applying)
 	r.makeWrite()
@@ -111,7 +147,7 @@
 		wait[controller.Fetch](t, r.controller)
 	}
 	r.store.set(func(m *memoryStore) { m.stall = nil })
-	close(stall)
+	release()
 	r.stop()
 	is.Equal(r.store.numbers(), [][]uint64{{1}, {2}})
 }
--- /dev/null
+++ b/host/process_test.go
@@ -0,0 +1,114 @@
+package host
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eiderway/control/controller"
+	"eiderway/system"
+)
+
+func exampleSettings() system.Settings {
+	return system.Settings{
+		Name:           "core-1",
+		Serves:         []string{system.ServesControlPlane},
+		IPAddress:      "10.0.0.1",
+		Zone:           "z",
+		Listen:         system.ListenAddresses{Control: "10.0.0.1:8782"},
+		InternalPorts:  []int{7440, 7455},
+		Seeds:          []string{"10.0.0.1:8782", "10.0.0.2:8782"},
+		BeatIntervalMs: 2000,
+		FaultTolerance: system.FaultTolerance{Machines: 1},
+		Bounds:         system.Bounds{GraceS: 0.05, FenceChecked: true},
+		PlatformAPI:    &system.PlatformAPI{Address: "10.0.0.9:80", DutyPerS: 50},
+	}
+}
+
+func TestControllerSettings(t *testing.T) {
+	is := is.New(t)
+	derived := ControllerSettings(exampleSettings())
+	is.Equal(derived.Replication.Self.Address, "10.0.0.1:7440")
+	is.Equal(derived.Replication.Self.Control, "10.0.0.1:8782")
+	is.Equal(derived.Replication.Seeds, []string{"10.0.0.1:7440", "10.0.0.2:7440"})
+	is.Equal(derived.Replication.Tolerance, 1)
+	is.Equal(derived.Failover.Holder, "core-1")
+	is.True(derived.Failover.FenceChecked)
+	is.Equal(derived.Failover.CallsPerS, 25.0)
+	is.Equal(derived.InstanceLost, 16*time.Second)
+	is.True(derived.WatchWait < derived.Lease)
+}
+
+// newOrderedProcess is a process of which only what follows the platform's orders runs.
+func newOrderedProcess(t *testing.T, boot Boot) *process {
+	t.Helper()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	p := &process{boot: boot, inbox: newMailbox(mailboxLimit), parent: t.Context(), ctx: ctx, cancel: cancel}
+	p.background.Go(p.followOrders)
+	t.Cleanup(func() {
+		cancel(nil)
+		p.background.Wait()
+	})
+	return p
+}
+
+func TestTerminateIsPassedOnAndBounded(t *testing.T) {
+	is := is.New(t)
+	terminate := make(chan struct{})
+	p := newOrderedProcess(t, Boot{Settings: exampleSettings(), Terminate: terminate})
+	close(terminate)
+	receive(t, p.inbox.ready)
+	is.Equal(p.inbox.take(nil), []controller.Input{controller.Terminate{}})
+	receive(t, p.ctx.Done()) // a controller that never may end is ended within its grace
+	is.Equal(context.Cause(p.ctx), errGraceOver)
+	is.NoErr(p.failure())
+}
+
+func TestReloadPassesTheSeedsOn(t *testing.T) {
+	is := is.New(t)
+	reload := make(chan system.Settings)
+	p := newOrderedProcess(t, Boot{Settings: exampleSettings(), Reload: reload})
+	changed := exampleSettings()
+	changed.Seeds = []string{"10.0.0.7:8782"}
+	reload <- changed
+	receive(t, p.inbox.ready)
+	is.Equal(p.inbox.take(nil), []controller.Input{controller.SeedsChanged{Seeds: []string{"10.0.0.7:7440"}}})
+}
+
+func TestAFaultIsTheProcessesError(t *testing.T) {
+	is := is.New(t)
+	p := newOrderedProcess(t, Boot{})
+	p.cancel(errOtherDisk)
+	is.Equal(p.failure(), errOtherDisk)
+}
+
+func TestDescriptorsAreShared(t *testing.T) {
+	is := is.New(t)
+	is.Equal(connectionLimitsOf(4096), connectionLimits{control: 874, internal: 2622})
+	small := connectionLimitsOf(0)
+	is.True(small.control > 0 && small.control+small.internal < defaultDescriptors-fileDescriptors)
+}
+
+func TestSlowSenderIsCut(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, rigOptions{answer: mirror})
+	server := newHTTPServer(r.front, quietLog())
+	server.ReadTimeout = 50 * time.Millisecond
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	defer func() {
+		is.NoErr(server.Close())
+		receive(t, ended)
+	}()
+	slow := begin(t, listener.Addr().String(), "POST /config/replace HTTP/1.1\r\nHost: c\r\nContent-Length: 100\r\n\r\nhalf")
+	answer, err := io.ReadAll(slow) // ends only because the server closes
+	is.NoErr(err)
+	is.True(len(answer) > 0)
+	is.Equal(len(r.controller.told), 0)
+}
