--- a/control/store/refused_test.go
+++ b/control/store/refused_test.go
@@ -3,9 +3,11 @@
 package store
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"syscall"
 	"testing"
 	"unsafe"
@@ -15,6 +17,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	"go.etcd.io/bbolt"
 
+	"eiderway/control/quorum"
 	"eiderway/control/replication"
 )
 
@@ -208,3 +211,31 @@
 	is.Equal(found, state)
 	is.NoErr(store.Close())
 }
+
+// BenchmarkApply writes the record of one instance, and the stamp, to a state of usual size.
+func BenchmarkApply(b *testing.B) {
+	written, calls := 0, 0
+	store, _, err := Open(b.TempDir(), Options{Log: silent(), opened: func(database *bbolt.DB, _ *os.File) {
+		hook := writeHook(database)
+		real := *hook
+		*hook = func(data []byte, offset int64) (int, error) {
+			calls++
+			written += len(data)
+			return real(data, offset)
+		}
+	}})
+	must(err)
+	must(store.Apply(script()[3]))
+	must(store.Apply(script()[5]))
+	written, calls = 0, 0
+	b.ReportAllocs()
+	for round := range b.N {
+		must(store.Apply([]replication.Write{{
+			Stamp:     &quorum.Stamp{Epoch: 3, Sequence: uint64(round)},
+			Mutations: []replication.Mutation{put(fmt.Sprintf("instance/%04d", round%300), strings.Repeat("fresh", 20))},
+		}}))
+	}
+	b.ReportMetric(float64(written)/float64(b.N), "written-B/op")
+	b.ReportMetric(float64(calls)/float64(b.N), "writes/op")
+	must(store.Close())
+}
