--- a/control/replication/election.go
+++ b/control/replication/election.go
@@ -349,9 +349,7 @@
 	n.candidacy = nil
 	n.fetch = nil
 	n.owed = nil
-	if !n.guards.promiseForgotten {
-		n.writeRecord()
-	}
+	n.writeRecord()
 	n.leader = leaderSeen{member: candidate, epoch: epoch, heard: n.now, known: true}
 	n.silentSince = n.now
 }
--- a/control/replication/node.go
+++ b/control/replication/node.go
@@ -36,7 +36,7 @@
 	candidacy   *candidacy
 	leadership  *leadership
 	fetch       *fetch
-	serving     *serving
+	serving     []*serving // oldest first
 	owed        *owedAnswer
 	joining     joining
 	leaving     leaving
@@ -55,7 +55,6 @@
 	anyVoterLeads     bool // a candidate's own state serves, though it is no copy of the newest accepted view
 	foundingRepeats   bool // an empty disk is enough to take part in founding
 	viewBeforeRestamp bool // the first view of an epoch is proposed before the state is synced
-	promiseForgotten  bool // a promise is not written at all
 }
 
 // leaderSeen is the primary, or candidate with a majority's promises, that a node follows.
@@ -159,7 +158,7 @@
 	n.retryDisk()
 	n.payOwedAnswer()
 	n.tickFetch()
-	n.dropIdleSnapshot()
+	n.dropIdleSnapshots()
 	if n.leadership != nil {
 		n.tickLeadership()
 	} else {
--- a/control/replication/primary.go
+++ b/control/replication/primary.go
@@ -43,7 +43,7 @@
 	roundAt   time.Duration
 	pending   *pendingChange
 	confirms  []pendingConfirm
-	replacing []replacement
+	successor []time.Duration // when newcomers were added for which a silent voter may give way
 }
 
 // pendingChange is the change under way.
@@ -228,7 +228,7 @@
 		if !one.answered {
 			return nil, nil // its promise may be missing; it will say where it is
 		}
-		served := n.snapshot()
+		served := n.offered()
 		n.noteSent(one, latest)
 		return nil, &SnapshotOffer{Stamp: served.stamp, Pieces: served.pieces()}
 	}
--- a/control/replication/snapshot.go
+++ b/control/replication/snapshot.go
@@ -18,6 +18,8 @@
 	fetchLostAfter = 2 * time.Second
 	// snapshotIdleAfter frees a snapshot that nobody fetches any more.
 	snapshotIdleAfter = 5 * time.Second
+	// servedSnapshots: who fetches slowly goes on with an older one while others begin with the newest.
+	servedSnapshots = 2
 )
 
 var errSnapshotCutOff = eris.New("replication: a snapshot ends in the middle of an entry")
@@ -87,34 +89,59 @@
 	return in[used:end:end], in[end:], nil
 }
 
-// snapshot returns the one being served, or a new one if changes no longer lead from it to the present state.
-func (n *Node) snapshot() *serving {
-	if n.serving == nil || !n.leadsOn(n.serving.stamp) {
-		n.serving = &serving{stamp: n.history.stamp, bytes: encodeEntries(n.history.list(""))}
+// offered is a snapshot from which it is worthwhile to go on with changes: the newest that is served, or a new one.
+func (n *Node) offered() *serving {
+	if count := len(n.serving); count > 0 {
+		newest := n.serving[count-1]
+		changes, leads := n.changesAfter(newest.stamp)
+		if leads && n.history.worthwhile(changes) {
+			return newest
+		}
+	}
+	made := &serving{stamp: n.history.stamp, bytes: encodeEntries(n.history.list("")), used: n.now}
+	n.serving = append(n.serving, made)
+	if len(n.serving) > servedSnapshots {
+		n.serving = n.serving[1:]
 	}
-	n.serving.used = n.now
-	return n.serving
+	return made
 }
 
-func (n *Node) leadsOn(stamp quorum.Stamp) bool {
+// served is the snapshot asked for, as long as changes lead on from it.
+func (n *Node) served(stamp quorum.Stamp) *serving {
+	for _, one := range n.serving {
+		if one.stamp != stamp {
+			continue
+		}
+		if _, leads := n.changesAfter(stamp); leads {
+			return one
+		}
+	}
+	return n.offered()
+}
+
+// changesAfter returns the changes that lead from a snapshot to the present state. A candidate, to whom a voter shows the
+// state that it promised, gets no changes after it.
+func (n *Node) changesAfter(stamp quorum.Stamp) ([]Change, bool) {
 	if n.leadership == nil {
-		return stamp == n.history.stamp // a candidate gets no changes after it
+		return nil, stamp == n.history.stamp
 	}
 	if stamp.Epoch != n.leadership.epoch {
-		return false
-	}
-	changes, kept := n.history.since(stamp)
-	if !kept {
-		return false
+		return nil, false
 	}
-	inUse := n.now-n.serving.used <= fetchLostAfter
-	return inUse || n.history.worthwhile(changes)
+	return n.history.since(stamp)
 }
 
-func (n *Node) dropIdleSnapshot() {
-	if n.serving != nil && n.now-n.serving.used > snapshotIdleAfter {
-		n.serving = nil
+func (n *Node) dropIdleSnapshots() {
+	if len(n.serving) == 0 {
+		return
+	}
+	kept := n.serving[:0:0]
+	for _, one := range n.serving {
+		if n.now-one.used <= snapshotIdleAfter {
+			kept = append(kept, one)
+		}
 	}
+	n.serving = kept
 }
 
 // onFetch serves a member that follows this node, or a candidate that has this node's promise.
@@ -125,7 +152,8 @@
 		n.drop()
 		return
 	}
-	served := n.snapshot()
+	served := n.served(message.Fetch.Stamp)
+	served.used = n.now
 	index := message.Fetch.Index
 	if message.Fetch.Stamp != served.stamp || index < 0 || index >= served.pieces() {
 		index = 0
--- a/control/replication/views.go
+++ b/control/replication/views.go
@@ -17,9 +17,6 @@
 	mostLearners = 16
 )
 
-// replacement is a silent voter that gives way to one that was added.
-type replacement struct{ old, successor quorum.Incarnation }
-
 // proposeFirstView proposes the view (epoch, 0): the voters are unchanged, and the copies are those that have the state.
 func (n *Node) proposeFirstView() {
 	lead := n.leadership
@@ -155,32 +152,42 @@
 		return n.viewWith(view, learner), true
 	}
 	for _, member := range view.Voters {
-		if n.givesWay(view, member) {
-			return without(view, member.Incarnation), true
+		if !n.givesWay(view, member) {
+			continue
+		}
+		if successors := n.leadership.successor; len(successors) > 0 {
+			n.leadership.successor = successors[1:]
 		}
+		return without(view, member.Incarnation), true
 	}
 	return view, false
 }
 
+func atAddress(members []quorum.Member, address string) bool {
+	for _, member := range members {
+		if member.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // nextCopies leaves out copies that lag or leave and lets in voters that have the state, as far as the floor allows.
 func (n *Node) nextCopies(view quorum.View) ([]quorum.Incarnation, bool) {
 	var wanted, grown []quorum.Incarnation
 	added := false
 	for _, member := range view.Voters {
 		incarnation := member.Incarnation
-		has := view.HasCopy(incarnation)
-		keep := n.keepsCopy(incarnation)
-		if !has && n.mayBecomeCopy(view, incarnation) {
-			added = true
-			wanted = append(wanted, incarnation)
-			grown = append(grown, incarnation)
-			continue
-		}
-		if !has {
+		if !view.HasCopy(incarnation) {
+			if n.mayBecomeCopy(view, incarnation) {
+				added = true
+				wanted = append(wanted, incarnation)
+				grown = append(grown, incarnation)
+			}
 			continue
 		}
 		grown = append(grown, incarnation)
-		if keep {
+		if n.keepsCopy(incarnation) {
 			wanted = append(wanted, incarnation)
 		}
 	}
@@ -202,13 +209,18 @@
 	limit := n.settings.Timing.CopyLostAfter
 	silent := n.now-one.heard > limit
 	slow := one.behind && n.now-one.behindSince > limit
-	if slow && !silent && n.now >= one.heldOff {
+	if slow && n.heardLately(one) && n.now >= one.heldOff { // it lives, so its disk is to blame
 		one.penalty = min(max(2*one.penalty, firstPenalty), lastPenalty)
 		one.heldOff = n.now + one.penalty
 	}
 	return !silent && !slow
 }
 
+// heardLately tells that hardly an answer is missing.
+func (n *Node) heardLately(one *follower) bool {
+	return n.now-one.heard <= 2*n.settings.Timing.Heartbeat
+}
+
 // mayBecomeCopy tells that the voter has the newest state on disk. One whose disk was too slow waits, unless it is needed.
 func (n *Node) mayBecomeCopy(view quorum.View, incarnation quorum.Incarnation) bool {
 	one := n.leadership.follower(incarnation)
@@ -239,19 +251,10 @@
 	return nil
 }
 
-// viewWith adds a voter that is a copy too, and marks the voter that gives way to it.
+// viewWith adds a voter that is a copy too. Unless it takes the place of one at its address, another may give way to it.
 func (n *Node) viewWith(view quorum.View, one *follower) quorum.View {
-	for _, member := range view.Voters {
-		if member.Incarnation == n.self.Incarnation {
-			continue
-		}
-		if n.silence(member.Incarnation) > n.settings.Timing.ReplaceAfter && !n.isReplaced(member.Incarnation) {
-			n.leadership.replacing = append(n.leadership.replacing, replacement{
-				old:       member.Incarnation,
-				successor: one.member.Incarnation,
-			})
-			break
-		}
+	if !atAddress(view.Voters, one.member.Address) {
+		n.leadership.successor = append(n.leadership.successor, n.now)
 	}
 	voters := append([]quorum.Member{}, view.Voters...)
 	view.Voters = append(voters, one.member)
@@ -289,7 +292,7 @@
 	if len(view.Voters) <= n.leastVoters() {
 		return false
 	}
-	if n.isReplaced(member.Incarnation) && silence > timing.ReplaceAfter {
+	if n.hasSuccessor() && silence > timing.ReplaceAfter {
 		return true
 	}
 	one := n.leadership.follower(member.Incarnation)
@@ -326,13 +329,13 @@
 	return n.now - one.heard
 }
 
-func (n *Node) isReplaced(incarnation quorum.Incarnation) bool {
-	for _, one := range n.leadership.replacing {
-		if one.old == incarnation {
-			return true
-		}
+// hasSuccessor tells that a newcomer was added lately, and nobody has given way to it yet.
+func (n *Node) hasSuccessor() bool {
+	lead := n.leadership
+	for len(lead.successor) > 0 && n.now-lead.successor[0] > n.settings.Timing.VoterLostAfter {
+		lead.successor = lead.successor[1:]
 	}
-	return false
+	return len(lead.successor) > 0
 }
 
 // hasSuccessorAtAddress tells that another voter, lately heard, has the same address: the old disk is gone.
--- a/control/replication/world_test.go
+++ b/control/replication/world_test.go
@@ -82,28 +82,29 @@
 type linkName struct{ from, to string }
 
 type world struct {
-	now       time.Duration
-	agenda    agenda
-	order     uint64
-	random    *rand.Rand
-	machines  []*machine
-	byAddress map[string]*machine
-	lost      []Durable // disks that are gone
-	cut       map[linkName]bool
-	loss      float64
-	doubled   float64
-	late      float64
-	tolerance int
-	seeds     []string
-	guards    disabledGuards
-	sameWord  bool // a lost disk comes back with the same incarnation: only to show what that would do
-	judge     judge
-	client    bool // orders and questions keep coming
-	requests  uint64
-	messages  int
-	bytes     func(Message) int
-	sentBytes int
-	trace     func(string)
+	now        time.Duration
+	agenda     agenda
+	order      uint64
+	random     *rand.Rand
+	machines   []*machine
+	byAddress  map[string]*machine
+	lost       []Durable // disks that are gone
+	cut        map[linkName]bool
+	loss       float64
+	doubled    float64
+	late       float64
+	tolerance  int
+	seeds      []string
+	guards     disabledGuards
+	sameWord   bool // a lost disk comes back with the same incarnation: only to show what that would do
+	judge      judge
+	client     bool // orders and questions keep coming
+	orderBytes int
+	requests   uint64
+	messages   int
+	bytes      func(Message) int
+	sentBytes  int
+	trace      func(string)
 }
 
 func newWorld(seed int64, count, seeds, tolerance int, guards disabledGuards) *world {
@@ -461,7 +462,7 @@
 	w.judge.ordered(w.requests)
 	key := fmt.Sprintf("order/%06d", w.requests)
 	w.step(one, Propose{Request: w.requests, Mutations: []Mutation{
-		{Key: key, Value: []byte(key)},
+		{Key: key, Value: make([]byte, max(w.orderBytes, 1))},
 		{Key: "newest", Value: []byte(key)},
 	}})
 }
@@ -637,6 +638,11 @@
 		w.judge.fail(w, "no order was acknowledged within %s after the trouble: %s", limit, w.describe())
 		return
 	}
+	w.check()
+}
+
+// check looks for every acknowledged order at the primary, if there is one.
+func (w *world) check() {
 	leads := w.primary()
 	if leads == nil {
 		return
