Controller: a gateway that has gone gets no lease; no 404 before the first order

Cause: an abandoned question was answered later and counted as a lease, which only delays a failover; 404 ends an operator's call, though the first order may be on its way. Change: Abandon takes the question out; GET before any configuration is answered 503.

--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -99,7 +99,7 @@
 	case Watch:
 		c.takeWatch(in)
 	case Abandon:
-		c.calls.drop(in.Call)
+		c.abandon(in.Call)
 	case Probed:
 		c.takeProbe(in)
 	case PlatformCalled:
@@ -158,7 +158,6 @@
 		confirmed: c.now,
 		freezes:   map[string]freeze{},
 	}
-	c.event("primary", "leads epoch "+epochText(epoch))
 	c.stateChanged()
 }
 
--- a/control/controller/questions.go
+++ b/control/controller/questions.go
@@ -87,7 +87,7 @@
 func (c *Controller) answerFetch(call Call) {
 	_, body, found := state.Configuration(c.node)
 	if !found {
-		c.reply(Reply{Call: call, Status: http.StatusNotFound, Body: errorBody("no configuration has been taken yet")})
+		c.unavailable(call) // not a 4xx, which would end the call: the first order may be on its way
 		return
 	}
 	c.reply(Reply{Call: call, Status: http.StatusOK, Body: body})
--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// abandon forgets a caller who has gone.
+func (c *Controller) abandon(call Call) {
+	c.calls.drop(call)
+	if c.term == nil {
+		return
+	}
+	for index, waiting := range c.term.watches {
+		if waiting.call == call {
+			c.term.watches = append(c.term.watches[:index:index], c.term.watches[index+1:]...)
+			return
+		}
+	}
+}
+
 // answerWatches moves the questions that are due to the next confirmation.
 func (c *Controller) answerWatches() {
 	waiting := c.term.watches[:0:0]
