Controller: a gateway's lease is counted from its first answer on

Cause: a gateway's grant was made when its question came, with no lease yet, and forgotten at the end of the same step, so that giving the lease found nothing to note it in: after the first seconds of a process no lease was counted, and a freeze was reported as cleared while gateways still worked by the table before it. Change: giving a lease makes the grant; one is forgotten when its lease is over.

--- a/control/controller/grants.go
+++ b/control/controller/grants.go
@@ -39,20 +39,26 @@
 		delete(g.gateways, request.Gateway)
 		return
 	}
+	if known := g.gateways[request.Gateway]; known != nil {
+		known.apply(request.Applied)
+	}
+}
+
+// give notes that an answer with a lease leaves now.
+func (g *grants) give(now time.Duration, request feed.WatchRequest) {
 	known := g.gateways[request.Gateway]
 	if known == nil {
 		known = &grant{name: request.Name}
 		g.gateways[request.Gateway] = known
 	}
-	if known.applied.Less(request.Applied) {
-		known.applied = request.Applied
-	}
+	known.apply(request.Applied)
+	known.until = now + g.length
 }
 
-// give notes that an answer with a lease leaves now.
-func (g *grants) give(now time.Duration, gateway string) {
-	if known := g.gateways[gateway]; known != nil {
-		known.until = now + g.length
+// apply takes the word of a gateway about its table. It never goes back: an older word only came late.
+func (g *grant) apply(version feed.Version) {
+	if g.applied.Less(version) {
+		g.applied = version
 	}
 }
 
@@ -69,10 +75,10 @@
 	return true
 }
 
-// expire forgets gateways whose lease has long been over.
+// expire forgets gateways whose lease is over.
 func (g *grants) expire(now time.Duration) {
 	for id, grant := range g.gateways {
-		if grant.until+g.length < now {
+		if grant.until <= now {
 			delete(g.gateways, id)
 		}
 	}
--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -80,7 +80,7 @@
 	if watch.request.Applied.Less(c.term.table.version) {
 		answer.Table = c.term.table.forGateway(watch.request.Configuration)
 	}
-	c.term.grants.give(c.now, watch.request.Gateway)
+	c.term.grants.give(c.now, watch.request)
 	c.effects.WatchReplies = append(c.effects.WatchReplies, WatchReply{Call: watch.call, Answer: answer})
 }
 
