Controller: only its own goodbye or its end ends a gateway's lease

Cause: a word of another process under the same name ended a lease, but words of an earlier process may come late, its goodbye too: the freeze was then cleared while the later process worked on. A table of a later epoch at a gateway counted as applied though this term is over then. Change: leases are kept by process and run out; nothing is cleared once a later epoch is seen. A gateway that was killed can delay a freeze by a lease. Measured: TestEarlierProcessDoesNotEndTheLeaseOfALaterOne and TestNothingIsClearedOnceALaterEpochIsSeen failed before and pass.

--- a/control/controller/grants.go
+++ b/control/controller/grants.go
@@ -4,22 +4,26 @@
 	"time"
 
 	"eiderway/control/feed"
+	"eiderway/control/quorum"
 )
 
 // grants remembers which gateways may still work by which table.
 //
 // A gateway counts its lease from the moment it sent its question, so the lease is over, at the latest, a lease's length
 // after the answer left here. What an earlier primary has granted is over a lease's length after this term began: its
-// answers needed a confirmation that came before a majority promised this epoch.
+// answers needed a confirmation that was asked for after the question, and came before a majority promised this epoch.
+//
+// A gateway is known by its process. The lease of one that has ended without a word runs out: another process of the same
+// name is no proof, since words of an earlier process may come late.
 type grants struct {
 	length   time.Duration // of a lease, with a margin for clocks
 	heldOver time.Duration // until when leases of earlier terms may last
 	gateways map[string]*grant
+	newest   quorum.Epoch // of the tables that gateways say they work by
 }
 
 // grant is what one gateway process holds.
 type grant struct {
-	name    string
 	until   time.Duration
 	applied feed.Version
 }
@@ -28,13 +32,9 @@
 	return &grants{length: length, heldOver: now + length, gateways: map[string]*grant{}}
 }
 
-// ask notes what a gateway says it works by. Another process of the same name has ended.
+// ask notes what a gateway says it works by.
 func (g *grants) ask(request feed.WatchRequest) {
-	for id, grant := range g.gateways {
-		if id != request.Gateway && grant.name == request.Name {
-			delete(g.gateways, id)
-		}
-	}
+	g.newest = max(g.newest, request.Applied.Epoch)
 	if request.Leaving {
 		delete(g.gateways, request.Gateway)
 		return
@@ -48,7 +48,7 @@
 func (g *grants) give(now time.Duration, request feed.WatchRequest) {
 	known := g.gateways[request.Gateway]
 	if known == nil {
-		known = &grant{name: request.Name}
+		known = &grant{}
 		g.gateways[request.Gateway] = known
 	}
 	known.apply(request.Applied)
@@ -62,9 +62,10 @@
 	}
 }
 
-// cleared tells whether no gateway may work by a table older than this version any more.
+// cleared tells whether no gateway may work by a table older than this version any more. Once a table of a later epoch is
+// about, leases may have been given that aren't known here.
 func (g *grants) cleared(now time.Duration, version feed.Version) bool {
-	if now < g.heldOver {
+	if now < g.heldOver || version.Epoch < g.newest {
 		return false
 	}
 	for _, grant := range g.gateways {
--- a/control/controller/grants_test.go
+++ b/control/controller/grants_test.go
@@ -34,3 +34,46 @@
 	g.expire(now + leaseLength)
 	is.Equal(len(g.gateways), 0)
 }
+
+// Words of an earlier process of a gateway may come late, also its goodbye.
+func TestEarlierProcessDoesNotEndTheLeaseOfALaterOne(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		is := is.New(t)
+		g := newGrants(0, leaseLength)
+		now := 10 * time.Second
+		g.give(now, word("g#2", version(1)))
+		late := word("g#1", version(1))
+		late.Leaving = leaving
+		g.ask(late)
+		is.True(!g.cleared(now+time.Second, version(2)))
+	}
+}
+
+func TestGoodbyeEndsTheLease(t *testing.T) {
+	is := is.New(t)
+	g := newGrants(0, leaseLength)
+	now := 10 * time.Second
+	g.give(now, word("g#1", version(1)))
+	goodbye := word("g#1", version(1))
+	goodbye.Leaving = true
+	g.ask(goodbye)
+	is.True(g.cleared(now+time.Second, version(2)))
+}
+
+// A gateway that works by a table of a later epoch shows that this term is over.
+func TestNothingIsClearedOnceALaterEpochIsSeen(t *testing.T) {
+	is := is.New(t)
+	g := newGrants(0, leaseLength)
+	now := 10 * time.Second
+	g.give(now, word("g#1", version(1)))
+	g.ask(word("g#1", feed.Version{Epoch: 2, Sequence: 1}))
+	is.True(!g.cleared(now+time.Second, version(2)))
+	is.True(!g.cleared(now+time.Hour, version(2)))
+}
+
+func TestLeasesOfEarlierTermsAreWaitedFor(t *testing.T) {
+	is := is.New(t)
+	g := newGrants(time.Second, leaseLength)
+	is.True(!g.cleared(time.Second+leaseLength-1, version(1)))
+	is.True(g.cleared(time.Second+leaseLength, version(1)))
+}
