--- a/control/failover/call.go
+++ b/control/failover/call.go
@@ -5,18 +5,15 @@
 	"time"
 )
 
-// record waits until the intent is committed, and asks for it again if that failed.
-func (s *service) record(now time.Duration) {
-	s.probeLeader(now)
-	if s.request.number == 0 {
-		s.phase = pausing
-	}
-}
+var outcomeNames = [...]string{Accepted: "accepted", Declined: "declined", NotSent: "not sent", OutcomeUnknown: "outcome unknown"}
+
+// record waits until the intent is committed.
+func (s *service) record(now time.Duration) { s.probeAll(now, s.target(), s.leader()) }
 
 // makeCall makes the call for the target of the committed intent, at the pace that the platform bears.
 func (s *service) makeCall(now time.Duration) {
 	s.probeAll(now, s.target(), s.leader())
-	if s.reasonGone(now) && !s.callMayAct(now) {
+	if (s.reasonGone(now) || s.handOverTooLong(now)) && !s.callMayAct(now) {
 		s.giveUp(now)
 		return
 	}
@@ -36,10 +33,11 @@
 
 // called takes the outcome of a call.
 func (s *service) called(now time.Duration, result PlatformResult) {
-	s.call.number = 0
-	s.event("call ended", "%v, status %d", result.Outcome, result.Code)
+	s.call.number, s.call.endedAt = 0, now
+	s.event("call ended", "%s, status %d", outcomeNames[result.Outcome], result.Code)
 	switch result.Outcome {
 	case Accepted:
+		s.doubt = true
 		s.call.acceptedUntil = now + promoteWait
 		s.call.watchFor, s.call.next = promoteWait, now+declinedRetry
 		s.earlierCallsVoid()
@@ -49,6 +47,7 @@
 	case NotSent:
 		s.call.watchFor, s.call.next = s.watchOfEarlier(now), now+notSentRetry
 	default:
+		s.doubt = true
 		s.call.unknownUntil, s.call.ownUnknown = now+s.settings().LateCall, true
 		s.call.watchFor, s.call.next = promoteWait, now+declinedRetry
 	}
@@ -80,7 +79,7 @@
 	if s.installIfLed(now) || s.call.number != 0 {
 		return
 	}
-	if s.reasonGone(now) || s.intentOutdated(now) {
+	if s.reasonGone(now) || s.intentOutdated(now) || s.handOverTooLong(now) {
 		s.giveUp(now)
 		if s.phase != awaiting {
 			return
@@ -93,8 +92,16 @@
 	}
 	watched := s.call.notLeading && now-s.call.notLeadingFrom >= s.call.watchFor
 	if watched && now >= s.call.next && target.answered(now-statusFresh) {
-		s.phase = calling
-		s.makeCall(now)
+		s.renewIntent(now)
+	}
+}
+
+// renewIntent commits the intent once more before the call is made again: that shows that this holder still leads the control state.
+func (s *service) renewIntent(now time.Duration) {
+	renewed := *s.intent
+	renewed.Fence = s.settings().Fence
+	if s.ask(now, Change{Intent: &renewed}) {
+		s.phase = recording
 	}
 }
 
@@ -105,7 +112,7 @@
 
 // noteTarget notes since when the target has answered without leading.
 func (s *service) noteTarget(now time.Duration, target *member) {
-	if target == nil || !target.answered(s.call.next-declinedRetry) || target.status.Primary {
+	if target == nil || !target.answered(s.call.endedAt) || target.status.Primary {
 		return
 	}
 	if !s.call.notLeading {
--- a/control/failover/change.go
+++ b/control/failover/change.go
@@ -30,9 +30,7 @@
 	s.request = request{}
 	if !committed {
 		s.nextAsk = now + changeRetry
-		if s.phase == recording {
-			s.phase = pausing
-		}
+		s.notRecorded()
 		return
 	}
 	switch {
@@ -48,6 +46,17 @@
 	}
 }
 
+// notRecorded goes back to where the intent was wanted.
+func (s *service) notRecorded() {
+	if s.phase != recording {
+		return
+	}
+	s.phase = pausing
+	if s.intent != nil && s.intentUnsettled() && s.round == 0 {
+		s.phase = awaiting
+	}
+}
+
 // recordedLeader goes on with a leader that is committed. Everyone else who led steps down in its term.
 func (s *service) recordedLeader(now time.Duration, previous, leader feed.Leader) {
 	s.view.Leader = leader
@@ -60,7 +69,7 @@
 			known.mayBePaused = false
 		}
 	}
-	s.call.acceptedUntil = 0
+	s.call.acceptedUntil, s.doubt = 0, false
 	if s.phase == installing {
 		s.unfreeze(now)
 		s.aftercare(now)
@@ -75,7 +84,7 @@
 		return
 	}
 	if now-done.at > intentFresh {
-		s.phase = pausing
+		s.notRecorded()
 		return
 	}
 	s.phase = calling
--- a/control/failover/choose.go
+++ b/control/failover/choose.go
@@ -10,7 +10,7 @@
 // choose picks the instance that is to lead, once it is shown that it holds every commit that may have been acknowledged.
 func (s *service) choose(now time.Duration) {
 	chosen := s.furthest(s.heldMembers())
-	if chosen == nil || s.pauseOut(now) {
+	if chosen == nil {
 		return
 	}
 	if missing := s.proof(chosen); missing != "" && !s.manager.guards.choiceUnproven && !s.asynchronousLimit(now) {
@@ -20,14 +20,16 @@
 	if !s.mayCallFor(now, chosen) {
 		return
 	}
-	s.phase = recording
+	if !s.manager.guards.callWithoutIntent && !s.ask(now, Change{Intent: s.wanted(chosen)}) {
+		return
+	}
 	s.event("chosen", "%s at %d.%d, term %d", chosen.instance.ID, chosen.heldPosition.Term, chosen.heldPosition.Number, s.round)
 	if s.manager.guards.callWithoutIntent {
 		s.intent = s.wanted(chosen)
 		s.phase = calling
 		return
 	}
-	s.ask(now, Change{Intent: s.wanted(chosen)})
+	s.phase = recording
 }
 
 func (s *service) wanted(chosen *member) *Intent {
@@ -40,32 +42,28 @@
 	}
 }
 
-// pauseOut tells whether an answer to a pause may come within moments: the instance answers otherwise. It is waited for, since it
-// may be further.
-func (s *service) pauseOut(now time.Duration) bool {
-	return now-s.roundAt < statusFresh && lo.ContainsBy(s.present(), func(i *member) bool {
-		return i.outstanding[AskPause] != 0 && i.failures == 0 && !i.held
-	})
-}
-
-// furthest gives the instance with the highest position; among equals one that stays, then the one that lags least.
+// furthest gives the instance with the highest position; among equals one that stays, then one that didn't lead, then the one that
+// lags least.
 func (s *service) furthest(held []*member) *member {
 	var best *member
 	for _, i := range held {
-		if best == nil || better(i, best) {
+		if best == nil || s.better(i, best) {
 			best = i
 		}
 	}
 	return best
 }
 
-func better(a, b *member) bool {
+func (s *service) better(a, b *member) bool {
 	if a.heldPosition != b.heldPosition {
 		return b.heldPosition.Less(a.heldPosition)
 	}
 	if a.instance.Draining != b.instance.Draining {
 		return !a.instance.Draining
 	}
+	if led := s.view.Leader.InstanceID; a.instance.ID == led || b.instance.ID == led {
+		return b.instance.ID == led
+	}
 	return a.status.LagMs < b.status.LagMs
 }
 
@@ -77,9 +75,7 @@
 //     one has reached (and no later term is known).
 func (s *service) proof(chosen *member) string {
 	led := s.view.Leader.InstanceID
-	laterTerm := lo.ContainsBy(s.members, func(i *member) bool {
-		return i.known && max(i.status.Term, i.status.Received.Term) > s.view.Leader.Term
-	})
+	laterTerm := s.latestTerm() > s.view.Leader.Term
 	open := lo.Filter(s.members, func(i *member, _ int) bool {
 		covered := !laterTerm && i.cover != nil && !chosen.heldPosition.Less(*i.cover)
 		return !i.held && (!covered || i.instance.ID == led)
--- a/control/failover/freeze.go
+++ b/control/failover/freeze.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // clear waits until every gateway keeps the freeze, and watches meanwhile whether the reason for it goes away.
@@ -27,7 +29,7 @@
 	if !s.isLeading(leader, s.frozenAt) || leader.failures > 0 {
 		return false
 	}
-	if found := s.newPrimary(s.frozenAt); found != nil {
+	if s.latestTerm() > s.view.Leader.Term {
 		return false
 	}
 	switch s.why {
@@ -45,13 +47,24 @@
 		s.unfreeze(now)
 		return
 	}
-	if s.callMayAct(now) {
+	if s.callMayAct(now) || s.inDoubt(s.leader()) {
 		return
 	}
 	s.phase = withdrawing
 	s.withdraw(now)
 }
 
+// inDoubt tells whether a call for the intent, or for one before it, may have taken effect at an instance that hasn't answered since.
+// The doubt ends when all others than the one that goes on have answered as no primaries, after the last call that could act.
+func (s *service) inDoubt(goesOn *member) bool {
+	end := max(s.call.acceptedUntil, s.call.unknownUntil, s.call.endedAt)
+	shown := lo.EveryBy(s.present(), func(i *member) bool {
+		return i == goesOn || i.answered(end) && !i.status.Primary
+	})
+	s.doubt = s.doubt && !shown
+	return s.doubt
+}
+
 // withdraw waits until the intent is taken back. The service stays frozen until then.
 func (s *service) withdraw(now time.Duration) {
 	if s.intent == nil {
@@ -68,7 +81,7 @@
 		return false
 	}
 	forTarget := s.intent != nil && s.intent.InstanceID == found.instance.ID
-	if s.intent != nil && !forTarget && s.callMayAct(now) {
+	if s.intent != nil && !forTarget && (s.callMayAct(now) || s.inDoubt(found)) {
 		return false
 	}
 	s.phase = installing
--- /dev/null
+++ b/control/failover/host_test.go
@@ -0,0 +1,351 @@
+package failover
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"eiderway/control/feed"
+)
+
+const (
+	tickEvery   = 50 * time.Millisecond
+	leaseLength = 2 * time.Second
+	leaseMargin = 100 * time.Millisecond
+	askEvery    = 400 * time.Millisecond
+)
+
+// host runs a manager as a controller does: it commits changes, carries out probes and calls, and tells when a freeze is cleared.
+type host struct {
+	world   *world
+	name    string
+	manager *Manager
+	active  bool // it leads the control state
+	stopped bool
+	granted map[string]time.Duration // until when a gateway may use a table
+	applied map[string]map[string]uint64
+	told    map[string]uint64
+}
+
+// takeOver lets a new controller lead the control state. The old one doesn't know for a while.
+func (w *world) takeOver() {
+	if old := w.current; old != nil {
+		old.active = false
+		w.after(w.between(0, 3*time.Second), func() { old.stopped = true })
+	}
+	w.epoch++
+	settings := DefaultSettings()
+	settings.Holder, settings.Fence = fmt.Sprintf("c%d", w.epoch), w.epoch
+	settings.FenceChecked, settings.CallsPerS = w.options.fenceChecked, 10
+	h := &host{
+		world: w, name: settings.Holder, manager: New(w.now, settings), active: true,
+		granted: map[string]time.Duration{}, applied: map[string]map[string]uint64{}, told: map[string]uint64{},
+	}
+	h.manager.guards = w.options.guards
+	for _, g := range w.gateways {
+		h.granted[g.name] = w.now + leaseLength // an earlier controller may have granted it just now
+	}
+	w.current = h
+	h.tellWorld()
+	h.tick()
+}
+
+func (h *host) tellWorld() {
+	var views []ServiceView
+	for _, name := range h.world.services {
+		view := *h.world.committed[name]
+		view.Instances = slices.Clone(view.Instances)
+		if view.Intent != nil {
+			intent := *view.Intent
+			view.Intent = &intent
+		}
+		views = append(views, view)
+	}
+	h.step(World{Services: views})
+}
+
+func (h *host) tick() {
+	if h.stopped {
+		return
+	}
+	h.step(Tick{})
+	h.tellCleared()
+	h.world.after(tickEvery, h.tick)
+}
+
+func (h *host) step(input Input) {
+	if h.stopped {
+		return
+	}
+	effects := h.manager.Step(h.world.now, input)
+	for _, probe := range effects.Probes {
+		h.probe(probe)
+	}
+	for _, change := range effects.Changes {
+		h.commit(change)
+	}
+	for _, call := range effects.Calls {
+		h.world.platform.call(h, call)
+	}
+	for _, event := range effects.Events {
+		h.world.events = append(h.world.events, fmt.Sprintf("%8v %s %s: %s", h.world.now, h.name, event.What, event.Text))
+	}
+}
+
+func (h *host) commit(change Change) {
+	w := h.world
+	w.after(w.between(5*time.Millisecond, 30*time.Millisecond), func() {
+		if !h.active || h.stopped {
+			h.step(Changed{Request: change.Request})
+			return
+		}
+		switch {
+		case change.Leader != nil:
+			w.committed[change.Leader.Service].Leader = change.Leader.Leader
+		case change.Intent != nil:
+			w.committed[change.Intent.Service].Intent = change.Intent
+		default:
+			w.committed[change.ClearIntent].Intent = nil
+		}
+		if w.chance(5) { // the process ends between the commit and the word of it
+			h.stopped = true
+			w.takeOver()
+			return
+		}
+		h.tellWorld()
+		h.step(Changed{Request: change.Request, Committed: true})
+	})
+}
+
+func (h *host) probe(probe Probe) {
+	w := h.world
+	started := w.now
+	end := func(answer ProbeAnswer, status Status) {
+		h.step(Probed{Result: ProbeResult{Number: probe.Number, Answer: answer, Status: status, Started: started}})
+	}
+	way := w.between(time.Millisecond, 6*time.Millisecond)
+	w.after(way, func() {
+		target := w.instances[probe.InstanceID]
+		switch {
+		case target == nil || w.path(h.name, probe.InstanceID) && !target.up:
+			end(Refused, Status{})
+			return
+		case !w.path(h.name, probe.InstanceID):
+			w.after(probeTimeout-way, func() { end(Silent, Status{}) })
+			return
+		case w.chance(w.options.lossPer1000):
+			end(Busy, Status{})
+			return
+		}
+		if !h.active && probe.Kind == AskContinue {
+			return // an old controller's CONTINUE would only undo what the freeze guards as well
+		}
+		if probe.Kind == AskPause && h.active {
+			w.judge.paused(w, probe.Service)
+		}
+		ran := target.ask(probe.Kind, probe.Term)
+		status := target.status()
+		if !ran || w.chance(w.options.lossPer1000) {
+			w.after(probeTimeout-way, func() { end(Silent, Status{}) })
+			return
+		}
+		w.after(way, func() { end(Answered, status) })
+	})
+}
+
+// tellCleared tells the manager when every gateway keeps a freeze, or has no lease any more.
+func (h *host) tellCleared() {
+	for _, service := range h.world.services {
+		freeze, frozen := h.manager.Frozen(service)
+		if !frozen || h.told[service] == freeze {
+			continue
+		}
+		all := true
+		for _, g := range h.world.gateways {
+			keeps := h.applied[g.name][service] == freeze
+			all = all && (keeps || h.world.now > h.granted[g.name]+leaseMargin)
+		}
+		if all {
+			h.told[service] = freeze
+			h.step(Cleared{Service: service, Freeze: freeze})
+		}
+	}
+}
+
+// gateway serves writes and reads under a lease.
+type gateway struct {
+	world    *world
+	name     string
+	lease    time.Duration
+	leaders  map[string]feed.Leader
+	frozen   map[string]bool
+	changes  map[string]int // counts freezes and lapses: a success from before one is not passed on
+	reports  map[string]*feed.InstanceReport
+	newest   time.Duration // when the question was sent whose answer is applied
+	busy     bool
+}
+
+func newGateway(w *world, name string) *gateway {
+	return &gateway{
+		world: w, name: name, leaders: map[string]feed.Leader{}, frozen: map[string]bool{},
+		changes: map[string]int{}, reports: map[string]*feed.InstanceReport{},
+	}
+}
+
+func (g *gateway) start() {
+	g.world.after(g.world.between(0, askEvery), g.ask)
+	g.world.after(g.world.between(0, 50*time.Millisecond), g.work)
+	g.world.after(tickEvery, g.watch)
+}
+
+// watch asks at once when there is news: the controller holds the question open.
+func (g *gateway) watch() {
+	h := g.world.current
+	for _, service := range g.world.services {
+		_, frozen := h.manager.Frozen(service)
+		if frozen != g.frozen[service] || g.world.committed[service].Leader != g.leaders[service] {
+			g.poll()
+			break
+		}
+	}
+	g.world.after(tickEvery, g.watch)
+}
+
+func (g *gateway) ask() {
+	g.poll()
+	g.world.after(askEvery, g.ask)
+}
+
+type freezeView struct {
+	number uint64
+	frozen bool
+	leader feed.Leader
+}
+
+// poll brings the table and a lease, which counts from the sending of the question.
+func (g *gateway) poll() {
+	w, h, sent := g.world, g.world.current, g.world.now
+	if !w.path(g.name, h.name) || g.busy {
+		return
+	}
+	g.busy = true
+	w.after(w.between(time.Millisecond, 5*time.Millisecond), func() {
+		g.busy = false
+		if h.stopped || !h.active || !w.path(g.name, h.name) {
+			return
+		}
+		for _, id := range w.names {
+			if report := g.reports[id]; report != nil && *report != (feed.InstanceReport{InstanceID: id}) {
+				h.step(Reported{Gateway: g.name, Report: *report})
+				delete(g.reports, id)
+			}
+		}
+		views := map[string]freezeView{}
+		for _, service := range w.services {
+			number, frozen := h.manager.Frozen(service)
+			views[service] = freezeView{number: number, frozen: frozen, leader: w.committed[service].Leader}
+		}
+		h.granted[g.name] = max(h.granted[g.name], sent+leaseLength)
+		w.after(w.between(time.Millisecond, 5*time.Millisecond), func() { g.apply(h, sent, views) })
+	})
+}
+
+func (g *gateway) apply(h *host, sent time.Duration, views map[string]freezeView) {
+	w := g.world
+	if !w.path(g.name, h.name) || h != w.current || sent < g.newest {
+		return
+	}
+	g.newest = sent
+	if w.now > g.lease {
+		g.lapse()
+	}
+	g.lease = max(g.lease, sent+leaseLength)
+	keeps := map[string]uint64{}
+	for service, view := range views {
+		if view.frozen && !g.frozen[service] || view.leader != g.leaders[service] {
+			g.changes[service]++
+		}
+		g.frozen[service], g.leaders[service] = view.frozen, view.leader
+		if view.frozen {
+			keeps[service] = view.number
+		}
+	}
+	w.after(w.between(time.Millisecond, 5*time.Millisecond), func() {
+		if w.path(g.name, h.name) && h == w.current {
+			h.applied[g.name] = keeps
+			h.tellCleared()
+		}
+	})
+}
+
+func (g *gateway) lapse() {
+	for _, service := range g.world.services {
+		g.changes[service]++
+	}
+}
+
+// serves tells whether statements may go to the leader of a service.
+func (g *gateway) serves(service string) bool {
+	return g.world.now <= g.lease && !g.frozen[service] && g.leaders[service].InstanceID != ""
+}
+
+func (g *gateway) work() {
+	for _, service := range g.world.services {
+		if g.serves(service) {
+			g.statement(service, g.world.instances[g.leaders[service].InstanceID])
+		}
+	}
+	g.world.after(g.world.between(40*time.Millisecond, 120*time.Millisecond), g.work)
+}
+
+func (g *gateway) report(id string) *feed.InstanceReport {
+	if g.reports[id] == nil {
+		g.reports[id] = &feed.InstanceReport{InstanceID: id}
+	}
+	return g.reports[id]
+}
+
+func (g *gateway) statement(service string, at *database) {
+	w := g.world
+	if at == nil {
+		return
+	}
+	w.after(w.between(time.Millisecond, 4*time.Millisecond), func() {
+		switch {
+		case !w.path(g.name, at.id):
+			w.after(writeTimeout, func() { g.report(at.id).Failures++ })
+		case !at.up:
+			g.report(at.id).Failures++
+		case w.chance(300):
+			w.judge.read(w, g, at)
+			g.report(at.id).Answers++
+		case !at.primary:
+			g.report(at.id).ReadOnly++
+		default:
+			g.write(service, at)
+		}
+	})
+}
+
+func (g *gateway) write(service string, at *database) {
+	w := g.world
+	w.writes++
+	number, changes, committed := w.writes, g.changes[service], w.now
+	at.write(number, func(answered bool, place Position) {
+		if !answered {
+			g.report(at.id).Failures++
+			return
+		}
+		open := g.serves(service) && changes == g.changes[service] // else the gateway has cut the connection
+		if open || w.options.allAnswers {
+			w.judge.answered(at, place, number)
+		}
+		if !w.path(g.name, at.id) {
+			return
+		}
+		g.report(at.id).Answers++
+		if open {
+			w.judge.acknowledged(w, at, committed, place, number)
+		}
+	})
+}
--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -82,7 +82,9 @@
 	if _, tick := input.(Tick); tick {
 		m.expireProbes(now)
 		for _, name := range m.order {
-			m.services[name].advance(now)
+			if s := m.services[name]; now >= s.idleUntil {
+				s.advance(now)
+			}
 		}
 	}
 	return m.effects
@@ -195,7 +197,9 @@
 }
 
 // mayCall keeps to the pace that the platform bears.
-func (m *Manager) mayCall(now time.Duration) bool { return now >= m.nextCall && m.settings.CallsPerS > 0 }
+func (m *Manager) mayCall(now time.Duration) bool {
+	return now >= m.nextCall && m.settings.CallsPerS > 0
+}
 
 func (m *Manager) paceCall(now time.Duration) {
 	m.nextCall = now + time.Duration(float64(time.Second)/m.settings.CallsPerS)
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -14,6 +14,7 @@
 	departed   bool // it has left or was lost; its log may still matter
 	departedAt time.Duration
 
+	drainSince  time.Duration // when it was first known to be draining
 	lastLife    time.Duration // last heartbeat or answer
 	beatPrimary bool          // its last heartbeat said that it leads
 
@@ -22,7 +23,10 @@
 	statusAt     time.Duration // when the question that brought the status was sent
 	failures     int           // probes in a row without an answer
 	failingSince time.Duration
+	refusals     int // connections refused in a row, with nothing else between: the process isn't running
+	refusedSince time.Duration
 	cover        *Position // position of the leader, read after this one had fallen silent or left
+	coverDead    bool      // it stands only while connections are refused
 
 	outstanding [probeKinds]uint64
 	askedAt     [probeKinds]time.Duration
@@ -36,11 +40,14 @@
 
 	mayBePaused   bool   // a pause was sent, and no CONTINUE has been answered since
 	continuedHeld uint64 // its term held at the last CONTINUE
+	continuedFor  uint64 // the leader's term at that time
 	mustStepDown  bool
 }
 
 // leadsIn tells whether the last status, if it is no older than since, shows a primary.
-func (i *member) leads(since time.Duration) bool { return i.known && i.status.Primary && i.statusAt >= since }
+func (i *member) leads(since time.Duration) bool {
+	return i.known && i.status.Primary && i.statusAt >= since
+}
 
 func (i *member) answered(since time.Duration) bool { return i.known && i.statusAt >= since }
 
@@ -67,6 +74,7 @@
 	case Busy:
 		i.alive(now)
 	default:
+		i.noteRefusal(result)
 		if i.failures == 0 {
 			i.failingSince = result.Started
 		}
@@ -75,5 +83,42 @@
 }
 
 func (i *member) alive(now time.Duration) {
-	i.lastLife, i.failures, i.cover = now, 0, nil
+	i.lastLife, i.failures, i.refusals = now, 0, 0
+	i.cover, i.coverDead = nil, false
+}
+
+func (i *member) noteRefusal(result ProbeResult) {
+	if result.Answer != Refused {
+		i.refusals = 0
+		if i.coverDead {
+			i.cover, i.coverDead = nil, false // it may run again, unheard
+		}
+		return
+	}
+	if i.refusals == 0 {
+		i.refusedSince = result.Started
+	}
+	i.refusals++
+}
+
+// coverBy notes the leader's position, read at the moment given, if the instance can be taken to have received nothing from before
+// that moment until now: it has left, it has been silent for long, or its process doesn't run, which holds only as long as the last
+// word is a refusal.
+func (i *member) coverBy(position Position, moment, replicaLost time.Duration) {
+	if i.cover != nil && !i.coverDead {
+		return
+	}
+	left := i.departed && moment >= i.departedAt+departureMargin
+	silent := !i.departed && i.failures >= 2 && moment >= i.lastLife+replicaLost
+	dead := !i.departed && i.refusals >= 2 && moment >= i.refusedSince+refusedMargin
+	if left || silent || dead && i.cover == nil {
+		i.cover, i.coverDead = &position, !left && !silent
+	}
+}
+
+func (i *member) note(now time.Duration, instance feed.Instance) {
+	if instance.Draining && !i.instance.Draining {
+		i.drainSince = now
+	}
+	i.instance = instance
 }
--- a/control/failover/pause.go
+++ b/control/failover/pause.go
@@ -9,7 +9,7 @@
 // pause makes every replica keep still in a new term, and chooses one of them.
 func (s *service) pause(now time.Duration) {
 	s.probeLeader(now)
-	if s.installIfLed(now) {
+	if s.installIfLed(now) || s.newPrimaryDue(now) {
 		return
 	}
 	if s.reasonGone(now) || s.handOverTooLong(now) {
@@ -29,6 +29,20 @@
 	s.choose(now)
 }
 
+// newPrimaryDue tells whether an instance was seen to lead the latest term and has not been silent since for long enough to be
+// taken for gone: it is to be recorded once it answers again.
+func (s *service) newPrimaryDue(now time.Duration) bool {
+	found := s.newPrimary(0)
+	if found == nil || found.status.Term < s.latestTerm() {
+		return false
+	}
+	if s.intent != nil && s.intent.InstanceID != found.instance.ID && s.inDoubt(found) {
+		return false
+	}
+	s.probe(now, found, AskStatus, 0, s.settings().FastProbe)
+	return found.failures < 2 || now-found.failingSince < s.settings().SuspectAfter
+}
+
 func (s *service) probeLeader(now time.Duration) {
 	if leader := s.leader(); leader != nil {
 		s.probe(now, leader, AskStatus, 0, s.settings().FastProbe)
@@ -49,8 +63,8 @@
 	return true
 }
 
-// catchUp waits, before anything is paused, for a replica that stays to reach the draining leader's position. Nothing is
-// written meanwhile: every gateway keeps the freeze.
+// catchUp waits, before anything is paused, for a replica that stays to reach the draining leader's position, and after a while
+// for one that ends later than the leader. Nothing is written meanwhile: every gateway keeps the freeze.
 func (s *service) catchUp(now time.Duration) bool {
 	if s.caughtUp {
 		return true
@@ -60,13 +74,14 @@
 		s.why = leaderSilent
 		return true
 	}
+	s.releasePaused(now)
 	s.probeAll(now, s.present()...)
 	if !s.isLeading(leader, s.clearedAt) {
 		return false
 	}
 	s.caughtUp = lo.ContainsBy(s.present(), func(i *member) bool {
-		mayWait := now-s.clearedAt < catchUpWait
-		return i != leader && i.answered(s.clearedAt) && !i.status.Primary && (!mayWait || !i.instance.Draining) &&
+		stays := !i.instance.Draining || now-s.clearedAt >= catchUpWait && i.drainSince > leader.drainSince
+		return i != leader && stays && i.answered(s.clearedAt) && !i.status.Primary &&
 			!i.status.Received.Less(leader.status.Received)
 	})
 	return s.caughtUp
@@ -84,18 +99,25 @@
 		return
 	}
 	s.endRound()
-	s.round = s.highestTerm() + 1
+	s.round = s.highestTerm() + 2 // the term between is for stepping down, so that a pause in the round's term can follow
 	s.highest, s.roundAt = s.round, now
 }
 
+// stepDownTerm is above every term led and below the round's. One that has stepped down receives like any replica: only the pause that
+// follows makes it keep still.
+func (s *service) stepDownTerm() uint64 { return s.round - 1 }
+
 // hold asks an instance to keep still. After a lost answer its status tells whether it does.
 func (s *service) hold(now time.Duration, i *member) {
 	if s.manager.guards.positionsUnpaused {
 		s.holdUnpaused(now, i)
 		return
 	}
-	if i.held || i.leads(0) {
-		s.probeIfPrimary(now, i)
+	if i.held {
+		return
+	}
+	if i.leads(0) {
+		s.holdPrimary(now, i)
 		return
 	}
 	if i == s.leader() && !i.answered(s.frozenAt) {
@@ -113,10 +135,13 @@
 	}
 }
 
-func (s *service) probeIfPrimary(now time.Duration, i *member) {
-	if i.leads(0) {
-		s.probe(now, i, AskStatus, 0, s.settings().FastProbe)
+// holdPrimary makes one that led an earlier term, or may have been followed unseen, step down. The others are asked whether they lead still.
+func (s *service) holdPrimary(now time.Duration, i *member) {
+	if s.deposed(i) || s.doubt {
+		s.probe(now, i, AskStepDown, s.stepDownTerm(), s.settings().FastProbe)
+		return
 	}
+	s.probe(now, i, AskStatus, 0, s.settings().FastProbe)
 }
 
 // holdUnpaused is what the guard keeps from happening.
@@ -137,7 +162,7 @@
 	held := s.heldMembers()
 	ready := lo.ContainsBy(held, func(i *member) bool { return !i.heldPosition.Less(leader.status.Received) })
 	if ready && s.proof(s.furthest(held)) != "" {
-		s.probe(now, leader, AskStepDown, s.round, s.settings().FastProbe)
+		s.probe(now, leader, AskStepDown, s.stepDownTerm(), s.settings().FastProbe)
 	}
 }
 
--- a/control/failover/probe.go
+++ b/control/failover/probe.go
@@ -33,6 +33,9 @@
 		if lo.Contains(fast, known) || known.leads(0) {
 			pace = s.settings().FastProbe
 		}
+		if known.failures >= manyFailures {
+			pace = max(pace, replicaProbe)
+		}
 		s.probe(now, known, AskStatus, 0, pace)
 	}
 }
@@ -47,14 +50,15 @@
 		return
 	}
 	switch probe.kind {
-	case AskPause, AskStepDown:
+	case AskPause:
 		s.tookPause(now, of, probe, result)
 	case AskContinue:
-		of.mayBePaused, of.continuedHeld = of.outstanding[AskPause] != 0, result.Status.TermHeld
+		of.mayBePaused = of.outstanding[AskPause] != 0
+		of.continuedHeld, of.continuedFor = result.Status.TermHeld, s.view.Leader.Term
 	case AskStatus:
 		s.tookStatus(now, of, result)
 	}
-	if !result.Status.Primary && result.Status.TermHeld >= s.view.Leader.Term {
+	if !result.Status.Primary && (probe.kind == AskStepDown || result.Status.TermHeld >= s.view.Leader.Term) {
 		of.mustStepDown = false
 	}
 	s.coverSilent(of, result)
@@ -91,10 +95,15 @@
 	of.held, of.heldAt, of.heldPosition = true, now, result.Status.Received
 }
 
-// pausedByOther tells whether an instance holds a term that nobody leads: somebody paused it and never let it go on.
+// pausedByOther tells whether an instance may have been paused by an earlier holder that never let it go on: it holds a term that
+// nobody leads, or does not follow the leader's.
 func (s *service) pausedByOther(i *member) bool {
-	return i.instance.ID != s.view.Leader.InstanceID && s.view.Leader.InstanceID != "" && !i.status.Primary &&
-		i.status.TermHeld > max(s.view.Leader.Term, i.continuedHeld)
+	led := s.view.Leader
+	if led.InstanceID == "" || i.instance.ID == led.InstanceID || i.status.Primary {
+		return false
+	}
+	behind := i.status.Term < led.Term && i.status.TermHeld > i.status.Term && i.continuedFor != led.Term
+	return behind || i.status.TermHeld > max(led.Term, i.continuedHeld)
 }
 
 // coverSilent notes the leader's position for every other instance that fell silent, or left, long enough before it was read:
@@ -104,11 +113,8 @@
 		return
 	}
 	for _, other := range s.members {
-		silentLong := !other.departed && result.Started >= other.lastLife+s.settings().ReplicaLost && other.failures > 0
-		leftLong := other.departed && result.Started >= other.departedAt+departureMargin
-		if other != of && other.cover == nil && (silentLong || leftLong) {
-			position := result.Status.Received
-			other.cover = &position
+		if other != of {
+			other.coverBy(result.Status.Received, result.Started, s.settings().ReplicaLost)
 		}
 	}
 }
@@ -140,7 +146,7 @@
 
 // retryPace spares probes to an instance that doesn't answer: its next heartbeat makes up for it.
 func (s *service) retryPace(of *member) time.Duration {
-	if of.failures < 5 || of.lastLife >= of.failingSince {
+	if of.failures < manyFailures || of.lastLife >= of.failingSince {
 		return s.settings().FastProbe
 	}
 	return s.settings().LeaderProbe
--- /dev/null
+++ b/control/failover/scenario_test.go
@@ -0,0 +1,227 @@
+package failover
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderway/control/feed"
+)
+
+// TestScenarios plays the files of testdata. A line "world KEY VALUE..." shapes the world; "at TIME VERB ..." does something,
+// "check TIME ..." looks. The judge's rules hold in every scenario.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { playScenario(t, file) })
+	}
+}
+
+func playScenario(t *testing.T, file string) {
+	opened, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer opened.Close()
+	chosen := options{services: 1, replicas: 2, sync: 1, gateways: 2, termFromHeld: true}
+	var w *world
+	lines := bufio.NewScanner(opened)
+	for number := 1; lines.Scan(); number++ {
+		fields := strings.Fields(lines.Text())
+		if len(fields) == 0 || fields[0] == "#" {
+			continue
+		}
+		if fields[0] == "world" {
+			chosen.set(t, fields[1:])
+			continue
+		}
+		if w == nil {
+			w = newWorld(7, chosen)
+		}
+		when, err := time.ParseDuration(fields[1])
+		if err != nil {
+			t.Fatalf("%s:%d: %v", file, number, err)
+		}
+		w.runUntil(when)
+		if fields[0] == "check" {
+			if fault := w.check(fields[2:]); fault != "" {
+				t.Errorf("%s:%d: at %v %s", file, number, when, fault)
+			}
+			continue
+		}
+		if !w.do(fields[2:]) {
+			t.Fatalf("%s:%d: unknown %q", file, number, lines.Text())
+		}
+	}
+	for _, fault := range w.judge.faults {
+		t.Error(fault)
+	}
+	if t.Failed() {
+		t.Log("\n" + strings.Join(w.events, "\n"))
+	}
+}
+
+func (o *options) set(t *testing.T, fields []string) {
+	value, err := strconv.Atoi(fields[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	switch fields[0] {
+	case "services":
+		o.services = value
+	case "replicas":
+		o.replicas = value
+	case "sync":
+		o.sync = value
+	case "fenced":
+		o.fenceChecked = value == 1
+	default:
+		t.Fatal("unknown", fields[0])
+	}
+}
+
+// do carries out a verb of a scenario, or a step of the search.
+func (w *world) do(fields []string) bool {
+	of := w.instances[fields[min(1, len(fields)-1)]]
+	switch fields[0] {
+	case "crash":
+		of.crash()
+	case "start":
+		of.start()
+	case "dark", "lit":
+		of.dark = fields[0] == "dark"
+	case "cut", "join":
+		w.cutOff(fields[1], fields[2], fields[0] == "cut")
+	case "lag":
+		of.lag, _ = time.ParseDuration(fields[2])
+	case "pause":
+		of.held, of.paused = of.held+1, true
+	case "drain":
+		w.drain(of)
+	case "leave":
+		w.leave(of)
+	case "takeover":
+		w.takeOver()
+	case "platform":
+		w.platform.trouble = strings.TrimSuffix(fields[1], "ok")
+		if len(fields) > 2 {
+			w.platform.lateBy, _ = time.ParseDuration(fields[2])
+		}
+	case "promote":
+		w.platform.promote(of)
+	default:
+		return false
+	}
+	return true
+}
+
+// cutOff cuts an instance from another end: from an instance, a gateway, "core" (all controllers) or "gateways".
+func (w *world) cutOff(id, from string, is bool) {
+	switch from {
+	case "core":
+		for epoch := range 20 {
+			w.cut(id, fmt.Sprintf("c%d", epoch+1), is)
+		}
+	case "gateways":
+		for _, g := range w.gateways {
+			w.cut(id, g.name, is)
+		}
+	default:
+		w.cut(id, from, is)
+	}
+}
+
+func (w *world) drain(d *database) {
+	d.draining = true
+	view := w.committed[d.service]
+	for n := range view.Instances {
+		if view.Instances[n].ID == d.id {
+			view.Instances[n].Draining = true
+		}
+	}
+	w.current.tellWorld()
+}
+
+// restartTakes is longer than a commit waits for a replica: a pause that a restart ended has outlasted what was under way.
+const restartTakes = writeTimeout + 200*time.Millisecond
+
+// leave ends an instance. A new one comes at its address, with its log.
+func (w *world) leave(d *database) {
+	view := w.committed[d.service]
+	view.Instances = slices.DeleteFunc(slices.Clone(view.Instances), func(i feed.Instance) bool { return i.ID == d.id })
+	d.crash()
+	delete(w.instances, d.id)
+	w.names = slices.DeleteFunc(w.names, func(id string) bool { return id == d.id })
+	w.addInstance(d.service, d.id+"+", d.log, false)
+	view.Instances[len(view.Instances)-1].Address = "at-" + strings.TrimRight(d.id, "+")
+	next := w.instances[d.id+"+"]
+	next.term, next.held, next.up = d.term, d.held, false
+	w.after(restartTakes, next.start)
+	w.current.tellWorld()
+}
+
+func (w *world) check(fields []string) string {
+	service := w.services[0]
+	if w.committed[fields[0]] != nil {
+		service, fields = fields[0], fields[1:]
+	}
+	_, frozen := w.current.manager.Frozen(service)
+	view := w.committed[service]
+	got := ""
+	switch fields[0] {
+	case "leader":
+		got = view.Leader.InstanceID
+	case "frozen":
+		got = strconv.FormatBool(frozen)
+	case "intent":
+		got = "none"
+		if view.Intent != nil {
+			got = view.Intent.InstanceID
+		}
+	case "calls":
+		got = strconv.Itoa(len(w.judge.calls[service]))
+	case "paused":
+		paused := []string{"none"}
+		for _, d := range w.of(service) {
+			if d.paused {
+				paused = append(paused[1:], d.id)
+			}
+		}
+		got = strings.Join(paused, ",")
+	case "primaries":
+		var found []string
+		for _, d := range w.of(service) {
+			if d.up && d.primary {
+				found = append(found, d.id)
+			}
+		}
+		got = strings.Join(found, ",")
+	case "acks": // fresh: one in the last half second
+		got = strconv.FormatBool(w.now-w.judge.ackedAt[service] < 500*time.Millisecond)
+	case "gap": // the longest time without one is no longer
+		limit, _ := time.ParseDuration(fields[1])
+		if gap := w.judge.gap[service]; gap > limit {
+			return fmt.Sprintf("gap is %v", gap)
+		}
+		return ""
+	case "said":
+		for _, line := range w.events {
+			if strings.Contains(line, strings.Join(fields[1:], " ")) {
+				return ""
+			}
+		}
+	}
+	if got != fields[1] {
+		return fmt.Sprintf("%s is %s, want %s", fields[0], got, fields[1])
+	}
+	return ""
+}
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -63,6 +63,7 @@
 	ownUnknown     bool          // one of those calls is this holder's
 	acceptedUntil  time.Duration // until then an accepted call may take effect
 	next           time.Duration // no call before
+	endedAt        time.Duration // when the last call ended
 	watchFor       time.Duration // how long the target must be seen not to lead before it is called again; 0: not at all
 	notLeadingFrom time.Duration // since then it has answered as no primary
 	notLeading     bool
@@ -84,6 +85,7 @@
 	cleared   bool
 	clearedAt time.Duration
 
+	idleUntil     time.Duration // nothing is due before
 	fastUntil     time.Duration
 	gatewayAnswer time.Duration // when a gateway last reported an answer of the leader
 	gatewayHeard  bool
@@ -104,17 +106,18 @@
 	intent    *Intent // committed, as far as known
 	inherited bool    // it was written by an earlier holder
 	call      calls
+	doubt     bool // an earlier call may have taken effect unseen: the recorded leader may be deposed
 	request   request
 	nextAsk   time.Duration // no change is asked for before
 }
 
 func newService(manager *Manager, now time.Duration, view ServiceView) *service {
 	s := &service{manager: manager, name: view.Name, unledFrom: now}
-	s.fastUntil = now + manager.settings.FastWindow // the first look: what did the last holder leave behind?
+	s.fastUntil = now + learnSettle // the first look: what did the last holder leave behind?
 	if view.Intent != nil {
-		s.inherited = true
+		s.inherited, s.doubt = true, true
 		s.call.unknownUntil = now + manager.settings.LateCall
-		s.call.watchFor = inheritedWait
+		s.call.watchFor, s.call.endedAt = inheritedWait, now
 	}
 	return s
 }
@@ -134,11 +137,15 @@
 	s.intent = view.Intent
 	for _, instance := range view.Instances {
 		if known := s.member(instance.ID); known != nil {
-			known.instance = instance
-			known.departed = false
+			known.note(now, instance)
+			if known.departed {
+				known.departed, known.cover, known.lastLife = false, nil, now
+			}
 			continue
 		}
-		s.members = append(s.members, &member{instance: instance, lastLife: now})
+		added := &member{lastLife: now}
+		added.note(now, instance)
+		s.members = append(s.members, added)
 		s.fastUntil = max(s.fastUntil, now+learnSettle)
 	}
 	for _, known := range s.members {
@@ -213,6 +220,20 @@
 	return highest
 }
 
+// latestTerm is the highest term in which an instance is known to have led.
+func (s *service) latestTerm() uint64 {
+	latest := s.view.Leader.Term
+	for _, known := range s.members {
+		if known.known {
+			latest = max(latest, known.status.Term, known.status.Received.Term)
+		}
+	}
+	return latest
+}
+
+// deposed tells whether an instance says that it leads, in a term that has been followed by another.
+func (s *service) deposed(i *member) bool { return i.leads(0) && i.status.Term < s.latestTerm() }
+
 // newPrimary gives the instance that leads a later term than the recorded one, the highest if there are several.
 func (s *service) newPrimary(since time.Duration) *member {
 	var found *member
@@ -232,6 +253,7 @@
 
 // advance does whatever is due.
 func (s *service) advance(now time.Duration) {
+	s.idleUntil = 0
 	switch s.phase {
 	case watching:
 		s.watch(now)
@@ -257,15 +279,16 @@
 	if known == nil || known.departed {
 		return
 	}
-	known.lastLife, known.cover = now, nil
+	known.lastLife, known.refusals = now, 0
+	known.cover, known.coverDead = nil, false
 	turned := beat.Primary != known.beatPrimary
 	known.beatPrimary = beat.Primary
 	leads := beat.InstanceID == s.view.Leader.InstanceID
 	if turned || beat.Primary != leads {
 		s.fastUntil = max(s.fastUntil, now+s.settings().FastWindow)
-		if beat.Primary != leads {
-			s.probeNow(now, known)
-		}
+	}
+	if beat.Primary != leads || known.failures > 0 {
+		s.probeNow(now, known)
 	}
 }
 
--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -11,7 +11,7 @@
 		FastProbe:    150 * time.Millisecond,
 		FastWindow:   4 * time.Second,
 		SuspectAfter: 1200 * time.Millisecond,
-		ReplicaLost:  8 * time.Second,
+		ReplicaLost:  10 * time.Second,
 		LateCall:     15 * time.Second,
 	}
 }
@@ -19,6 +19,10 @@
 const (
 	// replicaProbe is the time between probes of members that don't decide what comes next.
 	replicaProbe = 500 * time.Millisecond
+	// signProbe is the time between probes of a replica while there are signs of change and the leader answers.
+	signProbe = time.Second
+	// idleStep is how long a calm service is left alone.
+	idleStep = 200 * time.Millisecond
 	// probeGivenUp is the time after which a probe that the host never ended counts as silent.
 	probeGivenUp = 5 * time.Second
 	// gatewayAnswerFresh is how long an answer that a gateway got speaks for the leader.
@@ -33,12 +37,19 @@
 	learnLimit = 10 * time.Second
 	// departureMargin is added to the moment at which an instance left, before the leader's position covers it.
 	departureMargin = 500 * time.Millisecond
+	// refusedMargin is added to the moment at which a process was found not to run.
+	refusedMargin = 500 * time.Millisecond
+	// replicaSilent is the silence, longer than two heartbeats take, after which a replica is probed at calm.
+	replicaSilent = 3 * time.Second
 	// heldFresh is how old the answer to a pause may be when one is chosen: a restart would have ended the pause.
 	heldFresh = 3 * time.Second
 	// catchUpWait bounds the wait for a replica to reach a draining leader's position.
 	catchUpWait = time.Second
 	// handOverLimit bounds a planned hand-over before its call is made.
 	handOverLimit = 3 * time.Second
+	// handOverLag is how far behind a replica may be for a hand-over to begin, in the first handOverPatience of a leader's drain.
+	handOverLag      = 300 * time.Millisecond
+	handOverPatience = 2500 * time.Millisecond
 	// handOverRetry is the time between attempts of a planned hand-over.
 	handOverRetry = 2 * time.Second
 	// stepDownAfter is how long a hand-over waits for a silent replica before the leader itself is asked to step down.
@@ -59,6 +70,8 @@
 	changeRetry = 200 * time.Millisecond
 	// failuresOnlyAfter is how long gateways may report only failures at a leader that answers before it is logged.
 	failuresOnlyAfter = 3 * time.Second
+	// manyFailures in a row let an instance be asked more slowly.
+	manyFailures = 20
 	// mostDeparted bounds the instances remembered after they have left.
 	mostDeparted = 16
 )
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -31,33 +31,46 @@
 	if s.intent == nil {
 		return false
 	}
-	leader, previous := s.view.Leader, s.intent.Previous
-	settled := leader.InstanceID == s.intent.InstanceID && (leader.Term > previous.Term || previous.InstanceID == leader.InstanceID)
-	return !settled
+	leader := s.view.Leader
+	return leader.InstanceID != s.intent.InstanceID || leader.Term <= s.intent.Previous.Term
 }
 
 // settleIntent takes the intent back once its target leads and no call for it may still act.
 func (s *service) settleIntent(now time.Duration) {
+	s.doubt = false
 	if s.intent != nil && !s.callMayAct(now) {
 		s.ask(now, Change{ClearIntent: s.name})
 	}
 }
 
-// look probes: the leader at calm, everyone while there are signs of change.
+// look probes: at calm the leader alone, while there are signs of change everyone, and fast only once the leader fails.
 func (s *service) look(now time.Duration) {
 	leader := s.leader()
-	if now < s.fastUntil {
+	signs := now < s.fastUntil
+	if signs && (leader == nil || leader.failures > 0 || leader.instance.Draining || !leader.leads(0)) {
 		s.probeAll(now, leader)
 		return
 	}
-	if leader != nil {
-		s.probe(now, leader, AskStatus, 0, s.settings().LeaderProbe)
+	for _, known := range s.present() {
+		switch {
+		case known == leader && signs:
+			s.probe(now, known, AskStatus, 0, replicaProbe)
+		case signs && known.failures > 0:
+			s.probe(now, known, AskStatus, 0, replicaProbe)
+		case signs:
+			s.probe(now, known, AskStatus, 0, signProbe)
+		case known == leader || now-known.lastLife >= replicaSilent:
+			s.probe(now, known, AskStatus, 0, s.settings().LeaderProbe)
+		}
+	}
+	if !signs {
+		s.idleUntil = now + idleStep
 	}
 }
 
 // mustFreeze tells whether the recorded leader can't go on, and why.
 func (s *service) mustFreeze(now time.Duration) (reason, bool) {
-	if s.newPrimaryElsewhere(now) {
+	if s.ledElsewhere() {
 		return newLeader, true
 	}
 	others := lo.Filter(s.present(), func(i *member, _ int) bool { return i.instance.ID != s.view.Leader.InstanceID })
@@ -78,9 +91,13 @@
 	return 0, false
 }
 
-func (s *service) newPrimaryElsewhere(now time.Duration) bool {
-	found := s.newPrimary(now - statusFresh)
-	return found != nil && found.instance.ID != s.view.Leader.InstanceID
+// ledElsewhere tells whether an instance leads, or follows, a later term than any that the recorded leader is known to lead.
+func (s *service) ledElsewhere() bool {
+	latest := s.view.Leader.Term
+	if leader := s.leader(); leader != nil && leader.leads(0) {
+		latest = max(latest, leader.status.Term)
+	}
+	return s.latestTerm() > latest
 }
 
 // silent tells whether the leader has failed to answer for so long that it is taken for gone, while no gateway gets answers
@@ -98,11 +115,17 @@
 
 // mayHandOver tells whether a draining leader answers and somebody who stays can follow it.
 func (s *service) mayHandOver(now time.Duration, leader *member, others []*member) bool {
+	stays := lo.Filter(others, func(i *member, _ int) bool { return !i.instance.Draining && i.failures == 0 })
+	if len(stays) == 0 {
+		return false
+	}
 	s.fastUntil = max(s.fastUntil, now+s.settings().FastProbe)
-	stays := lo.ContainsBy(others, func(i *member) bool {
-		return !i.instance.Draining && i.failures == 0 && i.answered(now-statusFresh) && !i.status.Primary
+	patient := now-leader.drainSince < handOverPatience
+	follows := lo.ContainsBy(stays, func(i *member) bool {
+		near := time.Duration(i.status.LagMs)*time.Millisecond <= handOverLag
+		return i.answered(now-statusFresh) && !i.status.Primary && (near || !patient)
 	})
-	return stays && s.isLeading(leader, now-statusFresh)
+	return follows && s.isLeading(leader, now-statusFresh)
 }
 
 // noteHigherTerm records that the leader itself leads a later term now.
@@ -117,14 +140,19 @@
 	if in.Report.InstanceID != s.view.Leader.InstanceID {
 		return
 	}
-	if in.Report.Answers > 0 {
+	if in.Report.Answers > 0 && in.Report.Failures == 0 {
 		s.gatewayHeard, s.gatewayAnswer = true, now
+	}
+	if in.Report.Answers > 0 {
 		s.failuresOnly, s.failuresSaid = false, false
 	}
 	if in.Report.Failures == 0 && in.Report.ReadOnly == 0 {
 		return
 	}
 	s.fastUntil = max(s.fastUntil, now+s.settings().FastWindow)
+	if leader := s.leader(); leader != nil {
+		s.probeNow(now, leader)
+	}
 	if in.Report.Answers == 0 && !s.failuresOnly {
 		s.failuresOnly, s.failuresFrom = true, now
 	}
--- /dev/null
+++ b/control/failover/world_test.go
@@ -0,0 +1,439 @@
+package failover
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"eiderway/control/feed"
+)
+
+// world is a small simulated deployment: instances with logs, a platform, gateways that write and read, and controllers.
+// Everything happens on one queue of events in simulated time; one seed gives one history.
+type world struct {
+	now     time.Duration
+	queue   eventQueue
+	serial  uint64
+	random  *rand.Rand
+	options options
+
+	instances map[string]*database
+	names     []string
+	cuts      map[[2]string]bool
+	platform  *platform
+	gateways  []*gateway
+	current   *host
+	committed map[string]*ServiceView
+	services  []string
+	epoch     uint64
+	writes    int
+	judge     *judge
+	hidden    map[string]time.Duration // until when an instance may be unheard by the controllers
+	events    []string
+}
+
+type options struct {
+	services        int
+	replicas        int
+	sync            int
+	fenceChecked    bool
+	promoteReleases bool // a promote ends the pauses of all replicas, not only of the promoted
+	termFromHeld    bool // a promote's term is above every term held, not only above every term led
+	gateways        int
+	lossPer1000     int  // probes whose answer is lost
+	allAnswers      bool // answers that the gateway no longer waits for count as acknowledged as well
+	guards          guards
+}
+
+type event struct {
+	at     time.Duration
+	serial uint64
+	run    func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].serial < q[j].serial
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func newWorld(seed uint64, chosen options) *world {
+	w := &world{
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		options:   chosen,
+		instances: map[string]*database{},
+		cuts:      map[[2]string]bool{},
+		committed: map[string]*ServiceView{},
+		judge:     newJudge(),
+		hidden:    map[string]time.Duration{},
+	}
+	w.platform = &platform{world: w, fences: map[string]uint64{}, leading: map[string]string{}, promoteDelay: 300 * time.Millisecond}
+	for s := range chosen.services {
+		service := string(rune('a' + s))
+		w.services = append(w.services, service)
+		view := &ServiceView{Name: service, SyncReplicas: chosen.sync}
+		w.committed[service] = view
+		for n := range chosen.replicas + 1 {
+			w.addInstance(service, fmt.Sprintf("%s%d", service, n+1), nil, n == 0)
+		}
+		w.platform.leading[service] = service + "1"
+	}
+	for n := range chosen.gateways {
+		w.gateways = append(w.gateways, newGateway(w, fmt.Sprintf("g%d", n+1)))
+	}
+	w.takeOver()
+	for _, g := range w.gateways {
+		g.start()
+	}
+	w.after(syncEvery, w.syncLogs)
+	return w
+}
+
+func (w *world) addInstance(service, id string, log []entry, primary bool) {
+	w.instances[id] = &database{
+		world: w, id: id, service: service, up: true, primary: primary, term: 1, held: 1, log: log, lag: 5 * time.Millisecond,
+	}
+	w.names = append(w.names, id)
+	slices.Sort(w.names)
+	view := w.committed[service]
+	view.Instances = append(view.Instances, feed.Instance{ID: id, Service: service, Address: "at-" + id})
+	w.after(w.between(0, beatEvery), w.instances[id].beat)
+}
+
+func (w *world) after(delay time.Duration, run func()) {
+	w.serial++
+	heap.Push(&w.queue, event{at: w.now + delay, serial: w.serial, run: run})
+}
+
+// runUntil plays events up to a moment.
+func (w *world) runUntil(end time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		next := heap.Pop(&w.queue).(event)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int64N(int64(high-low)+1))
+}
+
+func (w *world) chance(per1000 int) bool { return w.random.IntN(1000) < per1000 }
+
+func (w *world) cut(a, b string, is bool) {
+	w.cuts[[2]string{a, b}], w.cuts[[2]string{b, a}] = is, is
+}
+
+// path tells whether two ends reach each other now.
+func (w *world) path(a, b string) bool {
+	for _, end := range []string{a, b} {
+		if i, found := w.instances[end]; found && i.dark {
+			return false
+		}
+	}
+	return !w.cuts[[2]string{a, b}]
+}
+
+func (w *world) of(service string) []*database {
+	var found []*database
+	for _, name := range w.names {
+		if w.instances[name].service == service {
+			found = append(found, w.instances[name])
+		}
+	}
+	return found
+}
+
+const (
+	beatEvery    = 1200 * time.Millisecond
+	syncEvery    = 100 * time.Millisecond
+	writeTimeout = time.Second
+	probeTimeout = 400 * time.Millisecond
+)
+
+// entry is one commit in a log.
+type entry struct {
+	term  uint64
+	write int
+}
+
+type waiter struct {
+	number int
+	since  time.Duration
+	done   func(answered bool)
+}
+
+// database is an instance.
+type database struct {
+	world    *world
+	id       string
+	service  string
+	up       bool
+	dark     bool
+	primary  bool
+	term     uint64
+	held     uint64
+	log      []entry
+	paused   bool
+	draining bool
+	lag      time.Duration
+	waiting  []waiter
+	deposed  time.Duration // since when it has reached a later primary; 0: not
+	life     int
+}
+
+func (d *database) position() Position {
+	if len(d.log) == 0 {
+		return Position{}
+	}
+	return Position{Term: d.log[len(d.log)-1].term, Number: uint64(len(d.log))}
+}
+
+func (d *database) status() Status {
+	return Status{Primary: d.primary, Term: d.term, Received: d.position(), TermHeld: d.held, LagMs: d.lag.Milliseconds()}
+}
+
+// ask carries out a probe. False: it refuses and says nothing of use.
+func (d *database) ask(kind ProbeKind, term uint64) bool {
+	switch kind {
+	case AskPause:
+		if term <= d.held {
+			return false
+		}
+		d.held = term
+		d.paused = !d.primary
+	case AskContinue:
+		d.paused = false
+	case AskStepDown:
+		if term > d.term {
+			d.held = max(d.held, term)
+			d.loseLead()
+		}
+	}
+	return true
+}
+
+func (d *database) loseLead() {
+	wasPrimary := d.primary
+	d.primary, d.deposed = false, 0
+	d.dropWaiting()
+	if wasPrimary {
+		d.tell()
+	}
+}
+
+func (d *database) dropWaiting() {
+	waiting := d.waiting
+	d.waiting = nil
+	for _, w := range waiting {
+		w.done(false)
+	}
+}
+
+// write runs a commit. It is answered once a replica has received it.
+func (d *database) write(number int, done func(answered bool, place Position)) {
+	d.log = append(d.log, entry{term: d.term, write: number})
+	place := d.position()
+	d.waiting = append(d.waiting, waiter{number: len(d.log), since: d.world.now, done: func(answered bool) { done(answered, place) }})
+	if d.world.options.sync == 0 {
+		d.received(len(d.log))
+	}
+	for _, other := range d.world.of(d.service) {
+		if other != d {
+			d.send(other)
+		}
+	}
+}
+
+func (d *database) send(to *database) {
+	log, term, life := d.log, d.term, d.life
+	d.world.after(to.lag, func() {
+		if d.life == life && d.up && d.primary && d.term == term && to.receive(d, log) {
+			d.received(len(log))
+		}
+	})
+}
+
+// receive takes the log of the primary, cutting back its own.
+func (d *database) receive(from *database, log []entry) bool {
+	if !d.up || d.paused || !d.world.path(d.id, from.id) || from.term < d.term || d.primary {
+		return false
+	}
+	if from.term == d.term && len(log) < len(d.log) {
+		return true
+	}
+	d.term, d.held = from.term, max(d.held, from.term)
+	d.log = log[:len(log):len(log)]
+	return true
+}
+
+func (d *database) received(length int) {
+	var left []waiter
+	waiting := d.waiting
+	d.waiting = nil
+	for _, w := range waiting {
+		switch {
+		case d.world.now-w.since > writeTimeout:
+			w.done(false)
+		case w.number <= length:
+			w.done(true)
+		default:
+			left = append(left, w)
+		}
+	}
+	d.waiting = append(left, d.waiting...)
+}
+
+// syncLogs lets replicas catch up, and old primaries find the new ones.
+func (w *world) syncLogs() {
+	for _, name := range w.names {
+		d := w.instances[name]
+		d.received(0)
+		if !d.up || !d.primary {
+			continue
+		}
+		for _, other := range w.of(d.service) {
+			if other != d {
+				d.meet(other)
+			}
+		}
+	}
+	w.after(syncEvery, w.syncLogs)
+}
+
+func (d *database) meet(other *database) {
+	if !other.up || !d.world.path(d.id, other.id) || d.term < other.term {
+		return
+	}
+	if !other.primary {
+		d.send(other)
+		return
+	}
+	if other.deposed == 0 {
+		other.deposed = d.world.now
+	}
+	if d.world.now-other.deposed >= time.Second {
+		other.loseLead()
+	}
+}
+
+func (d *database) crash() {
+	d.up = false
+	d.life++
+	d.dropWaiting()
+}
+
+func (d *database) start() {
+	d.up, d.paused = true, false
+	d.life++
+	if d.world.platform.leading[d.service] != d.id {
+		d.primary = false
+	}
+	d.tell()
+}
+
+// beat tells the controller that the instance lives.
+func (d *database) beat() {
+	if d.world.instances[d.id] != d {
+		return
+	}
+	d.tell()
+	d.world.after(beatEvery, d.beat)
+}
+
+func (d *database) tell() {
+	host := d.world.current
+	if d.up && host != nil && d.world.path(d.id, host.name) {
+		host.step(Heard{InstanceID: d.id, Service: d.service, Primary: d.primary})
+	}
+}
+
+// platform carries out POST /failover.
+type platform struct {
+	world        *world
+	fences       map[string]uint64
+	leading      map[string]string
+	promoteDelay time.Duration
+	trouble      string // "", lost, late, down, refuse
+	lateBy       time.Duration
+}
+
+func (p *platform) call(from *host, call PlatformCall) {
+	w := p.world
+	sent := w.judge.called(w, call)
+	end := func(delay time.Duration, outcome PlatformOutcome, code int) {
+		w.after(delay, func() { from.step(Called{Result: PlatformResult{Number: call.Number, Outcome: outcome, Code: code}}) })
+	}
+	switch p.trouble {
+	case "down":
+		sent.acted = true
+		end(10*time.Millisecond, NotSent, 0)
+	case "refuse":
+		sent.acted = true
+		end(10*time.Millisecond, Declined, 429)
+	case "late":
+		end(time.Second, OutcomeUnknown, 0)
+		w.after(p.lateBy, func() { p.act(call, sent) })
+	case "lost":
+		end(time.Second, OutcomeUnknown, 0)
+		w.after(10*time.Millisecond, func() { p.act(call, sent) })
+	default:
+		w.after(10*time.Millisecond, func() {
+			outcome, code := p.act(call, sent)
+			end(10*time.Millisecond, outcome, code)
+		})
+	}
+}
+
+func (p *platform) act(call PlatformCall, sent *sentCall) (PlatformOutcome, int) {
+	sent.acted = true
+	w := p.world
+	target := w.instances[call.InstanceID]
+	if p.world.options.fenceChecked && call.Fence < p.fences[call.Service] {
+		return Declined, 409
+	}
+	p.fences[call.Service] = max(p.fences[call.Service], call.Fence)
+	if target == nil || !target.up {
+		return Declined, 409
+	}
+	if p.leading[call.Service] == call.InstanceID && target.primary {
+		return Accepted, 200
+	}
+	w.after(p.promoteDelay, func() { p.promote(target) })
+	return Accepted, 200
+}
+
+func (p *platform) promote(target *database) {
+	w := p.world
+	if !target.up || w.instances[target.id] != target {
+		return
+	}
+	term := target.term
+	for _, other := range w.of(target.service) {
+		term = max(term, other.term)
+		if w.options.termFromHeld {
+			term = max(term, other.held)
+		}
+		if w.options.promoteReleases {
+			other.paused = false
+		}
+	}
+	p.leading[target.service] = target.id
+	target.primary, target.paused, target.deposed = true, false, 0
+	target.term = term + 1
+	target.held = max(target.held, target.term)
+	w.judge.promoted(w, target)
+	target.tell()
+}
