--- a/control/replication/primary.go
+++ b/control/replication/primary.go
@@ -43,7 +43,6 @@
 	roundAt   time.Duration
 	pending   *pendingChange
 	confirms  []pendingConfirm
-	successor []time.Duration // when newcomers were added for which a silent voter may give way
 }
 
 // pendingChange is the change under way.
@@ -329,6 +328,9 @@
 	}
 	n.noteBehind()
 	n.tickConfirms()
+	if lead.phase == leading {
+		n.changeView()
+	}
 	if n.now-lead.roundAt >= n.settings.Timing.Heartbeat {
 		n.dropSilentLearners()
 		n.broadcast()
@@ -376,7 +378,6 @@
 		n.commitView()
 		n.commitChange()
 		n.settleConfirms()
-		n.changeView()
 	}
 }
 
--- a/control/replication/search_test.go
+++ b/control/replication/search_test.go
@@ -116,6 +116,18 @@
 	if chooser.Intn(2) == 0 {
 		w.run(2 * time.Second) // half of the worlds meet trouble while they are founded
 	}
+	bout(w, chooser, form, choices)
+	w.settle(5 * time.Second)
+	if chooser.Intn(3) == 0 { // once more, when all is repaired
+		w.run(4 * time.Second)
+		bout(w, chooser, form, choices)
+		w.settle(5 * time.Second)
+	}
+	return w.judge.broken
+}
+
+// bout is a bout of troubles, with as many disks lost as the tolerance allows.
+func bout(w *world, chooser *rand.Rand, form shape, choices []trouble) {
 	losses := form.tolerance
 	if w.primary() == nil {
 		losses = 0
@@ -136,8 +148,6 @@
 		what.hits(w, one)
 		w.run(time.Duration(chooser.Int63n(int64(900 * time.Millisecond))))
 	}
-	w.settle(5 * time.Second)
-	return w.judge.broken
 }
 
 func TestRandomWorldsKeepTheirWord(t *testing.T) {
--- a/control/replication/views.go
+++ b/control/replication/views.go
@@ -99,6 +99,7 @@
 	}
 	n.releaseVotedOut()
 	n.broadcast()
+	n.changeView()
 }
 
 func describe(view quorum.View) string {
@@ -152,26 +153,13 @@
 		return n.viewWith(view, learner), true
 	}
 	for _, member := range view.Voters {
-		if !n.givesWay(view, member) {
-			continue
-		}
-		if successors := n.leadership.successor; len(successors) > 0 {
-			n.leadership.successor = successors[1:]
+		if n.givesWay(view, member) {
+			return without(view, member.Incarnation), true
 		}
-		return without(view, member.Incarnation), true
 	}
 	return view, false
 }
 
-func atAddress(members []quorum.Member, address string) bool {
-	for _, member := range members {
-		if member.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
 // nextCopies leaves out copies that lag or leave and lets in voters that have the state, as far as the floor allows.
 func (n *Node) nextCopies(view quorum.View) ([]quorum.Incarnation, bool) {
 	var wanted, grown []quorum.Incarnation
@@ -251,11 +239,8 @@
 	return nil
 }
 
-// viewWith adds a voter that is a copy too. Unless it takes the place of one at its address, another may give way to it.
+// viewWith adds a voter that is a copy too.
 func (n *Node) viewWith(view quorum.View, one *follower) quorum.View {
-	if !atAddress(view.Voters, one.member.Address) {
-		n.leadership.successor = append(n.leadership.successor, n.now)
-	}
 	voters := append([]quorum.Member{}, view.Voters...)
 	view.Voters = append(voters, one.member)
 	sortMembers(view.Voters)
@@ -292,8 +277,8 @@
 	if len(view.Voters) <= n.leastVoters() {
 		return false
 	}
-	if n.hasSuccessor() && silence > timing.ReplaceAfter {
-		return true
+	if len(view.Voters)%2 == 0 && silence > timing.ReplaceAfter {
+		return true // its successor is in; and an even number bears no more losses than one fewer
 	}
 	one := n.leadership.follower(member.Incarnation)
 	return silence > timing.VoterLostAfter || (one != nil && one.leaving)
@@ -329,15 +314,6 @@
 	return n.now - one.heard
 }
 
-// hasSuccessor tells that a newcomer was added lately, and nobody has given way to it yet.
-func (n *Node) hasSuccessor() bool {
-	lead := n.leadership
-	for len(lead.successor) > 0 && n.now-lead.successor[0] > n.settings.Timing.VoterLostAfter {
-		lead.successor = lead.successor[1:]
-	}
-	return len(lead.successor) > 0
-}
-
 // hasSuccessorAtAddress tells that another voter, lately heard, has the same address: the old disk is gone.
 func (n *Node) hasSuccessorAtAddress(view quorum.View, member quorum.Member) bool {
 	for _, other := range view.Voters {
--- a/control/replication/world_test.go
+++ b/control/replication/world_test.go
@@ -393,6 +393,9 @@
 
 // letGo sends what need not wait for the disk any more. A frozen process sends nothing.
 func (w *world) letGo(one *machine) {
+	if len(one.held) == 0 {
+		return
+	}
 	kept := one.held[:0:0]
 	for _, envelope := range one.held {
 		if envelope.After > one.disk.synced {
@@ -446,7 +449,7 @@
 		}
 		w.question(one)
 		if one.node != nil && one.node.MayPropose() {
-			w.order1(one)
+			w.place(one)
 		}
 	}
 }
@@ -457,10 +460,10 @@
 	w.step(one, Confirm{Request: w.requests})
 }
 
-func (w *world) order1(one *machine) {
+func (w *world) place(one *machine) {
 	w.requests++
 	w.judge.ordered(w.requests)
-	key := fmt.Sprintf("order/%06d", w.requests)
+	key := w.judge.keys[w.requests]
 	w.step(one, Propose{Request: w.requests, Mutations: []Mutation{
 		{Key: key, Value: make([]byte, max(w.orderBytes, 1))},
 		{Key: "newest", Value: []byte(key)},
@@ -530,6 +533,7 @@
 // judge keeps what was promised to callers.
 type judge struct {
 	kept      []uint64          // orders that were acknowledged
+	keys      map[uint64]string // of all orders
 	places    map[uint64]uint64 // sequence to the order committed there
 	questions map[uint64]int    // question or order to how many orders had been acknowledged before it came
 	isOrder   map[uint64]bool
@@ -539,13 +543,14 @@
 }
 
 func newJudge() judge {
-	return judge{places: map[uint64]uint64{}, questions: map[uint64]int{}, isOrder: map[uint64]bool{}}
+	return judge{places: map[uint64]uint64{}, questions: map[uint64]int{}, isOrder: map[uint64]bool{}, keys: map[uint64]string{}}
 }
 
 func (j *judge) asked(w *world, request uint64) { j.questions[request] = len(j.kept) }
 
 func (j *judge) ordered(request uint64) {
 	j.isOrder[request] = true
+	j.keys[request] = fmt.Sprintf("order/%06d", request)
 	j.questions[request] = len(j.kept)
 }
 
@@ -567,7 +572,7 @@
 	}
 	j.confirmed++
 	for _, order := range j.kept[:j.questions[decision.Request]] {
-		if !holds(one.node, order) {
+		if !w.judge.holds(one.node, order) {
 			j.fail(w, "%s confirmed itself without order %d, acknowledged before it was asked", one.name, order)
 			return
 		}
@@ -582,7 +587,7 @@
 	}
 	j.places[place] = order
 	for _, earlier := range j.kept[:j.questions[order]] {
-		if !holds(one.node, earlier) {
+		if !w.judge.holds(one.node, earlier) {
 			j.fail(w, "%s acknowledged order %d on a state without order %d, acknowledged before it came", one.name, order, earlier)
 			return
 		}
@@ -591,19 +596,19 @@
 		if other == one || other.node == nil || other.node.Role() != Primary || other.node.Epoch() <= one.node.Epoch() {
 			continue
 		}
-		if !holds(other.node, order) {
+		if !w.judge.holds(other.node, order) {
 			j.fail(w, "%s acknowledged order %d while %s leads a later epoch without it", one.name, order, other.name)
 			return
 		}
 	}
 	copies := 0
 	for _, other := range w.machines {
-		if _, found := other.disk.durable.Entries[orderKey(order)]; found {
+		if _, found := other.disk.durable.Entries[j.keys[order]]; found {
 			copies++
 		}
 	}
 	for _, disk := range w.lost { // since it synced the order
-		if _, found := disk.Entries[orderKey(order)]; found {
+		if _, found := disk.Entries[j.keys[order]]; found {
 			copies++
 		}
 	}
@@ -613,10 +618,8 @@
 	j.kept = append(j.kept, order)
 }
 
-func orderKey(order uint64) string { return fmt.Sprintf("order/%06d", order) }
-
-func holds(node *Node, order uint64) bool {
-	_, found := node.Entry(orderKey(order))
+func (j *judge) holds(node *Node, order uint64) bool {
+	_, found := node.Entry(j.keys[order])
 	return found
 }
 
@@ -648,7 +651,7 @@
 		return
 	}
 	for _, order := range w.judge.kept {
-		if !holds(leads.node, order) {
+		if !w.judge.holds(leads.node, order) {
 			w.judge.fail(w, "order %d is lost", order)
 			return
 		}
