RPC: tests that miss no guard of the transport

Cause: with the greeting's check, or the new connection after a message that is too long, taken out, all tests still passed. Change: a greeting without the protocol's name, and a long message that is the first of its connection; an unused method goes.

--- a/control/rpc/client.go
+++ b/control/rpc/client.go
@@ -48,16 +48,6 @@
 	return ClientCounts{Connections: c.connections.Load(), Stray: c.stray.Load(), Broken: c.broken.Load()}
 }
 
-// Forget closes the connection to the address, if there is one.
-func (c *Client) Forget(address string) {
-	c.mutex.Lock()
-	known := c.lines[address]
-	c.mutex.Unlock()
-	if known != nil {
-		known.end(errClosed)
-	}
-}
-
 // Close closes all connections. Open questions end as Unknown, later ones as Unreachable.
 func (c *Client) Close() {
 	c.mutex.Lock()
--- a/control/rpc/frame_test.go
+++ b/control/rpc/frame_test.go
@@ -130,6 +130,7 @@
 		{"another version", "eiderway-rpc/2 peer", ""},
 		{"another kind", greetingStart + "operator", ""},
 		{"more behind", greetingStart + kindPeer + " x", ""},
+		{"no protocol", kindPeer, ""},
 		{"nothing", "", ""},
 	}
 	for _, example := range cases {
--- a/control/rpc/peers_test.go
+++ b/control/rpc/peers_test.go
@@ -126,12 +126,13 @@
 	arrived := make(inbox, queueLength)
 	_, address := serve(t, arrived.handlers())
 	peers := newPeers(t)
-	peers.Send(address, message(1))
+	peers.Send(address, tooLong()) // the first of its connection, with the descriptions of types
+	peers.Send(address, message(2))
 	peers.Send(address, tooLong())
-	peers.Send(address, message(3))
-	is.Equal(arrived.next(t), uint64(1))
-	is.Equal(arrived.next(t), uint64(3))
-	is.Equal(peers.Counts().TooLong, uint64(1))
+	peers.Send(address, message(4))
+	is.Equal(arrived.next(t), uint64(2))
+	is.Equal(arrived.next(t), uint64(4))
+	is.Equal(peers.Counts().TooLong, uint64(2))
 }
 
 func TestIdleSenderIsForgottenOnlyWithAnEmptyQueue(t *testing.T) {
