Controller: scenarios of one, three and five controllers, and a test for each guard

Cause: the joined state machine had no tests. Change: a simulated deployment (controllers with disks and links, gateways, instances, a platform, callers) with judges of orders, fetches, tables, leases and pauses, driven by text scenarios; guards can be switched off by tests.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -115,6 +115,9 @@
 		return
 	}
 	c.term.batch = batch
+	if c.guards.changesUncommitted {
+		c.answerBatch(batch)
+	}
 	c.stepNode(replication.Propose{Request: batch.request, Mutations: mutations})
 }
 
@@ -162,7 +165,7 @@
 // finishWithoutChange answers plain heartbeats at once while this controller was confirmed a moment ago; all else waits
 // for a confirmation, since a deposed primary may decide on old state.
 func (c *Controller) finishWithoutChange(batch *batch) {
-	fresh := c.now-c.term.confirmed <= confirmationFresh
+	fresh := c.now-c.term.confirmed <= confirmationFresh || c.guards.anyBeatUnconfirmed
 	for _, command := range batch.commands {
 		switch {
 		case command.kind == expireInstances:
@@ -195,6 +198,10 @@
 	}
 	c.term.confirmed = batch.started
 	c.stateChanged()
+	c.answerBatch(batch)
+}
+
+func (c *Controller) answerBatch(batch *batch) {
 	for _, command := range batch.commands {
 		c.finish(command)
 	}
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -27,6 +27,7 @@
 
 	term *term // what a primary keeps in memory; nil while this controller isn't primary
 
+	guards      disabledGuards
 	terminating bool
 	effects     Effects
 }
@@ -153,7 +154,7 @@
 		epoch:     epoch,
 		registry:  registry.New(c.now, c.settings.InstanceLost),
 		failover:  failover.New(c.now, failoverSettings),
-		grants:    newGrants(c.now, c.settings.Lease+c.settings.LeaseMargin),
+		grants:    newGrants(c.now, c.settings.Lease+c.settings.LeaseMargin, c.guards),
 		table:     newTable(epoch),
 		confirmed: c.now,
 		freezes:   map[string]freeze{},
--- a/control/controller/grants.go
+++ b/control/controller/grants.go
@@ -20,6 +20,7 @@
 	heldOver time.Duration // until when leases of earlier terms may last
 	gateways map[string]*grant
 	newest   quorum.Epoch // of the tables that gateways say they work by
+	guards   disabledGuards
 }
 
 // grant is what one gateway process holds.
@@ -28,8 +29,12 @@
 	applied feed.Version
 }
 
-func newGrants(now time.Duration, length time.Duration) *grants {
-	return &grants{length: length, heldOver: now + length, gateways: map[string]*grant{}}
+func newGrants(now, length time.Duration, guards disabledGuards) *grants {
+	held := &grants{length: length, heldOver: now + length, gateways: map[string]*grant{}, guards: guards}
+	if guards.formerLeases {
+		held.heldOver = now
+	}
+	return held
 }
 
 // ask notes what a gateway says it works by.
@@ -68,6 +73,9 @@
 	if now < g.heldOver || version.Epoch < g.newest {
 		return false
 	}
+	if g.guards.leasesUncounted {
+		return true
+	}
 	for _, grant := range g.gateways {
 		if grant.applied.Less(version) && now < grant.until {
 			return false
--- a/control/controller/grants_test.go
+++ b/control/controller/grants_test.go
@@ -22,7 +22,7 @@
 // A gateway's first question is answered after a while: what is forgotten in between must not be its lease.
 func TestLeaseIsRemembered(t *testing.T) {
 	is := is.New(t)
-	g := newGrants(0, leaseLength)
+	g := newGrants(0, leaseLength, disabledGuards{})
 	now := 10 * time.Second
 	g.ask(word("g#1", version(1)))
 	g.expire(now)
@@ -39,7 +39,7 @@
 func TestEarlierProcessDoesNotEndTheLeaseOfALaterOne(t *testing.T) {
 	for _, leaving := range []bool{false, true} {
 		is := is.New(t)
-		g := newGrants(0, leaseLength)
+		g := newGrants(0, leaseLength, disabledGuards{})
 		now := 10 * time.Second
 		g.give(now, word("g#2", version(1)))
 		late := word("g#1", version(1))
@@ -51,7 +51,7 @@
 
 func TestGoodbyeEndsTheLease(t *testing.T) {
 	is := is.New(t)
-	g := newGrants(0, leaseLength)
+	g := newGrants(0, leaseLength, disabledGuards{})
 	now := 10 * time.Second
 	g.give(now, word("g#1", version(1)))
 	goodbye := word("g#1", version(1))
@@ -63,7 +63,7 @@
 // A gateway that works by a table of a later epoch shows that this term is over.
 func TestNothingIsClearedOnceALaterEpochIsSeen(t *testing.T) {
 	is := is.New(t)
-	g := newGrants(0, leaseLength)
+	g := newGrants(0, leaseLength, disabledGuards{})
 	now := 10 * time.Second
 	g.give(now, word("g#1", version(1)))
 	g.ask(word("g#1", feed.Version{Epoch: 2, Sequence: 1}))
@@ -73,7 +73,7 @@
 
 func TestLeasesOfEarlierTermsAreWaitedFor(t *testing.T) {
 	is := is.New(t)
-	g := newGrants(time.Second, leaseLength)
+	g := newGrants(time.Second, leaseLength, disabledGuards{})
 	is.True(!g.cleared(time.Second+leaseLength-1, version(1)))
 	is.True(g.cleared(time.Second+leaseLength, version(1)))
 }
--- /dev/null
+++ b/control/controller/instances_test.go
@@ -0,0 +1,134 @@
+package controller
+
+import (
+	"time"
+
+	"eiderway/control/failover"
+	"eiderway/control/registry"
+)
+
+const beatPause = 500 * time.Millisecond
+
+// instance is a database server that beats to whoever leads the controllers, and answers probes.
+type instance struct {
+	id       string
+	primary  bool
+	term     uint64
+	held     uint64
+	up       bool
+	draining bool
+	seq      uint64
+}
+
+func (w *world) addInstance(id string, primary bool) {
+	one := &instance{id: id, primary: primary, term: 1, held: 1, up: true}
+	w.instances = append(w.instances, one)
+	w.beats(one)
+}
+
+func (w *world) instance(id string) *instance {
+	for _, one := range w.instances {
+		if one.id == id {
+			return one
+		}
+	}
+	return nil
+}
+
+func (w *world) beats(one *instance) {
+	w.after(beatPause, func() {
+		if leads := w.primary(); leads != nil && one.up {
+			one.seq++
+			w.sendBeat(leads, one.beat())
+		}
+		w.beats(one)
+	})
+}
+
+func (i *instance) beat() registry.Heartbeat {
+	beat := registry.Heartbeat{
+		InstanceID:    i.id,
+		TargetService: "s",
+		Address:       i.id + ":5",
+		SlotCount:     7,
+		OperState:     registry.Ready,
+		DBRole:        registry.Replica,
+		CallSeq:       i.seq,
+	}
+	if i.primary {
+		beat.DBRole = registry.Primary
+	}
+	if i.draining {
+		beat.OperState = registry.Draining
+	}
+	return beat
+}
+
+func (i *instance) status() failover.Status {
+	return failover.Status{
+		Primary:  i.primary,
+		Term:     i.term,
+		TermHeld: i.held,
+		Received: failover.Position{Term: i.term, Number: 7},
+	}
+}
+
+// probe carries a probe out; a dead instance stays silent.
+func (w *world) probe(by *machine, probe failover.Probe) {
+	life := by.life
+	started := w.now
+	if probe.Kind == failover.AskPause {
+		w.pauses++
+		w.judgePause(by, probe)
+	}
+	one := w.instance(probe.InstanceID)
+	if one == nil || !one.up {
+		w.after(300*time.Millisecond, func() {
+			w.probed(by, life, failover.ProbeResult{Number: probe.Number, Answer: failover.Silent, Started: started})
+		})
+		return
+	}
+	w.after(w.probeTime, func() {
+		w.carryOut(one, probe)
+		w.probed(by, life, failover.ProbeResult{
+			Number: probe.Number, Answer: failover.Answered, Status: one.status(), Started: started,
+		})
+	})
+}
+
+func (w *world) probed(by *machine, life int, result failover.ProbeResult) {
+	if by.life == life && by.controller != nil {
+		w.give(by, Probed{Result: result})
+	}
+}
+
+func (w *world) carryOut(one *instance, probe failover.Probe) {
+	switch probe.Kind {
+	case failover.AskPause:
+		one.held = max(one.held, probe.Term)
+	case failover.AskStepDown:
+		one.primary = one.primary && one.term >= probe.Term
+	}
+}
+
+// callPlatform promotes an instance.
+func (w *world) callPlatform(by *machine, made failover.PlatformCall) {
+	life := by.life
+	w.platform++
+	w.after(300*time.Millisecond, func() {
+		w.promote(made.InstanceID)
+		if by.life == life && by.controller != nil {
+			w.give(by, PlatformCalled{Result: failover.PlatformResult{Number: made.Number, Outcome: failover.Accepted, Code: 200}})
+		}
+	})
+}
+
+func (w *world) promote(id string) {
+	term := uint64(0)
+	for _, one := range w.instances {
+		term = max(term, one.term+1)
+		one.primary = false
+	}
+	chosen := w.instance(id)
+	chosen.primary, chosen.term, chosen.held = true, term, max(chosen.held, term)
+}
--- a/control/controller/questions.go
+++ b/control/controller/questions.go
@@ -35,7 +35,12 @@
 	c.ask(question{fetch: in.Call})
 }
 
+// ask makes a question wait for the next confirmation.
 func (c *Controller) ask(question question) {
+	if c.guards.unconfirmed(question) {
+		c.answerQuestion(question)
+		return
+	}
 	c.term.questions = append(c.term.questions, question)
 }
 
