Controller: what was answered 503 while it waited isn't carried out later

Cause: commands stayed in the queue after their callers had been answered 503 or had gone; they were carried out once the change before them was committed, held their bodies meanwhile, and could fill the queue. A look for silent instances was queued each second whether or not the last had been decided. Change: waiting commands nobody waits for are dropped; one look waits at a time.

--- a/control/controller/calls.go
+++ b/control/controller/calls.go
@@ -34,6 +34,8 @@
 	return wasOpen
 }
 
+func (o *openCalls) isOpen(call Call) bool { return o.open[call] }
+
 func (o *openCalls) empty() bool { return len(o.open) == 0 }
 
 // overdue removes calls from the queue whose deadline is past, and returns those that are still open.
--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -88,6 +89,9 @@
 		c.redirect(command.call)
 		return
 	}
+	if len(c.term.commands) >= commandsWaiting {
+		c.dropUnwanted()
+	}
 	if len(c.term.commands) >= commandsWaiting {
 		c.unavailable(command.call)
 		return
@@ -97,11 +101,22 @@
 
 func (c *Controller) queue(command command) { c.term.commands = append(c.term.commands, command) }
 
+// dropUnwanted forgets waiting commands whose callers have been answered or have gone: nothing is carried out for them.
+func (c *Controller) dropUnwanted() {
+	c.term.commands = slices.DeleteFunc(c.term.commands, func(waiting command) bool {
+		return waiting.call != 0 && !c.calls.isOpen(waiting.call)
+	})
+}
+
 // startBatch decides the waiting commands on the committed state and proposes what they change.
 func (c *Controller) startBatch() {
 	if c.term.batch != nil || len(c.term.commands) == 0 || !c.node.MayPropose() {
 		return
 	}
+	c.dropUnwanted()
+	if len(c.term.commands) == 0 {
+		return
+	}
 	count := min(len(c.term.commands), commandsPerBatch)
 	batch := &batch{request: c.nextRequest(), started: c.now, commands: c.term.commands[:count:count]}
 	c.term.commands = c.term.commands[count:]
@@ -131,6 +146,7 @@
 	case instanceLeaves:
 		c.term.registry.Leave(c.now, transaction, command.instanceID)
 	case expireInstances:
+		c.term.expiring = false
 		for _, id := range c.term.registry.Expire(c.now, transaction) {
 			c.event("instance lost", id+" has been silent for too long")
 		}
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -46,6 +46,7 @@
 	watches   []*watch          // gateways' questions that wait for news
 	confirmed time.Duration     // when the last confirmation or commit was asked for that was granted
 	expireAt  time.Duration     // when silent instances are looked for again
+	expiring  bool              // a look for silent instances waits for a batch
 	freezes   map[string]freeze // services that are frozen, by name
 }
 
@@ -186,15 +187,19 @@
 
 // passTime answers calls that have waited too long and looks for silent instances.
 func (c *Controller) passTime() {
-	for _, call := range c.calls.overdue(c.now) {
+	late := c.calls.overdue(c.now)
+	for _, call := range late {
 		c.unavailable(call)
 	}
 	if c.term == nil {
 		return
 	}
+	if len(late) > 0 {
+		c.dropUnwanted()
+	}
 	c.stepFailover(failover.Tick{})
-	if c.term != nil && c.now >= c.term.expireAt {
-		c.term.expireAt = c.now + expireEvery
+	if c.now >= c.term.expireAt && !c.term.expiring {
+		c.term.expireAt, c.term.expiring = c.now+expireEvery, true
 		c.queue(command{kind: expireInstances})
 	}
 }
