Controller: answers to an earlier term's probes and calls are not taken for this one's

Cause: the failover numbers its probes and calls from one on in each term of office, so when a controller led twice an answer that was still on its way (another instance's status, another call's end) was taken for that of the new term's probe with the same number. Change: numbers carry the epoch outside the failover; answers of other terms are dropped.

--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -105,7 +105,7 @@
 	case Probed:
 		c.takeProbe(in)
 	case PlatformCalled:
-		c.stepFailover(failover.Called{Result: in.Result})
+		c.takePlatformCall(in)
 	}
 }
 
--- a/control/controller/instances_test.go
+++ b/control/controller/instances_test.go
@@ -77,6 +77,10 @@
 func (w *world) probe(by *machine, probe failover.Probe) {
 	life := by.life
 	started := w.now
+	if by.probed[probe.Number] {
+		w.fail("%s uses the number of a probe twice", by.name)
+	}
+	by.probed[probe.Number] = true
 	if probe.Kind == failover.AskPause {
 		w.pauses++
 		w.judgePause(by, probe)
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -17,8 +17,14 @@
 		return
 	}
 	effects := c.term.failover.Step(c.now, input)
-	c.effects.Probes = append(c.effects.Probes, effects.Probes...)
-	c.effects.Calls = append(c.effects.Calls, effects.Calls...)
+	for _, probe := range effects.Probes {
+		probe.Number = c.term.number(probe.Number)
+		c.effects.Probes = append(c.effects.Probes, probe)
+	}
+	for _, call := range effects.Calls {
+		call.Number = c.term.number(call.Number)
+		c.effects.Calls = append(c.effects.Calls, call)
+	}
 	for _, event := range effects.Events {
 		c.event(event.What, event.Text)
 	}
@@ -27,13 +33,42 @@
 	}
 }
 
+// numberBits is the share of a number outside that the failover counts: it begins anew with each term of office, and an
+// answer to a probe of an earlier term must not pass for one of this term. 24 bits are left for the epoch.
+const numberBits = 40
+
+// number makes a number of the failover one that no other term uses.
+func (t *term) number(inside uint64) uint64 { return uint64(t.epoch)<<numberBits | inside }
+
+// inside gives back the number of the failover, if it is of this term.
+func (t *term) inside(number uint64) (uint64, bool) {
+	return number & (1<<numberBits - 1), number>>numberBits == uint64(t.epoch)
+}
+
 func (c *Controller) takeProbe(in Probed) {
 	if c.term == nil {
 		return
 	}
+	number, mine := c.term.inside(in.Result.Number)
+	if !mine {
+		return
+	}
+	in.Result.Number = number
 	c.stepFailover(failover.Probed{Result: in.Result})
 }
 
+func (c *Controller) takePlatformCall(in PlatformCalled) {
+	if c.term == nil {
+		return
+	}
+	number, mine := c.term.inside(in.Result.Number)
+	if !mine {
+		return // the intent is on the disks: this term finds out what became of it
+	}
+	in.Result.Number = number
+	c.stepFailover(failover.Called{Result: in.Result})
+}
+
 // reportCleared tells the failover of each freeze that no gateway works by an older table any more.
 func (c *Controller) reportCleared() {
 	for _, name := range c.term.frozenServices() {
--- a/control/controller/world_test.go
+++ b/control/controller/world_test.go
@@ -35,6 +35,7 @@
 	held        []replication.Envelope
 	waiting     []Input // of a frozen process
 	mayEnd      bool
+	probed      map[uint64]bool // numbers of the probes of this process
 }
 
 type simulatedDisk struct {
@@ -193,6 +194,7 @@
 	one.controller = New(w.now, w.settings(one), durable)
 	one.controller.guards = w.guards
 	one.started = true
+	one.probed = map[uint64]bool{}
 	w.tick(one, one.life)
 }
 
