Controller: a drain is acknowledged only when the committed state has it

Cause: a draining beat that seemed late (an instance counting its calls anew under its id) changed nothing and was acknowledged, though no gateway was told; and one that changed nothing was acknowledged without a confirmation. Change: draining beats wait for a commit or a confirmation, and are answered 503 unless the committed state says draining or left.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -178,15 +178,14 @@
 	}
 }
 
-// finishWithoutChange answers plain heartbeats at once while this controller was confirmed a moment ago; all else waits
-// for a confirmation, since a deposed primary may decide on old state.
+// finishWithoutChange answers plain beats at once while this controller was confirmed a moment ago; all else waits for a
+// confirmation, since a deposed primary may decide on old state.
 func (c *Controller) finishWithoutChange(batch *batch) {
-	fresh := c.now-c.term.confirmed <= confirmationFresh || c.guards.anyBeatUnconfirmed
 	for _, command := range batch.commands {
 		switch {
 		case command.kind == expireInstances:
 			// Nobody waits for it.
-		case command.kind == takeBeat && fresh:
+		case c.isPlainBeat(command):
 			c.finish(command)
 		default:
 			c.ask(question{command: &command})
@@ -194,6 +193,14 @@
 	}
 }
 
+// isPlainBeat tells whether a beat asks for nothing that others must know of, and this controller was confirmed lately.
+func (c *Controller) isPlainBeat(command command) bool {
+	if command.kind != takeBeat || command.heartbeat.OperState != registry.Ready {
+		return false
+	}
+	return c.now-c.term.confirmed <= confirmationFresh || c.guards.anyBeatUnconfirmed
+}
+
 // takeDecision ends a batch or a confirmation.
 func (c *Controller) takeDecision(decision replication.Decision) {
 	if c.term == nil {
@@ -244,7 +251,7 @@
 	case placeOrder:
 		c.reply(orderReply(command))
 	case takeBeat:
-		c.reply(Reply{Call: command.call, Status: http.StatusOK, Body: c.beatBody()})
+		c.finishBeat(command)
 	case instanceLeaves:
 		c.reply(Reply{Call: command.call, Status: http.StatusOK})
 	case changeFailover:
@@ -252,6 +259,23 @@
 	}
 }
 
+// finishBeat acknowledges a beat. That of an instance that is draining rests on the committed state saying so: a beat that
+// seems late changes nothing, but may be the first one of an instance that counts its calls anew.
+func (c *Controller) finishBeat(command command) {
+	beat := command.heartbeat
+	if beat.OperState == registry.Draining && !c.knowsDrain(beat.InstanceID) {
+		c.unavailable(command.call)
+		return
+	}
+	c.reply(Reply{Call: command.call, Status: http.StatusOK, Body: c.beatBody()})
+}
+
+// knowsDrain tells whether all who work by the control state keep away from an instance, or will soon.
+func (c *Controller) knowsDrain(id string) bool {
+	instance, found := state.InstanceByID(c.node, id)
+	return found && (instance.Draining || instance.Left)
+}
+
 func orderReply(command command) Reply {
 	if command.verdict == state.Conflict {
 		text := "configRevision " + strconv.FormatInt(command.order.Number, 10) + " is taken by another content"
