Gateway and wire: tests end by themselves when they fail, and two more

Cause: a failed test left its stand-in held, and the rule on short writes and clients that never read had no test. Change: held statements are released at the end of a test; tests of both.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,19 +24,31 @@
 	}
 }
 
-// hold keeps statements of one verb waiting until release is closed; arrived is closed when the first has come.
-func hold(verb wire.Verb) (meet func(wire.Statement) mishap, arrived, release chan struct{}) {
-	arrived, release = make(chan struct{}), make(chan struct{})
-	var once sync.Once
-	return func(statement wire.Statement) mishap {
-		if statement.Verb == verb {
-			once.Do(func() { close(arrived) })
-			<-release
-		}
-		return none
-	}, arrived, release
+// held keeps statements of one verb waiting at an instance until they are released, or the test ends.
+type held struct {
+	verb    wire.Verb
+	arrived chan struct{} // is closed when the first has come
+	came    sync.Once
+	let     chan struct{}
+	letOnce sync.Once
+}
+
+func hold(t *testing.T, verb wire.Verb) *held {
+	keeping := &held{verb: verb, arrived: make(chan struct{}), let: make(chan struct{})}
+	t.Cleanup(keeping.release)
+	return keeping
+}
+
+func (h *held) meet(statement wire.Statement) mishap {
+	if statement.Verb == h.verb {
+		h.came.Do(func() { close(h.arrived) })
+		<-h.let
+	}
+	return none
 }
 
+func (h *held) release() { h.letOnce.Do(func() { close(h.let) }) }
+
 func TestStatementsReachTheLeaderUnchanged(t *testing.T) {
 	is := is.New(t)
 	w := startWorld(t)
@@ -199,13 +211,13 @@
 				c.must("PUT a b", "COMPLETE stamp / T")
 			}
 			verb, _, _ := strings.Cut(text, " ")
-			meet, arrived, release := hold(wire.Verb(verb))
-			w.first.on(meet)
+			keeping := hold(t, wire.Verb(verb))
+			w.first.on(keeping.meet)
 			w.controller.set(func(s *standinController) { s.silent = true })
 			c.start(text)
-			<-arrived
+			<-keeping.arrived
 			time.Sleep(leaseOfTests + 50*time.Millisecond)
-			close(release)
+			keeping.release()
 			c.gets(want)
 		})
 	}
@@ -215,15 +227,15 @@
 func TestLapseBeforeTheAnswerLeavesAWriteInDoubt(t *testing.T) {
 	w := startWorld(t)
 	c, other := w.connect("c"), w.connect("o")
-	meet, arrived, release := hold(wire.Put)
-	w.first.on(meet)
+	keeping := hold(t, wire.Put)
+	w.first.on(keeping.meet)
 	w.controller.set(func(s *standinController) { s.silent = true })
 	c.start("PUT a b")
-	<-arrived
+	<-keeping.arrived
 	time.Sleep(leaseOfTests + 50*time.Millisecond)
 	w.controller.set(func(s *standinController) { s.silent = false })
 	w.eventually("there is a lease again", func() bool { return other.ask("FETCH a") == `COMPLETE stamp [""] / I` })
-	close(release)
+	keeping.release()
 	c.gets("ERROR INDOUBT / I")
 }
 
@@ -272,18 +284,15 @@
 	committing.must("BEGIN", "COMPLETE stamp / T")
 	committing.must("PUT 2 x", "COMPLETE stamp / T")
 	writing.must("BEGIN", "COMPLETE stamp / T")
-	holdCommit, committed, release := hold(wire.Commit)
-	holdPut, put, releasePut := hold(wire.Put)
-	defer close(release)
-	defer close(releasePut)
+	commits, puts := hold(t, wire.Commit), hold(t, wire.Put)
 	w.first.on(func(statement wire.Statement) mishap {
-		holdPut(statement)
-		return holdCommit(statement)
+		puts.meet(statement)
+		return commits.meet(statement)
 	})
 	committing.start("COMMIT")
-	<-committed
+	<-commits.arrived
 	writing.start("PUT 3 x")
-	<-put
+	<-puts.arrived
 	frozenAt := time.Now()
 	w.controller.publish(w.table(2, "i-1", true))
 	committing.gets("ERROR INDOUBT / I")
@@ -300,13 +309,13 @@
 func TestChangeOfLeaderLeavesAWriteInDoubt(t *testing.T) {
 	w := startWorld(t)
 	c, other := w.connect("c"), w.connect("o")
-	meet, arrived, release := hold(wire.Put)
-	w.first.on(meet)
+	keeping := hold(t, wire.Put)
+	w.first.on(keeping.meet)
 	c.start("PUT 1 x")
-	<-arrived
+	<-keeping.arrived
 	w.controller.publish(w.table(2, "i-2", false))
 	w.eventually("the new leader serves", func() bool { return other.ask("FETCH 1") == `COMPLETE stamp [""] / I` })
-	close(release)
+	keeping.release()
 	c.gets("ERROR INDOUBT / I")
 }
 
@@ -382,6 +391,25 @@
 	other.must("PUT 2 x", "COMPLETE stamp / I")
 }
 
+// A client that doesn't read its answers holds up nobody else, and nothing is kept for it without end.
+func TestClientThatNeverReads(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c, other := w.connect("c"), w.connect("o")
+	other.must("PUT long "+strings.Repeat("x", wire.MaxMessage/2), "COMPLETE stamp / I")
+	go func() {
+		for range 100 { // more than the sockets' buffers hold
+			if _, err := c.network.Write([]byte("QUERY 1 FETCH long\r\n")); err != nil {
+				return
+			}
+		}
+	}()
+	w.eventually("the first answers are under way", func() bool { return len(w.first.asked()) > 3 })
+	other.must("PUT a b", "COMPLETE stamp / I")
+	time.Sleep(100 * time.Millisecond)
+	is.True(len(w.first.asked()) < 50) // it isn't served further than its buffers
+}
+
 func TestStatementThatTakesTooLong(t *testing.T) {
 	w := startWorld(t)
 	hasty := w.table(2, "i-1", false)
@@ -390,9 +418,7 @@
 	w.controller.publish(hasty)
 	w.eventually("the table is applied", func() bool { return w.controller.applied(2) })
 	c := w.connect("c")
-	meet, _, release := hold(wire.Put)
-	w.first.on(meet)
-	defer close(release)
+	w.first.on(hold(t, wire.Put).meet)
 	c.must("PUT 1 x", "ERROR TIMEOUT / I")
 	c.must("BEGIN", "COMPLETE stamp / T")
 	c.must("PUT 1 x", "ERROR TIMEOUT / E")
@@ -428,16 +454,16 @@
 	committing.must("PUT 2 x", "COMPLETE stamp / T")
 	committing.must("COMMIT", "COMPLETE stamp / I")
 
-	meet, arrived, release := hold(wire.Fetch)
-	w.first.on(meet)
+	keeping := hold(t, wire.Fetch)
+	w.first.on(keeping.meet)
 	asking.start("FETCH 1")
-	<-arrived
+	<-keeping.arrived
 	is.Equal(idle.answer(), "end") // after half of the grace, which is shorter here than the platform's notice
 	is.True(time.Since(begun) >= time.Second)
 	resting.must("FETCH 1", "ERROR ROLLEDBACK / E")
 	resting.must("ABORT", "COMPLETE - / I")
 	is.Equal(resting.answer(), "end")
-	close(release)
+	keeping.release()
 	asking.gets(`COMPLETE stamp ["x"] / I`) // what is under way is answered
 	is.Equal(asking.answer(), "end")
 	<-w.ended
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -176,3 +177,29 @@
 		close(release)
 	}
 }
+
+// shortWriter takes only the first bytes of what is written.
+type shortWriter struct {
+	net.Conn
+	takes int
+}
+
+func (w shortWriter) Write(bytes []byte) (int, error) {
+	if w.takes < len(bytes) {
+		return w.takes, net.ErrClosed
+	}
+	return len(bytes), nil
+}
+
+// A line whose end hasn't left is never run; one that has left whole may have been.
+func TestWhatLeftDecidesWhatMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	whole := len(AppendQuery(nil, "1", "PUT a b"))
+	for takes, want := range map[int]Sent{0: NotSent, whole - 1: NotSent, whole: MaybeRan} {
+		near, _ := net.Pipe()
+		conn := &Conn{network: shortWriter{Conn: near, takes: takes}, reader: NewReader(strings.NewReader(""))}
+		_, err := conn.QueryBy(time.Time{}, "1", "PUT a b")
+		is.True(err != nil)
+		is.Equal(SentOf(err), want)
+	}
+}
