Wire: the test of short writes finds its guard taken out

Cause: the write in it never failed with all bytes gone. Change: it does. Measured: with the guard out the test fails, with it in it passes.

--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -178,17 +178,14 @@
 	}
 }
 
-// shortWriter takes only the first bytes of what is written.
+// shortWriter takes only the first bytes of what is written, and then fails.
 type shortWriter struct {
 	net.Conn
 	takes int
 }
 
 func (w shortWriter) Write(bytes []byte) (int, error) {
-	if w.takes < len(bytes) {
-		return w.takes, net.ErrClosed
-	}
-	return len(bytes), nil
+	return min(w.takes, len(bytes)), net.ErrClosed
 }
 
 // A line whose end hasn't left is never run; one that has left whole may have been.
