--- a/system/bounds.go
+++ b/system/bounds.go
@@ -6,13 +6,13 @@
 type Bounds struct {
 	SeedLagS      float64 `json:"seedLagS" validate:"gte=0,lte=3600"`
 	AddrReuseS    float64 `json:"addrReuseS" validate:"gte=0,lte=3600"`
-	ContactMs     float64 `json:"contactMs" validate:"gt=0,lte=3600000"`
-	AckMs         float64 `json:"ackMs" validate:"gt=0,lte=3600000"`
+	ContactMs     float64 `json:"contactMs" validate:"gte=0,lte=3600000"`
+	AckMs         float64 `json:"ackMs" validate:"gte=0,lte=3600000"`
 	CatchUpS      float64 `json:"catchUpS" validate:"gte=0,lte=3600"`
-	DrainMs       float64 `json:"drainMs" validate:"gt=0,lte=3600000"`
-	GraceS        float64 `json:"graceS" validate:"gt=0,lte=3600"`
+	DrainMs       float64 `json:"drainMs" validate:"gte=0,lte=3600000"`
+	GraceS        float64 `json:"graceS" validate:"gte=0,lte=3600"`
 	LossSlackMs   float64 `json:"lossSlackMs" validate:"gte=0,lte=3600000"`
-	ConfigApplyMs float64 `json:"configApplyMs" validate:"gt=0,lte=3600000"`
+	ConfigApplyMs float64 `json:"configApplyMs" validate:"gte=0,lte=3600000"`
 	RevertSlackMs float64 `json:"revertSlackMs" validate:"gte=0,lte=3600000"`
 	StretchMaxMs  float64 `json:"stretchMaxMs" validate:"gte=0,lte=3600000"`
 	RecoveryS     float64 `json:"recoveryS" validate:"gte=0,lte=3600"`
--- a/system/check.go
+++ b/system/check.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"reflect"
-	"slices"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -105,9 +104,6 @@
 	if settings.DataDirectory == "" {
 		return refusal("dataDir", "", "the directory of a process that serves "+ServesControlPlane)
 	}
-	if !slices.ContainsFunc(settings.Seeds, func(seed string) bool { return seed != "" }) {
-		return refusal("seedPeers", settings.Seeds, "at least one address")
-	}
 	return nil
 }
 
