Controller: a service that appears is frozen in its first table; services read once a change

Cause: freezes were followed for the services of the last table, so one that appeared with a failover under way stood unfrozen in the first table that had it. The services were decoded twice and the whole configuration copied at each change. Change: the committed services are read once a change and both the failover and the table work by them; the configuration is read when its number changes; freezes of services that are gone are dropped.

--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -37,6 +37,7 @@
 	epoch     quorum.Epoch
 	registry  *registry.Registry
 	failover  *failover.Manager
+	services  []failover.ServiceView // as committed; not to be modified
 	grants    *grants
 	table     table
 	commands  []command         // waiting for the next batch
@@ -201,6 +202,7 @@
 	if c.now >= c.term.expireAt && !c.term.expiring {
 		c.term.expireAt, c.term.expiring = c.now+expireEvery, true
 		c.queue(command{kind: expireInstances})
+		c.term.grants.expire(c.now)
 	}
 }
 
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -8,7 +8,8 @@
 // stateChanged tells everyone who works by the committed control state that it has changed.
 func (c *Controller) stateChanged() {
 	c.term.table.dirty = true
-	c.stepFailover(failover.World{Services: state.Services(c.node)})
+	c.term.services = state.Services(c.node)
+	c.stepFailover(failover.World{Services: c.term.services})
 }
 
 // stepFailover steps the failover and passes its effects on.
@@ -71,6 +72,9 @@
 
 // reportCleared tells the failover of each freeze that no gateway works by an older table any more.
 func (c *Controller) reportCleared() {
+	if len(c.term.freezes) == 0 {
+		return
+	}
 	for _, name := range c.term.frozenServices() {
 		frozen := c.term.freezes[name]
 		if frozen.told || frozen.version.Sequence == 0 || !c.term.grants.cleared(c.now, frozen.version) {
@@ -80,5 +84,4 @@
 		c.term.freezes[name] = frozen
 		c.stepFailover(failover.Cleared{Service: name, Freeze: frozen.number})
 	}
-	c.term.grants.expire(c.now)
 }
--- a/control/controller/table.go
+++ b/control/controller/table.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"reflect"
 	"sort"
 
@@ -49,11 +50,19 @@
 	term.table = next
 }
 
-// buildTable reads the committed control state.
+// buildTable reads the committed control state. The configuration may be large, and is read when its number has changed.
 func (c *Controller) buildTable(members []quorum.Member) table {
-	next := table{version: c.term.table.version, members: members}
-	next.configurationNumber, next.configuration, _ = state.Configuration(c.node)
-	for _, view := range state.Services(c.node) {
+	last := c.term.table
+	next := table{
+		version:             last.version,
+		configurationNumber: last.configurationNumber,
+		configuration:       last.configuration,
+		members:             members,
+	}
+	if state.ConfigurationNumber(c.node) != last.configurationNumber {
+		next.configurationNumber, next.configuration, _ = state.Configuration(c.node)
+	}
+	for _, view := range c.term.services {
 		_, frozen := c.term.freezes[view.Name]
 		next.services = append(next.services, feed.Service{
 			Name:      view.Name,
@@ -75,9 +84,13 @@
 // followFreezes takes over from the failover which services are frozen, and tells whether that has changed.
 func (c *Controller) followFreezes() bool {
 	changed := false
-	for _, view := range c.term.table.services {
+	kept := 0
+	for _, view := range c.term.services {
 		number, frozen := c.term.failover.Frozen(view.Name)
 		known, was := c.term.freezes[view.Name]
+		if frozen {
+			kept++
+		}
 		if frozen == was && (!frozen || known.number == number) {
 			continue
 		}
@@ -87,9 +100,19 @@
 			c.term.freezes[view.Name] = freeze{number: number}
 		}
 	}
+	if kept != len(c.term.freezes) {
+		c.dropFreezesOfGoneServices()
+	}
 	return changed
 }
 
+func (c *Controller) dropFreezesOfGoneServices() {
+	maps.DeleteFunc(c.term.freezes, func(name string, _ freeze) bool {
+		_, frozen := c.term.failover.Frozen(name)
+		return !frozen
+	})
+}
+
 // placeFreezes notes which version of the table brings the new freezes.
 func (c *Controller) placeFreezes(version feed.Version) {
 	for name, frozen := range c.term.freezes {
