--- a/control/controller/instances_test.go
+++ b/control/controller/instances_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"time"
 
 	"eiderway/control/failover"
@@ -12,6 +13,7 @@
 // instance is a database server that beats to whoever leads the controllers, and answers probes.
 type instance struct {
 	id       string
+	service  string
 	primary  bool
 	term     uint64
 	held     uint64
@@ -20,10 +22,11 @@
 	seq      uint64
 }
 
-func (w *world) addInstance(id string, primary bool) {
+func (w *world) addInstance(id string, primary bool) *instance {
 	one := &instance{id: id, primary: primary, term: 1, held: 1, up: true}
 	w.instances = append(w.instances, one)
 	w.beats(one)
+	return one
 }
 
 func (w *world) instance(id string) *instance {
@@ -48,7 +51,7 @@
 func (i *instance) beat() registry.Heartbeat {
 	beat := registry.Heartbeat{
 		InstanceID:    i.id,
-		TargetService: "s",
+		TargetService: cmp.Or(i.service, "s"),
 		Address:       i.id + ":5",
 		SlotCount:     7,
 		OperState:     registry.Ready,
--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"eiderway/control/failover"
@@ -59,13 +60,16 @@
 
 // answerWatches moves the questions that are due to the next confirmation.
 func (c *Controller) answerWatches() {
-	waiting := c.term.watches[:0:0]
+	if c.term.table.version.Sequence == 0 || !slices.ContainsFunc(c.term.watches, c.due) {
+		return
+	}
+	var waiting []*watch
 	for _, watch := range c.term.watches {
-		if c.term.table.version.Sequence == 0 || !c.due(watch) {
-			waiting = append(waiting, watch)
+		if c.due(watch) {
+			c.ask(question{watch: watch})
 			continue
 		}
-		c.ask(question{watch: watch})
+		waiting = append(waiting, watch)
 	}
 	c.term.watches = waiting
 }
