Controller: a gateway that goes while its question is being confirmed gets no lease

Cause: a caller's going was only noted while its question waited for news; one being confirmed was answered all the same, and the lease counted though nobody holds it, which holds up freezes. Change: the question is marked. Measured: TestAbandonedWatchGetsNoLease failed before and passes.

--- a/control/controller/questions.go
+++ b/control/controller/questions.go
@@ -26,6 +26,15 @@
 	questions []question
 }
 
+// abandon notes that the gateway that asked has gone.
+func (c confirmation) abandon(call Call) {
+	for _, question := range c.questions {
+		if question.watch != nil && question.watch.call == call {
+			question.watch.gone = true
+		}
+	}
+}
+
 func (c *Controller) takeFetch(in Fetch) {
 	c.calls.add(in.Call, c.now+c.settings.CallWait)
 	if c.term == nil {
@@ -107,7 +116,7 @@
 func (c *Controller) refuseQuestion(question question) {
 	switch {
 	case question.watch != nil:
-		c.refuseWatch(question.watch.call)
+		c.refuseAskedWatch(question.watch)
 	case question.command != nil:
 		c.refuse(*question.command)
 	default:
--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -13,6 +13,7 @@
 	call    Call
 	request feed.WatchRequest
 	until   time.Duration
+	gone    bool // the gateway waits no more
 }
 
 func (c *Controller) takeWatch(in Watch) {
@@ -56,6 +57,9 @@
 			return
 		}
 	}
+	for _, confirmation := range c.term.asked {
+		confirmation.abandon(call)
+	}
 }
 
 // answerWatches moves the questions that are due to the next confirmation.
@@ -80,6 +84,9 @@
 
 // answerWatch gives the newest table and a lease. A majority has confirmed this controller since the question came.
 func (c *Controller) answerWatch(watch *watch) {
+	if watch.gone {
+		return
+	}
 	answer := feed.WatchAnswer{Primary: c.self, Members: c.term.table.members, Lease: c.settings.Lease}
 	if watch.request.Applied.Less(c.term.table.version) {
 		answer.Table = c.term.table.forGateway(watch.request.Configuration)
@@ -88,6 +95,12 @@
 	c.effects.WatchReplies = append(c.effects.WatchReplies, WatchReply{Call: watch.call, Answer: answer})
 }
 
+func (c *Controller) refuseAskedWatch(watch *watch) {
+	if !watch.gone {
+		c.refuseWatch(watch.call)
+	}
+}
+
 // refuseWatch says who leads, as far as this controller knows. It gives no lease.
 func (c *Controller) refuseWatch(call Call) {
 	answer := feed.WatchAnswer{NotPrimary: true, Members: c.node.View().Voters}
