--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +14,9 @@
 
 	"github.com/matryer/is"
 
+	"eiderway/control/feed"
+	"eiderway/control/quorum"
+	"eiderway/control/rpc"
 	"eiderway/wire"
 )
 
@@ -63,6 +69,37 @@
 	is.Equal(len(w.second.texts()), 0)
 }
 
+// The gateway finds the primary through a seed that sends it on, over the controllers' own protocol.
+func TestPrimaryIsFoundThroughASeed(t *testing.T) {
+	is := is.New(t)
+	asker := &rpc.Client{}
+	w := startWorldAsking(t, func(w *world) watcher {
+		primary, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		port := primary.Addr().(*net.TCPAddr).Port
+		seed, err := net.Listen("tcp4", "127.0.0.2:"+strconv.Itoa(port))
+		is.NoErr(err)
+		w.settings.Seeds = []string{"127.0.0.2:1"}
+		w.settings.InternalPorts = []int{port, port}
+		leads := rpc.Serve(primary, rpc.Handlers{Watch: func(ctx context.Context, request feed.WatchRequest) (feed.WatchAnswer, bool) {
+			answer, err := w.controller.Watch(ctx, "", request)
+			return answer, err == nil
+		}})
+		sendsOn := rpc.Serve(seed, rpc.Handlers{Watch: func(context.Context, feed.WatchRequest) (feed.WatchAnswer, bool) {
+			return feed.WatchAnswer{NotPrimary: true, Primary: quorum.Member{Address: primary.Addr().String()}}, true
+		}})
+		w.Cleanup(func() {
+			asker.Close()
+			sendsOn.Close()
+			leads.Close()
+		})
+		return asker
+	})
+	w.connect("c").must("PUT 1 x", "COMPLETE stamp / I")
+	w.controller.publish(w.table(2, "i-1", true))
+	w.eventually("the freeze is acknowledged", func() bool { return w.controller.applied(2) })
+}
+
 func TestDatabasesThatAreNotThere(t *testing.T) {
 	is := is.New(t)
 	w := startWorld(t)
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -374,6 +374,12 @@
 
 // startWorld starts a world and waits until its gateway is ready.
 func startWorld(t *testing.T) *world {
+	t.Helper()
+	return startWorldAsking(t, func(w *world) watcher { return w.controller })
+}
+
+// startWorldAsking starts a world whose gateway asks the controller in another way.
+func startWorldAsking(t *testing.T, asker func(*world) watcher) *world {
 	t.Helper()
 	started := &world{
 		T:         t,
@@ -395,10 +401,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
+	asked := asker(started)
 	go func() {
 		defer close(started.ended)
 		boot := Boot{Settings: started.settings, Log: log, Terminate: started.terminate}
-		if err := run(ctx, boot, started.controller); err != nil {
+		if err := run(ctx, boot, asked); err != nil {
 			t.Error(err)
 		}
 	}()
