Gateway: one that is cut off from the controllers gives its clients away

Cause: a gateway without a lease refuses all, and its clients stay with it. Change: it isn't ready 2 s after its lease ended, and 6 s after it closes sessions at I once it has answered them. Measured: go test -race ./gateway passes.

--- a/gateway/client.go
+++ b/gateway/client.go
@@ -230,7 +230,7 @@
 // first statement may be on its way.
 func (c *client) mustLeave() bool {
 	if c.session.State() == wire.Idle && c.served {
-		return c.gateway.at(closingIdle)
+		return c.gateway.at(closingIdle) || c.gateway.isCutOff()
 	}
 	return c.gateway.at(ending)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -182,14 +182,35 @@
 	return server
 }
 
-// ready tells whether the gateway can serve: it has a configuration and isn't ending.
+const (
+	// unreadyAfter is how long the lease may be lost before the gateway says that it isn't ready: a takeover among the
+	// controllers is over by then, and new clients do better elsewhere.
+	unreadyAfter = 2 * time.Second
+	// closeAfter is how long it may be lost before sessions are closed once they have been refused: by then the platform
+	// has noticed, so that they come back elsewhere.
+	closeAfter = 6 * time.Second
+)
+
+// ready tells whether the gateway can serve: it has a configuration, isn't ending, and hasn't lost its lease for long.
 func (g *Gateway) ready() bool {
 	if g.at(leaving) {
 		return false
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.directory.configured()
+	return g.directory.configured() && !g.leaseLostFor(unreadyAfter)
+}
+
+// leaseLostFor tells whether the lease ran out that long ago. It is called with the lock held.
+func (g *Gateway) leaseLostFor(long time.Duration) bool {
+	return g.now() >= g.directory.leaseUntil+long
+}
+
+// isCutOff tells whether the lease has been lost for so long that sessions are better off elsewhere.
+func (g *Gateway) isCutOff() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.directory.configured() && g.leaseLostFor(closeAfter)
 }
 
 // reload takes over settings that may change while the process runs.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -236,6 +236,23 @@
 	w.eventually("it is served again", func() bool { return c.ask("FETCH a") == `COMPLETE stamp [""] / I` })
 }
 
+// A gateway that is cut off from the controllers says so, and in the end sends its clients away once it has answered.
+func TestCutOffGatewayGivesItsClientsAway(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	c, resting := w.connect("c"), w.connect("r")
+	w.controller.set(func(s *standinController) { s.silent = true })
+	w.eventually("it isn't ready", func() bool { return w.readiness() == http.StatusServiceUnavailable })
+	c.must("FETCH 1", "ERROR BUSY / I")
+	c.must("FETCH 1", "ERROR BUSY / I") // not yet: the platform may not have noticed
+	time.Sleep(closeAfter - unreadyAfter)
+	c.must("FETCH 1", "ERROR BUSY / I")
+	is.Equal(c.answer(), "end")
+	w.controller.set(func(s *standinController) { s.silent = false })
+	w.eventually("it is ready", func() bool { return w.readiness() == http.StatusOK })
+	resting.must("FETCH 1", `COMPLETE stamp [""] / I`)
+}
+
 // The lease runs out while the instance is at work: a write that succeeds there is in doubt, and so is a COMMIT; a read
 // keeps nothing.
 func TestLeaseThatEndsBetweenSendingAndAnswer(t *testing.T) {
