--- a/splitter/api.go
+++ b/splitter/api.go
@@ -1,5 +1,7 @@
 package splitter
 
+import "slices"
+
 // Need says how fresh the data under a txn must be.
 type Need int
 
@@ -111,6 +113,8 @@
 	Report
 }
 
+func (r Result) is(set ...Outcome) bool { return slices.Contains(set, r.Outcome) }
+
 // Report is what a node told of itself. Absent values are zero, Load -1.
 type Report struct {
 	OK   bool // a probe was answered
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -57,6 +57,7 @@
 	askAgain     = 1.0   // s, about, until a refused watch is asked for again, growing with each refusal
 	askMost      = 4     // refusals until it grows no more: a third of the shortest time routers may go unasked
 	forgetAfter  = 60.0  // s a node is off the list until it is forgotten: an old list comes again sooner
+	unheard      = 1e12  // s that a member lags as long as nothing was heard of it: longer than any
 	leastPace    = 0.02  // pace of the quickest node that still counts
 	avoidBias    = 10.0  // how much busier a node counts for a txn that it has just failed
 	choices      = 2     // members that are compared where peers tell loads: what all know, all would choose
@@ -105,6 +106,7 @@
 // node is a member with its entry in the role record.
 type node struct {
 	Member
+	group                 *group  // as it was first listed
 	closed, drained       bool    // drains or is gone; was listed as draining, and has not started anew since
 	claimed, denied       float64 // latest time it was primary by its own word; latest that denies it
 	pos, lag              float64 // it has applied all commits up to this time; s behind when last heard
@@ -118,7 +120,7 @@
 	pace                  float64 // latency as a share of the SLA time, of late
 	limit, cut            float64 // submissions of ours it bears at once; when that last shrank
 	next, crowded         float64 // no submission before this; s it is left alone when it turns one away as full
-	out                   []*flight
+	out                   []*txn
 	idle                  []float64 // since when each connection that should be open is not in use
 	gone, started         float64   // since when it is off the list, 0: it is on; when it last came up cold
 	doubted, since        float64   // peers doubt it until then; and have since then
@@ -155,28 +157,23 @@
 	s.asked, s.sent, s.got, s.at = s.asked*f+1, s.sent*f+sent, s.got*f+got, now
 }
 
-// txn is a held txn. Its flight's result is handed to the step that the flight carries.
+// txn is a held txn with the one submission of it that is out.
 type txn struct {
 	Txn
 	*kind
-	g             *group
-	arrived       float64
-	turn          float64 // its place in the turns at fresh nodes, 0 to 1
-	tries         int
-	ran           float64 // when the first submission that may have run was sent; 0: none
-	ranZone       int
-	out           *flight
-	avoid         *node // the last one to fail it
-	why           Cause // what holds it
-	queued        bool  // it ended in a queue, or was one too many for them
-	started, over bool  // the answer has begun to flow; it is the client's
-}
-
-// flight is a submission that is out.
-type flight struct {
-	t              *txn
+	g              *group
+	arrived        float64
+	turn           float64 // its place in the turns at fresh nodes, 0 to 1
+	tries          int
+	ran            float64 // when the first submission that may have run was sent; 0: none
+	ranZone        int
+	at             *node // where a submission of it is out; nil: nowhere
 	sent           float64
-	opened, called bool // a connection for it; off
+	opened, called bool  // it needed a new connection; it was called off
+	avoid          *node // the last one to fail it
+	why            Cause // what holds it
+	queued         bool  // it ended in a queue, or was one too many for them
+	started, over  bool  // the answer has begun to flow; it is the client's
 }
 
 // New starts a router with nothing but its terms.
@@ -222,13 +219,11 @@
 			if m.Group < 0 {
 				continue
 			}
-			n = &node{Member: Member{Group: m.Group}, limit: limitStart, lag: math.Inf(1), since: math.Inf(1),
+			n = &node{group: r.group(m.Group), limit: limitStart, lag: unheard, since: math.Inf(1),
 				started: math.Inf(-1)}
 			r.nodes[m.Node] = n
-			g := r.group(m.Group)
-			g.members = append(g.members, n)
+			n.group.members = append(n.group.members, n)
 		}
-		m.Group = n.Group
 		n.drained = n.drained && m.Born <= n.Born
 		if m.Born > 0 && m.Born > n.started {
 			n.started, n.limit = m.Born, min(n.limit, limitStart)
@@ -251,18 +246,11 @@
 
 // forget empties the tables of a node that was replaced, once no list and no answer can bring it up again.
 func (r *Router) forget(n *node) {
-	g := r.group(n.Group)
 	if !n.closed && !n.down {
 		return // it serves on, as where only drains bind
 	}
-	g.members = slices.DeleteFunc(g.members, func(m *node) bool { return m == n })
-	if g.hint == n {
-		g.hint = nil
-	}
-	if g.pri == n {
-		g.pri = nil
-		r.hold(g)
-	}
+	n.group.members = slices.DeleteFunc(n.group.members, func(m *node) bool { return m == n })
+	r.unseat(n, 0, true)
 	r.nodes[n.Node] = nil
 	r.host.Forget(n.Node)
 }
@@ -275,8 +263,8 @@
 	}
 	n.drained = n.drained || s == Draining
 	n.closed = n.drained || s == Gone && !r.terms.OnlyDrainBinds
-	if g := r.group(n.Group); n.closed && g.pri == n {
-		r.hold(g)
+	if n.closed {
+		r.hold(n)
 	}
 }
 
@@ -339,7 +327,7 @@
 			r.Look(node, PeersDoubt)
 		}
 		if n.doubted = until; until <= now { // what failed then says little of now
-			for _, m := range r.group(n.Group).members {
+			for _, m := range n.group.members {
 				if m.first >= n.since { // nor do those that took its reads meanwhile come before it
 					m.first = 0
 				}
@@ -352,7 +340,7 @@
 // Look probes a node that peers doubt, or want to know of.
 func (r *Router) Look(node int, why Cause) {
 	if n := r.nodes[node]; n != nil && r.terms.Probes && !n.probing && !n.closed {
-		r.probe(n, r.group(n.Group), why)
+		r.probe(n, why)
 	}
 }
 
@@ -380,9 +368,7 @@
 func (r *Router) Left(id int) {
 	if t := r.txns[id]; t != nil {
 		r.end(t)
-		if t.out != nil {
-			r.callOff(t.out)
-		}
+		r.callOff(t)
 	}
 }
 
@@ -539,7 +525,7 @@
 		if best == nil {
 			return asked > 0
 		}
-		r.probe(best, t.g, ReadAsks)
+		r.probe(best, ReadAsks)
 	}
 	return true
 }
@@ -556,7 +542,7 @@
 		if n.closed || n.aside && !r.trial(n) || now < n.denied+hurried {
 			continue
 		}
-		if slices.ContainsFunc(n.out, func(f *flight) bool { return f.t.Need == NeedPrimary }) {
+		if slices.ContainsFunc(n.out, func(t *txn) bool { return t.Need == NeedPrimary }) {
 			return nil
 		}
 		if best == nil || n.denied < best.denied || n.denied == best.denied && n.Primary && !best.Primary {
@@ -616,8 +602,8 @@
 	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
 	routers := float64(max(2, r.terms.Routers))
 	out := t.work
-	for _, f := range n.out {
-		out += f.t.work
+	for _, other := range n.out {
+		out += other.work
 	}
 	if out*routers <= (r.terms.Overload-1)*r.terms.Fall*coldCores*share {
 		return true
@@ -698,21 +684,20 @@
 	if harmless && third > usual {
 		until = now + third
 	}
-	f := &flight{t: t, sent: now, opened: !n.open(r)}
+	t.at, t.sent, t.opened, t.called = n, now, !n.open(r), false
 	n.idle = n.idle[:max(0, len(n.idle)-1)]
-	t.out = f
 	t.tries++
 	r.sent++
 	t.g.live++
-	n.out = append(n.out, f)
-	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.landed(f, n, res) })
+	n.out = append(n.out, t)
+	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.landed(t, n, res) })
 }
 
 // landed takes the result of a submission, and the txn its next step.
-func (r *Router) landed(f *flight, n *node, res Result) {
-	t, now := f.t, r.clock()
-	n.out = slices.DeleteFunc(n.out, func(x *flight) bool { return x == f })
-	t.out = nil
+func (r *Router) landed(t *txn, n *node, res Result) {
+	now := r.clock()
+	n.out = slices.DeleteFunc(n.out, func(x *txn) bool { return x == t })
+	t.at = nil
 	t.g.live--
 	if n.limit < 1 {
 		n.next = now + (1/n.limit-1)*res.Latency // a limit under one is a share of the time
@@ -724,10 +709,10 @@
 	if !res.is(TimedOut, Broken, NoConn, Cancelled) { // these end a connection
 		n.idle = append(n.idle, now)
 	}
-	if f.opened && f.sent >= r.woke && res.is(Committed, TimedOut) {
+	if t.opened && t.sent >= r.woke && res.is(Committed, TimedOut) {
 		r.setup += paceGain * (max(0, res.Latency-t.work) - r.setup)
 	}
-	r.learn(f, n, res)
+	r.learn(t, n, res)
 	if now < r.scarce && len(n.out) == 0 && res.Outcome != NoConn {
 		n.idle = nil
 		r.host.CloseIdle(n.Node)
@@ -738,7 +723,7 @@
 		return
 	}
 	if t.ran == 0 && !res.is(Missed, Full, NoConn, Unsent) {
-		t.ran, t.ranZone = f.sent, n.Zone
+		t.ran, t.ranZone = t.sent, n.Zone
 	}
 	t.avoid = n
 	if t.started || t.tries >= r.terms.MaxSubmissions || now >= r.last(t) || t.ran > 0 && t.Effect == OnceOnly {
@@ -787,16 +772,14 @@
 	r.host.Decline(t.ID, pause)
 }
 
-func (res Result) is(set ...Outcome) bool { return slices.Contains(set, res.Outcome) }
-
 // learn feeds the role record and the health of a node from a result.
-func (r *Router) learn(f *flight, n *node, res Result) {
+func (r *Router) learn(t *txn, n *node, res Result) {
 	now := r.host.Now()
-	t, g, timed := f.t, f.t.g, f.sent >= r.woke // timed: its latency is the node's
+	g, timed := t.g, t.sent >= r.woke // timed: its latency is the node's
 	if res.is(Committed, Missed, Full, Failed, Answered) {
 		n.heard, n.first = now, cmp.Or(n.first, now)
 		r.hear(n, res.Report, true)
-		if n.bad > 0 && f.sent >= n.missed {
+		if n.bad > 0 && t.sent >= n.missed {
 			r.blind = now + window // it serves, and did not answer a probe sent before
 		}
 		if n.bad = 0; n.aside && now < r.blind && res.Outcome != Failed {
@@ -852,9 +835,7 @@
 	case Missed:
 		if t.Need == NeedPrimary {
 			n.denied = now
-			if g.pri == n {
-				r.hold(g)
-			}
+			r.hold(n)
 		} else {
 			n.lag = max(n.lag, min(now-r.need(t), sessionSpan)) // so far behind at least
 		}
@@ -872,11 +853,9 @@
 		n.down = n.down || refused && now < r.blind
 		if refused && r.terms.Probes && !n.probing {
 			n.refused = now
-			r.probe(n, g, ConnLost)
-		}
-		if g.pri == n {
-			r.hold(g)
+			r.probe(n, ConnLost)
 		}
+		r.hold(n)
 	}
 }
 
@@ -949,7 +928,7 @@
 	if rep.Pos > 0 {
 		n.pos = max(n.pos, rep.Pos)
 		n.lag = max(0, now-rep.Pos-late)
-	} else if n.lag /= 2; math.IsInf(n.lag, 1) {
+	} else if n.lag /= 2; n.lag >= unheard/2 {
 		n.lag = 0 // no position is told here: only misses say that it is behind
 	}
 	switch rep.Role {
@@ -962,31 +941,35 @@
 		if answer {
 			n.denied = now
 		}
-		g := r.group(n.Group)
-		if g.hint == n && (answer || at > g.hinted) {
-			g.hint = nil
-		}
-		if g.pri == n && (answer || at > n.claimed) {
-			g.pri = nil
-			r.hold(g)
-		}
+		r.unseat(n, at, answer)
+	}
+}
+
+// unseat takes it that a member is no primary: as of a time, or for sure.
+func (r *Router) unseat(n *node, at float64, sure bool) {
+	g := n.group
+	if g.hint == n && (sure || at > g.hinted) {
+		g.hint = nil
+	}
+	if g.pri == n && (sure || at > n.claimed) {
+		r.hold(n)
+		g.pri = nil
 	}
 }
 
 // claim takes a member's word that it was primary at a time. Of two, the later claim holds.
 func (r *Router) claim(n *node, at float64) {
-	g := r.group(n.Group)
+	g := n.group
 	if at <= n.denied || n.closed {
 		return
 	}
 	n.claimed = max(n.claimed, at)
-	old := g.pri
-	if old != nil && old != n {
-		g.until = r.host.Now() + window
-	}
-	if old == nil || old != n && at > old.claimed {
+	if old := g.pri; old == nil {
 		g.pri = n
-		if old != nil {
+	} else if old != n {
+		g.until = r.host.Now() + window
+		if at > old.claimed {
+			g.pri = n
 			r.recall(old)
 		}
 	}
@@ -998,23 +981,26 @@
 
 // recall calls off writes that an old primary still has: they can go on to the new one in their window.
 func (r *Router) recall(old *node) {
-	for _, f := range old.out {
-		if t := f.t; t.Need == NeedPrimary && t.Effect == Referenced && !t.over && !t.started {
-			r.callOff(f)
+	for _, t := range old.out {
+		if t.Need == NeedPrimary && t.Effect == Referenced && !t.over && !t.started {
+			r.callOff(t)
 		}
 	}
 }
 
-func (r *Router) callOff(f *flight) {
-	if r.terms.Cancels && !f.called {
-		f.called = true
-		r.host.Cancel(f.t.ID)
+func (r *Router) callOff(t *txn) {
+	if r.terms.Cancels && t.at != nil && !t.called {
+		t.called = true
+		r.host.Cancel(t.ID)
 	}
 }
 
-// hold keeps writes until a member shows that it is primary, old or new, and probes fast meanwhile.
-func (r *Router) hold(g *group) {
-	now := r.host.Now()
+// hold keeps writes, where n is primary, until a member shows that it is, old or new, and probes fast then.
+func (r *Router) hold(n *node) {
+	g, now := n.group, r.host.Now()
+	if g.pri != n {
+		return
+	}
 	if !g.held {
 		g.since = now
 	}
@@ -1083,8 +1069,7 @@
 		}
 		if n.probed == 0 {
 			why = FirstLook
-		}
-		if n.probed > 0 && now-n.probed < every*(0.9+0.2*r.rng.Float64()) {
+		} else if now-n.probed < every*(0.9+0.2*r.rng.Float64()) {
 			continue
 		}
 		if !owed {
@@ -1094,7 +1079,7 @@
 			}
 			g.credit--
 		}
-		r.probe(n, g, why)
+		r.probe(n, why)
 	}
 	g.next += due // the first one left out
 }
@@ -1109,19 +1094,19 @@
 	return count
 }
 
-func (r *Router) probe(n *node, g *group, why Cause) {
+func (r *Router) probe(n *node, why Cause) {
 	n.probing, n.probed = true, r.host.Now()
 	r.host.Probe(n.Node, why, func(rep Report) {
 		before := r.sent
-		if r.answered(n, g, n.probed, rep); r.sent > before {
+		if r.answered(n, n.probed, rep); r.sent > before {
 			r.host.Count(Freed, why)
 		}
 	})
 }
 
 // answered takes what a probe brought. While no member answers any, the record is frozen: it may be us.
-func (r *Router) answered(n *node, g *group, sent float64, rep Report) {
-	now := r.clock()
+func (r *Router) answered(n *node, sent float64, rep Report) {
+	g, now := n.group, r.clock()
 	n.probing = false
 	if !rep.OK && sent < r.woke {
 		return
@@ -1136,8 +1121,8 @@
 		if n.bad >= badProbes && now >= r.blind && g.mute <= (frozenRounds-1)*len(g.members) {
 			n.down = true
 			r.setAside(n)
-			if g.pri == n && !g.held {
-				r.hold(g)
+			if !g.held {
+				r.hold(n)
 			}
 		}
 		return
