Replication: two silent voters of an odd number give way when that bears more losses

Change: silent voters give way after ReplaceAfter as soon as the view bears more losses without them, down to the least number.

--- a/control/replication/views.go
+++ b/control/replication/views.go
@@ -277,13 +277,29 @@
 	if len(view.Voters) <= n.leastVoters() {
 		return false
 	}
-	if len(view.Voters)%2 == 0 && silence > timing.ReplaceAfter {
-		return true // its successor is in; and an even number bears no more losses than one fewer
+	if silence > timing.ReplaceAfter && n.bearsMoreWithout(view) {
+		return true
 	}
 	one := n.leadership.follower(member.Incarnation)
 	return silence > timing.VoterLostAfter || (one != nil && one.leaving)
 }
 
+// bearsMoreWithout tells that without its silent voters the view bears more losses than with them. So it is as soon as
+// successors are in. One fewer of an odd number changes nothing.
+func (n *Node) bearsMoreWithout(view quorum.View) bool {
+	silent := 0
+	for _, member := range view.Voters {
+		if n.silence(member.Incarnation) > n.settings.Timing.ReplaceAfter {
+			silent++
+		}
+	}
+	spare := len(view.Voters) - n.leastVoters()
+	if len(view.Voters)%2 == 0 {
+		return silent >= 1 && spare >= 1
+	}
+	return silent >= 2 && spare >= 2
+}
+
 func (n *Node) leastVoters() int { return 2*n.settings.Tolerance + 1 }
 
 // mayVoteOut tells that the voters that live are a majority of what remains.
