--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -6,6 +6,10 @@
 //   - After Cleared for a freeze no gateway passes on the success of a write that it sent before the freeze was lifted.
 //   - An intent is on the disks of all copies before its call is made, so a later holder knows of each call under way.
 //   - A call that was sent acts within Settings.LateCall, or never.
+//   - A pause lasts until CONTINUE, a promote or a restart, and a restart takes longer than a commit waits for a replica.
+//   - STEPDOWN makes a replica that receives like any other: only the pause after it makes it keep still.
+//   - In a planned hand-over the leader is not told to step down first, unless a replica is silent: all replicas are paused, so it
+//     can acknowledge nothing, and if the platform can't be reached it goes on.
 //   - A replica that answered neither probes nor sent heartbeats for Settings.ReplicaLost, while the leader lived, receives
 //     nothing from the leader either.
 package failover
