--- a/control/replication/election.go
+++ b/control/replication/election.go
@@ -19,37 +19,6 @@
 	retryJitter = 400 * time.Millisecond
 )
 
-type candidacyPhase int
-
-const (
-	polling   candidacyPhase = iota // asks whether others miss the primary too
-	preparing                       // asks for promises
-	fetching                        // has them, and fetches the state of a copy
-)
-
-// candidacy is an attempt to become primary, up to the point where it has a state to bring to the others.
-type candidacy struct {
-	phase     candidacyPhase
-	request   uint64
-	began     time.Duration // of the phase
-	asked     time.Duration
-	founding  bool
-	handover  bool
-	missing   []quorum.Member // who misses the primary too
-	epoch     quorum.Epoch
-	ownWrite  uint64 // of the own promise
-	promises  []promiseGiven
-	enoughAt  time.Duration // when a founding candidate had a majority
-	hasEnough bool
-	base      quorum.View // the view whose voters decide, once it is settled
-}
-
-type promiseGiven struct {
-	member   quorum.Member
-	accepted quorum.View
-	stamp    quorum.Stamp
-}
-
 // tickElection looks whether it is time to stand, and repeats what got no answer.
 func (n *Node) tickElection() {
 	if n.candidacy != nil {
@@ -215,63 +184,6 @@
 	return others
 }
 
-func containsMember(members []quorum.Member, incarnation quorum.Incarnation) bool {
-	for _, member := range members {
-		if member.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *candidacy) answeredBy(member quorum.Member) bool {
-	if c.phase == polling {
-		for _, other := range c.missing {
-			if sameMember(other, member) {
-				return true
-			}
-		}
-		return false
-	}
-	for _, promise := range c.promises {
-		if sameMember(promise.member, member) {
-			return true
-		}
-	}
-	return false
-}
-
-// sameMember compares by incarnation, or by address where that isn't known.
-func sameMember(a, b quorum.Member) bool {
-	if a.Incarnation == "" || b.Incarnation == "" {
-		return a.Address == b.Address
-	}
-	return a.Incarnation == b.Incarnation
-}
-
-func (n *Node) onPoll(message Message) {
-	n.answer(message, 0, Message{PollAnswer: &PollAnswer{
-		Missing:  n.missesPrimary(message.From),
-		MayFound: n.mayFound(),
-		Promised: n.record.Promised,
-		View:     n.newerView(message.Poll.View),
-	}})
-}
-
-// missesPrimary tells whether this node would welcome the asker's candidacy. The primary itself may always ask.
-func (n *Node) missesPrimary(asker quorum.Member) bool {
-	if n.leadership != nil {
-		return false
-	}
-	if n.candidacy != nil && n.candidacy.phase != polling {
-		return false
-	}
-	if !n.leader.known || n.leader.member.Incarnation == asker.Incarnation {
-		return true
-	}
-	return n.now-n.leader.heard >= n.settings.Timing.ElectionAfter*3/4
-}
-
 func (n *Node) onPollAnswer(message Message) {
 	stand := n.candidacy
 	if stand == nil || stand.phase != polling || message.Request != stand.request {
@@ -299,71 +211,6 @@
 	}
 }
 
-// onPrepare promises to take nothing of a lower epoch from now on, unless a primary is being heard.
-func (n *Node) onPrepare(message Message) {
-	prepare := message.Prepare
-	epoch := message.Epoch
-	n.learnEpoch(epoch)
-	again := epoch == n.record.Promised && n.leader.known && n.leader.epoch == epoch &&
-		n.leader.member.Incarnation == message.From.Incarnation
-	if (epoch <= n.record.Promised && !again) || !n.mayPromise(message) {
-		n.refuse(message)
-		return
-	}
-	if !prepare.Handover && !again && !n.missesPrimary(message.From) {
-		n.refuse(message)
-		return
-	}
-	if !again {
-		n.promiseTo(message.From, epoch)
-	}
-	n.leader.heard = n.now
-	n.silentSince = n.now
-	after := n.lastWrite()
-	if n.guards.promiseBeforeSync {
-		after = 0
-	}
-	n.answer(message, after, Message{Promise: &Promise{Accepted: n.record.Accepted, Stamp: n.history.stamp}})
-}
-
-// mayPromise tells whether this node's vote counts for the candidate at all.
-func (n *Node) mayPromise(message Message) bool {
-	prepare := message.Prepare
-	if prepare.View.ID == (quorum.ViewID{}) {
-		return n.mayFoundWith(prepare.Seeds)
-	}
-	if n.record.Accepted.ID != (quorum.ViewID{}) || n.guards.emptyDiskVotes {
-		return true
-	}
-	_, votes := prepare.View.Voter(n.self.Incarnation)
-	return votes
-}
-
-// promiseTo ends everything of a lower epoch.
-func (n *Node) promiseTo(candidate quorum.Member, epoch quorum.Epoch) {
-	n.record.Promised = epoch
-	n.learnEpoch(epoch)
-	if n.leadership != nil {
-		n.stepDown(fmt.Sprintf("%s stands with epoch %d", candidate.Name, epoch))
-	}
-	n.candidacy = nil
-	n.fetch = nil
-	n.owed = nil
-	n.writeRecord()
-	n.leader = leaderSeen{member: candidate, epoch: epoch, heard: n.now, known: true}
-	n.silentSince = n.now
-}
-
-// refuse tells the sender that its epoch is over or its question unwelcome.
-func (n *Node) refuse(message Message) {
-	view := n.known
-	refusal := &Refusal{Promised: n.record.Promised}
-	if view.ID != (quorum.ViewID{}) {
-		refusal.View = &view
-	}
-	n.answer(message, 0, Message{Refusal: refusal})
-}
-
 func (n *Node) onPromise(message Message) {
 	stand := n.candidacy
 	if stand == nil || stand.phase != preparing || message.Request != stand.request || message.Epoch != stand.epoch {
@@ -477,28 +324,3 @@
 	stand.base = newest
 	n.startFetch(source.member, stand.epoch, source.stamp)
 }
-
-func (c *candidacy) promisedBy(incarnation quorum.Incarnation) bool {
-	for _, promise := range c.promises {
-		if promise.member.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
-}
-
-// bestCopy is the copy of the view with the highest stamp among those that have promised.
-func (c *candidacy) bestCopy(view quorum.View) (promiseGiven, bool) {
-	best := promiseGiven{}
-	found := false
-	for _, promise := range c.promises {
-		if !view.HasCopy(promise.member.Incarnation) {
-			continue
-		}
-		if !found || best.stamp.Less(promise.stamp) {
-			best = promise
-			found = true
-		}
-	}
-	return best, found
-}
--- a/control/replication/scenario_test.go
+++ b/control/replication/scenario_test.go
@@ -36,6 +36,7 @@
 //	disk NODE TIME                a sync takes this long
 //	stall NODE TIME               nothing is synced for this long
 //	refuse NODE, accept NODE      the disk refuses writes; takes them again
+//	network LOSS DOUBLED LATE     shares of messages that are lost, come twice, come up to three seconds late
 //	client on|off
 //	value BYTES                   size of an order
 //	expect primary NODE | none
@@ -94,6 +95,14 @@
 	return value
 }
 
+func share(word string) float64 {
+	value, err := strconv.ParseFloat(word, 64)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
 func span(word string) time.Duration {
 	value, err := time.ParseDuration(word)
 	if err != nil {
@@ -119,6 +128,8 @@
 		w.heal()
 	case "client":
 		w.client = words[1] == "on"
+	case "network":
+		w.loss, w.doubled, w.late = share(words[1]), share(words[2]), share(words[3])
 	case "value":
 		w.orderBytes = number(words[1])
 	case "seeds":
--- a/control/replication/world_test.go
+++ b/control/replication/world_test.go
@@ -190,7 +190,6 @@
 	if one.node == nil {
 		return
 	}
-	w.judge.processEnded(one)
 	one.node = nil
 	one.life++
 	one.held = nil
@@ -554,8 +553,6 @@
 	j.questions[request] = len(j.kept)
 }
 
-func (j *judge) processEnded(*machine) {}
-
 func (j *judge) fail(w *world, format string, arguments ...any) {
 	if j.broken == "" {
 		j.broken = fmt.Sprintf("at %s: ", w.now) + fmt.Sprintf(format, arguments...)
