Replication: power lost at every write, before and after it is on disk

Cause: durable before spoken is to hold at each single write. Change: a test that takes the power at each of the first 60 writes of each of three machines, with a founding, a join and a leave.

--- a/control/replication/systematic_test.go
+++ b/control/replication/systematic_test.go
@@ -54,3 +54,36 @@
 	}
 	what.hits(w, w.machines[index])
 }
+
+// TestPowerLostAtEveryWrite takes the power of one machine at each of its writes, from the founding on: while the write
+// is under way, and when it is on disk but nothing that rests on it has been said.
+func TestPowerLostAtEveryWrite(t *testing.T) {
+	const writes = 60
+	for victim := 0; victim < 3; victim++ {
+		for _, synced := range []bool{false, true} {
+			t.Run(fmt.Sprintf("machine %d, synced %v", victim, synced), func(t *testing.T) {
+				t.Parallel()
+				for write := 1; write <= writes; write++ {
+					if broken := losePowerAt(victim, uint64(write), synced); broken != "" {
+						t.Errorf("write %d: %s", write, broken)
+					}
+				}
+			})
+		}
+	}
+}
+
+func losePowerAt(victim int, write uint64, synced bool) string {
+	w := newWorld(int64(write), 4, 3, 1, disabledGuards{}) // the fourth joins, and one leaves
+	one := w.machines[victim]
+	w.schedule(2*time.Second, func() { w.leave(w.machines[(victim+1)%3], true) })
+	one.disk.failPoint = write
+	one.disk.failSynced = synced
+	one.disk.failed = func() {
+		w.powerLoss(one)
+		w.schedule(300*time.Millisecond, func() { w.start(one) })
+	}
+	w.run(4 * time.Second)
+	w.settle(5 * time.Second)
+	return w.judge.broken
+}
--- a/control/replication/world_test.go
+++ b/control/replication/world_test.go
@@ -45,6 +45,17 @@
 	delay     time.Duration
 	refuses   bool
 	synced    uint64
+
+	written    uint64 // by all lives of the process
+	failPoint  uint64 // at this write the power goes, once
+	failSynced bool   // right after it is on disk
+	failed     func()
+}
+
+// failsNow tells, at the end of each write, whether the power goes before the process learns of it.
+func (d *simulatedDisk) failsNow() bool {
+	d.written++
+	return d.failPoint != 0 && d.written == d.failPoint
 }
 
 type happening struct {
@@ -337,8 +348,17 @@
 		w.giveDisk(one, DiskFailed{Write: write.Number})
 		return
 	}
+	fails := one.disk.failsNow()
+	if fails && !one.disk.failSynced {
+		one.disk.failed()
+		return
+	}
 	one.disk.handed = one.disk.handed[1:]
 	one.disk.carryOut(write)
+	if fails {
+		one.disk.failed()
+		return
+	}
 	one.disk.synced = write.Number
 	if len(one.disk.handed) > 0 {
 		w.add(&happening{at: w.now + one.disk.delay, machine: one, life: one.life, isWrite: true})
