Controller: no instance of a frozen service is taken for lost

Cause: a silent replica expired while its service had no leader. It may hold the only copy of a commit, and a later primary of the control state would not know that it was ever there, and promote another. Change: while a service is frozen its instances count as heard.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -147,6 +147,7 @@
 		c.term.registry.Leave(c.now, transaction, command.instanceID)
 	case expireInstances:
 		c.term.expiring = false
+		c.keepFrozen()
 		for _, id := range c.term.registry.Expire(c.now, transaction) {
 			c.event("instance lost", id+" has been silent for too long")
 		}
@@ -155,6 +156,19 @@
 	}
 }
 
+// keepFrozen counts the instances of frozen services as heard. One that is silent may hold the only copy of a commit, and
+// a later primary of the control state would not know that it was ever there.
+func (c *Controller) keepFrozen() {
+	for _, service := range c.term.table.services {
+		if !service.Frozen {
+			continue
+		}
+		for _, instance := range service.Instances {
+			c.term.registry.Heard(c.now, instance.ID)
+		}
+	}
+}
+
 func (c *Controller) decideBeat(transaction *state.Transaction, beat registry.Heartbeat) {
 	taken := c.term.registry.Heartbeat(c.now, transaction, beat)
 	if !taken.Fresh {
