--- a/control/replication/api.go
+++ b/control/replication/api.go
@@ -20,7 +20,7 @@
 	Mutations []Mutation
 }
 
-// Durable is what a controller reads from its disk when it starts.
+// Durable is what a controller reads from its disk when it starts. Settings.Self may leave the incarnation out.
 type Durable struct {
 	Incarnation quorum.Incarnation
 	Voter       quorum.VoterRecord
--- a/control/replication/scenario_test.go
+++ b/control/replication/scenario_test.go
@@ -30,7 +30,7 @@
 //	wipe NODE                     and the disk
 //	start NODE
 //	gone NODE                     loses power and never comes back
-//	seeds NODE...                 that processes are told from now on
+//	seeds NODE...                 that the settings name from now on
 //	add NODE                      a new machine with an empty disk
 //	leave NODE                    SIGTERM; it stays away
 //	disk NODE TIME                a sync takes this long
@@ -133,10 +133,7 @@
 	case "value":
 		w.orderBytes = number(words[1])
 	case "seeds":
-		w.seeds = nil
-		for _, name := range words[1:] {
-			w.seeds = append(w.seeds, name+":1")
-		}
+		s.changeSeeds(words[1:])
 	case "add":
 		w.start(w.addMachine(words[1], false))
 	case "expect":
@@ -187,6 +184,19 @@
 	return nil
 }
 
+func (s *scenario) changeSeeds(names []string) {
+	w := s.world
+	w.seeds = nil
+	for _, name := range names {
+		w.seeds = append(w.seeds, name+":1")
+	}
+	for _, one := range w.machines {
+		if one.node != nil {
+			w.give(one, SeedsChanged{Seeds: w.seeds})
+		}
+	}
+}
+
 func (s *scenario) links(word string, cut bool) {
 	one, other, oneWay := strings.Cut(word, ">")
 	if !oneWay {
--- a/control/replication/search_test.go
+++ b/control/replication/search_test.go
@@ -137,7 +137,11 @@
 	if w.primary() == nil {
 		losses = 0
 	}
-	for steps := 3 + chooser.Intn(6); steps > 0 && w.judge.broken == ""; steps-- {
+	steps, pause := 3+chooser.Intn(6), 900*time.Millisecond
+	if chooser.Intn(2) == 0 {
+		steps, pause = 3*steps, pause/4
+	}
+	for ; steps > 0 && w.judge.broken == ""; steps-- {
 		what := choices[chooser.Intn(len(choices))]
 		running := w.running()
 		one := running[chooser.Intn(len(running))]
@@ -151,7 +155,7 @@
 			w.trace(fmt.Sprintf("%8s %s: %s", w.now, what.name, one.name))
 		}
 		what.hits(w, one)
-		w.run(time.Duration(chooser.Int63n(int64(900 * time.Millisecond))))
+		w.run(time.Duration(chooser.Int63n(int64(pause))))
 	}
 }
 
