Module: names of the field for its fields and functions

Cause: names like pri, landed, short, long, blind, woke, hint or out had to be explained to a reader.

--- a/splitter/dispatch.go
+++ b/splitter/dispatch.go
@@ -17,21 +17,21 @@
 }
 
 func (r *Router) end(t *txn) {
-	if !t.over {
-		t.over = true
-		t.g.live--
+	if !t.ended {
+		t.ended = true
+		t.group.live--
 		delete(r.txns, t.ID)
 	}
 }
 
-// pump gives up what is too late and submits what can be, most value for the work first.
-func (r *Router) pump(g *group) {
+// dispatch gives up what is too late and submits what can be, most value for the work first.
+func (r *Router) dispatch(g *group) {
 	for _, l := range r.ranked {
 		q := slices.DeleteFunc(g.waiting[l], func(t *txn) bool {
-			if !t.over && r.tooLate(t) {
+			if !t.ended && r.tooLate(t) {
 				r.giveUp(t)
 			}
-			return t.over
+			return t.ended
 		})
 		for len(q) > 0 {
 			// Reads leave newest first: when there are too many, the ones served are then served in time.
@@ -39,11 +39,11 @@
 			if r.kinds[l].Need != NeedPrimary {
 				i = len(q) - 1
 			}
-			n := r.place(q[i])
+			n := r.choose(q[i])
 			if n == nil {
 				break
 			}
-			if t := q[i]; r.surplus(t) {
+			if t := q[i]; r.shed(t) {
 				r.giveUp(t)
 			} else {
 				r.submit(t, n)
@@ -54,10 +54,10 @@
 	}
 }
 
-// surplus tells whether a txn is one too many: so few were answered in time of late that sending all keeps
+// shed tells whether a txn is one too many: so few were answered in time of late that sending all keeps
 // queues full. It covers overload and shared slowness; it harms where failures have another cause.
-func (r *Router) surplus(t *txn) bool {
-	s := t.g.shares[t.Need == NeedPrimary]
+func (r *Router) shed(t *txn) bool {
+	s := t.group.shares[t.Need == NeedPrimary]
 	f := math.Exp((s.at - r.host.Now()) / shareSpan)
 	if t.Again && s.asked*f > shareFree && t.LateValue < lateLeast && s.got < crowdShare*s.sent {
 		return true // its first try has most likely used up its time
@@ -70,7 +70,7 @@
 // last is when a txn is given up if it still waits: when its answer could not earn anything any more.
 func (r *Router) last(t *txn) float64 {
 	end := t.Until - 2*tick
-	if r.prompt(t) {
+	if r.onlyInTime(t) {
 		end = min(end, t.arrived+t.SLA)
 	}
 	if t.ran > 0 && t.Effect == Referenced {
@@ -79,10 +79,10 @@
 	return end
 }
 
-// prompt tells whether a txn is wanted in time or not at all: a late answer earns nothing, or less than half
+// onlyInTime tells whether a txn is wanted in time or not at all: a late answer earns nothing, or under half
 // while many come too late, when the room it takes makes others late. It covers queues that only grow.
-func (r *Router) prompt(t *txn) bool {
-	s := t.g.shares[t.Need == NeedPrimary]
+func (r *Router) onlyInTime(t *txn) bool {
+	s := t.group.shares[t.Need == NeedPrimary]
 	return t.LateValue == 0 || t.LateValue < lateLeast && s.sent > shareFree && s.got < crowdShare*s.sent
 }
 
@@ -97,7 +97,7 @@
 func (r *Router) submit(t *txn, n *node) {
 	now := r.host.Now()
 	until := t.Until
-	if r.prompt(t) {
+	if r.onlyInTime(t) {
 		until = min(until, t.arrived+t.SLA)
 	}
 	// An answer overdue by far was lost, not late: in a third of its time the txn goes on, where a repeat does
@@ -107,23 +107,23 @@
 	if harmless && third > usual {
 		until = now + third
 	}
-	t.at, t.sent, t.opened, t.called = n, now, !n.open(r), false
+	t.sentTo, t.sentAt, t.opened, t.cancelled = n, now, !n.hasOpenConnection(r), false
 	n.idle = n.idle[:max(0, len(n.idle)-1)]
 	t.tries++
 	r.sent++
-	t.g.live++
-	n.out = append(n.out, t)
-	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.landed(t, n, res) })
+	t.group.live++
+	n.inFlight = append(n.inFlight, t)
+	r.host.Submit(t.ID, n.Node, until, func(res Result) { r.takeResult(t, n, res) })
 }
 
-// landed takes the result of a submission, and the txn its next step.
-func (r *Router) landed(t *txn, n *node, res Result) {
+// takeResult learns from the result of a submission, and the txn takes its next step.
+func (r *Router) takeResult(t *txn, n *node, res Result) {
 	now := r.clock()
-	n.out = slices.DeleteFunc(n.out, func(x *txn) bool { return x == t })
-	t.at = nil
-	t.g.live--
+	n.inFlight = slices.DeleteFunc(n.inFlight, func(x *txn) bool { return x == t })
+	t.sentTo = nil
+	t.group.live--
 	if n.limit < 1 {
-		n.next = now + (1/n.limit-1)*res.Latency // a limit under one is a share of the time
+		n.notBefore = now + (1/n.limit-1)*res.Latency // a limit under one is a share of the time
 	}
 	if res.As > 0 {
 		// A read that a replica turned away as a write is one. Against statements that hide their writes.
@@ -132,21 +132,21 @@
 	if !res.is(TimedOut, Broken, NoConn, Cancelled) { // these end a connection
 		n.idle = append(n.idle, now)
 	}
-	if t.opened && t.sent >= r.woke && res.is(Committed, TimedOut) {
-		r.setup += paceGain * (max(0, res.Latency-t.work) - r.setup)
+	if t.opened && t.sentAt >= r.stallEnd && res.is(Committed, TimedOut) {
+		r.connectCost += paceGain * (max(0, res.Latency-t.work) - r.connectCost)
 	}
 	r.learn(t, n, res)
-	if now < r.scarce && len(n.out) == 0 && res.Outcome != NoConn {
+	if now < r.scarceUntil && len(n.inFlight) == 0 && res.Outcome != NoConn {
 		n.idle = nil
 		r.host.CloseIdle(n.Node)
 	}
-	defer r.pump(t.g)
-	if res.Ended || t.over {
+	defer r.dispatch(t.group)
+	if res.Ended || t.ended {
 		r.end(t)
 		return
 	}
 	if t.ran == 0 && !res.is(Missed, Full, NoConn, Unsent) {
-		t.ran, t.ranZone = t.sent, n.Zone
+		t.ran, t.ranZone = t.sentAt, n.Zone
 	}
 	t.avoid = n
 	if t.started || t.tries >= r.terms.MaxSubmissions || now >= r.last(t) || t.ran > 0 && t.Effect == OnceOnly {
@@ -154,50 +154,50 @@
 		return
 	}
 	wait := min(againMost, againFirst*math.Pow(2, float64(t.tries-1)))
-	if n != t.g.pri || !res.is(Failed, NoConn) || now+wait > r.last(t) {
+	if n != t.group.primary || !res.is(Failed, NoConn) || now+wait > r.last(t) {
 		r.requeue(t)
 		return
 	}
 	r.host.After(now+wait, func() {
-		if !t.over {
+		if !t.ended {
 			r.requeue(t)
-			r.pump(t.g)
+			r.dispatch(t.group)
 		}
 	})
 }
 
 func (r *Router) requeue(t *txn) {
-	q, i := t.g.waiting[t.Type], 0
+	q, i := t.group.waiting[t.Type], 0
 	if t.Need != NeedPrimary {
 		i = len(q)
 	}
-	t.g.waiting[t.Type] = slices.Insert(q, i, t)
+	t.group.waiting[t.Type] = slices.Insert(q, i, t)
 }
 
 // giveUp gives a txn its final answer at once. A decline says that trying again is harmless.
 func (r *Router) giveUp(t *txn) {
 	r.end(t)
 	if t.queued {
-		t.g.shares[t.Need == NeedPrimary].count(r.host.Now(), min(1, float64(t.tries)), 0)
+		t.group.shares[t.Need == NeedPrimary].count(r.host.Now(), min(1, float64(t.tries)), 0)
 	}
 	if t.ran > 0 && t.Effect != Repeatable && !(t.Effect == Referenced && t.Scope == ScopeAll) {
 		r.host.RollBack(t.ID)
 		return
 	}
 	pause := 0.0
-	if r.prompt(t) && r.host.Now() > t.arrived+t.SLA/2 {
+	if r.onlyInTime(t) && r.host.Now() > t.arrived+t.SLA/2 {
 		pause = r.terms.MaxPause // no answer will be in time any more
 	}
 	if t.tries > 0 {
-		t.why = Tried
+		t.cause = Tried
 	}
-	r.host.Count(Turned, t.why)
+	r.host.Count(Turned, t.cause)
 	r.host.Decline(t.ID, pause)
 }
 
-func (r *Router) callOff(t *txn) {
-	if r.terms.Cancels && t.at != nil && !t.called {
-		t.called = true
+func (r *Router) cancel(t *txn) {
+	if r.terms.Cancels && t.sentTo != nil && !t.cancelled {
+		t.cancelled = true
 		r.host.Cancel(t.ID)
 	}
 }
--- a/splitter/probe.go
+++ b/splitter/probe.go
@@ -9,16 +9,16 @@
 	if !r.terms.Probes {
 		return
 	}
-	waiting := r.waits(g)
-	held, told := g.held && waiting > 0 && now >= r.blind, now < g.told
+	waiting := r.waitingForRole(g)
+	held, told := g.held && waiting > 0 && now >= r.probesFailUntil, now < g.toldUntil
 	due := len(g.members)
 	if held && told {
 		r.host.Want(g.id)
 	}
-	first := told || g.pri == nil && g.hint != nil && g.hint.bad == 0 // who peers say is primary
+	first := told || g.primary == nil && g.named != nil && g.named.bad == 0 // who peers say is primary
 	for i := range g.members {
 		n := g.members[(g.next+i)%len(g.members)]
-		asked := held && (!first || n == g.pri || n == g.hint) // while peers look, only for what is their hint
+		asked := held && (!first || n == g.primary || n == g.named) // while peers look, only for what is their hint
 		if n.probing || n.closed || !n.aside && !asked && (told || held) {
 			continue
 		}
@@ -26,7 +26,7 @@
 		switch {
 		case held:
 			every, owed, why = min(slowest, max(hurried, heldPace*(now-g.since)/float64(waiting))), true, HeldTxn
-		case now < g.until || g.pri == nil:
+		case now < g.until || g.primary == nil:
 			every, why = hurried, InWindow
 		case n.aside:
 			every, why = asideProbe, SetAside
@@ -37,21 +37,21 @@
 			continue
 		}
 		if !owed {
-			if g.credit < 1 {
+			if g.probeCredit < 1 {
 				due = min(due, i)
 				continue
 			}
-			g.credit--
+			g.probeCredit--
 		}
 		r.probe(n, why)
 	}
 	g.next += due // the first one left out
 }
 
-// waits tells how many txns wait for role evidence: writes, or all while no member is known as primary.
-func (r *Router) waits(g *group) (count int) {
+// waitingForRole counts txns that wait for role evidence: writes, or all while no member is known as primary.
+func (r *Router) waitingForRole(g *group) (count int) {
 	for l, q := range g.waiting {
-		if g.pri == nil && g.hint == nil || r.kinds[l].Need == NeedPrimary {
+		if g.primary == nil && g.named == nil || r.kinds[l].Need == NeedPrimary {
 			count += len(q)
 		}
 	}
@@ -72,21 +72,21 @@
 func (r *Router) answered(n *node, sent float64, rep Report) {
 	g, now := n.group, r.clock()
 	n.probing = false
-	if !rep.OK && sent < r.woke {
+	if !rep.OK && sent < r.stallEnd {
 		return
 	}
 	if !rep.OK {
 		n.good, n.missed = 0, sent
 		n.bad++
-		g.mute++
+		g.failedProbes++
 		if !n.known && r.terms.NodesCheck {
 			n.known, n.lag = true, 0 // it was looked at in vain, and checks reads itself
 		}
-		if n.bad >= badProbes && now >= r.blind && g.mute <= (frozenRounds-1)*len(g.members) {
+		if n.bad >= badProbes && now >= r.probesFailUntil && g.failedProbes <= (frozenRounds-1)*len(g.members) {
 			n.down = true
 			r.setAside(n)
 			if !g.held {
-				r.hold(n)
+				r.holdWrites(n)
 			}
 		}
 		return
@@ -94,17 +94,17 @@
 	if n.down {
 		n.down, n.started = false, now // cold, before the list says so
 	}
-	n.bad, g.mute = 0, 0
+	n.bad, g.failedProbes = 0, 0
 	if n.refused > 0 && sent >= n.refused {
-		r.short(n)
+		r.freeConnections(n)
 	}
 	n.good++
-	r.hear(n, rep, false)
-	if g.held && g.pri == n && rep.Role == RolePrimary && n.claimed > n.denied && sent >= g.heldAt {
+	r.takeReport(n, rep, false)
+	if g.held && g.primary == n && rep.Role == RolePrimary && n.claimed > n.denied && sent >= g.heldAt {
 		g.held = false // the old primary is there after all
 	}
-	if n.aside && n.good >= goodProbes && now >= n.back {
+	if n.aside && n.good >= goodProbes && now >= n.restsUntil {
 		r.rejoin(n)
 	}
-	r.pump(g)
+	r.dispatch(g)
 }
--- a/splitter/record.go
+++ b/splitter/record.go
@@ -7,21 +7,21 @@
 // learn feeds the role record and the health of a node from a result.
 func (r *Router) learn(t *txn, n *node, res Result) {
 	now := r.host.Now()
-	g, timed := t.g, t.sent >= r.woke // timed: its latency is the node's
+	g, timed := t.group, t.sentAt >= r.stallEnd // timed: its latency is the node's
 	if res.is(Committed, Missed, Full, Failed, Answered) {
 		n.heard, n.first = now, cmp.Or(n.first, now)
-		r.hear(n, res.Report, true)
-		if n.bad > 0 && t.sent >= n.missed {
-			r.blind = now + window // it serves, and did not answer a probe sent before
+		r.takeReport(n, res.Report, true)
+		if n.bad > 0 && t.sentAt >= n.missed {
+			r.probesFailUntil = now + window // it serves, and did not answer a probe sent before
 		}
-		if n.bad = 0; n.aside && now < r.blind && res.Outcome != Failed {
+		if n.bad = 0; n.aside && now < r.probesFailUntil && res.Outcome != Failed {
 			r.rejoin(n)
 		}
 	}
 	t.queued = t.queued || timed && res.is(Full, TimedOut)
 	switch res.Outcome {
 	case Committed:
-		n.fails, n.crowded = n.fails*(1-failGain), 0
+		n.fails, n.fullPause = n.fails*(1-failGain), 0
 		got := 0.0
 		if res.Latency < t.free {
 			got = 2 // no queue there
@@ -31,9 +31,9 @@
 		g.shares[t.Need == NeedPrimary].count(now, 1, got)
 		if t.Need == NeedPrimary {
 			r.claim(n, now)
-			r.remember(t, res.Pos)
+			r.rememberCommit(t, res.Pos)
 		}
-		if n == g.pri && t.Need == NeedPrimary && !g.held {
+		if n == g.primary && t.Need == NeedPrimary && !g.held {
 			g.until = min(g.until, now+settle)
 		}
 		if timed {
@@ -49,7 +49,7 @@
 				// A crowded replica applies the log late, and soon is of no use.
 				pace = max(pace, lagPace*(now-res.Pos)/t.Bound)
 			}
-			r.tune(n, pace)
+			r.adjustLimit(n, pace)
 		}
 	case Answered:
 		n.fails *= 1 - failGain // no word on its role: an error may come before the node looks at that
@@ -57,59 +57,59 @@
 		n.fails += failGain * (1 - n.fails) // told at once: what it does answer is of use
 	case Full:
 		// What waits there comes first: it is left alone, longer each time in a row.
-		n.limit, n.crowded = max(1, n.limit/2), min(2*n.crowded+againFirst, rest)
-		n.next = max(n.next, now+n.crowded)
+		n.limit, n.fullPause = max(1, n.limit/2), min(2*n.fullPause+againFirst, rest)
+		n.notBefore = max(n.notBefore, now+n.fullPause)
 	case TimedOut, Cancelled:
 		if timed { // pace and limit follow answers, so that a node that loses some keeps the rest
 			t.work += workGain * max(0, res.Latency-t.work)
-			r.lost(n)
+			r.countLost(n)
 		}
 	case Missed:
 		if t.Need == NeedPrimary {
 			n.denied = now
-			r.hold(n)
+			r.holdWrites(n)
 		} else {
-			n.lag = max(n.lag, min(now-r.need(t), sessionSpan)) // so far behind at least
+			n.lag = max(n.lag, min(now-r.neededPos(t), sessionSpan)) // so far behind at least
 		}
 	case NoConn, Broken:
 		refused := res.Outcome == NoConn && res.Latency < r.terms.ConnectIn/2
 		if refused && now < n.full {
-			r.short(n)
+			r.freeConnections(n)
 			break
 		}
 		// Down, cut off, or lost by chance: a probe tells soon, and until then a primary gets no writes.
-		r.lost(n)
+		r.countLost(n)
 		if res.Outcome == NoConn {
 			r.setAside(n)
 		}
-		n.down = n.down || refused && now < r.blind
+		n.down = n.down || refused && now < r.probesFailUntil
 		if refused && r.terms.Probes && !n.probing {
 			n.refused = now
 			r.probe(n, ConnLost)
 		}
-		r.hold(n)
+		r.holdWrites(n)
 	}
 }
 
-// short acts on a node that refuses connections and answers probes: it is neither dead nor changed, and idle
-// connections that routers keep are what others lack. It covers squeezed limits; it costs handshakes.
-func (r *Router) short(n *node) {
+// freeConnections acts on a node that refuses connections and answers probes: it is neither dead nor changed,
+// and idle connections routers keep are what others lack. It covers squeezed limits; it costs handshakes.
+func (r *Router) freeConnections(n *node) {
 	now := r.host.Now()
 	n.refused, n.aside, n.full = 0, false, now+scarce
-	if now > r.scarce {
+	if now > r.scarceUntil {
 		for _, m := range r.nodes {
-			if m != nil && len(m.out) == 0 && m.heard > 0 {
+			if m != nil && len(m.inFlight) == 0 && m.heard > 0 {
 				m.idle = nil
 				r.host.CloseIdle(m.Node)
 			}
 		}
 	}
-	r.scarce = now + scarce
+	r.scarceUntil = now + scarce
 }
 
-// remember keeps a session's commit for its reads to come.
-func (r *Router) remember(t *txn, pos float64) {
-	now, g := r.host.Now(), t.g
+// rememberCommit keeps a session's commit for its reads to come.
+func (r *Router) rememberCommit(t *txn, pos float64) {
+	now, g := r.host.Now(), t.group
 	if !r.terms.SessionsKept {
 		return
 	}
@@ -122,16 +122,16 @@
 	g.wrote[t.Session] = max(g.wrote[t.Session], cmp.Or(pos, now))
 }
 
-// lost counts a txn that a node left without an answer, and sets the node aside when most are.
-func (r *Router) lost(n *node) {
+// countLost counts a txn that a node left without an answer, and sets the node aside when most are.
+func (r *Router) countLost(n *node) {
 	n.fails += failGain * (1 - n.fails)
 	if n.fails > failLimit {
 		r.setAside(n)
 	}
 }
 
-// tune sets a node's pace and how many submissions it bears.
-func (r *Router) tune(n *node, pace float64) {
+// adjustLimit sets a node's pace and how many submissions it bears.
+func (r *Router) adjustLimit(n *node, pace float64) {
 	now := r.host.Now()
 	n.pace += paceGain * (pace - n.pace)
 	if n.pace > slowPace {
@@ -141,19 +141,19 @@
 		}
 	} else if n.limit < 1 {
 		n.limit /= limitCut
-	} else if float64(len(n.out)+1) >= n.limit-1 {
+	} else if float64(len(n.inFlight)+1) >= n.limit-1 {
 		n.limit = min(limitMost, n.limit+1/n.limit)
 	}
 }
 
-// hear takes what a node says of itself, in an answer or, somewhat late, in a report.
-func (r *Router) hear(n *node, rep Report, answer bool) {
+// takeReport takes what a node says of itself, in an answer or, somewhat late, in a report.
+func (r *Router) takeReport(n *node, rep Report, answer bool) {
 	now := r.host.Now()
 	if rep.Pos > now+tick || rep.Pos < 0 {
 		return // it can't be: no evidence
 	}
 	n.known = true
-	at, late := cmp.Or(rep.Pos, now-r.late), r.late
+	at, late := cmp.Or(rep.Pos, now-r.reportAge), r.reportAge
 	if answer {
 		at, late = now, 0
 	}
@@ -166,26 +166,26 @@
 	switch rep.Role {
 	case RolePrimary:
 		if !answer && rep.Pos > 0 {
-			r.late += paceGain * (now - rep.Pos - r.late)
+			r.reportAge += paceGain * (now - rep.Pos - r.reportAge)
 		}
 		r.claim(n, cmp.Or(rep.Pos, at)) // a primary stands at the present, so its position dates the claim
 	case RoleReplica:
 		if answer {
 			n.denied = now
 		}
-		r.unseat(n, at, answer)
+		r.demote(n, at, answer)
 	}
 }
 
-// unseat takes it that a member is no primary: as of a time, or for sure.
-func (r *Router) unseat(n *node, at float64, sure bool) {
+// demote takes it that a member is no primary: as of a time, or for sure.
+func (r *Router) demote(n *node, at float64, sure bool) {
 	g := n.group
-	if g.hint == n && (sure || at > g.hinted) {
-		g.hint = nil
+	if g.named == n && (sure || at > g.namedAt) {
+		g.named = nil
 	}
-	if g.pri == n && (sure || at > n.claimed) {
-		r.hold(n)
-		g.pri = nil
+	if g.primary == n && (sure || at > n.claimed) {
+		r.holdWrites(n)
+		g.primary = nil
 	}
 }
 
@@ -196,34 +196,34 @@
 		return
 	}
 	n.claimed = max(n.claimed, at)
-	if old := g.pri; old == nil {
-		g.pri = n
+	if old := g.primary; old == nil {
+		g.primary = n
 	} else if old != n {
 		g.until = r.host.Now() + window
 		if at > old.claimed {
-			g.pri = n
-			r.recall(old)
+			g.primary = n
+			r.cancelWrites(old)
 		}
 	}
-	if g.pri == n && g.held && at > g.heldAt {
+	if g.primary == n && g.held && at > g.heldAt {
 		g.held = false
-		r.pump(g)
+		r.dispatch(g)
 	}
 }
 
-// recall calls off writes that an old primary still has: they can go on to the new one in their window.
-func (r *Router) recall(old *node) {
-	for _, t := range old.out {
-		if t.Need == NeedPrimary && t.Effect == Referenced && !t.over && !t.started {
-			r.callOff(t)
+// cancelWrites calls off writes that an old primary still has: they can go on to the new one in their window.
+func (r *Router) cancelWrites(old *node) {
+	for _, t := range old.inFlight {
+		if t.Need == NeedPrimary && t.Effect == Referenced && !t.ended && !t.started {
+			r.cancel(t)
 		}
 	}
 }
 
-// hold keeps writes, where n is primary, until a member shows that it is, old or new, and probes fast then.
-func (r *Router) hold(n *node) {
+// holdWrites keeps writes, where n is primary, until one, old or new, shows that it is; probes come fast.
+func (r *Router) holdWrites(n *node) {
 	g, now := n.group, r.host.Now()
-	if g.pri != n {
+	if g.primary != n {
 		return
 	}
 	if !g.held {
@@ -236,10 +236,10 @@
 func (r *Router) setAside(n *node) {
 	now := r.host.Now()
 	if !n.aside {
-		n.aside, n.good, n.back, n.rests = true, 0, now, rest
+		n.aside, n.good, n.restsUntil, n.rests = true, 0, now, rest
 	}
-	if n.limit = 1; now >= n.back { // newly, or a trial has failed
-		n.back, n.rests = now+n.rests, min(2*n.rests, restMost*rest)
+	if n.limit = 1; now >= n.restsUntil { // newly, or a trial has failed
+		n.restsUntil, n.rests = now+n.rests, min(2*n.rests, restMost*rest)
 	}
 }
 
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -14,29 +14,29 @@
 
 // Router is one router. Routers share nothing.
 type Router struct {
-	host        Host
-	terms       Terms
-	rng         *rand.Rand
-	nodes       []*node        // by index; emptied of nodes long off the list
-	groups      map[int]*group // grows with the groups ever listed
-	order       []*group       // groups as first met
-	kinds       []*kind        // by txn type
-	ranked      []int          // txn types, most value for the work first
-	txns        map[int]*txn   // held txns; emptied by their final answers
-	setup       float64        // s that a new connection adds to a txn, of late
-	late        float64        // s, how old reports are when they arrive
-	refuse      int            // refused watches in a row
-	scarce      float64        // until then connections are scarce
-	count, sent int            // txns, submissions so far
-	due         float64        // when the next tick is, +Inf: none
-	woke        float64        // end of the last stall of this router itself
-	blind       float64        // until then probes are known to fail at members that serve
+	host            Host
+	terms           Terms
+	rng             *rand.Rand
+	nodes           []*node        // by index; emptied of nodes long off the list
+	groups          map[int]*group // grows with the groups ever listed
+	order           []*group       // groups as first met
+	kinds           []*kind        // by txn type
+	ranked          []int          // txn types, most value for the work first
+	txns            map[int]*txn   // held txns; emptied by their final answers
+	connectCost     float64        // s that a new connection adds to a txn, of late
+	reportAge       float64        // s, how old reports are when they arrive
+	refusals        int            // refused watches in a row
+	scarceUntil     float64        // until then connections are scarce
+	count, sent     int            // txns, submissions so far
+	nextTick        float64        // when the next tick is, +Inf: none
+	stallEnd        float64        // end of the last stall of this router itself
+	probesFailUntil float64        // until then probes are known to fail at members that serve
 }
 
 // New starts a router with nothing but its terms.
 func New(terms Terms, host Host) *Router {
 	r := &Router{host: host, terms: terms, rng: rand.New(rand.NewSource(terms.Seed)),
-		groups: map[int]*group{}, txns: map[int]*txn{}, late: reportLate, due: math.Inf(1)}
+		groups: map[int]*group{}, txns: map[int]*txn{}, reportAge: reportLate, nextTick: math.Inf(1)}
 	for i, t := range terms.Types {
 		work := t.SLA / workShare
 		r.kinds = append(r.kinds, &kind{t, work, work, quickShare * work, t.SLA})
@@ -55,12 +55,12 @@
 	now := r.host.Now()
 	if kind == ListRefused {
 		// It does not say whether a watch stands, and the list serves all: asked again, later and later.
-		r.refuse = min(r.refuse+1, askMost)
-		r.host.After(now+float64(r.refuse)*(0.5+r.rng.Float64())*askAgain, r.host.Watch)
+		r.refusals = min(r.refusals+1, askMost)
+		r.host.After(now+float64(r.refusals)*(0.5+r.rng.Float64())*askAgain, r.host.Watch)
 		return
 	}
 	if kind != ListRemembered {
-		r.refuse = 0
+		r.refusals = 0
 	}
 	if kind == ListMoved && r.terms.AskList {
 		r.host.Watch()
@@ -86,18 +86,18 @@
 			n.started, n.limit = m.Born, min(n.limit, limitStart)
 		}
 		n.Member = m
-		r.close(n, m.State)
+		r.setState(n, m.State)
 	}
 	for _, n := range r.nodes {
 		if n != nil && !listed[n.Node] && (kind == ListAll || kind == ListRemembered) {
-			r.close(n, Gone)
+			r.setState(n, Gone)
 		}
-		if n != nil && n.gone > 0 && now > n.gone+forgetAfter && len(n.out) == 0 && !n.probing {
+		if n != nil && n.goneSince > 0 && now > n.goneSince+forgetAfter && len(n.inFlight) == 0 && !n.probing {
 			r.forget(n)
 		}
 	}
 	for _, g := range r.order {
-		r.pump(g)
+		r.dispatch(g)
 	}
 }
 
@@ -107,21 +107,21 @@
 		return // it serves on, as where only drains bind
 	}
 	n.group.members = slices.DeleteFunc(n.group.members, func(m *node) bool { return m == n })
-	r.unseat(n, 0, true)
+	r.demote(n, 0, true)
 	r.nodes[n.Node] = nil
 	r.host.Forget(n.Node)
 }
 
-// close acts on a drain at once, for held txns and resubmissions as well. A drain holds until the node has
+// setState acts on a drain at once, for held txns and resubmissions as well. A drain holds until the node has
 // started anew, whatever a later list says: it may be an old one, and "gone" takes nothing back.
-func (r *Router) close(n *node, s State) {
-	if n.gone = cmp.Or(n.gone, r.host.Now()); s != Gone {
-		n.gone = 0
+func (r *Router) setState(n *node, s State) {
+	if n.goneSince = cmp.Or(n.goneSince, r.host.Now()); s != Gone {
+		n.goneSince = 0
 	}
 	n.drained = n.drained || s == Draining
 	n.closed = n.drained || s == Gone && !r.terms.OnlyDrainBinds
 	if n.closed {
-		r.hold(n)
+		r.holdWrites(n)
 	}
 }
 
@@ -138,17 +138,17 @@
 // looks slow or lost and says nothing of the nodes. It could harm by hiding a trouble that begins meanwhile.
 func (r *Router) clock() float64 {
 	now := r.host.Now()
-	if now > r.due+stall {
-		r.woke, r.due = now, now
+	if now > r.nextTick+stall {
+		r.stallEnd, r.nextTick = now, now
 	}
 	return now
 }
 
-// arm sees to it that clocks are looked at while anything is held or out. A router at rest costs nothing.
-func (r *Router) arm() {
-	if math.IsInf(r.due, 1) {
-		r.due = r.host.Now() + tick
-		r.host.After(r.due, r.tick)
+// startTicks has clocks looked at while anything is held or out. A router at rest costs nothing.
+func (r *Router) startTicks() {
+	if math.IsInf(r.nextTick, 1) {
+		r.nextTick = r.host.Now() + tick
+		r.host.After(r.nextTick, r.tick)
 	}
 }
 
@@ -158,20 +158,20 @@
 	g := r.group(x.Group)
 	_, turn := math.Modf(golden * float64(r.terms.Me+r.count))
 	r.count++
-	t := &txn{Txn: x, kind: r.kinds[x.Type], g: g, arrived: now, turn: turn, why: Behind}
+	t := &txn{Txn: x, kind: r.kinds[x.Type], group: g, arrived: now, turn: turn, cause: Behind}
 	if x.Cost > 0 {
 		// Costly and cheap ones of a type must not look lost or slow by each other. It harms where costs are wrong.
 		t.kind = &kind{t.TxnType, x.Cost, x.Cost, quickShare * x.Cost, max(t.SLA, workShare*x.Cost)}
 	}
 	r.txns[x.ID] = t
 	g.live++
-	g.credit = min(g.credit+probeShare, float64(2*len(g.members)))
-	r.arm()
+	g.probeCredit = min(g.probeCredit+probeShare, float64(2*len(g.members)))
+	r.startTicks()
 	g.waiting[t.Type] = append(g.waiting[t.Type], t)
 	r.probes(g)
-	r.pump(g)
+	r.dispatch(g)
 	if t.tries == 0 {
-		r.host.Count(Held, t.why)
+		r.host.Count(Held, t.cause)
 	}
 }
 
@@ -206,26 +206,26 @@
 // It covers routers too quiet to know, and harms where peers say old things: reads wait one word too long.
 func (r *Router) Told(group int, until float64, heard bool, words []Word) {
 	g, now := r.group(group), r.clock()
-	if g.told = max(g.told, until); heard {
-		g.word = now
+	if g.toldUntil = max(g.toldUntil, until); heard {
+		g.toldAt = now
 	}
 	for _, w := range words {
 		if n := r.nodes[w.Node]; n != nil && w.Pos <= now+tick {
 			n.pos, n.load, n.known = max(n.pos, w.Pos), float64(w.Load), n.known || w.Pos > 0
-			if w.Primary && w.Pos > g.hinted {
-				g.hint, g.hinted = n, w.Pos
+			if w.Primary && w.Pos > g.namedAt {
+				g.named, g.namedAt = n, w.Pos
 			}
 		}
 	}
 	r.probes(g)
-	r.pump(g)
+	r.dispatch(g)
 }
 
 // Left says that the client of a txn is gone. Nothing is owed or sent for it any more.
 func (r *Router) Left(id int) {
 	if t := r.txns[id]; t != nil {
 		r.end(t)
-		r.callOff(t)
+		r.cancel(t)
 	}
 }
 
@@ -236,26 +236,26 @@
 	}
 }
 
-// place finds the member for a txn: the design's ordinary path.
-func (r *Router) place(t *txn) *node {
-	g := t.g
+// choose finds the member for a txn: the design's ordinary path.
+func (r *Router) choose(t *txn) *node {
+	g := t.group
 	if t.Need == NeedPrimary {
-		n := g.pri
+		n := g.primary
 		if g.held {
 			n = r.candidate(g)
 		}
-		if t.why = NoPrimary; n == nil || r.room(n, t) {
+		if t.cause = NoPrimary; n == nil || r.hasRoom(n, t) {
 			return n
 		}
-		t.why = NoRoom
+		t.cause = NoRoom
 		return nil
 	}
 	best, least, first := (*node)(nil), 0.0, false // first: a first look at a member is out
 	usable := make([]*node, 0, len(g.members))
-	told, seen := r.host.Now() < g.told, 0
+	told, seen := r.host.Now() < g.toldUntil, 0
 	for _, n := range g.members {
 		switch {
-		case n.closed || n.aside && !r.trial(n) || !told && n == g.pri:
+		case n.closed || n.aside && !r.mayTry(n) || !told && n == g.primary:
 		case n.known || !r.terms.ProbeRoles:
 			usable = append(usable, n)
 		default:
@@ -264,17 +264,17 @@
 	}
 	asks := t.Need != NeedCurrent && !r.terms.NodesCheck && r.terms.ProbeRoles
 	proven := false
-	if r.long(t) && len(usable) > 0 {
+	if r.lastsLong(t) && len(usable) > 0 {
 		// Gathered: all routers fill half of the replicas in the same order. A single replica is spared, the
 		// primary applies no log.
 		slices.SortFunc(usable, func(a, b *node) int { return cmp.Compare(a.Name, b.Name) })
 		usable = usable[:len(usable)/2]
 		for _, n := range usable {
-			if r.room(n, t) {
+			if r.hasRoom(n, t) {
 				return n
 			}
 		}
-		if t.why = NoRoom; len(usable) > 0 {
+		if t.cause = NoRoom; len(usable) > 0 {
 			return nil
 		}
 	}
@@ -283,48 +283,48 @@
 		slices.SortStableFunc(usable, func(a, b *node) int { return cmp.Compare(min(b.first, 1), min(a.first, 1)) })
 	}
 	for _, n := range usable {
-		fresh := r.fresh(n, t)
+		fresh := r.freshEnough(n, t)
 		proven = proven || fresh
-		if !fresh || !r.room(n, t) || told && seen == choices {
+		if !fresh || !r.hasRoom(n, t) || told && seen == choices {
 			continue
 		}
 		if r.host.Now() >= n.doubted { // one that is doubted is compared beside the two
 			seen++
 		}
-		if busy := r.busy(n, t); best == nil || busy < least {
+		if busy := r.busyness(n, t); best == nil || busy < least {
 			best, least = n, busy
 		}
 	}
-	if t.why = NoRoom; !proven {
-		t.why = NoProof
+	if t.cause = NoRoom; !proven {
+		t.cause = NoProof
 	}
-	due := told && !proven && g.word <= t.arrived // the next word
-	rich := !told && g.credit >= float64(len(g.members))
-	if best == nil && asks && (!proven || rich) && (due || r.ask(usable, t)) {
+	due := told && !proven && g.toldAt <= t.arrived // the next word
+	rich := !told && g.probeCredit >= float64(len(g.members))
+	if best == nil && asks && (!proven || rich) && (due || r.askPositions(usable, t)) {
 		if !proven {
 			return nil
 		}
-		g.credit -= askWidth // where others are proven, txns pay for it as for ordinary probes
+		g.probeCredit -= askWidth // where others are proven, txns pay for it as for ordinary probes
 	}
-	n := cmp.Or(g.pri, g.hint)
-	if best == nil && !first && n != nil && !n.aside && (!g.held || g.pri == nil && n.bad == 0) {
+	n := cmp.Or(g.primary, g.named)
+	if best == nil && !first && n != nil && !n.aside && (!g.held || g.primary == nil && n.bad == 0) {
 		// Reads fall back to the primary, in the half of its limit that writes leave.
-		if r.room(n, t) && float64(len(n.out)) < max(1, n.limit/2) {
+		if r.hasRoom(n, t) && float64(len(n.inFlight)) < max(1, n.limit/2) {
 			return n
 		}
 	}
 	return best
 }
 
-// ask asks replicas not proven fresh enough for a read for their positions, the least busy first, each once
-// for a txn. It covers quiet routers and replicas that lag or are full; it is wasted where reports are old.
-func (r *Router) ask(usable []*node, t *txn) bool {
+// askPositions asks replicas not proven fresh enough for a read, the least busy first, each once for a txn.
+// It covers quiet routers and replicas that lag or are full; it is wasted where reports are old.
+func (r *Router) askPositions(usable []*node, t *txn) bool {
 	now := r.host.Now()
 	for asked := range askWidth {
 		best, least := (*node)(nil), math.Inf(1)
 		for _, n := range usable {
-			spared := n.probing || n.probed >= t.arrived || now-n.probed <= hurried || r.fresh(n, t)
-			if busy := r.busy(n, t); !spared && busy < least {
+			spared := n.probing || n.probed >= t.arrived || now-n.probed <= hurried || r.freshEnough(n, t)
+			if busy := r.busyness(n, t); !spared && busy < least {
 				best, least = n, busy
 			}
 		}
@@ -340,15 +340,15 @@
 // lost: a miss never ran, so members are asked in turn, the list's primary first, by one write at a time.
 func (r *Router) candidate(g *group) *node {
 	now := r.host.Now()
-	if r.terms.ProbeRoles && now >= r.blind {
+	if r.terms.ProbeRoles && now >= r.probesFailUntil {
 		return nil
 	}
 	var best *node
 	for _, n := range g.members {
-		if n.closed || n.aside && !r.trial(n) || now < n.denied+hurried {
+		if n.closed || n.aside && !r.mayTry(n) || now < n.denied+hurried {
 			continue
 		}
-		if slices.ContainsFunc(n.out, func(t *txn) bool { return t.Need == NeedPrimary }) {
+		if slices.ContainsFunc(n.inFlight, func(t *txn) bool { return t.Need == NeedPrimary }) {
 			return nil
 		}
 		if best == nil || n.denied < best.denied || n.denied == best.denied && n.Primary && !best.Primary {
@@ -358,44 +358,44 @@
 	return best
 }
 
-// trial tells whether a member set aside may show by one txn that it serves, where probes are known to fail.
-func (r *Router) trial(n *node) bool {
-	return r.host.Now() < r.blind && r.host.Now() >= n.back && len(n.out) == 0
+// mayTry tells whether a member set aside may show by one txn that it serves, where probes are known to fail.
+func (r *Router) mayTry(n *node) bool {
+	return r.host.Now() < r.probesFailUntil && r.host.Now() >= n.restsUntil && len(n.inFlight) == 0
 }
 
-// long tells whether a txn for any member lasts longer than the shortest bound where nodes are not crowded.
+// lastsLong tells whether a txn for any member outlasts the shortest bound where nodes are not crowded.
 // It may stop log apply, so such are gathered on few; it harms where they are most of the load.
-func (r *Router) long(t *txn) bool {
+func (r *Router) lastsLong(t *txn) bool {
 	return t.Need == NeedAny &&
 		slices.ContainsFunc(r.kinds, func(k *kind) bool { return k.Need == NeedBounded && t.free > k.Bound })
 }
 
-// fresh tells whether a replica is known to hold what a read needs. Where nodes check, a guess will do: a
-// wrong one costs a miss; where they don't, only a position proves it, which holds for ever.
-func (r *Router) fresh(n *node, t *txn) bool {
-	now, need := r.host.Now(), r.need(t)
-	guess := r.terms.NodesCheck && (!t.g.held || n.pos == 0)
+// freshEnough tells whether a replica is known to hold what a read needs. Where nodes check, a guess will do:
+// a wrong one costs a miss; where they don't, only a position proves it, which holds for ever.
+func (r *Router) freshEnough(n *node, t *txn) bool {
+	now, need := r.host.Now(), r.neededPos(t)
+	guess := r.terms.NodesCheck && (!t.group.held || n.pos == 0)
 	return n.pos >= need || guess && now-n.lag > need+spare*(now-need)
 }
 
-// need is the time up to which a member must have applied all commits for a txn.
-func (r *Router) need(t *txn) float64 {
+// neededPos is the time up to which a member must have applied all commits for a txn.
+func (r *Router) neededPos(t *txn) float64 {
 	switch t.Need {
 	case NeedBounded:
 		return r.host.Now() - t.Bound + margin
 	case NeedSession:
-		return max(t.Wrote, t.g.forgot, t.g.wrote[t.Session], t.g.before[t.Session])
+		return max(t.Wrote, t.group.forgot, t.group.wrote[t.Session], t.group.before[t.Session])
 	case NeedCurrent:
 		return t.arrived
 	}
 	return 0
 }
 
-// room tells whether a node can take one more submission of ours.
-func (r *Router) room(n *node, t *txn) bool {
+// hasRoom tells whether a node can take one more submission of ours.
+func (r *Router) hasRoom(n *node, t *txn) bool {
 	now := r.host.Now()
 	elsewhere := t.ran > 0 && t.Effect == Referenced && t.Scope == ScopeZone && n.Zone != t.ranZone
-	if n.closed || float64(len(n.out)) >= n.limit || now < n.next || elsewhere {
+	if n.closed || float64(len(n.inFlight)) >= n.limit || now < n.notBefore || elsewhere {
 		return false
 	}
 	age := now - n.started
@@ -408,30 +408,30 @@
 	share := r.terms.ColdFrom + (1-r.terms.ColdFrom)*age/r.terms.WarmAfter
 	routers := float64(max(2, r.terms.Routers))
 	out := t.work
-	for _, other := range n.out {
+	for _, other := range n.inFlight {
 		out += other.work
 	}
 	if out*routers <= (r.terms.Overload-1)*r.terms.Fall*coldCores*share {
 		return true
 	}
-	if t.Need == NeedPrimary && !t.g.held {
+	if t.Need == NeedPrimary && !t.group.held {
 		return t.turn < share*r.terms.Overload/2
 	}
-	i, part := math.Modf(t.turn * float64(len(t.g.members)))
-	return t.g.members[int(i)] == n && part < share
+	i, part := math.Modf(t.turn * float64(len(t.group.members)))
+	return t.group.members[int(i)] == n && part < share
 }
 
-// busy compares replicas: what is out, at the pace shown. Own submissions differ, and so do routers' choices.
-func (r *Router) busy(n *node, t *txn) float64 {
+// busyness compares replicas: what is out, at the pace shown. Own submissions differ, so do routers' choices.
+func (r *Router) busyness(n *node, t *txn) float64 {
 	pace := max(n.pace, leastPace)
-	if !n.open(r) {
-		pace += r.setup / t.SLA
+	if !n.hasOpenConnection(r) {
+		pace += r.connectCost / t.SLA
 	}
-	b := float64(len(n.out)+1) * pace / (1.01 - n.fails)
-	if r.host.Now() < t.g.told {
+	b := float64(len(n.inFlight)+1) * pace / (1.01 - n.fails)
+	if r.host.Now() < t.group.toldUntil {
 		b = (n.load + 1) / (1.01 - n.fails)
 	}
-	if n == t.g.pri || n == t.g.hint {
+	if n == t.group.primary || n == t.group.named {
 		b *= spared
 	}
 	b *= 1 + chance*(r.rng.Float64()-0.5)
@@ -444,20 +444,20 @@
 	return b
 }
 
-// open tells whether a connection to a node is thought to be open and not in use.
-func (n *node) open(r *Router) bool {
+// hasOpenConnection tells whether a connection to a node is thought to be open and not in use.
+func (n *node) hasOpenConnection(r *Router) bool {
 	k := len(n.idle)
 	return k > 0 && r.host.Now() < n.idle[k-1]+r.terms.IdleClose
 }
 
 func (r *Router) tick() {
 	r.clock()
-	r.due = math.Inf(1)
+	r.nextTick = math.Inf(1)
 	for _, g := range r.order {
 		if g.live > 0 {
-			r.arm()
+			r.startTicks()
 			r.probes(g)
-			r.pump(g)
+			r.dispatch(g)
 		}
 	}
 }
--- a/splitter/state.go
+++ b/splitter/state.go
@@ -84,14 +84,14 @@
 	probed, missed        float64 // when the last probe was sent, the last that failed
 	known, probing, aside bool    // it has told of itself; a probe is out; it is out of the read set
 	bad, good             int     // probes in a row
-	back, rests           float64 // not back before this; s it rests when its next trial fails
+	restsUntil, rests     float64 // not back before this; s it rests when its next trial fails
 	fails                 float64 // share of txns that failed of late
 	pace                  float64 // latency as a share of the SLA time, of late
 	limit, cut            float64 // submissions of ours it bears at once; when that last shrank
-	next, crowded         float64 // no submission before this; s it is left alone when it turns one away as full
-	out                   []*txn
+	notBefore, fullPause  float64 // no submission before this; s it is left alone when it turns one away as full
+	inFlight              []*txn
 	idle                  []float64 // since when each connection that should be open is not in use
-	gone, started         float64   // since when it is off the list, 0: it is on; when it last came up cold
+	goneSince, started    float64   // since when it is off the list, 0: it is on; when it last came up cold
 	doubted, since        float64   // peers doubt it until then; and have since then
 	load                  float64   // submissions of all routers there, by what peers say
 	down                  bool      // its process seemed gone
@@ -99,20 +99,20 @@
 
 // group is a primary with its replicas, and the txns that wait for one of them.
 type group struct {
-	id            int
-	members       []*node
-	pri           *node
-	held          bool            // writes wait until a member shows that it is primary
-	heldAt, since float64         // evidence must be newer than this; since when they wait
-	until         float64         // end of the failover window
-	live          int             // txns held and submissions out
-	credit        float64         // probes that txns have paid for
-	next, mute    int             // the member that is due first; probes of any member in a row that failed
-	shares        map[bool]*share // of writes, of reads
-	told, word    float64         // peers look at the members for all until then; their last word
-	hint          *node           // the member that they call primary
-	hinted        float64         // as of when
-	waiting       map[int][]*txn
+	id                 int
+	members            []*node
+	primary            *node
+	held               bool            // writes wait until a member shows that it is primary
+	heldAt, since      float64         // evidence must be newer than this; since when they wait
+	until              float64         // end of the failover window
+	live               int             // txns held and submissions out
+	probeCredit        float64         // probes that txns have paid for
+	next, failedProbes int             // the member that is due first; failed probes of any member in a row
+	shares             map[bool]*share // of writes, of reads
+	toldUntil, toldAt  float64         // peers look at the members for all until then; their last word
+	named              *node           // the member that they call primary
+	namedAt            float64         // as of when
+	waiting            map[int][]*txn
 	// Commits of sessions kept here: the newest, and those before, dropped in time: every read must see them.
 	wrote, before  map[int64]float64
 	turned, forgot float64 // when wrote was begun; commits up to this are in neither
@@ -122,17 +122,17 @@
 type txn struct {
 	Txn
 	*kind
-	g              *group
-	arrived        float64
-	turn           float64 // its place in the turns at fresh nodes, 0 to 1
-	tries          int
-	ran            float64 // when the first submission that may have run was sent; 0: none
-	ranZone        int
-	at             *node // where a submission of it is out; nil: nowhere
-	sent           float64
-	opened, called bool  // it needed a new connection; it was called off
-	avoid          *node // the last one to fail it
-	why            Cause // what holds it
-	queued         bool  // it ended in a queue, or was one too many for them
-	started, over  bool  // the answer has begun to flow; it is the client's
+	group             *group
+	arrived           float64
+	turn              float64 // its place in the turns at fresh nodes, 0 to 1
+	tries             int
+	ran               float64 // when the first submission that may have run was sent; 0: none
+	ranZone           int
+	sentTo            *node // where a submission of it is out; nil: nowhere
+	sentAt            float64
+	opened, cancelled bool  // it needed a new connection; it was called off
+	avoid             *node // the last one to fail it
+	cause             Cause // what holds it
+	queued            bool  // it ended in a queue, or was one too many for them
+	started, ended    bool  // the answer has begun to flow; it is the client's
 }
