--- a/control/replication/guards_test.go
+++ b/control/replication/guards_test.go
@@ -15,8 +15,8 @@
 		{"there are tolerance + 1 copies", disabledGuards{noFloor: true}, ""},
 		{"a majority is heard for a confirmation", disabledGuards{confirmAlone: true}, "guard-confirm"},
 		{"one view change at a time", disabledGuards{manyViewChanges: true}, "guard-view-changes"},
-		{"an empty disk has no vote", disabledGuards{emptyDiskVotes: true}, ""},
-		{"a takeover needs a copy of the newest view", disabledGuards{anyVoterLeads: true}, ""},
+		{"an empty disk has no vote", disabledGuards{emptyDiskVotes: true}, "guard-empty-disk"},
+		{"a takeover needs a copy of the newest view", disabledGuards{anyVoterLeads: true}, "guard-copy"},
 		{"a core is founded once", disabledGuards{foundingRepeats: true}, "guard-founding"},
 		{"the state is synced before the view", disabledGuards{viewBeforeRestamp: true}, "guard-restamp"},
 	}
--- a/control/replication/search_test.go
+++ b/control/replication/search_test.go
@@ -117,6 +117,9 @@
 	w.sameWord = guards.emptyDiskVotes
 	w.trace = tracer
 	chooser := rand.New(rand.NewSource(seed * 7919))
+	if chooser.Intn(4) == 0 {
+		w.orderBytes = 3000 // snapshots of several pieces
+	}
 	w.run(50 * time.Millisecond) // the disks have the mark of the first start
 	if chooser.Intn(2) == 0 {
 		w.run(2 * time.Second) // half of the worlds meet trouble while they are founded
