--- a/control/controller/search_test.go
+++ b/control/controller/search_test.go
@@ -127,16 +127,18 @@
 	if random.Intn(3) == 0 {
 		w.leadingInstance().up = false
 	}
-	switch random.Intn(3) {
+	switch random.Intn(4) {
 	case 0:
 		w.gateways[random.Intn(len(w.gateways))].frozen = true
 	case 1:
 		w.isolate(w.gateways[random.Intn(len(w.gateways))].name)
+	case 2:
+		w.startGateway(w.gateways[random.Intn(len(w.gateways))]) // its process ends, and another starts
 	}
 }
 
 func (w *world) troubleAt(one *machine, random *rand.Rand) {
-	switch random.Intn(7) {
+	switch random.Intn(8) {
 	case 0:
 		w.isolate(one.name)
 	case 1:
@@ -153,6 +155,8 @@
 		}
 	case 6:
 		w.wipe(one)
+	case 7:
+		w.give(one, Terminate{})
 	}
 }
 
--- a/control/controller/world_test.go
+++ b/control/controller/world_test.go
@@ -280,7 +280,10 @@
 	for _, made := range effects.Calls {
 		w.callPlatform(one, made)
 	}
-	one.mayEnd = one.mayEnd || effects.MayEnd
+	if effects.MayEnd {
+		one.mayEnd = true
+		w.kill(one)
+	}
 }
 
 func (w *world) write(one *machine, writes []replication.Write) {
