Controller: a gateway that was served in a later epoch is sent away at once

Cause: its question waited for news and then for a confirmation that could only fail. Change: it is refused when it comes. Measured: TestWatchOfALaterEpochIsRefused failed before and passes.

--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -29,6 +29,10 @@
 		c.effects.WatchReplies = append(c.effects.WatchReplies, WatchReply{Call: in.Call})
 		return
 	}
+	if c.term.epoch < in.Request.Applied.Epoch {
+		c.refuseWatch(in.Call) // it has been served in a later epoch, so this one is over
+		return
+	}
 	wait := min(max(in.Request.Wait, 0), c.settings.WatchWait)
 	c.dropOlderWatch(in.Request.Gateway)
 	c.term.watches = append(c.term.watches, &watch{call: in.Call, request: in.Request, until: c.now + wait})
--- a/control/controller/watches_test.go
+++ b/control/controller/watches_test.go
@@ -53,3 +53,15 @@
 	is.Equal(second.replies, 1)
 	is.Equal(len(a.controller.term.grants.gateways), 1)
 }
+
+// A gateway that works by a table of a later epoch shows that this primary is deposed: it is sent away at once.
+func TestWatchOfALaterEpochIsRefused(t *testing.T) {
+	is := is.New(t)
+	w, a := leading(t)
+	later := feed.Version{Epoch: a.controller.term.epoch + 1, Sequence: 1}
+	request := feed.WatchRequest{Gateway: "g#1", Name: "g", Wait: 500 * time.Millisecond, Applied: later}
+	effects := a.controller.Step(w.now, Watch{Call: 1 << 30, Request: request})
+	is.Equal(len(effects.WatchReplies), 1)
+	is.True(effects.WatchReplies[0].Answer.NotPrimary)
+	is.Equal(effects.WatchReplies[0].Answer.Lease, time.Duration(0))
+}
