--- a/gateway/client.go
+++ b/gateway/client.go
@@ -165,24 +165,31 @@
 // that lasted too long, or the end of the gateway, asks for.
 func (c *client) waitForMessage() error {
 	rest := c.restTime()
+	// The phase is looked at after the wait is announced: whoever changes it rouses those who wait.
 	c.startWaiting(rest)
 	defer c.stopWaiting()
 	if c.reader.Buffered() == 0 && c.mustLeave() {
 		return errLeave
 	}
-	err := c.reader.WaitByte()
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return err
+	if c.reader.Buffered() == 0 && c.flight != nil && c.gateway.at(endingTransactions) {
+		c.endRest()
+		return os.ErrDeadlineExceeded
 	}
-	restedOut := !rest.IsZero() && !time.Now().Before(rest)
-	if c.flight != nil && (restedOut || c.gateway.at(endingTransactions)) {
-		c.session.RolledBack()
-		c.dropTransaction()
-		c.gateway.counters.ended.Add(1)
+	err := c.reader.WaitByte()
+	restedOut := errors.Is(err, os.ErrDeadlineExceeded) && !rest.IsZero() && !time.Now().Before(rest)
+	if c.flight != nil && restedOut {
+		c.endRest()
 	}
 	return err
 }
 
+// endRest rolls back the transaction that rests.
+func (c *client) endRest() {
+	c.session.RolledBack()
+	c.dropTransaction()
+	c.gateway.counters.ended.Add(1)
+}
+
 func (c *client) startWaiting(until time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -210,9 +217,6 @@
 	if c.flight == nil {
 		return time.Time{}
 	}
-	if c.gateway.at(endingTransactions) {
-		return time.Now()
-	}
 	limit := c.gateway.transactionRest()
 	if limit <= 0 {
 		return time.Time{}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -538,7 +538,8 @@
 	<-keeping.arrived
 	is.Equal(idle.answer(), "end") // after half of the grace, which is shorter here than the platform's notice
 	is.True(time.Since(begun) >= time.Second)
-	resting.must("FETCH 1", "ERROR ROLLEDBACK / E")
+	w.eventually("the open transaction is rolled back", func() bool { return slices.Contains(w.first.texts(), "- ABORT") })
+	resting.must("PUT 1 y", "ERROR ROLLEDBACK / E")
 	resting.must("ABORT", "COMPLETE - / I")
 	is.Equal(resting.answer(), "end")
 	keeping.release()
