Controller: the last confirmation never goes back

Cause: a commit that was asked for before a later confirmation put it back, so that plain beats waited for a round that wasn't needed. Change: the later of the two counts.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -233,7 +233,7 @@
 		c.refuseBatch(batch)
 		return
 	}
-	c.term.confirmed = batch.started
+	c.term.confirmed = max(c.term.confirmed, batch.started)
 	c.stateChanged()
 	c.answerBatch(batch)
 }
