Replication: a seed that knows no view lets the voters of a view stand before it founds

Cause: a search over 12,000 worlds of each shape found one that never settled: the founder lost power after another had its view on disk; a seed without a view asked for founding promises again and again, and each kept the other voter from standing.

--- a/control/replication/election.go
+++ b/control/replication/election.go
@@ -246,12 +246,12 @@
 	if refusal.View != nil {
 		n.learnView(*refusal.View)
 	}
-	if refusal.Promised >= n.candidacy.epoch {
-		n.abandonCandidacy(n.retrySoon())
-		return
-	}
 	if n.candidacy.founding && refusal.View != nil {
 		n.abandonCandidacy(n.now)
+		return
+	}
+	if refusal.Promised >= n.candidacy.epoch {
+		n.abandonCandidacy(n.retrySoon())
 	}
 }
 
--- a/control/replication/founding.go
+++ b/control/replication/founding.go
@@ -44,11 +44,16 @@
 	return others
 }
 
-// foundingPatience lets one seed after the other stand.
+// foundingPatience lets one seed after the other stand. Where a view has been accepted by somebody, its voters have time
+// to stand first; only if that comes to nothing is the founding tried again.
 func (n *Node) foundingPatience() time.Duration {
 	place := slices.Index(n.sortedSeeds(), n.self.Address)
 	timing := n.settings.Timing
-	return timing.ElectionAfter/2 + foundingPatience + time.Duration(place)*timing.ElectionStep
+	patience := timing.ElectionAfter/2 + foundingPatience + time.Duration(place)*timing.ElectionStep
+	if n.known.ID != (quorum.ViewID{}) {
+		patience += strandedAfter
+	}
+	return patience
 }
 
 // evaluateFounding founds a core when a majority of the seeds, by address, have promised and none of them knows a view.
