Leases: each kind of datagram is taken by a function of its own

Cause: take held nine kinds of datagrams in 110 lines, from a candidate's question to a holder's word and its checks.

Change: take hands a datagram on by its kind; each kind has its function with its comment. The number of a check is made in nonce. Two conditions with the same end are one. Nothing else is changed.

--- a/lease/datagram.go
+++ b/lease/datagram.go
@@ -59,110 +59,159 @@
 	return routers == t.Routers || routers == t.Former || former > 0 && (former == t.Routers || former == t.Former)
 }
 
+// take hands a datagram to the part that its kind is for.
 func (b *Book) take(from int, s *seat, m *message, now float64) {
 	by := who{from, m.Life}
 	switch m.Kind {
 	case ask:
-		if s.mine == nil {
-			return
-		}
-		a := s.mine.asked(asking{by, m.At, m.Token, m.Serial}, now, b.terms.Span, b.g)
-		if a.granted {
-			b.counted.Grants++
-		} else {
-			b.counted.Refusals++
-		}
-		b.say(from, s, message{Kind: answer, At: a.at, Token: a.token, Other: m.Life, Serial: a.serial, Who: uint16(a.holder.router),
-			WhoLife: a.holder.life, Left: float32(a.left), Yes: a.granted, Stored: a.stored}, now)
+		b.takeAsk(by, s, m, now)
 	case answer:
-		i := slices.Index(s.members, from)
-		if i < 0 || math.IsNaN(float64(m.Left)) || m.Left < 0 || float64(m.Left) > 2*b.terms.Span {
-			return
-		}
-		b.answered(s, i, granting{m.At, who{b.terms.Me, m.Other}, m.Yes, m.Stored, m.Serial, m.Token, who{int(m.Who), m.WhoLife},
-			float64(m.Left)}, now)
+		b.takeAnswer(from, s, m, now)
 	case release:
-		if s.mine == nil {
-			return
-		}
-		next := -1
-		if m.Who != noOne {
-			next = int(m.Who)
-		}
-		if s.mine.released(by, m.At, next, now, b.terms.Span, b.g) {
-			for _, r := range s.mine.waits {
-				if next < 0 || r == next {
-					b.say(r, s, message{Kind: free}, now)
-				}
-			}
-			s.mine.waits = nil
-		}
+		b.takeRelease(by, s, m, now)
 	case give:
-		if s.task.Lent {
-			return
-		}
-		if s.claim.holds(now, b.g) {
-			return
-		}
-		if !s.task.wanted {
-			s.gift = m.Token
-		}
-		s.asking, s.misses, s.handed, s.next = true, 0, now+kept*b.terms.Span, now
+		b.takeGift(s, m, now)
 	case free:
-		if s.asking && !s.claim.holds(now, b.g) && s.next > now {
-			for i := range s.claim.votes {
-				s.claim.votes[i].free = 0
-			}
-			s.next = min(s.next, now+b.terms.Span*stagger*float64(min(b.place(s), places))*b.rng.Float64())
-		}
+		b.takeFree(s, now)
 	case act:
-		s.heard = now
-		if s.task.Lent {
-			return
-		}
-		w := word{by: by, token: m.Token, number: m.Number, text: m.text, asks: m.Yes}
-		b.nonces++
-		var key [16]byte
-		binary.BigEndian.PutUint64(key[:], b.terms.Life)
-		binary.BigEndian.PutUint64(key[8:], b.nonces)
-		nonce := xxhash.Sum64(key[:])
-		switch s.fence.takes(w, now, nonce, b.g) {
-		case obey:
-			b.obey(s, w, now)
-		case again:
-			b.say(from, s, message{Kind: done, Token: w.token, Number: w.number, Other: m.Life, Yes: true}, now)
-		case stale:
-			b.counted.Stales++
-			b.event(Event{Kind: Stale, Token: w.token, Holder: from, Number: w.number, Text: w.text}, s)
-			b.say(from, s, message{Kind: done, Token: s.fence.now.token, Other: m.Life}, now)
-		case unknown:
-			for _, r := range s.members {
-				b.counted.Checks++
-				b.say(r, s, message{Kind: check, Other: nonce, Token: w.token, Who: uint16(from), WhoLife: m.Life}, now)
-			}
-		case waits:
-		}
+		b.takeWord(by, s, m, now)
 	case done:
-		switch {
-		case m.Other != b.terms.Life:
-		case !m.Yes:
-			s.claim.raise(m.Token)
-			s.next = now
-			b.look(s, now)
-		case m.Token == s.claim.token && m.Number >= s.fresh && s.obeyed != nil && from < max(b.terms.Routers, b.terms.Former):
-			s.obeyed[from] = true
-		}
+		b.takeDone(from, s, m, now)
 	case check:
-		if s.mine != nil {
-			b.say(from, s, message{Kind: checked, Other: m.Other, Yes: s.mine.confirms(m.Token, who{int(m.Who), m.WhoLife})}, now)
-		}
+		b.takeCheck(from, s, m, now)
 	case checked:
-		if w, ok := s.fence.confirmed(from, m.Other, m.Yes, s.council, b.g); ok {
-			b.obey(s, w, now)
+		b.takeChecked(from, s, m, now)
+	}
+}
+
+// takeAsk answers a candidate as a member.
+func (b *Book) takeAsk(by who, s *seat, m *message, now float64) {
+	if s.mine == nil {
+		return
+	}
+	a := s.mine.asked(asking{by, m.At, m.Token, m.Serial}, now, b.terms.Span, b.g)
+	if a.granted {
+		b.counted.Grants++
+	} else {
+		b.counted.Refusals++
+	}
+	b.say(by.router, s, message{Kind: answer, At: a.at, Token: a.token, Other: m.Life, Serial: a.serial, Who: uint16(a.holder.router),
+		WhoLife: a.holder.life, Left: float32(a.left), Yes: a.granted, Stored: a.stored}, now)
+}
+
+// takeAnswer takes a member's answer to our question, if it is one that can be.
+func (b *Book) takeAnswer(from int, s *seat, m *message, now float64) {
+	i := slices.Index(s.members, from)
+	if i < 0 || math.IsNaN(float64(m.Left)) || m.Left < 0 || float64(m.Left) > 2*b.terms.Span {
+		return
+	}
+	b.answered(s, i, granting{m.At, who{b.terms.Me, m.Other}, m.Yes, m.Stored, m.Serial, m.Token, who{int(m.Who), m.WhoLife},
+		float64(m.Left)}, now)
+}
+
+// takeRelease takes back what was granted, and tells those who wait that they may ask.
+func (b *Book) takeRelease(by who, s *seat, m *message, now float64) {
+	if s.mine == nil {
+		return
+	}
+	next := -1
+	if m.Who != noOne {
+		next = int(m.Who)
+	}
+	if s.mine.released(by, m.At, next, now, b.terms.Span, b.g) {
+		for _, r := range s.mine.waits {
+			if next < 0 || r == next {
+				b.say(r, s, message{Kind: free}, now)
+			}
 		}
+		s.mine.waits = nil
+	}
+}
+
+// takeGift takes a task that its holder hands to us: we ask for it in a hurry for a while.
+func (b *Book) takeGift(s *seat, m *message, now float64) {
+	if s.task.Lent || s.claim.holds(now, b.g) {
+		return
+	}
+	if !s.task.wanted {
+		s.gift = m.Token
+	}
+	s.asking, s.misses, s.handed, s.next = true, 0, now+kept*b.terms.Span, now
+}
+
+// takeFree takes it that a seat we were refused is free: we ask again soon, by our place.
+func (b *Book) takeFree(s *seat, now float64) {
+	if s.asking && !s.claim.holds(now, b.g) && s.next > now {
+		for i := range s.claim.votes {
+			s.claim.votes[i].free = 0
+		}
+		s.next = min(s.next, now+b.terms.Span*stagger*float64(min(b.place(s), places))*b.rng.Float64())
+	}
+}
+
+// takeWord takes a holder's word, and has it checked where it is not known to be the latest.
+func (b *Book) takeWord(by who, s *seat, m *message, now float64) {
+	s.heard = now
+	if s.task.Lent {
+		return
+	}
+	w := word{by: by, token: m.Token, number: m.Number, text: m.text, asks: m.Yes}
+	nonce := b.nonce()
+	switch s.fence.takes(w, now, nonce, b.g) {
+	case obey:
+		b.obey(s, w, now)
+	case again:
+		b.say(by.router, s, message{Kind: done, Token: w.token, Number: w.number, Other: m.Life, Yes: true}, now)
+	case stale:
+		b.counted.Stales++
+		b.event(Event{Kind: Stale, Token: w.token, Holder: by.router, Number: w.number, Text: w.text}, s)
+		b.say(by.router, s, message{Kind: done, Token: s.fence.now.token, Other: m.Life}, now)
+	case unknown:
+		for _, r := range s.members {
+			b.counted.Checks++
+			b.say(r, s, message{Kind: check, Other: nonce, Token: w.token, Who: uint16(by.router), WhoLife: m.Life}, now)
+		}
+	case waits:
+	}
+}
+
+// nonce is a number that answers to a check must bring back: another for each check, and in each life.
+func (b *Book) nonce() uint64 {
+	b.nonces++
+	var key [16]byte
+	binary.BigEndian.PutUint64(key[:], b.terms.Life)
+	binary.BigEndian.PutUint64(key[8:], b.nonces)
+	return xxhash.Sum64(key[:])
+}
+
+// takeDone takes an answer to our word: it was obeyed, or a later token is known.
+func (b *Book) takeDone(from int, s *seat, m *message, now float64) {
+	switch {
+	case m.Other != b.terms.Life:
+	case !m.Yes:
+		s.claim.raise(m.Token)
+		s.next = now
+		b.look(s, now)
+	case m.Token == s.claim.token && m.Number >= s.fresh && s.obeyed != nil && from < max(b.terms.Routers, b.terms.Former):
+		s.obeyed[from] = true
+	}
+}
+
+// takeCheck tells as a member whether a token was noted.
+func (b *Book) takeCheck(from int, s *seat, m *message, now float64) {
+	if s.mine != nil {
+		b.say(from, s, message{Kind: checked, Other: m.Other, Yes: s.mine.confirms(m.Token, who{int(m.Who), m.WhoLife})}, now)
+	}
+}
+
+// takeChecked takes a member's answer on a word that we had checked, and obeys the word once enough agree.
+func (b *Book) takeChecked(from int, s *seat, m *message, now float64) {
+	if w, ok := s.fence.confirmed(from, m.Other, m.Yes, s.council, b.g); ok {
+		b.obey(s, w, now)
 	}
 }
 
+// obey hands a word to the host, and tells its holder where that asks to know.
 func (b *Book) obey(s *seat, w word, now float64) {
 	if w.number == 1 {
 		s.changes++
