Demo: a whole system on loopback, its leaders taken away, and an account of it

Cause: nothing showed the system at work without a simulated world. Change: stand-ins of instances and of the platform over TCP (testinstance), clients, operators and a judge (systemtest/workload), and eidersystem demo, which runs 3 controllers, 2 gateways and a service in one process, crashes the primary and the leading controller, and fails if anything acknowledged is missing.

--- /dev/null
+++ b/systemtest/workload/layout.go
@@ -0,0 +1,128 @@
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+
+	"github.com/rotisserie/eris"
+
+	"eiderway/system"
+)
+
+// Ports of all machines of a layout. They lie below those that are given to outgoing connections.
+const (
+	controlPort   = 8782
+	frontPort     = 8784
+	readinessPort = 8785
+	platformPort  = 8783
+	instancePort  = 8080
+	internalFirst = 7440
+	internalLast  = 7455
+)
+
+const (
+	subnetTries  = 20
+	beatInterval = 300 // ms
+	graceS       = 4   // from SIGTERM to the end
+	platformRate = 50  // calls a second
+	firstHost    = 10  // of the machines of a layout
+)
+
+// Layout gives addresses on loopback to the machines of a system: each has one of its own, and all have the same ports.
+type Layout struct{ net string }
+
+// NewLayout finds a part of the loopback network in which nobody listens.
+func NewLayout() (Layout, error) {
+	for range subnetTries {
+		layout := Layout{net: fmt.Sprintf("127.%d.%d", 1+rand.N(250), 1+rand.N(250))}
+		if layout.isFree() {
+			return layout, nil
+		}
+	}
+	return Layout{}, eris.New("no free addresses on loopback")
+}
+
+func (l Layout) isFree() bool {
+	for _, port := range []int{controlPort, frontPort, readinessPort, platformPort, instancePort, internalFirst} {
+		listener, err := net.Listen("tcp4", l.address(firstHost, port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
+func (l Layout) address(host, port int) string { return fmt.Sprintf("%s.%d:%d", l.net, host, port) }
+
+// Machines of each kind are numbered from 0.
+func controllerHost(number int) int { return firstHost + number }
+func gatewayHost(number int) int    { return 2*firstHost + number }
+func instanceHost(number int) int   { return 3*firstHost + number }
+
+// Control is where a controller is called by operators and instances.
+func (l Layout) Control(number int) string { return l.address(controllerHost(number), controlPort) }
+
+// Controls are those of so many controllers.
+func (l Layout) Controls(count int) []string {
+	var controls []string
+	for number := range count {
+		controls = append(controls, l.Control(number))
+	}
+	return controls
+}
+
+// Front is where a gateway is called by clients.
+func (l Layout) Front(number int) string { return l.address(gatewayHost(number), frontPort) }
+
+// Readiness is where a gateway is asked whether it is ready.
+func (l Layout) Readiness(number int) string { return l.address(gatewayHost(number), readinessPort) }
+
+// Instance is the address of an instance.
+func (l Layout) Instance(number int) string { return l.address(instanceHost(number), instancePort) }
+
+// Platform is the address of the platform.
+func (l Layout) Platform() string { return l.address(4*firstHost, platformPort) }
+
+// Zone is that of the machine with this number.
+func Zone(number int) string { return string(rune('a' + number)) }
+
+// Controller is what a controller is told, in a system of three of which one may be lost.
+func (l Layout) Controller(number int, firstStart bool, dataDirectory string) system.Settings {
+	settings := l.machine(fmt.Sprintf("controller-%d", number), controllerHost(number), Zone(number))
+	settings.Serves = []string{system.ServesControlPlane}
+	settings.Listen = system.ListenAddresses{Control: l.Control(number)}
+	settings.FirstStart = firstStart
+	settings.LossCounted = true
+	settings.DataDirectory = dataDirectory
+	return settings
+}
+
+// Gateway is what a gateway is told.
+func (l Layout) Gateway(number int) system.Settings {
+	settings := l.machine(fmt.Sprintf("gateway-%d", number), gatewayHost(number), Zone(number))
+	settings.Serves = []string{system.ServesEdge}
+	settings.Listen = system.ListenAddresses{Front: l.Front(number), Readiness: l.Readiness(number)}
+	return settings
+}
+
+// Controllers is how many controllers a layout has.
+const Controllers = 3
+
+func (l Layout) machine(name string, host int, zone string) system.Settings {
+	settings := system.Settings{
+		Name:           name,
+		IPAddress:      fmt.Sprintf("%s.%d", l.net, host),
+		Zone:           zone,
+		InternalPorts:  []int{internalFirst, internalLast},
+		Seeds:          l.Controls(Controllers),
+		BeatIntervalMs: beatInterval,
+		FaultTolerance: system.FaultTolerance{Machines: 1},
+		Bounds:         system.DefaultBounds(),
+		PlatformAPI:    &system.PlatformAPI{Address: l.Platform(), RatePerS: platformRate, DutyPerS: platformRate},
+	}
+	settings.Bounds.GraceS = graceS
+	settings.Bounds.FenceChecked = true
+	return settings
+}
--- /dev/null
+++ b/testinstance/statements.go
@@ -0,0 +1,186 @@
+package testinstance
+
+import (
+	"fmt"
+	"time"
+
+	"eiderway/wire"
+)
+
+// takeQuick runs what takes no slot.
+func (c *connection) takeQuick(statement wire.Statement) wire.Answer {
+	switch statement.Verb {
+	case wire.Begin:
+		return c.begin(statement)
+	case wire.Abort:
+		c.endTransaction()
+	case wire.SetOpt:
+		c.values[statement.Name] = statement.Value
+	case wire.Prepare:
+		c.prepared[statement.Name] = statement
+	case wire.Release:
+		delete(c.prepared, statement.Name)
+	case wire.Reset:
+		c.reset()
+	}
+	return c.completed()
+}
+
+func (c *connection) begin(statement wire.Statement) wire.Answer {
+	if c.state != wire.Idle {
+		return c.fail(wire.Malformed, "a transaction is open")
+	}
+	instance := c.instance
+	instance.service.mutex.Lock()
+	isPrimary, term, log := instance.primary, instance.term, instance.log
+	instance.service.mutex.Unlock()
+	if statement.HasAfter && !log.reaches(statement.After) {
+		return c.fail(wire.Lagging, "")
+	}
+	if !statement.ReadOnly && !isPrimary {
+		return c.fail(wire.ReadOnly, instance.id)
+	}
+	c.state = wire.InTransaction
+	c.readOnly, c.beganTerm, c.pending = statement.ReadOnly, term, nil
+	return c.completed()
+}
+
+func (c *connection) endTransaction() {
+	c.state = wire.Idle
+	c.pending = nil
+}
+
+// run runs what takes a slot.
+func (c *connection) run(request wire.Request, statement wire.Statement) (wire.Answer, error) {
+	if c.ctx.Err() != nil {
+		return wire.Answer{}, errBroken
+	}
+	switch statement.Verb {
+	case wire.Fetch:
+		return c.fetch(request, statement), nil
+	case wire.Put:
+		return c.put(request, statement)
+	case wire.Commit:
+		return c.commit(request)
+	}
+	c.instance.service.mutex.Lock()
+	defer c.instance.service.mutex.Unlock()
+	return c.controlled(statement), nil
+}
+
+func (c *connection) fetch(request wire.Request, statement wire.Statement) wire.Answer {
+	service := c.instance.service
+	service.mutex.Lock()
+	log, lost := c.instance.log, c.lostLead()
+	ran := Ran{ID: request.ID, Text: request.Text, Log: log, Rows: c.rowsOf(log, statement.Thing)}
+	var stamp string
+	lags := statement.HasAfter && !log.reaches(statement.After)
+	if !lags && !lost {
+		stamp = c.record(ran)
+	}
+	service.mutex.Unlock()
+	switch {
+	case lags:
+		return c.fail(wire.Lagging, "")
+	case lost:
+		return c.fail(wire.ReadOnly, c.instance.id)
+	}
+	return wire.Answer{Rows: ran.Rows, Stamp: stamp, State: c.state, Position: positionOf(log)}
+}
+
+// lostLead tells whether a plain transaction is open whose instance doesn't lead any more. The lock is held.
+func (c *connection) lostLead() bool {
+	isPlain := c.state == wire.InTransaction && !c.readOnly
+	return isPlain && (!c.instance.primary || c.instance.term != c.beganTerm)
+}
+
+// rowsOf is what a read of a thing returns: writes of the own transaction first.
+func (c *connection) rowsOf(log Log, thing string) []string {
+	for at := len(c.pending) - 1; at >= 0; at-- {
+		if c.pending[at].Thing == thing {
+			return []string{c.pending[at].Data}
+		}
+	}
+	if data, found := log.read(thing); found {
+		return []string{data}
+	}
+	return nil
+}
+
+func (c *connection) put(request wire.Request, statement wire.Statement) (wire.Answer, error) {
+	write := Write{Thing: statement.Thing, Data: statement.Data}
+	if c.state == wire.Idle {
+		return c.write(request, []Write{write})
+	}
+	service := c.instance.service
+	service.mutex.Lock()
+	refused := c.readOnly || c.lostLead()
+	var stamp string
+	if !refused {
+		c.pending = append(c.pending, write)
+		stamp = c.record(Ran{ID: request.ID, Text: request.Text, Log: c.instance.log})
+	}
+	service.mutex.Unlock()
+	if refused {
+		return c.fail(wire.ReadOnly, c.instance.id), nil
+	}
+	return wire.Answer{Stamp: stamp, State: c.state, Position: c.position()}, nil
+}
+
+func (c *connection) commit(request wire.Request) (wire.Answer, error) {
+	if c.state == wire.Idle {
+		return c.fail(wire.Malformed, "no transaction is open"), nil
+	}
+	if c.state == wire.Failed {
+		c.endTransaction()
+		return c.fail(wire.RolledBack, ""), nil
+	}
+	writes := c.pending
+	service := c.instance.service
+	service.mutex.Lock()
+	lost := c.lostLead() && len(writes) > 0
+	stamp := ""
+	if len(writes) == 0 {
+		stamp = c.record(Ran{ID: request.ID, Text: request.Text, Log: c.instance.log})
+	}
+	service.mutex.Unlock()
+	c.endTransaction()
+	switch {
+	case lost:
+		return c.fail(wire.ReadOnly, c.instance.id), nil
+	case len(writes) == 0:
+		return wire.Answer{Stamp: stamp, State: c.state, Position: c.position()}, nil
+	}
+	return c.write(request, writes)
+}
+
+// write commits, and waits for the replica that the commit is answered after. What no replica has received when the
+// instance loses the lead gets no answer.
+func (c *connection) write(request wire.Request, writes []Write) (wire.Answer, error) {
+	instance := c.instance
+	service := instance.service
+	service.mutex.Lock()
+	if !instance.primary || !instance.isRunning || c.ctx.Err() != nil {
+		service.mutex.Unlock()
+		return c.fail(wire.ReadOnly, instance.id), nil
+	}
+	entry := instance.write(request.ID, writes)
+	stamp := c.record(Ran{ID: request.ID, Text: request.Text, Log: instance.log, Wrote: true})
+	service.mutex.Unlock()
+	if !instance.awaitReplica(c.ctx, entry) {
+		return wire.Answer{}, errBroken
+	}
+	return wire.Answer{Stamp: stamp, State: c.state, Position: wire.FormatPosition(entry.Position)}, nil
+}
+
+// record writes down what a client's statement had the instance run, and makes its stamp. The lock is held.
+func (c *connection) record(ran Ran) string {
+	service := c.instance.service
+	service.stamps++
+	ran.Instance = c.instance.id
+	ran.Term = c.instance.term
+	ran.Stamp = fmt.Sprintf("%d.%s.%x", ran.Term, ran.Instance, service.stamps)
+	ran.At = time.Now()
+	service.journal.Ran = append(service.journal.Ran, ran)
+	return ran.Stamp
+}
