Relay: leases and zones ask the core's goroutine through one function

Cause: leases.asks and zones.asks each had the same wait for the core's goroutine and for its end. Change: the wait is core.asks; both keep only what they run there, the question and then act. Behaviour unchanged.

--- a/relay/core.go
+++ b/relay/core.go
@@ -132,6 +132,21 @@
 	}
 }
 
+// asks has another goroutine's question run in the core's, and waits for it. ok: the core is still there.
+func (c *core) asks(f func()) (ok bool) {
+	done := make(chan struct{})
+	c.tell(func() {
+		f()
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-c.life.Done():
+		return false
+	}
+}
+
 // arrive takes a txn from a client, which came at a time and is owed one answer from here on.
 func (c *core) arrive(h *held, at float64) {
 	if c.open[h.st.ID] {
--- a/relay/lease.go
+++ b/relay/lease.go
@@ -209,18 +209,10 @@
 
 // asks runs in the core's goroutine and waits for it. ok: the core is still there.
 func (l *leases) asks(f func()) (ok bool) {
-	done := make(chan struct{})
-	l.core.tell(func() {
+	return l.core.asks(func() {
 		f()
 		l.act()
-		close(done)
 	})
-	select {
-	case <-done:
-		return true
-	case <-l.core.life.Done():
-		return false
-	}
 }
 
 func (l *leases) counted() lease.Counts {
--- a/relay/zone.go
+++ b/relay/zone.go
@@ -113,18 +113,10 @@
 
 // asks runs in the core's goroutine and waits for it. ok: the core is still there.
 func (z *zones) asks(f func()) (ok bool) {
-	done := make(chan struct{})
-	z.core.tell(func() {
+	return z.core.asks(func() {
 		f()
 		z.act()
-		close(done)
 	})
-	select {
-	case <-done:
-		return true
-	case <-z.core.life.Done():
-		return false
-	}
 }
 
 // states asks for the zones; ok: the core is still there.
