System tests: controllers and gateways as processes, taken away under load

Cause: the program as it is built had not been tried with real kills, freezes and disks. Change: systemtest builds eidersystem and runs 3 controllers and 2 gateways on loopback: kill -9 of the leading controller, of a gateway, of all controllers at once; SIGSTOP for 4 s; a lost disk; a primary's crash during a takeover; a roll by SIGTERM; a hand-over past a frozen gateway. Histories are judged afterwards, orders also by porcupine.

--- /dev/null
+++ b/systemtest/system_test.go
@@ -0,0 +1,119 @@
+package systemtest
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// frozenFor is longer than a takeover of the control state and than a gateway's lease.
+const frozenFor = 4 * time.Second
+
+// TestLeadersAreLost takes away the leading controller in several ways, a gateway, and the primary of the service, at last
+// together with the leading controller.
+func TestLeadersAreLost(t *testing.T) {
+	w := startWorld(t)
+
+	killed := w.leader()
+	w.controllers[killed].kill()
+	w.await("another controller leads", func() bool { leads := w.leads(); return leads >= 0 && leads != killed })
+	w.awaitOrders("after the leading controller was killed")
+	w.startController(killed, false)
+
+	w.gateways[0].kill()
+	w.awaitWrites("after a gateway was killed")
+	w.startGateway(0)
+	w.await("the gateway is ready again", func() bool { return w.isReady(0) })
+
+	frozen := w.leader()
+	thaw := time.After(frozenFor)
+	w.controllers[frozen].signal(syscall.SIGSTOP)
+	w.await("another controller leads", func() bool { leads := w.leads(); return leads >= 0 && leads != frozen })
+	w.awaitOrders("while the old leader is frozen")
+	<-thaw
+	w.controllers[frozen].signal(syscall.SIGCONT)
+	w.awaitOrders("after the old leader woke")
+	w.awaitWrites("after the old leader woke")
+
+	w.awaitMembers()
+	crashed := w.service.Leader()
+	killed = w.leader()
+	w.controllers[killed].kill()
+	crashed.Crash()
+	w.awaitPromote(crashed)
+	w.awaitWrites("after the primary crashed during a takeover")
+	w.startController(killed, false)
+	if err := crashed.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	w.awaitOrders("in the end")
+	w.conclude()
+}
+
+// TestAllControllersAreKilled kills all controllers right after an acknowledgement, and later wipes one's disk.
+func TestAllControllersAreKilled(t *testing.T) {
+	w := startWorld(t)
+
+	acknowledged := w.placeNext(1)
+	for _, one := range w.controllers {
+		one.kill()
+	}
+	for number := range w.controllers {
+		w.startController(number, false)
+	}
+	w.awaitOrders("after all controllers were killed")
+	w.awaitWrites("after all controllers were killed")
+	t.Logf("configuration %d was acknowledged with %d right before", acknowledged.Number, acknowledged.Status)
+
+	w.awaitMembers()
+	wiped := (w.leader() + 1) % len(w.controllers)
+	w.controllers[wiped].kill()
+	if err := os.RemoveAll(w.dataOf(wiped)); err != nil {
+		t.Fatal(err)
+	}
+	w.startController(wiped, false)
+	w.awaitOrders("after a disk was lost")
+	w.awaitMembers()
+
+	killed := w.leader()
+	w.controllers[killed].kill() // what the wiped one has taken over must be enough
+	w.awaitOrders("without the leader and with one whose disk was lost")
+	w.startController(killed, false)
+	w.awaitWrites("in the end")
+	w.conclude()
+}
+
+// TestRollOfControllers ends all controllers in order, one after the other, under a stream of orders.
+func TestRollOfControllers(t *testing.T) {
+	w := startWorld(t)
+	for number := range w.controllers {
+		w.awaitMembers()
+		w.controllers[number].terminate()
+		w.awaitOrders("while a controller is replaced")
+		w.startController(number, false)
+		w.awaitOrders("after a controller was replaced")
+	}
+	w.awaitWrites("after the roll")
+	w.conclude()
+	for _, order := range w.orders.Placed() {
+		if order.Status == 0 {
+			t.Errorf("configuration %d got no clear answer in %d tries", order.Number, order.Tries)
+		}
+	}
+}
+
+// TestHandOverWithFrozenGateway drains the primary while a gateway doesn't run: what it may still do has to be waited out.
+func TestHandOverWithFrozenGateway(t *testing.T) {
+	w := startWorld(t)
+	thaw := time.After(frozenFor)
+	w.gateways[1].signal(syscall.SIGSTOP)
+	drained := w.service.Leader()
+	drained.Drain()
+	w.awaitPromote(drained)
+	<-thaw
+	w.gateways[1].signal(syscall.SIGCONT)
+	w.awaitWrites("after the hand-over")
+	w.await("the gateway is ready again", func() bool { return w.isReady(1) })
+	w.conclude()
+}
--- /dev/null
+++ b/systemtest/views_test.go
@@ -0,0 +1,60 @@
+package systemtest
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+
+	"eiderway/systemtest/workload"
+)
+
+// view is what a controller's log says of the members of the core.
+type view struct{ epoch, revision, voters, copies int }
+
+func (v view) before(other view) bool {
+	if v.epoch != other.epoch {
+		return v.epoch < other.epoch
+	}
+	return v.revision < other.revision
+}
+
+// viewMark stands in a controller's log before a view that was committed.
+const viewMark = "view committed: "
+
+// newestView is the newest view in the logs of all controllers.
+func (w *world) newestView() view {
+	var newest view
+	for _, one := range w.controllers {
+		file, err := os.Open(one.logPath)
+		if err != nil {
+			continue
+		}
+		for lines := bufio.NewScanner(file); lines.Scan(); {
+			if read, found := readView(lines.Text()); found && newest.before(read) {
+				newest = read
+			}
+		}
+		_ = file.Close()
+	}
+	return newest
+}
+
+func readView(line string) (read view, found bool) {
+	_, text, found := strings.Cut(line, viewMark)
+	if !found {
+		return view{}, false
+	}
+	count, _ := fmt.Sscanf(text, "%d.%d: %d voters, %d copies", &read.epoch, &read.revision, &read.voters, &read.copies)
+	return read, count == 4
+}
+
+// awaitMembers waits until all controllers are voters and hold the control state, so that any one may be lost. Orders must
+// have been acknowledged since the last loss: then the newest view has taken notice of it.
+func (w *world) awaitMembers() {
+	w.Helper()
+	w.await("all controllers are members", func() bool {
+		newest := w.newestView()
+		return newest.voters == workload.Controllers && newest.copies == workload.Controllers
+	})
+}
--- a/systemtest/workload/judge_test.go
+++ b/systemtest/workload/judge_test.go
@@ -84,4 +84,8 @@
 	is.Equal(len(orders.Judge(Fetched{Number: 5, Content: "z"})), 0) // no clear answer: it may be in force
 	is.Equal(len(orders.Judge(Fetched{Number: 2, Content: "x"})), 2)
 	is.Equal(len(orders.Judge(Fetched{Number: 3, Content: "y"})), 1)
+
+	orders.orders[0].Answered = at(1)
+	orders.fetched = []Fetched{{Number: 2, Content: "w", Sent: at(2)}}
+	is.Equal(len(orders.Judge(Fetched{Number: 3, Content: "x"})), 1) // read earlier, but after the acknowledgement
 }
--- a/systemtest/workload/operator.go
+++ b/systemtest/workload/operator.go
@@ -88,6 +88,19 @@
 	if !wasSent {
 		broken = append(broken, fmt.Sprintf("CONFIG: %d was read back as %q, which nobody sent", read.Number, read.Content))
 	}
+	return append(broken, o.staleReads()...)
+}
+
+// staleReads are the reads that gave an older configuration than one that was acknowledged before they were sent.
+func (o *Orders) staleReads() []string {
+	var broken []string
+	for _, read := range o.Fetched() {
+		for _, order := range o.Placed() {
+			if order.Status == http.StatusOK && order.Answered.Before(read.Sent) && read.Number < order.Number {
+				broken = append(broken, fmt.Sprintf("CONFIG: %d was read after %d was acknowledged", read.Number, order.Number))
+			}
+		}
+	}
 	return broken
 }
 
--- /dev/null
+++ b/systemtest/world_test.go
@@ -0,0 +1,290 @@
+package systemtest
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderway/systemtest/workload"
+	"eiderway/testinstance"
+)
+
+const (
+	// patience bounds the waits for what must come about: a busy machine may take long, and only a fault uses it up.
+	patience       = 30 * time.Second
+	poll           = 20 * time.Millisecond
+	service        = "orders"
+	database       = "shop"
+	gatewayCount   = 2
+	instanceCount  = 3
+	clientCount    = 6
+	promoteTime    = 300 * time.Millisecond
+	orderEvery     = 60 * time.Millisecond // of each operator
+	fetchEvery     = 5                     // orders
+	orderPatience  = 20 * time.Second      // of an operator for a clear answer
+	operatorsCount = 2
+)
+
+// world is a system of processes under load, with the instances and the platform around it.
+type world struct {
+	*testing.T
+	layout      workload.Layout
+	directory   string
+	service     *testinstance.Service
+	platform    *testinstance.Platform
+	controllers []*process
+	gateways    []*process
+	history     *workload.History
+	orders      *workload.Orders
+	clients     *workload.Clients
+	number      atomic.Int64 // of the newest configuration
+	stopOrders  context.CancelFunc
+	operators   sync.WaitGroup
+}
+
+// startWorld founds a system, has it take a configuration, and starts clients and operators.
+func startWorld(t *testing.T) *world {
+	t.Helper()
+	layout, err := workload.NewLayout()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{T: t, layout: layout, directory: t.TempDir(), history: &workload.History{}, orders: &workload.Orders{}}
+	w.startSurroundings()
+	for number := range workload.Controllers {
+		w.controllers = append(w.controllers, newProcess(t, w.directory, "controller-"+workload.Zone(number)))
+		w.startController(number, true)
+	}
+	for number := range gatewayCount {
+		w.gateways = append(w.gateways, newProcess(t, w.directory, "gateway-"+workload.Zone(number)))
+		w.startGateway(number)
+	}
+	w.startLoad()
+	return w
+}
+
+// startSurroundings starts the instances and the platform.
+func (w *world) startSurroundings() {
+	w.Helper()
+	w.service = testinstance.NewService(testinstance.DefaultSettings(service, w.controls))
+	w.Cleanup(w.service.Stop)
+	for number := range instanceCount {
+		if _, err := w.service.Start("db-"+workload.Zone(number), w.layout.Instance(number), workload.Zone(number)); err != nil {
+			w.Fatal(err)
+		}
+	}
+	settings := testinstance.PlatformSettings{FenceChecked: true, PromoteTime: promoteTime}
+	platform, err := testinstance.StartPlatform(w.layout.Platform(), settings, w.service)
+	if err != nil {
+		w.Fatal(err)
+	}
+	w.Cleanup(platform.Stop)
+	w.platform = platform
+}
+
+// startLoad places a first configuration and starts clients and operators.
+func (w *world) startLoad() {
+	w.Helper()
+	w.placeNext(1)
+	for number := range gatewayCount {
+		w.await("a gateway is ready", func() bool { return w.isReady(number) })
+	}
+	w.clients = workload.StartClients(1, clientCount, workload.ClientSettings{
+		Database: database,
+		Gateways: w.fronts,
+		History:  w.history,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	w.stopOrders = stop
+	for number := range operatorsCount {
+		w.operators.Go(func() { w.keepOrdering(ctx, number+2) })
+	}
+	w.Cleanup(w.stopLoad)
+	w.awaitWrites("at the start")
+}
+
+func (w *world) stopLoad() {
+	w.stopOrders()
+	w.operators.Wait()
+	w.clients.Stop()
+}
+
+func (w *world) operator() *workload.Operator {
+	return &workload.Operator{Controllers: w.controls, Orders: w.orders, Service: service, Database: database}
+}
+
+// keepOrdering places one configuration after the other. Another operator takes the same numbers at times.
+func (w *world) keepOrdering(ctx context.Context, name int) {
+	operator := w.operator()
+	for count := 0; ctx.Err() == nil; count++ {
+		number := w.number.Load() + 1
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderPatience)
+		operator.Place(limited, number, workload.Content(name, number))
+		w.raiseNumber(number)
+		if count%fetchEvery == 0 {
+			_, _ = operator.Fetch(limited) // the history has what was read
+		}
+		cancel()
+		wait(ctx, orderEvery)
+	}
+}
+
+func (w *world) raiseNumber(number int64) {
+	for known := w.number.Load(); known < number && !w.number.CompareAndSwap(known, number); known = w.number.Load() {
+	}
+}
+
+// placeNext places a configuration of a new number, and wants it acknowledged.
+func (w *world) placeNext(name int) workload.Order {
+	w.Helper()
+	ctx, cancel := context.WithTimeout(w.Context(), patience)
+	defer cancel()
+	number := w.number.Add(1)
+	order := w.operator().Place(ctx, number, workload.Content(name, number))
+	if order.Status != http.StatusOK && order.Status != http.StatusConflict {
+		w.Fatalf("configuration %d was answered with %d after %d tries", number, order.Status, order.Tries)
+	}
+	return order
+}
+
+func (w *world) dataOf(number int) string {
+	return filepath.Join(w.directory, "data-"+workload.Zone(number))
+}
+
+func (w *world) startController(number int, firstStart bool) {
+	w.Helper()
+	if err := os.MkdirAll(w.dataOf(number), 0o700); err != nil {
+		w.Fatal(err)
+	}
+	w.controllers[number].start(w.layout.Controller(number, firstStart, w.dataOf(number)))
+}
+
+func (w *world) startGateway(number int) { w.gateways[number].start(w.layout.Gateway(number)) }
+
+func (w *world) controls() []string { return w.layout.Controls(workload.Controllers) }
+
+func (w *world) fronts() []string {
+	var fronts []string
+	for number := range gatewayCount {
+		fronts = append(fronts, w.layout.Front(number))
+	}
+	return fronts
+}
+
+func (w *world) isReady(gateway int) bool {
+	answer, err := workload.NewCaller(0).Get("http://" + w.layout.Readiness(gateway) + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// leader waits for a controller that leads.
+func (w *world) leader() int {
+	w.Helper()
+	leader := -1
+	w.await("a controller leads", func() bool {
+		leader = w.leads()
+		return leader >= 0
+	})
+	return leader
+}
+
+// leads is the controller that leads now, or -1.
+func (w *world) leads() int {
+	for number := range w.controllers {
+		if workload.Leads(w.Context(), w.layout.Control(number)) {
+			return number
+		}
+	}
+	return -1
+}
+
+// await waits until something has come about.
+func (w *world) await(what string, holds func() bool) {
+	w.Helper()
+	for start := time.Now(); !holds(); time.Sleep(poll) {
+		if time.Since(start) > patience {
+			w.Fatalf("it never came that %s", what)
+		}
+	}
+}
+
+// awaitWrites waits until writes are acknowledged that were begun from now on, by most clients.
+func (w *world) awaitWrites(when string) {
+	w.Helper()
+	before := w.history.Acknowledged()
+	w.await("writes are acknowledged "+when, func() bool { return w.history.Acknowledged() >= before+2*clientCount })
+}
+
+// awaitOrders waits until a new configuration is acknowledged.
+func (w *world) awaitOrders(when string) {
+	w.Helper()
+	before := w.orders.NewestAcknowledged()
+	w.await("configurations are acknowledged "+when, func() bool { return w.orders.NewestAcknowledged() > before+1 })
+}
+
+// awaitPromote waits until another instance leads the service than this one.
+func (w *world) awaitPromote(old *testinstance.Instance) {
+	w.Helper()
+	w.await("another instance leads", func() bool { return w.service.Leader() != old })
+}
+
+// signalAll sends a signal to processes.
+func signalAll(processes []*process, signal syscall.Signal) {
+	for _, one := range processes {
+		one.signal(signal)
+	}
+}
+
+// conclude ends the load and judges the histories.
+func (w *world) conclude() {
+	w.Helper()
+	for _, one := range append(w.controllers, w.gateways...) {
+		if one.hasEnded() {
+			w.Errorf("%s has ended by itself", one.name)
+		}
+	}
+	w.stopLoad()
+	ctx, cancel := context.WithTimeout(w.Context(), patience)
+	defer cancel()
+	read, err := w.operator().Fetch(ctx)
+	if err != nil {
+		w.Fatal(err)
+	}
+	broken := w.orders.Judge(read)
+	broken = append(broken, workload.Judge(workload.Evidence{
+		Statements: w.history.Statements(),
+		Journal:    w.service.Journal(),
+		Final:      w.service.Leader().Log(),
+	})...)
+	broken = append(broken, judgeFences(w.platform.Calls())...)
+	if !areLinearizable(w.orders) {
+		broken = append(broken, "CONFIG: the orders are not linearizable")
+	}
+	if len(broken) > 0 {
+		w.Errorf("%d rules broken:\n%s", len(broken), strings.Join(broken[:min(len(broken), 20)], "\n"))
+	}
+	w.Logf("%d statements, %d writes acknowledged (longest wait %v), %d orders, %d reads of the configuration, %d promotes, %d calls to the platform",
+		len(w.history.Statements()), w.history.Acknowledged(), slices.Max(w.history.Waits()).Round(time.Millisecond),
+		len(w.orders.Placed()), len(w.orders.Fetched()), len(w.service.Journal().Promotes), len(w.platform.Calls()))
+}
+
+// wait waits, unless the context ends.
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
