Relay: a drain and an order to a zone report their progress through one type

Cause: askedDrain and zones.order each had the same close of the asker's connection, ticker and wait. Change: progress has them: report begins, wait waits for the next line, end closes. Behaviour unchanged.

--- a/relay/ask.go
+++ b/relay/ask.go
@@ -16,7 +16,7 @@
 
 const (
 	mostHolds    = 16                     // tasks that are asked for here at a time
-	progressEach = 200 * time.Millisecond // of a drain
+	progressEach = 200 * time.Millisecond // of a drain, and of an order to a zone
 )
 
 // LeaseState is a line of `lease hold`, and of `drain`.
@@ -203,24 +203,15 @@
 		fail("a drain is under way; `drain status` tells how far, `drain cancel` ends it")
 		return
 	}
-	closed := gone(nc)
-	defer func() {
-		nc.Close()
-		<-closed
-	}()
-	each := time.NewTicker(progressEach)
-	defer each.Stop()
+	asker := c.report(nc)
+	defer asker.end()
 	for {
 		s := state(now())
 		if out.Encode(s) != nil || s.State == "drained" || s.State == "serving" {
 			return
 		}
-		select {
-		case <-closed:
-			return
-		case <-c.life.Done():
+		if !asker.wait() {
 			return
-		case <-each.C:
 		}
 	}
 }
--- a/relay/askzone.go
+++ b/relay/askzone.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/json"
 	"net"
-	"time"
 
 	"eiderway/zone"
 )
@@ -73,13 +72,8 @@
 		fail("%s", err)
 		return
 	}
-	closed := gone(nc)
-	defer func() {
-		nc.Close()
-		<-closed
-	}()
-	each := time.NewTicker(progressEach)
-	defer each.Stop()
+	asker := z.core.report(nc)
+	defer asker.end()
 	same := now.Hand == what.String() && now.Number == was.Number // there was nothing to order
 	for {
 		s := ZoneState{State: now, Obeyed: same || now.Hand == what.String() && now.Number > was.Number}
@@ -92,14 +86,7 @@
 		if out.Encode(s) != nil || s.Done {
 			return
 		}
-		select {
-		case <-closed:
-			return
-		case <-z.core.life.Done():
-			return
-		case <-each.C:
-		}
-		if !z.asks(look) {
+		if !asker.wait() || !z.asks(look) {
 			return
 		}
 	}
