Relay: actors take and run their mail through one loop

Cause: the core, the nodes and the classes each had their own loop that empties the mailbox and runs what was in it. Change: actor.handle runs the mail, with what is to be done before each of it (the core reads its clock), and actor.turn waits for mail first, as the nodes and the classes do; the spare mailbox is the actor's. Behaviour unchanged.

--- a/relay/classes.go
+++ b/relay/classes.go
@@ -58,19 +58,9 @@
 }
 
 func (k *classes) run(ctx context.Context) error {
-	var mail []func()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-k.wake:
-		}
-		mail = k.take(mail)
-		for i, f := range mail {
-			f()
-			mail[i] = nil
-		}
+	for k.turn(ctx) {
 	}
+	return nil
 }
 
 // classed lexes a statement and has it classed. It tells whether the connection goes on.
--- a/relay/core.go
+++ b/relay/core.go
@@ -105,7 +105,6 @@
 func (c *core) run(ctx context.Context) error {
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
-	var mail []func()
 	for {
 		select {
 		case <-ctx.Done():
@@ -113,12 +112,7 @@
 		case <-c.wake:
 		case <-alarm.C:
 		}
-		mail = c.take(mail)
-		for i, f := range mail {
-			c.now = c.clock.now()
-			f()
-			mail[i] = nil
-		}
+		c.handle(func() { c.now = c.clock.now() })
 		c.now = c.clock.now()
 		// What these set anew waits for the next turn, however soon it is due: mail and the end come in between.
 		for armed := c.armed; len(c.timers) > 0 && c.timers[0].at <= c.now && c.timers[0].set <= armed; {
--- a/relay/node.go
+++ b/relay/node.go
@@ -57,18 +57,7 @@
 }
 
 func (n *node) run(ctx context.Context) error {
-	var mail []func()
-	for !n.over {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.wake:
-		}
-		mail = n.take(mail)
-		for i, f := range mail {
-			f()
-			mail[i] = nil
-		}
+	for !n.over && n.turn(ctx) {
 	}
 	return nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -181,9 +181,10 @@
 
 // actor runs what it is told, one thing after the other. Telling never blocks.
 type actor struct {
-	mu   sync.Mutex
-	mail []func()
-	wake chan struct{}
+	mu      sync.Mutex
+	mail    []func()
+	handled []func() // what was taken from the mailbox; the actor's goroutine alone uses this
+	wake    chan struct{}
 }
 
 func newActor() actor { return actor{wake: make(chan struct{}, 1)} }
@@ -198,13 +199,32 @@
 	}
 }
 
-// take empties the mailbox into spare.
-func (a *actor) take(spare []func()) []func() {
+// turn waits until the actor is told something, and runs it. ok: the context has not ended.
+func (a *actor) turn(ctx context.Context) (ok bool) {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-a.wake:
+	}
+	a.handle(func() {})
+	return true
+}
+
+// handle runs what the actor has been told, and before each of it what is given here.
+func (a *actor) handle(before func()) {
+	for i, f := range a.take() {
+		before()
+		f()
+		a.handled[i] = nil
+	}
+}
+
+// take empties the mailbox into what was handled before.
+func (a *actor) take() []func() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	all := a.mail
-	a.mail = spare[:0]
-	return all
+	a.mail, a.handled = a.handled[:0], a.mail
+	return a.handled
 }
 
 func (a *actor) waiting() int {
