Host: a failover call that is too old when it would be written is not sent

Cause: a process that stood still between dialling and writing woke with a connection that still took bytes; the end of the call's context closes it in a goroutine of its own, and the write could come first. Where fences aren't checked, failovers count on no call being sent later than LateCall.

Change: the age of the call, from when it was handed to the platform's caller, is compared with platformFresh (1.5 s) when nothing but the write is left to do; an older one ends as NotSent. The same bound is the deadline of the write, and a write of which no byte went out is NotSent too. The request goes out in one write.

With the check and the deadline taken out, TestPlatformCallThatIsTooOldIsNotSent fails (the call was made, 200) and both cases of TestWritingOfAPlatformCallIsBounded fail. Not covered: a standstill inside the step of the controller, before the call is handed over, is not counted in the age.

--- a/host/platform.go
+++ b/host/platform.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"eiderway/control/failover"
 )
 
@@ -21,8 +23,15 @@
 	// platformWait is how long the whole call may take. The platform may be slow, and what it does shows in the terms of
 	// the instances, so waiting longer gains nothing.
 	platformWait = 2500 * time.Millisecond
+	// platformFresh is how old a call may be when it is written, and when its writing ends. A process that stood still
+	// after it dialled must not send a call that it decided on long ago: where fences aren't checked, failovers count on
+	// none being sent so late. It leaves room for the slowest dial, and is a small part of failover.Settings.LateCall.
+	platformFresh = platformDial + 500*time.Millisecond
 )
 
+// errStaleCall says that a call was too old to be written.
+var errStaleCall = eris.New("host: the call is too old to be sent")
+
 // Headers of a call that is a duty.
 const (
 	headerHolder = "X-Eiderway-Duty-Holder"
@@ -42,50 +51,83 @@
 	deliver  func(failover.PlatformResult)
 	counters *counters
 	ctx      context.Context
-	wait     time.Duration // platformWait
+	wait     time.Duration                           // platformWait
+	connect  func(context.Context) (net.Conn, error) // nil: dial
 	calls    sync.WaitGroup
 }
 
-// start makes the call in the background.
+// start makes the call in the background. Its age counts from now.
 func (p *platform) start(call failover.PlatformCall) {
+	p.startAsked(call, time.Now())
+}
+
+// startAsked makes a call in the background that was asked for at this time.
+func (p *platform) startAsked(call failover.PlatformCall, asked time.Time) {
 	p.counters.platformCalls.Add(1)
 	p.calls.Add(1)
 	go func() {
 		defer p.calls.Done()
-		p.deliver(p.make(call))
+		p.deliver(p.make(call, asked))
 	}()
 }
 
-func (p *platform) make(call failover.PlatformCall) failover.PlatformResult {
+func (p *platform) make(call failover.PlatformCall, asked time.Time) failover.PlatformResult {
 	ctx, cancel := context.WithTimeout(p.ctx, p.wait)
 	defer cancel()
 	result := failover.PlatformResult{Number: call.Number, Outcome: failover.NotSent}
-	connection, err := p.dial(ctx)
+	request, err := p.request(call)
+	if err != nil {
+		return result
+	}
+	connection, err := p.connection(ctx)
 	if err != nil {
 		return result
 	}
 	defer connection.Close()
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
-	result.Code, err = p.exchange(connection, call)
+	sent, err := send(connection, request, asked)
+	if !sent {
+		return result
+	}
+	if err == nil {
+		result.Code, err = readStatus(connection, request)
+	}
 	result.Outcome = outcomeOf(result.Code, err)
 	return result
 }
 
+func (p *platform) connection(ctx context.Context) (net.Conn, error) {
+	if p.connect != nil {
+		return p.connect(ctx)
+	}
+	return p.dial(ctx)
+}
+
 func (p *platform) dial(ctx context.Context) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: platformDial, Control: setUnsentTimeout, KeepAliveConfig: keepAlive}
 	return dialer.DialContext(ctx, "tcp4", p.address)
 }
 
-// exchange sends the call and returns the status of the answer.
-func (p *platform) exchange(connection net.Conn, call failover.PlatformCall) (int, error) {
-	request, err := p.request(call)
-	if err != nil {
-		return 0, err
+// send writes the call unless it is too old by then, and tells whether any byte of it may have gone out. The age is read
+// when nothing but the write is left to do.
+func send(connection net.Conn, request *http.Request, asked time.Time) (sent bool, err error) {
+	var message bytes.Buffer
+	if err := request.Write(&message); err != nil {
+		return false, err
+	}
+	if err := connection.SetWriteDeadline(asked.Add(platformFresh)); err != nil {
+		return false, err
 	}
-	if err := request.Write(connection); err != nil {
-		return 0, err
+	if age := time.Since(asked); age > platformFresh {
+		return false, errStaleCall
 	}
+	written, err := connection.Write(message.Bytes())
+	return written > 0, err
+}
+
+// readStatus returns the status of the final answer.
+func readStatus(connection net.Conn, request *http.Request) (int, error) {
 	reader := bufio.NewReader(connection)
 	for {
 		response, err := http.ReadResponse(reader, request)
@@ -115,7 +157,7 @@
 	return request, nil
 }
 
-// outcomeOf a call whose connection stood: anything but a clear answer leaves open what was done.
+// outcomeOf a call of which something was sent: anything but a clear answer leaves open what was done.
 func outcomeOf(code int, err error) failover.PlatformOutcome {
 	switch {
 	case err != nil:
--- a/host/platform_test.go
+++ b/host/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -148,3 +149,65 @@
 	is.Equal(callPlatform(t, listener.Addr().String(), patience).Outcome, failover.NotSent)
 	is.Equal(callPlatform(t, "", patience).Outcome, failover.NotSent) // a process without a platform
 }
+
+// connectedPlatform makes one call over a connection that the test makes, and returns how it ended.
+func connectedPlatform(t *testing.T, connect func(context.Context) (net.Conn, error)) failover.PlatformResult {
+	t.Helper()
+	results := make(chan failover.PlatformResult, 1)
+	caller := &platform{
+		deliver:  func(result failover.PlatformResult) { results <- result },
+		counters: &counters{},
+		ctx:      t.Context(),
+		wait:     patience,
+		connect:  connect,
+	}
+	caller.start(failover.PlatformCall{Number: 7, Service: "s", InstanceID: "i-1", Holder: "c-1", Fence: 42})
+	result := receive(t, results)
+	caller.calls.Wait()
+	return result
+}
+
+// What was written last, and what the kernel still sends of it, is sent long before failovers count on it.
+func TestPlatformCallsEndWithinLateCall(t *testing.T) {
+	is.New(t).True(platformFresh+unsentTimeout < failover.DefaultSettings().LateCall/2)
+}
+
+// A process that stood still between the dial and the write wakes with a connection that still takes bytes.
+func TestPlatformCallThatIsTooOldIsNotSent(t *testing.T) {
+	is := is.New(t)
+	stand := newPlatformStandIn(t, status(200))
+	result := connectedPlatform(t, func(context.Context) (net.Conn, error) {
+		connection, err := net.Dial("tcp4", stand.listener.Addr().String())
+		time.Sleep(platformFresh + 10*time.Millisecond)
+		return connection, err
+	})
+	is.Equal(result, failover.PlatformResult{Number: 7, Outcome: failover.NotSent})
+	stand.running.Go(func() { _ = stand.listener.Close() })
+	stand.running.Wait()
+	is.Equal(len(stand.requests), 0)
+}
+
+// A connection that takes no bytes, or no more of them, is given up while the call is still fresh.
+func TestWritingOfAPlatformCallIsBounded(t *testing.T) {
+	for _, example := range []struct {
+		name    string
+		read    int // bytes that the other end takes
+		outcome failover.PlatformOutcome
+	}{
+		{"nothing went out", 0, failover.NotSent},
+		{"a part went out", 10, failover.OutcomeUnknown},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			is := is.New(t)
+			near, far := net.Pipe()
+			defer far.Close()
+			began := time.Now()
+			result := connectedPlatform(t, func(context.Context) (net.Conn, error) {
+				go func() { _, _ = io.ReadFull(far, make([]byte, example.read)) }()
+				return near, nil
+			})
+			is.Equal(result, failover.PlatformResult{Number: 7, Outcome: example.outcome})
+			is.True(time.Since(began) < patience/2) // long before the whole call's time is over
+		})
+	}
+}
