System tests: a primary and a gateway that wake together after a failover

Cause: a gateway with an outdated table meets an old primary only if both were stopped. Change: stand-ins can be frozen; the test thaws the old primary and a gateway in the same moment.

--- a/systemtest/system_test.go
+++ b/systemtest/system_test.go
@@ -117,3 +117,20 @@
 	w.await("the gateway is ready again", func() bool { return w.isReady(1) })
 	w.conclude()
 }
+
+// TestFrozenPrimaryAndGateway freezes the primary together with a gateway. Once another instance leads, both wake at the
+// same moment: the old primary goes on for a second, and the gateway's table still names it.
+func TestFrozenPrimaryAndGateway(t *testing.T) {
+	w := startWorld(t)
+	old := w.service.Leader()
+	old.Freeze(true)
+	w.gateways[1].signal(syscall.SIGSTOP)
+	w.awaitPromote(old)
+	w.awaitWrites("at the new primary")
+	woken := w.history.Statements()
+	old.Freeze(false)
+	w.gateways[1].signal(syscall.SIGCONT)
+	w.await("the gateway is ready again", func() bool { return w.isReady(1) })
+	w.await("clients have gone on", func() bool { return len(w.history.Statements()) > len(woken)+50*clientCount })
+	w.conclude()
+}
--- a/systemtest/world_test.go
+++ b/systemtest/world_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -239,13 +238,6 @@
 	w.await("another instance leads", func() bool { return w.service.Leader() != old })
 }
 
-// signalAll sends a signal to processes.
-func signalAll(processes []*process, signal syscall.Signal) {
-	for _, one := range processes {
-		one.signal(signal)
-	}
-}
-
 // conclude ends the load and judges the histories.
 func (w *world) conclude() {
 	w.Helper()
--- a/testinstance/connection.go
+++ b/testinstance/connection.go
@@ -76,11 +76,11 @@
 			return
 		}
 		request, err := wire.ParseRequest(line)
-		if err != nil || request.Quit {
+		if err != nil || request.Quit || !c.instance.awaitThaw(c.ctx) {
 			return
 		}
 		answer, err := c.take(request)
-		if err != nil {
+		if err != nil || !c.instance.awaitThaw(c.ctx) {
 			return
 		}
 		if _, err := c.network.Write(wire.AppendAnswer(nil, answer)); err != nil {
@@ -98,6 +98,9 @@
 
 // open answers CONNECT, and tells whether the connection goes on.
 func (c *connection) open(connect wire.Connect) bool {
+	if !c.instance.awaitThaw(c.ctx) {
+		return false
+	}
 	settings := c.instance.service.settings
 	refusal := c.refusalOf(connect)
 	if refusal != "" {
--- a/testinstance/heartbeat.go
+++ b/testinstance/heartbeat.go
@@ -69,7 +69,7 @@
 func (i *Instance) beat(ctx context.Context) {
 	caller := newCaller(i)
 	defer caller.client.CloseIdleConnections()
-	for ctx.Err() == nil {
+	for i.awaitThaw(ctx) {
 		beat := i.heartbeat()
 		acknowledged := caller.call(ctx, "heartbeat", func() any { return i.heartbeat() }) == nil
 		if acknowledged && beat.OperState == "draining" {
--- a/testinstance/instance.go
+++ b/testinstance/instance.go
@@ -20,6 +20,7 @@
 
 	// All below belong to the service's lock.
 	isRunning   bool
+	isFrozen    bool
 	left        bool
 	draining    bool
 	primary     bool
@@ -64,6 +65,32 @@
 	i.end()
 }
 
+// Freeze stops the instance where it is, as a stopped process would be, or lets it go on.
+func (i *Instance) Freeze(isFrozen bool) {
+	i.service.mutex.Lock()
+	defer i.service.mutex.Unlock()
+	i.isFrozen = isFrozen
+	i.service.announce()
+}
+
+// awaitThaw waits while the instance is frozen, and tells whether it goes on.
+func (i *Instance) awaitThaw(ctx context.Context) bool {
+	for {
+		i.service.mutex.Lock()
+		isFrozen := i.isFrozen
+		changed := i.service.changed
+		i.service.mutex.Unlock()
+		if !isFrozen {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
 // Restart brings a crashed instance back with its log, as a replica if another was promoted meanwhile.
 func (i *Instance) Restart() error {
 	i.service.mutex.Lock()
@@ -73,6 +100,7 @@
 	}
 	i.primary = i.primary && i.service.leader == i
 	i.paused = false
+	i.isFrozen = false
 	i.metNewAt = time.Time{}
 	i.service.note("%s is started again", i.id)
 	return i.begin()
--- a/testinstance/instance_test.go
+++ b/testinstance/instance_test.go
@@ -241,6 +241,24 @@
 	is.Equal(c.dial(a).ask("PUT k two"), "READONLY I")
 }
 
+// TestFrozenPrimary wakes a primary that was replaced meanwhile: it goes on as one for a while.
+func TestFrozenPrimary(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, func(settings *Settings) { settings.GoesOn = 500 * time.Millisecond })
+	a := c.instances[0]
+	old := c.dial(a)
+	a.Freeze(true)
+	answered := make(chan string, 1)
+	go func() { answered <- old.ask("FETCH k") }()
+	is.Equal(c.failover("b", 1), http.StatusOK)
+	c.eventually("b leads", func() bool { return c.instances[1].Status().Primary })
+	is.Equal(c.dial(c.instances[1]).ask("PUT k new"), "I")
+	is.Equal(len(answered), 0)
+	a.Freeze(false)
+	is.Equal(<-answered, "I") // it knows nothing of the write
+	c.eventually("a follows", func() bool { return !a.Status().Primary && len(a.Log()) == 1 })
+}
+
 func TestLostAnswerOfThePlatform(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t, nil)
--- a/testinstance/replicate.go
+++ b/testinstance/replicate.go
@@ -27,6 +27,9 @@
 
 // advance does what is due, and tells how long it is to what comes next. The lock is held.
 func (i *Instance) advance(now time.Time) time.Duration {
+	if i.isFrozen {
+		return idle
+	}
 	if i.primary {
 		return i.meetNewPrimary(now)
 	}
--- a/testinstance/service.go
+++ b/testinstance/service.go
@@ -142,7 +142,8 @@
 }
 
 func (s *Service) reaches(one, other *Instance) bool {
-	return one.isRunning && other.isRunning && !s.cuts[linkOf(one.id, other.id)]
+	isAwake := one.isRunning && other.isRunning && !one.isFrozen && !other.isFrozen
+	return isAwake && !s.cuts[linkOf(one.id, other.id)]
 }
 
 // errNotRunning says that an instance isn't there to be promoted.
