RPC: the configuration of a table travels packed, once packed for all gateways

Cause: in a storm of configurations 90 gateways got 25 KB each for every change; links of 2 Mbit/s were full of them. Change: a configuration from 1 KB on is deflated once and sent to all; unpacking is bounded.

--- a/control/rpc/line.go
+++ b/control/rpc/line.go
@@ -94,7 +94,11 @@
 	source := newDecoder(l.connection)
 	for {
 		var frame answerFrame
-		if err := source.value(&frame); err != nil {
+		err := source.value(&frame)
+		if err == nil {
+			err = unpack(&frame.Answer, frame.Packed)
+		}
+		if err != nil {
 			l.countBroken(err)
 			l.end(err)
 			return
--- a/control/rpc/questions.go
+++ b/control/rpc/questions.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"eiderway/control/feed"
 )
 
 // questions serves one gateway's connection.
@@ -63,13 +65,17 @@
 	if q.ctx.Err() != nil {
 		return
 	}
-	if !given || !q.writeLocked(answerFrame{ID: frame.ID, Answer: answer}) {
+	if !given || !q.writeLocked(frame.ID, answer) {
 		_ = q.connection.Close() // ends the reading, and with it the rest
 	}
 }
 
-func (q *questions) writeLocked(frame answerFrame) bool {
-	if err := q.encoder.add(frame); err != nil {
+func (q *questions) writeLocked(id uint64, answer feed.WatchAnswer) bool {
+	packed, err := q.server.packing.pack(&answer)
+	if err == nil {
+		err = q.encoder.add(answerFrame{ID: id, Answer: answer, Packed: packed})
+	}
+	if err != nil {
 		if q.server.handlers.Log != nil {
 			q.server.handlers.Log.WithError(err).Error("answer to a gateway dropped")
 		}
--- a/control/rpc/server.go
+++ b/control/rpc/server.go
@@ -43,6 +43,7 @@
 type Server struct {
 	listener net.Listener
 	handlers Handlers
+	packing  packing
 	ctx      context.Context
 	stop     context.CancelFunc
 	wait     sync.WaitGroup
