Relay: the books of nodes and of zones have one timer for their next step

Cause: talk.act and zones.act each armed the timer of the book's next step in the same lines. Change: nextStep arms it; both keep what their step does. The leases, whose book has a clock of its own, keep theirs. Behaviour unchanged.

--- a/relay/lore.go
+++ b/relay/lore.go
@@ -14,7 +14,7 @@
 type talk struct {
 	core  *core
 	book  *lore.Book
-	armed float64 // the time of the timer that is set
+	next  nextStep
 	mu    sync.Mutex
 	shown lore.Counts
 }
@@ -32,7 +32,7 @@
 	if c.tier == nil || !s.ProbeRoles || math.IsInf(bound, 1) || silent {
 		return nil
 	}
-	return &talk{core: c, armed: math.Inf(1),
+	return &talk{core: c, next: newNextStep(),
 		book: lore.New(lore.Terms{Me: s.Me, Routers: len(c.tier.peers), Seed: int64(cfg.seed), Bound: bound})}
 }
 
@@ -57,19 +57,18 @@
 			t.core.router.Look(node, splitter.ForAll)
 		}
 	}
-	if next := t.book.Next(); next < t.armed {
-		t.armed = next
-		t.core.After(next, func() {
-			t.armed = math.Inf(1)
-			t.book.Step(t.core.now)
-			t.act()
-		})
-	}
+	t.next.arm(t.core, t.book.Next(), t)
 	t.mu.Lock()
 	t.shown = t.book.Counted()
 	t.mu.Unlock()
 }
 
+// step has the book do what is due.
+func (t *talk) step() {
+	t.book.Step(t.core.now)
+	t.act()
+}
+
 // saw tells the book what a probe has shown of a node.
 func (t *talk) saw(n *node, r splitter.Report) {
 	if id, ok := t.core.byUID[n.uid]; ok && r.Pos > 0 {
--- a/relay/zone.go
+++ b/relay/zone.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
-	"math"
 	"slices"
 	"sync"
 
@@ -21,7 +20,7 @@
 type zones struct {
 	core  *core
 	book  *zone.Book
-	armed float64 // the time of the timer that is set
+	next  nextStep
 	mu    sync.Mutex
 	shown zone.Counts
 }
@@ -39,7 +38,7 @@
 	if c.tier != nil {
 		t.Me, t.Routers = c.tier.me, len(c.tier.peers)
 	}
-	return &zones{core: c, book: zone.New(t), armed: math.Inf(1)}, nil
+	return &zones{core: c, book: zone.New(t), next: newNextStep()}, nil
 }
 
 // landed tells what a submission showed of a node's zone. Refusals, misses and what was never sent show nothing.
@@ -79,19 +78,18 @@
 		l.book.Tell(zonesTask, e.Word, l.now())
 		z.core.tell(l.act)
 	}
-	if next := z.book.Next(); next < z.armed {
-		z.armed = next
-		z.core.After(next, func() {
-			z.armed = math.Inf(1)
-			z.book.Step(z.core.now)
-			z.act()
-		})
-	}
+	z.next.arm(z.core, z.book.Next(), z)
 	z.mu.Lock()
 	z.shown = z.book.Counted()
 	z.mu.Unlock()
 }
 
+// step has the book do what is due.
+func (z *zones) step() {
+	z.book.Step(z.core.now)
+	z.act()
+}
+
 func (z *zones) counted() zone.Counts {
 	z.mu.Lock()
 	defer z.mu.Unlock()
