Failover: a leader that stepped down isn't named again while another can be had

Cause: the choice was made as soon as its proof held, and a leader that had stepped down (also one that drains) is proof of itself, so it was chosen a millisecond before the replica with the same log answered. The platform takes it for the present primary still: it answers 200, nothing changes, and the call was repeated every 4 s for ever. Change: the recorded leader, and one whose call was accepted without effect, is put off: another is chosen once it is proven without them, or the call is made after 10 s in which nobody else was. An accepted call that nothing follows leads to a new choice instead of the same call.

--- a/control/failover/call.go
+++ b/control/failover/call.go
@@ -22,7 +22,7 @@
 	}
 	s.manager.paceCall(now)
 	s.call.number = s.manager.number()
-	s.call.refused, s.call.notLeading = false, false
+	s.call.refused, s.call.notLeading, s.call.accepted = false, false, false
 	s.phase = awaiting
 	s.event("call", "%s is to lead", s.intent.InstanceID)
 	s.manager.effects.Calls = append(s.manager.effects.Calls, PlatformCall{
@@ -38,7 +38,7 @@
 	switch result.Outcome {
 	case Accepted:
 		s.doubt = true
-		s.call.acceptedUntil = now + promoteWait
+		s.call.accepted, s.call.acceptedUntil = true, now+promoteWait
 		s.call.watchFor, s.call.next = promoteWait, now+declinedRetry
 		s.earlierCallsVoid()
 	case Declined:
@@ -91,9 +91,27 @@
 		return
 	}
 	watched := s.call.notLeading && now-s.call.notLeadingFrom >= s.call.watchFor
-	if watched && now >= s.call.next && target.answered(now-statusFresh) {
+	if !watched || now < s.call.next || !target.answered(now-statusFresh) {
+		return
+	}
+	if s.call.accepted {
+		s.chooseAnew(now, target)
+		return
+	}
+	s.renewIntent(now)
+}
+
+// chooseAnew goes back to choosing after a call that was accepted and changed nothing: the platform may take the target for the
+// present primary, and then it never will.
+func (s *service) chooseAnew(now time.Duration, target *member) {
+	if s.callMayAct(now) {
 		s.renewIntent(now)
+		return
 	}
+	target.calledInVain = true
+	s.event("no effect", "%s was called and doesn't lead", target.instance.ID)
+	s.phase = pausing
+	s.endRound()
 }
 
 // renewIntent commits the intent once more before the call is made again: that shows that this holder still leads the control state.
--- a/control/failover/change.go
+++ b/control/failover/change.go
@@ -65,6 +65,7 @@
 	for _, known := range s.present() {
 		led := known.instance.ID == previous.InstanceID || known.leads(0)
 		known.mustStepDown = led && known.instance.ID != leader.InstanceID
+		known.calledInVain = false
 		if known.instance.ID == leader.InstanceID {
 			known.mayBePaused = false
 		}
--- a/control/failover/choose.go
+++ b/control/failover/choose.go
@@ -9,11 +9,11 @@
 
 // choose picks the instance that is to lead, once it is shown that it holds every commit that may have been acknowledged.
 func (s *service) choose(now time.Duration) {
-	chosen := s.furthest(s.heldMembers())
+	chosen, held := s.candidate(now)
 	if chosen == nil {
 		return
 	}
-	if missing := s.proof(chosen); missing != "" && !s.manager.guards.choiceUnproven && !s.asynchronousLimit(now) {
+	if missing := s.proof(chosen, held); missing != "" && !s.manager.guards.choiceUnproven && !s.asynchronousLimit(now) {
 		s.noteStalled(now, missing)
 		return
 	}
@@ -32,6 +32,37 @@
 	s.phase = recording
 }
 
+// candidate gives the instance to choose, with those on whose positions it is judged. Where the furthest is one that the platform may
+// take for the present primary, a call for it may do nothing: it is named only when nobody else has been shown for long to hold
+// every commit.
+func (s *service) candidate(now time.Duration) (*member, []*member) {
+	held := s.heldMembers()
+	best := s.furthest(held)
+	if best == nil || !s.maySeemPrimary(best) {
+		return best, held
+	}
+	others := lo.Reject(held, func(i *member, _ int) bool { return s.maySeemPrimary(i) })
+	if other := s.furthest(others); other != nil && s.proof(other, others) == "" {
+		return other, others
+	}
+	if now-max(s.clearedAt, s.call.endedAt) < seemsPrimaryWait && s.othersMayCome(best) {
+		return nil, nil
+	}
+	return best, held
+}
+
+// maySeemPrimary tells whether the platform may take an instance that doesn't lead for the present primary: it is the recorded
+// leader, or a call for it was accepted and nothing followed. Where acknowledged commits need not be in a replica, the recorded
+// leader is tried once, since it alone may have them.
+func (s *service) maySeemPrimary(i *member) bool {
+	return i.calledInVain || i.instance.ID == s.view.Leader.InstanceID && s.view.SyncReplicas > 0
+}
+
+// othersMayCome tells whether there are others that may be held yet, or be called with effect.
+func (s *service) othersMayCome(best *member) bool {
+	return lo.ContainsBy(s.present(), func(i *member) bool { return i != best })
+}
+
 func (s *service) wanted(chosen *member) *Intent {
 	return &Intent{
 		Service:    s.name,
@@ -42,7 +73,7 @@
 	}
 }
 
-// furthest gives the instance with the highest position; among equals one that stays, then one that didn't lead, then the one that
+// furthest gives the instance with the highest position; among equals one that wasn't called in vain, one that stays, then one that didn't lead, then the one that
 // lags least.
 func (s *service) furthest(held []*member) *member {
 	var best *member
@@ -58,6 +89,9 @@
 	if a.heldPosition != b.heldPosition {
 		return b.heldPosition.Less(a.heldPosition)
 	}
+	if a.calledInVain != b.calledInVain {
+		return !a.calledInVain
+	}
 	if a.instance.Draining != b.instance.Draining {
 		return !a.instance.Draining
 	}
@@ -68,20 +102,21 @@
 }
 
 // proof tells which instances stand against the choice; "" if it is proven. An acknowledged commit is in the logs of two instances:
-// of the leader of its term and of a replica. The chosen one is the furthest of those held, so it has the commit if
+// of the leader of its term and of a replica. The chosen one is the furthest of those held (or of the part of them that counts here),
+// so it has the commit if
 //   - all instances but one are held: one of the two that have it is among them; or
 //   - the recorded leader is held, and no later term is known in which somebody else led; or
 //   - each instance that isn't held, but one, had fallen silent or left before the leader's position was read that the chosen
 //     one has reached (and no later term is known).
-func (s *service) proof(chosen *member) string {
+func (s *service) proof(chosen *member, held []*member) string {
 	led := s.view.Leader.InstanceID
 	laterTerm := s.latestTerm() > s.view.Leader.Term
 	open := lo.Filter(s.members, func(i *member, _ int) bool {
 		covered := !laterTerm && i.cover != nil && !chosen.heldPosition.Less(*i.cover)
-		return !i.held && (!covered || i.instance.ID == led)
+		return !lo.Contains(held, i) && (!covered || i.instance.ID == led)
 	})
 	leader := s.member(led)
-	if leader != nil && leader.held && !laterTerm {
+	if leader != nil && lo.Contains(held, leader) && !laterTerm {
 		return ""
 	}
 	spare := 1
--- a/control/failover/manager_test.go
+++ b/control/failover/manager_test.go
@@ -154,6 +154,38 @@
 	is.Equal(len(d.changes), 2) // it is asked for again: that shows whether this holder still leads
 }
 
+func TestSteppedDownLeaderIsNotChosenBeforeItsEqual(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(threeInstances("a1"))
+	d.answers["a1"] = replicaAt(12)
+	d.wait(2 * time.Second)
+	freeze, frozen := d.manager.Frozen("a")
+	is.True(frozen)
+	d.step(Cleared{Service: "a", Freeze: freeze})
+	d.wait(time.Second)
+	is.Equal(len(d.changes), 0) // it would do as to its log, but the platform may take it for the primary still
+	d.answers["a2"] = replicaAt(12)
+	d.wait(time.Second)
+	is.Equal(len(d.changes), 1)
+	is.Equal(d.changes[0].Intent.InstanceID, "a2")
+}
+
+func TestAcceptedCallWithoutEffectIsFollowedByAnotherChoice(t *testing.T) {
+	is := is.New(t)
+	d := crashed()
+	d.answers["a2"] = replicaAt(12)
+	freeze, _ := d.manager.Frozen("a")
+	d.step(Cleared{Service: "a", Freeze: freeze})
+	d.step(Changed{Request: d.changes[0].Request, Committed: true})
+	called := d.calls[0].InstanceID
+	d.step(Called{Result: PlatformResult{Number: d.calls[0].Number, Outcome: Accepted, Code: 200}})
+	d.wait(promoteWait - time.Second)
+	is.Equal(len(d.changes), 1)
+	d.wait(2 * time.Second)
+	is.Equal(len(d.changes), 2)
+	is.True(d.changes[1].Intent.InstanceID != called)
+}
+
 func TestUnknownOutcomeIsNotRepeated(t *testing.T) {
 	is := is.New(t)
 	d := crashed()
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -44,6 +44,7 @@
 	continuedHeld uint64 // its term held at the last CONTINUE
 	continuedFor  uint64 // the leader's term at that time
 	mustStepDown  bool
+	calledInVain  bool // a call for it was accepted, and it didn't lead
 }
 
 // leads tells whether the last status, if it is no older than since, shows a primary.
--- a/control/failover/scenario_test.go
+++ b/control/failover/scenario_test.go
@@ -84,6 +84,8 @@
 		o.sync = value
 	case "fenced":
 		o.fenceChecked = value == 1
+	case "seems-primary":
+		o.seemsPrimary = value == 1
 	default:
 		t.Fatal("unknown", fields[0])
 	}
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -61,6 +61,7 @@
 	number         uint64        // of the call that is out; 0: none
 	unknownUntil   time.Duration // until then a call with an unknown outcome may act
 	ownUnknown     bool          // one of those calls is this holder's
+	accepted       bool          // the last call
 	acceptedUntil  time.Duration // until then an accepted call may take effect
 	next           time.Duration // no call before
 	endedAt        time.Duration // when the last call ended
--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -64,6 +64,9 @@
 	inheritedWait = 2 * time.Second
 	// targetDeadAfter is the silence of a target, with probes failing, after which it is taken for dead.
 	targetDeadAfter = 3 * time.Second
+	// seemsPrimaryWait is how long a call for an instance that the platform may take for the present primary is put off: it may do
+	// nothing, and another instance may come back meanwhile.
+	seemsPrimaryWait = 10 * time.Second
 	// notSentRetry, declinedRetry and fencedRetry are waited before a call that had no effect is made anew.
 	notSentRetry  = 500 * time.Millisecond
 	declinedRetry = time.Second
--- a/control/failover/world_test.go
+++ b/control/failover/world_test.go
@@ -41,6 +41,7 @@
 	fenceChecked    bool
 	promoteReleases bool // a promote ends the pauses of all replicas, not only of the promoted
 	termFromHeld    bool // a promote's term is above every term held, not only above every term led
+	seemsPrimary    bool // the platform takes whom it promoted last for the present primary, also after a STEPDOWN
 	gateways        int
 	lossPer1000     int  // probes whose answer is lost
 	allAnswers      bool // answers that the gateway no longer waits for count as acknowledged as well
@@ -408,7 +409,7 @@
 	if target == nil || !target.up {
 		return Declined, 409
 	}
-	if p.leading[call.Service] == call.InstanceID && target.primary {
+	if p.leading[call.Service] == call.InstanceID && (target.primary || w.options.seemsPrimary) {
 		return Accepted, 200
 	}
 	w.after(p.promoteDelay, func() { p.promote(target) })
