State: instances that left stand under keys of their own

Cause: whoever asked for the present instances (the services at each change, the search for silent ones) decoded also those that left, up to 2,048 of them, so a change cost more the longer the system had run.

Change: present instances stay under instance/, those that left stand under departed/. PresentInstances reads the former alone; Instances and InstanceByID read both, with the same meaning as before. Verify checks the new kind, that no instance is both here and gone, and that each departure is recorded.

--- a/control/registry/silence.go
+++ b/control/registry/silence.go
@@ -50,10 +50,7 @@
 	var lost []string
 	r.silence.next = now + r.lostAfter
 	kept := keptByFailover(tx)
-	for _, instance := range state.Instances(tx) {
-		if instance.Left {
-			continue
-		}
+	for _, instance := range state.PresentInstances(tx) {
 		lostAt := r.silence.lostAt(r.sighting(instance.ID).heard)
 		if lostAt > now {
 			r.silence.next = min(r.silence.next, lostAt)
@@ -86,8 +83,7 @@
 // forget drops what is remembered of instances that aren't recorded any more.
 func (r *Registry) forget(now time.Duration, reader state.Reader) {
 	for id, seen := range r.sightings {
-		_, recorded := state.InstanceByID(reader, id)
-		if !recorded && r.silence.lostAt(seen.heard) <= now {
+		if !state.HasInstance(reader, id) && r.silence.lostAt(seen.heard) <= now {
 			delete(r.sightings, id)
 		}
 	}
--- a/control/state/keys.go
+++ b/control/state/keys.go
@@ -7,7 +7,8 @@
 	configurationKey = "configuration/head"  // configurationHead
 	bodyPrefix       = "configuration/body/" // + number of the piece: the bytes themselves
 	orderPrefix      = "order/"              // + configuration number: orderRecord
-	instancePrefix   = "instance/"           // + instance id: instanceRecord
+	instancePrefix   = "instance/"           // + id of an instance that is here: instanceRecord
+	departedPrefix   = "departed/"           // + id of an instance that left: instanceRecord
 	departurePrefix  = "departure/"          // + number of the departure: departureRecord
 	leaderPrefix     = "leader/"             // + service: leaderRecord
 	intentPrefix     = "intent/"             // + service: failover.Intent
@@ -16,6 +17,7 @@
 func bodyKey(piece int) string             { return fmt.Sprintf("%s%06d", bodyPrefix, piece) }
 func orderKey(number int64) string         { return fmt.Sprintf("%s%019d", orderPrefix, number) }
 func instanceKey(id string) string         { return instancePrefix + id }
+func departedKey(id string) string         { return departedPrefix + id }
 func departureKey(departure uint64) string { return fmt.Sprintf("%s%020d", departurePrefix, departure) }
 func leaderKey(service string) string      { return leaderPrefix + service }
 func intentKey(service string) string      { return intentPrefix + service }
--- a/control/state/service.go
+++ b/control/state/service.go
@@ -49,11 +49,9 @@
 	for _, service := range head.Services {
 		views.of(service.Name).SyncReplicas = service.SyncReplicas
 	}
-	for _, instance := range Instances(reader) {
-		if !instance.Left {
-			view := views.of(instance.Service)
-			view.Instances = append(view.Instances, instance.Instance)
-		}
+	for _, instance := range PresentInstances(reader) {
+		view := views.of(instance.Service)
+		view.Instances = append(view.Instances, instance.Instance)
 	}
 	for _, intent := range Intents(reader) {
 		views.of(intent.Service).Intent = &intent
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -116,6 +116,10 @@
 		{"instance/i1", "\x01{"},
 		{"instance/i1", "\x02{}"},
 		{"instance/i1", "\x01{\"ID\":\"i2\"}"},
+		{"instance/i1", "\x01{\"ID\":\"i1\",\"Left\":true}"},
+		{"departed/i1", "\x01{\"ID\":\"i1\"}"},
+		{"departed/i1", "\x01{\"ID\":\"i1\",\"Left\":true,\"Departure\":1}"}, // a departure that isn't recorded
+		{"departed/here", "\x01{\"ID\":\"here\",\"Left\":true}"},
 		{"leader/s", "\x01[]"},
 		{"intent/s", "garbage"},
 		{"departure/00000000000000000001", "\x01{}"},
@@ -128,6 +132,7 @@
 			is := is.New(t)
 			memory := statetest.NewMemory()
 			place(memory, orderOf(1, "a body"))
+			put(memory, instance("here", "s"))
 			is.NoErr(state.Verify(memory))
 			memory.Put(lie.key, []byte(lie.value))
 			var corruption *state.Corruption
@@ -140,3 +145,27 @@
 		})
 	}
 }
+
+// An instance stands either with those that are here or with those that left, and readers of all see both in order.
+func TestInstancesThatLeftStandApart(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	for _, id := range []string{"i1", "i2", "i3"} {
+		put(memory, instance(id, "s"))
+	}
+	put(memory, left("i2", "s"))
+	is.Equal(state.PresentInstances(memory), []state.Instance{instance("i1", "s"), instance("i3", "s")})
+	is.Equal(state.Instances(memory), []state.Instance{instance("i1", "s"), left("i2", "s"), instance("i3", "s")})
+
+	transaction := state.NewTransaction(memory)
+	transaction.PutInstance(instance("i2", "s"))
+	is.True(transaction.InstanceChanged("i2"))
+	is.True(!transaction.InstanceChanged("i1"))
+	transaction.PutInstance(left("i1", "s"))
+	is.True(transaction.InstanceChanged("i1"))
+	is.Equal(state.PresentInstances(transaction), []state.Instance{instance("i2", "s"), instance("i3", "s")})
+	memory.Commit(transaction)
+	is.True(state.HasInstance(memory, "i1"))
+	is.True(!state.HasInstance(memory, "i4"))
+	is.NoErr(state.Verify(memory))
+}
--- a/control/state/verify.go
+++ b/control/state/verify.go
@@ -24,7 +24,9 @@
 	kinds := []func(Reader) *Corruption{
 		verifyConfiguration,
 		verifyRecords[orderRecord](orderPrefix, func(r orderRecord) string { return orderKey(r.Number) }),
-		verifyRecords[instanceRecord](instancePrefix, func(r instanceRecord) string { return instanceKey(r.ID) }),
+		verifyRecords[instanceRecord](instancePrefix, instanceRecord.key),
+		verifyRecords[instanceRecord](departedPrefix, instanceRecord.key),
+		verifyDeparted,
 		verifyRecords[departureRecord](departurePrefix, func(r departureRecord) string { return departureKey(r.Departure) }),
 		verifyRecords[leaderRecord](leaderPrefix, func(r leaderRecord) string { return leaderKey(r.Service) }),
 		verifyRecords[failover.Intent](intentPrefix, func(r failover.Intent) string { return intentKey(r.Service) }),
@@ -53,6 +55,20 @@
 	}
 }
 
+// verifyDeparted checks that an instance that left is not also here, and that its departure is recorded.
+func verifyDeparted(reader Reader) *Corruption {
+	for _, record := range readAll[instanceRecord](reader, departedPrefix) {
+		if _, present := reader.Entry(instanceKey(record.ID)); present {
+			return &Corruption{Key: record.key(), Problem: "the instance is also recorded as present"}
+		}
+		departure, _ := read[departureRecord](reader, departureKey(record.Departure))
+		if departure.InstanceID != record.ID {
+			return &Corruption{Key: record.key(), Problem: "its departure is not recorded"}
+		}
+	}
+	return nil
+}
+
 func verifyConfiguration(reader Reader) *Corruption {
 	encoded, found := reader.Entry(configurationKey)
 	if !found {
