--- a/cmd/eiderexport/main.go
+++ b/cmd/eiderexport/main.go
@@ -18,7 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/prometheus/common/expfmt"
 
-	"eiderway/relay"
+	"eiderway/proxy"
 )
 
 const answerIn = 2 * time.Second // a router answers by then
@@ -43,7 +43,7 @@
 	}
 }
 
-func (r router) ask() (counters []relay.Counter, err error) {
+func (r router) ask() (counters []proxy.Counter, err error) {
 	nc, err := net.DialTimeout("unix", r.socket, answerIn)
 	if err != nil {
 		return nil, err
--- a/cmd/eiderway/class.go
+++ b/cmd/eiderway/class.go
@@ -10,7 +10,7 @@
 	"text/tabwriter"
 	"time"
 
-	"eiderway/relay"
+	"eiderway/proxy"
 	"eiderway/shape"
 	"eiderway/terms"
 )
@@ -97,7 +97,7 @@
 
 func (s *shapes) Run() error {
 	var told struct {
-		relay.Shapes
+		proxy.Shapes
 		Error string `json:"error"`
 	}
 	text, err := ask(s.Socket, fmt.Sprintf("shapes %d", s.Most), &told)
--- a/cmd/eiderway/demo.go
+++ b/cmd/eiderway/demo.go
@@ -17,7 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"eiderway/relay"
+	"eiderway/proxy"
 	"eiderway/testserver"
 )
 
@@ -75,7 +75,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	done := make(chan error, 1)
-	go func() { done <- relay.Run(ctx, cfg, log) }()
+	go func() { done <- proxy.Run(ctx, cfg, log) }()
 	fmt.Printf("a router on %s, a primary and two replicas behind it; %d clients for %s\n", cfg.Listen, d.Clients, d.For)
 	served, failed, err := d.load(cfg.Listen)
 	stop()
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func (d *demo) configure(dir string, list *testserver.Discovery) (*relay.Config, error) {
+func (d *demo) configure(dir string, list *testserver.Discovery) (*proxy.Config, error) {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -112,7 +112,7 @@
 	if err := os.WriteFile(own, []byte("classing: {}\n"), 0o600); err != nil {
 		return nil, err
 	}
-	cfg, err := relay.ReadConfig(path)
+	cfg, err := proxy.ReadConfig(path)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/eiderway/lease.go
+++ b/cmd/eiderway/lease.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"eiderway/lease"
-	"eiderway/relay"
+	"eiderway/proxy"
 )
 
 // Exit codes beside 0 and 1, for scripts.
@@ -44,7 +44,7 @@
 }
 
 // stream puts a question and hands on each line of the answer, until f is done or the router ends it.
-func (o *onSocket) stream(question string, stop <-chan os.Signal, f func(relay.LeaseState) (done bool, err error)) error {
+func (o *onSocket) stream(question string, stop <-chan os.Signal, f func(proxy.LeaseState) (done bool, err error)) error {
 	nc, err := net.Dial("unix", o.Socket)
 	if err != nil {
 		return err
@@ -53,14 +53,14 @@
 	if _, err := fmt.Fprintln(nc, question); err != nil {
 		return err
 	}
-	lines := make(chan relay.LeaseState)
+	lines := make(chan proxy.LeaseState)
 	ended := make(chan struct{})
 	left := make(chan struct{})
 	defer close(left)
 	go func() {
 		defer close(ended)
 		for in := bufio.NewScanner(nc); in.Scan(); {
-			var s relay.LeaseState
+			var s proxy.LeaseState
 			if json.Unmarshal(in.Bytes(), &s) != nil {
 				return
 			}
@@ -90,7 +90,7 @@
 
 // once puts a question that has one answer.
 func (o *onSocket) once(question string) error {
-	return o.stream(question, nil, func(relay.LeaseState) (bool, error) { return true, nil })
+	return o.stream(question, nil, func(proxy.LeaseState) (bool, error) { return true, nil })
 }
 
 type leaseHold struct {
@@ -117,7 +117,7 @@
 
 // wait follows the task until it is lost or a signal comes.
 func (l *leaseHold) wait(stop <-chan os.Signal, held *bool, late *time.Timer) error {
-	err := l.stream("lease hold "+l.Task, stop, func(s relay.LeaseState) (bool, error) {
+	err := l.stream("lease hold "+l.Task, stop, func(s proxy.LeaseState) (bool, error) {
 		switch s.State {
 		case "held":
 			if late != nil {
@@ -209,8 +209,8 @@
 func (d *drainCmd) Run() error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
-	was := relay.LeaseState{}
-	return d.stream(strings.TrimSpace("drain "+d.What), stop, func(s relay.LeaseState) (bool, error) {
+	was := proxy.LeaseState{}
+	return d.stream(strings.TrimSpace("drain "+d.What), stop, func(s proxy.LeaseState) (bool, error) {
 		if s != was {
 			fmt.Printf("%s, %d clients, %d txns\n", s.State, s.Open, s.Out)
 		}
--- a/cmd/eiderway/main.go
+++ b/cmd/eiderway/main.go
@@ -14,7 +14,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
 
-	"eiderway/relay"
+	"eiderway/proxy"
 )
 
 var version = "dev" // set by the linker in releases
@@ -32,7 +32,7 @@
 		return err
 	}
 	log.SetLevel(level)
-	cfg, err := relay.ReadConfig(s.Config)
+	cfg, err := proxy.ReadConfig(s.Config)
 	if err != nil {
 		return err
 	}
@@ -41,7 +41,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return relay.Run(ctx, cfg, log)
+	return proxy.Run(ctx, cfg, log)
 }
 
 type check struct {
@@ -50,7 +50,7 @@
 }
 
 func (c *check) Run() error {
-	cfg, err := relay.ReadConfig(c.Config)
+	cfg, err := proxy.ReadConfig(c.Config)
 	if err != nil {
 		return err
 	}
--- a/cmd/eiderway/zone.go
+++ b/cmd/eiderway/zone.go
@@ -13,7 +13,7 @@
 	"text/tabwriter"
 	"time"
 
-	"eiderway/relay"
+	"eiderway/proxy"
 	"eiderway/zone"
 )
 
@@ -98,7 +98,7 @@
 			}
 			return errors.New("the router has gone, or the order was left to itself")
 		}
-		var s relay.ZoneState
+		var s proxy.ZoneState
 		if err := json.Unmarshal(in.Bytes(), &s); err != nil {
 			return err
 		}
--- a/relay/admin.go
+++ b/proxy/admin.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the Unix socket that operators ask on: one question a connection, in a line, and its answer in JSON.
 // What changes something goes through
--- a/relay/ask.go
+++ b/proxy/ask.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns what operators ask of leases and of the drain on the admin socket. An answer is one JSON value a line;
 // what takes time has several, and ends when the asker goes. It must never act on a task without the book's word.
--- a/relay/askzone.go
+++ b/proxy/askzone.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns what operators ask of zones on the admin socket. It hands orders to the book, and tells how far they are
 // until they are carried out; it must never move a zone itself.
--- a/relay/classes.go
+++ b/proxy/classes.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the talk between clients, the core and the book of shapes (package shape): an actor of its own, the
 // only goroutine that steps the book. A client lexes its statement itself and is answered before it lexes another. It
--- a/relay/clients.go
+++ b/proxy/clients.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the listener and the clients' connections, one goroutine each. A client's goroutine alone
 // reads and writes its socket, parses its statements and hands them to the core, one at a time, so answers
--- a/relay/core.go
+++ b/proxy/core.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the module, its timers and all held txns, in one goroutine: the core's. Only that goroutine
 // calls the module. It must never wait for a socket or a mailbox, and never decide anything.
--- a/relay/counters.go
+++ b/proxy/counters.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the counters and prints them: on SIGUSR1 and at exit. It must never hold anything up.
 
--- a/relay/drain.go
+++ b/proxy/drain.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns a drain by hand: clients are let go as they become free, new ones after their first answer, until there
 // are none or it is cancelled. Nothing that was taken is dropped. SIGTERM goes its own way.
--- a/relay/gossip.go
+++ b/proxy/gossip.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the talk between the core and the gossip (packages mesh and rumour): it tells the one what submissions
 // and probes showed, and the module what peers doubt. It must never judge a node or a peer.
--- a/relay/lease.go
+++ b/proxy/lease.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the core's side of package lease: the core's goroutine alone calls the book. It says which tasks operators
 // and the parts of this router want, passes on who holds them, and has the list's watcher and the drain follow. It must
--- a/relay/list.go
+++ b/proxy/list.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the talk with discovery: one goroutine that watches the list once the module has asked for
 // it, until a call fails; a watch whose discovery has moved goes on at the new address, and one that hangs is
--- a/relay/lore.go
+++ b/proxy/lore.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the core's side of package lore. The core's goroutine alone calls the book. It must never judge what a
 // peer says.
--- a/relay/metrics.go
+++ b/proxy/metrics.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the counters in the form that `eiderexport` asks for on the admin socket, to hand them to Prometheus. That
 // is another program, so that the library costs a router nothing. It must never count anything itself.
--- a/relay/nextstep.go
+++ b/proxy/nextstep.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the timer of a book that is to be stepped when something in it is due. It must not know what.
 
--- a/relay/node.go
+++ b/proxy/node.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the connections to nodes. Each node has an actor that keeps its connections and gives each
 // submission or probe one of them; each connection has a goroutine that alone reads and writes its socket.
--- a/relay/planted.go
+++ b/proxy/planted.go
@@ -1,6 +1,6 @@
 //go:build planted
 
-package relay
+package proxy
 
 // This file is of the variant that trials build to see that what is wrong is found: it answers twice, resends, forgets a
 // drain, or has a clock that is wrong. It is never part of the program that is deployed.
--- a/relay/planted_off.go
+++ b/proxy/planted_off.go
@@ -1,6 +1,6 @@
 //go:build !planted
 
-package relay
+package proxy
 
 // plant names a fault that trials plant in a variant of the program; in the program itself there is none.
 const plant = ""
--- a/relay/progress.go
+++ b/proxy/progress.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the pace at which an asker on the admin socket is told how far something is. It must not know what.
 
--- a/relay/relay.go
+++ b/proxy/proxy.go
@@ -1,8 +1,8 @@
-// Package relay is the real host of the splitter: it carries txns between sockets as the module decides, and
+// Package proxy is the real host of the splitter: it carries txns between sockets as the module decides, and
 // tells the module exactly what became of them. It decides nothing and resends nothing.
 //
 // This file owns the lifetimes: it starts the actors, and ends them in order. It must never touch a txn.
-package relay
+package proxy
 
 import (
 	"bytes"
--- a/relay/relay_test.go
+++ b/proxy/proxy_test.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 import (
 	"context"
--- a/relay/standins_test.go
+++ b/proxy/standins_test.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // The stand-ins of the outside: a node, a discovery and a client, each on loopback.
 
--- a/relay/tier.go
+++ b/proxy/tier.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the socket on which the routers of one tier exchange datagrams, whoever uses them: package lore, package
 // lease. One goroutine reads it, one writes it; all else is done in the core's. It takes datagrams from the addresses of
--- a/relay/zone.go
+++ b/proxy/zone.go
@@ -1,4 +1,4 @@
-package relay
+package proxy
 
 // This file owns the core's side of package zone: the core's goroutine alone calls the book. It tells how submissions ended,
 // and hands the module the doubts that come of it. It must never judge a node or a zone.
