Failover: a call whose effect was seen is over, also when its answer was lost

Cause: a call with a lost answer counted as one that may act until LateCall (15 s) was past, also after its target was seen to lead a later term; the next hand-over to another instance waited for that. Change: when the target of the intent is recorded as leader of a later term, the call is closed, if it is the only one of this holder that may act and no earlier holder's may. Two calls under way are still waited out, since the term doesn't tell which of them acted.

--- a/control/failover/call.go
+++ b/control/failover/call.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"eiderway/control/feed"
 )
 
 var outcomeNames = [...]string{Accepted: "accepted", Declined: "declined", NotSent: "not sent", OutcomeUnknown: "outcome unknown"}
@@ -22,6 +24,7 @@
 	}
 	s.manager.paceCall(now)
 	s.call.number = s.manager.number()
+	s.call.sent++
 	s.call.refused, s.call.notLeading, s.call.accepted = false, false, false
 	s.phase = awaiting
 	s.event("call", "%s is to lead", s.intent.InstanceID)
@@ -42,9 +45,11 @@
 		s.call.watchFor, s.call.next = promoteWait, now+declinedRetry
 		s.earlierCallsVoid()
 	case Declined:
+		s.call.sent--
 		s.call.watchFor, s.call.next = s.watchOfEarlier(now), now+declinedRetry
 		s.call.refused = result.Code == http.StatusConflict
 	case NotSent:
+		s.call.sent--
 		s.call.watchFor, s.call.next = s.watchOfEarlier(now), now+notSentRetry
 	default:
 		s.doubt = true
@@ -53,6 +58,20 @@
 	}
 }
 
+// effectSeen closes the call once its target leads a later term than the leader before: a call acts once, so it is over, whatever
+// became of its answer. That doesn't tell which one acted if there are several, this holder's or an earlier one's: then each is
+// still waited out.
+func (s *service) effectSeen(leader feed.Leader) {
+	if s.intent == nil || s.inherited || s.call.sent != 1 {
+		return
+	}
+	if leader.InstanceID != s.intent.InstanceID || leader.Term <= s.intent.Previous.Term {
+		return
+	}
+	s.call.number, s.call.sent = 0, 0
+	s.call.unknownUntil, s.call.ownUnknown = 0, false
+}
+
 // watchOfEarlier keeps watching for the effect of an earlier call, where this one had none.
 func (s *service) watchOfEarlier(now time.Duration) time.Duration {
 	if s.callMayAct(now) {
--- a/control/failover/change.go
+++ b/control/failover/change.go
@@ -71,6 +71,7 @@
 		}
 	}
 	s.call.acceptedUntil, s.doubt = 0, false
+	s.effectSeen(leader)
 	if s.phase == installing {
 		s.unfreeze(now)
 		s.aftercare(now)
@@ -80,7 +81,11 @@
 // recordedIntent makes the call, unless the wish for it is so old that this process must have stood still meanwhile.
 func (s *service) recordedIntent(now time.Duration, done request) {
 	s.intent, s.view.Intent = done.change.Intent, done.change.Intent
-	s.call = calls{unknownUntil: s.call.unknownUntil, ownUnknown: s.call.ownUnknown}
+	sent := s.call.sent
+	if !s.callMayAct(now) {
+		sent = 0
+	}
+	s.call = calls{sent: sent, unknownUntil: s.call.unknownUntil, ownUnknown: s.call.ownUnknown}
 	if s.phase != recording {
 		return
 	}
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -59,6 +59,7 @@
 // calls is what is known of the calls for the intent's target.
 type calls struct {
 	number         uint64        // of the call that is out; 0: none
+	sent           int           // by this holder, and not known to have had no effect or to be over
 	unknownUntil   time.Duration // until then a call with an unknown outcome may act
 	ownUnknown     bool          // one of those calls is this holder's
 	accepted       bool          // the last call
