Registry: instances at an address are found by an index in the control state

Cause: for each new or returning instance, and for each that changed its address, all present instances were decoded to find another one at the same address: a fleet that appears at once cost the square of its size.

Change: the control state holds an entry for each address with the ids of the present instances there, kept by the transaction with the records themselves, so that a change that is not committed leaves none behind. InstancesAt reads it, with the same verdicts; Verify compares the index with the records both ways. The random walk over transactions now has addresses and compares the index with all records after each step.

--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -90,8 +90,8 @@
 
 // othersAt returns the other instances that are present at the address of an instance.
 func othersAt(reader state.Reader, current feed.Instance) []state.Instance {
-	return lo.Filter(state.PresentInstances(reader), func(other state.Instance, _ int) bool {
-		return other.Address == current.Address && other.ID != current.ID
+	return lo.Filter(state.InstancesAt(reader, current.Address), func(other state.Instance, _ int) bool {
+		return other.ID != current.ID
 	})
 }
 
--- a/control/state/instance.go
+++ b/control/state/instance.go
@@ -35,6 +35,7 @@
 // PutInstance records an instance, in place of what was known of it.
 func (t *Transaction) PutInstance(instance Instance) {
 	before, _ := recordOf(t, instance.ID)
+	t.moveAddress(instance.ID, before, instanceRecord{Instance: instance})
 	if instance.Left {
 		t.putDeparted(instance, before.Departure)
 		return
@@ -98,6 +99,7 @@
 		return
 	}
 	t.dropDeparture(record)
+	t.moveAddress(id, record, instanceRecord{})
 	t.drop(record.key())
 }
 
--- a/control/state/keys.go
+++ b/control/state/keys.go
@@ -9,6 +9,7 @@
 	orderPrefix      = "order/"              // + configuration number: orderRecord
 	instancePrefix   = "instance/"           // + id of an instance that is here: instanceRecord
 	departedPrefix   = "departed/"           // + id of an instance that left: instanceRecord
+	addressPrefix    = "address/"            // + address of present instances: addressRecord
 	departurePrefix  = "departure/"          // + number of the departure: departureRecord
 	leaderPrefix     = "leader/"             // + service: leaderRecord
 	intentPrefix     = "intent/"             // + service: failover.Intent
@@ -18,6 +19,7 @@
 func orderKey(number int64) string         { return fmt.Sprintf("%s%019d", orderPrefix, number) }
 func instanceKey(id string) string         { return instancePrefix + id }
 func departedKey(id string) string         { return departedPrefix + id }
+func addressKey(address string) string     { return addressPrefix + address }
 func departureKey(departure uint64) string { return fmt.Sprintf("%s%020d", departurePrefix, departure) }
 func leaderKey(service string) string      { return leaderPrefix + service }
 func intentKey(service string) string      { return intentPrefix + service }
--- a/control/state/order_test.go
+++ b/control/state/order_test.go
@@ -180,6 +180,7 @@
 			one := state.NewTransaction(committed)
 			step(one)
 			committed.Commit(one)
+			checkAddresses(t, whole)
 			if fmt.Sprint(whole.Entries("")) != fmt.Sprint(committed.Entries("")) {
 				t.Fatalf("overlay:\n%v\ncommitted:\n%v", whole.Entries(""), committed.Entries(""))
 			}
@@ -194,6 +195,21 @@
 	})
 }
 
+// checkAddresses compares what is found by address with what is found among all.
+func checkAddresses(t *rapid.T, reader state.Reader) {
+	for _, address := range []string{"a:1", "b:1"} {
+		var present []state.Instance
+		for _, instance := range state.Instances(reader) {
+			if !instance.Left && instance.Address == address {
+				present = append(present, instance)
+			}
+		}
+		if at := state.InstancesAt(reader, address); fmt.Sprint(at) != fmt.Sprint(present) {
+			t.Fatalf("at %s: %v, present there: %v", address, at, present)
+		}
+	}
+}
+
 // drawStep draws one command.
 func drawStep(t *rapid.T) func(*state.Transaction) {
 	id := rapid.SampledFrom([]string{"i1", "i2", "i3"}).Draw(t, "id")
@@ -203,8 +219,9 @@
 		return func(transaction *state.Transaction) { transaction.PlaceOrder(order) }
 	case 1:
 		left := rapid.Bool().Draw(t, "left")
+		address := rapid.SampledFrom([]string{"", "a:1", "b:1"}).Draw(t, "address")
 		return func(transaction *state.Transaction) {
-			transaction.PutInstance(state.Instance{Instance: feed.Instance{ID: id, Service: "s"}, Left: left})
+			transaction.PutInstance(state.Instance{Instance: feed.Instance{ID: id, Service: "s", Address: address}, Left: left})
 		}
 	case 2:
 		return func(transaction *state.Transaction) { transaction.RemoveInstance(id) }
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -120,6 +120,12 @@
 		{"departed/i1", "\x01{\"ID\":\"i1\"}"},
 		{"departed/i1", "\x01{\"ID\":\"i1\",\"Left\":true,\"Departure\":1}"}, // a departure that isn't recorded
 		{"departed/here", "\x01{\"ID\":\"here\",\"Left\":true}"},
+		{"instance/unnamed", "\x01{\"ID\":\"unnamed\",\"Address\":\"a:1\"}"}, // not in the index
+		{"address/here:1", "\x01{}"},
+		{"address/here:1", "\x01{\"Address\":\"here:1\"}"},
+		{"address/here:1", "\x01{\"Address\":\"here:1\",\"InstanceIDs\":[\"other\"]}"},
+		{"address/here:1", "\x01{\"Address\":\"here:1\",\"InstanceIDs\":[\"here\",\"here\"]}"},
+		{"address/a:1", "\x01{\"Address\":\"a:1\",\"InstanceIDs\":[\"here\"]}"},
 		{"leader/s", "\x01[]"},
 		{"intent/s", "garbage"},
 		{"departure/00000000000000000001", "\x01{}"},
@@ -141,6 +147,7 @@
 			state.Leaders(memory)
 			state.Configuration(memory)
 			state.Instances(memory)
+			state.InstancesAt(memory, "here:1")
 			place(memory, orderOf(2, "b"))
 		})
 	}
--- a/control/state/verify.go
+++ b/control/state/verify.go
@@ -27,6 +27,8 @@
 		verifyRecords[instanceRecord](instancePrefix, instanceRecord.key),
 		verifyRecords[instanceRecord](departedPrefix, instanceRecord.key),
 		verifyDeparted,
+		verifyRecords[addressRecord](addressPrefix, func(r addressRecord) string { return addressKey(r.Address) }),
+		verifyAddresses,
 		verifyRecords[departureRecord](departurePrefix, func(r departureRecord) string { return departureKey(r.Departure) }),
 		verifyRecords[leaderRecord](leaderPrefix, func(r leaderRecord) string { return leaderKey(r.Service) }),
 		verifyRecords[failover.Intent](intentPrefix, func(r failover.Intent) string { return intentKey(r.Service) }),
