System tests: a lagging replica at the failover, a leader's disk lost after an acknowledgement

Cause: replicas that hold the same don't show whether the right one is chosen. Change: one replica is cut off before the primary crashes; the leading controller loses its disk right after an acknowledgement; instances drain for longer than a lease; the two tests that mostly wait run at the same time.

--- a/systemtest/system_test.go
+++ b/systemtest/system_test.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"eiderway/testinstance"
 )
 
 // frozenFor is longer than a takeover of the control state and than a gateway's lease.
@@ -38,6 +40,8 @@
 
 	w.awaitMembers()
 	crashed := w.service.Leader()
+	w.service.Cut(crashed, w.lagging(crashed), true) // it must not be chosen
+	w.awaitWrites("with one replica that lags")
 	killed = w.leader()
 	w.controllers[killed].kill()
 	crashed.Crash()
@@ -51,11 +55,22 @@
 	w.conclude()
 }
 
-// TestAllControllersAreKilled kills all controllers right after an acknowledgement, and later wipes one's disk.
+// lagging is the first of the replicas.
+func (w *world) lagging(primary *testinstance.Instance) *testinstance.Instance {
+	for _, one := range w.instances {
+		if one != primary {
+			return one
+		}
+	}
+	return nil
+}
+
+// TestAllControllersAreKilled kills all controllers right after an acknowledgement, and later the leading one, whose disk is
+// lost, right after another.
 func TestAllControllersAreKilled(t *testing.T) {
 	w := startWorld(t)
 
-	acknowledged := w.placeNext(1)
+	w.placeNext(1)
 	for _, one := range w.controllers {
 		one.kill()
 	}
@@ -64,10 +79,10 @@
 	}
 	w.awaitOrders("after all controllers were killed")
 	w.awaitWrites("after all controllers were killed")
-	t.Logf("configuration %d was acknowledged with %d right before", acknowledged.Number, acknowledged.Status)
 
 	w.awaitMembers()
-	wiped := (w.leader() + 1) % len(w.controllers)
+	wiped := w.leader()
+	w.placeNext(1)
 	w.controllers[wiped].kill()
 	if err := os.RemoveAll(w.dataOf(wiped)); err != nil {
 		t.Fatal(err)
@@ -105,6 +120,7 @@
 
 // TestHandOverWithFrozenGateway drains the primary while a gateway doesn't run: what it may still do has to be waited out.
 func TestHandOverWithFrozenGateway(t *testing.T) {
+	t.Parallel() // mostly waits
 	w := startWorld(t)
 	thaw := time.After(frozenFor)
 	w.gateways[1].signal(syscall.SIGSTOP)
@@ -121,6 +137,7 @@
 // TestFrozenPrimaryAndGateway freezes the primary together with a gateway. Once another instance leads, both wake at the
 // same moment: the old primary goes on for a second, and the gateway's table still names it.
 func TestFrozenPrimaryAndGateway(t *testing.T) {
+	t.Parallel() // mostly waits
 	w := startWorld(t)
 	old := w.service.Leader()
 	old.Freeze(true)
--- a/systemtest/world_test.go
+++ b/systemtest/world_test.go
@@ -26,6 +26,7 @@
 	instanceCount  = 3
 	clientCount    = 6
 	promoteTime    = 300 * time.Millisecond
+	drainTime      = 7 * time.Second       // of an instance; longer than a lease
 	orderEvery     = 60 * time.Millisecond // of each operator
 	fetchEvery     = 5                     // orders
 	orderPatience  = 20 * time.Second      // of an operator for a clear answer
@@ -38,6 +39,7 @@
 	layout      workload.Layout
 	directory   string
 	service     *testinstance.Service
+	instances   []*testinstance.Instance
 	platform    *testinstance.Platform
 	controllers []*process
 	gateways    []*process
@@ -73,15 +75,19 @@
 // startSurroundings starts the instances and the platform.
 func (w *world) startSurroundings() {
 	w.Helper()
-	w.service = testinstance.NewService(testinstance.DefaultSettings(service, w.controls))
+	instances := testinstance.DefaultSettings(service, w.controls)
+	instances.DrainTime = drainTime
+	w.service = testinstance.NewService(instances)
 	w.Cleanup(w.service.Stop)
 	for number := range instanceCount {
-		if _, err := w.service.Start("db-"+workload.Zone(number), w.layout.Instance(number), workload.Zone(number)); err != nil {
+		started, err := w.service.Start("db-"+workload.Zone(number), w.layout.Instance(number), workload.Zone(number))
+		if err != nil {
 			w.Fatal(err)
 		}
+		w.instances = append(w.instances, started)
 	}
-	settings := testinstance.PlatformSettings{FenceChecked: true, PromoteTime: promoteTime}
-	platform, err := testinstance.StartPlatform(w.layout.Platform(), settings, w.service)
+	platformSettings := testinstance.PlatformSettings{FenceChecked: true, PromoteTime: promoteTime}
+	platform, err := testinstance.StartPlatform(w.layout.Platform(), platformSettings, w.service)
 	if err != nil {
 		w.Fatal(err)
 	}
