Failover: a draining leader is not used again once its drain has lasted too long

Cause: a planned hand-over was given up 3 s after the freeze, which is less than a lease and its margin: with a gateway frozen or killed, or after a takeover, the limit was past before anything could be done. The draining leader went on and the next attempt came after its drainMs. Change: the limit counts from when every gateway keeps the freeze. Settings.DrainLimit (7 s) bounds the use of a leader after its drain was acknowledged: it is frozen 1 s before, also where nobody can follow, and is let go on only if the next attempt comes before that; a holder that finds it draining at its start doesn't know for how long and doesn't let it go on. Replicas that an earlier holder left paused are let go on while a hand-over waits for one to catch up, and no PAUSE is sent while a CONTINUE to the same instance is unanswered.

--- a/control/failover/api.go
+++ b/control/failover/api.go
@@ -206,6 +206,7 @@
 	FastWindow   time.Duration // how long the fast window lasts after the last sign of change
 	SuspectAfter time.Duration // silence of the leader, with probes failing, before the service is frozen
 	ReplicaLost  time.Duration // silence after which a replica is taken for gone, if the leader has outlived it
+	DrainLimit   time.Duration // how long statements may reach an instance after its drain was acknowledged
 	LateCall     time.Duration // how long a call of an earlier holder may still be on its way where fences aren't checked
 }
 
--- a/control/failover/call.go
+++ b/control/failover/call.go
@@ -144,7 +144,11 @@
 
 // intentOutdated tells whether the old leader goes on though an earlier holder meant to replace it, and no call may act any more.
 func (s *service) intentOutdated(now time.Duration) bool {
-	return s.why == openIntent && !s.callMayAct(now) && s.isLeading(s.leader(), max(s.frozenAt, now-statusFresh))
+	leader := s.leader()
+	if s.why != openIntent || s.callMayAct(now) || !s.isLeading(leader, max(s.frozenAt, now-statusFresh)) {
+		return false
+	}
+	return !leader.drainSpent(now, s.settings().DrainLimit)
 }
 
 // noteTarget notes since when the target has answered without leading.
--- a/control/failover/manager_test.go
+++ b/control/failover/manager_test.go
@@ -111,6 +111,25 @@
 	is.True(d.paused[0].Term > 3)
 }
 
+func TestHandOverIsNotGivenUpForSlowGateways(t *testing.T) {
+	is := is.New(t)
+	view := threeInstances("a1")
+	d := newDesk(view)
+	leading := replicaAt(12)
+	leading.Primary = true
+	d.answers["a1"], d.answers["a2"], d.answers["a3"] = leading, replicaAt(12), replicaAt(12)
+	d.wait(time.Second)
+	view.Instances[0].Draining = true
+	d.step(World{Services: []ServiceView{view}})
+	d.wait(handOverLimit + time.Second) // a lease has to run out
+	freeze, frozen := d.manager.Frozen("a")
+	is.True(frozen)
+	d.step(Cleared{Service: "a", Freeze: freeze})
+	d.wait(time.Second)
+	is.Equal(len(d.changes), 1)
+	is.True(d.changes[0].Intent != nil)
+}
+
 func TestFreezesRise(t *testing.T) {
 	is := is.New(t)
 	d := crashed()
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -15,6 +15,7 @@
 	departedAt time.Duration
 
 	drainSince  time.Duration // when it was first known to be draining
+	drainBefore bool          // it was then already, for an unknown time: an earlier holder acknowledged it
 	lastLife    time.Duration // last heartbeat or answer
 	beatPrimary bool          // its last heartbeat said that it leads
 	lastBeat    time.Duration // 0: none yet
@@ -132,6 +133,11 @@
 	}
 }
 
+// drainSpent tells whether an instance has been draining so long that no statement may reach it from the moment given on.
+func (i *member) drainSpent(from, limit time.Duration) bool {
+	return i.instance.Draining && (i.drainBefore || from >= i.drainSince+limit-drainMargin)
+}
+
 func (i *member) note(now time.Duration, instance feed.Instance) {
 	if instance.Draining && !i.instance.Draining {
 		i.drainSince = now
--- a/control/failover/pause.go
+++ b/control/failover/pause.go
@@ -49,10 +49,11 @@
 	}
 }
 
-// handOverTooLong ends a planned hand-over that finds no successor. The draining leader goes on for now.
+// handOverTooLong ends a planned hand-over that finds no successor. The draining leader goes on for now, if the next attempt comes
+// before statements may no longer reach it.
 func (s *service) handOverTooLong(now time.Duration) bool {
 	hopeless := s.phase == awaiting && s.call.endedAt > s.frozenAt && s.call.watchFor == 0 // the call had no effect
-	if s.why != leaderDrains || now-s.frozenAt < handOverLimit && !hopeless {
+	if s.why != leaderDrains || now-max(s.frozenAt, s.clearedAt) < handOverLimit && !hopeless {
 		return false
 	}
 	leader := s.leader()
@@ -60,6 +61,9 @@
 		s.why = leaderSilent // it ended on the way: from here on this is an ordinary failover
 		return false
 	}
+	if leader.drainSpent(now+handOverRetry, s.settings().DrainLimit) {
+		return false
+	}
 	s.handOver = now + handOverRetry
 	return true
 }
@@ -116,8 +120,8 @@
 		s.holdUnpaused(now, i)
 		return
 	}
-	if i.held {
-		return
+	if i.held || i.outstanding[AskContinue] != 0 {
+		return // a CONTINUE on its way might arrive after the pause
 	}
 	if i.leads(0) {
 		s.holdPrimary(now, i)
@@ -155,11 +159,14 @@
 	}
 }
 
-// stepDownDraining asks the draining leader itself to step down, when a replica is silent and one that is held has all that the
+// stepDownDraining asks a draining leader that can't go on itself to step down, when a replica is silent and one that is held has all that the
 // leader had.
 func (s *service) stepDownDraining(now time.Duration) {
 	leader := s.leader()
-	if s.why != leaderDrains || now-s.roundAt < stepDownAfter || leader == nil || !s.isLeading(leader, s.clearedAt) {
+	if leader == nil || s.why != leaderDrains && !leader.drainSpent(now, s.settings().DrainLimit) {
+		return
+	}
+	if now-s.roundAt < stepDownAfter || !s.isLeading(leader, s.clearedAt) {
 		return
 	}
 	held := s.heldMembers()
--- a/control/failover/probe.go
+++ b/control/failover/probe.go
@@ -83,7 +83,8 @@
 	if s.round != 0 && of.pauseAsked && !of.held && result.Started >= of.pauseAskedAt && !result.Status.Primary {
 		s.holds(now, of, result)
 	}
-	if !s.frozen && s.pausedByOther(of) {
+	catchingUp := s.why == leaderDrains && !s.caughtUp
+	if (!s.frozen || catchingUp) && s.pausedByOther(of) {
 		of.mayBePaused = true
 	}
 }
--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -13,6 +13,7 @@
 		SuspectAfter: 1200 * time.Millisecond,
 		ReplicaLost:  10 * time.Second,
 		LateCall:     15 * time.Second,
+		DrainLimit:   7 * time.Second,
 	}
 }
 
@@ -47,13 +48,15 @@
 	catchUpWait = time.Second
 	// catchUpProbe is the time between probes meanwhile: every gateway waits.
 	catchUpProbe = 40 * time.Millisecond
-	// handOverLimit bounds a planned hand-over before its call is made.
+	// handOverLimit bounds a planned hand-over, from when every gateway keeps the freeze until its call is made.
 	handOverLimit = 3 * time.Second
 	// handOverLag is how far behind a replica may be for a hand-over to begin, in the first handOverPatience of a leader's drain.
 	handOverLag      = 300 * time.Millisecond
 	handOverPatience = 2500 * time.Millisecond
 	// handOverRetry is the time between attempts of a planned hand-over.
 	handOverRetry = 2 * time.Second
+	// drainMargin is how long before Settings.DrainLimit a draining leader is frozen for good: gateways hear of it later.
+	drainMargin = time.Second
 	// stepDownAfter is how long a hand-over waits for a silent replica before the leader itself is asked to step down.
 	stepDownAfter = 500 * time.Millisecond
 	// intentFresh is how old the wish for an intent may be when its call is sent: a process may have been frozen.
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -85,6 +85,8 @@
 		return leaderSilent, true
 	case s.silent(now, leader):
 		return leaderSilent, true
+	case leader.drainSpent(now, s.settings().DrainLimit):
+		return leaderDrains, true
 	case leader.instance.Draining && now >= s.handOver && s.mayHandOver(now, leader, others):
 		return leaderDrains, true
 	}
