Host: a measured controller that ends with an error says why

Cause: with the race detector the tiny measurement failed once, 1.3 s later than usual, and what the controller's process had said was thrown away. Change: it is part of the failure.

--- a/host/measure_test.go
+++ b/host/measure_test.go
@@ -176,8 +176,10 @@
 	is.NoErr(command.Start())
 	t.Cleanup(func() {
 		_ = input.Close()
-		_, _ = io.Copy(io.Discard, output)
-		is.NoErr(command.Wait())
+		said, _ := io.ReadAll(output)
+		if err := command.Wait(); err != nil {
+			t.Errorf("%s: %v\n%s", settings.Name, err, said)
+		}
 	})
 	return &measuredProcess{name: settings.Name, input: input, output: bufio.NewScanner(output)}
 }
