State: the body of a configuration is kept compressed

Configuration unpacks, bounded by the recorded size and by configuration.MaxBody, and gives the bytes as they were sent. Verify unpacks too, and finds pieces that are cut off, too long or followed by other bytes, and impossible sizes. TestBodiesInPieces used a repeating text, which would be one small piece now: it takes random bytes, in six pieces, with the same bounds. With impossible sizes or pieces, Configuration gives no body where it gave a part of it.

--- a/control/state/keys.go
+++ b/control/state/keys.go
@@ -5,7 +5,7 @@
 // The kinds of entries, by the start of their keys. Numbers in keys have a fixed width, so that keys sort as numbers do.
 const (
 	configurationKey = "configuration/head"  // configurationHead
-	bodyPrefix       = "configuration/body/" // + number of the piece: the bytes themselves
+	bodyPrefix       = "configuration/body/" // + number of the piece: its bytes, compressed
 	orderPrefix      = "order/"              // + configuration number: orderRecord
 	instancePrefix   = "instance/"           // + id of an instance that is here: instanceRecord
 	departedPrefix   = "departed/"           // + id of an instance that left: instanceRecord
--- a/control/state/order.go
+++ b/control/state/order.go
@@ -1,25 +1,16 @@
 package state
 
-import (
-	"bytes"
-	"slices"
-
-	"eiderway/control/configuration"
-)
+import "eiderway/control/configuration"
 
 // MaxOrders is how many taken configuration numbers are kept, the highest ones. With about 200 bytes each they take
 // under a megabyte, and a day holds hundreds of changes.
 const MaxOrders = 4096
 
-// bodyPiece is the most bytes of a configuration that one entry holds. Changes and snapshots travel by entries, and
-// small ones let a slow link carry other messages in between.
-const bodyPiece = 64 << 10
-
 // configurationHead describes the configuration in force. The services stand here again so that the body need not be
 // parsed each time they are asked for.
 type configurationHead struct {
 	Number   int64
-	Size     int // of the body, in bytes
+	Size     int // of the body as it was sent, in bytes
 	Services []configuredService
 }
 
@@ -70,15 +61,7 @@
 		head.Services = append(head.Services, configured)
 	}
 	t.set(configurationKey, encode(head))
-	pieces := slices.Collect(slices.Chunk(order.Body, bodyPiece))
-	for index, piece := range pieces {
-		t.set(bodyKey(index), bytes.Clone(piece))
-	}
-	for _, entry := range t.Entries(bodyPrefix) {
-		if entry.Key >= bodyKey(len(pieces)) {
-			t.drop(entry.Key)
-		}
-	}
+	t.putBody(order.Body)
 }
 
 // Configuration returns the newest configuration as it was sent.
@@ -87,11 +70,8 @@
 	if !found {
 		return 0, nil, false
 	}
-	body = make([]byte, 0, head.Size)
-	for _, piece := range reader.Entries(bodyPrefix) {
-		body = append(body, piece.Value...)
-	}
-	return head.Number, body, len(body) == head.Size
+	body, corruption := unpackBody(reader.Entries(bodyPrefix), head.Size)
+	return head.Number, body, corruption == nil
 }
 
 // ConfigurationNumber returns the number of the newest configuration, 0 if there is none.
--- a/control/state/order_test.go
+++ b/control/state/order_test.go
@@ -4,14 +4,17 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"eiderway/control/configuration"
 	"eiderway/control/feed"
+	"eiderway/control/replication"
 	"eiderway/control/state"
 	"eiderway/control/state/statetest"
 )
@@ -98,16 +101,19 @@
 func TestBodiesInPieces(t *testing.T) {
 	is := is.New(t)
 	memory := statetest.NewMemory()
-	long := strings.Repeat("0123456789abcdef", 20<<10) // five pieces
+	random := make([]byte, 320<<10) // six pieces, which compression can't make smaller
+	_, _ = rand.NewChaCha8([32]byte{}).Read(random)
+	long := string(random)
 	place(memory, orderOf(1, long))
 	_, body, _ := state.Configuration(memory)
 	is.True(bytes.Equal(body, []byte(long)))
 	for _, entry := range memory.Entries("") {
 		is.True(len(entry.Value) <= 64<<10)
 	}
+	is.Equal(len(memory.Entries("configuration/body/")), 6)
 
 	transaction := state.NewTransaction(memory)
-	transaction.PlaceOrder(orderOf(2, long[:len(long)-1]+"x"))
+	transaction.PlaceOrder(orderOf(2, long[:len(long)-1]+string(long[len(long)-1]^1)))
 	written := 0
 	for _, mutation := range transaction.Mutations() {
 		written += len(mutation.Value)
@@ -122,6 +128,29 @@
 	is.NoErr(state.Verify(memory))
 }
 
+// What operators send repeats itself, and is carried and kept small. It comes back byte by byte.
+func TestBodiesAreKeptCompressed(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	sent := manyRoutes(1, 5000)
+	place(memory, orderOf(1, sent))
+	is.True(entryBytes(memory, "configuration/body/")*6 < len(sent))
+	_, body, found := state.Configuration(memory)
+	is.True(found)
+	is.True(string(body) == sent)
+	is.NoErr(state.Verify(memory))
+
+	transaction := state.NewTransaction(memory)
+	transaction.PlaceOrder(orderOf(2, strings.Replace(sent, "r4000", "x4000", 1)))
+	is.Equal(len(bodyMutations(transaction)), 1) // also in the middle, other pieces are as before
+}
+
+func bodyMutations(transaction *state.Transaction) []replication.Mutation {
+	return lo.Filter(transaction.Mutations(), func(mutation replication.Mutation, _ int) bool {
+		return strings.HasPrefix(mutation.Key, "configuration/body/")
+	})
+}
+
 func TestChangesOfInstancesLeaveTheBodyAlone(t *testing.T) {
 	is := is.New(t)
 	memory := statetest.NewMemory()
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -1,8 +1,11 @@
 package state_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -107,6 +110,15 @@
 	is.NoErr(state.Verify(memory))
 }
 
+// compressed is a text as the pieces of a configuration are stored.
+func compressed(text string) string {
+	var packed bytes.Buffer
+	packer, _ := flate.NewWriter(&packed, flate.BestSpeed)
+	_, _ = packer.Write([]byte(text))
+	_ = packer.Close()
+	return packed.String()
+}
+
 func TestVerifyFindsWhatReadersSkip(t *testing.T) {
 	for _, lie := range []struct {
 		key   string
@@ -132,7 +144,14 @@
 		{"order/0000000000000000001", "\x01{}"},
 		{"configuration/head", "\x01{}"},
 		{"configuration/head", "x"},
+		{"configuration/head", "\x01{\"Number\":1,\"Size\":-1}"},
+		{"configuration/head", "\x01{\"Number\":1,\"Size\":9000000000000000}"},
 		{"configuration/body/000000", "shorter"},
+		{"configuration/body/000000", compressed("shorter")},
+		{"configuration/body/000000", compressed("a body") + "x"},
+		{"configuration/body/000000", compressed("a body")[:5]},
+		{"configuration/body/000000", compressed(strings.Repeat("a", 64<<20))},
+		{"configuration/body/000001", compressed("x")},
 	} {
 		t.Run(fmt.Sprintf("%s=%q", lie.key, lie.value), func(t *testing.T) {
 			is := is.New(t)
--- a/control/state/verify.go
+++ b/control/state/verify.go
@@ -80,12 +80,8 @@
 	if err := decode(encoded, &head); err != nil {
 		return &Corruption{Key: configurationKey, Problem: err.Error()}
 	}
-	size := 0
-	for _, piece := range reader.Entries(bodyPrefix) {
-		size += len(piece.Value)
-	}
-	if size != head.Size {
-		return &Corruption{Key: configurationKey, Problem: fmt.Sprintf("the body has %d bytes of %d", size, head.Size)}
+	if _, corruption := unpackBody(reader.Entries(bodyPrefix), head.Size); corruption != nil {
+		return corruption
 	}
 	if _, found := reader.Entry(orderKey(head.Number)); !found {
 		return &Corruption{Key: configurationKey, Problem: "its number is not recorded as taken"}
