Failover: replicas whose pause was lost are paused again while a call is on its way

Cause: a paused replica that restarts has lost its pause, and one that was away in the round never had it. Between the call and the promote an old leader that came back from a cut could have commits received there. Change: while a call is due or under way, a replica that was found not to run since the freeze, or that holds a lower term than the round's, is paused again in a higher term. The old leader isn't told to step down meanwhile: with the replicas paused it can acknowledge nothing, and if the call comes to nothing it can go on, which a leader that stepped down can't. The check of who is paused in the scenarios named the last one only, and names all now.

--- a/control/failover/call.go
+++ b/control/failover/call.go
@@ -15,6 +15,7 @@
 // makeCall makes the call for the target of the committed intent, at the pace that the platform bears.
 func (s *service) makeCall(now time.Duration) {
 	s.probeAll(now, s.target(), s.leader())
+	s.pauseAgain(now)
 	if (s.reasonGone(now) || s.handOverTooLong(now)) && !s.callMayAct(now) {
 		s.giveUp(now)
 		return
@@ -95,7 +96,11 @@
 		s.phase = pausing
 		return
 	}
-	if s.installIfLed(now) || s.call.number != 0 {
+	if s.installIfLed(now) {
+		return
+	}
+	s.pauseAgain(now)
+	if s.call.number != 0 {
 		return
 	}
 	if s.reasonGone(now) || s.intentOutdated(now) || s.handOverTooLong(now) {
--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -39,7 +39,7 @@
 // guards switches single rules of safety off. Only tests do.
 type guards struct {
 	pauseUncleared     bool // replicas are paused before every gateway is known to keep the freeze
-	positionsUnpaused  bool // positions count that were read without a pause
+	positionsUnpaused  bool // nobody is paused: positions count that were read without a pause
 	choiceUnproven     bool // the furthest of those that answered is taken
 	callWithoutIntent  bool // the call leaves before its intent is committed
 	repeatAtOnce       bool // after an unknown outcome another target may be called at once
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -38,6 +38,7 @@
 	held         bool // it keeps still in the term of the round
 	heldAt       time.Duration
 	heldPosition Position
+	pauseLost    bool // its process was found not to run since the freeze: it forgets a pause when it restarts
 	pauseAsked   bool // in this round
 	pauseAskedAt time.Duration
 
@@ -77,7 +78,7 @@
 }
 
 func (i *member) forgetRound() {
-	i.held, i.pauseAsked = false, false
+	i.held, i.pauseAsked, i.pauseLost = false, false, false
 }
 
 // take notes the outcome of a probe as evidence of the instance's life and state.
@@ -112,6 +113,7 @@
 		}
 		return
 	}
+	i.pauseLost = true
 	if i.refusals == 0 {
 		i.refusedSince = result.Started
 	}
--- a/control/failover/pause.go
+++ b/control/failover/pause.go
@@ -142,6 +142,24 @@
 	}
 }
 
+// pauseAgain pauses those whose pause is missing while a call is due or on its way: they have restarted, or weren't there when the
+// others were paused. An old leader that comes back from a cut could have its commits received by them until the promote.
+func (s *service) pauseAgain(now time.Duration) {
+	if s.intent == nil || !s.cleared || s.manager.guards.positionsUnpaused {
+		return
+	}
+	for _, known := range s.present() {
+		follows := !known.status.Primary && known.status.Term <= s.intent.Previous.Term
+		missing := known.pauseLost || known.status.TermHeld < s.intent.Term
+		if known.instance.ID == s.intent.InstanceID || !known.answered(now-statusFresh) || !follows || !missing {
+			continue
+		}
+		if s.probe(now, known, AskPause, s.highestTerm()+1, replicaProbe) {
+			known.mayBePaused = true
+		}
+	}
+}
+
 // holdPrimary makes one that led an earlier term, or may have been followed unseen, step down. The others are asked whether they lead still.
 func (s *service) holdPrimary(now time.Duration, i *member) {
 	if s.deposed(i) || s.doubt {
--- a/control/failover/probe.go
+++ b/control/failover/probe.go
@@ -72,6 +72,9 @@
 
 // tookPause counts a position only from an instance that holds the round's term and no other.
 func (s *service) tookPause(now time.Duration, of *member, probe *pendingProbe, result ProbeResult) {
+	if result.Status.TermHeld == probe.term {
+		of.pauseLost = false
+	}
 	if s.round == 0 || probe.term != s.round || result.Status.Primary {
 		return
 	}
--- a/control/failover/scenario_test.go
+++ b/control/failover/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -192,13 +193,13 @@
 	case "calls":
 		got = strconv.Itoa(len(w.judge.calls[service]))
 	case "paused":
-		paused := []string{"none"}
+		var paused []string
 		for _, d := range w.of(service) {
 			if d.paused {
-				paused = append(paused[1:], d.id)
+				paused = append(paused, d.id)
 			}
 		}
-		got = strings.Join(paused, ",")
+		got = cmp.Or(strings.Join(paused, ","), "none")
 	case "primaries":
 		var found []string
 		for _, d := range w.of(service) {
