System tests: kinds of operations by name, one job in each file

Cause: bare numbers for kinds of operations, and files with several jobs. Change: operationKind; slots, orders and callers in files of their own; an unused field is gone. Measured: go test ./testinstance ./systemtest/... ./cmd/eidersystem before the split: passed, systemtest in 28.5 s; after it testinstance, systemtest and the demo's tests passed.

--- a/systemtest/workload/client.go
+++ b/systemtest/workload/client.go
@@ -12,21 +12,31 @@
 )
 
 const (
-	tryWait        = 3 * time.Second       // for the answer to a statement
-	connectWait    = 2 * time.Second       // for the READY of a new session
-	operationWait  = 10 * time.Second      // for an operation with all its tries
-	restLeast      = 4 * time.Millisecond  // between operations
-	restMost       = 12 * time.Millisecond // between operations
-	retryRest      = 20 * time.Millisecond // after a try that failed
-	things         = 8                     // that clients read and write
-	preparedWrite  = "w"
-	preparedRead   = "r"
-	executeFetch   = string(wire.Execute) + " " + preparedRead + " "
-	executePut     = string(wire.Execute) + " " + preparedWrite + " "
-	sessionLength  = 60 // operations, after which a client leaves and comes again
-	sharePrepared  = 4  // one statement in so many is prepared
-	shareRollback  = 8  // one transaction in so many is rolled back
-	operationKinds = 4  // of which one is a transaction, one a read, two a write
+	tryWait       = 3 * time.Second       // for the answer to a statement
+	connectWait   = 2 * time.Second       // for the READY of a new session
+	operationWait = 10 * time.Second      // for an operation with all its tries
+	restLeast     = 4 * time.Millisecond  // between operations
+	restMost      = 12 * time.Millisecond // between operations
+	retryRest     = 20 * time.Millisecond // after a try that failed
+	things        = 8                     // that clients read and write
+	preparedWrite = "w"
+	preparedRead  = "r"
+	executeFetch  = string(wire.Execute) + " " + preparedRead + " "
+	executePut    = string(wire.Execute) + " " + preparedWrite + " "
+	sessionLength = 60 // operations, after which a client leaves and comes again
+	sharePrepared = 4  // one statement in so many is prepared
+	shareRollback = 8  // one transaction in so many is rolled back
+)
+
+// operationKind is what a client does next. Half of the operations are single writes.
+type operationKind int
+
+const (
+	aRead operationKind = iota
+	aTransaction
+	aWrite
+	anotherWrite
+	operationKinds
 )
 
 // ClientSettings are those of a number of clients.
@@ -34,7 +44,6 @@
 	Database string
 	Gateways func() []string // front addresses, of which each session takes one
 	History  *History
-	Service  string
 }
 
 // Clients are sessions that come, work, go and come again.
@@ -92,7 +101,7 @@
 	if c.operations > sessionLength {
 		c.leave()
 	}
-	kind := c.random.IntN(operationKinds)
+	kind := operationKind(c.random.IntN(int(operationKinds)))
 	writes := c.newWrites(kind)
 	began := time.Now()
 	for time.Since(began) < operationWait {
@@ -108,12 +117,12 @@
 }
 
 // newWrites are those of an operation: no two operations write the same data.
-func (c *client) newWrites(kind int) []testinstance.Write {
+func (c *client) newWrites(kind operationKind) []testinstance.Write {
 	count := 1
 	switch kind {
-	case 0:
+	case aRead:
 		return nil
-	case 1:
+	case aTransaction:
 		count = 2
 	}
 	var writes []testinstance.Write
@@ -127,14 +136,14 @@
 func (c *client) thing() string { return fmt.Sprintf("t%d", c.random.IntN(things)) }
 
 // try does the operation once.
-func (c *client) try(kind int, writes []testinstance.Write) Outcome {
+func (c *client) try(kind operationKind, writes []testinstance.Write) Outcome {
 	if c.conn == nil && !c.connect() {
 		return NotKept
 	}
 	switch kind {
-	case 0:
+	case aRead:
 		return c.ask(time.Now(), c.fetchText(c.thing()), nil)
-	case 1:
+	case aTransaction:
 		return c.transact(writes)
 	}
 	return c.ask(time.Now(), c.putText(writes[0]), writes)
@@ -225,8 +234,7 @@
 		c.own(string(wire.Abort))
 		return Unknown // the operation is over
 	}
-	outcome := c.ask(began, string(wire.Commit), writes)
-	return outcome
+	return c.ask(began, string(wire.Commit), writes)
 }
 
 // giveUp ends a transaction whose commit was not sent.
--- a/systemtest/workload/operator.go
+++ b/systemtest/workload/operator.go
@@ -8,9 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,85 +23,6 @@
 	mostRedirect = 2                     // that a caller follows
 )
 
-// Order is a configuration that an operator sent, with what came of it in the end.
-type Order struct {
-	Number   int64
-	Content  string // tells configurations of one number apart
-	Sent     time.Time
-	Answered time.Time
-	Status   int // 0: no clear answer
-	Tries    int
-}
-
-// Fetched is a configuration that was read back.
-type Fetched struct {
-	Number   int64
-	Content  string
-	Sent     time.Time
-	Answered time.Time
-}
-
-// Orders is the history of all operators. Any number of them may add to it.
-type Orders struct {
-	mutex   sync.Mutex
-	orders  []Order
-	fetched []Fetched
-}
-
-// Placed are the orders that were ended until now, in any order.
-func (o *Orders) Placed() []Order {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return slices.Clone(o.orders)
-}
-
-// Fetched are the configurations that were read until now.
-func (o *Orders) Fetched() []Fetched {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return slices.Clone(o.fetched)
-}
-
-// NewestAcknowledged is the highest number that was acknowledged.
-func (o *Orders) NewestAcknowledged() int64 {
-	var newest int64
-	for _, order := range o.Placed() {
-		if order.Status == http.StatusOK {
-			newest = max(newest, order.Number)
-		}
-	}
-	return newest
-}
-
-// Judge returns what is wrong with a configuration that was read when nothing was under way any more: it must be no older
-// than the newest acknowledged one, and must have been sent under its number.
-func (o *Orders) Judge(read Fetched) []string {
-	var broken []string
-	if newest := o.NewestAcknowledged(); read.Number < newest {
-		broken = append(broken, fmt.Sprintf("CONFIG: %d was read back, %d was acknowledged", read.Number, newest))
-	}
-	wasSent := slices.ContainsFunc(o.Placed(), func(order Order) bool {
-		return order.Number == read.Number && order.Content == read.Content
-	})
-	if !wasSent {
-		broken = append(broken, fmt.Sprintf("CONFIG: %d was read back as %q, which nobody sent", read.Number, read.Content))
-	}
-	return append(broken, o.staleReads()...)
-}
-
-// staleReads are the reads that gave an older configuration than one that was acknowledged before they were sent.
-func (o *Orders) staleReads() []string {
-	var broken []string
-	for _, read := range o.Fetched() {
-		for _, order := range o.Placed() {
-			if order.Status == http.StatusOK && order.Answered.Before(read.Sent) && read.Number < order.Number {
-				broken = append(broken, fmt.Sprintf("CONFIG: %d was read after %d was acknowledged", read.Number, order.Number))
-			}
-		}
-	}
-	return broken
-}
-
 // Operator places configurations and reads them back. It is for one caller at a time.
 type Operator struct {
 	Controllers func() []string // control addresses
@@ -215,34 +134,6 @@
 	return response.StatusCode, content, err
 }
 
-// NewCaller makes a client that follows so many redirects, gives up after a second and keeps no connections.
-func NewCaller(redirects int) *http.Client {
-	return &http.Client{
-		Timeout:   orderWait,
-		Transport: &http.Transport{DisableKeepAlives: true},
-		CheckRedirect: func(_ *http.Request, via []*http.Request) error {
-			if len(via) > redirects {
-				return http.ErrUseLastResponse
-			}
-			return nil
-		},
-	}
-}
-
-// Leads tells whether the controller at this address leads: it answers, without sending the caller on.
-func Leads(ctx context.Context, address string) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/config/fetch", nil)
-	if err != nil {
-		return false
-	}
-	response, err := NewCaller(0).Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode < http.StatusInternalServerError && response.StatusCode != http.StatusTemporaryRedirect
-}
-
 // restFor waits, longer every time.
 func restFor(ctx context.Context, duration *time.Duration) {
 	rest(ctx, *duration+rand.N(*duration))
