Failover: a lost call is made again sooner

Cause: the target of a call with an unknown outcome was watched for 4 s before it was called again; a controller that took over began its watch of 2 s only once every gateway kept the freeze. The call is for the same target with the same or a higher fence. A shorter watch would need another figure in TestUnknownOutcomeIsNotRepeated (nothing within 3 s), which is unchanged.

--- a/control/failover/call.go
+++ b/control/failover/call.go
@@ -55,7 +55,7 @@
 	default:
 		s.doubt = true
 		s.call.unknownUntil, s.call.ownUnknown = now+s.settings().LateCall, true
-		s.call.watchFor, s.call.next = promoteWait, now+declinedRetry
+		s.call.watchFor, s.call.next = repeatWait, now+declinedRetry
 	}
 }
 
@@ -158,7 +158,7 @@
 
 // noteTarget notes since when the target has answered without leading.
 func (s *service) noteTarget(now time.Duration, target *member) {
-	if target == nil || !target.answered(s.call.endedAt) || target.status.Primary {
+	if target == nil || s.call.number != 0 || !target.answered(s.call.endedAt) || target.status.Primary {
 		return
 	}
 	if !s.call.notLeading {
--- a/control/failover/freeze.go
+++ b/control/failover/freeze.go
@@ -9,6 +9,7 @@
 // clear waits until every gateway keeps the freeze, and watches meanwhile whether the reason for it goes away.
 func (s *service) clear(now time.Duration) {
 	s.probeAll(now, s.leader(), s.target())
+	s.noteTarget(now, s.target())
 	if s.reasonGone(now) {
 		s.giveUp(now)
 		return
--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -63,6 +63,9 @@
 	intentFresh = 4 * time.Second
 	// promoteWait is longer than a promote takes.
 	promoteWait = 4 * time.Second
+	// repeatWait is for how long the target of a call with an unknown outcome is watched before it is called again: clearly longer than
+	// a promote takes. A call that arrives later names the same target, and does no harm.
+	repeatWait = 3100 * time.Millisecond
 	// inheritedWait is for how long the target of an earlier holder's intent is watched before its call is made again.
 	inheritedWait = 2 * time.Second
 	// targetDeadAfter is the silence of a target, with probes failing, after which it is taken for dead.
