Host, gateway: a process that stood still neither sends an old call nor blames others

Cause: the age of a platform call counted from its hand-over, so a standstill during the step was missed; a gateway that woke took its overdue question for a dead controller, avoided the healthy primary, and had no lease for 1.7 s. Change: the age counts from before the step; a question that ends far later than allowed is asked again at once.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -21,6 +21,9 @@
 	watchLeast = 50 * time.Millisecond
 	// watchSlack is added to it before a question is given up: a slow link and a busy machine.
 	watchSlack = time.Second
+	// sleptAfter is how much later than asked for a question ends when this process stood still meanwhile: timers on a
+	// busy machine are late by less.
+	sleptAfter = 500 * time.Millisecond
 	// interruptEvery is the least time between two questions that are broken off for the sake of an urgent report.
 	interruptEvery = 2 * time.Second
 	// freezeTime is how long open transactions and statements at a frozen leader may take to end by themselves before
@@ -67,6 +70,10 @@
 		g.calmUntil = g.now() + interruptEvery
 		g.reports.putBack(request.Reports)
 		return true
+	case err != nil && stoodStill(g.now()-sentAt, request.Wait+watchSlack):
+		g.reports.putBack(request.Reports)
+		g.noticeLease()
+		return true // which says nothing about the controller
 	case err != nil:
 		g.reports.putBack(request.Reports)
 		search.failed(g.now(), address)
@@ -85,6 +92,9 @@
 	return true
 }
 
+// stoodStill tells whether this process was stopped for a while during a question, since it took far longer than allowed.
+func stoodStill(took, allowed time.Duration) bool { return took > allowed+sleptAfter }
+
 // interruptWhenUrgent ends a question that is held back when there is something to report that can't wait, and tells
 // whether it did. Not too often: an interrupted question brings no lease.
 func (g *Gateway) interruptWhenUrgent(asking context.Context, end context.CancelFunc) *atomic.Bool {
--- a/host/harness_test.go
+++ b/host/harness_test.go
@@ -201,7 +201,7 @@
 		replies:    replies,
 		watches:    watches,
 		probe:      func(failover.Probe) {},
-		call:       func(failover.PlatformCall) {},
+		call:       func(failover.PlatformCall, time.Time) {},
 		log:        logger,
 		counters:   counters,
 		counterLog: counterLog{counters: counters, log: logger, due: countersEvery},
--- a/host/loop.go
+++ b/host/loop.go
@@ -32,8 +32,8 @@
 	outbox     *outbox
 	replies    *pending[controller.Reply]
 	watches    *pending[feed.WatchAnswer]
-	probe      func(failover.Probe)        // does not wait
-	call       func(failover.PlatformCall) // does not wait
+	probe      func(failover.Probe)                   // does not wait
+	call       func(failover.PlatformCall, time.Time) // does not wait; the time is from before the step that asked for it
 	log        logrus.FieldLogger
 	counters   *counters
 	counterLog counterLog
@@ -100,11 +100,13 @@
 		l.disk.failureTaken()
 	}
 	l.counters.steps.Add(1)
-	l.carryOut(l.controller.Step(l.now(), input))
+	began := time.Now()
+	l.carryOut(began, l.controller.Step(began.Sub(l.started), input))
 }
 
-// carryOut starts all that the controller wants, in the order of the effects.
-func (l *loop) carryOut(effects controller.Effects) {
+// carryOut starts all that the controller wants, in the order of the effects. The step that brought them began at the
+// time given.
+func (l *loop) carryOut(began time.Time, effects controller.Effects) {
 	l.disk.enqueue(effects.Writes)
 	l.outbox.add(effects.Send)
 	for _, reply := range effects.Replies {
@@ -117,7 +119,7 @@
 		l.probe(probe)
 	}
 	for _, call := range effects.Calls {
-		l.call(call)
+		l.call(call, began)
 	}
 	for _, event := range effects.Events {
 		l.log.Info(event.What + ": " + event.Text)
--- a/host/loop_test.go
+++ b/host/loop_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"eiderway/control/controller"
+	"eiderway/control/failover"
 )
 
 func TestLoopEndsWhenTheControllerMay(t *testing.T) {
@@ -59,3 +60,25 @@
 	counterLog.tick(2 * countersEvery)
 	is.Equal(len(lines.AllEntries()), 1)
 }
+
+// clocked notes when it was stepped, and wants a platform call.
+type clocked struct{ stepped time.Time }
+
+func (c *clocked) Step(time.Duration, controller.Input) controller.Effects {
+	c.stepped = time.Now()
+	return controller.Effects{Calls: []failover.PlatformCall{{Number: 1}}}
+}
+
+// TestAgeOfACallCountsFromBeforeItsStep: a process that stood still during a step must not send the call of that step as
+// if it were new.
+func TestAgeOfACallCountsFromBeforeItsStep(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, rigOptions{held: true})
+	decides := &clocked{}
+	r.loop.controller = decides
+	var asked time.Time
+	r.loop.call = func(_ failover.PlatformCall, at time.Time) { asked = at }
+	r.loop.step(controller.Tick{})
+	is.True(!asked.IsZero())
+	is.True(!asked.After(decides.stepped))
+}
--- a/host/platform.go
+++ b/host/platform.go
@@ -56,13 +56,8 @@
 	calls    sync.WaitGroup
 }
 
-// start makes the call in the background. Its age counts from now.
-func (p *platform) start(call failover.PlatformCall) {
-	p.startAsked(call, time.Now())
-}
-
-// startAsked makes a call in the background that was asked for at this time.
-func (p *platform) startAsked(call failover.PlatformCall, asked time.Time) {
+// start makes a call in the background that was asked for at this time. Its age counts from then.
+func (p *platform) start(call failover.PlatformCall, asked time.Time) {
 	p.counters.platformCalls.Add(1)
 	p.calls.Add(1)
 	go func() {
--- a/host/platform_test.go
+++ b/host/platform_test.go
@@ -98,7 +98,7 @@
 		ctx:      t.Context(),
 		wait:     wait,
 	}
-	caller.start(failover.PlatformCall{Number: 7, Service: "s", InstanceID: "i-1", Holder: "c-1", Fence: 42})
+	caller.start(failover.PlatformCall{Number: 7, Service: "s", InstanceID: "i-1", Holder: "c-1", Fence: 42}, time.Now())
 	result := receive(t, results)
 	caller.calls.Wait()
 	return result
@@ -161,7 +161,7 @@
 		wait:     patience,
 		connect:  connect,
 	}
-	caller.start(failover.PlatformCall{Number: 7, Service: "s", InstanceID: "i-1", Holder: "c-1", Fence: 42})
+	caller.start(failover.PlatformCall{Number: 7, Service: "s", InstanceID: "i-1", Holder: "c-1", Fence: 42}, time.Now())
 	result := receive(t, results)
 	caller.calls.Wait()
 	return result
