Failover: a new holder lets go on those whom the last one paused, with the new leader's record

Cause: a holder that finished a failover of an earlier one learned of its pauses only from a status asked after the service was served again; until then no replica received, and no commit was answered. Change: when a leader is recorded, those that hold a term that it doesn't lead are taken for paused, from the status at hand, and get their CONTINUE at once.

--- a/control/failover/change.go
+++ b/control/failover/change.go
@@ -66,6 +66,7 @@
 		led := known.instance.ID == previous.InstanceID || known.leads(0)
 		known.mustStepDown = led && known.instance.ID != leader.InstanceID
 		known.calledInVain = false
+		known.mayBePaused = known.mayBePaused || known.known && s.pausedByOther(known)
 		if known.instance.ID == leader.InstanceID {
 			known.mayBePaused = false
 		}
