Host: the failover knows the settings' bound for drains

Cause: the failover took 7 s for how long a draining leader may be used; the settings name the bound. Measured: tests of host pass.

--- a/host/process_test.go
+++ b/host/process_test.go
@@ -39,6 +39,7 @@
 	is.Equal(derived.Failover.Holder, "core-1")
 	is.True(derived.Failover.FenceChecked)
 	is.Equal(derived.Failover.CallsPerS, 25.0)
+	is.Equal(derived.Failover.DrainLimit, exampleSettings().Bounds.Drain())
 	is.Equal(derived.InstanceLost, 16*time.Second)
 	is.True(derived.WatchWait < derived.Lease)
 }
--- a/host/settings.go
+++ b/host/settings.go
@@ -74,6 +74,9 @@
 	if settings.PlatformAPI != nil && settings.PlatformAPI.DutyPerS > 0 {
 		chosen.CallsPerS = settings.PlatformAPI.DutyPerS * dutyShare
 	}
+	if drain := settings.Bounds.Drain(); drain > 0 {
+		chosen.DrainLimit = drain
+	}
 	return chosen
 }
 
