--- a/host/process_test.go
+++ b/host/process_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"eiderway/control/controller"
+	"eiderway/control/failover"
 	"eiderway/system"
 )
 
@@ -31,7 +32,11 @@
 
 func TestControllerSettings(t *testing.T) {
 	is := is.New(t)
-	derived := ControllerSettings(exampleSettings())
+	settings := exampleSettings()
+	is.Equal(ControllerSettings(settings).Failover.DrainLimit, failover.DefaultSettings().DrainLimit) // no bound is named
+	settings.Bounds.DrainMs = 5000
+	derived := ControllerSettings(settings)
+	is.Equal(derived.Failover.DrainLimit, 5*time.Second)
 	is.Equal(derived.Replication.Self.Address, "10.0.0.1:7440")
 	is.Equal(derived.Replication.Self.Control, "10.0.0.1:8782")
 	is.Equal(derived.Replication.Seeds, []string{"10.0.0.1:7440", "10.0.0.2:7440"})
@@ -39,7 +44,6 @@
 	is.Equal(derived.Failover.Holder, "core-1")
 	is.True(derived.Failover.FenceChecked)
 	is.Equal(derived.Failover.CallsPerS, 25.0)
-	is.Equal(derived.Failover.DrainLimit, exampleSettings().Bounds.Drain())
 	is.Equal(derived.InstanceLost, 16*time.Second)
 	is.True(derived.WatchWait < derived.Lease)
 }
