Simulation: CONFIG is judged where a gateway may serve, not where it must refuse

Change: the judge looks at each statement that comes under a valid lease, whatever becomes of it; without one the gateway only refuses.

--- a/simulation/gateway.go
+++ b/simulation/gateway.go
@@ -288,7 +288,9 @@
 
 // take serves one statement of a client.
 func (g *gateway) take(one *statement, answer func(answerKind)) {
-	g.world.judge.gatewayServes(g, one)
+	if g.world.now() < g.leaseUntil {
+		g.world.judge.gatewayServes(g, one)
+	}
 	service := g.service(one.service)
 	if service == nil || service.Frozen || service.Leader.InstanceID == "" || g.world.now() >= g.leaseUntil {
 		answer(answerBusy)
