--- a/cmd/eidersystem/gateway.go
+++ b/cmd/eidersystem/gateway.go
@@ -12,5 +12,6 @@
 		Reload:    process.changed,
 		Log:       process.log,
 		Terminate: process.terminated,
+		Publish:   process.publish,
 	})
 }
--- a/cmd/eidersystem/run.go
+++ b/cmd/eidersystem/run.go
@@ -12,22 +12,29 @@
 
 	"eiderway/host"
 	"eiderway/system"
+	"eiderway/system/metrics"
 )
 
 func runCommand() *ffcli.Command {
+	flags := newFlagSet("run")
+	figures := flags.String("metrics", "", "serve the process's own figures as text at `PORT/PATH` of the machine's address")
 	return &ffcli.Command{
 		Name:       "run",
-		ShortUsage: "eidersystem run",
+		ShortUsage: "eidersystem run [--metrics PORT/PATH]",
 		ShortHelp:  "Run as the settings file says, until SIGTERM.",
-		FlagSet:    newFlagSet("run"),
-		Exec:       run,
+		FlagSet:    flags,
+		Exec:       func(ctx context.Context, arguments []string) error { return run(ctx, *figures, arguments) },
 	}
 }
 
-func run(ctx context.Context, arguments []string) error {
+func run(ctx context.Context, figures string, arguments []string) error {
 	if len(arguments) > 0 {
 		return eris.New("run takes no arguments: the settings file says it all")
 	}
+	endpoint, err := endpointOf(figures)
+	if err != nil {
+		return err
+	}
 	terminated := closedAt(syscall.SIGTERM, os.Interrupt)
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
@@ -42,7 +49,32 @@
 	defer stop()
 	log := newLog(os.Stdout)
 	changed := system.Watch(ctx, path, settings, hangup, log)
-	return runRole(ctx, process{settings: settings, changed: changed, log: log, terminated: terminated})
+	return runRole(ctx, process{
+		settings:   settings,
+		changed:    changed,
+		log:        log,
+		terminated: terminated,
+		publish:    publisher(ctx, settings, endpoint, log),
+	})
+}
+
+func endpointOf(figures string) (metrics.Endpoint, error) {
+	if figures == "" {
+		return metrics.Endpoint{}, nil
+	}
+	return metrics.ParseEndpoint(figures)
+}
+
+// publisher serves figures, if the endpoint is given. A process runs on without them: they are for people.
+func publisher(ctx context.Context, settings system.Settings, endpoint metrics.Endpoint, log logrus.FieldLogger) func(metrics.Source) {
+	if endpoint == (metrics.Endpoint{}) {
+		return nil
+	}
+	return func(source metrics.Source) {
+		if err := metrics.Serve(ctx, settings.IPAddress, endpoint, source); err != nil {
+			log.WithError(err).Warn("no figures are served")
+		}
+	}
 }
 
 // process is what a role is run with.
@@ -51,6 +83,7 @@
 	changed    <-chan system.Settings
 	log        logrus.FieldLogger
 	terminated <-chan struct{}
+	publish    func(metrics.Source) // nil: no figures are served
 }
 
 func runRole(ctx context.Context, process process) error {
@@ -70,6 +103,7 @@
 		Reload:    process.changed,
 		Log:       process.log,
 		Terminate: process.terminated,
+		Publish:   process.publish,
 	})
 }
 
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -222,6 +222,15 @@
 	Stamp         quorum.Stamp
 	Configuration int64
 	Frozen        []string
+	Services      []ServiceStatus // at the primary
+}
+
+// ServiceStatus tells how a service stands.
+type ServiceStatus struct {
+	Name      string
+	Instances int // that are present
+	Draining  int // of those
+	Frozen    bool
 }
 
 // Status tells how things stand.
@@ -230,6 +239,22 @@
 	if c.term != nil {
 		status.Configuration = c.term.table.configurationNumber
 		status.Frozen = c.term.frozenServices()
+		status.Services = c.term.serviceStatus()
 	}
 	return status
 }
+
+func (t *term) serviceStatus() []ServiceStatus {
+	services := make([]ServiceStatus, 0, len(t.services))
+	for _, view := range t.services {
+		one := ServiceStatus{Name: view.Name, Instances: len(view.Instances)}
+		for _, instance := range view.Instances {
+			if instance.Draining {
+				one.Draining++
+			}
+		}
+		_, one.Frozen = t.freezes[view.Name]
+		services = append(services, one)
+	}
+	return services
+}
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -8,7 +8,9 @@
 // stateChanged tells everyone who works by the committed control state that it has changed.
 func (c *Controller) stateChanged() {
 	c.term.table.dirty = true
+	before := c.term.services
 	c.term.services = state.Services(c.node)
+	c.noteInstances(before, c.term.services)
 	c.stepFailover(failover.World{Services: c.term.services})
 }
 
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -30,6 +30,7 @@
 	feed.Service
 	maxConnections int
 	address        string // of the leader; "" if it isn't among the instances
+	leaderDrains   bool
 }
 
 // placement is where a statement goes, and under what right.
@@ -66,6 +67,8 @@
 	moved      []string // services whose leader changed, or that are gone
 	froze      []string // services that are frozen now and were not
 	thawed     []string // services that were frozen
+	draining   []string // services whose leader drains and did not
+	vacant     []string // services whose leader is gone and wasn't, so that nothing can be sent
 	configured bool     // there is a newer configuration
 }
 
@@ -175,6 +178,7 @@
 		for _, instance := range described.Instances {
 			if instance.ID == described.Leader.InstanceID {
 				entry.address = instance.Address
+				entry.leaderDrains = instance.Draining
 			}
 		}
 		services[described.Name] = entry
@@ -199,16 +203,27 @@
 		if present != nil && old.Frozen && !present.Frozen {
 			n.thawed = append(n.thawed, name)
 		}
+		if present != nil && old.address != "" && present.address == "" {
+			n.vacant = append(n.vacant, name)
+		}
 	}
 	for name, present := range after {
 		old := before[name]
 		if present.Frozen && (old == nil || !old.Frozen) {
 			n.froze = append(n.froze, name)
 		}
+		if present.leaderDrains && (old == nil || !old.leaderDrains) {
+			n.draining = append(n.draining, name)
+		}
+	}
+	for _, names := range [][]string{n.moved, n.froze, n.thawed, n.draining, n.vacant} {
+		slices.Sort(names)
 	}
-	slices.Sort(n.moved)
-	slices.Sort(n.froze)
-	slices.Sort(n.thawed)
+}
+
+// ofServices tells whether a service has changed in a way that is worth a line in the log.
+func (n *news) ofServices() bool {
+	return len(n.moved)+len(n.froze)+len(n.thawed)+len(n.draining)+len(n.vacant) > 0
 }
 
 // sameLeader tells whether the leadership is the same. A term that wasn't known before doesn't change it.
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"eiderway/control/feed"
 )
 
@@ -163,10 +165,22 @@
 	if changes.configured {
 		g.log.WithField("number", g.configurationNumber()).Info("configuration taken over")
 	}
-	if len(changes.moved)+len(changes.froze)+len(changes.thawed) > 0 {
-		g.log.WithField("moved", changes.moved).WithField("frozen", changes.froze).
-			WithField("thawed", changes.thawed).Info("table taken over")
+	if changes.ofServices() {
+		g.log.WithFields(changes.fields()).Info("table taken over")
+	}
+}
+
+// fields are those of the log's line: only what has changed.
+func (n *news) fields() logrus.Fields {
+	fields := logrus.Fields{}
+	for name, services := range map[string][]string{
+		"moved": n.moved, "frozen": n.froze, "thawed": n.thawed, "draining": n.draining, "vacant": n.vacant,
+	} {
+		if len(services) > 0 {
+			fields[name] = services
+		}
 	}
+	return fields
 }
 
 func (g *Gateway) configurationNumber() int64 {
--- /dev/null
+++ b/gateway/figures.go
@@ -0,0 +1,42 @@
+package gateway
+
+import "eiderway/system/metrics"
+
+// figures gives the gateway's own figures.
+func (g *Gateway) figures() []metrics.Figure {
+	now := g.counters.totals()
+	answers := map[string]uint64{
+		"completed": now.completed, "busy": now.busy, "rolledback": now.rolledBack, "indoubt": now.inDoubt,
+		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "other": now.otherError,
+	}
+	var figures []metrics.Figure
+	for answer, count := range answers {
+		figures = append(figures, metrics.Figure{
+			Name: "answers_total", Help: "Statements answered, by answer.", Value: float64(count), Of: answer,
+		})
+	}
+	return append(figures, g.standing()...)
+}
+
+// standing tells by what the gateway works.
+func (g *Gateway) standing() []metrics.Figure {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	held := g.directory
+	figures := []metrics.Figure{
+		metrics.NewGauge("sessions", "Sessions of clients that are open.", float64(len(g.clients))),
+		metrics.NewGauge("flights", "Statements and transactions that are under way.", float64(len(g.flights))),
+		metrics.NewGauge("lease_left_seconds", "How long the gateway may work by its table; negative: not any more.", (held.leaseUntil - g.now()).Seconds()),
+		metrics.NewGauge("table_epoch", "Epoch of the table.", float64(held.table.Version.Epoch)),
+		metrics.NewGauge("table_sequence", "Number of the table in its epoch.", float64(held.table.Version.Sequence)),
+		metrics.NewGauge("configuration", "Number of the configuration in force.", float64(held.table.ConfigurationNumber)),
+	}
+	for name, service := range held.services {
+		figures = append(figures,
+			metrics.NewGaugeOf("service_frozen", "1 while no statement may be started at the leader.", name, metrics.Flag(service.Frozen)),
+			metrics.NewGaugeOf("service_leader_draining", "1 while the leader drains.", name, metrics.Flag(service.leaderDrains)),
+			metrics.NewGaugeOf("service_vacant", "1 while no leader is known.", name, metrics.Flag(service.address == "")),
+		)
+	}
+	return figures
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"eiderway/control/feed"
 	"eiderway/control/rpc"
 	"eiderway/system"
+	"eiderway/system/metrics"
 	"eiderway/wire"
 )
 
@@ -32,7 +33,8 @@
 	Settings  system.Settings
 	Reload    <-chan system.Settings // settings that were read again; may be nil
 	Log       logrus.FieldLogger
-	Terminate <-chan struct{} // is closed when the process has been asked to end
+	Terminate <-chan struct{}      // is closed when the process has been asked to end
+	Publish   func(metrics.Source) // serves the process's figures; nil: nobody reads them
 }
 
 // watcher asks a controller for news.
@@ -85,6 +87,9 @@
 	defer cancel()
 	server := gateway.serveReadiness(readiness)
 	defer server.Close()
+	if boot.Publish != nil {
+		boot.Publish(gateway.figures)
+	}
 	following := make(chan struct{})
 	followed, stopFollowing := context.WithCancel(ctx)
 	defer stopFollowing()
--- /dev/null
+++ b/host/figures.go
@@ -0,0 +1,39 @@
+package host
+
+import (
+	"eiderway/control/controller"
+	"eiderway/control/replication"
+	"eiderway/system/metrics"
+)
+
+// figures gives the process's own figures: its counters, and how its controller stood at the last look.
+func (p *process) figures() []metrics.Figure {
+	var figures []metrics.Figure
+	for _, entry := range p.counters.news() {
+		figures = append(figures, metrics.Figure{
+			Name: entry.name + "_total", Help: "Counted since the start: " + entry.name + ".", Value: float64(entry.counter.Load()),
+		})
+	}
+	if status := p.loop.status.Load(); status != nil {
+		figures = append(figures, statusFigures(*status)...)
+	}
+	return figures
+}
+
+func statusFigures(status controller.Status) []metrics.Figure {
+	figures := []metrics.Figure{
+		metrics.NewGauge("primary", "1 while this controller leads the control state.", metrics.Flag(status.Role == replication.Primary)),
+		metrics.NewGauge("epoch", "Epoch of the view.", float64(status.View.ID.Epoch)),
+		metrics.NewGauge("view_voters", "Voters of the view.", float64(len(status.View.Voters))),
+		metrics.NewGauge("view_copies", "Copies of the control state by the view.", float64(len(status.View.Copies))),
+		metrics.NewGauge("configuration", "Number of the configuration in force.", float64(status.Configuration)),
+	}
+	for _, service := range status.Services {
+		figures = append(figures,
+			metrics.NewGaugeOf("service_instances", "Instances that are present.", service.Name, float64(service.Instances)),
+			metrics.NewGaugeOf("service_draining", "Instances that are present and drain.", service.Name, float64(service.Draining)),
+			metrics.NewGaugeOf("service_frozen", "1 while no statement may be started at the leader.", service.Name, metrics.Flag(service.Frozen)),
+		)
+	}
+	return figures
+}
--- a/host/host.go
+++ b/host/host.go
@@ -23,6 +23,7 @@
 	"eiderway/control/rpc"
 	"eiderway/control/store"
 	"eiderway/system"
+	"eiderway/system/metrics"
 )
 
 // The order of an end: handOverShare of the grace for the controller, then answersWait for answers on their way, then
@@ -40,7 +41,8 @@
 	Settings  system.Settings
 	Reload    <-chan system.Settings // the settings file has changed; may be nil
 	Log       logrus.FieldLogger
-	Terminate <-chan struct{} // closed when the process is asked to end in order; may be nil
+	Terminate <-chan struct{}      // closed when the process is asked to end in order; may be nil
+	Publish   func(metrics.Source) // serves the process's figures; nil: nobody reads them
 }
 
 // Run runs a controller until it has ended in order after Boot.Terminate, or the context ends.
@@ -58,6 +60,9 @@
 		return err
 	}
 	process := newProcess(ctx, boot, opened, durable)
+	if boot.Publish != nil {
+		boot.Publish(process.figures)
+	}
 	process.start(listeners)
 	process.loop.run(process.ctx)
 	process.end()
@@ -114,6 +119,9 @@
 		counterLog: counterLog{counters: counters, log: boot.Log, due: countersEvery},
 		started:    started,
 	}
+	if boot.Publish != nil {
+		p.loop.tell = decides.Status
+	}
 	p.prober = newProber(ctx, boot.Settings.Name, p.loop.now, p.probed, counters)
 	p.platform = &platform{
 		address:  platformAddress(boot.Settings),
--- a/host/loop.go
+++ b/host/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +17,8 @@
 const (
 	tickWorking = 25 * time.Millisecond
 	tickResting = 50 * time.Millisecond
+	// statusEvery is between two looks at how the controller stands, where its figures are served.
+	statusEvery = time.Second
 )
 
 // stepper is the state machine that decides.
@@ -27,6 +30,9 @@
 type loop struct {
 	controller stepper
 	leads      func() bool // whether the controller is primary
+	tell       func() controller.Status
+	status     atomic.Pointer[controller.Status] // at the last look; for others than the loop
+	statusDue  time.Duration
 	inbox      *mailbox
 	disk       *diskWriter
 	outbox     *outbox
@@ -82,6 +88,17 @@
 func (l *loop) tick() {
 	l.step(controller.Tick{})
 	l.counterLog.tick(l.now())
+	l.look(l.now())
+}
+
+// look notes now and then how the controller stands, if anybody wants to know.
+func (l *loop) look(now time.Duration) {
+	if l.tell == nil || now < l.statusDue {
+		return
+	}
+	l.statusDue = now + statusEvery
+	status := l.tell()
+	l.status.Store(&status)
 }
 
 func (l *loop) pause() time.Duration {
