--- a/cmd/eidersystem/demo_story.go
+++ b/cmd/eidersystem/demo_story.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"eiderway/system"
 	"eiderway/systemtest/workload"
 )
 
@@ -187,6 +188,7 @@
 		Statements: d.history.Statements(),
 		Journal:    d.service.Journal(),
 		Final:      d.service.Leader().Log(),
+		DrainTime:  system.DefaultBounds().Drain(),
 	})...)
 	d.tellSums(read)
 	for _, rule := range broken {
--- /dev/null
+++ b/systemtest/drain_test.go
@@ -0,0 +1,55 @@
+package systemtest
+
+import (
+	"testing"
+	"time"
+
+	"eiderway/testinstance"
+)
+
+// drainWatch is how long the end of an instance is watched: until it has ended, some time after it was to be left alone.
+const drainWatch = drainTime + 2*time.Second
+
+// TestLastInstanceDrains has both replicas leave, and then the primary, which is alone, drain, with nobody in its place. No
+// statement may be begun there once the drain time is over, though nobody can follow.
+func TestLastInstanceDrains(t *testing.T) {
+	t.Parallel() // mostly waits
+	w := startWorld(t)
+	w.replicasLeave()
+	w.service.Leader().Drain()
+	w.awaitDepartures(instanceCount)
+	time.Sleep(drainWatch)
+	w.conclude()
+}
+
+// TestInstancesThatLeftStayAway has both replicas leave without having drained. They serve on, say that they are ready, and calls of
+// theirs come late; then the primary drains. None of those that left may lead, however long they go on.
+func TestInstancesThatLeftStayAway(t *testing.T) {
+	t.Parallel() // mostly waits
+	w := startWorldWith(t, func(settings *testinstance.Settings) {
+		settings.BeatsOn = true
+		settings.LateShare, settings.LateMost = 0.5, 4*time.Second
+	})
+	w.replicasLeave()
+	w.service.Leader().Drain()
+	w.awaitDepartures(instanceCount)
+	time.Sleep(drainWatch)
+	w.conclude()
+}
+
+// replicasLeave has all but the primary leave.
+func (w *world) replicasLeave() {
+	w.Helper()
+	for _, one := range w.instances {
+		if one != w.service.Leader() {
+			one.Leave()
+		}
+	}
+	w.awaitDepartures(instanceCount - 1)
+}
+
+// awaitDepartures waits until so many instances have had their drain or leave acknowledged.
+func (w *world) awaitDepartures(count int) {
+	w.Helper()
+	w.await("drains and leaves are acknowledged", func() bool { return len(w.service.Journal().Departures) == count })
+}
--- a/systemtest/workload/judge.go
+++ b/systemtest/workload/judge.go
@@ -17,6 +17,7 @@
 	Statements []Statement
 	Journal    testinstance.Journal
 	Final      testinstance.Log // of the instance that leads at the end
+	DrainTime  time.Duration    // after which nothing may be begun at an instance that has said that it goes
 }
 
 // Judge returns the rules that were broken, each with what breaks it; none if all were kept.
@@ -29,6 +30,7 @@
 	j.promotedHoldAcknowledged()
 	j.readsAreFresh()
 	j.onePrimary()
+	j.departedAreLeftAlone()
 	return j.broken
 }
 
@@ -192,3 +194,16 @@
 		}
 	}
 }
+
+// departedAreLeftAlone: no statement is begun at an instance later than the drain time after its end was acknowledged.
+func (j *judge) departedAreLeftAlone() {
+	gone := map[string]time.Time{}
+	for _, departure := range j.Journal.Departures {
+		gone[departure.Instance] = departure.At.Add(j.DrainTime)
+	}
+	for _, ran := range j.Journal.Ran {
+		if until, departed := gone[ran.Instance]; departed && ran.First && ran.At.After(until) {
+			j.report("DRAIN", "%s began at %s %v too late", ran.ID, ran.Instance, ran.At.Sub(until))
+		}
+	}
+}
--- a/systemtest/workload/judge_test.go
+++ b/systemtest/workload/judge_test.go
@@ -44,7 +44,8 @@
 				{ID: "s3", Text: "FETCH t", Instance: "two", Term: 2, Stamp: "c", Rows: []string{"y"}, Log: final, At: at(6)},
 			},
 		},
-		Final: final,
+		Final:     final,
+		DrainTime: 4 * time.Second,
 	}
 }
 
@@ -55,6 +56,10 @@
 		rule  string
 		spoil func(*Evidence)
 	}{
+		"a statement at one that has gone": {"DRAIN", func(e *Evidence) {
+			e.Journal.Departures = []testinstance.Departure{{Instance: "two", At: at(1)}}
+			e.Journal.Ran[2].First = true
+		}},
 		"an acknowledged write is gone":  {"LOST", func(e *Evidence) { e.Final = e.Final[:1] }},
 		"a promote without it":           {"LOST", func(e *Evidence) { e.Journal.Promotes[1].Log = nil }},
 		"a write is kept twice":          {"TWICE", func(e *Evidence) { e.Final = append(e.Final[:2:2], entry(2, 3, "s2", "y")) }},
--- a/testinstance/connection.go
+++ b/testinstance/connection.go
@@ -21,6 +21,7 @@
 	values    map[string]string
 	readOnly  bool    // of the open transaction
 	pending   []Write // of the open transaction
+	opened    bool    // the open transaction has run a read or a write
 	beganTerm uint64  // of the open transaction
 }
 
--- a/testinstance/heartbeat.go
+++ b/testinstance/heartbeat.go
@@ -15,13 +15,12 @@
 )
 
 const (
-	beatWait         = time.Second            // for an acknowledgement
-	beatRetry        = 50 * time.Millisecond  // before another controller is called
-	mostAnswer       = 4 << 10                // bytes of an acknowledgement
-	mostRedirect     = 2                      // that a caller follows
-	leaveTries       = 20                     // after which an instance ends without an acknowledgement
-	softwareRevision = "v1"                   // configRevision
-	drainLinger      = 200 * time.Millisecond // served beyond the drain time
+	beatWait         = time.Second           // for an acknowledgement
+	beatRetry        = 50 * time.Millisecond // before another controller is called
+	mostAnswer       = 4 << 10               // bytes of an acknowledgement
+	mostRedirect     = 2                     // that a caller follows
+	leaveTries       = 20                    // after which an instance ends without an acknowledgement
+	softwareRevision = "v1"                  // configRevision
 )
 
 // heartbeat is the body of POST /instances/ID/heartbeat.
@@ -70,10 +69,19 @@
 	caller := newCaller(i)
 	defer caller.client.CloseIdleConnections()
 	for i.awaitThaw(ctx) {
+		if i.isLeavingFirst() {
+			i.leave(ctx, caller)
+			i.serveOn(ctx, caller, i.service.settings.BeatsOn)
+			i.finish()
+			return
+		}
 		beat := i.heartbeat()
 		acknowledged := caller.call(ctx, "heartbeat", func() any { return i.heartbeat() }) == nil
 		if acknowledged && beat.OperState == "draining" {
-			i.finishDrain(ctx, caller)
+			i.departs()
+			i.serveOn(ctx, caller, true)
+			i.leave(ctx, caller)
+			i.finish()
 			return
 		}
 		i.rest(ctx)
@@ -124,7 +132,9 @@
 		targets = append([]string{c.target}, targets...)
 	}
 	for _, target := range targets {
-		answer, err := c.post(ctx, target, action, body())
+		call := body()
+		c.sendLate(ctx, target, action, call)
+		answer, err := c.post(ctx, target, action, call)
 		if err == nil {
 			c.target = answer.BeatTarget
 			return nil
@@ -137,6 +147,21 @@
 	return errNoController
 }
 
+// sendLate has some calls come once more, much later, as if they had been held up on their way.
+func (c *caller) sendLate(ctx context.Context, target, action string, body any) {
+	settings := c.instance.service.settings
+	if settings.LateShare <= 0 || rand.Float64() >= settings.LateShare {
+		return
+	}
+	late := newCaller(c.instance)
+	c.instance.service.running.Go(func() {
+		defer late.client.CloseIdleConnections()
+		if pause(context.WithoutCancel(ctx), rand.N(settings.LateMost)) {
+			_, _ = late.post(context.WithoutCancel(ctx), target, action, body)
+		}
+	})
+}
+
 func (c *caller) post(ctx context.Context, target, action string, body any) (acknowledgement, error) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
@@ -176,17 +201,47 @@
 	i.beatSoon()
 }
 
-// finishDrain serves on after the acknowledgement, with beats, and leaves.
-func (i *Instance) finishDrain(ctx context.Context, caller *caller) {
-	for until := time.Now().Add(i.service.settings.DrainTime + drainLinger); time.Now().Before(until) && ctx.Err() == nil; {
+// Leave begins a planned end without a drain: the instance says that it leaves, serves on for a while, and ends.
+func (i *Instance) Leave() {
+	i.service.mutex.Lock()
+	defer i.service.mutex.Unlock()
+	i.leavesFirst = true
+	i.service.note("%s leaves without having drained", i.id)
+	i.beatSoon()
+}
+
+func (i *Instance) isLeavingFirst() bool {
+	i.service.mutex.Lock()
+	defer i.service.mutex.Unlock()
+	return i.leavesFirst
+}
+
+// serveOn goes on after the acknowledgement of the end, with beats or without.
+func (i *Instance) serveOn(ctx context.Context, caller *caller, beats bool) {
+	settings := i.service.settings
+	for until := time.Now().Add(settings.DrainTime + settings.Linger); time.Now().Before(until) && ctx.Err() == nil; {
 		i.rest(ctx)
-		_ = caller.call(ctx, "heartbeat", func() any { return i.heartbeat() }) // the next one tells the same
+		if beats {
+			_ = caller.call(ctx, "heartbeat", func() any { return i.heartbeat() }) // the next one tells the same
+		}
 	}
+}
+
+// leave says that the instance leaves.
+func (i *Instance) leave(ctx context.Context, caller *caller) {
 	for range leaveTries {
-		if caller.call(ctx, "leave", func() any { return struct{}{} }) == nil || ctx.Err() != nil {
-			break
+		if caller.call(ctx, "leave", func() any { return struct{}{} }) == nil {
+			i.departs()
+			return
+		}
+		if ctx.Err() != nil {
+			return
 		}
 	}
+}
+
+// finish ends the instance for good.
+func (i *Instance) finish() {
 	i.service.mutex.Lock()
 	defer i.service.mutex.Unlock()
 	i.left = true
--- a/testinstance/instance.go
+++ b/testinstance/instance.go
@@ -23,6 +23,7 @@
 	isFrozen    bool
 	left        bool
 	draining    bool
+	leavesFirst bool // it leaves without having said that it drains
 	primary     bool
 	term        uint64
 	termHeld    uint64
--- a/testinstance/journal.go
+++ b/testinstance/journal.go
@@ -7,8 +7,15 @@
 
 // Journal is what the instances of a service did, in the order in which they did it.
 type Journal struct {
-	Promotes []Promote
-	Ran      []Ran
+	Promotes   []Promote
+	Ran        []Ran
+	Departures []Departure
+}
+
+// Departure is the first acknowledgement of an instance's word that it drains or leaves.
+type Departure struct {
+	Instance string
+	At       time.Time
 }
 
 // Promote is the beginning of a term.
@@ -29,6 +36,7 @@
 	Rows     []string
 	Log      Log // after it
 	Wrote    bool
+	First    bool // a single statement, or the first read or write of a transaction
 	At       time.Time
 }
 
@@ -36,5 +44,19 @@
 func (s *Service) Journal() Journal {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return Journal{Promotes: slices.Clone(s.journal.Promotes), Ran: slices.Clone(s.journal.Ran)}
+	return Journal{
+		Promotes:   slices.Clone(s.journal.Promotes),
+		Ran:        slices.Clone(s.journal.Ran),
+		Departures: slices.Clone(s.journal.Departures),
+	}
+}
+
+// departs writes down that a controller has acknowledged that the instance drains or leaves.
+func (i *Instance) departs() {
+	i.service.mutex.Lock()
+	defer i.service.mutex.Unlock()
+	known := slices.ContainsFunc(i.service.journal.Departures, func(one Departure) bool { return one.Instance == i.id })
+	if !known {
+		i.service.journal.Departures = append(i.service.journal.Departures, Departure{Instance: i.id, At: time.Now()})
+	}
 }
--- a/testinstance/service.go
+++ b/testinstance/service.go
@@ -26,7 +26,11 @@
 	Work           time.Duration        // for which a statement holds a slot
 	CutBackTime    time.Duration        // for which a replica that was cut back is busy
 	BeatInterval   time.Duration        // between heartbeats
-	DrainTime      time.Duration        // served on after the acknowledgement of a drain
+	DrainTime      time.Duration        // served on after the acknowledgement of a drain or of a leave
+	Linger         time.Duration        // served beyond the drain time
+	BeatsOn        bool                 // heartbeats go on after a leave that no drain came before
+	LateShare      float64              // of the calls to controllers that come a second time, late
+	LateMost       time.Duration        // how late
 	Controllers    func() []string      // control addresses, as the operator's list has them
 	Note           func(message string) // told what happens, with the lock held; may be nil
 }
@@ -45,6 +49,7 @@
 		CutBackTime:    100 * time.Millisecond,
 		BeatInterval:   300 * time.Millisecond,
 		DrainTime:      time.Second,
+		Linger:         200 * time.Millisecond,
 		Controllers:    controllers,
 	}
 }
--- a/testinstance/statements.go
+++ b/testinstance/statements.go
@@ -41,7 +41,7 @@
 		return c.fail(wire.ReadOnly, instance.id)
 	}
 	c.state = wire.InTransaction
-	c.readOnly, c.beganTerm, c.pending = statement.ReadOnly, term, nil
+	c.readOnly, c.beganTerm, c.pending, c.opened = statement.ReadOnly, term, nil, false
 	return c.completed()
 }
 
@@ -76,7 +76,7 @@
 	var stamp string
 	lags := statement.HasAfter && !log.reaches(statement.After)
 	if !lags && !lost {
-		stamp = c.record(ran)
+		stamp = c.record(ran, c.opens())
 	}
 	service.mutex.Unlock()
 	switch {
@@ -110,7 +110,7 @@
 func (c *connection) put(request wire.Request, statement wire.Statement) (wire.Answer, error) {
 	write := Write{Thing: statement.Thing, Data: statement.Data}
 	if c.state == wire.Idle {
-		return c.write(request, []Write{write})
+		return c.write(request, []Write{write}, true)
 	}
 	service := c.instance.service
 	service.mutex.Lock()
@@ -118,7 +118,7 @@
 	var stamp string
 	if !refused {
 		c.pending = append(c.pending, write)
-		stamp = c.record(Ran{ID: request.ID, Text: request.Text, Log: c.instance.log})
+		stamp = c.record(Ran{ID: request.ID, Text: request.Text, Log: c.instance.log}, c.opens())
 	}
 	service.mutex.Unlock()
 	if refused {
@@ -141,7 +141,7 @@
 	lost := c.lostLead() && len(writes) > 0
 	stamp := ""
 	if len(writes) == 0 {
-		stamp = c.record(Ran{ID: request.ID, Text: request.Text, Log: c.instance.log})
+		stamp = c.record(Ran{ID: request.ID, Text: request.Text, Log: c.instance.log}, false)
 	}
 	service.mutex.Unlock()
 	c.endTransaction()
@@ -151,12 +151,12 @@
 	case len(writes) == 0:
 		return wire.Answer{Stamp: stamp, State: c.state, Position: c.position()}, nil
 	}
-	return c.write(request, writes)
+	return c.write(request, writes, false)
 }
 
 // write commits, and waits for the replica that the commit is answered after. What no replica has received when the
 // instance loses the lead gets no answer.
-func (c *connection) write(request wire.Request, writes []Write) (wire.Answer, error) {
+func (c *connection) write(request wire.Request, writes []Write, first bool) (wire.Answer, error) {
 	instance := c.instance
 	service := instance.service
 	service.mutex.Lock()
@@ -165,7 +165,7 @@
 		return c.fail(wire.ReadOnly, instance.id), nil
 	}
 	entry := instance.write(request.ID, writes)
-	stamp := c.record(Ran{ID: request.ID, Text: request.Text, Log: instance.log, Wrote: true})
+	stamp := c.record(Ran{ID: request.ID, Text: request.Text, Log: instance.log, Wrote: true}, first)
 	service.mutex.Unlock()
 	if !instance.awaitReplica(c.ctx, entry) {
 		return wire.Answer{}, errBroken
@@ -173,14 +173,22 @@
 	return wire.Answer{Stamp: stamp, State: c.state, Position: wire.FormatPosition(entry.Position)}, nil
 }
 
+// opens tells whether a read or write is a single one, or the first of its transaction, and notes that it has come.
+func (c *connection) opens() bool {
+	first := c.state == wire.Idle || !c.opened
+	c.opened = c.state == wire.InTransaction
+	return first
+}
+
 // record writes down what a client's statement had the instance run, and makes its stamp. The lock is held.
-func (c *connection) record(ran Ran) string {
+func (c *connection) record(ran Ran, first bool) string {
 	service := c.instance.service
 	service.stamps++
 	ran.Instance = c.instance.id
 	ran.Term = c.instance.term
 	ran.Stamp = fmt.Sprintf("%d.%s.%x", ran.Term, ran.Instance, service.stamps)
 	ran.At = time.Now()
+	ran.First = first
 	service.journal.Ran = append(service.journal.Ran, ran)
 	return ran.Stamp
 }
