Registry: an acknowledged drain or leave is final within an instance's life

Change: no beat takes back an end in the same life; another life is a new count with a beat that warms up. The state layer refuses a record that would, and counts it (invariant: end is final). An instance displaced by another at its address is told apart from one that said farewell.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -9,6 +9,7 @@
 
 	"eiderway/control/configuration"
 	"eiderway/control/failover"
+	"eiderway/control/invariant"
 	"eiderway/control/registry"
 	"eiderway/control/replication"
 	"eiderway/control/state"
@@ -124,6 +125,9 @@
 	for index := range batch.commands {
 		c.decide(transaction, &batch.commands[index])
 	}
+	for _, broken := range transaction.Broken() {
+		c.event(invariant.Broken, broken)
+	}
 	mutations := transaction.Mutations()
 	if len(mutations) == 0 {
 		c.finishWithoutChange(batch)
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"eiderway/control/failover"
+	"eiderway/control/invariant"
 	"eiderway/control/quorum"
 	"eiderway/control/registry"
 	"eiderway/control/replication"
@@ -30,6 +31,8 @@
 	guards      disabledGuards
 	terminating bool
 	effects     Effects
+
+	invariantsBroken uint64 // since the start
 }
 
 // term is the memory of one term of office as primary. It starts empty with each term.
@@ -207,6 +210,9 @@
 }
 
 func (c *Controller) event(what, text string) {
+	if what == invariant.Broken {
+		c.invariantsBroken++
+	}
 	c.effects.Events = append(c.effects.Events, Event{What: what, Text: text})
 }
 
@@ -222,6 +228,7 @@
 	Stamp         quorum.Stamp
 	Configuration int64
 	Frozen        []string
+	Broken        uint64          // invariants, since the start
 	Services      []ServiceStatus // at the primary
 }
 
@@ -235,7 +242,7 @@
 
 // Status tells how things stand.
 func (c *Controller) Status() Status {
-	status := Status{Role: c.node.Role(), View: c.node.View(), Stamp: c.node.Stamp()}
+	status := Status{Role: c.node.Role(), View: c.node.View(), Stamp: c.node.Stamp(), Broken: c.invariantsBroken}
 	if c.term != nil {
 		status.Configuration = c.term.table.configurationNumber
 		status.Frozen = c.term.frozenServices()
--- a/control/registry/api.go
+++ b/control/registry/api.go
@@ -20,9 +20,13 @@
 //
 // # Coming back
 //
-// An instance that was taken for lost comes back with the next beat that isn't late. One that has left by its own word comes
-// back only with a beat that isn't late and says ready, since its beats before the leave say draining. Neither comes back
-// to an address at which another instance is present.
+// A drain and a leave that were acknowledged are final for the life of an instance: gateways and operators rely on them. Some instances
+// leave without having drained, go on beating, and say that they are ready, and a beat may come seconds late; so no beat of the
+// same life takes an end back, whatever its number. Another life shows itself by a new count with a beat in it that says that
+// the instance is warming up.
+//
+// An instance that was taken for lost, or whose address another one had, comes back with the next beat that isn't late; if it
+// drained, it still does. Nobody comes back to an address at which another instance is present.
 //
 // Addresses are used again. An instance that appears at the address of another shows that the other has ended, and the
 // other is recorded as having left.
--- a/control/registry/order.go
+++ b/control/registry/order.go
@@ -14,15 +14,16 @@
 	again                  // the newest one, sent again
 	newer                  // newer than all that were seen
 	restarted              // the first one that counts since the instance numbers its calls anew
+	reborn                 // the same, and it has warmed up meanwhile: its process was started anew
 )
 
+// countsAnew tells whether the number of the beat is the first of a new count that must be recorded.
+func (o order) countsAnew() bool { return o == restarted || o == reborn }
+
 func orderOf(now time.Duration, seen *sighting, record state.Instance, beat Heartbeat) order {
 	switch {
 	case isLate(seen, record, beat.CallSeq):
-		if countsAnew(now, seen, record, beat) {
-			return restarted
-		}
-		return late
+		return orderOfLate(now, seen, record, beat)
 	case seen.counted && beat.CallSeq == seen.highest:
 		return again
 	default:
@@ -37,10 +38,16 @@
 	return record.ID != "" && callSeq <= record.CallSeq
 }
 
-// countsAnew tells whether a beat that seems late shows that the instance was started again.
-func countsAnew(now time.Duration, seen *sighting, record state.Instance, beat Heartbeat) bool {
-	if record.Lost && beat.WarmupLeftMs > 0 {
-		return true
+// orderOfLate finds out whether a beat that seems late shows that the instance was started again.
+func orderOfLate(now time.Duration, seen *sighting, record state.Instance, beat Heartbeat) order {
+	warming := beat.WarmupLeftMs > 0
+	switch {
+	case record.Lost && warming:
+		return reborn
+	case !seen.anew.follow(now, beat.CallSeq, warming):
+		return late
+	case seen.anew.warmed:
+		return reborn
 	}
-	return seen.anew.follow(now, beat.CallSeq)
+	return restarted
 }
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -48,17 +48,22 @@
 		return false
 	}
 	seen.take(now, beat.CallSeq)
-	if record.Left && !mayReturn(tx, record, beat) {
+	if record.Left && !mayReturn(tx, record, order, beat) {
 		return false
 	}
-	current := instanceOf(beat)
-	if known && !record.Left && order != restarted && record.Instance == current {
+	current := state.Instance{Instance: instanceOf(beat), CallSeq: beat.CallSeq, Life: record.Life}
+	if order == reborn {
+		current.Life++
+	} else {
+		current.Draining = current.Draining || record.Draining
+	}
+	if known && !record.Left && !order.countsAnew() && record.Instance == current.Instance {
 		return order != again
 	}
 	if record.Left || record.Address != current.Address {
-		r.displace(tx, current)
+		r.displace(tx, current.Instance)
 	}
-	tx.PutInstance(state.Instance{Instance: current, CallSeq: beat.CallSeq})
+	tx.PutInstance(current)
 	return order != again
 }
 
@@ -73,9 +78,10 @@
 	}
 }
 
-// mayReturn tells whether a beat that isn't late brings back an instance that left.
-func mayReturn(reader state.Reader, record state.Instance, beat Heartbeat) bool {
-	if !record.Lost && beat.OperState != Ready {
+// mayReturn tells whether a beat that isn't late brings back an instance that left. One that said itself that it leaves is back
+// only in another life.
+func mayReturn(reader state.Reader, record state.Instance, order order, beat Heartbeat) bool {
+	if record.SaidFarewell() && order != reborn {
 		return false
 	}
 	return len(othersAt(reader, instanceOf(beat))) == 0
@@ -84,7 +90,7 @@
 // displace records that those have left at whose address another instance has appeared.
 func (r *Registry) displace(tx *state.Transaction, current feed.Instance) {
 	for _, other := range othersAt(tx, current) {
-		r.putLeft(tx, other, false)
+		r.putLeft(tx, other, displaced)
 	}
 }
 
@@ -102,20 +108,30 @@
 		return
 	}
 	record, known := state.InstanceByID(tx, id)
-	if known && record.Left && !record.Lost {
+	if known && record.SaidFarewell() {
 		return
 	}
 	record.ID = id
-	r.putLeft(tx, record, false)
+	r.putLeft(tx, record, farewell)
 }
 
+// ending is why an instance is taken for gone.
+type ending int
+
+const (
+	farewell  ending = iota // it said so
+	silent                  // it has been silent for too long
+	displaced               // another one is at its address
+)
+
 // putLeft records that an instance has left, with the highest callSeq that was seen of it.
-func (r *Registry) putLeft(tx *state.Transaction, record state.Instance, lost bool) {
+func (r *Registry) putLeft(tx *state.Transaction, record state.Instance, why ending) {
 	if seen, found := r.sightings[record.ID]; found && seen.counted {
 		record.CallSeq = max(record.CallSeq, seen.highest)
 	}
 	record.Left = true
-	record.Lost = lost
+	record.Lost = why == silent
+	record.Displaced = why == displaced
 	tx.PutInstance(record)
 }
 
--- a/control/registry/sighting.go
+++ b/control/registry/sighting.go
@@ -16,18 +16,20 @@
 
 // newCount follows late beats that may be the first of a count that began again.
 type newCount struct {
-	begun bool
-	since time.Duration
-	last  uint64
+	begun  bool
+	since  time.Duration
+	last   uint64
+	warmed bool // one of its beats said that the instance was warming up
 }
 
 // follow takes a late beat and tells whether the count has begun again.
-func (n *newCount) follow(now time.Duration, callSeq uint64) bool {
+func (n *newCount) follow(now time.Duration, callSeq uint64, warming bool) bool {
 	if !n.begun || callSeq <= n.last {
-		*n = newCount{begun: true, since: now, last: callSeq}
+		*n = newCount{begun: true, since: now, last: callSeq, warmed: warming}
 		return false
 	}
 	n.last = callSeq
+	n.warmed = n.warmed || warming
 	return now-n.since >= restartEvidence
 }
 
--- a/control/registry/silence.go
+++ b/control/registry/silence.go
@@ -58,7 +58,7 @@
 		}
 		r.silence.next = min(r.silence.next, now+r.lostAfter/checksPerLoss)
 		if _, keep := kept[instance.ID]; !keep {
-			r.putLeft(tx, instance, true)
+			r.putLeft(tx, instance, silent)
 			lost = append(lost, instance.ID)
 		}
 	}
--- a/control/state/api.go
+++ b/control/state/api.go
@@ -41,4 +41,18 @@
 	CallSeq uint64 // of the call that brought the last change recorded here; of one that left, the highest seen
 	Left    bool   // it has left (or was lost); kept so that a late beat does not bring it back
 	Lost    bool   // with Left: it was taken for lost in silence, and has not said that it leaves
+	// Displaced, with Left: another instance appeared at its address, and it has not said that it leaves.
+	Displaced bool
+	Life      uint64 // rises when the instance is known to have been started anew, so that an end it has said is over
+}
+
+// SaidFarewell tells whether an instance has left by its own word, which was acknowledged.
+func (i Instance) SaidFarewell() bool { return i.Left && !i.Lost && !i.Displaced }
+
+// takesBackEnd tells whether a record would take back an end that may have been acknowledged: a drain or a leave is final in a life.
+func (i Instance) takesBackEnd(next Instance) bool {
+	if next.Life > i.Life {
+		return false
+	}
+	return i.Draining && !next.Draining || i.SaidFarewell() && !next.SaidFarewell()
 }
--- a/control/state/instance.go
+++ b/control/state/instance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"eiderway/control/invariant"
 	"eiderway/control/replication"
 )
 
@@ -32,9 +33,14 @@
 	InstanceID string
 }
 
-// PutInstance records an instance, in place of what was known of it.
+// PutInstance records an instance, in place of what was known of it. A record that would take back an end that may have been
+// acknowledged is not taken.
 func (t *Transaction) PutInstance(instance Instance) {
-	before, _ := recordOf(t, instance.ID)
+	before, known := recordOf(t, instance.ID)
+	if known && before.takesBackEnd(instance) {
+		t.broken = append(t.broken, invariant.EndIsFinal+": "+instance.ID)
+		return
+	}
 	t.moveAddress(instance.ID, before, instanceRecord{Instance: instance})
 	if instance.Left {
 		t.putDeparted(instance, before.Departure)
--- a/control/state/transaction.go
+++ b/control/state/transaction.go
@@ -14,6 +14,7 @@
 type Transaction struct {
 	base    Reader
 	changed map[string]replication.Mutation
+	broken  []string // invariants that something would have broken; it was not done
 }
 
 // NewTransaction starts a transaction in which nothing is changed.
@@ -51,6 +52,9 @@
 	return merged
 }
 
+// Broken returns the invariants that commands would have broken.
+func (t *Transaction) Broken() []string { return t.broken }
+
 // Mutations returns what was changed, sorted by key. It is empty if everything is as it was.
 func (t *Transaction) Mutations() []replication.Mutation {
 	mutations := t.changedUnder("")
--- a/host/figures.go
+++ b/host/figures.go
@@ -28,6 +28,9 @@
 		metrics.NewGauge("view_copies", "Copies of the control state by the view.", float64(len(status.View.Copies))),
 		metrics.NewGauge("configuration", "Number of the configuration in force.", float64(status.Configuration)),
 	}
+	figures = append(figures, metrics.Figure{
+		Name: "invariants_broken_total", Help: "Invariants that did not hold, since the start.", Value: float64(status.Broken),
+	})
 	for _, service := range status.Services {
 		figures = append(figures,
 			metrics.NewGaugeOf("service_instances", "Instances that are present.", service.Name, float64(service.Instances)),
--- a/host/loop.go
+++ b/host/loop.go
@@ -10,6 +10,7 @@
 	"eiderway/control/controller"
 	"eiderway/control/failover"
 	"eiderway/control/feed"
+	"eiderway/control/invariant"
 )
 
 // Time between ticks. Timing decisions of the controller are tens of milliseconds apart when it leads or has work under
@@ -139,11 +140,19 @@
 		l.call(call, began)
 	}
 	for _, event := range effects.Events {
-		l.log.Info(event.What + ": " + event.Text)
+		l.note(event)
 	}
 	l.mayEnd = l.mayEnd || effects.MayEnd
 }
 
+func (l *loop) note(event controller.Event) {
+	if event.What == invariant.Broken {
+		l.log.Error(event.What + ": " + event.Text)
+		return
+	}
+	l.log.Info(event.What + ": " + event.Text)
+}
+
 func (l *loop) count(wanted bool) {
 	if !wanted {
 		l.counters.lateReplies.Add(1)
--- a/systemtest/views_test.go
+++ b/systemtest/views_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
+	"eiderway/control/invariant"
 	"eiderway/systemtest/workload"
 )
 
@@ -58,3 +60,17 @@
 		return newest.voters == workload.Controllers && newest.copies == workload.Controllers
 	})
 }
+
+// brokenInvariants gives the lines in which a process says that an invariant of its own doesn't hold.
+func (w *world) brokenInvariants() []string {
+	var broken []string
+	for _, one := range append(slices.Clone(w.controllers), w.gateways...) {
+		contents, _ := os.ReadFile(one.logPath)
+		for line := range strings.Lines(string(contents)) {
+			if strings.Contains(line, invariant.Broken) {
+				broken = append(broken, one.name+": "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return broken
+}
--- a/systemtest/world_test.go
+++ b/systemtest/world_test.go
@@ -275,6 +275,7 @@
 		DrainTime:  drainTime,
 	})...)
 	broken = append(broken, judgeFences(w.platform.Calls())...)
+	broken = append(broken, w.brokenInvariants()...)
 	if !areLinearizable(w.orders) {
 		broken = append(broken, "CONFIG: the orders are not linearizable")
 	}
