Drains: every gateway keeps to the time that a drain leaves, and no leader is spared

A leader that was alone in its service was never frozen. The promise behind an acknowledged drain had no owner where statements are sent. Change: answers to gateways say how long statements may yet be begun at each instance that drains; a gateway keeps to that by its own steady clock, at the last check before the bytes leave, also for the first statement of a transaction that has begun. A leader whose drain is spent is frozen whether anybody can follow or not. Leases and margins follow drainMs. Invariants, counted and logged: drained leader is frozen; no late begin.

--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -91,7 +91,12 @@
 	if watch.gone {
 		return
 	}
-	answer := feed.WatchAnswer{Primary: c.self, Members: c.term.table.members, Lease: c.settings.Lease}
+	answer := feed.WatchAnswer{
+		Primary: c.self,
+		Members: c.term.table.members,
+		Lease:   c.settings.Lease,
+		Drains:  c.term.failover.Drains(c.now),
+	}
 	if watch.request.Applied.Less(c.term.table.version) {
 		answer.Table = c.term.table.forGateway(watch.request.Configuration)
 	}
--- a/control/failover/api.go
+++ b/control/failover/api.go
@@ -207,6 +207,7 @@
 	SuspectAfter time.Duration // silence of the leader, with probes failing, before the service is frozen
 	ReplicaLost  time.Duration // silence after which a replica is taken for gone, if the leader has outlived it
 	DrainLimit   time.Duration // how long statements may reach an instance after its drain was acknowledged
+	DrainMargin  time.Duration // how long before that none is begun any more: the way there takes time
 	LateCall     time.Duration // how long a call of an earlier holder may still be on its way where fences aren't checked
 }
 
@@ -215,3 +216,4 @@
 //	func New(now time.Duration, settings Settings) *Manager
 //	func (m *Manager) Step(now time.Duration, input Input) Effects
 //	func (m *Manager) Frozen(service string) (freeze uint64, frozen bool)   freeze: number of the freeze, rising
+//	func (m *Manager) Drains(now time.Duration) []feed.DrainLimit           of all instances that drain
--- a/control/failover/call.go
+++ b/control/failover/call.go
@@ -153,7 +153,7 @@
 	if s.why != openIntent || s.callMayAct(now) || !s.isLeading(leader, max(s.frozenAt, now-statusFresh)) {
 		return false
 	}
-	return !leader.drainSpent(now, s.settings().DrainLimit)
+	return !leader.drainSpent(now, s.settings())
 }
 
 // noteTarget notes since when the target has answered without leading.
--- a/control/failover/freeze.go
+++ b/control/failover/freeze.go
@@ -30,7 +30,7 @@
 	if !s.isLeading(leader, s.frozenAt) || leader.failures > 0 {
 		return false
 	}
-	if s.latestTerm() > s.view.Leader.Term || leader.drainSpent(now, s.settings().DrainLimit) {
+	if s.latestTerm() > s.view.Leader.Term || leader.drainSpent(now, s.settings()) {
 		return false
 	}
 	switch s.why {
--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -15,10 +15,14 @@
 package failover
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/samber/lo"
+
+	"eiderway/control/feed"
+	"eiderway/control/invariant"
 )
 
 // Manager decides on the failover of all services of a control state.
@@ -44,6 +48,7 @@
 	callWithoutIntent  bool // the call leaves before its intent is committed
 	repeatAtOnce       bool // after an unknown outcome another target may be called at once
 	lateCallsForgotten bool // an earlier holder's calls are not waited out
+	loneLeaderKept     bool // a leader that is alone is never frozen, however long it has drained
 }
 
 type pendingProbe struct {
@@ -90,10 +95,37 @@
 				s.advance(now)
 			}
 		}
+		m.check(now)
 	}
 	return m.effects
 }
 
+// check tells of services that break an invariant.
+func (m *Manager) check(now time.Duration) {
+	for _, name := range m.order {
+		s := m.services[name]
+		leader := s.leader()
+		overdue := leader != nil && !s.frozen && leader.drainSpent(now-frozenWithin, m.settings)
+		if overdue && !s.overdueSaid {
+			m.event(invariant.Broken, fmt.Sprintf("%s: %s: %s", invariant.DrainedLeaderIsFrozen, name, leader.instance.ID))
+		}
+		s.overdueSaid = overdue
+	}
+}
+
+// Drains tells of all instances that drain how long statements may yet be begun there.
+func (m *Manager) Drains(now time.Duration) []feed.DrainLimit {
+	var drains []feed.DrainLimit
+	for _, name := range m.order {
+		for _, known := range m.services[name].present() {
+			if known.instance.Draining {
+				drains = append(drains, feed.DrainLimit{InstanceID: known.instance.ID, Left: known.drainLeft(now, m.settings)})
+			}
+		}
+	}
+	return drains
+}
+
 // Frozen tells whether no statement may be started at the leader of the service, and the number of the freeze.
 func (m *Manager) Frozen(service string) (freeze uint64, frozen bool) {
 	s, found := m.services[service]
--- a/control/failover/manager_test.go
+++ b/control/failover/manager_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"eiderway/control/feed"
+	"eiderway/control/invariant"
 )
 
 // desk drives a manager by hand: instances answer as set, and nothing is committed or cleared unless the test says so.
@@ -259,3 +260,55 @@
 	}
 	is.True(d.manager.numbers-before <= 10) // the leader each three seconds, and nobody else
 }
+
+// lonelyDrain is a service whose leader is alone and drains, after the time in which statements may reach it.
+func lonelyDrain(off guards) (d *desk, broken []string) {
+	view := ServiceView{Name: "a", Leader: feed.Leader{InstanceID: "a1", Term: 3}}
+	view.Instances = []feed.Instance{{ID: "a1", Service: "a", Address: "a1"}}
+	d = newDesk(view)
+	d.manager.guards = off
+	leading := replicaAt(12)
+	leading.Primary = true
+	d.answers["a1"] = leading
+	d.wait(time.Second)
+	view.Instances = []feed.Instance{{ID: "a1", Service: "a", Address: "a1", Draining: true}}
+	d.step(World{Services: []ServiceView{view}})
+	for end := d.now + DefaultSettings().DrainLimit; d.now < end; d.now += tickEvery {
+		for _, event := range d.manager.Step(d.now, Tick{}).Events {
+			if event.What == invariant.Broken {
+				broken = append(broken, event.Text)
+			}
+		}
+	}
+	return d, broken
+}
+
+func TestLoneDrainingLeaderIsFrozenInTime(t *testing.T) {
+	is := is.New(t)
+	d, broken := lonelyDrain(guards{})
+	_, frozen := d.manager.Frozen("a")
+	is.True(frozen)
+	is.Equal(len(broken), 0)
+
+	d, broken = lonelyDrain(guards{loneLeaderKept: true})
+	_, frozen = d.manager.Frozen("a")
+	is.True(!frozen)
+	is.Equal(broken, []string{invariant.DrainedLeaderIsFrozen + ": a: a1"}) // told once
+}
+
+func TestTimeThatADrainLeaves(t *testing.T) {
+	is := is.New(t)
+	view := threeInstances("a1")
+	d := newDesk(view)
+	is.Equal(len(d.manager.Drains(d.now)), 0)
+	d.now = time.Second
+	view.Instances = append([]feed.Instance(nil), view.Instances...)
+	view.Instances[1].Draining = true
+	d.step(World{Services: []ServiceView{view}})
+	is.Equal(d.manager.Drains(3*time.Second), []feed.DrainLimit{{InstanceID: "a2", Left: 4 * time.Second}}) // of 7 s, 1 s of them kept back
+	is.Equal(d.manager.Drains(time.Minute), []feed.DrainLimit{{InstanceID: "a2"}})
+
+	next := New(0, DefaultSettings()) // another holder doesn't know since when
+	next.Step(0, World{Services: []ServiceView{view}})
+	is.Equal(next.Drains(0), []feed.DrainLimit{{InstanceID: "a2"}})
+}
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -135,9 +135,18 @@
 	}
 }
 
-// drainSpent tells whether an instance has been draining so long that no statement may reach it from the moment given on.
-func (i *member) drainSpent(from, limit time.Duration) bool {
-	return i.instance.Draining && (i.drainBefore || from >= i.drainSince+limit-drainMargin)
+// drainSpent tells whether an instance has been draining so long that no statement may be begun there from the moment given on.
+func (i *member) drainSpent(from time.Duration, settings Settings) bool {
+	return i.instance.Draining && i.drainLeft(from, settings) == 0
+}
+
+// drainLeft is how long statements may yet be begun at an instance that drains. How long it has drained under an earlier
+// holder isn't known: then there is no time left.
+func (i *member) drainLeft(now time.Duration, settings Settings) time.Duration {
+	if i.drainBefore {
+		return 0
+	}
+	return max(0, i.drainSince+settings.DrainLimit-settings.DrainMargin-now)
 }
 
 func (i *member) note(now time.Duration, instance feed.Instance) {
--- a/control/failover/pause.go
+++ b/control/failover/pause.go
@@ -61,7 +61,7 @@
 		s.why = leaderSilent // it ended on the way: from here on this is an ordinary failover
 		return false
 	}
-	if leader.drainSpent(now+handOverRetry, s.settings().DrainLimit) {
+	if leader.drainSpent(now+handOverRetry, s.settings()) {
 		return false
 	}
 	s.handOver = now + handOverRetry
@@ -181,7 +181,7 @@
 // leader had.
 func (s *service) stepDownDraining(now time.Duration) {
 	leader := s.leader()
-	if leader == nil || s.why != leaderDrains && !leader.drainSpent(now, s.settings().DrainLimit) {
+	if leader == nil || s.why != leaderDrains && !leader.drainSpent(now, s.settings()) {
 		return
 	}
 	if now-s.roundAt < stepDownAfter || !s.isLeading(leader, s.clearedAt) {
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -99,18 +99,19 @@
 	firstPrimary time.Duration
 	sawPrimary   bool
 
-	round     uint64 // term of the pause; 0: none
-	roundAt   time.Duration
-	highest   uint64 // highest term of a round
-	caughtUp  bool
-	stalled   bool // said that no choice is proven
-	handOver  time.Duration
-	intent    *Intent // committed, as far as known
-	inherited bool    // it was written by an earlier holder
-	call      calls
-	doubt     bool // an earlier call may have taken effect unseen: the recorded leader may be deposed
-	request   request
-	nextAsk   time.Duration // no change is asked for before
+	round       uint64 // term of the pause; 0: none
+	roundAt     time.Duration
+	highest     uint64 // highest term of a round
+	caughtUp    bool
+	stalled     bool // said that no choice is proven
+	handOver    time.Duration
+	intent      *Intent // committed, as far as known
+	inherited   bool    // it was written by an earlier holder
+	call        calls
+	overdueSaid bool // said that the leader's drain is spent and the service isn't frozen
+	doubt       bool // an earlier call may have taken effect unseen: the recorded leader may be deposed
+	request     request
+	nextAsk     time.Duration // no change is asked for before
 }
 
 func newService(manager *Manager, now time.Duration, view ServiceView) *service {
--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -14,6 +14,7 @@
 		ReplicaLost:  10 * time.Second,
 		LateCall:     15 * time.Second,
 		DrainLimit:   7 * time.Second,
+		DrainMargin:  time.Second,
 	}
 }
 
@@ -55,8 +56,8 @@
 	handOverPatience = 2500 * time.Millisecond
 	// handOverRetry is the time between attempts of a planned hand-over.
 	handOverRetry = 2 * time.Second
-	// drainMargin is how long before Settings.DrainLimit a draining leader is frozen for good: gateways hear of it later.
-	drainMargin = time.Second
+	// frozenWithin is within what time a leader whose drain is spent must be frozen. A calm service is looked at each idleStep.
+	frozenWithin = 2 * idleStep
 	// stepDownAfter is how long a hand-over waits for a silent replica before the leader itself is asked to step down.
 	stepDownAfter = 500 * time.Millisecond
 	// intentFresh is how old the wish for an intent may be when its call is sent: a process may have been frozen.
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -73,11 +73,15 @@
 	if s.ledElsewhere() {
 		return newLeader, true
 	}
+	leader := s.leader()
 	others := lo.Filter(s.present(), func(i *member, _ int) bool { return i.instance.ID != s.view.Leader.InstanceID })
+	kept := s.manager.guards.loneLeaderKept && len(others) == 0
+	if leader != nil && leader.drainSpent(now, s.settings()) && !kept {
+		return leaderDrains, true // whether anybody can follow or not: its drain was acknowledged
+	}
 	if len(others) == 0 {
 		return 0, false
 	}
-	leader := s.leader()
 	switch {
 	case leader == nil:
 		return leaderSilent, true
@@ -85,8 +89,6 @@
 		return leaderSilent, true
 	case s.silent(now, leader):
 		return leaderSilent, true
-	case leader.drainSpent(now, s.settings().DrainLimit):
-		return leaderDrains, true
 	case leader.instance.Draining && now >= s.handOver && s.mayHandOver(now, leader, others):
 		return leaderDrains, true
 	}
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -81,4 +81,5 @@
 	Members    []quorum.Member
 	Table      *Table        // nil: Applied is the newest
 	Lease      time.Duration // 0: none. Counted from the sending of the request
+	Drains     []DrainLimit  // of all instances that drain by the newest table
 }
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -24,6 +24,7 @@
 	noDatabase atomic.Uint64
 	otherError atomic.Uint64
 	ended      atomic.Uint64 // transactions that rested for too long
+	broken     atomic.Uint64 // invariants
 
 	leaseLost bool   // belongs to the gateway's lock: a line has been written
 	printed   totals // belongs to the loop that prints
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -23,14 +23,15 @@
 	lease      time.Duration  // the length of the newest one
 	leaseUntil time.Duration
 	lapses     uint64 // how often the lease had run out when it was renewed
+	drains     *feed.DrainDeadlines
 }
 
 // service is one service of the table.
 type service struct {
 	feed.Service
 	maxConnections int
-	address        string // of the leader; "" if it isn't among the instances
-	leaderDrains   bool
+	address        string        // of the leader; "" if it isn't among the instances
+	leading        feed.Instance // with an address
 }
 
 // placement is where a statement goes, and under what right.
@@ -53,6 +54,7 @@
 	noLease         refusal = "no lease"
 	frozen          refusal = "the service is changing its leader"
 	noLeader        refusal = "the service has no known leader"
+	leaderGoes      refusal = "the leader goes, and nobody follows it yet"
 )
 
 var (
@@ -73,7 +75,11 @@
 }
 
 func newDirectory() *directory {
-	return &directory{routes: map[string]configuration.Route{}, services: map[string]*service{}}
+	return &directory{
+		routes:   map[string]configuration.Route{},
+		services: map[string]*service{},
+		drains:   feed.NewDrainDeadlines(),
+	}
 }
 
 // take takes over an answer to a question that was sent at sentAt. After an error nothing has changed.
@@ -86,6 +92,7 @@
 		}
 		changes = taken
 	}
+	d.drains.Take(sentAt, answer.Drains)
 	d.renew(now, sentAt, answer.Lease)
 	return changes, nil
 }
@@ -178,7 +185,7 @@
 		for _, instance := range described.Instances {
 			if instance.ID == described.Leader.InstanceID {
 				entry.address = instance.Address
-				entry.leaderDrains = instance.Draining
+				entry.leading = instance
 			}
 		}
 		services[described.Name] = entry
@@ -212,7 +219,7 @@
 		if present.Frozen && (old == nil || !old.Frozen) {
 			n.froze = append(n.froze, name)
 		}
-		if present.leaderDrains && (old == nil || !old.leaderDrains) {
+		if present.leading.Draining && (old == nil || !old.leading.Draining) {
 			n.draining = append(n.draining, name)
 		}
 	}
@@ -257,6 +264,8 @@
 		return placement{route: route}, noLeader
 	case target.Frozen:
 		return placement{route: route}, frozen
+	case !d.drains.MayBegin(now, target.leading):
+		return placement{route: route}, leaderGoes
 	}
 	return placement{
 		route:          route,
@@ -271,7 +280,26 @@
 // bytes leave.
 func (d *directory) mayBegin(now time.Duration, placed placement) bool {
 	target := d.services[placed.route.TargetService]
-	return d.leads(placed) && !target.Frozen && d.leased(now)
+	return d.leads(placed) && !target.Frozen && d.leased(now) && d.mayUse(now, target)
+}
+
+// mayOpen tells whether the first read or write of a transaction that has begun may be sent now: what the transaction does is
+// begun with it.
+func (d *directory) mayOpen(now time.Duration, placed placement) bool {
+	return d.leads(placed) && d.mayUse(now, d.services[placed.route.TargetService])
+}
+
+// mayUse tells whether the leader of a service is there, and hasn't drained for too long.
+func (d *directory) mayUse(now time.Duration, target *service) bool {
+	return target.address != "" && d.drains.MayBegin(now, target.leading)
+}
+
+// begunLate is by how much a statement that was sent under the placement at the time given is too late for an instance that drains.
+func (d *directory) begunLate(sentAt time.Duration, placed placement) time.Duration {
+	if !d.leads(placed) {
+		return 0
+	}
+	return d.drains.Passed(sentAt, d.services[placed.route.TargetService].leading)
 }
 
 // mayCommit tells whether a COMMIT may be sent now. While the service is frozen its open transactions may end: the
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -212,3 +212,36 @@
 	is.Equal(why, placed)
 	is.Equal(found.leader.InstanceID, "i-2")
 }
+
+func TestDrainingLeaderIsLeftAloneInTime(t *testing.T) {
+	is := is.New(t)
+	held := taken(t)
+	found, _ := held.place(time.Second, "shop")
+	drains := tableOf(2, "i-1", false)
+	drains.Services[0].Instances[0].Draining = true
+	answer := feed.WatchAnswer{Table: drains, Lease: time.Hour, Drains: []feed.DrainLimit{{InstanceID: "i-1", Left: 6 * time.Second}}}
+	changes, err := held.take(2500*time.Millisecond, 2*time.Second, answer)
+	is.NoErr(err)
+	is.Equal(changes.draining, []string{"orders"})
+
+	before, after := 8*time.Second-1, 8*time.Second
+	_, why := held.place(before, "shop")
+	is.Equal(why, placed)
+	is.True(held.mayBegin(before, found))
+	is.True(held.mayOpen(before, found))
+	_, why = held.place(after, "shop")
+	is.Equal(why, leaderGoes)
+	is.True(!held.mayBegin(after, found)) // also what was placed before
+	is.True(!held.mayOpen(after, found))  // and a transaction that has done nothing yet
+	is.True(held.mayCommit(after, found)) // one that is under way may end
+	is.True(held.leads(found))
+	is.Equal(held.begunLate(after+time.Second, found), time.Second)
+
+	gone := tableOf(3, "i-1", false)
+	gone.Services[0].Instances = gone.Services[0].Instances[1:]
+	changes, err = held.take(after, after, feed.WatchAnswer{Table: gone, Lease: time.Hour})
+	is.NoErr(err)
+	is.Equal(changes.vacant, []string{"orders"})
+	is.True(!held.mayBegin(after, found))
+	is.True(!held.mayOpen(after, found))
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -159,10 +159,14 @@
 		c.gateway.reports.failed(under.placed.leader.InstanceID)
 		return notRun("the backend connection broke")
 	}
-	if !c.may(statement.Class, under) {
+	begins := !inTransaction || c.session.Opens(statement)
+	if !c.may(statement, under) {
 		return session.Outcome{Kind: session.NotRun, Reason: "the leader may not be used now", Intact: true}
 	}
 	answer, err := lent.conn.QueryBy(deadline, id, statement.BackendText())
+	if begins {
+		c.gateway.noteBegin(under, lent.conn.SentAt())
+	}
 	outcome := outcomeOf(answer, err)
 	c.gateway.reports.answered(under.placed.leader.InstanceID, outcome)
 	outcome.Stale = !c.gateway.lasted(under)
@@ -179,12 +183,14 @@
 }
 
 // may is the last check before the statement's bytes leave.
-func (c *client) may(class session.Class, under *flight) bool {
+func (c *client) may(statement session.Statement, under *flight) bool {
 	switch {
-	case class == session.Abort:
+	case statement.Class == session.Abort:
 		return true
-	case class == session.Commit:
+	case statement.Class == session.Commit:
 		return c.gateway.mayCommit(under)
+	case c.session.Opens(statement):
+		return c.gateway.mayOpen(under)
 	case c.session.Attached():
 		return c.gateway.mayGoOn(under)
 	}
--- a/gateway/figures.go
+++ b/gateway/figures.go
@@ -15,6 +15,9 @@
 			Name: "answers_total", Help: "Statements answered, by answer.", Value: float64(count), Of: answer,
 		})
 	}
+	figures = append(figures, metrics.Figure{
+		Name: "invariants_broken_total", Help: "Invariants that did not hold, since the start.", Value: float64(g.counters.broken.Load()),
+	})
 	return append(figures, g.standing()...)
 }
 
@@ -34,7 +37,7 @@
 	for name, service := range held.services {
 		figures = append(figures,
 			metrics.NewGaugeOf("service_frozen", "1 while no statement may be started at the leader.", name, metrics.Flag(service.Frozen)),
-			metrics.NewGaugeOf("service_leader_draining", "1 while the leader drains.", name, metrics.Flag(service.leaderDrains)),
+			metrics.NewGaugeOf("service_leader_draining", "1 while the leader drains.", name, metrics.Flag(service.leading.Draining)),
 			metrics.NewGaugeOf("service_vacant", "1 while no leader is known.", name, metrics.Flag(service.address == "")),
 		)
 	}
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -1,5 +1,11 @@
 package gateway
 
+import (
+	"time"
+
+	"eiderway/control/invariant"
+)
+
 // flight is a statement, or a transaction from its BEGIN to its end, that is under way at a leader. A freeze isn't
 // acknowledged while there are flights at the frozen service. Its fields belong to the gateway's lock.
 type flight struct {
@@ -89,6 +95,30 @@
 	return !under.cut && g.directory.mayBegin(g.now(), under.placed)
 }
 
+// mayOpen is the last check before the first read or write of a transaction is sent.
+func (g *Gateway) mayOpen(under *flight) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return !under.cut && g.directory.mayOpen(g.now(), under.placed)
+}
+
+// noteBegin looks whether a statement that begins something was sent in time. The check before the sending refuses what comes too
+// late, so only a process that stood still in between, for longer than the margin, breaks this.
+func (g *Gateway) noteBegin(under *flight, sentAt time.Time) {
+	if sentAt.IsZero() {
+		return
+	}
+	g.mutex.Lock()
+	late := g.directory.begunLate(sentAt.Sub(g.started), under.placed)
+	margin := g.settings.Bounds.DrainMargin()
+	g.mutex.Unlock()
+	if late <= margin {
+		return
+	}
+	g.counters.broken.Add(1)
+	g.log.Errorf("%s: %s: at %s, by %v", invariant.Broken, invariant.NoLateBegin, under.placed.leader.InstanceID, late-margin)
+}
+
 // mayCommit is the last check before a COMMIT is sent; the right to use the leader counts from here on.
 func (g *Gateway) mayCommit(under *flight) bool {
 	g.mutex.Lock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -549,3 +549,29 @@
 	is.True(time.Since(begun) < 2*time.Second)
 	is.True(w.controller.saidGoodbye())
 }
+
+// When the time that a leader's drain leaves is over, nothing is begun there, without any further news. What has been begun may end.
+func TestNothingIsBegunAtALeaderThatHasDrainedForTooLong(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	single, begun, working := w.connect("s"), w.connect("b"), w.connect("w")
+	begun.must("BEGIN", "COMPLETE stamp / T")
+	working.must("BEGIN", "COMPLETE stamp / T")
+	working.must("PUT 1 x", "COMPLETE stamp / T")
+	const left = 200 * time.Millisecond
+	w.controller.set(func(s *standinController) { s.drains = map[string]time.Time{"i-1": time.Now().Add(left)} })
+	drains := w.table(2, "i-1", false)
+	drains.Services[0].Instances[0].Draining = true
+	w.controller.publish(drains)
+	w.eventually("single statements are refused", func() bool { return single.ask("FETCH 1") == "ERROR BUSY / I" })
+	before := len(w.first.asked())
+	begun.must("PUT 2 x", "ERROR ROLLEDBACK / E")
+	working.must("PUT 3 x", "COMPLETE stamp / T")
+	working.must("COMMIT", "COMPLETE stamp / I")
+	single.must("PUT 4 x", "ERROR BUSY / I")
+	is.Equal(w.first.read("1"), "x")
+	is.Equal(w.first.read("2"), "")
+	for _, one := range w.first.asked()[before:] {
+		is.True(!strings.Contains(one.text, "PUT 2") && !strings.Contains(one.text, "PUT 4"))
+	}
+}
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -284,6 +284,7 @@
 	silent  bool
 	asked   []feed.WatchRequest
 	changed chan struct{}
+	drains  map[string]time.Time // until when statements may be begun at instances that drain
 }
 
 // leaseOfTests is longer than a question may be held back, and short enough to be waited out.
@@ -324,7 +325,7 @@
 }
 
 func (s *standinController) answer(request feed.WatchRequest) (answer feed.WatchAnswer, news bool) {
-	answer = feed.WatchAnswer{Lease: s.lease, Members: []quorum.Member{{Address: "controller"}}}
+	answer = feed.WatchAnswer{Lease: s.lease, Members: []quorum.Member{{Address: "controller"}}, Drains: s.limits()}
 	if s.table == nil || !request.Applied.Less(s.table.Version) {
 		return answer, false
 	}
@@ -336,6 +337,14 @@
 	return answer, true
 }
 
+func (s *standinController) limits() []feed.DrainLimit {
+	var limits []feed.DrainLimit
+	for id, until := range s.drains {
+		limits = append(limits, feed.DrainLimit{InstanceID: id, Left: max(0, time.Until(until))})
+	}
+	return limits
+}
+
 func (s *standinController) set(change func(*standinController)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/host/process_test.go
+++ b/host/process_test.go
@@ -37,6 +37,11 @@
 	settings.Bounds.DrainMs = 5000
 	derived := ControllerSettings(settings)
 	is.Equal(derived.Failover.DrainLimit, 5*time.Second)
+	is.Equal(derived.Failover.DrainMargin, time.Second)
+	is.Equal(derived.Lease, 2500*time.Millisecond) // a gateway works on for a lease at most without having heard of a drain
+	settings.Bounds.DrainMs = 800
+	is.Equal(ControllerSettings(settings).Failover.DrainMargin, 200*time.Millisecond)
+	is.Equal(ControllerSettings(settings).Lease, 400*time.Millisecond)
 	is.Equal(derived.Replication.Self.Address, "10.0.0.1:7440")
 	is.Equal(derived.Replication.Self.Control, "10.0.0.1:8782")
 	is.Equal(derived.Replication.Seeds, []string{"10.0.0.1:7440", "10.0.0.2:7440"})
--- a/host/settings.go
+++ b/host/settings.go
@@ -43,7 +43,7 @@
 	return controller.Settings{
 		Replication:  replicationSettings(settings),
 		Failover:     failoverSettings(settings),
-		Lease:        tableLease,
+		Lease:        leaseOf(settings.Bounds),
 		LeaseMargin:  leaseMargin,
 		WatchWait:    watchWait,
 		InstanceLost: max(beatsMissedWhenLost*settings.BeatInterval(), leastInstanceLost),
@@ -51,6 +51,15 @@
 	}
 }
 
+// leaseOf keeps a lease within half of the time that a drain leaves: a gateway that has not heard of an acknowledged drain works on
+// for a lease at most.
+func leaseOf(bounds system.Bounds) time.Duration {
+	if drain := bounds.Drain(); drain > 0 {
+		return min(tableLease, drain/2)
+	}
+	return tableLease
+}
+
 func replicationSettings(settings system.Settings) replication.Settings {
 	return replication.Settings{
 		Self: quorum.Member{
@@ -76,6 +85,7 @@
 	}
 	if drain := settings.Bounds.Drain(); drain > 0 {
 		chosen.DrainLimit = drain
+		chosen.DrainMargin = settings.Bounds.DrainMargin()
 	}
 	return chosen
 }
--- a/session/session.go
+++ b/session/session.go
@@ -79,6 +79,12 @@
 // Attached tells whether a transaction is open at an instance.
 func (s *Session) Attached() bool { return s.state == wire.InTransaction }
 
+// Opens tells whether the statement, which was taken last, is the first read or write of the open transaction.
+func (s *Session) Opens(statement Statement) bool {
+	runs := statement.Class == Read || statement.Class == Write
+	return runs && s.Attached() && s.statements == 1
+}
+
 // Wrote tells whether the open transaction has sent a write.
 func (s *Session) Wrote() bool { return s.wrote }
 
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -148,3 +148,20 @@
 	}
 	return Outcome{Kind: Answered, Answer: completed}
 }
+
+func TestFirstStatementOfATransactionOpensIt(t *testing.T) {
+	is := is.New(t)
+	session := New()
+	single := session.Take("FETCH a").Statement
+	is.True(!session.Opens(single)) // it stands outside
+	begin := session.Take("BEGIN").Statement
+	is.True(!session.Opens(begin))
+	inside := Outcome{Kind: Answered, Answer: wire.Answer{Stamp: "7.1", State: wire.InTransaction, Position: "3.1"}}
+	session.Ended(begin, inside)
+	first := session.Take("PUT a x").Statement
+	is.True(session.Opens(first))
+	session.Ended(first, inside)
+	commit := session.Take("COMMIT").Statement
+	is.True(!session.Opens(commit))
+	is.True(!session.Opens(session.Take("FETCH a").Statement))
+}
--- a/simulation/actions.go
+++ b/simulation/actions.go
@@ -44,6 +44,8 @@
 		"conditions":   conditionsAction,  // conditions loss 5% reorder 20ms for 5s
 		"crash":        crashAction,       // crash INSTANCE [for 5s]
 		"drain":        drainAction,       // drain INSTANCE [by db4]
+		"leave":        leaveAction,       // leave INSTANCE [beating] [by db4]: without a drain; it serves on, and may go on beating
+		"late-beats":   lateBeatsAction,   // late-beats 40% for 20s: so many heartbeats come once more, seconds late
 		"platform":     platformAction,    // platform slow 2s for 5s | lose-call | lose-answer | late 4s
 	}
 }
@@ -116,7 +118,7 @@
 
 // fire starts the items that wait for an event: "ack N" (an operator has the acknowledgement), "arrive N" (an order has
 // reached the acting controller), "call SERVICE" (a failover call was sent), "promote SERVICE" (it has taken effect),
-// "drained INSTANCE" (its draining was acknowledged).
+// "drained INSTANCE" (its draining was acknowledged), "left INSTANCE" (its leave, without a drain, was).
 func (w *World) fire(event string) {
 	for _, waiting := range w.triggers {
 		if waiting.done || waiting.item.On != event {
@@ -566,6 +568,25 @@
 	}
 }
 
+func leaveAction(w *World, a arguments) {
+	successor, _ := a.after("by")
+	for _, name := range w.resolve(a.word(0)) {
+		leaving := w.instanceByID(name)
+		leaving.replacement = successor
+		leaving.leaveFirst(a.has("beating"))
+	}
+}
+
+func lateBeatsAction(w *World, a arguments) {
+	share, err := parseShare(a.word(0))
+	if err != nil {
+		a.fail(err.Error())
+	}
+	pause, _ := a.time("for")
+	w.lateBeats = share
+	w.schedule.after(pause, func() { w.lateBeats = 0 })
+}
+
 func platformAction(w *World, a arguments) {
 	switch a.word(0) {
 	case "slow":
--- a/simulation/beats.go
+++ b/simulation/beats.go
@@ -28,7 +28,7 @@
 
 // beatNow sends a heartbeat, or another one right after the one that is under way.
 func (i *instance) beatNow() {
-	if !i.running || i.left {
+	if !i.running || i.left || i.farewell && !i.beatsOn {
 		return
 	}
 	if i.beating {
@@ -70,6 +70,7 @@
 	makeInput := func(call controller.Call) controller.Input {
 		return controller.Heartbeat{Call: call, Heartbeat: beat}
 	}
+	i.heldUp(control, makeInput)
 	i.world.callControl(i.id, control, makeInput, func(result callResult) {
 		if i.life != life {
 			return
@@ -87,6 +88,16 @@
 	})
 }
 
+// heldUp has some beats come once more, seconds late, as long as the day says so. Nobody waits for the answer.
+func (i *instance) heldUp(control string, makeInput func(controller.Call) controller.Input) {
+	if i.world.lateBeats <= 0 || i.world.random.Float64() >= i.world.lateBeats {
+		return
+	}
+	i.world.schedule.after(i.world.jitter(lateBeatMost), func() {
+		i.world.callControl(i.id, control, makeInput, func(callResult) {})
+	})
+}
+
 func (i *instance) beatTaken(beat registry.Heartbeat, result callResult, control string) {
 	i.beatTarget = control
 	var answer beatAnswer
@@ -95,7 +106,7 @@
 	}
 	if beat.OperState == "draining" && i.drainAcked == 0 {
 		i.drainAcked = i.world.now()
-		i.world.judge.drainAcknowledged(i, result.by)
+		i.world.judge.drainAcknowledged(i)
 		i.world.fire(fmt.Sprintf("drained %s", i.id))
 		linger := drainLinger + i.world.jitter(drainLingerMost)
 		i.world.schedule.after(i.world.plan.Bounds.Drain+linger, func() { i.leave() })
@@ -145,8 +156,8 @@
 			return
 		}
 		if result.outcome == callAnswered && result.reply.Status/100 == 2 {
-			i.world.judge.leaveAcknowledged(i, result.by)
-			i.depart()
+			i.world.judge.leaveAcknowledged(i)
+			i.leftSay()
 			return
 		}
 		i.beatTarget = ""
@@ -162,6 +173,33 @@
 	})
 }
 
+// leaveFirst begins a planned end without a drain: the instance says that it leaves, serves on, and ends.
+func (i *instance) leaveFirst(goesOnBeating bool) {
+	if !i.running || i.draining || i.leaving {
+		return
+	}
+	i.leaving = true
+	i.beatsOn = goesOnBeating
+	i.leave()
+}
+
+// leftSay goes on after the acknowledgement of a leave: one that has drained ends, another one serves on for as long first.
+func (i *instance) leftSay() {
+	if i.draining || !i.leaving {
+		i.depart()
+		return
+	}
+	i.farewell = true
+	i.world.fire(fmt.Sprintf("left %s", i.id))
+	life := i.life
+	linger := drainLinger + i.world.jitter(drainLingerMost)
+	i.world.schedule.after(i.world.plan.Bounds.Drain+linger, func() {
+		if i.life == life {
+			i.depart()
+		}
+	})
+}
+
 // retryPause is the first pause of a caller after a failure.
 const retryPause = 100 * time.Millisecond
 
--- a/simulation/gateway.go
+++ b/simulation/gateway.go
@@ -26,6 +26,7 @@
 
 	table      *feed.Table
 	leaseUntil time.Duration
+	drains     *feed.DrainDeadlines
 	target     string // address of the controller that is asked
 	known      []string
 	watching   uint64 // number of the question under way
@@ -74,6 +75,7 @@
 	g.frozen = false
 	g.table = nil
 	g.leaseUntil = 0
+	g.drains = feed.NewDrainDeadlines()
 	g.highest = 0
 	g.backlog = nil
 	g.flights = map[*flight]bool{}
@@ -200,6 +202,7 @@
 		}
 		g.apply(*answer.Table)
 	}
+	g.drains.Take(sent, answer.Drains)
 	if answer.Lease > 0 && g.table != nil {
 		g.leaseUntil = max(g.leaseUntil, sent+answer.Lease)
 	}
@@ -307,6 +310,9 @@
 func (g *gateway) leaderOf(service *feed.Service) *instance {
 	for _, known := range service.Instances {
 		if known.ID == service.Leader.InstanceID {
+			if !g.drains.MayBegin(g.world.now(), known) {
+				return nil
+			}
 			target := g.world.instanceAt(known.Address)
 			if target == nil || target.id != known.ID {
 				return nil // another instance lives there now: it would answer WRONGNODE
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -16,6 +16,7 @@
 	drainLinger      = 500 * time.Millisecond // served beyond drainMs after the acknowledgement, at least
 	drainLingerMost  = 4 * time.Second        // and at most so much longer
 	leaveTries       = 4 * time.Second        // after which an instance ends without an acknowledgement
+	lateBeatMost     = 6 * time.Second        // a heartbeat may come so late
 	reuseAfter       = 2 * time.Second        // after which a new instance takes a released address and log
 )
 
@@ -46,6 +47,9 @@
 
 	draining    bool
 	drainAcked  time.Duration // zero: not yet
+	leaving     bool          // it leaves without having drained
+	farewell    bool          // its leave was acknowledged
+	beatsOn     bool          // it goes on beating after that
 	left        bool
 	replacement string // id of the instance that takes over address and log
 	nextFall    bool   // stepping down because the new primary was met
--- a/simulation/judge.go
+++ b/simulation/judge.go
@@ -18,6 +18,8 @@
 	ruleDuty   = "Duty"
 	// ruleAnswer: whoever can't settle a call says so before its caller gives up.
 	ruleAnswer = "Answer"
+	// ruleInvariant: what a process checks of itself holds.
+	ruleInvariant = "Invariant"
 	// ruleLinear: the history of orders and fetches is that of one register.
 	ruleLinear = "linearizable"
 )
@@ -149,20 +151,22 @@
 	j.broken(ruleAnswer, target.name+" left a call of "+from+" unanswered for a second")
 }
 
-// drainRecord says when a machine in touch acknowledged that an instance is draining or gone.
+// drainRecord says when a machine acknowledged that an instance is draining or gone. It binds all, also where the machine that
+// gave it was not in touch.
 type drainRecord struct{ at time.Duration }
 
-func (j *Judge) drainAcknowledged(i *instance, by string) { j.noteGone(i, by) }
-func (j *Judge) leaveAcknowledged(i *instance, by string) { j.noteGone(i, by) }
+func (j *Judge) drainAcknowledged(i *instance) { j.noteGone(i) }
+func (j *Judge) leaveAcknowledged(i *instance) { j.noteGone(i) }
 
-func (j *Judge) noteGone(i *instance, by string) {
-	machine := j.world.machineByName(by)
-	if _, known := j.drains[i.id]; known || machine == nil || !j.world.machineInTouch(machine) {
-		return
+func (j *Judge) noteGone(i *instance) {
+	if _, known := j.drains[i.id]; !known {
+		j.drains[i.id] = drainRecord{at: j.world.now()}
 	}
-	j.drains[i.id] = drainRecord{at: j.world.now()}
 }
 
+// toldBroken takes what a process says of its own invariants: none may be broken, whatever fails.
+func (j *Judge) toldBroken(by, text string) { j.broken(ruleInvariant, by+": "+text) }
+
 // reached looks at a statement that reaches an instance.
 func (j *Judge) reached(i *instance, one *statement) {
 	record, drained := j.drains[i.id]
--- a/simulation/judge_test.go
+++ b/simulation/judge_test.go
@@ -175,11 +175,16 @@
 	}}
 }
 
-// forgetsDrains acknowledges that an instance leaves and keeps the primary where it is.
+// forgetsDrains acknowledges that an instance leaves, keeps the primary where it is, and gives gateways all the time in the world.
 func forgetsDrains(core *controller.Controller) tampered {
 	return tampered{core, func(_ time.Duration, input controller.Input, effects controller.Effects) controller.Effects {
 		effects.Calls = nil
 		hideFreezes(effects)
+		for _, reply := range effects.WatchReplies {
+			for drain := range reply.Answer.Drains {
+				reply.Answer.Drains[drain].Left = time.Hour
+			}
+		}
 		return effects
 	}}
 }
--- a/simulation/machine.go
+++ b/simulation/machine.go
@@ -8,6 +8,7 @@
 	"eiderway/control/controller"
 	"eiderway/control/failover"
 	"eiderway/control/feed"
+	"eiderway/control/invariant"
 	"eiderway/control/quorum"
 	"eiderway/control/replication"
 )
@@ -151,6 +152,9 @@
 		m.callPlatform(call)
 	}
 	for _, event := range effects.Events {
+		if event.What == invariant.Broken {
+			m.world.judge.toldBroken(m.name, event.Text)
+		}
 		m.world.note(m.name, event.What+": "+event.Text)
 	}
 	if effects.MayEnd && m.ending && life == m.life {
--- a/system/bounds.go
+++ b/system/bounds.go
@@ -59,6 +59,12 @@
 // Drain is within what time after an acknowledged drain no statement may reach the instance.
 func (b Bounds) Drain() time.Duration { return milliseconds(b.DrainMs) }
 
+// mostDrainMargin is enough for a statement's way to an instance, for clocks that differ, and for a machine that is far busier than usual.
+const mostDrainMargin = time.Second
+
+// DrainMargin is how long before the end of Drain no statement is begun any more.
+func (b Bounds) DrainMargin() time.Duration { return min(mostDrainMargin, b.Drain()/4) }
+
 // Grace is the time between SIGTERM and SIGKILL.
 func (b Bounds) Grace() time.Duration { return seconds(b.GraceS) }
 
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -70,6 +70,7 @@
 	reader   *Reader
 	buffer   []byte
 	spoiled  bool
+	sentAt   time.Time
 	state    State
 	position string
 }
@@ -172,7 +173,9 @@
 		return Answer{}, c.failed(NotSent, eris.Wrap(err, "deadline"))
 	}
 	c.buffer = AppendQuery(c.buffer[:0], id, text)
+	c.sentAt = time.Time{}
 	written, err := c.network.Write(c.buffer)
+	c.sentAt = time.Now()
 	if err != nil {
 		return Answer{}, c.failed(sentAfterWrite(written, len(c.buffer)), eris.Wrap(err, "send"))
 	}
@@ -198,6 +201,9 @@
 	return MaybeRan
 }
 
+// SentAt is when the last statement had been handed to the network; zero: there was none.
+func (c *Conn) SentAt() time.Time { return c.sentAt }
+
 // State is the state that the instance named last.
 func (c *Conn) State() State { return c.state }
 
