Drains: what is acknowledged is recorded, and no drain is counted from a later moment

Change: such a drain is recorded; an instance that drains when it is met has no time left; the check also stands before own statements; a lease is at most half of drainMs, and at most configApplyMs.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -291,7 +291,7 @@
 // knowsDrain tells whether all who work by the control state keep away from an instance, or will soon.
 func (c *Controller) knowsDrain(id string) bool {
 	instance, found := state.InstanceByID(c.node, id)
-	return found && (instance.Draining || instance.Left)
+	return found && (instance.Draining || instance.SaidFarewell())
 }
 
 func orderReply(command command) Reply {
--- a/control/failover/manager_test.go
+++ b/control/failover/manager_test.go
@@ -308,6 +308,12 @@
 	is.Equal(d.manager.Drains(3*time.Second), []feed.DrainLimit{{InstanceID: "a2", Left: 4 * time.Second}}) // of 7 s, 1 s of them kept back
 	is.Equal(d.manager.Drains(time.Minute), []feed.DrainLimit{{InstanceID: "a2"}})
 
+	late := feed.Instance{ID: "a4", Service: "a", Address: "a4", Draining: true} // it drains when it is met first
+	view.Instances = append(view.Instances, late)
+	d.step(World{Services: []ServiceView{view}})
+	is.Equal(d.manager.Drains(3 * time.Second)[1], feed.DrainLimit{InstanceID: "a4"})
+	view.Instances = view.Instances[:3]
+
 	next := New(0, DefaultSettings()) // another holder doesn't know since when
 	next.Step(0, World{Services: []ServiceView{view}})
 	is.Equal(next.Drains(0), []feed.DrainLimit{{InstanceID: "a2"}})
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -15,7 +15,7 @@
 	departedAt time.Duration
 
 	drainSince  time.Duration // when it was first known to be draining
-	drainBefore bool          // it was then already, for an unknown time: an earlier holder acknowledged it
+	drainBefore bool          // it drained when it was first met: its drain was acknowledged at an unknown time
 	lastLife    time.Duration // last heartbeat or answer
 	beatPrimary bool          // its last heartbeat said that it leads
 	lastBeat    time.Duration // 0: none yet
@@ -153,5 +153,6 @@
 	if instance.Draining && !i.instance.Draining {
 		i.drainSince = now
 	}
+	i.drainBefore = i.drainBefore && instance.Draining
 	i.instance = instance
 }
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -133,7 +133,6 @@
 
 // take replaces the committed view of the service.
 func (s *service) take(now time.Duration, view ServiceView) {
-	first := len(s.members) == 0
 	if view.Leader.InstanceID == "" && s.view.Leader.InstanceID != "" {
 		s.unledFrom = now
 	}
@@ -147,7 +146,7 @@
 			}
 			continue
 		}
-		added := &member{lastLife: now, drainBefore: first && instance.Draining}
+		added := &member{lastLife: now, drainBefore: instance.Draining}
 		added.note(now, instance)
 		s.members = append(s.members, added)
 		s.fastUntil = max(s.fastUntil, now+learnSettle)
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -49,6 +49,7 @@
 	}
 	seen.take(now, beat.CallSeq)
 	if record.Left && !mayReturn(tx, record, order, beat) {
+		noteDrainOfDeparted(tx, record, beat)
 		return false
 	}
 	current := state.Instance{Instance: instanceOf(beat), CallSeq: beat.CallSeq, Life: record.Life}
@@ -87,6 +88,17 @@
 	return len(othersAt(reader, instanceOf(beat))) == 0
 }
 
+// noteDrainOfDeparted records that an instance drains that was taken for gone and can't come back now. Its drain is acknowledged, so
+// it must not be used when it can.
+func noteDrainOfDeparted(tx *state.Transaction, record state.Instance, beat Heartbeat) {
+	if beat.OperState != Draining || record.Draining || record.SaidFarewell() {
+		return
+	}
+	record.Draining = true
+	record.CallSeq = max(record.CallSeq, beat.CallSeq)
+	tx.PutInstance(record)
+}
+
 // displace records that those have left at whose address another instance has appeared.
 func (r *Registry) displace(tx *state.Transaction, current feed.Instance) {
 	for _, other := range othersAt(tx, current) {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -141,7 +141,11 @@
 func (c *client) run(id string, statement session.Statement, under *flight, deadline time.Time) session.Outcome {
 	lent := under.lent
 	inTransaction := c.session.Attached()
-	for _, step := range c.session.Steps(lent.state, statement) {
+	steps := c.session.Steps(lent.state, statement)
+	if len(steps) > 0 && !c.may(statement, under) {
+		return notSentNow()
+	}
+	for _, step := range steps {
 		answer, err := lent.conn.QueryBy(deadline, wire.OwnID, step.Text)
 		if err != nil {
 			c.gateway.reports.failed(under.placed.leader.InstanceID)
@@ -161,7 +165,7 @@
 	}
 	begins := !inTransaction || c.session.Opens(statement)
 	if !c.may(statement, under) {
-		return session.Outcome{Kind: session.NotRun, Reason: "the leader may not be used now", Intact: true}
+		return notSentNow()
 	}
 	answer, err := lent.conn.QueryBy(deadline, id, statement.BackendText())
 	if begins {
@@ -173,6 +177,11 @@
 	return outcome
 }
 
+// notSentNow: the right to use the leader is gone; nothing has been sent.
+func notSentNow() session.Outcome {
+	return session.Outcome{Kind: session.NotRun, Reason: "the leader may not be used now", Intact: true}
+}
+
 // stepRefused: one of the system's own statements was refused, so the client's was not sent.
 func stepRefused(answer wire.Answer, inTransaction bool) session.Outcome {
 	expected := wire.Idle
--- a/host/process_test.go
+++ b/host/process_test.go
@@ -39,6 +39,8 @@
 	is.Equal(derived.Failover.DrainLimit, 5*time.Second)
 	is.Equal(derived.Failover.DrainMargin, time.Second)
 	is.Equal(derived.Lease, 2500*time.Millisecond) // a gateway works on for a lease at most without having heard of a drain
+	settings.Bounds.ConfigApplyMs = 2000
+	is.Equal(ControllerSettings(settings).Lease, 2*time.Second)
 	settings.Bounds.DrainMs = 800
 	is.Equal(ControllerSettings(settings).Failover.DrainMargin, 200*time.Millisecond)
 	is.Equal(ControllerSettings(settings).Lease, 400*time.Millisecond)
--- a/host/settings.go
+++ b/host/settings.go
@@ -51,13 +51,17 @@
 	}
 }
 
-// leaseOf keeps a lease within half of the time that a drain leaves: a gateway that has not heard of an acknowledged drain works on
-// for a lease at most.
+// leaseOf keeps a lease within half of the time that a drain leaves, and within the time in which a configuration is to be in force:
+// a gateway that has not heard of either works on for a lease at most.
 func leaseOf(bounds system.Bounds) time.Duration {
+	lease := tableLease
 	if drain := bounds.Drain(); drain > 0 {
-		return min(tableLease, drain/2)
+		lease = min(lease, drain/2)
 	}
-	return tableLease
+	if apply := bounds.ConfigApply(); apply > 0 {
+		lease = min(lease, apply)
+	}
+	return lease
 }
 
 func replicationSettings(settings system.Settings) replication.Settings {
