--- a/systemtest/world_test.go
+++ b/systemtest/world_test.go
@@ -45,6 +45,7 @@
 	gateways    []*process
 	history     *workload.History
 	orders      *workload.Orders
+	excused     func(testinstance.Ran) bool // nil: nothing is
 	clients     *workload.Clients
 	number      atomic.Int64 // of the newest configuration
 	stopOrders  context.CancelFunc
@@ -273,6 +274,7 @@
 		Journal:    w.service.Journal(),
 		Final:      w.service.Leader().Log(),
 		DrainTime:  drainTime,
+		Excused:    w.excused,
 	})...)
 	broken = append(broken, judgeFences(w.platform.Calls())...)
 	broken = append(broken, w.brokenInvariants()...)
--- a/testinstance/connection.go
+++ b/testinstance/connection.go
@@ -12,6 +12,7 @@
 // connection is one caller of an instance. Its session belongs to the goroutine that serves it.
 type connection struct {
 	instance *Instance
+	caller   string // as it names itself
 	network  net.Conn
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -67,7 +68,11 @@
 		return
 	}
 	connect, err := wire.ParseConnect(line)
-	if err != nil || !c.open(connect) {
+	if err != nil {
+		return
+	}
+	c.caller = connect.Who
+	if !c.awaitJoin() || !c.open(connect) {
 		return
 	}
 	for {
@@ -76,11 +81,14 @@
 			return
 		}
 		request, err := wire.ParseRequest(line)
-		if err != nil || request.Quit || !c.instance.awaitThaw(c.ctx) {
+		if err != nil || request.Quit || !c.instance.awaitThaw(c.ctx) || !c.awaitJoin() {
 			return
 		}
 		answer, err := c.take(request)
-		if err != nil || !c.instance.awaitThaw(c.ctx) {
+		if err != nil || !c.instance.awaitThaw(c.ctx) || !c.awaitJoin() {
+			return
+		}
+		if request.ID != wire.OwnID && happens(c.instance.service.currentTroubles().LoseAnswers) {
 			return
 		}
 		if _, err := c.network.Write(wire.AppendAnswer(nil, answer)); err != nil {
--- a/testinstance/heartbeat.go
+++ b/testinstance/heartbeat.go
@@ -41,6 +41,9 @@
 	BeatTarget string `json:"beatTarget"`
 }
 
+// errLostAck says that an acknowledgement was lost on its way.
+var errLostAck = eris.New("the acknowledgement is lost")
+
 // errNoController says that no controller has acknowledged a call.
 var errNoController = eris.New("no controller has acknowledged")
 
@@ -135,6 +138,9 @@
 		call := body()
 		c.sendLate(ctx, target, action, call)
 		answer, err := c.post(ctx, target, action, call)
+		if err == nil && happens(c.instance.service.currentTroubles().LoseAcks) {
+			err = errLostAck
+		}
 		if err == nil {
 			c.target = answer.BeatTarget
 			return nil
@@ -147,22 +153,10 @@
 	return errNoController
 }
 
-// sendLate has some calls come once more, much later, as if they had been held up on their way.
-func (c *caller) sendLate(ctx context.Context, target, action string, body any) {
-	settings := c.instance.service.settings
-	if settings.LateShare <= 0 || rand.Float64() >= settings.LateShare {
-		return
-	}
-	late := newCaller(c.instance)
-	c.instance.service.running.Go(func() {
-		defer late.client.CloseIdleConnections()
-		if pause(context.WithoutCancel(ctx), rand.N(settings.LateMost)) {
-			_, _ = late.post(context.WithoutCancel(ctx), target, action, body)
-		}
-	})
-}
-
 func (c *caller) post(ctx context.Context, target, action string, body any) (acknowledgement, error) {
+	if err := c.reachControl(ctx, target); err != nil {
+		return acknowledgement{}, err
+	}
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return acknowledgement{}, err
--- a/testinstance/journal.go
+++ b/testinstance/journal.go
@@ -36,6 +36,7 @@
 	Rows     []string
 	Log      Log // after it
 	Wrote    bool
+	Caller   string
 	First    bool // a single statement, or the first read or write of a transaction
 	At       time.Time
 }
--- a/testinstance/service.go
+++ b/testinstance/service.go
@@ -29,8 +29,6 @@
 	DrainTime      time.Duration        // served on after the acknowledgement of a drain or of a leave
 	Linger         time.Duration        // served beyond the drain time
 	BeatsOn        bool                 // heartbeats go on after a leave that no drain came before
-	LateShare      float64              // of the calls to controllers that come a second time, late
-	LateMost       time.Duration        // how late
 	Controllers    func() []string      // control addresses, as the operator's list has them
 	Note           func(message string) // told what happens, with the lock held; may be nil
 }
@@ -66,7 +64,12 @@
 	term      uint64
 	stamps    uint64
 	cuts      map[link]bool
-	journal   Journal
+
+	cutCallers  map[string]bool
+	cutControls map[string]bool
+	troubles    Troubles
+
+	journal Journal
 }
 
 // link is a pair of instances, in the order of their ids.
@@ -78,7 +81,13 @@
 
 // NewService makes a service without instances. The first one that is started leads its first term.
 func NewService(settings Settings) *Service {
-	return &Service{settings: settings, changed: make(chan struct{}), cuts: map[link]bool{}}
+	return &Service{
+		settings:    settings,
+		changed:     make(chan struct{}),
+		cuts:        map[link]bool{},
+		cutCallers:  map[string]bool{},
+		cutControls: map[string]bool{},
+	}
 }
 
 // Start starts an instance with an empty log.
