Registry: who leaves without having drained drains until it has ended

Change: such a leave is recorded as a drain with a farewell: gateways have the time of a drain, the failover hands over and counts its copy; it is gone when it is silent or another is at its address, and nothing of that life brings it back. An instance that answers a probe is no lost one, though its heartbeats may not come.

--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -31,6 +31,9 @@
 	for _, event := range effects.Events {
 		c.event(event.What, event.Text)
 	}
+	if effects.Alive != "" {
+		c.term.registry.Heard(c.now, effects.Alive)
+	}
 	for _, change := range effects.Changes {
 		c.queue(command{kind: changeFailover, change: change})
 	}
--- a/control/failover/api.go
+++ b/control/failover/api.go
@@ -193,6 +193,7 @@
 	Calls   []PlatformCall
 	Changes []Change
 	Events  []Event
+	Alive   string // the instance that has answered a probe: it is no lost one, though its heartbeats may not come; "": none
 }
 
 // Settings of a manager. A new one is made each time a controller becomes primary.
--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -191,6 +191,9 @@
 	if m.services[probe.service.name] != probe.service {
 		return
 	}
+	if result.Answer == Answered || result.Answer == Busy {
+		m.effects.Alive = probe.member.instance.ID
+	}
 	probe.service.probed(now, probe, result)
 	probe.service.advance(now)
 }
--- a/control/failover/manager_test.go
+++ b/control/failover/manager_test.go
@@ -318,3 +318,14 @@
 	next.Step(0, World{Services: []ServiceView{view}})
 	is.Equal(next.Drains(0), []feed.DrainLimit{{InstanceID: "a2"}})
 }
+
+func TestAnsweredProbeIsASignOfLife(t *testing.T) {
+	is := is.New(t)
+	manager := New(0, DefaultSettings())
+	effects := manager.Step(0, World{Services: []ServiceView{threeInstances("a1")}})
+	for index, answer := range []ProbeAnswer{Answered, Busy, Refused} {
+		probe := effects.Probes[index]
+		said := manager.Step(time.Millisecond, Probed{Result: ProbeResult{Number: probe.Number, Answer: answer}}).Alive
+		is.Equal(said == probe.InstanceID, answer != Refused)
+	}
+}
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -52,12 +52,7 @@
 		noteDrainOfDeparted(tx, record, beat)
 		return false
 	}
-	current := state.Instance{Instance: instanceOf(beat), CallSeq: beat.CallSeq, Life: record.Life}
-	if order == reborn {
-		current.Life++
-	} else {
-		current.Draining = current.Draining || record.Draining
-	}
+	current := nextRecord(record, order, beat)
 	if known && !record.Left && !order.countsAnew() && record.Instance == current.Instance {
 		return order != again
 	}
@@ -68,6 +63,18 @@
 	return order != again
 }
 
+// nextRecord is what a beat makes of the record of its instance. An end that was said stays, except in another life.
+func nextRecord(record state.Instance, order order, beat Heartbeat) state.Instance {
+	next := state.Instance{Instance: instanceOf(beat), CallSeq: beat.CallSeq, Life: record.Life}
+	if order == reborn {
+		next.Life++
+		return next
+	}
+	next.Draining = next.Draining || record.Draining
+	next.Farewell = record.Farewell
+	return next
+}
+
 func instanceOf(beat Heartbeat) feed.Instance {
 	return feed.Instance{
 		ID:       beat.InstanceID,
@@ -113,8 +120,9 @@
 	})
 }
 
-// Leave records that an instance has said that it leaves. One that was never heard of is recorded too: its beats may
-// still be on their way.
+// Leave records that an instance has said that it leaves. One that has drained is gone. One that hasn't serves on for as long first, and
+// may receive and acknowledge meanwhile: it drains from now on, until it is silent or another is at its address. One that was
+// never heard of is recorded too: its beats may still be on their way.
 func (r *Registry) Leave(_ time.Duration, tx *state.Transaction, id string) {
 	if !validID(id) {
 		return
@@ -123,10 +131,24 @@
 	if known && record.SaidFarewell() {
 		return
 	}
+	if known && !record.Left && !record.Draining {
+		record.Draining, record.Farewell = true, true
+		record.CallSeq = r.highestSeen(record)
+		tx.PutInstance(record)
+		return
+	}
 	record.ID = id
 	r.putLeft(tx, record, farewell)
 }
 
+// highestSeen is the highest callSeq that was seen of an instance.
+func (r *Registry) highestSeen(record state.Instance) uint64 {
+	if seen, found := r.sightings[record.ID]; found && seen.counted {
+		return max(record.CallSeq, seen.highest)
+	}
+	return record.CallSeq
+}
+
 // ending is why an instance is taken for gone.
 type ending int
 
@@ -138,10 +160,9 @@
 
 // putLeft records that an instance has left, with the highest callSeq that was seen of it.
 func (r *Registry) putLeft(tx *state.Transaction, record state.Instance, why ending) {
-	if seen, found := r.sightings[record.ID]; found && seen.counted {
-		record.CallSeq = max(record.CallSeq, seen.highest)
-	}
+	record.CallSeq = r.highestSeen(record)
 	record.Left = true
+	record.Farewell = record.Farewell || why == farewell
 	record.Lost = why == silent
 	record.Displaced = why == displaced
 	tx.PutInstance(record)
--- a/control/state/api.go
+++ b/control/state/api.go
@@ -43,16 +43,20 @@
 	Lost    bool   // with Left: it was taken for lost in silence, and has not said that it leaves
 	// Displaced, with Left: another instance appeared at its address, and it has not said that it leaves.
 	Displaced bool
+	Farewell  bool   // it has said that it leaves, and that was acknowledged; without Left it serves on and drains
 	Life      uint64 // rises when the instance is known to have been started anew, so that an end it has said is over
 }
 
-// SaidFarewell tells whether an instance has left by its own word, which was acknowledged.
-func (i Instance) SaidFarewell() bool { return i.Left && !i.Lost && !i.Displaced }
+// SaidFarewell tells whether an instance has said that it leaves, which was acknowledged. Records of earlier versions have no Farewell.
+func (i Instance) SaidFarewell() bool { return i.Farewell || i.Left && !i.Lost && !i.Displaced }
 
 // takesBackEnd tells whether a record would take back an end that may have been acknowledged: a drain or a leave is final in a life.
 func (i Instance) takesBackEnd(next Instance) bool {
 	if next.Life > i.Life {
 		return false
 	}
-	return i.Draining && !next.Draining || i.SaidFarewell() && !next.SaidFarewell()
+	if i.SaidFarewell() && (!next.SaidFarewell() || i.Left && !next.Left) {
+		return true
+	}
+	return i.Draining && !next.Draining
 }
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -129,6 +129,10 @@
 	displaced.Displaced = true
 	drainedAndLost := lost
 	drainedAndLost.Draining = true
+	servesOn := drains
+	servesOn.Farewell = true
+	farewellAndLost := drainedAndLost
+	farewellAndLost.Farewell = true
 	for name, one := range map[string]struct {
 		before, next state.Instance
 		refused      bool
@@ -138,6 +142,9 @@
 		"a leave, for a drain":            {left("i", "s"), drains, true},
 		"a leave, for silence":            {left("i", "s"), lost, true},
 		"a drain before a silence":        {drainedAndLost, ready, true},
+		"a leave before a silence":        {farewellAndLost, ready, true},
+		"a leave before it has ended":     {servesOn, drains, true},
+		"a leave, and then it has ended":  {servesOn, farewellAndLost, false},
 		"a drain in another life":         {drains, inNextLife(ready), false},
 		"a leave in another life":         {left("i", "s"), inNextLife(ready), false},
 		"a drain goes on":                 {drains, drains, false},
--- a/simulation/calm.go
+++ b/simulation/calm.go
@@ -72,12 +72,6 @@
 	return w.now()-w.coreEvent >= w.plan.Bounds.Contact && w.coreSlow == 0 && !w.weakNow
 }
 
-// machineInTouch tells whether a machine of the core is in touch now.
-func (w *World) machineInTouch(one *machine) bool {
-	calm := one.running && !one.frozen && w.now()-one.lastTrouble >= w.plan.Bounds.Contact
-	return calm && w.settled()
-}
-
 // gatewayCalm is parts (1) and (3) of "in touch".
 func (w *World) gatewayCalm(g *gateway) bool {
 	if !g.running || g.frozen || w.now()-g.lastTrouble < w.plan.Bounds.Contact || w.network.conditions.Loss > 0 {
