Failover: what departed instances may hold outlasts a takeover of the core

With the replicas gone and a takeover since, a crashed leader counted as the only one missing, and a new instance with an empty log was shown to have everything: all acknowledged commits were lost. Change: a departure is recorded as uncovered until the leader's position was read after it; then the furthest such position is kept as the service's floor. A new primary is told of uncovered departures and of the floor; whoever has not reached the floor lacks what departed ones may hold.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -191,6 +191,8 @@
 		transaction.SetLeader(change.Leader.Service, change.Leader.Leader)
 	case change.Intent != nil:
 		transaction.SetIntent(*change.Intent)
+	case change.Covered != nil:
+		transaction.CoverDeparture(*change.Covered)
 	case change.ClearIntent != "":
 		transaction.ClearIntent(change.ClearIntent)
 	}
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -37,21 +37,22 @@
 
 // term is the memory of one term of office as primary. It starts empty with each term.
 type term struct {
-	epoch     quorum.Epoch
-	registry  *registry.Registry
-	failover  *failover.Manager
-	services  []failover.ServiceView // as committed; not to be modified
-	grants    *grants
-	table     table
-	commands  []command         // waiting for the next batch
-	batch     *batch            // proposed and not decided yet
-	questions []question        // need a confirmation that hasn't been asked for yet
-	asked     []confirmation    // asked for and not decided yet
-	watches   []*watch          // gateways' questions that wait for news
-	confirmed time.Duration     // when the last confirmation or commit was asked for that was granted
-	expireAt  time.Duration     // when silent instances are looked for again
-	expiring  bool              // a look for silent instances waits for a batch
-	freezes   map[string]freeze // services that are frozen, by name
+	epoch          quorum.Epoch
+	registry       *registry.Registry
+	failover       *failover.Manager
+	services       []failover.ServiceView // as committed; not to be modified
+	departuresTold bool                   // the failover has been told who departed under earlier terms
+	grants         *grants
+	table          table
+	commands       []command         // waiting for the next batch
+	batch          *batch            // proposed and not decided yet
+	questions      []question        // need a confirmation that hasn't been asked for yet
+	asked          []confirmation    // asked for and not decided yet
+	watches        []*watch          // gateways' questions that wait for news
+	confirmed      time.Duration     // when the last confirmation or commit was asked for that was granted
+	expireAt       time.Duration     // when silent instances are looked for again
+	expiring       bool              // a look for silent instances waits for a batch
+	freezes        map[string]freeze // services that are frozen, by name
 }
 
 // New makes a controller from what its disk holds.
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+
 	"eiderway/control/failover"
 	"eiderway/control/state"
 )
@@ -11,7 +13,21 @@
 	before := c.term.services
 	c.term.services = state.Services(c.node)
 	c.noteInstances(before, c.term.services)
-	c.stepFailover(failover.World{Services: c.term.services})
+	c.stepFailover(failover.World{Services: c.withDepartures(c.term.services)})
+}
+
+// withDepartures adds what a new term must know of instances that departed under an earlier one.
+func (c *Controller) withDepartures(services []failover.ServiceView) []failover.ServiceView {
+	if c.term.departuresTold {
+		return services
+	}
+	c.term.departuresTold = true
+	departed := state.UncoveredDepartures(c.node)
+	told := slices.Clone(services)
+	for index := range told {
+		told[index].Departed = departed[told[index].Name]
+	}
+	return told
 }
 
 // stepFailover steps the failover and passes its effects on.
--- a/control/failover/api.go
+++ b/control/failover/api.go
@@ -124,6 +124,11 @@
 	Leader       feed.Leader
 	Instances    []feed.Instance // those that have not left and are not lost
 	Intent       *Intent
+	// Departed are those that have left or were lost, and may hold acknowledged commits that no position is known to cover. Only the
+	// first view that a manager is given needs them: afterwards it sees them go.
+	Departed []feed.Instance
+	// Floor is the furthest position that covers instances that have departed: whoever has not reached it lacks what they may hold.
+	Floor Position
 }
 
 // Change is what the manager wants in the control state. Exactly one of the fields beside Request is set.
@@ -132,6 +137,15 @@
 	Leader      *LeaderChange
 	Intent      *Intent // to be written
 	ClearIntent string  // service
+	Covered     *CoveredDeparture
+}
+
+// CoveredDeparture records that an instance that has departed holds no acknowledged commit beyond a position of the leader, which was
+// read after it had ended. A later holder knows by it what an instance that it has never met may hold.
+type CoveredDeparture struct {
+	Service    string
+	InstanceID string
+	Position   Position
 }
 
 // LeaderChange records on evidence who leads a service.
--- a/control/failover/change.go
+++ b/control/failover/change.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"eiderway/control/feed"
 )
 
@@ -38,6 +40,8 @@
 		s.recordedLeader(now, done.before, done.change.Leader.Leader)
 	case done.change.Intent != nil:
 		s.recordedIntent(now, done)
+	case done.change.Covered != nil:
+		s.recordedCover(*done.change.Covered)
 	case done.change.ClearIntent != "":
 		s.view.Intent, s.intent, s.inherited, s.call = nil, nil, false, calls{}
 		if s.phase == withdrawing {
@@ -46,6 +50,16 @@
 	}
 }
 
+// recordedCover forgets an instance that has departed: the floor stands for what it may hold.
+func (s *service) recordedCover(covered CoveredDeparture) {
+	if s.view.Floor.Less(covered.Position) {
+		s.view.Floor = covered.Position
+	}
+	s.members = lo.Reject(s.members, func(i *member, _ int) bool {
+		return i.departed && i.instance.ID == covered.InstanceID
+	})
+}
+
 // notRecorded goes back to where the intent was wanted.
 func (s *service) notRecorded() {
 	if s.phase != recording {
--- a/control/failover/choose.go
+++ b/control/failover/choose.go
@@ -108,6 +108,8 @@
 //   - the recorded leader is held, and no later term is known in which somebody else led; or
 //   - each instance that isn't held, but one, had fallen silent or left before the leader's position was read that the chosen
 //     one has reached (and no later term is known).
+//
+// Of those that left and were covered long ago only the furthest of these positions is kept, as the floor.
 func (s *service) proof(chosen *member, held []*member) string {
 	led := s.view.Leader.InstanceID
 	laterTerm := s.latestTerm() > s.view.Leader.Term
@@ -123,12 +125,19 @@
 	if led == "" || leader == nil {
 		spare = 0 // the leader is unknown, or was forgotten: it is the one that is missing
 	}
-	if len(open) <= spare {
+	missing := lo.Map(open, func(i *member, _ int) string { return i.instance.ID })
+	if chosen.heldPosition.Less(s.view.Floor) {
+		missing = append(missing, departedEarlier)
+	}
+	if len(missing) <= spare {
 		return ""
 	}
-	return strings.Join(lo.Map(open, func(i *member, _ int) string { return i.instance.ID }), " ")
+	return strings.Join(missing, " ")
 }
 
+// departedEarlier stands for the instances that departed, and were covered by a position that the chosen one hasn't reached.
+const departedEarlier = "(departed)"
+
 // asynchronousLimit ends the wait for a silent replica where acknowledged commits need not be in any replica anyway.
 func (s *service) asynchronousLimit(now time.Duration) bool {
 	return s.view.SyncReplicas == 0 && s.why != leaderDrains && now-s.frozenAt >= s.settings().ReplicaLost
--- a/control/failover/host_test.go
+++ b/control/failover/host_test.go
@@ -104,6 +104,13 @@
 			w.committed[change.Leader.Service].Leader = change.Leader.Leader
 		case change.Intent != nil:
 			w.committed[change.Intent.Service].Intent = change.Intent
+		case change.Covered != nil:
+			covered := *change.Covered
+			view := w.committed[covered.Service]
+			view.Departed = slices.DeleteFunc(slices.Clone(view.Departed), func(i feed.Instance) bool { return i.ID == covered.InstanceID })
+			if view.Floor.Less(covered.Position) {
+				view.Floor = covered.Position
+			}
 		default:
 			w.committed[change.ClearIntent].Intent = nil
 		}
--- a/control/failover/manager_test.go
+++ b/control/failover/manager_test.go
@@ -329,3 +329,53 @@
 		is.Equal(said == probe.InstanceID, answer != Refused)
 	}
 }
+
+// orphaned is a service whose leader, which was alone, is gone, and to which a new instance with an empty log has come, at a manager that
+// has met nobody else.
+func orphaned(change func(*ServiceView)) *desk {
+	view := ServiceView{Name: "a", SyncReplicas: 1, Leader: feed.Leader{InstanceID: "a1", Term: 3}}
+	view.Instances = []feed.Instance{{ID: "a1", Service: "a", Address: "a1"}, {ID: "a4", Service: "a", Address: "a4"}}
+	change(&view)
+	d := newDesk(view)
+	d.answers["a4"] = Status{}
+	d.wait(2 * time.Second)
+	freeze, _ := d.manager.Frozen("a")
+	d.step(Cleared{Service: "a", Freeze: freeze})
+	d.wait(2 * time.Second)
+	return d
+}
+
+func TestWhatTheDepartedMayHoldIsKnownAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	unknown := orphaned(func(*ServiceView) {})
+	is.Equal(len(unknown.changes), 1) // nothing speaks against the new one: it is chosen
+	is.Equal(unknown.changes[0].Intent.InstanceID, "a4")
+
+	covered := orphaned(func(view *ServiceView) { view.Floor = Position{Term: 3, Number: 7} })
+	is.Equal(len(covered.changes), 0)
+	uncovered := orphaned(func(view *ServiceView) {
+		view.Departed = []feed.Instance{{ID: "a2", Service: "a", Address: "a2"}}
+	})
+	is.Equal(len(uncovered.changes), 0)
+}
+
+// Once the leader's position was read after a departure, it is recorded for later holders.
+func TestDepartureIsCoveredByTheLeadersPosition(t *testing.T) {
+	is := is.New(t)
+	view := threeInstances("a1")
+	d := newDesk(view)
+	leading := replicaAt(12)
+	leading.Primary = true
+	d.answers["a1"], d.answers["a2"], d.answers["a3"] = leading, replicaAt(12), replicaAt(11)
+	d.wait(time.Second)
+	view.Instances = view.Instances[:2]
+	d.step(World{Services: []ServiceView{view}})
+	d.wait(departureMargin)
+	is.Equal(len(d.changes), 0)
+	d.wait(time.Second)
+	is.Equal(len(d.changes), 1)
+	is.Equal(*d.changes[0].Covered, CoveredDeparture{Service: "a", InstanceID: "a3", Position: Position{Term: 3, Number: 12}})
+	d.step(Changed{Request: d.changes[0].Request, Committed: true})
+	d.wait(time.Second)
+	is.Equal(len(d.changes), 1)
+}
--- a/control/failover/scenario_test.go
+++ b/control/failover/scenario_test.go
@@ -160,6 +160,11 @@
 // leave ends an instance. A new one comes at its address, with its log.
 func (w *world) leave(d *database) {
 	view := w.committed[d.service]
+	for _, gone := range view.Instances {
+		if gone.ID == d.id {
+			view.Departed = append(view.Departed, gone)
+		}
+	}
 	view.Instances = slices.DeleteFunc(slices.Clone(view.Instances), func(i feed.Instance) bool { return i.ID == d.id })
 	d.crash()
 	delete(w.instances, d.id)
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -136,6 +136,9 @@
 	if view.Leader.InstanceID == "" && s.view.Leader.InstanceID != "" {
 		s.unledFrom = now
 	}
+	if len(s.members) == 0 {
+		s.members = departedBefore(now, view)
+	}
 	s.view = view
 	s.intent = view.Intent
 	for _, instance := range view.Instances {
@@ -156,12 +159,20 @@
 		if !present && !known.departed {
 			known.departed, known.departedAt = true, now
 			known.held = false
+			s.fastUntil = max(s.fastUntil, now+departureLook)
 		}
 	}
 	slices.SortFunc(s.members, func(a, b *member) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
 	s.forgetDeparted()
 }
 
+// departedBefore are the instances that departed under an earlier holder, and that nothing is known to cover.
+func departedBefore(now time.Duration, view ServiceView) []*member {
+	return lo.Map(view.Departed, func(instance feed.Instance, _ int) *member {
+		return &member{instance: instance, departed: true, departedAt: now, lastLife: now}
+	})
+}
+
 // forgetDeparted bounds the memory of instances that have gone: the oldest of those whose log is covered go first. A
 // departed one that was draining handed its log to the instance that has its address now.
 func (s *service) forgetDeparted() {
--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -39,6 +39,8 @@
 	learnLimit = 10 * time.Second
 	// departureMargin is added to the moment at which an instance left, before the leader's position covers it.
 	departureMargin = 500 * time.Millisecond
+	// departureLook is for how long the leader is asked more often after a departure, so that its position covers the departed one.
+	departureLook = 2 * time.Second
 	// refusedMargin is added to the moment at which a process was found not to run.
 	refusedMargin = 500 * time.Millisecond
 	// replicaSilent is the silence, longer than two heartbeats take, after which a replica is probed at calm.
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -17,6 +17,7 @@
 		return
 	}
 	s.settleIntent(now)
+	s.settleDeparted(now)
 	s.aftercare(now)
 	s.look(now)
 	if why, sign := s.mustFreeze(now); sign {
@@ -43,6 +44,16 @@
 	}
 }
 
+// settleDeparted records the position that covers an instance that has departed, one at a time.
+func (s *service) settleDeparted(now time.Duration) {
+	for _, gone := range s.members {
+		if gone.departed && gone.cover != nil && !gone.coverDead {
+			s.ask(now, Change{Covered: &CoveredDeparture{Service: s.name, InstanceID: gone.instance.ID, Position: *gone.cover}})
+			return
+		}
+	}
+}
+
 // look probes: at calm the leader alone, while there are signs of change everyone, and fast only once the leader fails.
 func (s *service) look(now time.Duration) {
 	leader := s.leader()
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -161,6 +161,7 @@
 // putLeft records that an instance has left, with the highest callSeq that was seen of it.
 func (r *Registry) putLeft(tx *state.Transaction, record state.Instance, why ending) {
 	record.CallSeq = r.highestSeen(record)
+	record.Uncovered = record.Uncovered || !record.Left
 	record.Left = true
 	record.Farewell = record.Farewell || why == farewell
 	record.Lost = why == silent
--- a/control/state/api.go
+++ b/control/state/api.go
@@ -43,7 +43,9 @@
 	Lost    bool   // with Left: it was taken for lost in silence, and has not said that it leaves
 	// Displaced, with Left: another instance appeared at its address, and it has not said that it leaves.
 	Displaced bool
-	Farewell  bool   // it has said that it leaves, and that was acknowledged; without Left it serves on and drains
+	Farewell  bool // it has said that it leaves, and that was acknowledged; without Left it serves on and drains
+	// Uncovered, with Left: it may hold acknowledged commits beyond every position that is known to cover it.
+	Uncovered bool
 	Life      uint64 // rises when the instance is known to have been started anew, so that an end it has said is over
 }
 
--- a/control/state/keys.go
+++ b/control/state/keys.go
@@ -12,6 +12,7 @@
 	addressPrefix    = "address/"            // + address of present instances: addressRecord
 	departurePrefix  = "departure/"          // + number of the departure: departureRecord
 	leaderPrefix     = "leader/"             // + service: leaderRecord
+	floorPrefix      = "floor/"              // + service: floorRecord
 	intentPrefix     = "intent/"             // + service: failover.Intent
 )
 
@@ -22,4 +23,5 @@
 func addressKey(address string) string     { return addressPrefix + address }
 func departureKey(departure uint64) string { return fmt.Sprintf("%s%020d", departurePrefix, departure) }
 func leaderKey(service string) string      { return leaderPrefix + service }
+func floorKey(service string) string       { return floorPrefix + service }
 func intentKey(service string) string      { return intentPrefix + service }
--- a/control/state/service.go
+++ b/control/state/service.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -19,6 +20,47 @@
 	t.set(leaderKey(service), encode(leaderRecord{Service: service, Leader: leader}))
 }
 
+// floorRecord is the furthest position that covers instances of a service that have departed.
+type floorRecord struct {
+	Service  string
+	Position failover.Position
+}
+
+// CoverDeparture records what an instance that has departed may hold at the most.
+func (t *Transaction) CoverDeparture(covered failover.CoveredDeparture) {
+	record, found := recordOf(t, covered.InstanceID)
+	if !found || !record.Left || !record.Uncovered {
+		return // it is back, or forgotten
+	}
+	record.Uncovered = false
+	t.set(record.key(), encode(record))
+	if floor := floorOf(t, covered.Service); floor.Less(covered.Position) {
+		t.set(floorKey(covered.Service), encode(floorRecord{Service: covered.Service, Position: covered.Position}))
+	}
+}
+
+func floorOf(reader Reader, service string) failover.Position {
+	record, _ := read[floorRecord](reader, floorKey(service))
+	return record.Position
+}
+
+// UncoveredDepartures returns the instances that have departed and may hold what no position covers, by service, the newest ones if
+// there are many. It reads the records of all that left.
+func UncoveredDepartures(reader Reader) map[string][]feed.Instance {
+	records := readAll[instanceRecord](reader, departedPrefix)
+	slices.SortFunc(records, func(a, b instanceRecord) int { return cmp.Compare(b.Departure, a.Departure) })
+	departed := make(map[string][]feed.Instance)
+	for _, record := range records {
+		if record.Uncovered && len(departed[record.Service]) < mostUncovered {
+			departed[record.Service] = append(departed[record.Service], record.Instance.Instance)
+		}
+	}
+	return departed
+}
+
+// mostUncovered bounds the departures that a new primary is told of, for each service.
+const mostUncovered = 16
+
 // SetIntent records a failover that may be under way, in place of an earlier one of the service.
 func (t *Transaction) SetIntent(intent failover.Intent) {
 	t.set(intentKey(intent.Service), encode(intent))
@@ -61,6 +103,11 @@
 			view.Leader = leader
 		}
 	}
+	for _, floor := range readAll[floorRecord](reader, floorPrefix) {
+		if view, found := views[floor.Service]; found {
+			view.Floor = floor.Position
+		}
+	}
 	return views.sorted()
 }
 
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -255,3 +255,37 @@
 	is.True(!state.HasInstance(memory, "i4"))
 	is.NoErr(state.Verify(memory))
 }
+
+// What instances that departed may hold is known to a later primary: who is not covered, and how far the covered ones reach.
+func TestDeparturesAreCovered(t *testing.T) {
+	is := is.New(t)
+	memory := statetest.NewMemory()
+	put(memory, instance("here", "s"))
+	for _, id := range []string{"a", "b", "c"} {
+		gone := left(id, "s")
+		gone.Uncovered = id != "c"
+		put(memory, gone)
+	}
+	of := func() []string {
+		var ids []string
+		for _, departed := range state.UncoveredDepartures(memory)["s"] {
+			ids = append(ids, departed.ID)
+		}
+		return ids
+	}
+	is.Equal(of(), []string{"b", "a"}) // the newest first
+	for _, covered := range []failover.CoveredDeparture{
+		{Service: "s", InstanceID: "a", Position: failover.Position{Term: 2, Number: 9}},
+		{Service: "s", InstanceID: "b", Position: failover.Position{Term: 2, Number: 7}},
+		{Service: "s", InstanceID: "here", Position: failover.Position{Term: 5, Number: 1}},
+		{Service: "s", InstanceID: "c", Position: failover.Position{Term: 5, Number: 1}},
+		{Service: "s", InstanceID: "never", Position: failover.Position{Term: 5, Number: 1}},
+	} {
+		transaction := state.NewTransaction(memory)
+		transaction.CoverDeparture(covered)
+		memory.Commit(transaction)
+	}
+	is.Equal(len(of()), 0)
+	is.Equal(state.Services(memory)[0].Floor, failover.Position{Term: 2, Number: 9}) // the furthest
+	is.NoErr(state.Verify(memory))
+}
--- a/control/state/verify.go
+++ b/control/state/verify.go
@@ -31,6 +31,7 @@
 		verifyAddresses,
 		verifyRecords[departureRecord](departurePrefix, func(r departureRecord) string { return departureKey(r.Departure) }),
 		verifyRecords[leaderRecord](leaderPrefix, func(r leaderRecord) string { return leaderKey(r.Service) }),
+		verifyRecords[floorRecord](floorPrefix, func(r floorRecord) string { return floorKey(r.Service) }),
 		verifyRecords[failover.Intent](intentPrefix, func(r failover.Intent) string { return intentKey(r.Service) }),
 	}
 	for _, verify := range kinds {
--- a/simulation/actions.go
+++ b/simulation/actions.go
@@ -45,6 +45,7 @@
 		"crash":        crashAction,       // crash INSTANCE [for 5s]
 		"drain":        drainAction,       // drain INSTANCE [by db4]
 		"leave":        leaveAction,       // leave INSTANCE [beating] [by db4]: without a drain; it serves on, and may go on beating
+		"join":         joinAction,        // join db4 to db: a new instance, at an address of its own, with an empty log
 		"late-beats":   lateBeatsAction,   // late-beats 40% for 20s: so many heartbeats come once more, seconds late
 		"platform":     platformAction,    // platform slow 2s for 5s | lose-call | lose-answer | late 4s
 	}
@@ -577,6 +578,12 @@
 	}
 }
 
+func joinAction(w *World, a arguments) {
+	name, _ := a.after("to")
+	joined := w.service(name)
+	w.addInstance(joined, a.word(0), a.word(0)+":5432", nil, 0)
+}
+
 func lateBeatsAction(w *World, a arguments) {
 	share, err := parseShare(a.word(0))
 	if err != nil {
