Module: what waits for room is too late when less than a usual answer's time is left

Change: the mean counts for a txn that waits for room; where nothing is short the quickest tenth does, as needs it.

--- a/splitter/dispatch.go
+++ b/splitter/dispatch.go
@@ -86,12 +86,12 @@
 	return t.LateValue == 0 || t.LateValue < lateLeast && s.sent > shareFree && s.got < crowdShare*s.sent
 }
 
-// tooLate tells whether not even a quick answer would come in time. A write never sent by half of its wait is
-// declined while its client can turn elsewhere; it harms where a primary comes in the second half.
+// tooLate tells whether a quick answer, or a usual one where room is short, is too late. A write never sent
+// by half of its wait is declined, to turn elsewhere; it harms where a primary comes in the second half.
 func (r *Router) tooLate(t *txn) bool {
-	now := r.host.Now()
-	return now >= r.last(t)-t.quick || t.tries == 0 && t.Need == NeedPrimary &&
-		now >= t.arrived+heldShare*(t.Until-t.arrived)-2*tick
+	left := r.last(t) - r.host.Now()
+	return left <= t.quick || t.cause == NoRoom && left <= t.work || t.tries == 0 && t.Need == NeedPrimary &&
+		r.host.Now() >= t.arrived+heldShare*(t.Until-t.arrived)-2*tick
 }
 
 func (r *Router) submit(t *txn, n *node) {
