--- a/simulation/generate.go
+++ b/simulation/generate.go
@@ -29,6 +29,7 @@
 	number      int64
 	successors  int
 	catchUp     time.Duration
+	second      bool // there is a second service, which may be used up
 	wild        bool // any number of machines in trouble at once, but no disk is lost: safety must hold all the same
 }
 
@@ -78,7 +79,8 @@
 	g.add("fencechecked %s", g.one("yes", "no"))
 	g.add("runs %d", seed)
 	g.add("service db 3 sync 1")
-	if g.random.IntN(3) == 0 {
+	if g.random.IntN(2) == 0 {
+		g.second = true
 		g.add("service kv %d sync %d", 2+g.random.IntN(2), g.random.IntN(2))
 		g.add("clients 6")
 	}
@@ -101,7 +103,10 @@
 	kinds := []func(){
 		g.orders, g.orders, g.race, g.again, g.coreLoss, g.coreLoss, g.coreLoss, g.coreLoss, g.allPower,
 		g.instanceTrouble, g.instanceTrouble, g.secondInstance, g.gatewayTrouble, g.platformTrouble, g.resets,
-		g.answersLost, g.invalidOrder, g.bigOrder, g.newSeeds,
+		g.answersLost, g.invalidOrder, g.bigOrder, g.newSeeds, g.lateBeats,
+	}
+	if g.second {
+		kinds = append(kinds, g.useUp, g.useUp, g.useUp)
 	}
 	kinds[g.random.IntN(len(kinds))]()
 }
@@ -264,7 +269,11 @@
 	}
 	g.busyService = g.now + lasting + 8*time.Second
 	who := g.one("leader:db", "leader:db", "leader:db", "replica:db")
-	switch g.random.IntN(6) {
+	switch g.random.IntN(7) {
+	case 6:
+		g.busyService += 14 * time.Second
+		g.successors++
+		g.at(0, "leave %s %s by dbx%d", who, g.one("beating", "quietly"), g.successors)
 	case 0:
 		g.at(0, "crash %s for %s", who, lasting)
 	case 1:
@@ -282,6 +291,28 @@
 	}
 }
 
+// useUp takes instances of the second service away, with nobody in their place or with an empty one, until none may be left.
+func (g *generator) useUp() {
+	who := g.one("leader:kv", "leader:kv", "replica:kv")
+	switch g.random.IntN(5) {
+	case 0:
+		g.at(0, "crash replica:kv")
+	case 1:
+		g.at(0, "drain %s", who)
+	case 2:
+		g.at(0, "leave %s %s", who, g.one("beating", "quietly"))
+	case 3:
+		g.at(0, "crash leader:kv for %s", g.between(time.Second, 15*time.Second))
+	case 4:
+		g.successors++
+		g.at(0, "join kvx%d to kv", g.successors)
+	}
+}
+
+func (g *generator) lateBeats() {
+	g.at(0, "late-beats %d%% for %s", 20+g.random.IntN(80), g.between(2*time.Second, 15*time.Second))
+}
+
 func (g *generator) gatewayTrouble() {
 	if g.now < g.busyGateway {
 		return
