--- /dev/null
+++ b/simulation/actions_instances.go
@@ -0,0 +1,64 @@
+package simulation
+
+// Troubles and ends of instances, and troubles of the platform.
+
+func crashAction(w *World, a arguments) {
+	pause, returns := a.time("for")
+	for _, name := range w.resolve(a.word(0)) {
+		one := w.instanceByID(name)
+		one.crash()
+		if returns {
+			w.schedule.after(pause, one.restart)
+		}
+	}
+}
+
+func drainAction(w *World, a arguments) {
+	successor, _ := a.after("by")
+	for _, name := range w.resolve(a.word(0)) {
+		w.instanceByID(name).drain(successor)
+	}
+}
+
+func leaveAction(w *World, a arguments) {
+	successor, _ := a.after("by")
+	for _, name := range w.resolve(a.word(0)) {
+		leaving := w.instanceByID(name)
+		leaving.replacement = successor
+		leaving.leaveFirst(a.has("beating"))
+	}
+}
+
+func joinAction(w *World, a arguments) {
+	name, _ := a.after("to")
+	joined := w.service(name)
+	w.addInstance(joined, a.word(0), a.word(0)+":5432", nil, 0)
+}
+
+func lateBeatsAction(w *World, a arguments) {
+	share, err := parseShare(a.word(0))
+	if err != nil {
+		a.fail(err.Error())
+	}
+	pause, _ := a.time("for")
+	w.lateBeats = share
+	w.schedule.after(pause, func() { w.lateBeats = 0 })
+}
+
+func platformAction(w *World, a arguments) {
+	switch a.word(0) {
+	case "slow":
+		by, _ := a.time("slow")
+		pause, _ := a.time("for")
+		w.platform.slow += by
+		w.schedule.after(pause, func() { w.platform.slow -= by })
+	case "lose-call":
+		w.platform.loseCalls++
+	case "lose-answer":
+		w.platform.loseAnswers++
+	case "late":
+		w.platform.late, _ = a.time("late")
+	default:
+		a.fail("unknown trouble of the platform")
+	}
+}
