System tests: the last instance is alone again; stand-ins free slots of waiting commits

And a stand-in's commit that waits for a replica held its slot for ever, so that a lone instance soon served nothing, and nothing could break. Change: the replicas crash for good and the test wants the log to say that the leader has 0 others; a slot is held for the work only, and counted by the life of the instance. Two repeated pieces of the simulation's actions are one.

--- a/simulation/actions_instances.go
+++ b/simulation/actions_instances.go
@@ -35,15 +35,7 @@
 	w.addInstance(joined, a.word(0), a.word(0)+":5432", nil, 0)
 }
 
-func lateBeatsAction(w *World, a arguments) {
-	share, err := parseShare(a.word(0))
-	if err != nil {
-		a.fail(err.Error())
-	}
-	pause, _ := a.time("for")
-	w.lateBeats = share
-	w.schedule.after(pause, func() { w.lateBeats = 0 })
-}
+func lateBeatsAction(w *World, a arguments) { a.setShareFor(w, &w.lateBeats) }
 
 func platformAction(w *World, a arguments) {
 	switch a.word(0) {
--- a/simulation/links.go
+++ b/simulation/links.go
@@ -105,13 +105,18 @@
 }
 
 func answersLostAction(w *World, a arguments) {
-	share, err := parseShare(a.word(0))
+	a.setShareFor(w, &w.answersLost)
+}
+
+// setShareFor sets a share of the world, given as the first word, for as long as the action says.
+func (a arguments) setShareFor(w *World, share *float64) {
+	value, err := parseShare(a.word(0))
 	if err != nil {
 		a.fail(err.Error())
 	}
 	pause, _ := a.time("for")
-	w.answersLost = share
-	w.schedule.after(pause, func() { w.answersLost = 0 })
+	*share = value
+	w.schedule.after(pause, func() { *share = 0 })
 }
 
 func conditionsAction(w *World, a arguments) {
--- a/systemtest/drain_test.go
+++ b/systemtest/drain_test.go
@@ -10,14 +10,24 @@
 // drainWatch is how long the end of an instance is watched: until it has ended, some time after it was to be left alone.
 const drainWatch = drainTime + 2*time.Second
 
-// TestLastInstanceDrains has both replicas leave, and then the primary, which is alone, drain, with nobody in its place. No
+// TestLastInstanceDrains has both replicas crash for good, and then the primary, which is alone, drain, with nobody in its place. No
 // statement may be begun there once the drain time is over, though nobody can follow.
 func TestLastInstanceDrains(t *testing.T) {
 	t.Parallel() // mostly waits
 	w := startWorld(t)
-	w.replicasLeave()
-	w.service.Leader().Drain()
-	w.awaitDepartures(instanceCount)
+	last := w.service.Leader()
+	w.await("all instances are known", func() bool { return w.logged("instance joined: ") >= instanceCount })
+	for _, one := range w.instances {
+		if one != last {
+			one.Crash()
+		}
+	}
+	w.await("the replicas are taken for lost", func() bool { return w.logged("instance gone: ") >= instanceCount-1 })
+	last.Drain()
+	w.awaitDepartures(1)
+	if w.logged("instance draining: "+last.ID()+" ") == 0 || w.logged(", leader, 0 others") == 0 {
+		t.Error("the primary should have been the last instance of its service")
+	}
 	time.Sleep(drainWatch)
 	w.conclude()
 }
--- a/systemtest/views_test.go
+++ b/systemtest/views_test.go
@@ -62,15 +62,21 @@
 }
 
 // brokenInvariants gives the lines in which a process says that an invariant of its own doesn't hold.
-func (w *world) brokenInvariants() []string {
-	var broken []string
+func (w *world) brokenInvariants() []string { return w.linesWith(invariant.Broken) }
+
+// logged counts the lines of all processes that hold a text.
+func (w *world) logged(text string) int { return len(w.linesWith(text)) }
+
+// linesWith gives the lines of all processes that hold a text, with the names of the processes.
+func (w *world) linesWith(text string) []string {
+	var found []string
 	for _, one := range append(slices.Clone(w.controllers), w.gateways...) {
 		contents, _ := os.ReadFile(one.logPath)
 		for line := range strings.Lines(string(contents)) {
-			if strings.Contains(line, invariant.Broken) {
-				broken = append(broken, one.name+": "+strings.TrimSpace(line))
+			if strings.Contains(line, text) {
+				found = append(found, one.name+": "+strings.TrimSpace(line))
 			}
 		}
 	}
-	return broken
+	return found
 }
--- a/testinstance/connection.go
+++ b/testinstance/connection.go
@@ -16,6 +16,7 @@
 	network  net.Conn
 	ctx      context.Context
 	stop     context.CancelFunc
+	life     context.Context // of the instance's process
 
 	state     wire.State
 	prepared  map[string]wire.Statement
@@ -32,7 +33,7 @@
 		if err != nil {
 			return
 		}
-		served := &connection{instance: i, network: network, state: wire.Idle}
+		served := &connection{instance: i, network: network, state: wire.Idle, life: ctx}
 		served.ctx, served.stop = context.WithCancel(ctx)
 		served.reset()
 		if !i.admit(served) {
@@ -182,8 +183,8 @@
 	if !c.takeSlot() {
 		return c.fail(wire.Busy, ""), nil
 	}
-	defer c.freeSlot()
 	c.work(c.instance.service.settings.Work)
+	c.freeSlot() // a commit that waits for a replica holds none
 	return c.run(request, statement)
 }
 
--- a/testinstance/slots.go
+++ b/testinstance/slots.go
@@ -17,7 +17,7 @@
 func (c *connection) freeSlot() {
 	c.instance.service.mutex.Lock()
 	defer c.instance.service.mutex.Unlock()
-	if c.ctx.Err() == nil { // after a crash the count begins anew
+	if c.life.Err() == nil { // after a crash the count begins anew
 		c.instance.busy--
 	}
 }
