Proxy: a connection's rousing never hits the job that it was roused for

Cause: node.start handed a job to a resting connection and then set a read deadline in the past to rouse it. A connection that was just about to rest found the job between the two, sent it, and the late deadline ended the job's own read: TimedOut in the first moment of its time, and 08007 for a write that may not be repeated (TestHiddenWrites, once under the race detector). Change: handing over and rousing are one step under a lock that the connection takes when it looks for a job. Connections to nodes are dialled through a field of the core, so that a test can bring the late rousing about.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -8,6 +8,7 @@
 	"context"
 	"hash/fnv"
 	"math"
+	"net"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -63,6 +64,7 @@
 	classes   *classes // nil: statements without our comment are not served
 	counters  *counters
 	sockets   chan struct{} // one for each connection to a node
+	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	life      context.Context
 	tasks     *errgroup.Group
 	log       *logrus.Logger
@@ -71,7 +73,7 @@
 func newCore(cfg *Config, log *logrus.Logger, life context.Context, tasks *errgroup.Group, sockets int) *core {
 	c := &core{actor: newActor(), clock: newClock(), terms: cfg.terms, byUID: map[string]int{}, open: map[string]bool{},
 		groups: map[int]bool{}, counters: &counters{log: log}, sockets: make(chan struct{}, sockets), life: life,
-		tasks: tasks, log: log}
+		dial: (&net.Dialer{KeepAlive: -1}).DialContext, tasks: tasks, log: log}
 	c.now = c.clock.now()
 	c.list = newList(c, cfg.Discovery, cfg.Known.Rev, cfg.Limits.MemoryMB)
 	told := c.terms.Splitter
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -97,8 +98,7 @@
 		l := n.idle[k]
 		n.idle = slices.Delete(n.idle, k, k+1)
 		j.link = l
-		l.next <- j
-		l.nc.SetReadDeadline(past)
+		l.hand(j)
 		return
 	}
 	l := &link{node: n, next: make(chan *job, 1), addr: n.addr}
@@ -155,8 +155,30 @@
 	nc      net.Conn
 	buf     pgwire.Buffer
 	next    chan *job
-	rests   time.Time // since when; the node's actor alone uses this
-	greeted bool      // the node has answered the startup message
+	handing sync.Mutex // over a job's way into next and the rousing that belongs to it
+	rests   time.Time  // since when; the node's actor alone uses this
+	greeted bool       // the node has answered the startup message
+}
+
+// hand gives a connection that rests its next job and rouses it. Both are one step: a deadline that came after the
+// connection had begun the job would end the job's own read, as if its time were over.
+func (l *link) hand(j *job) {
+	l.handing.Lock()
+	defer l.handing.Unlock()
+	l.next <- j
+	l.nc.SetReadDeadline(past)
+}
+
+// taken is the job that was handed over, or nil.
+func (l *link) taken() *job {
+	l.handing.Lock()
+	defer l.handing.Unlock()
+	select {
+	case j := <-l.next:
+		return j
+	default:
+		return nil
+	}
 }
 
 func (l *link) run(j *job) {
@@ -187,7 +209,7 @@
 			return false
 		}
 	}
-	nc, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", l.addr)
+	nc, err := c.dial(ctx, "tcp", l.addr)
 	if err != nil {
 		<-c.sockets
 		outcome := splitter.NoConn
@@ -295,14 +317,12 @@
 		if l.ctx.Err() != nil {
 			return nil
 		}
-		select {
-		case j := <-l.next:
+		if j := l.taken(); j != nil {
 			if l.buf.Unread() > 0 || stirred(l.nc) {
 				l.next <- j
 				return nil
 			}
 			return j
-		default:
 		}
 		if l.buf.Unread() > 0 {
 			return nil
