Tests: ports on loopback are reserved, not drawn, closed and handed on

Cause: tests, demonstrations and trials drew a free port, closed it and handed its number on; the system gives such a port to the next one who asks, so a busy machine saw "address already in use" (TestStatementThatTakesTooLong). TestClosingTheServerEndsEverything asked for no open connection when the client had seen the end, while Close still waited for its handlers. Change: package testing/loopback reserves ports below the range that the system gives out and guards each for as long as it is used, across processes; all places that handed a number on use it (gateway, host, rpc, proxy, testinstance, systemtest, trial, both demonstrations), and tests that want nobody to listen. The test of rpc waits for Close to return, then asks as before.

--- a/cmd/eidersystem/main_test.go
+++ b/cmd/eidersystem/main_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -16,6 +16,7 @@
 
 	"eiderway/control/store"
 	"eiderway/system"
+	"eiderway/testing/loopback"
 )
 
 // patience bounds waits for what must come about; no test waits this long unless it fails.
@@ -33,17 +34,12 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return loopback.ReserveForTest(t).Address()
 }
 
 func freePort(t *testing.T) string {
-	_, port, _ := net.SplitHostPort(freeAddress(t))
-	return port
+	t.Helper()
+	return strconv.Itoa(loopback.ReserveForTest(t).Number)
 }
 
 func TestExitCodes(t *testing.T) {
--- a/cmd/eiderway/demo.go
+++ b/cmd/eiderway/demo.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -18,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"eiderway/proxy"
+	"eiderway/testing/loopback"
 	"eiderway/testserver"
 )
 
@@ -94,12 +94,11 @@
 }
 
 func (d *demo) configure(dir string, list *testserver.Discovery) (*proxy.Config, error) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := loopback.ReservePort() // until the program ends
 	if err != nil {
 		return nil, err
 	}
-	addr := free.Addr().String()
-	free.Close()
+	addr := port.Address()
 	text, err := json.Marshal(map[string]any{"name": "demo", "listen": addr, "discovery": list.Addr(), "seed": "1",
 		"known": list.List(), "settings": json.RawMessage(demoSettings)})
 	if err != nil {
--- a/control/rpc/client_test.go
+++ b/control/rpc/client_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"eiderway/control/feed"
+	"eiderway/testing/loopback"
 )
 
 func isUnknown(err error) bool {
@@ -62,10 +63,8 @@
 
 func TestNothingSentIsUnreachable(t *testing.T) {
 	is := is.New(t)
-	closed := listen(t)
-	is.NoErr(closed.Close())
 	client := newClient(t)
-	_, err := client.Watch(patient(t), closed.Addr().String(), asks("x"))
+	_, err := client.Watch(patient(t), loopback.ReserveForTest(t).Address(), asks("x")) // nobody listens there
 	is.True(isUnreachable(err))
 
 	_, address := serve(t, Handlers{Watch: echo})
--- a/control/rpc/peers_test.go
+++ b/control/rpc/peers_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"eiderway/control/replication"
+	"eiderway/testing/loopback"
 )
 
 func newPeers(t *testing.T) *Peers {
@@ -63,8 +64,9 @@
 func TestConnectionIsMadeAgain(t *testing.T) {
 	is := is.New(t)
 	arrived := make(inbox, queueLength)
-	listener := listen(t)
-	address := listener.Addr().String()
+	address := loopback.ReserveForTest(t).Address()
+	listener, err := net.Listen("tcp4", address)
+	is.NoErr(err)
 	first := Serve(listener, arrived.handlers())
 	peers := newPeers(t)
 	peers.Send(address, message(1))
@@ -87,12 +89,11 @@
 
 func TestQueueIsBounded(t *testing.T) {
 	is := is.New(t)
-	closed := listen(t)
-	is.NoErr(closed.Close())
+	closed := loopback.ReserveForTest(t).Address() // nobody listens there
 	peers := newPeers(t)
 	const sent = 4 * queueLength
 	for number := range uint64(sent) {
-		peers.Send(closed.Addr().String(), message(number))
+		peers.Send(closed, message(number))
 	}
 	is.True(peers.Counts().Overflowed >= sent-2*queueLength) // one queue may have been taken meanwhile
 	eventually(t, "dropped in the end", func() bool {
--- a/control/rpc/server_test.go
+++ b/control/rpc/server_test.go
@@ -115,11 +115,14 @@
 		close(asked)
 		return untilGone(ctx, request)
 	}})
+	closed := make(chan struct{})
 	go func() {
+		defer close(closed)
 		<-asked
 		server.Close()
 	}()
 	_, err := newClient(t).Watch(patient(t), address, asks("x"))
 	is.True(isUnknown(err))
+	<-closed // the client may see the end while the server still waits for its handlers
 	is.Equal(server.Counts().Open, 0)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"eiderway/control/feed"
 	"eiderway/control/quorum"
 	"eiderway/control/rpc"
+	"eiderway/testing/loopback"
 	"eiderway/wire"
 )
 
@@ -74,9 +75,9 @@
 	is := is.New(t)
 	asker := &rpc.Client{}
 	w := startWorldAsking(t, func(w *world) watcher {
-		primary, err := net.Listen("tcp4", "127.0.0.1:0")
+		port := loopback.ReserveForTest(t, "127.0.0.1", "127.0.0.2").Number
+		primary, err := net.Listen("tcp4", "127.0.0.1:"+strconv.Itoa(port))
 		is.NoErr(err)
-		port := primary.Addr().(*net.TCPAddr).Port
 		seed, err := net.Listen("tcp4", "127.0.0.2:"+strconv.Itoa(port))
 		is.NoErr(err)
 		w.settings.Seeds = []string{"127.0.0.2:1"}
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -18,6 +18,7 @@
 	"eiderway/control/feed"
 	"eiderway/control/quorum"
 	"eiderway/system"
+	"eiderway/testing/loopback"
 	"eiderway/wire"
 )
 
@@ -429,12 +430,7 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return loopback.ReserveForTest(t).Address()
 }
 
 func (w *world) table(sequence uint64, leader string, isFrozen bool) *feed.Table {
--- a/host/core_test.go
+++ b/host/core_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -19,6 +18,7 @@
 	"eiderway/control/feed"
 	"eiderway/control/rpc"
 	"eiderway/system"
+	"eiderway/testing/loopback"
 	"eiderway/wire"
 )
 
@@ -46,23 +46,15 @@
 	ended     chan error
 }
 
-// freePort finds a port that is free on all addresses of the core.
-func freePort(t *testing.T) int {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
-}
-
 func newCore(t *testing.T) *core {
 	t.Helper()
-	control, internal := freePort(t), freePort(t)
-	var addresses []string
+	var hosts, addresses []string
 	for index := range coreSize {
-		addresses = append(addresses, fmt.Sprintf("127.0.0.%d:%d", index+1, control))
+		hosts = append(hosts, fmt.Sprintf("127.0.0.%d", index+1))
+	}
+	control, internal := loopback.ReserveForTest(t, hosts...).Number, loopback.ReserveForTest(t, hosts...).Number
+	for _, host := range hosts {
+		addresses = append(addresses, fmt.Sprintf("%s:%d", host, control))
 	}
 	c := &core{t: t, client: plainClient(t)}
 	c.client.Timeout = 2 * time.Second // callers give up after about a second
@@ -70,7 +62,7 @@
 		c.settings[index] = system.Settings{
 			Name:           fmt.Sprintf("core-%d", index+1),
 			Serves:         []string{system.ServesControlPlane},
-			IPAddress:      fmt.Sprintf("127.0.0.%d", index+1),
+			IPAddress:      hosts[index],
 			Zone:           "z",
 			Listen:         system.ListenAddresses{Control: addresses[index]},
 			InternalPorts:  []int{internal, internal},
--- a/host/platform_test.go
+++ b/host/platform_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"eiderway/control/failover"
+	"eiderway/testing/loopback"
 )
 
 // platformStandIn counts the calls that come, and ends each as the test wants.
@@ -143,11 +144,8 @@
 
 func TestPlatformThatRefusesConnectionsWasNotCalled(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.NoErr(err)
-	is.NoErr(listener.Close())
-	is.Equal(callPlatform(t, listener.Addr().String(), patience).Outcome, failover.NotSent)
-	is.Equal(callPlatform(t, "", patience).Outcome, failover.NotSent) // a process without a platform
+	is.Equal(callPlatform(t, loopback.ReserveForTest(t).Address(), patience).Outcome, failover.NotSent) // nobody listens there
+	is.Equal(callPlatform(t, "", patience).Outcome, failover.NotSent)                                   // a process without a platform
 }
 
 // connectedPlatform makes one call over a connection that the test makes, and returns how it ended.
--- a/host/prober_test.go
+++ b/host/prober_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"eiderway/control/failover"
+	"eiderway/testing/loopback"
 	"eiderway/wire"
 )
 
@@ -196,9 +197,9 @@
 func TestInstanceThatIsNotThere(t *testing.T) {
 	is := is.New(t)
 	prober := newProbing(t, patience)
-	closed := newInstanceStandIn(t, ready)
-	is.NoErr(closed.listener.Close())
-	prober.start(closed.probe(1, failover.AskStatus))
+	absent := newInstanceStandIn(t, ready).probe(1, failover.AskStatus)
+	absent.Address = loopback.ReserveForTest(t).Address() // nobody listens there
+	prober.start(absent)
 	is.Equal(receive(t, prober.results).Answer, failover.Refused)
 
 	mute := newInstanceStandIn(t, "") // takes the connection and says nothing
--- a/proxy/gossip_test.go
+++ b/proxy/gossip_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -20,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"eiderway/mesh"
+	"eiderway/testing/loopback"
 	"eiderway/testserver"
 )
 
@@ -37,19 +37,6 @@
 	doubts     int64
 }
 
-func freePort(t *testing.T, network string) string {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer c.Close()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // playFleet runs routers with little traffic each before a primary and five replicas, one of which gets a fault.
 func playFleet(t *testing.T, gossips bool, fault testserver.Fault) *fleetRun {
 	n := *fleetSize
@@ -67,7 +54,7 @@
 		public, err := mesh.NewKey(filepath.Join(dir, fmt.Sprint(i)))
 		require.NoError(t, err)
 		members += fmt.Sprintf("    - {name: r%d, keys: [%q]}\n", i, mesh.ShowKey(ed25519.PublicKey(public)))
-		addrs[i] = freePort(t, "udp")
+		addrs[i] = loopback.ReserveForTest(t).Address()
 	}
 	routers := make([]*router, n)
 	for i := range n {
--- a/proxy/lore_test.go
+++ b/proxy/lore_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"eiderway/testing/loopback"
 	"eiderway/testserver"
 )
 
@@ -32,7 +33,7 @@
 	defer d.Close()
 	peers := make([]string, tierSize)
 	for i := range peers {
-		peers[i] = freePort(t, "udp")
+		peers[i] = loopback.ReserveForTest(t).Address()
 	}
 	var routers []*router
 	for i := range peers {
@@ -103,7 +104,7 @@
 // TestNoTier: there is no talk where the configuration, the settings or our own settings do not have it, and a router does
 // not start with peers that are none.
 func TestNoTier(t *testing.T) {
-	addr := freePort(t, "udp")
+	addr := loopback.ReserveForTest(t).Address()
 	fresh := func() *Config {
 		cfg := configure(t, "127.0.0.1:1", 1024)
 		cfg.terms.Peers, cfg.PeerListen, cfg.Peers = true, addr, []string{addr, "127.0.0.1:1"}
--- a/proxy/standins_test.go
+++ b/proxy/standins_test.go
@@ -24,6 +24,7 @@
 	"go.uber.org/goleak"
 
 	"eiderway/pgwire"
+	"eiderway/testing/loopback"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -251,11 +252,9 @@
 }
 
 func configure(t *testing.T, disc string, sockets int, entries ...string) *Config {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer free.Close()
+	free := loopback.ReserveForTest(t)
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
- "limits":{"sockets":%d},"known":%s,"settings":%s}`, free.Addr(), disc, sockets, listOf(1, true, entries...), settings)
+ "limits":{"sockets":%d},"known":%s,"settings":%s}`, free.Address(), disc, sockets, listOf(1, true, entries...), settings)
 	require.True(t, json.Valid([]byte(text)))
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
--- a/systemtest/workload/layout.go
+++ b/systemtest/workload/layout.go
@@ -2,12 +2,9 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
-
-	"github.com/rotisserie/eris"
 
 	"eiderway/system"
+	"eiderway/testing/loopback"
 )
 
 // Ports of all machines of a layout. They lie below those that are given to outgoing connections.
@@ -22,7 +19,6 @@
 )
 
 const (
-	subnetTries  = 20
 	beatInterval = 300 // ms
 	graceS       = 4   // from SIGTERM to the end
 	platformRate = 50  // calls a second
@@ -30,31 +26,15 @@
 )
 
 // Layout gives addresses on loopback to the machines of a system: each has one of its own, and all have the same ports.
-type Layout struct{ net string }
+type Layout struct{ network loopback.Network }
 
-// NewLayout finds a part of the loopback network in which nobody listens.
+// NewLayout reserves a part of the loopback network, until the process ends.
 func NewLayout() (Layout, error) {
-	for range subnetTries {
-		layout := Layout{net: fmt.Sprintf("127.%d.%d", 1+rand.N(250), 1+rand.N(250))}
-		if layout.isFree() {
-			return layout, nil
-		}
-	}
-	return Layout{}, eris.New("no free addresses on loopback")
-}
-
-func (l Layout) isFree() bool {
-	for _, port := range []int{controlPort, frontPort, readinessPort, platformPort, instancePort, internalFirst} {
-		listener, err := net.Listen("tcp4", l.address(firstHost, port))
-		if err != nil {
-			return false
-		}
-		_ = listener.Close()
-	}
-	return true
+	network, err := loopback.ReserveNetwork()
+	return Layout{network: network}, err
 }
 
-func (l Layout) address(host, port int) string { return fmt.Sprintf("%s.%d:%d", l.net, host, port) }
+func (l Layout) address(host, port int) string { return l.network.Address(host, port) }
 
 // Machines of each kind are numbered from 0.
 func controllerHost(number int) int { return firstHost + number }
@@ -113,7 +93,7 @@
 func (l Layout) machine(name string, host int, zone string) system.Settings {
 	settings := system.Settings{
 		Name:           name,
-		IPAddress:      fmt.Sprintf("%s.%d", l.net, host),
+		IPAddress:      l.network.Host(host),
 		Zone:           zone,
 		InternalPorts:  []int{internalFirst, internalLast},
 		Seeds:          l.Controls(Controllers),
--- a/testinstance/instance_test.go
+++ b/testinstance/instance_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"eiderway/testing/loopback"
 	"eiderway/wire"
 )
 
@@ -82,12 +83,7 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return loopback.ReserveForTest(t).Address()
 }
 
 // session is a connection on which answers come as short texts.
--- a/trial/rig.go
+++ b/trial/rig.go
@@ -22,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"eiderway/testing/loopback"
 	"eiderway/testserver"
 	"eiderway/trial/judge"
 )
@@ -80,6 +81,7 @@
 	list    *testserver.Discovery
 	routers []*router
 	pairs   map[[2]int]*pair
+	ports   []loopback.Port
 	file    *os.File
 	out     *bufio.Writer
 	mu      sync.Mutex // over out, holders and routers' processes
@@ -285,37 +287,14 @@
 	r.out.Write(append(text, '\n'))
 }
 
-// Ports of routers lie below those that the system gives to connections that go out, so that none is taken while its router
-// is down; which are free is found by trying.
-const (
-	firstPort = 10_000
-	manyPorts = 20_000
-	portTries = 200
-)
-
-// ports are those that rigs of this process have, by address: several may run at a time. Emptied by each rig's end.
-var ports sync.Map
-
-// freePort finds a port that nobody has, for a router that is started later, perhaps more than once.
+// freePort reserves a port for a router that is started later, perhaps more than once, until the rig ends.
 func (r *rig) freePort() (netip.AddrPort, error) {
-	for range portTries {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.Intn(manyPorts))
-		if _, taken := ports.LoadOrStore(addr, r); taken {
-			continue
-		}
-		l, err := net.Listen("tcp", addr) // one that another program has stays noted, and is not tried again
-		if err != nil {
-			continue
-		}
-		c, err := net.ListenPacket("udp", addr)
-		l.Close()
-		if err != nil {
-			continue
-		}
-		c.Close()
-		return netip.MustParseAddrPort(addr), nil
+	port, err := loopback.ReservePort()
+	if err != nil {
+		return netip.AddrPort{}, err
 	}
-	return netip.AddrPort{}, errors.New("no free port was found")
+	r.ports = append(r.ports, port)
+	return netip.ParseAddrPort(port.Address())
 }
 
 // build makes nodes, discovery, ways and configurations.
@@ -690,12 +669,9 @@
 	for _, p := range r.pairs {
 		p.close()
 	}
-	ports.Range(func(addr, rig any) bool {
-		if rig == r {
-			ports.Delete(addr)
-		}
-		return true
-	})
+	for _, port := range r.ports {
+		port.Release()
+	}
 	for _, g := range r.groups {
 		g.Close()
 	}
