--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -121,7 +121,7 @@
 	count := min(len(c.term.commands), commandsPerBatch)
 	batch := &batch{request: c.nextRequest(), started: c.now, commands: c.term.commands[:count:count]}
 	c.term.commands = c.term.commands[count:]
-	transaction := state.NewTransaction(c.node)
+	transaction := state.NewTransaction(c.node).Lacking(c.settings.Lacking)
 	for index := range batch.commands {
 		c.decide(transaction, &batch.commands[index])
 	}
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -156,9 +156,10 @@
 	epoch := c.node.Epoch()
 	failoverSettings := c.settings.Failover
 	failoverSettings.Fence = uint64(epoch)
+	failoverSettings.Lacking = c.settings.Lacking
 	c.term = &term{
 		epoch:     epoch,
-		registry:  registry.New(c.now, c.settings.InstanceLost),
+		registry:  registry.New(c.now, c.settings.InstanceLost).Lacking(c.settings.Lacking),
 		failover:  failover.New(c.now, failoverSettings),
 		grants:    newGrants(c.now, c.settings.Lease+c.settings.LeaseMargin, c.guards),
 		table:     newTable(epoch),
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"eiderway/control/failover"
+	"eiderway/control/guard"
 	"eiderway/control/state"
 )
 
@@ -18,7 +19,7 @@
 
 // withDepartures adds what a new term must know of instances that departed under an earlier one.
 func (c *Controller) withDepartures(services []failover.ServiceView) []failover.ServiceView {
-	if c.term.departuresTold {
+	if c.term.departuresTold || c.settings.Lacking.Lacks(guard.DeparturesTold) {
 		return services
 	}
 	c.term.departuresTold = true
--- a/control/failover/api.go
+++ b/control/failover/api.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eiderway/control/feed"
+	"eiderway/control/guard"
 )
 
 // ProbeKind is what is asked of an instance.
@@ -223,6 +224,7 @@
 	ReplicaLost  time.Duration // silence after which a replica is taken for gone, if the leader has outlived it
 	DrainLimit   time.Duration // how long statements may reach an instance after its drain was acknowledged
 	DrainMargin  time.Duration // how long before that none is begun any more: the way there takes time
+	Lacking      guard.Set     // guards that a test takes out
 	LateCall     time.Duration // how long a call of an earlier holder may still be on its way where fences aren't checked
 }
 
--- a/control/failover/choose.go
+++ b/control/failover/choose.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"eiderway/control/guard"
 )
 
 // choose picks the instance that is to lead, once it is shown that it holds every commit that may have been acknowledged.
@@ -126,7 +128,7 @@
 		spare = 0 // the leader is unknown, or was forgotten: it is the one that is missing
 	}
 	missing := lo.Map(open, func(i *member, _ int) string { return i.instance.ID })
-	if chosen.heldPosition.Less(s.view.Floor) {
+	if chosen.heldPosition.Less(s.view.Floor) && !s.settings().Lacking.Lacks(guard.Floor) {
 		missing = append(missing, departedEarlier)
 	}
 	if len(missing) <= spare {
--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -48,7 +48,6 @@
 	callWithoutIntent  bool // the call leaves before its intent is committed
 	repeatAtOnce       bool // after an unknown outcome another target may be called at once
 	lateCallsForgotten bool // an earlier holder's calls are not waited out
-	loneLeaderKept     bool // a leader that is alone is never frozen, however long it has drained
 }
 
 type pendingProbe struct {
--- a/control/failover/manager_test.go
+++ b/control/failover/manager_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"eiderway/control/feed"
+	"eiderway/control/guard"
 	"eiderway/control/invariant"
 )
 
@@ -262,11 +263,11 @@
 }
 
 // lonelyDrain is a service whose leader is alone and drains, after the time in which statements may reach it.
-func lonelyDrain(off guards) (d *desk, broken []string) {
+func lonelyDrain(lacking guard.Set) (d *desk, broken []string) {
 	view := ServiceView{Name: "a", Leader: feed.Leader{InstanceID: "a1", Term: 3}}
 	view.Instances = []feed.Instance{{ID: "a1", Service: "a", Address: "a1"}}
 	d = newDesk(view)
-	d.manager.guards = off
+	d.manager.settings.Lacking = lacking
 	leading := replicaAt(12)
 	leading.Primary = true
 	d.answers["a1"] = leading
@@ -285,12 +286,12 @@
 
 func TestLoneDrainingLeaderIsFrozenInTime(t *testing.T) {
 	is := is.New(t)
-	d, broken := lonelyDrain(guards{})
+	d, broken := lonelyDrain(0)
 	_, frozen := d.manager.Frozen("a")
 	is.True(frozen)
 	is.Equal(len(broken), 0)
 
-	d, broken = lonelyDrain(guards{loneLeaderKept: true})
+	d, broken = lonelyDrain(guard.Set(0).Without(guard.LoneLeaderFrozen))
 	_, frozen = d.manager.Frozen("a")
 	is.True(!frozen)
 	is.Equal(broken, []string{invariant.DrainedLeaderIsFrozen + ": a: a1"}) // told once
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"eiderway/control/guard"
 )
 
 // watch looks after a service that isn't frozen.
@@ -86,7 +88,7 @@
 	}
 	leader := s.leader()
 	others := lo.Filter(s.present(), func(i *member, _ int) bool { return i.instance.ID != s.view.Leader.InstanceID })
-	kept := s.manager.guards.loneLeaderKept && len(others) == 0
+	kept := s.settings().Lacking.Lacks(guard.LoneLeaderFrozen) && len(others) == 0
 	if leader != nil && leader.drainSpent(now, s.settings()) && !kept {
 		return leaderDrains, true // whether anybody can follow or not: its drain was acknowledged
 	}
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -6,6 +6,7 @@
 	"github.com/samber/lo"
 
 	"eiderway/control/feed"
+	"eiderway/control/guard"
 	"eiderway/control/state"
 )
 
@@ -13,6 +14,7 @@
 // has no clock: time is handed in and never runs backwards.
 type Registry struct {
 	lostAfter time.Duration
+	lacking   guard.Set
 	sightings map[string]*sighting
 	silence   silence
 }
@@ -27,6 +29,12 @@
 	}
 }
 
+// Lacking takes guards out, for tests.
+func (r *Registry) Lacking(guards guard.Set) *Registry {
+	r.lacking = guards
+	return r
+}
+
 // Taken says what became of a heartbeat.
 type Taken struct {
 	Fresh   bool // its callSeq is newer than every one seen of this instance, so its role counts
@@ -48,11 +56,11 @@
 		return false
 	}
 	seen.take(now, beat.CallSeq)
-	if record.Left && !mayReturn(tx, record, order, beat) {
+	if record.Left && !r.mayReturn(tx, record, order, beat) {
 		noteDrainOfDeparted(tx, record, beat)
 		return false
 	}
-	current := nextRecord(record, order, beat)
+	current := r.nextRecord(record, order, beat)
 	if known && !record.Left && !order.countsAnew() && record.Instance == current.Instance {
 		return order != again
 	}
@@ -64,12 +72,15 @@
 }
 
 // nextRecord is what a beat makes of the record of its instance. An end that was said stays, except in another life.
-func nextRecord(record state.Instance, order order, beat Heartbeat) state.Instance {
+func (r *Registry) nextRecord(record state.Instance, order order, beat Heartbeat) state.Instance {
 	next := state.Instance{Instance: instanceOf(beat), CallSeq: beat.CallSeq, Life: record.Life}
 	if order == reborn {
 		next.Life++
 		return next
 	}
+	if r.lacking.Lacks(guard.EndIsFinal) {
+		return next
+	}
 	next.Draining = next.Draining || record.Draining
 	next.Farewell = record.Farewell
 	return next
@@ -88,8 +99,8 @@
 
 // mayReturn tells whether a beat that isn't late brings back an instance that left. One that said itself that it leaves is back
 // only in another life.
-func mayReturn(reader state.Reader, record state.Instance, order order, beat Heartbeat) bool {
-	if record.SaidFarewell() && order != reborn {
+func (r *Registry) mayReturn(reader state.Reader, record state.Instance, order order, beat Heartbeat) bool {
+	if record.SaidFarewell() && order != reborn && !r.lacking.Lacks(guard.EndIsFinal) {
 		return false
 	}
 	return len(othersAt(reader, instanceOf(beat))) == 0
@@ -131,7 +142,7 @@
 	if known && record.SaidFarewell() {
 		return
 	}
-	if known && !record.Left && !record.Draining {
+	if known && !record.Left && !record.Draining && !r.lacking.Lacks(guard.LeaverStays) {
 		record.Draining, record.Farewell = true, true
 		record.CallSeq = r.highestSeen(record)
 		tx.PutInstance(record)
--- a/control/state/instance.go
+++ b/control/state/instance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"eiderway/control/guard"
 	"eiderway/control/invariant"
 	"eiderway/control/replication"
 )
@@ -37,7 +38,7 @@
 // acknowledged is not taken.
 func (t *Transaction) PutInstance(instance Instance) {
 	before, known := recordOf(t, instance.ID)
-	if known && before.takesBackEnd(instance) {
+	if known && before.takesBackEnd(instance) && !t.lacking.Lacks(guard.EndIsFinal) {
 		t.broken = append(t.broken, invariant.EndIsFinal+": "+instance.ID)
 		return
 	}
--- a/control/state/transaction.go
+++ b/control/state/transaction.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"eiderway/control/guard"
 	"eiderway/control/replication"
 )
 
@@ -14,6 +15,7 @@
 type Transaction struct {
 	base    Reader
 	changed map[string]replication.Mutation
+	lacking guard.Set
 	broken  []string // invariants that something would have broken; it was not done
 }
 
@@ -22,6 +24,12 @@
 	return &Transaction{base: reader, changed: make(map[string]replication.Mutation)}
 }
 
+// Lacking takes guards out, for tests.
+func (t *Transaction) Lacking(guards guard.Set) *Transaction {
+	t.lacking = guards
+	return t
+}
+
 // Entry returns the value of a key. It must not be modified.
 func (t *Transaction) Entry(key string) ([]byte, bool) {
 	if mutation, found := t.changed[key]; found {
--- a/simulation/beats.go
+++ b/simulation/beats.go
@@ -121,9 +121,9 @@
 	}
 }
 
-// drain begins a planned end.
+// drain begins a planned end, unless one has begun.
 func (i *instance) drain(replacement string) {
-	if !i.running || i.draining {
+	if !i.running || i.draining || i.leaving {
 		return
 	}
 	i.draining = true
--- a/simulation/gateway.go
+++ b/simulation/gateway.go
@@ -6,6 +6,7 @@
 
 	"eiderway/control/controller"
 	"eiderway/control/feed"
+	"eiderway/control/guard"
 )
 
 // Times of gateways.
@@ -310,7 +311,7 @@
 func (g *gateway) leaderOf(service *feed.Service) *instance {
 	for _, known := range service.Instances {
 		if known.ID == service.Leader.InstanceID {
-			if !g.drains.MayBegin(g.world.now(), known) {
+			if !g.drains.MayBegin(g.world.now(), known) && !g.world.plan.Lacking.Lacks(guard.DrainDeadline) {
 				return nil
 			}
 			target := g.world.instanceAt(known.Address)
--- a/simulation/generate.go
+++ b/simulation/generate.go
@@ -30,6 +30,7 @@
 	successors  int
 	catchUp     time.Duration
 	second      bool // there is a second service, which may be used up
+	three       bool // it has three instances, not two
 	wild        bool // any number of machines in trouble at once, but no disk is lost: safety must hold all the same
 }
 
@@ -37,6 +38,9 @@
 func Generate(seed uint64) string {
 	g := &generator{random: rand.New(rand.NewPCG(seed, 0xda942042e4dd58b5)), now: firstTrouble, number: 10, catchUp: 4 * time.Second}
 	g.header(seed)
+	if g.second {
+		g.decline()
+	}
 	for g.now < lastTrouble {
 		g.trouble()
 		g.now += g.between(50*time.Millisecond, 4*time.Second)
@@ -79,9 +83,14 @@
 	g.add("fencechecked %s", g.one("yes", "no"))
 	g.add("runs %d", seed)
 	g.add("service db 3 sync 1")
-	if g.random.IntN(2) == 0 {
+	if g.random.IntN(3) > 0 {
 		g.second = true
-		g.add("service kv %d sync %d", 2+g.random.IntN(2), g.random.IntN(2))
+		g.three = g.random.IntN(2) == 0
+		instances := 2
+		if g.three {
+			instances = 3
+		}
+		g.add("service kv %d sync %d", instances, min(1, g.random.IntN(3)))
 		g.add("clients 6")
 	}
 	if g.random.IntN(5) == 0 {
@@ -309,6 +318,60 @@
 	}
 }
 
+// Shape of the decline of the second service.
+const (
+	declineFirst = 7 * time.Second
+	declineLast  = 16 * time.Second
+	lostFor      = 11 * time.Second // after which an instance that crashed for good is taken for lost
+)
+
+// decline draws the second service down to its last copy: replicas crash for good or leave, with or without a drain; a controller takes
+// over right after; then the leader, which may alone have what was acknowledged, goes too, for a while or for good, and an instance
+// with an empty log comes.
+func (g *generator) decline() {
+	resumed := g.now
+	defer func() { g.now = resumed }()
+	g.now = g.between(declineFirst, declineLast)
+	if g.random.IntN(3) == 0 {
+		g.at(0, "late-beats %d%% for 40s", 40+g.random.IntN(40))
+	}
+	if g.three && g.random.IntN(3) == 0 {
+		g.loseLeaverOfLastCopy()
+		return
+	}
+	crashed := g.random.IntN(2) == 0
+	for range 2 {
+		if crashed {
+			g.at(0, "crash replica:kv")
+		} else {
+			g.at(0, "%s", g.one("drain replica:kv", "leave replica:kv beating", "leave replica:kv beating", "leave replica:kv quietly"))
+		}
+		g.now += g.between(50*time.Millisecond, 2*time.Second)
+	}
+	g.now += lostFor + g.between(0, 4*time.Second)
+	if g.random.IntN(3) > 0 && g.mayLose(2*time.Second) {
+		g.at(0, "%s", g.one("kill acting for 1s", "power acting for 2s", "freeze acting for 2s"))
+		g.now += g.between(3*time.Second, 8*time.Second)
+	}
+	if g.random.IntN(2) == 0 {
+		g.at(0, "drain leader:kv")
+		return
+	}
+	g.at(0, "crash leader:kv for %s", g.between(15*time.Second, 25*time.Second))
+	g.successors++
+	g.at(g.between(500*time.Millisecond, 3*time.Second), "join kvx%d to kv", g.successors)
+}
+
+// loseLeaverOfLastCopy has a replica leave that alone receives, since the other one is cut off from the leader, and the leader crash while it
+// still does.
+func (g *generator) loseLeaverOfLastCopy() {
+	g.at(0, "leave kv2 %s", g.one("beating", "quietly"))
+	g.now += g.between(500*time.Millisecond, 3*time.Second)
+	g.at(0, "cut kv3 from kv1 for %s", g.between(6*time.Second, 10*time.Second))
+	g.now += g.between(500*time.Millisecond, 3*time.Second)
+	g.at(0, "crash kv1 for %s", g.between(20*time.Second, 30*time.Second))
+}
+
 func (g *generator) lateBeats() {
 	g.at(0, "late-beats %d%% for %s", 20+g.random.IntN(80), g.between(2*time.Second, 15*time.Second))
 }
--- a/simulation/generate_test.go
+++ b/simulation/generate_test.go
@@ -6,11 +6,14 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"eiderway/control/guard"
 )
 
 var (
-	dayCount = flag.Int("days", 100, "generated days to play")
-	firstDay = flag.Uint64("first", 1, "seed of the first generated day")
+	dayCount  = flag.Int("days", 100, "generated days to play")
+	guardDays = flag.Uint64("guard.days", 0, "look through so many generated days for those that find each guard")
+	firstDay  = flag.Uint64("first", 1, "seed of the first generated day")
 )
 
 // generatedGroups play side by side.
@@ -30,6 +33,54 @@
 	}
 }
 
+// TestDrawnDaysFindGuards takes out each guard about instances that end; drawn days must find it. Which seed does is looked for with
+// -guard.days, and noted: playing it again is enough to see that the days still reach what the guard prevents.
+func TestDrawnDaysFindGuards(t *testing.T) {
+	for _, one := range []struct {
+		name    string
+		lacking guard.Set
+		seed    uint64
+	}{
+		{"a leaver dropped at once", guard.Set(guard.LeaverStays), 63},
+		{"no floor", guard.Set(guard.Floor), 3},
+		{"ends not final", guard.Set(guard.EndIsFinal), 15},
+		{"departures not told", guard.Set(guard.DeparturesTold), 214},
+		// Each of these two stands in for the other, so only a day without both breaks the rule.
+		{"a lone leader not frozen, no deadline at gateways", guard.Set(guard.LoneLeaderFrozen | guard.DrainDeadline), 10},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			if seed := findingSeed(t, one.lacking, one.seed); seed == 0 {
+				t.Error("no day finds it")
+			} else {
+				t.Logf("found by seed %d", seed)
+			}
+		})
+	}
+}
+
+// findingSeed gives the seed of a day on which a rule is broken without the guard: the one that is known, or, with -guard.days, the first
+// of so many.
+func findingSeed(t *testing.T, lacking guard.Set, known uint64) uint64 {
+	t.Helper()
+	first, last := known, known
+	if *guardDays > 0 {
+		first, last = 1, *guardDays
+	}
+	for seed := first; seed <= last; seed++ {
+		plan, err := Parse("generated", Generate(seed))
+		is.New(t).NoErr(err)
+		plan.Lacking = lacking
+		for _, broken := range Play(plan, seed, realCore, false).Breaks {
+			if broken.Rule != ruleInvariant { // which tells that something is missing, not that it matters
+				t.Log(broken)
+				return seed
+			}
+		}
+	}
+	return 0
+}
+
 func playGenerated(t *testing.T, seed uint64) {
 	t.Helper()
 	text := Generate(seed)
--- a/simulation/plan.go
+++ b/simulation/plan.go
@@ -5,6 +5,7 @@
 
 	"eiderway/control/controller"
 	"eiderway/control/failover"
+	"eiderway/control/guard"
 	"eiderway/control/replication"
 )
 
@@ -47,6 +48,7 @@
 	Bounds       Bounds
 	Items        []Item        // what happens
 	Expectations []Expectation // what must hold in the end
+	Lacking      guard.Set     // guards that are taken out
 }
 
 // Item is an action with the moment or the event that starts it.
@@ -100,5 +102,6 @@
 		WatchWait:    watchWait,
 		InstanceLost: instanceLost,
 		CallWait:     answerWithin,
+		Lacking:      p.Lacking,
 	}
 }
