Core: nine voters at the most, other controllers stand by

Cause: every controller became a voter and a copy. Change: there are at most nine voters, or as many as the tolerance asks for. A vote that becomes free is taken by one of them.

--- a/control/replication/members.go
+++ b/control/replication/members.go
@@ -14,8 +14,30 @@
 	learnerLostAfter = 3 * time.Second
 	// mostLearners bounds what newcomers can cost.
 	mostLearners = 16
+	// usualVoters is how many voters there are at the most, unless the tolerance asks for more: each one more is another copy to wait for and
+	// another candidate in line. Nine bear four losses. Other controllers are standbys: they send callers to the primary.
+	usualVoters = 9
+	// warmStandbys are standbys that are kept up to date, so that the place of a voter that is lost is taken at once.
+	warmStandbys = 2
 )
 
+func (n *Node) mostVoters() int { return max(usualVoters, n.leastVoters()) }
+
+// hasPlaceFor tells whether the view takes one voter more: voters that have been silent for long don't count, and one whose address is a
+// voter's has taken its place.
+func (n *Node) hasPlaceFor(view quorum.View, newcomer quorum.Member) bool {
+	lively := 0
+	for _, voter := range view.Voters {
+		if voter.Address == newcomer.Address && voter.Incarnation != newcomer.Incarnation {
+			return true
+		}
+		if n.silence(voter.Incarnation) <= n.settings.Timing.ReplaceAfter {
+			lively++
+		}
+	}
+	return lively < n.mostVoters()
+}
+
 // nextCopies leaves out copies that lag or leave and lets in voters that have the state, as far as the floor allows.
 func (n *Node) nextCopies(view quorum.View) ([]quorum.Incarnation, bool) {
 	var wanted, grown []quorum.Incarnation
@@ -88,7 +110,7 @@
 		if _, votes := view.Voter(one.member.Incarnation); votes {
 			continue
 		}
-		if n.live(view)+1 >= majorityOf(len(view.Voters)+1) {
+		if n.hasPlaceFor(view, one.member) && n.live(view)+1 >= majorityOf(len(view.Voters)+1) {
 			return one
 		}
 	}
--- a/control/replication/message.go
+++ b/control/replication/message.go
@@ -100,6 +100,7 @@
 type JoinAnswer struct {
 	View    *quorum.View // newest known; nil: none
 	Primary *quorum.Member
+	Full    bool // the primary says that the core has as many members as it wants: ask again later, another may be lost
 }
 
 // Handover asks a copy that is up to date to stand for election at once.
--- a/control/replication/node.go
+++ b/control/replication/node.go
@@ -76,7 +76,7 @@
 		lastStep: now,
 		record:   durable.Voter,
 		history:  newHistory(durable.Stamp, durable.Entries),
-		known:    durable.Voter.Accepted,
+		known:    newerOf(durable.Voter.Accepted, durable.Voter.Heard),
 		highest:  durable.Voter.Promised,
 		random:   settings.Random | 1,
 	}
@@ -92,6 +92,13 @@
 	return node
 }
 
+func newerOf(a, b quorum.View) quorum.View {
+	if a.ID.Less(b.ID) {
+		return b
+	}
+	return a
+}
+
 // Step takes in one thing that happened and returns what is to be done about it.
 func (n *Node) Step(now time.Duration, input Input) Effects {
 	n.now = now
@@ -240,9 +247,15 @@
 	if fresh && n.leader.committed != (quorum.ViewID{}) {
 		return n.leader.member, true
 	}
-	if n.Role() != Outsider || n.leader.known {
+	if n.Role() != Outsider {
 		return quorum.Member{}, false
 	}
+	if n.joining.standby {
+		return n.joining.primary, true
+	}
+	if n.leader.known && n.leader.epoch >= n.known.ID.Epoch {
+		return quorum.Member{}, false // the one that was followed is missed, and nobody later is known
+	}
 	return n.known.Voter(n.known.Primary)
 }
 
--- a/control/replication/scenario_test.go
+++ b/control/replication/scenario_test.go
@@ -136,6 +136,8 @@
 		s.changeSeeds(words[1:])
 	case "add":
 		w.start(w.addMachine(words[1], false))
+	case "everyone":
+		return s.everyone(words[1])
 	case "expect":
 		return s.expect(words[1:])
 	case "check":
@@ -148,9 +150,30 @@
 	return nil
 }
 
+// everyone does the same to all machines that aren't gone.
+func (s *scenario) everyone(word string) error {
+	for _, one := range s.world.machines {
+		if one.gone {
+			continue
+		}
+		if err := s.trouble([]string{word, one.name}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// named is a machine by its name, or the primary.
+func (s *scenario) named(name string) *machine {
+	if name == "primary" {
+		return s.world.primary()
+	}
+	return s.world.machine(name)
+}
+
 func (s *scenario) trouble(words []string) error {
 	w := s.world
-	one := w.machine(words[1])
+	one := s.named(words[1])
 	switch words[0] {
 	case "freeze":
 		w.freeze(one)
@@ -186,6 +209,9 @@
 
 func (s *scenario) changeSeeds(names []string) {
 	w := s.world
+	if names[0] == "standbys" {
+		names = s.standbys()
+	}
 	w.seeds = nil
 	for _, name := range names {
 		w.seeds = append(w.seeds, name+":1")
@@ -197,6 +223,18 @@
 	}
 }
 
+// standbys are three controllers without a vote.
+func (s *scenario) standbys() []string {
+	var names []string
+	view := s.world.primary().node.leadership.committed
+	for _, one := range s.world.machines {
+		if _, votes := view.Voter(one.node.self.Incarnation); !votes && len(names) < 3 {
+			names = append(names, one.name)
+		}
+	}
+	return names
+}
+
 func (s *scenario) links(word string, cut bool) {
 	one, other, oneWay := strings.Cut(word, ">")
 	if !oneWay {
@@ -240,6 +278,10 @@
 		return s.expectPrimary(words[1])
 	case "voters", "copies":
 		return s.expectView(words[0], words[1:])
+	case "voter-count":
+		return s.expectVoterCount(number(words[1]))
+	case "all-know-primary":
+		return s.expectAllKnowPrimary()
 	case "orders":
 		before := w.judge.done
 		w.run(span(words[3]))
@@ -278,6 +320,28 @@
 	return nil
 }
 
+func (s *scenario) expectVoterCount(count int) error {
+	leads := s.world.primary()
+	if leads == nil || len(leads.node.leadership.committed.Voters) != count {
+		return fmt.Errorf("not %d voters: %s", count, s.world.describe())
+	}
+	return nil
+}
+
+// expectAllKnowPrimary wants every controller that runs to send callers to the primary.
+func (s *scenario) expectAllKnowPrimary() error {
+	leads := s.world.primary()
+	for _, one := range s.world.machines {
+		if one.node == nil {
+			continue
+		}
+		if told, known := one.node.PrimaryMember(); leads == nil || !known || told.Incarnation != leads.node.self.Incarnation {
+			return fmt.Errorf("%s sends callers to %q", one.name, told.Name)
+		}
+	}
+	return nil
+}
+
 func (s *scenario) expectView(what string, names []string) error {
 	leads := s.world.primary()
 	if leads == nil {
