Give-up: an operator may give up what the lost copies of a service held

Need: a service whose last copies are gone waits for them for ever, and nobody could say that what they held is gone. The name is typed again; who and when are recorded in the control state and in the log. Instances of frozen services are kept apart from those that were heard.

--- a/cmd/eidersystem/main.go
+++ b/cmd/eidersystem/main.go
@@ -48,7 +48,7 @@
 		Name:        "eidersystem",
 		ShortUsage:  "eidersystem <subcommand>",
 		FlagSet:     newFlagSet("eidersystem"),
-		Subcommands: []*ffcli.Command{runCommand(), checkCommand(), stateCommand(), demoCommand(), versionCommand()},
+		Subcommands: []*ffcli.Command{runCommand(), checkCommand(), stateCommand(), serviceCommand(), demoCommand(), versionCommand()},
 		Exec:        helpOnly,
 	}
 }
--- a/cmd/eidersystem/main_test.go
+++ b/cmd/eidersystem/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -82,10 +83,12 @@
 		"internalPortRange": [%s, 65535], "listenAddrs": {"control": %q}, "seedPeers": [%q], "firstStart": true,
 		"dataDir": %q}`, freePort(t), control, control, data))
 	ended := make(chan int, 1)
-	go func() { ended <- execute(t.Context(), []string{"run"}) }()
+	admin := filepath.Join(t.TempDir(), "admin")
+	go func() { ended <- execute(t.Context(), []string{"run", "--admin", admin}) }()
 
 	waitFor(t, "an acknowledgement", ended, func() bool { return statusOfOrder("http://"+control+"/config/replace") == http.StatusOK })
 	is.Equal(statusOf("http://"+control+"/config/fetch"), http.StatusOK)
+	refusedGiveUps(t, admin)
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	is.Equal(endOf(t, ended), exitInOrder)
 
@@ -96,6 +99,26 @@
 	is.Equal(execute(t.Context(), []string{"state", "check", state}), exitInvariant)
 }
 
+// refusedGiveUps asks a running controller to give up what must not be: each refusal is one line that says why.
+func refusedGiveUps(t *testing.T, admin string) {
+	t.Helper()
+	for _, one := range []struct{ typed, by, says string }{
+		{"other\n", "ann", "another one"},
+		{"", "ann", "not typed again"},
+		{"orders\n", "", "who asks"},
+		{"orders\n", "ann", "no service orders"},
+	} {
+		err := giveUp(t.Context(), admin, "orders", one.by, strings.NewReader(one.typed), io.Discard)
+		if err == nil || !strings.Contains(err.Error(), one.says) {
+			t.Errorf("typed %q by %q: %v, which doesn't say %q", one.typed, one.by, err, one.says)
+		}
+	}
+	info, err := os.Stat(admin)
+	if err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("the socket file: %v, %v", info, err)
+	}
+}
+
 // TestGatewayRunsUntilTerminated starts a gateway whose seed isn't there: it is up, but not ready.
 func TestGatewayRunsUntilTerminated(t *testing.T) {
 	is := is.New(t)
--- a/cmd/eidersystem/run.go
+++ b/cmd/eidersystem/run.go
@@ -18,16 +18,17 @@
 func runCommand() *ffcli.Command {
 	flags := newFlagSet("run")
 	figures := flags.String("metrics", "", "serve the process's own figures as text at `PORT/PATH` of the machine's address")
+	admin := flags.String("admin", "", "take admin calls over a socket file at this `PATH` (a controller only); see service")
 	return &ffcli.Command{
 		Name:       "run",
-		ShortUsage: "eidersystem run [--metrics PORT/PATH]",
+		ShortUsage: "eidersystem run [--metrics PORT/PATH] [--admin PATH]",
 		ShortHelp:  "Run as the settings file says, until SIGTERM.",
 		FlagSet:    flags,
-		Exec:       func(ctx context.Context, arguments []string) error { return run(ctx, *figures, arguments) },
+		Exec:       func(ctx context.Context, arguments []string) error { return run(ctx, *figures, *admin, arguments) },
 	}
 }
 
-func run(ctx context.Context, figures string, arguments []string) error {
+func run(ctx context.Context, figures, admin string, arguments []string) error {
 	if len(arguments) > 0 {
 		return eris.New("run takes no arguments: the settings file says it all")
 	}
@@ -55,6 +56,7 @@
 		log:        log,
 		terminated: terminated,
 		publish:    publisher(ctx, settings, endpoint, log),
+		admin:      admin,
 	})
 }
 
@@ -84,6 +86,7 @@
 	log        logrus.FieldLogger
 	terminated <-chan struct{}
 	publish    func(metrics.Source) // nil: no figures are served
+	admin      string               // path of the admin socket; "": none
 }
 
 func runRole(ctx context.Context, process process) error {
@@ -91,6 +94,9 @@
 	if err != nil {
 		return err
 	}
+	if role != controllerRole && process.admin != "" {
+		return eris.New("--admin is for controllers: a gateway takes no admin calls")
+	}
 	if role == controllerRole {
 		return runController(ctx, process)
 	}
@@ -104,6 +110,8 @@
 		Log:       process.log,
 		Terminate: process.terminated,
 		Publish:   process.publish,
+
+		AdminSocket: process.admin,
 	})
 }
 
--- a/control/controller/api.go
+++ b/control/controller/api.go
@@ -42,6 +42,13 @@
 		Call       Call
 		InstanceID string
 	}
+	// GiveUp is an operator's word that what the lost copies of a service may have held is given up.
+	GiveUp struct {
+		Call    Call
+		Service string
+		By      string
+		At      time.Time // by this machine's clock, for the record
+	}
 	// Watch is a gateway's question.
 	Watch struct {
 		Call    Call
@@ -67,6 +74,7 @@
 func (Fetch) input()          {}
 func (Heartbeat) input()      {}
 func (InstanceLeave) input()  {}
+func (GiveUp) input()         {}
 func (Watch) input()          {}
 func (Abandon) input()        {}
 func (Probed) input()         {}
--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -33,6 +33,7 @@
 	instanceLeaves
 	expireInstances
 	changeFailover
+	giveUpCopies
 )
 
 // command is something that may change the control state. It is decided at the primary, in turn.
@@ -43,8 +44,10 @@
 	heartbeat  registry.Heartbeat
 	instanceID string
 	change     failover.Change
+	giveUp     state.GiveUp
 
 	verdict state.Verdict // of an order, once decided
+	refusal string        // why what was lost isn't given up; "": it is
 }
 
 // batch is a set of commands that were decided together and proposed as one change.
@@ -157,10 +160,12 @@
 		}
 	case changeFailover:
 		decideFailover(transaction, command.change)
+	case giveUpCopies:
+		c.decideGiveUp(transaction, command)
 	}
 }
 
-// keepFrozen counts the instances of frozen services as heard. One that is silent may hold the only copy of a commit, and
+// keepFrozen has no instance of a frozen service taken for lost. One that is silent may hold the only copy of a commit, and
 // a later primary of the control state would not know that it was ever there.
 func (c *Controller) keepFrozen() {
 	for _, service := range c.term.table.services {
@@ -168,7 +173,7 @@
 			continue
 		}
 		for _, instance := range service.Instances {
-			c.term.registry.Heard(c.now, instance.ID)
+			c.term.registry.Keep(c.now, instance.ID)
 		}
 	}
 }
@@ -276,6 +281,8 @@
 		c.reply(Reply{Call: command.call, Status: http.StatusOK})
 	case changeFailover:
 		c.stepFailover(failover.Changed{Request: command.change.Request, Committed: true})
+	case giveUpCopies:
+		c.reply(giveUpReply(command))
 	}
 }
 
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -103,6 +103,8 @@
 		c.takeHeartbeat(in)
 	case InstanceLeave:
 		c.takeInstanceLeave(in)
+	case GiveUp:
+		c.takeGiveUp(in)
 	case Watch:
 		c.takeWatch(in)
 	case Abandon:
--- a/control/failover/api.go
+++ b/control/failover/api.go
@@ -128,6 +128,8 @@
 	// Departed are those that have left or were lost, and may hold acknowledged commits that no position is known to cover. Only the
 	// first view that a manager is given needs them: afterwards it sees them go.
 	Departed []feed.Instance
+	// GivenUp counts how often an operator has given up what lost copies held: what was known of departed instances before counts no more.
+	GivenUp uint64
 	// Floor is the furthest position that covers instances that have departed: whoever has not reached it lacks what they may hold.
 	Floor Position
 }
--- a/control/failover/choose.go
+++ b/control/failover/choose.go
@@ -11,11 +11,13 @@
 
 // choose picks the instance that is to lead, once it is shown that it holds every commit that may have been acknowledged.
 func (s *service) choose(now time.Duration) {
+	s.missing = nil
 	chosen, held := s.candidate(now)
 	if chosen == nil {
 		return
 	}
-	if missing := s.proof(chosen, held); missing != "" && !s.manager.guards.choiceUnproven && !s.asynchronousLimit(now) {
+	if missing := s.proof(chosen, held); len(missing) > 0 && !s.manager.guards.choiceUnproven && !s.asynchronousLimit(now) {
+		s.missing = missing
 		s.noteStalled(now, missing)
 		return
 	}
@@ -44,7 +46,7 @@
 		return best, held
 	}
 	others := lo.Reject(held, func(i *member, _ int) bool { return s.maySeemPrimary(i) })
-	if other := s.furthest(others); other != nil && s.proof(other, others) == "" {
+	if other := s.furthest(others); other != nil && len(s.proof(other, others)) == 0 {
 		return other, others
 	}
 	if now-max(s.clearedAt, s.call.endedAt) < seemsPrimaryWait && s.othersMayCome(best) {
@@ -103,7 +105,7 @@
 	return a.status.LagMs < b.status.LagMs
 }
 
-// proof tells which instances stand against the choice; "" if it is proven. An acknowledged commit is in the logs of two instances:
+// proof tells which instances stand against the choice; none if it is proven. An acknowledged commit is in the logs of two instances:
 // of the leader of its term and of a replica. The chosen one is the furthest of those held (or of the part of them that counts here),
 // so it has the commit if
 //   - all instances but one are held: one of the two that have it is among them; or
@@ -112,7 +114,7 @@
 //     one has reached (and no later term is known).
 //
 // Of those that left and were covered long ago only the furthest of these positions is kept, as the floor.
-func (s *service) proof(chosen *member, held []*member) string {
+func (s *service) proof(chosen *member, held []*member) []string {
 	led := s.view.Leader.InstanceID
 	laterTerm := s.latestTerm() > s.view.Leader.Term
 	open := lo.Filter(s.members, func(i *member, _ int) bool {
@@ -121,7 +123,7 @@
 	})
 	leader := s.member(led)
 	if leader != nil && lo.Contains(held, leader) && !laterTerm {
-		return ""
+		return nil
 	}
 	spare := 1
 	if led == "" || leader == nil {
@@ -129,26 +131,26 @@
 	}
 	missing := lo.Map(open, func(i *member, _ int) string { return i.instance.ID })
 	if chosen.heldPosition.Less(s.view.Floor) && !s.settings().Lacking.Lacks(guard.Floor) {
-		missing = append(missing, departedEarlier)
+		missing = append(missing, DepartedEarlier)
 	}
 	if len(missing) <= spare {
-		return ""
+		return nil
 	}
-	return strings.Join(missing, " ")
+	return missing
 }
 
-// departedEarlier stands for the instances that departed, and were covered by a position that the chosen one hasn't reached.
-const departedEarlier = "(departed)"
+// DepartedEarlier stands for the instances that departed, and were covered by a position that the chosen one hasn't reached.
+const DepartedEarlier = "(departed)"
 
 // asynchronousLimit ends the wait for a silent replica where acknowledged commits need not be in any replica anyway.
 func (s *service) asynchronousLimit(now time.Duration) bool {
 	return s.view.SyncReplicas == 0 && s.why != leaderDrains && now-s.frozenAt >= s.settings().ReplicaLost
 }
 
-func (s *service) noteStalled(now time.Duration, missing string) {
+func (s *service) noteStalled(now time.Duration, missing []string) {
 	if !s.stalled && now-s.roundAt >= statusFresh {
 		s.stalled = true
-		s.event("waiting", "nobody is shown to hold every acknowledged commit; open: %s", missing)
+		s.event("waiting", "nobody is shown to hold every acknowledged commit; open: %s", strings.Join(missing, " "))
 	}
 }
 
--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -125,6 +125,16 @@
 	return drains
 }
 
+// Missing gives the instances whose copies stand against every choice of a new leader of a service that waits for one; none if it
+// doesn't wait.
+func (m *Manager) Missing(service string) []string {
+	s, found := m.services[service]
+	if !found || !s.frozen || s.phase != pausing {
+		return nil
+	}
+	return slices.Clone(s.missing)
+}
+
 // Frozen tells whether no statement may be started at the leader of the service, and the number of the freeze.
 func (m *Manager) Frozen(service string) (freeze uint64, frozen bool) {
 	s, found := m.services[service]
--- a/control/failover/pause.go
+++ b/control/failover/pause.go
@@ -189,7 +189,7 @@
 	}
 	held := s.heldMembers()
 	ready := lo.ContainsBy(held, func(i *member) bool { return !i.heldPosition.Less(leader.status.Received) })
-	if ready && s.proof(s.furthest(held), held) != "" {
+	if ready && len(s.proof(s.furthest(held), held)) > 0 {
 		s.probe(now, leader, AskStepDown, s.stepDownTerm(), s.settings().FastProbe)
 	}
 }
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -103,7 +103,8 @@
 	roundAt     time.Duration
 	highest     uint64 // highest term of a round
 	caughtUp    bool
-	stalled     bool // said that no choice is proven
+	stalled     bool     // said that no choice is proven
+	missing     []string // instances that stand against the choice; empty: none does, or there is nobody to choose
 	handOver    time.Duration
 	intent      *Intent // committed, as far as known
 	inherited   bool    // it was written by an earlier holder
@@ -139,6 +140,7 @@
 	if len(s.members) == 0 {
 		s.members = departedBefore(now, view)
 	}
+	givenUp := view.GivenUp > s.view.GivenUp && s.view.Name != ""
 	s.view = view
 	s.intent = view.Intent
 	for _, instance := range view.Instances {
@@ -162,10 +164,21 @@
 			s.fastUntil = max(s.fastUntil, now+departureLook)
 		}
 	}
+	if givenUp {
+		s.giveUpDeparted()
+	}
 	slices.SortFunc(s.members, func(a, b *member) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
 	s.forgetDeparted()
 }
 
+// giveUpDeparted forgets what departed instances may have held, and the failover that waited for them.
+func (s *service) giveUpDeparted() {
+	s.members = lo.Reject(s.members, func(i *member, _ int) bool { return i.departed })
+	s.call, s.inherited, s.doubt = calls{}, false, false
+	s.missing = nil
+	s.event("given up", "what lost copies held")
+}
+
 // departedBefore are the instances that departed under an earlier holder, and that nothing is known to cover.
 func departedBefore(now time.Duration, view ServiceView) []*member {
 	return lo.Map(view.Departed, func(instance feed.Instance, _ int) *member {
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -180,6 +180,11 @@
 	tx.PutInstance(record)
 }
 
+// SilentFor is how long nothing was heard of an instance; at the most since this registry was made.
+func (r *Registry) SilentFor(now time.Duration, id string) time.Duration {
+	return now - max(r.sighting(id).heard, r.silence.since)
+}
+
 // Heard takes other evidence that an instance is alive, such as the answer to a probe. It does not bring back one that
 // left.
 func (r *Registry) Heard(now time.Duration, id string) {
@@ -187,6 +192,12 @@
 	r.sighting(id).heard = now
 }
 
+// Keep has an instance not taken for lost for now, though nothing is heard of it.
+func (r *Registry) Keep(now time.Duration, id string) {
+	r.silence.pass(now)
+	r.sighting(id).kept = now
+}
+
 func (r *Registry) sighting(id string) *sighting {
 	seen, found := r.sightings[id]
 	if !found {
--- a/control/registry/sighting.go
+++ b/control/registry/sighting.go
@@ -9,6 +9,7 @@
 // sighting is what the primary remembers of an instance and the control state doesn't hold.
 type sighting struct {
 	heard   time.Duration // last evidence of life
+	kept    time.Duration // until then it isn't taken for lost, whether it was heard or not
 	highest uint64        // callSeq
 	counted bool          // a beat was taken: highest holds
 	anew    newCount
--- a/control/registry/silence.go
+++ b/control/registry/silence.go
@@ -51,7 +51,8 @@
 	r.silence.next = now + r.lostAfter
 	kept := keptByFailover(tx)
 	for _, instance := range state.PresentInstances(tx) {
-		lostAt := r.silence.lostAt(r.sighting(instance.ID).heard)
+		seen := r.sighting(instance.ID)
+		lostAt := r.silence.lostAt(max(seen.heard, seen.kept))
 		if lostAt > now {
 			r.silence.next = min(r.silence.next, lostAt)
 			continue
--- a/control/state/keys.go
+++ b/control/state/keys.go
@@ -14,6 +14,7 @@
 	leaderPrefix     = "leader/"             // + service: leaderRecord
 	floorPrefix      = "floor/"              // + service: floorRecord
 	intentPrefix     = "intent/"             // + service: failover.Intent
+	giveUpPrefix     = "giveup/"             // + service: GiveUp
 )
 
 func bodyKey(piece int) string             { return fmt.Sprintf("%s%06d", bodyPrefix, piece) }
@@ -25,3 +26,4 @@
 func leaderKey(service string) string      { return leaderPrefix + service }
 func floorKey(service string) string       { return floorPrefix + service }
 func intentKey(service string) string      { return intentPrefix + service }
+func giveUpKey(service string) string      { return giveUpPrefix + service }
--- a/control/state/service.go
+++ b/control/state/service.go
@@ -103,6 +103,11 @@
 			view.Leader = leader
 		}
 	}
+	for _, given := range GiveUps(reader) {
+		if view, found := views[given.Service]; found {
+			view.GivenUp = given.Count
+		}
+	}
 	for _, floor := range readAll[floorRecord](reader, floorPrefix) {
 		if view, found := views[floor.Service]; found {
 			view.Floor = floor.Position
--- a/host/host.go
+++ b/host/host.go
@@ -43,6 +43,8 @@
 	Log       logrus.FieldLogger
 	Terminate <-chan struct{}      // closed when the process is asked to end in order; may be nil
 	Publish   func(metrics.Source) // serves the process's figures; nil: nobody reads them
+
+	AdminSocket string // path of the socket file for admin calls; "": none are taken
 }
 
 // Run runs a controller until it has ended in order after Boot.Terminate, or the context ends.
@@ -63,7 +65,10 @@
 	if boot.Publish != nil {
 		boot.Publish(process.figures)
 	}
-	process.start(listeners)
+	if err := process.start(listeners); err != nil {
+		process.end()
+		return err
+	}
 	process.loop.run(process.ctx)
 	process.end()
 	return process.failure()
@@ -81,6 +86,7 @@
 	peers    *rpc.Peers
 	loop     *loop
 	http     *http.Server
+	front    *front
 	internal processFront
 	server   *rpc.Server // of other processes of the system; set by start
 
@@ -101,7 +107,8 @@
 
 	p.disk = newDiskWriter(opened, durable.Incarnation, inbox, boot.Log, counters, cancel)
 	p.peers = rpc.NewPeers(boot.Settings.RPCAddress(), boot.Log)
-	p.http = newHTTPServer(newFront(inbox, numbers, replies, counters), boot.Log)
+	p.front = newFront(inbox, numbers, replies, counters)
+	p.http = newHTTPServer(p.front, boot.Log)
 	p.internal = processFront{inbox: inbox, numbers: numbers, watches: watches, counters: counters, backstop: watchBackstop}
 
 	started := time.Now()
@@ -146,7 +153,7 @@
 }
 
 // start starts all that works beside the loop.
-func (p *process) start(listeners listeners) {
+func (p *process) start(listeners listeners) error {
 	go p.disk.run()
 	limits := connectionLimitsOf(p.boot.Settings.Limits.MaxFds)
 	p.server = rpc.Serve(p.limited(listeners.internal, limits.internal), rpc.Handlers{
@@ -160,6 +167,7 @@
 		}
 	})
 	p.background.Go(p.followOrders)
+	return p.serveAdmin(p.front)
 }
 
 func (p *process) limited(listener net.Listener, limit int) net.Listener {
--- a/simulation/actions.go
+++ b/simulation/actions.go
@@ -46,6 +46,7 @@
 		"drain":        drainAction,       // drain INSTANCE [by db4]
 		"leave":        leaveAction,       // leave INSTANCE [beating] [by db4]: without a drain; it serves on, and may go on beating
 		"join":         joinAction,        // join db4 to db: a new instance, at an address of its own, with an empty log
+		"give-up":      giveUpAction,      // give-up SERVICE: an operator gives up what its lost copies held, asked of the acting controller
 		"late-beats":   lateBeatsAction,   // late-beats 40% for 20s: so many heartbeats come once more, seconds late
 		"platform":     platformAction,    // platform slow 2s for 5s | lose-call | lose-answer | late 4s
 	}
--- a/simulation/actions_instances.go
+++ b/simulation/actions_instances.go
@@ -1,5 +1,13 @@
 package simulation
 
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"eiderway/control/controller"
+)
+
 // Troubles and ends of instances, and troubles of the platform.
 
 func crashAction(w *World, a arguments) {
@@ -35,6 +43,25 @@
 	w.addInstance(joined, a.word(0), a.word(0)+":5432", nil, 0)
 }
 
+func giveUpAction(w *World, a arguments) {
+	service := a.word(0)
+	makeInput := func(call controller.Call) controller.Input {
+		return controller.GiveUp{Call: call, Service: service, By: "operator", At: time.Unix(0, int64(w.now()))}
+	}
+	acting := w.acting()
+	if acting == nil {
+		return
+	}
+	w.callControl("operator1", acting.member.Control, makeInput, func(result callResult) {
+		w.note("operator1", fmt.Sprintf("give-up %s: %d %s", service, result.reply.Status, result.reply.Body))
+		given := result.outcome == callAnswered && result.reply.Status == http.StatusOK
+		w.giveUps = append(w.giveUps, given)
+		if given {
+			w.judge.givenUp(service)
+		}
+	})
+}
+
 func lateBeatsAction(w *World, a arguments) { a.setShareFor(w, &w.lateBeats) }
 
 func platformAction(w *World, a arguments) {
--- a/simulation/expectations.go
+++ b/simulation/expectations.go
@@ -39,6 +39,8 @@
 		return differs(w.actingName(), words[1:])
 	case "writes":
 		return w.unmetWrites(words[1:])
+	case "give-ups":
+		return differs(describeAll(w.giveUps), []string{"=", strings.Join(words[1:], " ")})
 	case "voter", "no-voter":
 		if w.isVoter(words[1]) != (words[0] == "voter") {
 			return "it is otherwise"
@@ -53,6 +55,15 @@
 	return ""
 }
 
+// describeAll says of each give-up in turn whether it was carried out.
+func describeAll(carriedOut []bool) string {
+	var words []string
+	for _, one := range carriedOut {
+		words = append(words, map[bool]string{true: "done", false: "refused"}[one])
+	}
+	return strings.Join(words, " ")
+}
+
 func differs(found string, words []string) string {
 	if (found == words[1]) != (words[0] == "=") {
 		return "it is " + found
--- a/simulation/judge_statements.go
+++ b/simulation/judge_statements.go
@@ -126,6 +126,12 @@
 	}
 }
 
+// givenUp forgets what an operator has given up: whatever the lost copies held.
+func (j *Judge) givenUp(service string) {
+	record := j.record(service)
+	record.answered, record.acked = nil, nil
+}
+
 // promoted looks at the log of the instance that takes over.
 func (j *Judge) promoted(service *service, old, target *instance, sent *sentCall) {
 	sent.effect = j.world.now()
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -34,6 +34,7 @@
 	commits           uint64
 	operators         int
 	answersLost       float64 // share of answers of controllers that are lost
+	giveUps           []bool  // whether each was carried out
 	lateBeats         float64 // share of heartbeats that come once more, late
 	lastAcknowledging string  // machine that acknowledged an order last
 	closing           bool
