Restore: instances of a state from a dump drain until they start anew

Cause: a dump that is brought back forgets drains that were acknowledged since, so an instance that drains could be used. Change: a restored file says so; a controller that leads with such a state marks all present instances as draining, agreed and on disk, before any gateway works by it. Only another life (a new count of calls with a beat that warms up) ends that. What a late beat of a forgotten departure does is tested and said.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -34,6 +34,7 @@
 	expireInstances
 	changeFailover
 	giveUpCopies
+	doubtInstances
 )
 
 // command is something that may change the control state. It is decided at the primary, in turn.
@@ -162,6 +163,9 @@
 		decideFailover(transaction, command.change)
 	case giveUpCopies:
 		c.decideGiveUp(transaction, command)
+	case doubtInstances:
+		transaction.DoubtInstances()
+		c.event("restored", "the state is from a dump: all instances count as draining until they start anew")
 	}
 }
 
@@ -210,6 +214,8 @@
 		switch {
 		case command.kind == expireInstances:
 			// Nobody waits for it.
+		case command.kind == doubtInstances:
+			c.finish(command) // there is no instance to doubt
 		case c.isPlainBeat(command):
 			c.finish(command)
 		default:
@@ -263,6 +269,9 @@
 }
 
 func (c *Controller) refuse(command command) {
+	if command.kind == doubtInstances {
+		return // this controller leads no more
+	}
 	if command.kind == changeFailover {
 		c.stepFailover(failover.Changed{Request: command.change.Request})
 		return
@@ -283,6 +292,9 @@
 		c.stepFailover(failover.Changed{Request: command.change.Request, Committed: true})
 	case giveUpCopies:
 		c.reply(giveUpReply(command))
+	case doubtInstances:
+		c.stepNode(replication.DoubtsMarked{})
+		c.term.doubting = false
 	}
 }
 
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -52,6 +52,7 @@
 	confirmed      time.Duration     // when the last confirmation or commit was asked for that was granted
 	expireAt       time.Duration     // when silent instances are looked for again
 	expiring       bool              // a look for silent instances waits for a batch
+	doubting       bool              // the state is from a dump, and what must be doubted isn't marked yet: nobody may work by it
 	freezes        map[string]freeze // services that are frozen, by name
 }
 
@@ -168,6 +169,10 @@
 		confirmed: c.now,
 		freezes:   map[string]freeze{},
 	}
+	if c.node.LeadsRestored() {
+		c.term.doubting = true
+		c.queue(command{kind: doubtInstances})
+	}
 	c.stateChanged()
 }
 
--- a/control/controller/scenario_test.go
+++ b/control/controller/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -9,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"eiderway/control/replication"
 )
 
 // A scenario is a text file: one command a line, # begins a remark. The first command is
@@ -27,6 +30,7 @@
 //	freeze NAME | thaw NAME              a controller or a gateway
 //	kill NAME | power NAME | wipe NAME   the process ends; it loses power; its disk is lost
 //	start NAME
+//	dump | restore                       all controllers lose their disks and start again with what was dumped
 //	stop NODE                            SIGTERM
 //	disk NODE TIME                       a sync takes this long
 //	probes TIME                          answers to probes take this long
@@ -55,6 +59,7 @@
 type scenario struct {
 	world  *world
 	labels map[string]*call
+	dumps  map[*machine]replication.Durable
 	seed   int64
 	guards disabledGuards
 	trace  func(string)
@@ -149,11 +154,27 @@
 		return w.sendLeave(to, words[2])
 	case "beat":
 		one := instance{id: words[2], draining: words[3] == "draining", seq: uint64(number(words[4]))}
-		return w.sendBeat(to, one.beat())
+		beat := one.beat()
+		if words[3] == "warming" {
+			beat.WarmupLeftMs = 1000
+		}
+		return w.sendBeat(to, beat)
 	}
 	panic("unknown question " + words[0])
 }
 
+// restore has all controllers lose their disks, and start again with what was dumped.
+func (s *scenario) restore() {
+	for _, one := range s.world.machines {
+		s.world.powerLoss(one)
+		one.disk.durable = s.dumps[one]
+		one.disk.durable.Voter.Restored = true
+	}
+	for _, one := range s.world.machines {
+		s.world.start(one)
+	}
+}
+
 func (s *scenario) trouble(words []string) error {
 	w := s.world
 	switch words[0] {
@@ -180,6 +201,16 @@
 		w.probeTime = span(words[1])
 	case "slow":
 		w.gateway(words[1]).slow = span(words[2])
+	case "dump":
+		s.dumps = map[*machine]replication.Durable{}
+		for _, one := range w.machines {
+			s.dumps[one] = one.disk.durable
+			kept := s.dumps[one]
+			kept.Entries = maps.Clone(kept.Entries)
+			s.dumps[one] = kept
+		}
+	case "restore":
+		s.restore()
 	case "down", "up":
 		w.instance(words[1]).up = words[0] == "up"
 	case "promote":
--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -68,7 +68,7 @@
 
 // answerWatches moves the questions that are due to the next confirmation.
 func (c *Controller) answerWatches() {
-	if c.term.table.version.Sequence == 0 || !slices.ContainsFunc(c.term.watches, c.due) {
+	if c.term.doubting || c.term.table.version.Sequence == 0 || !slices.ContainsFunc(c.term.watches, c.due) {
 		return
 	}
 	var waiting []*watch
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -105,5 +105,6 @@
 	Promised Epoch
 	Accepted View // ID zero: none yet
 	MayFound bool // the process was started with firstStart and an empty disk, so it may take part in founding a core
+	Restored bool // the state was brought back from a dump, and nothing that was agreed since has been added to it
 	Heard    View // newest view that a controller without a vote was told of: whom to ask after a start, no more than that
 }
--- a/control/registry/registry_test.go
+++ b/control/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -87,6 +88,44 @@
 	is.Equal(beats.Heartbeat(0, transaction, beat), registry.Taken{Fresh: false, Changed: true})
 }
 
+// What a beat of an instance does whose departure isn't recorded any more, since state.MaxDepartures others have left after it: as long as the
+// primary remembers its calls, nothing. After a takeover it counts as a new instance until it has been silent for long enough to be lost.
+func TestLateBeatOfAForgottenDeparture(t *testing.T) {
+	is := is.New(t)
+	const lostAfter = 10 * time.Second
+	memory := statetest.NewMemory()
+	beats := registry.New(0, lostAfter)
+	change := func(act func(*state.Transaction)) {
+		transaction := state.NewTransaction(memory)
+		act(transaction)
+		memory.Commit(transaction)
+	}
+	late := registry.Heartbeat{InstanceID: "gone", TargetService: "s", Address: "gone:1", OperState: registry.Ready, CallSeq: 4}
+	newest := late
+	newest.CallSeq = 5
+	change(func(tx *state.Transaction) { beats.Heartbeat(0, tx, newest) })
+	change(func(tx *state.Transaction) { beats.Leave(0, tx, "gone") })
+	change(func(tx *state.Transaction) { beats.Leave(0, tx, "gone") })
+	for index := range state.MaxDepartures + 1 {
+		change(func(tx *state.Transaction) { beats.Leave(0, tx, fmt.Sprintf("other%d", index)) })
+	}
+	isPresent := func() bool {
+		found, known := state.InstanceByID(memory, "gone")
+		return known && !found.Left
+	}
+	change(func(tx *state.Transaction) { tx.RemoveInstance("gone") }) // as the oldest departure is forgotten
+	change(func(tx *state.Transaction) { beats.Heartbeat(time.Second, tx, late) })
+	is.True(!isPresent())
+
+	beats = registry.New(2*time.Second, lostAfter)
+	change(func(tx *state.Transaction) { beats.Heartbeat(2*time.Second, tx, late) })
+	is.True(isPresent())
+	for now := 3 * time.Second; now <= 13*time.Second; now += time.Second {
+		change(func(tx *state.Transaction) { beats.Expire(now, tx) })
+	}
+	is.True(!isPresent())
+}
+
 // sentBeats draws the beats of an instance in the order in which it sent them: from some beat on it drains, or never.
 func sentBeats(t *rapid.T) []registry.Heartbeat {
 	var beats []registry.Heartbeat
--- a/control/replication/api.go
+++ b/control/replication/api.go
@@ -73,6 +73,8 @@
 	Leave struct{}
 	// SeedsChanged replaces the seeds.
 	SeedsChanged struct{ Seeds []string }
+	// DoubtsMarked: what must be doubted in a state that was brought back from a dump is marked, and that is agreed.
+	DoubtsMarked struct{}
 )
 
 func (Tick) input()         {}
@@ -83,6 +85,7 @@
 func (Confirm) input()      {}
 func (Leave) input()        {}
 func (SeedsChanged) input() {}
+func (DoubtsMarked) input() {}
 
 // Outcome of a request.
 type Outcome int
--- a/control/replication/backup.go
+++ b/control/replication/backup.go
@@ -79,6 +79,15 @@
 	}
 	n.fetch = nil
 	n.writeState(mutations)
+	n.noteAgreed()
+}
+
+// noteAgreed records that the state here is what a primary has agreed on with others, not what a dump held.
+func (n *Node) noteAgreed() {
+	if n.record.Restored {
+		n.record.Restored = false
+		n.writeRecord()
+	}
 }
 
 // considerSnapshot begins to fetch the state where changes don't lead to it any more.
--- a/control/replication/node.go
+++ b/control/replication/node.go
@@ -127,6 +127,8 @@
 		n.leave()
 	case SeedsChanged:
 		n.settings.Seeds = input.Seeds
+	case DoubtsMarked:
+		n.noteAgreed()
 	}
 	n.progress()
 	return n.effects
@@ -259,6 +261,10 @@
 	return n.known.Voter(n.known.Primary)
 }
 
+// LeadsRestored tells whether this node leads with a state that was brought back from a dump: what was acknowledged since the dump was
+// made isn't in it.
+func (n *Node) LeadsRestored() bool { return n.leads() && n.record.Restored }
+
 // Epoch of the view that this node leads; zero if it doesn't lead.
 func (n *Node) Epoch() quorum.Epoch {
 	if !n.leads() {
--- a/control/replication/snapshot.go
+++ b/control/replication/snapshot.go
@@ -239,6 +239,7 @@
 	}
 	n.history = newHistory(done.stamp, entries)
 	n.writeAll()
+	n.noteAgreed()
 	n.event("snapshot installed", done.stamp.String())
 	if n.candidacy != nil {
 		n.takeOver(n.candidacy.base)
--- a/control/store/dump.go
+++ b/control/store/dump.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return err
 	}
+	whole.head.Voter.Restored = true
 	return writeFile(filepath.Dir(path), whole)
 }
 
--- a/control/store/dump_test.go
+++ b/control/store/dump_test.go
@@ -47,6 +47,7 @@
 	is.NoErr(Restore(strings.NewReader(dump), restored))
 	store, found, err := Open(directory, Options{Log: silent()})
 	is.NoErr(err)
+	state.Voter.Restored = true // what was acknowledged since is not in a dump
 	is.Equal(found, state)
 	is.NoErr(store.Apply(mutate(put("more", "x"))))
 	is.NoErr(store.Close())
