--- a/control/rpc/client.go
+++ b/control/rpc/client.go
@@ -25,6 +25,8 @@
 
 // Client asks controllers. It keeps one connection for each address. The zero value is ready for use.
 type Client struct {
+	Routes Routes // not to be changed after the first question
+
 	connections, stray, broken atomic.Uint64
 
 	mutex  sync.Mutex
@@ -68,7 +70,7 @@
 	if known, err := c.known(address); known != nil || err != nil {
 		return known, err
 	}
-	connection, err := dial(ctx, address)
+	connection, err := dial(ctx, c.Routes.of(address))
 	if err != nil {
 		return nil, err
 	}
--- a/control/rpc/connection.go
+++ b/control/rpc/connection.go
@@ -22,6 +22,17 @@
 	writeTimeout = unackedTimeout
 )
 
+// Routes says where to connect to instead, for addresses that are reached through a relay, such as a tunnel between sites. Others are
+// reached directly.
+type Routes map[string]string
+
+func (r Routes) of(address string) string {
+	if via, found := r[address]; found {
+		return via
+	}
+	return address
+}
+
 // dial makes a connection to another process.
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
--- a/control/rpc/peers.go
+++ b/control/rpc/peers.go
@@ -24,11 +24,12 @@
 
 // Peers sends one-way messages to other controllers, over one connection for each address.
 type Peers struct {
-	self string
-	log  logrus.FieldLogger
-	ctx  context.Context
-	stop context.CancelFunc
-	wait sync.WaitGroup
+	self   string
+	routes Routes
+	log    logrus.FieldLogger
+	ctx    context.Context
+	stop   context.CancelFunc
+	wait   sync.WaitGroup
 
 	mutex   sync.Mutex
 	senders map[string]*sender
@@ -36,9 +37,9 @@
 }
 
 // NewPeers returns a sender of messages. Self is the address of this process, to which nothing is sent.
-func NewPeers(self string, log logrus.FieldLogger) *Peers {
+func NewPeers(self string, routes Routes, log logrus.FieldLogger) *Peers {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Peers{self: self, log: log, ctx: ctx, stop: stop, senders: map[string]*sender{}}
+	return &Peers{self: self, routes: routes, log: log, ctx: ctx, stop: stop, senders: map[string]*sender{}}
 }
 
 // Send queues the message for the controller at the address. It never blocks; the message may be lost.
--- a/control/rpc/peers_test.go
+++ b/control/rpc/peers_test.go
@@ -15,7 +15,7 @@
 func newPeers(t *testing.T) *Peers {
 	t.Helper()
 	log, _ := test.NewNullLogger()
-	peers := NewPeers("127.0.0.1:1", log)
+	peers := NewPeers("127.0.0.1:1", nil, log)
 	t.Cleanup(peers.Close)
 	return peers
 }
--- a/control/rpc/sender.go
+++ b/control/rpc/sender.go
@@ -119,7 +119,7 @@
 }
 
 func (s *sender) connect() bool {
-	connection, err := dial(s.peers.ctx, s.address)
+	connection, err := dial(s.peers.ctx, s.peers.routes.of(s.address))
 	if err != nil {
 		s.peers.count(func(counts *PeersCounts) { counts.Failures++ })
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,7 +72,7 @@
 // Run serves until it is asked to terminate and has done so in order, or until the context ends. An error means that it
 // could not start.
 func Run(ctx context.Context, boot Boot) error {
-	asker := &rpc.Client{}
+	asker := &rpc.Client{Routes: boot.Settings.InternalRoutes}
 	defer asker.Close()
 	return run(ctx, boot, asker)
 }
--- a/host/host.go
+++ b/host/host.go
@@ -106,7 +106,7 @@
 	p := &process{boot: boot, store: opened, inbox: inbox, counters: counters, parent: parent, ctx: ctx, cancel: cancel}
 
 	p.disk = newDiskWriter(opened, durable.Incarnation, inbox, boot.Log, counters, cancel)
-	p.peers = rpc.NewPeers(boot.Settings.RPCAddress(), boot.Log)
+	p.peers = rpc.NewPeers(boot.Settings.RPCAddress(), boot.Settings.InternalRoutes, boot.Log)
 	p.front = newFront(inbox, numbers, replies, counters)
 	p.http = newHTTPServer(p.front, boot.Log)
 	p.internal = processFront{inbox: inbox, numbers: numbers, watches: watches, counters: counters, backstop: watchBackstop}
--- a/system/settings.go
+++ b/system/settings.go
@@ -34,8 +34,9 @@
 	Region          string            `json:"region"`
 	Zones           map[string]string `json:"zones"` // zone to region
 	Listen          ListenAddresses   `json:"listenAddrs"`
-	InternalPorts   []int             `json:"internalPortRange" validate:"len=2,dive,min=1,max=65535"` // first and last
-	Seeds           []string          `json:"seedPeers" validate:"dive,address"`                       // control addresses
+	InternalPorts   []int             `json:"internalPortRange" validate:"len=2,dive,min=1,max=65535"`               // first and last
+	InternalRoutes  map[string]string `json:"internalRoutes,omitempty" validate:"dive,keys,address,endkeys,address"` // through relays
+	Seeds           []string          `json:"seedPeers" validate:"dive,address"`                                     // control addresses
 	FirstStart      bool              `json:"firstStart"`
 	LossCounted     bool              `json:"lossCounted"`
 	Limits          Limits            `json:"limits"`
