Herds: room for operators beside any number of instances; tables as changes; fewer versions

The bytes: each new version of the table went whole to each gateway, and each batch of joins made one. Change: only half of the control connections are kept, any further one is for one call; probes keep 250 connections at most. A table is sent as what has changed since the one that the gateway has, and not at all after a takeover that changed nothing (a digest). A version that only adds instances waits 50 ms after the last one. Drains, freezes, leaders and configurations never wait.

--- a/control/controller/table.go
+++ b/control/controller/table.go
@@ -3,7 +3,9 @@
 import (
 	"maps"
 	"reflect"
+	"slices"
 	"sort"
+	"time"
 
 	"eiderway/control/feed"
 	"eiderway/control/quorum"
@@ -18,10 +20,19 @@
 	configuration       []byte
 	services            []feed.Service
 	members             []quorum.Member
+
+	digest  uint64                 // of the services
+	changed map[string]uint64      // the sequence in which each service changed last; one that is gone too
+	deltas  map[uint64]*feed.Table // what has changed since a sequence; emptied with each version
+	since   time.Duration          // when this version was made
 }
 
+// publishPause is the least time between two versions of the table where the later one only adds instances: when a fleet starts, hundreds of
+// instances come within seconds, and each version goes to each gateway.
+const publishPause = 50 * time.Millisecond
+
 func newTable(epoch quorum.Epoch) table {
-	return table{version: feed.Version{Epoch: epoch}, dirty: true}
+	return table{version: feed.Version{Epoch: epoch}, dirty: true, changed: map[string]uint64{}}
 }
 
 // freeze is a service whose leader may not be given new work.
@@ -43,13 +54,63 @@
 		return
 	}
 	next := c.buildTable(members)
-	if !sameTable(next, term.table) || c.freezeUnplaced() {
+	same := sameTable(next, term.table)
+	if !same && !frozenChanged && c.now-term.table.since < publishPause && onlyAdds(term.table, next) {
+		term.table.dirty = true
+		return
+	}
+	if !same || c.freezeUnplaced() {
 		next.version.Sequence++
+		next.since = c.now
+		next.follow(term.table)
 		c.placeFreezes(next.version)
 	}
 	term.table = next
 }
 
+// onlyAdds tells whether nothing has changed from one table to the next but that instances and services were added: then the older one is no
+// less true of what it has.
+func onlyAdds(before, next table) bool {
+	if before.configurationNumber != next.configurationNumber || !reflect.DeepEqual(before.members, next.members) {
+		return false
+	}
+	after := make(map[string]feed.Service, len(next.services))
+	for _, service := range next.services {
+		after[service.Name] = service
+	}
+	for _, old := range before.services {
+		present, found := after[old.Name]
+		if !found || present.Frozen != old.Frozen || old.Leader.InstanceID != "" && old.Leader != present.Leader {
+			return false
+		}
+		for _, instance := range old.Instances {
+			if !slices.Contains(present.Instances, instance) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// follow notes which services have changed since the version before.
+func (t *table) follow(before table) {
+	t.deltas = nil
+	t.digest = feed.DigestOf(t.services)
+	earlier := make(map[string]feed.Service, len(before.services))
+	for _, service := range before.services {
+		earlier[service.Name] = service
+	}
+	for _, service := range t.services {
+		if old, found := earlier[service.Name]; !found || !reflect.DeepEqual(old, service) {
+			t.changed[service.Name] = t.version.Sequence
+		}
+		delete(earlier, service.Name)
+	}
+	for name := range earlier {
+		t.changed[name] = t.version.Sequence
+	}
+}
+
 // buildTable reads the committed control state. The configuration may be large, and is read when its number has changed.
 func (c *Controller) buildTable(members []quorum.Member) table {
 	last := c.term.table
@@ -58,6 +119,10 @@
 		configurationNumber: last.configurationNumber,
 		configuration:       last.configuration,
 		members:             members,
+		digest:              last.digest,
+		changed:             last.changed,
+		deltas:              last.deltas,
+		since:               last.since,
 	}
 	if state.ConfigurationNumber(c.node) != last.configurationNumber {
 		next.configurationNumber, next.configuration, _ = state.Configuration(c.node)
@@ -143,16 +208,52 @@
 	return names
 }
 
-// forGateway is the table as one gateway gets it: without a configuration that it holds already.
-func (t *table) forGateway(held int64) *feed.Table {
-	answer := &feed.Table{
-		Version:             t.version,
-		ConfigurationNumber: t.configurationNumber,
-		Services:            t.services,
-		Controllers:         t.members,
-	}
-	if held != t.configurationNumber {
+// forGateway is the table as one gateway gets it: what has changed since the one that it works by, and without a configuration that it
+// holds already.
+func (t *table) forGateway(request feed.WatchRequest) *feed.Table {
+	answer := *t.servicesFor(request)
+	answer.Version = t.version
+	answer.ConfigurationNumber = t.configurationNumber
+	answer.Controllers = t.members
+	if request.Configuration != t.configurationNumber {
 		answer.Configuration = t.configuration
 	}
-	return answer
+	return &answer
+}
+
+func (t *table) servicesFor(request feed.WatchRequest) *feed.Table {
+	applied := request.Applied
+	switch {
+	case applied.Sequence > 0 && applied.Epoch == t.version.Epoch:
+		return t.changesSince(applied.Sequence)
+	case applied.Sequence > 0 && request.Digest == t.digest:
+		return &feed.Table{Base: applied}
+	}
+	return &feed.Table{Services: t.services}
+}
+
+// changesSince is made once for all gateways that work by the same version.
+func (t *table) changesSince(sequence uint64) *feed.Table {
+	if made, found := t.deltas[sequence]; found {
+		return made
+	}
+	delta := &feed.Table{Base: feed.Version{Epoch: t.version.Epoch, Sequence: sequence}}
+	present := make(map[string]bool, len(t.services))
+	for _, service := range t.services {
+		present[service.Name] = true
+		if t.changed[service.Name] > sequence {
+			delta.Services = append(delta.Services, service)
+		}
+	}
+	for name, at := range t.changed {
+		if at > sequence && !present[name] {
+			delta.Gone = append(delta.Gone, name)
+		}
+	}
+	slices.Sort(delta.Gone)
+	if t.deltas == nil {
+		t.deltas = map[uint64]*feed.Table{}
+	}
+	t.deltas[sequence] = delta
+	return delta
 }
--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -98,7 +98,7 @@
 		Drains:  c.term.failover.Drains(c.now),
 	}
 	if watch.request.Applied.Less(c.term.table.version) {
-		answer.Table = c.term.table.forGateway(watch.request.Configuration)
+		answer.Table = c.term.table.forGateway(watch.request)
 	}
 	c.term.grants.give(c.now, watch.request)
 	c.effects.WatchReplies = append(c.effects.WatchReplies, WatchReply{Call: watch.call, Answer: answer})
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -46,15 +46,6 @@
 	Instances []Instance
 }
 
-// Table is everything a gateway works by.
-type Table struct {
-	Version             Version
-	ConfigurationNumber int64  // 0: none yet
-	Configuration       []byte // as the operator sent it; nil if the gateway said that it has this number
-	Services            []Service
-	Controllers         []quorum.Member
-}
-
 // InstanceReport tells the controller what a gateway met at an instance since its last question.
 type InstanceReport struct {
 	InstanceID string
@@ -68,6 +59,7 @@
 	Gateway       string // name and a random word of this process
 	Name          string
 	Applied       Version // the table the gateway works by now; it acknowledges a freeze with it
+	Digest        uint64  // of that table's services
 	Configuration int64   // the number of the configuration that the gateway holds
 	Wait          time.Duration
 	Reports       []InstanceReport
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -16,6 +16,8 @@
 // no clock: now is the steady time.
 type directory struct {
 	table      feed.Table
+	digest     uint64 // of its services
+	wantsWhole bool   // changes that came don't follow on the table held
 	limits     configuration.Limits
 	routes     map[string]configuration.Route // by database name
 	services   map[string]*service
@@ -82,6 +84,14 @@
 	}
 }
 
+// applied is the version that the controllers are told: what they send is what has changed since.
+func (d *directory) applied() feed.Version {
+	if d.wantsWhole {
+		return feed.Version{}
+	}
+	return d.table.Version
+}
+
 // take takes over an answer to a question that was sent at sentAt. After an error nothing has changed.
 func (d *directory) take(now, sentAt time.Duration, answer feed.WatchAnswer) (news, error) {
 	var changes news
@@ -121,6 +131,11 @@
 	if table.Version == d.table.Version {
 		return news{}, nil
 	}
+	table, err := table.On(d.table)
+	if err != nil {
+		d.wantsWhole = true
+		return news{}, err
+	}
 	changes := news{table: true}
 	contents, err := d.newerContents(table)
 	if err != nil {
@@ -138,6 +153,8 @@
 	services := d.readServices(table)
 	changes.compare(d.services, services)
 	d.table = table
+	d.digest = feed.DigestOf(table.Services)
+	d.wantsWhole = false
 	d.services = services
 	return changes, nil
 }
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -121,7 +121,8 @@
 	return feed.WatchRequest{
 		Gateway:       g.identity,
 		Name:          g.name,
-		Applied:       g.directory.table.Version,
+		Applied:       g.directory.applied(),
+		Digest:        g.directory.digest,
 		Configuration: g.directory.table.ConfigurationNumber,
 		Wait:          watchFor(g.directory.lease),
 		Reports:       g.reports.take(),
--- a/host/host.go
+++ b/host/host.go
@@ -156,13 +156,13 @@
 func (p *process) start(listeners listeners) error {
 	go p.disk.run()
 	limits := connectionLimitsOf(p.boot.Settings.Limits.MaxFds)
-	p.server = rpc.Serve(p.limited(listeners.internal, limits.internal), rpc.Handlers{
+	p.server = rpc.Serve(p.limited(listeners.internal, limits.internal, 0), rpc.Handlers{
 		Message: p.internal.message,
 		Watch:   p.internal.watch,
 		Log:     p.boot.Log,
 	})
 	p.background.Go(func() {
-		if err := p.http.Serve(p.limited(listeners.control, limits.control)); !errors.Is(err, http.ErrServerClosed) {
+		if err := p.http.Serve(p.limited(listeners.control, limits.control, limits.kept())); !errors.Is(err, http.ErrServerClosed) {
 			p.cancel(eris.Wrap(err, "host: callers of the control plane"))
 		}
 	})
@@ -170,8 +170,8 @@
 	return p.serveAdmin(p.front)
 }
 
-func (p *process) limited(listener net.Listener, limit int) net.Listener {
-	return &limitedListener{Listener: listener, limit: int64(limit), refused: &p.counters.connectionsRefused}
+func (p *process) limited(listener net.Listener, limit, keep int) net.Listener {
+	return &limitedListener{Listener: listener, limit: int64(limit), keep: int64(keep), refused: &p.counters.connectionsRefused}
 }
 
 // followOrders passes on what the platform wants of the process.
--- a/host/httpserver.go
+++ b/host/httpserver.go
@@ -21,7 +21,8 @@
 
 func newHTTPServer(handler http.Handler, logger logrus.FieldLogger) *http.Server {
 	return &http.Server{
-		Handler:                      handler,
+		Handler:                      closingOneCall(handler),
+		ConnContext:                  noteOneCall,
 		DisableGeneralOptionsHandler: true,
 		ReadHeaderTimeout:            headerTimeout,
 		ReadTimeout:                  readTimeout,
@@ -32,6 +33,16 @@
 	}
 }
 
+// closingOneCall has a connection that is for one call closed with its answer.
+func closingOneCall(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if isForOneCall(request.Context()) {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
 // lineWriter passes the lines of the standard library's server on.
 type lineWriter struct{ log logrus.FieldLogger }
 
--- a/host/open.go
+++ b/host/open.go
@@ -96,12 +96,17 @@
 	defaultDescriptors = 1024 // where the settings don't say: the usual limit of a process
 	fileDescriptors    = 200
 	ownDescriptors     = 400
+	probesKept         = 250 // connections to instances that are kept between probes, of ownDescriptors
 	controlShare       = 4 // one in four of the rest is for HTTP callers, the others for gateways and controllers
 )
 
 // connectionLimits bound the accepted connections.
 type connectionLimits struct{ control, internal int }
 
+// kept is how many callers of the control plane keep their connections. Instances keep theirs from one heartbeat to the next, and operators
+// must find room beside any number of them.
+func (l connectionLimits) kept() int { return l.control / 2 }
+
 func connectionLimitsOf(descriptors int) connectionLimits {
 	if descriptors == 0 {
 		descriptors = defaultDescriptors
--- a/host/prober.go
+++ b/host/prober.go
@@ -40,8 +40,12 @@
 
 	mutex   sync.Mutex
 	targets map[probeTarget]*probedInstance
+	resting int // targets whose connection is kept for the next probe
 }
 
+// kept is how many connections rest. It is called with the lock held.
+func (p *prober) kept() int { return p.resting }
+
 // probedInstance is what the prober keeps of one instance.
 type probedInstance struct {
 	queue      []failover.Probe
@@ -87,6 +91,9 @@
 	instance.queue = append(instance.queue, probe)
 	if !instance.busy {
 		instance.busy = true
+		if found {
+			p.resting--
+		}
 		instance.stopRest()
 		p.running.Add(1)
 		go p.work(target, instance)
@@ -116,10 +123,15 @@
 		return probe, true
 	}
 	instance.busy = false
+	if instance.connection != nil && p.kept() >= probesKept {
+		instance.connection.Close() // those that are kept already go on being of use
+		instance.connection = nil
+	}
 	if instance.connection == nil {
 		delete(p.targets, target)
 		return failover.Probe{}, false
 	}
+	p.resting++
 	instance.rest = time.AfterFunc(p.waits.idle, func() { p.forget(target, instance) })
 	return failover.Probe{}, false
 }
@@ -131,6 +143,7 @@
 	if instance.busy || p.targets[target] != instance {
 		return
 	}
+	p.resting--
 	instance.connection.Close()
 	delete(p.targets, target)
 }
--- a/host/sockets.go
+++ b/host/sockets.go
@@ -39,6 +39,7 @@
 type limitedListener struct {
 	net.Listener
 	limit   int64
+	keep    int64 // connections beyond these are for one call each, so that callers who keep theirs never shut others out; 0: all are kept
 	open    atomic.Int64
 	refused *atomic.Uint64
 }
@@ -50,14 +51,16 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) > l.limit {
+		open := l.open.Add(1)
+		if open > l.limit {
 			l.open.Add(-1)
 			l.refused.Add(1)
 			_ = connection.Close()
 			continue
 		}
 		l.bound(connection)
-		return &limitedConn{Conn: connection, release: func() { l.open.Add(-1) }}, nil
+		once := l.keep > 0 && open > l.keep
+		return &limitedConn{Conn: connection, forOneCall: once, release: func() { l.open.Add(-1) }}, nil
 	}
 }
 
@@ -74,10 +77,24 @@
 // limitedConn gives its place back when it is closed.
 type limitedConn struct {
 	net.Conn
-	once    sync.Once
-	release func()
+	forOneCall bool
+	once       sync.Once
+	release    func()
 }
 
+// oneCallKey marks the context of connections that are for one call.
+type oneCallKey struct{}
+
+// noteOneCall marks the context of a new connection, if it is for one call.
+func noteOneCall(ctx context.Context, connection net.Conn) context.Context {
+	if limited, ok := connection.(*limitedConn); ok && limited.forOneCall {
+		return context.WithValue(ctx, oneCallKey{}, true)
+	}
+	return ctx
+}
+
+func isForOneCall(ctx context.Context) bool { return ctx.Value(oneCallKey{}) != nil }
+
 // SyscallConn gives access to the socket beneath.
 func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
 	source, ok := c.Conn.(syscall.Conn)
--- a/simulation/gateway.go
+++ b/simulation/gateway.go
@@ -128,6 +128,7 @@
 	request := feed.WatchRequest{Gateway: fmt.Sprintf("%s/%d", g.name, life), Name: g.name, Wait: w.controllerSettings.WatchWait}
 	if g.table != nil {
 		request.Applied = g.table.Version
+		request.Digest = feed.DigestOf(g.table.Services)
 		request.Configuration = g.table.ConfigurationNumber
 	}
 	request.Reports = g.takeReports()
@@ -186,6 +187,7 @@
 	if g.watching != number {
 		return
 	}
+	g.watching++ // the answer may come twice
 	if len(answer.Members) > 0 {
 		g.known = nil
 		for _, member := range answer.Members {
@@ -201,7 +203,16 @@
 			g.askAnother("")
 			return
 		}
-		g.apply(*answer.Table)
+		var held feed.Table
+		if g.table != nil {
+			held = *g.table
+		}
+		whole, err := answer.Table.On(held)
+		if err != nil {
+			g.world.judge.toldBroken(g.name, err.Error())
+			return
+		}
+		g.apply(whole)
 	}
 	g.drains.Take(sent, answer.Drains)
 	if answer.Lease > 0 && g.table != nil {
