--- a/host/open.go
+++ b/host/open.go
@@ -97,7 +97,7 @@
 	fileDescriptors    = 200
 	ownDescriptors     = 400
 	probesKept         = 250 // connections to instances that are kept between probes, of ownDescriptors
-	controlShare       = 4 // one in four of the rest is for HTTP callers, the others for gateways and controllers
+	controlShare       = 4   // one in four of the rest is for HTTP callers, the others for gateways and controllers
 )
 
 // connectionLimits bound the accepted connections.
