Reads at replicas: bounded and self-managed reads go where a position is proven

Need: every statement of a service went to its leader, so reads stood still with it, and six of nine instances got no request. Change: package role keeps positions that the lawful leader named, by when they were asked for; a read names the lowest one that covers its bound (a fifth of it kept back), or its session's last commit, and the instance itself proves that its log holds it (AFTERPOS). Package routing picks the replica: least busy by own flights and pace, own zone while no busier, left alone after failures, lags and refusals. What wasn't run goes on to another replica, then to the leader. BEGIN FETCH as well. A replica that drains gets nothing; a freeze concerns no read at a replica. The simulation's gateways and clients do the same, its judge knows STALE for each class.

--- a/control/configuration/api.go
+++ b/control/configuration/api.go
@@ -16,6 +16,13 @@
 	Limits   Limits    `json:"limits"`
 }
 
+// Classes of routes, by what a read of theirs must see.
+const (
+	Primary      = "primary"       // all that was acknowledged before it
+	BoundedStale = "bounded_stale" // all that was acknowledged longer ago than MaxStalenessMs
+	SelfManaged  = "self_managed"  // that, and all that its own session committed
+)
+
 // Route leads a database name to a service.
 type Route struct {
 	Name            string `json:"name" validate:"required"`
--- a/control/guard/guard.go
+++ b/control/guard/guard.go
@@ -16,6 +16,8 @@
 	LoneLeaderFrozen
 	// EndIsFinal: a drain and a leave are never taken back within the life of an instance.
 	EndIsFinal
+	// PositionProven: a read at a replica names the position that the replica's log must hold.
+	PositionProven
 	// DeparturesTold: a primary of the control state that has just taken over hears of departures under earlier ones.
 	DeparturesTold
 )
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"eiderway/control/failover"
 	"eiderway/session"
 	"eiderway/wire"
 )
@@ -33,8 +34,9 @@
 	buffer   []byte
 	database string
 	session  *session.Session
-	flight   *flight // of the open transaction
-	served   bool    // a statement has been answered
+	flight   *flight           // of the open transaction
+	served   bool              // a statement has been answered
+	written  failover.Position // of the leader when it last acknowledged a commit of this session
 
 	mutex   sync.Mutex
 	waiting bool // for the first byte of a message
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -24,7 +24,11 @@
 	noDatabase atomic.Uint64
 	otherError atomic.Uint64
 	ended      atomic.Uint64 // transactions that rested for too long
-	broken     atomic.Uint64 // invariants
+
+	replicaReads atomic.Uint64 // reads that replicas ran
+	lagging      atomic.Uint64 // reads that a replica was too far behind for
+
+	broken atomic.Uint64 // invariants
 
 	leaseLost bool   // belongs to the gateway's lock: a line has been written
 	printed   totals // belongs to the loop that prints
@@ -33,6 +37,7 @@
 // totals is what is printed.
 type totals struct {
 	completed, busy, rolledBack, inDoubt, timedOut, malformed, noDatabase, otherError, ended uint64
+	replicaReads, lagging                                                                    uint64
 }
 
 // answered counts an answer to a client.
@@ -68,6 +73,9 @@
 		noDatabase: c.noDatabase.Load(),
 		otherError: c.otherError.Load(),
 		ended:      c.ended.Load(),
+
+		replicaReads: c.replicaReads.Load(),
+		lagging:      c.lagging.Load(),
 	}
 }
 
@@ -86,6 +94,7 @@
 	g.log.WithFields(logrus.Fields{
 		"completed": now.completed, "busy": now.busy, "rolledback": now.rolledBack, "indoubt": now.inDoubt,
 		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "other": now.otherError,
+		"at_replicas": now.replicaReads, "lagging": now.lagging,
 		"idle_ended": now.ended, "sessions": g.sessions(), "backends": open, "dials": made, "refused": refusals,
 	}).Info("counters")
 }
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"eiderway/control/configuration"
+	"eiderway/control/failover"
 	"eiderway/control/feed"
 )
 
@@ -41,11 +42,24 @@
 	route   configuration.Route
 	leader  feed.Leader
 	address string
-	lapses  uint64 // of the lease when it was checked last
+	lapses  uint64            // of the lease when it was checked last
+	replica feed.Instance     // with an id: the statement goes to this replica instead of the leader
+	after   failover.Position // at a replica: what its log must hold
 
 	maxConnections int
 }
 
+// atReplica tells whether the placement is a replica, for a read that may be some time old.
+func (p placement) atReplica() bool { return p.replica.ID != "" }
+
+// instanceID is that of the instance where the statement goes.
+func (p placement) instanceID() string {
+	if p.atReplica() {
+		return p.replica.ID
+	}
+	return p.leader.InstanceID
+}
+
 // refusal says why there is no placement.
 type refusal string
 
@@ -293,9 +307,60 @@
 	}, placed
 }
 
+// placeRead says at which replicas a read that may be some time old can run: those of the table that don't drain. It needs the lease, under which
+// no drain is missed for long; but neither a leader nor one that isn't frozen.
+func (d *directory) placeRead(now time.Duration, database string) (placement, []feed.Instance) {
+	route, known := d.routes[database]
+	if !known || !d.configured() || !d.leased(now) || !mayRunOld(route) {
+		return placement{}, nil
+	}
+	target := d.services[route.TargetService]
+	if target == nil {
+		return placement{}, nil
+	}
+	var replicas []feed.Instance
+	for _, instance := range target.Instances {
+		if instance.ID != target.Leader.InstanceID && !instance.Draining {
+			replicas = append(replicas, instance)
+		}
+	}
+	return placement{route: route, lapses: d.lapses, maxConnections: target.maxConnections}, replicas
+}
+
+// mayRunOld tells whether reads of the route may run on data that is some time old.
+func mayRunOld(route configuration.Route) bool {
+	old := route.Class == configuration.BoundedStale || route.Class == configuration.SelfManaged
+	return old && route.MaxStalenessMs > 0
+}
+
+// isPresent tells whether the replica of a placement is there by the table held, at the same address.
+func (d *directory) isPresent(placed placement) bool {
+	target := d.services[placed.route.TargetService]
+	if target == nil {
+		return false
+	}
+	return slices.ContainsFunc(target.Instances, func(instance feed.Instance) bool {
+		return instance.ID == placed.replica.ID && instance.Address == placed.replica.Address
+	})
+}
+
+// mayBeginAt tells whether a read may be begun at the replica of a placement now: the last check before the bytes leave.
+func (d *directory) mayBeginAt(now time.Duration, placed placement) bool {
+	target := d.services[placed.route.TargetService]
+	if target == nil || !d.leased(now) {
+		return false
+	}
+	return slices.ContainsFunc(target.Instances, func(instance feed.Instance) bool {
+		return instance.ID == placed.replica.ID && instance.Address == placed.replica.Address && !instance.Draining
+	})
+}
+
 // mayBegin tells whether a first statement may be sent now under a placement made before: the last check before the
 // bytes leave.
 func (d *directory) mayBegin(now time.Duration, placed placement) bool {
+	if placed.atReplica() {
+		return d.mayBeginAt(now, placed)
+	}
 	target := d.services[placed.route.TargetService]
 	return d.leads(placed) && !target.Frozen && d.leased(now) && d.mayUse(now, target)
 }
@@ -303,6 +368,9 @@
 // mayOpen tells whether the first read or write of a transaction that has begun may be sent now: what the transaction does is
 // begun with it.
 func (d *directory) mayOpen(now time.Duration, placed placement) bool {
+	if placed.atReplica() {
+		return d.mayBeginAt(now, placed)
+	}
 	return d.leads(placed) && d.mayUse(now, d.services[placed.route.TargetService])
 }
 
@@ -313,6 +381,9 @@
 
 // begunLate is by how much a statement that was sent under the placement at the time given is too late for an instance that drains.
 func (d *directory) begunLate(sentAt time.Duration, placed placement) time.Duration {
+	if placed.atReplica() {
+		return d.drains.Passed(sentAt, d.instanceOf(placed))
+	}
 	if !d.leads(placed) {
 		return 0
 	}
@@ -322,6 +393,9 @@
 // mayCommit tells whether a COMMIT may be sent now. While the service is frozen its open transactions may end: the
 // freeze isn't acknowledged before they have.
 func (d *directory) mayCommit(now time.Duration, placed placement) bool {
+	if placed.atReplica() {
+		return d.isPresent(placed) // it has read, and keeps nothing
+	}
 	return d.leads(placed) && d.leased(now)
 }
 
@@ -331,9 +405,32 @@
 	return target != nil && sameLeader(placed.leader, target.Leader)
 }
 
+// goesOn tells whether a transaction that has begun may go on where it is.
+func (d *directory) goesOn(placed placement) bool {
+	if placed.atReplica() {
+		return d.isPresent(placed)
+	}
+	return d.leads(placed)
+}
+
+// instanceOf is the replica of a placement as the table has it now, or as it was.
+func (d *directory) instanceOf(placed placement) feed.Instance {
+	if target := d.services[placed.route.TargetService]; target != nil {
+		for _, instance := range target.Instances {
+			if instance.ID == placed.replica.ID {
+				return instance
+			}
+		}
+	}
+	return placed.replica
+}
+
 // conflicts tells whether what is under way at the instance of the placement must end before the table held is
 // acknowledged: the service is frozen, or something else leads it.
 func (d *directory) conflicts(placed placement) bool {
+	if placed.atReplica() {
+		return !d.isPresent(placed)
+	}
 	target := d.services[placed.route.TargetService]
 	return !d.leads(placed) || target.Frozen
 }
@@ -342,6 +439,9 @@
 // lease still holds, had not run out meanwhile, and the leader is the same. The service may have been frozen since:
 // nothing is promoted before this gateway acknowledges the freeze, and it does that when nothing is under way there.
 func (d *directory) lasted(now time.Duration, placed placement) bool {
+	if placed.atReplica() {
+		return true // what it read is proven by the instance, whoever leads
+	}
 	return d.leads(placed) && d.leased(now) && d.lapses == placed.lapses
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -36,10 +36,51 @@
 	return c.serveInside(id, decision.Statement)
 }
 
-// serveFirst runs a statement that stands outside a transaction or begins one. If it was not run, it is tried again on
-// another connection as long as its patience lasts.
+// serveFirst runs a statement that stands outside a transaction or begins one: at a replica, if it may be some time old and one has it
+// in time, else at the leader.
 func (c *client) serveFirst(id string, statement session.Statement) wire.Answer {
 	asked := c.gateway.now()
+	if statement.ReadOnly {
+		if answer, done := c.serveAtReplica(id, statement, asked); done {
+			return answer
+		}
+	}
+	return c.serveAtLeader(id, statement, asked)
+}
+
+// serveAtReplica offers a read to replicas, and tells whether one of them had the last word on it. What was not run, or kept nothing, goes on to the
+// next.
+func (c *client) serveAtReplica(id string, statement session.Statement, asked time.Duration) (wire.Answer, bool) {
+	var tried []string
+	for len(tried) < replicaTries {
+		under := c.gateway.departRead(c.database, c.written, tried)
+		if under == nil {
+			return wire.Answer{}, false
+		}
+		tried = append(tried, under.placed.replica.ID)
+		began := c.gateway.now()
+		outcome := c.runFirst(id, statement, under, asked)
+		c.gateway.replicaAnswered(under, outcome, c.gateway.now()-began)
+		verdict := c.session.Ended(statement, outcome)
+		c.settle(under, verdict)
+		if !mayRunElsewhere(outcome) || c.gateway.now() >= asked+patienceOf(under.placed) {
+			return verdict.Answer, true
+		}
+	}
+	return wire.Answer{}, false
+}
+
+// mayRunElsewhere tells whether a read that a replica was offered can be offered to another instance: it was not run, or its answer was lost, and it
+// keeps nothing.
+func mayRunElsewhere(outcome session.Outcome) bool {
+	if outcome.Kind != session.Answered {
+		return outcome.Kind != session.TimedOut
+	}
+	return outcome.Answer.Code.Promise() && outcome.Answer.State == wire.Idle
+}
+
+// serveAtLeader runs a statement at the leader. If it was not run, it is tried again on another connection as long as its patience lasts.
+func (c *client) serveAtLeader(id string, statement session.Statement, asked time.Duration) wire.Answer {
 	for attempt := 1; ; attempt++ {
 		under, why := c.gateway.depart(c.database, asked)
 		if why == noDatabase {
@@ -50,6 +91,7 @@
 		}
 		outcome := c.runFirst(id, statement, under, asked)
 		verdict := c.session.Ended(statement, outcome)
+		c.noteWritten(statement, verdict.Answer)
 		c.settle(under, verdict)
 		if !worthAnother(outcome) || attempt >= under.placed.route.MaxAttempts {
 			return verdict.Answer
@@ -133,10 +175,22 @@
 		outcome = c.run(id, statement, under, deadline)
 	}
 	verdict := c.session.Ended(statement, outcome)
+	c.noteWritten(statement, verdict.Answer)
 	c.settle(under, verdict)
 	return verdict.Answer
 }
 
+// noteWritten remembers the position that a commit of this session has reached: its reads must see it.
+func (c *client) noteWritten(statement session.Statement, answer wire.Answer) {
+	commits := statement.Class == session.Write || statement.Class == session.Commit
+	if !commits || answer.Code != "" || answer.State != wire.Idle {
+		return
+	}
+	if position, err := wire.ParsePosition(answer.Position); err == nil && c.written.Less(position) {
+		c.written = position
+	}
+}
+
 // run puts the connection in order and runs the statement on it.
 func (c *client) run(id string, statement session.Statement, under *flight, deadline time.Time) session.Outcome {
 	lent := under.lent
@@ -148,7 +202,7 @@
 	for _, step := range steps {
 		answer, err := lent.conn.QueryBy(deadline, wire.OwnID, step.Text)
 		if err != nil {
-			c.gateway.reports.failed(under.placed.leader.InstanceID)
+			c.gateway.leaderFailed(under)
 			return notRun("the backend connection broke")
 		}
 		if answer.Code != "" {
@@ -160,23 +214,44 @@
 		lent.state.Done(step, inTransaction)
 	}
 	if statement.Class == session.Commit && !lent.conn.Usable() {
-		c.gateway.reports.failed(under.placed.leader.InstanceID)
+		c.gateway.leaderFailed(under)
 		return notRun("the backend connection broke")
 	}
 	begins := !inTransaction || c.session.Opens(statement)
 	if !c.may(statement, under) {
 		return notSentNow()
 	}
-	answer, err := lent.conn.QueryBy(deadline, id, statement.BackendText())
+	asked := c.gateway.now()
+	answer, err := lent.conn.QueryBy(deadline, id, textFor(statement, under, !inTransaction))
 	if begins {
 		c.gateway.noteBegin(under, lent.conn.SentAt())
 	}
 	outcome := outcomeOf(answer, err)
+	if under.placed.atReplica() {
+		return outcome
+	}
 	c.gateway.reports.answered(under.placed.leader.InstanceID, outcome)
+	c.gateway.leaderNamed(under, asked, answer)
 	outcome.Stale = !c.gateway.lasted(under)
 	return outcome
 }
 
+// textFor is the text as it is sent: a read or BEGIN at a replica names the position that the replica's log must hold.
+func textFor(statement session.Statement, under *flight, first bool) string {
+	text := statement.BackendText()
+	if first && under.placed.atReplica() {
+		return wire.AfterText(under.placed.after, text)
+	}
+	return text
+}
+
+// leaderFailed reports a connection that broke, if it was one to the leader.
+func (g *Gateway) leaderFailed(under *flight) {
+	if !under.placed.atReplica() {
+		g.reports.failed(under.placed.leader.InstanceID)
+	}
+}
+
 // notSentNow: the right to use the leader is gone; nothing has been sent.
 func notSentNow() session.Outcome {
 	return session.Outcome{Kind: session.NotRun, Reason: "the leader may not be used now", Intact: true}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -147,6 +147,9 @@
 	g.news = make(chan struct{})
 	hasLease := g.directory.leased(g.now())
 	unused := g.takeUnusedPools()
+	if changes.table {
+		g.forgetReads()
+	}
 	g.mutex.Unlock()
 
 	for _, old := range unused {
--- a/gateway/figures.go
+++ b/gateway/figures.go
@@ -15,6 +15,11 @@
 			Name: "answers_total", Help: "Statements answered, by answer.", Value: float64(count), Of: answer,
 		})
 	}
+	for name, count := range map[string]uint64{"served": now.replicaReads, "lagging": now.lagging} {
+		figures = append(figures, metrics.Figure{
+			Name: "replica_reads_total", Help: "Reads at replicas, by how they ended.", Value: float64(count), Of: name,
+		})
+	}
 	figures = append(figures, metrics.Figure{
 		Name: "invariants_broken_total", Help: "Invariants that did not hold, since the start.", Value: float64(g.counters.broken.Load()),
 	})
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
+	"eiderway/control/feed"
 	"eiderway/control/invariant"
 )
 
@@ -116,7 +118,7 @@
 		return
 	}
 	g.counters.broken.Add(1)
-	g.log.Errorf("%s: %s: at %s, by %v", invariant.Broken, invariant.NoLateBegin, under.placed.leader.InstanceID, late-margin)
+	g.log.Errorf("%s: %s: at %s, by %v", invariant.Broken, invariant.NoLateBegin, under.placed.instanceID(), late-margin)
 }
 
 // mayCommit is the last check before a COMMIT is sent; the right to use the leader counts from here on.
@@ -131,7 +133,7 @@
 func (g *Gateway) mayGoOn(under *flight) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return !under.cut && g.directory.leads(under.placed)
+	return !under.cut && g.directory.goesOn(under.placed)
 }
 
 // lasted tells whether the right to use the leader has lasted since the statement was sent.
@@ -141,12 +143,15 @@
 	return g.directory.lasted(g.now(), under.placed)
 }
 
-// takeUnusedPools takes out the pools of instances that don't lead any more. It is called with the lock held.
+// takeUnusedPools takes out the pools of instances that are gone. It is called with the lock held.
 func (g *Gateway) takeUnusedPools() []*pool {
 	var unused []*pool
 	for key, kept := range g.pools {
 		target := g.directory.services[key.service]
-		if target == nil || target.Leader.InstanceID != key.instanceID || target.address != key.address {
+		isThere := target != nil && slices.ContainsFunc(target.Instances, func(instance feed.Instance) bool {
+			return instance.ID == key.instanceID && instance.Address == key.address
+		})
+		if !isThere {
 			unused = append(unused, kept)
 			delete(g.pools, key)
 		}
@@ -157,7 +162,7 @@
 // poolFor returns the pool of a placement. If the placement isn't valid any more, the pool is of no use to others and
 // the check before the sending refuses the statement.
 func (g *Gateway) poolFor(placed placement) *pool {
-	key := poolKey{service: placed.route.TargetService, instanceID: placed.leader.InstanceID, address: placed.address}
+	key := poolKey{service: placed.route.TargetService, instanceID: placed.instanceID(), address: placed.address}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	kept := g.pools[key]
@@ -166,6 +171,7 @@
 		g.pools[key] = kept
 	}
 	kept.allow(placed.maxConnections)
+	kept.leads.Store(!placed.atReplica())
 	return kept
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,9 +1,10 @@
-// Package gateway serves clients: it takes their sessions, runs their statements on the instances that lead the
-// services, and follows the controllers' table.
+// Package gateway serves clients: it takes their sessions, runs their statements on the instances of the services, and
+// follows the controllers' table.
 //
 // The rules it keeps at any price: a statement goes only to the instance that leads its service by the newest table,
 // under a valid lease and while the service isn't frozen, checked after the statement was read and again before it is
-// sent; a freeze is acknowledged only when nothing is under way at the leader; a client hears of success only with
+// sent; only a read that may be some time old goes to a replica, which itself proves that its log holds a position that the
+// lawful leader had within that time; a freeze is acknowledged only when nothing is under way at the leader; a client hears of success only with
 // the instance's stamp and while the right to use the leader has lasted; and a promise that nothing is kept only where
 // that is known. Whatever can't be done under these rules is refused.
 package gateway
@@ -64,7 +65,8 @@
 	flights   map[*flight]struct{}
 	pools     map[poolKey]*pool
 	clients   map[*client]struct{}
-	primary   string // the controller that answered last
+	reads     map[string]*reads // by service
+	primary   string            // the controller that answered last
 
 	phase atomic.Int32
 }
@@ -133,6 +135,7 @@
 		flights:   map[*flight]struct{}{},
 		pools:     map[poolKey]*pool{},
 		clients:   map[*client]struct{}{},
+		reads:     map[string]*reads{},
 	}
 }
 
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -67,7 +68,8 @@
 	key    poolKey
 	who    string
 	now    func() time.Duration
-	failed func(instanceID string) // is told of connections that could not be made
+	failed func(instanceID string) // is told of connections that could not be made, while the instance leads
+	leads  atomic.Bool
 
 	mutex    sync.Mutex
 	idle     []*backend // the one used last is the last
@@ -232,7 +234,7 @@
 		p.most = max(1, p.open)
 		p.growAt = now + growEvery
 	}
-	if refused == nil || refused.Code == wire.WrongNode {
+	if p.leads.Load() && (refused == nil || refused.Code == wire.WrongNode) {
 		p.failed(p.key.instanceID)
 	}
 	p.retryAt = now + retryDial
--- a/session/session.go
+++ b/session/session.go
@@ -48,6 +48,8 @@
 	Class  Class
 	Text   string    // as the client sent it
 	Needed *Prepared // for an EXECUTE: what its name stands for
+
+	ReadOnly bool // it keeps nothing, nor does the transaction that it opens: a replica may run it
 }
 
 // Decision says what to do with a text that the client sent.
@@ -104,13 +106,13 @@
 		if s.state == wire.InTransaction {
 			return s.refuse(wire.Malformed, "already in a transaction")
 		}
-		return s.run(Statement{Class: Begin, Text: text})
+		return s.run(Statement{Class: Begin, Text: text, ReadOnly: statement.ReadOnly})
 	case wire.Commit:
 		return s.takeEnd(Statement{Class: Commit, Text: text})
 	case wire.Abort:
 		return s.takeEnd(Statement{Class: Abort, Text: text})
 	case wire.Fetch:
-		return s.takeOperation(Statement{Class: Read, Text: text})
+		return s.takeOperation(Statement{Class: Read, Text: text, ReadOnly: true})
 	case wire.Put:
 		return s.takeOperation(Statement{Class: Write, Text: text})
 	}
@@ -122,9 +124,9 @@
 	if !known {
 		return s.refuse(wire.NoStmt, name)
 	}
-	statement := Statement{Class: Read, Text: text, Needed: &prepared}
+	statement := Statement{Class: Read, Text: text, Needed: &prepared, ReadOnly: true}
 	if prepared.Kind == wire.Put {
-		statement.Class = Write
+		statement.Class, statement.ReadOnly = Write, false
 	}
 	return s.takeOperation(statement)
 }
--- a/simulation/clients.go
+++ b/simulation/clients.go
@@ -3,6 +3,9 @@
 import (
 	"sort"
 	"time"
+
+	"eiderway/control/failover"
+	"eiderway/role"
 )
 
 // Times of clients.
@@ -18,6 +21,21 @@
 	service string
 	gateway int
 	count   int
+	own     entry             // the last commit of the session that was acknowledged
+	written failover.Position // the position that was told with it
+}
+
+// readBounds are what the reads of a client must see, in turn; nil: all that was acknowledged before.
+var readBounds = []*role.Bound{
+	nil,
+	{Staleness: 1500 * time.Millisecond},
+	{Staleness: 2500 * time.Millisecond, OwnWrites: true},
+}
+
+// another goes to the next gateway, with a new session.
+func (c *client) another() {
+	c.gateway++
+	c.own, c.written = entry{}, failover.Position{}
 }
 
 func (w *World) addClient(name, service string, gateway int) {
@@ -28,19 +46,25 @@
 func (c *client) next() {
 	w := c.world
 	c.count++
-	one := &statement{service: c.service, write: c.count%2 == 0, sent: w.now()}
+	one := &statement{service: c.service, write: c.count%2 == 0, sent: w.now(), own: c.own, written: c.written}
+	if !one.write {
+		one.bound = readBounds[c.count/2%len(readBounds)]
+	}
 	ended := false
 	finish := func(kind answerKind) {
 		if ended {
 			return
 		}
 		ended = true
+		if one.write && kind == answerDone {
+			c.own, c.written = one.made, one.told
+		}
 		w.judge.clientAnswered(one, kind)
 		w.schedule.after(clientPause/2+w.jitter(clientPause), c.next)
 	}
 	w.schedule.after(clientTimeout, func() {
 		if !ended {
-			c.gateway++
+			c.another()
 		}
 		finish(answerInDoubt)
 	})
@@ -48,7 +72,7 @@
 	w.network.send(c.name, via.name, func() {
 		if !via.running {
 			w.network.send(via.name, c.name, func() {
-				c.gateway++
+				c.another()
 				finish(answerBusy)
 			})
 			return
--- a/simulation/generate_test.go
+++ b/simulation/generate_test.go
@@ -45,6 +45,7 @@
 		{"no floor", guard.Set(guard.Floor), 3},
 		{"ends not final", guard.Set(guard.EndIsFinal), 15},
 		{"departures not told", guard.Set(guard.DeparturesTold), 214},
+		{"reads at replicas without a position", guard.Set(guard.PositionProven), 1},
 		// Each of these two stands in for the other, so only a day without both breaks the rule.
 		{"a lone leader not frozen, no deadline at gateways", guard.Set(guard.LoneLeaderFrozen | guard.DrainDeadline), 10},
 	} {
--- a/simulation/judge.go
+++ b/simulation/judge.go
@@ -41,6 +41,7 @@
 
 	served, busy, doubt int
 	writes              []time.Duration // moments of successes of writes
+	replicaReads        []time.Duration // moments of reads at replicas
 
 	services map[string]*serviceRecord
 	gateways map[string]*gatewayRecord
--- a/simulation/statements.go
+++ b/simulation/statements.go
@@ -1,6 +1,11 @@
 package simulation
 
-import "time"
+import (
+	"time"
+
+	"eiderway/control/failover"
+	"eiderway/role"
+)
 
 // statementOutcome is what an instance answers.
 type statementOutcome int
@@ -10,13 +15,20 @@
 	statementReadOnly                  // not run: not the primary
 	statementRefused                   // not run: nobody there, or another instance
 	statementLost                      // the connection broke; it may have run
+	statementLagging                   // not run: the log lacks the position
 )
 
 // statement is a read or a write that a client sent.
 type statement struct {
 	service string
 	write   bool
-	sent    time.Duration // first byte, at the client
+	bound   *role.Bound       // of a read that may be some time old; nil: it must see all that was acknowledged before
+	own     entry             // the last commit of its session
+	written failover.Position // the position that the session was told with it
+	after   failover.Position // at a replica: what its log must hold
+	told    failover.Position // by the instance that ran it
+	made    entry             // by a write
+	sent    time.Duration     // first byte, at the client
 	gateway *gateway
 	passed  time.Duration // when the gateway passed it on
 	dropped bool          // the gateway waits no longer: nobody hears the answer
@@ -47,10 +59,20 @@
 	})
 }
 
+// hasPosition tells whether the log holds the entry at a position.
+func (i *instance) hasPosition(position failover.Position) bool {
+	return position.Number <= uint64(len(i.log)) && i.log[position.Number-1].term == position.Term
+}
+
 // execute runs a statement on the log as it is now.
 func (i *instance) execute(one *statement, back func(statementOutcome)) {
 	if !one.write {
+		if one.after.Number > 0 && !i.hasPosition(one.after) {
+			back(statementLagging)
+			return
+		}
 		i.world.judge.read(i, one)
+		one.told = i.position()
 		back(statementDone)
 		return
 	}
@@ -61,6 +83,7 @@
 	i.world.commits++
 	added := entry{term: i.term, number: uint64(len(i.log) + 1), commit: i.world.commits}
 	i.log = append(i.log, added)
+	one.made, one.told = added, i.position()
 	i.world.judge.written(i, added, one)
 	if i.service.syncReplicas == 0 {
 		i.world.judge.committed(i, added, one)
--- a/wire/statement.go
+++ b/wire/statement.go
@@ -136,6 +136,11 @@
 	return statement, nil
 }
 
+// AfterText is the text of a read or a BEGIN that must see a position.
+func AfterText(position failover.Position, text string) string {
+	return afterPos + " " + FormatPosition(position) + " " + text
+}
+
 // PrepareText is the text that prepares a shape under a name.
 func PrepareText(name string, kind Verb, shape string) string {
 	return string(Prepare) + " " + name + " " + string(kind) + " " + shape
