--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"eiderway/control/failover"
 	"eiderway/control/feed"
 	"eiderway/control/quorum"
 	"eiderway/system"
@@ -53,6 +54,7 @@
 	made        int
 	most        int // connections; 0: any number
 	kept        map[string]string
+	holds       failover.Position // its log; answers name it
 	commits     int
 	meet        func(statement wire.Statement) mishap // may be nil, may block
 }
@@ -64,6 +66,7 @@
 		t.Fatal(err)
 	}
 	started := &standinInstance{id: id, listener: listener, connections: map[int]net.Conn{}, kept: map[string]string{}}
+	started.holds = failover.Position{Term: 3, Number: 2}
 	started.serving.Add(1)
 	go started.accept()
 	t.Cleanup(started.stop)
@@ -172,7 +175,11 @@
 	c.note(request, statement)
 	c.instance.mutex.Lock()
 	meet := c.instance.meet
+	lacks := statement.HasAfter && c.instance.holds.Less(statement.After)
 	c.instance.mutex.Unlock()
+	if lacks {
+		return wire.Refusal(wire.Lagging, "", c.state), true
+	}
 	met := none
 	if meet != nil {
 		met = meet(statement)
@@ -222,7 +229,7 @@
 		c.instance.keep(c.pending)
 		c.state = wire.Idle
 	case wire.Fetch:
-		return wire.Answer{Rows: []string{c.instance.read(statement.Thing)}, Stamp: "stamp", State: c.state, Position: "3.2"}
+		return wire.Answer{Rows: []string{c.instance.read(statement.Thing)}, Stamp: "stamp", State: c.state, Position: c.instance.position()}
 	case wire.Put:
 		if c.state == wire.InTransaction {
 			c.pending[statement.Thing] = statement.Data
@@ -230,7 +237,19 @@
 			c.instance.keep(map[string]string{statement.Thing: statement.Data})
 		}
 	}
-	return wire.Answer{Stamp: "stamp", State: c.state, Position: "3.2"}
+	return wire.Answer{Stamp: "stamp", State: c.state, Position: c.instance.position()}
+}
+
+func (s *standinInstance) position() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return wire.FormatPosition(s.holds)
+}
+
+func (s *standinInstance) reach(number uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.holds.Number = number
 }
 
 func (s *standinInstance) keep(writes map[string]string) {
@@ -470,9 +489,14 @@
 
 // connect opens a session to the database and waits for its READY.
 func (w *world) connect(name string) *tenant {
+	w.Helper()
+	return w.connectTo("shop", name)
+}
+
+func (w *world) connectTo(database, name string) *tenant {
 	w.Helper()
 	opened := w.dial(name)
-	opened.send("CONNECT shop " + name)
+	opened.send("CONNECT " + database + " " + name)
 	if line, err := opened.reader.ReadLine(); err != nil || line != "READY I -" {
 		w.Fatalf("CONNECT: %q, %v", line, err)
 	}
