Gateways: a lease by way of a backup; one that refuses connections is asked again soon

And a gateway that couldn't reach the primary went without a lease though it reached others. Change: a refused connection keeps an address away for 0.15 s only. Where a controller names a primary that doesn't answer the gateway, that controller asks it for the gateway, and the lease is counted from the gateway's own question. The line "lease lost" says who was asked last and why it failed.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -64,6 +64,7 @@
 	Wait          time.Duration
 	Reports       []InstanceReport
 	Leaving       bool // the gateway has stopped: no lease is wanted, none is counted
+	Relay         bool // the gateway can't reach the primary: a controller that isn't primary is to ask it, and pass its answer on
 }
 
 // WatchAnswer is valid from the moment the request was sent, by the gateway's steady clock.
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,6 +66,7 @@
 		return false
 	}
 	request := g.question()
+	request.Relay = search.relays(g.now())
 	limited, cancel := context.WithTimeout(ctx, request.Wait+watchSlack)
 	defer cancel()
 	interrupted := g.interruptWhenUrgent(limited, cancel)
@@ -78,22 +83,35 @@
 		return true // which says nothing about the controller
 	case err != nil:
 		g.reports.putBack(request.Reports)
-		search.failed(g.now(), address)
+		search.failed(g.now(), address, wasRefused(err))
+		g.noteFailedQuestion(address, err)
 		g.noticeLease()
 		return false
 	case answer.NotPrimary:
 		g.reports.putBack(request.Reports)
 		return search.sentOn(g.now(), address, answer.Primary, answer.Members)
 	}
-	search.answered(address, answer.Members)
+	search.answered(g.now(), address, answer.Members)
 	g.rememberPrimary(address)
 	if !g.apply(ctx, sentAt, answer) {
-		search.failed(g.now(), address)
+		search.failed(g.now(), address, false)
 		return false
 	}
 	return true
 }
 
+// wasRefused tells whether nobody listens where the question was to go.
+func wasRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// noteFailedQuestion remembers whom the gateway asked in vain, and why, for the line that says that its lease is lost.
+func (g *Gateway) noteFailedQuestion(address string, err error) {
+	const most = 4 // of the last ones
+	g.failedQuestions = append(g.failedQuestions, fmt.Sprintf("%.1fs %s: %v", g.now().Seconds(), address, err))
+	if len(g.failedQuestions) > most {
+		g.failedQuestions = g.failedQuestions[1:]
+	}
+}
+
 // stoodStill tells whether this process was stopped for a while during a question, since it took far longer than allowed.
 func stoodStill(took, allowed time.Duration) bool { return took > allowed+sleptAfter }
 
@@ -221,7 +239,7 @@
 	}
 	g.mutex.Unlock()
 	if lost {
-		g.log.Warn("lease lost")
+		g.log.WithField("asked", strings.Join(g.failedQuestions, "; ")).Warn("lease lost")
 	}
 }
 
--- a/gateway/finder.go
+++ b/gateway/finder.go
@@ -15,6 +15,10 @@
 	// for a machine with a fraction of a core. The spread keeps gateways apart.
 	pauseLeast  = 100 * time.Millisecond
 	pauseSpread = 200 * time.Millisecond
+	// refusedFor is how long one is left alone that refused a connection: its process is about to start, and to be refused costs little.
+	refusedFor = 150 * time.Millisecond
+	// relayFor is how long another controller is asked to ask the primary, when that can't be reached, before it is tried directly again.
+	relayFor = 5 * time.Second
 	// freeHops is how many controllers in a row may send the gateway on without a pause: more than that means that
 	// they don't agree yet.
 	freeHops = 2
@@ -25,17 +29,22 @@
 	seeds    []string
 	members  []string
 	primary  string
-	failedAt map[string]time.Duration
+	avoid    map[string]time.Duration // until when each that failed is left alone
+	relay    string                   // a controller that reaches the primary, which doesn't answer here
+	relayEnd time.Duration
 	turn     int
 	hops     int
 }
 
 func newFinder(seeds []string) *finder {
-	return &finder{seeds: seeds, failedAt: map[string]time.Duration{}}
+	return &finder{seeds: seeds, avoid: map[string]time.Duration{}}
 }
 
 // next is the address to be asked, or "" if none is known.
 func (f *finder) next(now time.Duration) string {
+	if f.relays(now) {
+		return f.relay
+	}
 	if f.primary != "" {
 		return f.primary
 	}
@@ -54,6 +63,9 @@
 	return candidates[f.turn%len(candidates)]
 }
 
+// relays tells whether the next question goes to another controller for it to ask the primary.
+func (f *finder) relays(now time.Duration) bool { return f.relay != "" && now < f.relayEnd }
+
 func (f *finder) candidates() []string {
 	candidates := slices.Clone(f.members)
 	for _, seed := range f.seeds {
@@ -65,24 +77,32 @@
 }
 
 func (f *finder) avoided(now time.Duration, address string) bool {
-	failedAt, failed := f.failedAt[address]
-	return failed && now-failedAt < avoidFor
+	return now < f.avoid[address]
 }
 
-// answered records that the primary at the address answered.
-func (f *finder) answered(address string, members []quorum.Member) {
-	f.primary = address
+// answered records that the primary answered: the one at the address, or through it.
+func (f *finder) answered(now time.Duration, address string, members []quorum.Member) {
 	f.hops = 0
-	delete(f.failedAt, address)
 	f.know(members)
+	if f.relays(now) && address == f.relay {
+		return
+	}
+	f.primary, f.relay = address, ""
+	delete(f.avoid, address)
 }
 
-// failed records that the address gave no answer.
-func (f *finder) failed(now time.Duration, address string) {
-	f.failedAt[address] = now
+// failed records that the address gave no answer; refused: at once, since nobody listens there.
+func (f *finder) failed(now time.Duration, address string, refused bool) {
+	f.avoid[address] = now + avoidFor
+	if refused {
+		f.avoid[address] = now + refusedFor
+	}
 	if f.primary == address {
 		f.primary = ""
 	}
+	if f.relay == address {
+		f.relay = ""
+	}
 }
 
 // sentOn records that the controller at the address isn't the primary, and whom it takes for it. It tells whether the
@@ -90,9 +110,18 @@
 func (f *finder) sentOn(now time.Duration, address string, primary quorum.Member, members []quorum.Member) bool {
 	f.know(members)
 	f.primary = ""
-	if primary.Address == "" || primary.Address == address || f.avoided(now, primary.Address) {
+	wasRelay := f.relays(now) && f.relay == address
+	f.relay = ""
+	if primary.Address == "" || primary.Address == address {
 		return false
 	}
+	if f.avoided(now, primary.Address) {
+		if wasRelay {
+			return false // it doesn't reach the primary either
+		}
+		f.relay, f.relayEnd = address, now+relayFor
+		return true
+	}
 	f.primary = primary.Address
 	f.hops++
 	return f.hops <= freeHops
@@ -109,9 +138,9 @@
 			f.members = append(f.members, member.Address)
 		}
 	}
-	for address := range f.failedAt {
+	for address := range f.avoid {
 		if !slices.Contains(f.members, address) && !slices.Contains(f.seeds, address) {
-			delete(f.failedAt, address)
+			delete(f.avoid, address)
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,7 +56,9 @@
 	reseed   chan []string
 	budget   *wire.Budget // of memory for long messages
 
-	calmUntil time.Duration // belongs to the loop that asks: until then no question is broken off
+	// What belongs to the loop that asks.
+	calmUntil       time.Duration // until then no question is broken off
+	failedQuestions []string      // the last ones, for the log
 
 	mutex     sync.Mutex
 	settings  system.Settings
--- a/host/counters.go
+++ b/host/counters.go
@@ -14,6 +14,7 @@
 // counters of one life of the process.
 type counters struct {
 	orders, fetches, heartbeats, leaves, watches   atomic.Uint64
+	relayed                                        atomic.Uint64 // gateways' questions that were passed on to the primary
 	overloaded, unanswered, abandoned, lateReplies atomic.Uint64
 	messagesDropped, connectionsRefused            atomic.Uint64
 	diskWrites, diskFailures                       atomic.Uint64
@@ -35,6 +36,7 @@
 		{"heartbeats", &c.heartbeats},
 		{"leaves", &c.leaves},
 		{"watches", &c.watches},
+		{"relayed", &c.relayed},
 		{"overloaded", &c.overloaded},
 		{"unanswered", &c.unanswered},
 		{"abandoned", &c.abandoned},
--- a/host/host.go
+++ b/host/host.go
@@ -109,7 +109,7 @@
 	p.peers = rpc.NewPeers(boot.Settings.RPCAddress(), boot.Settings.InternalRoutes, boot.Log)
 	p.front = newFront(inbox, numbers, replies, counters)
 	p.http = newHTTPServer(p.front, boot.Log)
-	p.internal = processFront{inbox: inbox, numbers: numbers, watches: watches, counters: counters, backstop: watchBackstop}
+	p.internal = processFront{inbox: inbox, numbers: numbers, watches: watches, counters: counters, backstop: watchBackstop, relay: p.relay}
 
 	started := time.Now()
 	decides := controller.New(time.Since(started), ControllerSettings(boot.Settings), durable)
@@ -142,6 +142,13 @@
 	return p
 }
 
+// relay asks another controller over a connection of its own: gateways that need it are few, and for seconds.
+func (p *process) relay(ctx context.Context, address string, request feed.WatchRequest) (feed.WatchAnswer, error) {
+	client := &rpc.Client{Routes: p.boot.Settings.InternalRoutes}
+	defer client.Close()
+	return client.Watch(ctx, address, request)
+}
+
 func (p *process) send(envelope replication.Envelope) { p.peers.Send(envelope.To, envelope.Message) }
 
 func (p *process) probed(result failover.ProbeResult) {
--- a/host/watch.go
+++ b/host/watch.go
@@ -20,6 +20,7 @@
 	watches  *pending[feed.WatchAnswer]
 	counters *counters
 	backstop time.Duration
+	relay    func(ctx context.Context, address string, request feed.WatchRequest) (feed.WatchAnswer, error)
 }
 
 // message takes a message of another controller. One too many is dropped: the protocol bears lost messages.
@@ -43,7 +44,7 @@
 	defer backstop.Stop()
 	select {
 	case answer := <-answers:
-		return answer, true
+		return f.passedOn(ctx, request, answer), true
 	case <-f.inbox.ended:
 	case <-ctx.Done():
 		f.counters.abandoned.Add(1)
@@ -55,3 +56,18 @@
 	}
 	return feed.WatchAnswer{}, false
 }
+
+// passedOn asks the primary for a gateway that can't reach it. The lease in its answer is counted by the gateway from its own question, which came
+// before this one, so the way round makes no lease look younger than it is.
+func (f *processFront) passedOn(ctx context.Context, request feed.WatchRequest, answer feed.WatchAnswer) feed.WatchAnswer {
+	if !request.Relay || !answer.NotPrimary || answer.Primary.Address == "" || f.relay == nil {
+		return answer
+	}
+	request.Relay = false
+	passed, err := f.relay(ctx, answer.Primary.Address, request)
+	if err != nil {
+		return answer
+	}
+	f.counters.relayed.Add(1)
+	return passed
+}
