Soak: processes are cut from each other by relays, and all are killed in the end

Change: relays stand between each process and each controller; two controllers, one controller, a gateway and one or all controllers are cut, both ways or one way. A soak ends with nothing more, with all processes killed at once, or with the disk of one controller lost and all others killed in the same moment, gateways too.

--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -44,7 +46,7 @@
 
 func playSoak(t *testing.T, seed uint64) {
 	s := &soak{
-		world:   startWorldWith(t, func(settings *testinstance.Settings) { settings.BeatsOn = seed%2 == 0 }),
+		world:   startWorldOver(t, func(settings *testinstance.Settings) { settings.BeatsOn = seed%2 == 0 }, startLinks),
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		began:   time.Now(),
 		busy:    map[string]bool{},
@@ -56,6 +58,7 @@
 		}
 	})
 	s.trouble(*soakFor)
+	s.close()
 	s.heal()
 	s.awaitWrites("after all troubles")
 	s.awaitOrders("after all troubles")
@@ -131,6 +134,7 @@
 	kinds := []func(){
 		s.killController, s.stopController, s.killGateway, s.stopGateway, s.cutGateway, s.cutController, s.cutReplication,
 		s.freezeInstance, s.crashInstance, s.loseOnTheWay, s.platformTrouble, s.cutControl,
+		s.cutControllers, s.cutControllers, s.isolateController, s.cutGatewayFromCore, s.cutGatewayFromCore,
 	}
 	kinds[s.random.IntN(len(kinds))]()
 }
@@ -179,6 +183,95 @@
 	s.last(one.name, "stopped", stop, goOn)
 }
 
+// anyDirection is both ways as often as one way.
+func (s *soak) anyDirection() direction {
+	return []direction{bothWays, bothWays, onlyThere, onlyBack}[s.random.IntN(4)]
+}
+
+// cutControllers cuts two controllers from each other.
+func (s *soak) cutControllers() {
+	first := s.random.IntN(workload.Controllers)
+	second := (first + 1 + s.random.IntN(workload.Controllers-1)) % workload.Controllers
+	s.cutLink(controllerName(min(first, second)), controllerName(max(first, second)))
+}
+
+func (s *soak) cutLink(one, other string) {
+	how := s.anyDirection()
+	cut := func(isCut bool) func() { return func() { s.links.cut(one, other, how, isCut) } }
+	s.last(one+" "+other, fmt.Sprintf("cut (%d)", how), cut(true), cut(false))
+}
+
+// isolateController cuts one controller from the other ones.
+func (s *soak) isolateController() {
+	number, how := s.random.IntN(workload.Controllers), s.anyDirection()
+	cut := func(isCut bool) func() {
+		return func() {
+			for other := range workload.Controllers {
+				s.links.cut(controllerName(number), controllerName(other), how, isCut)
+			}
+		}
+	}
+	s.last(controllerName(number)+" alone", fmt.Sprintf("cut (%d)", how), cut(true), cut(false))
+}
+
+// cutGatewayFromCore cuts a gateway from one controller, or from all.
+func (s *soak) cutGatewayFromCore() {
+	gateway := gatewayName(s.random.IntN(gatewayCount))
+	if s.random.IntN(2) == 0 {
+		s.cutLink(gateway, controllerName(s.random.IntN(workload.Controllers)))
+		return
+	}
+	how := s.anyDirection()
+	cut := func(isCut bool) func() {
+		return func() {
+			for number := range workload.Controllers {
+				s.links.cut(gateway, controllerName(number), how, isCut)
+			}
+		}
+	}
+	s.last(gateway+" core", fmt.Sprintf("cut (%d)", how), cut(true), cut(false))
+}
+
+const (
+	downLeast = 200 * time.Millisecond // of processes that were killed at the end
+	downMost  = 2 * time.Second
+)
+
+// close ends the troubles as the operators' days may: with nothing more; with all processes killed at once; or with the disk of one controller lost
+// and all others killed in the same moment, gateways too.
+func (s *soak) close() {
+	kind := s.random.IntN(3)
+	if kind == 0 {
+		return
+	}
+	s.endDue(time.Now().Add(time.Hour))
+	lost := -1
+	if kind == 2 {
+		lost = s.random.IntN(workload.Controllers)
+	}
+	s.tell("all are killed; lost disk: %d", lost)
+	for _, one := range append(slices.Clone(s.controllers), s.gateways...) {
+		one.signal(syscall.SIGKILL)
+	}
+	for _, one := range append(slices.Clone(s.controllers), s.gateways...) {
+		<-one.ended
+	}
+	if lost >= 0 {
+		if err := os.RemoveAll(s.dataOf(lost)); err != nil {
+			s.Fatal(err)
+		}
+	}
+	time.Sleep(s.between(downLeast, downMost))
+	for number := range s.controllers {
+		s.startController(number, false)
+	}
+	for number := range s.gateways {
+		s.startGateway(number)
+	}
+}
+
+func controllerName(number int) string { return fmt.Sprintf("controller-%d", number) }
+
 // gatewayName is how a gateway names itself to instances.
 func gatewayName(number int) string { return fmt.Sprintf("gateway-%d", number) }
 
@@ -187,7 +280,7 @@
 }
 
 func (s *soak) cutController() {
-	s.cutCaller(fmt.Sprintf("controller-%d", s.random.IntN(workload.Controllers)))
+	s.cutCaller(controllerName(s.random.IntN(workload.Controllers)))
 }
 
 func (s *soak) cutCaller(who string) {
--- a/systemtest/world_test.go
+++ b/systemtest/world_test.go
@@ -48,6 +48,7 @@
 	excused     func(testinstance.Ran) bool // nil: nothing is
 	clients     *workload.Clients
 	number      atomic.Int64 // of the newest configuration
+	links       *links       // nil: processes speak directly
 	stopOrders  context.CancelFunc
 	operators   sync.WaitGroup
 }
@@ -60,6 +61,12 @@
 
 // startWorldWith starts a world whose instances are set otherwise.
 func startWorldWith(t *testing.T, set func(*testinstance.Settings)) *world {
+	t.Helper()
+	return startWorldOver(t, set, func(*world) *links { return nil })
+}
+
+// startWorldOver starts a world whose processes speak over relays.
+func startWorldOver(t *testing.T, set func(*testinstance.Settings), over func(*world) *links) *world {
 	t.Helper()
 	layout, err := workload.NewLayout()
 	if err != nil {
@@ -67,6 +74,7 @@
 	}
 	w := &world{T: t, layout: layout, directory: t.TempDir(), history: &workload.History{}, orders: &workload.Orders{}}
 	w.startSurroundings(set)
+	w.links = over(w)
 	for number := range workload.Controllers {
 		w.controllers = append(w.controllers, newProcess(t, w.directory, "controller-"+workload.Zone(number)))
 		w.startController(number, true)
@@ -178,10 +186,12 @@
 	if err := os.MkdirAll(w.dataOf(number), 0o700); err != nil {
 		w.Fatal(err)
 	}
-	w.controllers[number].start(w.layout.Controller(number, firstStart, w.dataOf(number)))
+	w.controllers[number].start(w.links.through(w, w.layout.Controller(number, firstStart, w.dataOf(number))))
 }
 
-func (w *world) startGateway(number int) { w.gateways[number].start(w.layout.Gateway(number)) }
+func (w *world) startGateway(number int) {
+	w.gateways[number].start(w.links.through(w, w.layout.Gateway(number)))
+}
 
 func (w *world) controls() []string { return w.layout.Controls(workload.Controllers) }
 
