Heartbeats: backups take those that say nothing new, instances are spread over the controllers

Change: a backup that follows the primary takes a beat that says what its copy has of the instance, and tells the primary with its next tick; drains, leaves, other addresses and unknown instances go to the primary as before. The primary names a copy that was heard lately, in the instance's zone, for later beats.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -80,6 +80,10 @@
 
 func (c *Controller) takeHeartbeat(in Heartbeat) {
 	c.calls.add(in.Call, c.now+c.settings.CallWait)
+	if c.takesForPrimary(in.Heartbeat) {
+		c.reply(Reply{Call: in.Call, Status: http.StatusOK, Body: beatBody(c.self)})
+		return
+	}
 	c.queueCall(command{kind: takeBeat, call: in.Call, heartbeat: in.Heartbeat})
 }
 
@@ -306,7 +310,7 @@
 		c.unavailable(command.call)
 		return
 	}
-	c.reply(Reply{Call: command.call, Status: http.StatusOK, Body: c.beatBody()})
+	c.reply(Reply{Call: command.call, Status: http.StatusOK, Body: beatBody(c.beatTarget(beat))})
 }
 
 // knowsDrain tells whether all who work by the control state keep away from an instance, or will soon.
@@ -323,7 +327,3 @@
 	return Reply{Call: command.call, Status: http.StatusOK}
 }
 
-// beatBody names this controller for later beats, since beats are taken by the primary alone.
-func (c *Controller) beatBody() []byte {
-	return []byte(`{"beatTarget":` + strconv.Quote(c.self.Control) + `}`)
-}
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -28,6 +28,7 @@
 
 	term *term // what a primary keeps in memory; nil while this controller isn't primary
 
+	beats       []replication.BeatNote // taken for the primary and not told yet
 	guards      disabledGuards
 	terminating bool
 	effects     Effects
@@ -84,8 +85,13 @@
 	switch in := input.(type) {
 	case Tick:
 		c.stepNode(replication.Tick{})
+		c.sendBeatNotes()
 		c.passTime()
 	case PeerMessage:
+		if len(in.Message.Beats) > 0 {
+			c.takeBeatNotes(in.Message.Beats)
+			return
+		}
 		c.stepNode(replication.Received{Message: in.Message})
 	case Persisted:
 		c.stepNode(replication.Persisted{Write: in.Write})
--- a/control/registry/heartbeat.go
+++ b/control/registry/heartbeat.go
@@ -8,6 +8,8 @@
 	"unicode/utf8"
 
 	"github.com/go-playground/validator/v10"
+
+	"eiderway/control/state"
 )
 
 // MaxBody is the largest body of a heartbeat that is read, in bytes. Known ones have about 250.
@@ -77,6 +79,28 @@
 	return beat, nil
 }
 
+// IsPlain tells whether a beat of an instance with this record says nothing that must be recorded, or looked at closer: a backup may take it and
+// tell the primary.
+func (b Heartbeat) IsPlain(record state.Instance) bool {
+	isReady := b.OperState == Ready && !record.Draining && !record.Left && !record.SaidFarewell()
+	return isReady && b.CallSeq > record.CallSeq && record.Instance == instanceOf(b)
+}
+
+// PlainBeat is a beat that says what is recorded of the instance.
+func PlainBeat(record state.Instance, callSeq uint64, role string, warmupLeftMs int64) Heartbeat {
+	return Heartbeat{
+		InstanceID:    record.ID,
+		TargetService: record.Service,
+		Address:       record.Address,
+		Zone:          record.Zone,
+		SlotCount:     record.Slots,
+		OperState:     Ready,
+		WarmupLeftMs:  warmupLeftMs,
+		DBRole:        role,
+		CallSeq:       callSeq,
+	}
+}
+
 func validID(id string) bool {
 	return id != "" && len(id) <= maxIDLength && utf8.ValidString(id)
 }
--- a/control/replication/message.go
+++ b/control/replication/message.go
@@ -21,6 +21,16 @@
 	Join         *Join
 	JoinAnswer   *JoinAnswer
 	Handover     *Handover
+
+	Beats []BeatNote // plain heartbeats that a backup took; not of the protocol, carried beside it
+}
+
+// BeatNote tells the primary of a heartbeat that a backup took, which said nothing that isn't recorded of the instance.
+type BeatNote struct {
+	InstanceID   string
+	CallSeq      uint64
+	Role         string // as the instance says it
+	WarmupLeftMs int64
 }
 
 // Poll asks whether a candidacy would be welcome, before any epoch is raised.
--- a/control/replication/node.go
+++ b/control/replication/node.go
@@ -261,6 +261,29 @@
 	return n.known.Voter(n.known.Primary)
 }
 
+// Follows gives the primary that this node follows as a copy of its view, if it was heard lately.
+func (n *Node) Follows() (quorum.Member, bool) {
+	if n.leadership != nil || !n.known.HasCopy(n.self.Incarnation) {
+		return quorum.Member{}, false
+	}
+	return n.PrimaryMember()
+}
+
+// LiveCopies are the copies of the view that this node leads, itself included, that were heard lately.
+func (n *Node) LiveCopies() []quorum.Member {
+	if !n.leads() {
+		return nil
+	}
+	var live []quorum.Member
+	view := n.leadership.committed
+	for _, member := range view.Voters {
+		if view.HasCopy(member.Incarnation) && n.silence(member.Incarnation) <= 3*n.settings.Timing.Heartbeat {
+			live = append(live, member)
+		}
+	}
+	return live
+}
+
 // LeadsRestored tells whether this node leads with a state that was brought back from a dump: what was acknowledged since the dump was
 // made isn't in it.
 func (n *Node) LeadsRestored() bool { return n.leads() && n.record.Restored }
