Gateway: an urgent report overtakes the question that is held back, on the same connection

Cause: to tell of a broken connection at once, the question that the controller held back was broken off, which closed its connection: each report cost a new one (at most one in two seconds for each gateway), and the interrupted question brought no lease. Change: a second question with the report follows on the same connection; the controller answers the first one as overtaken, as it did. Measured: package gateway passes.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,7 +29,7 @@
 	// sleptAfter is how much later than asked for a question ends when this process stood still meanwhile: timers on a
 	// busy machine are late by less.
 	sleptAfter = 500 * time.Millisecond
-	// interruptEvery is the least time between two questions that are broken off for the sake of an urgent report.
+	// interruptEvery is the least time between two questions that are overtaken for the sake of an urgent report.
 	interruptEvery = 2 * time.Second
 	// freezeTime is how long open transactions and statements at a frozen leader may take to end by themselves before
 	// they are cut. Most statements take tens of milliseconds; every gateway's time counts, since the failover waits.
@@ -59,25 +58,24 @@
 	return g.settings.SeedRPCAddresses()
 }
 
+// question is one that was sent to a controller.
+type question struct {
+	request feed.WatchRequest
+	sentAt  time.Duration
+	answer  feed.WatchAnswer
+	err     error
+}
+
 // ask asks one controller, and tells whether the next question may follow at once.
 func (g *Gateway) ask(ctx context.Context, search *finder) bool {
 	address := search.next(g.now())
 	if address == "" {
 		return false
 	}
-	request := g.question()
-	request.Relay = search.relays(g.now())
-	limited, cancel := context.WithTimeout(ctx, request.Wait+watchSlack)
-	defer cancel()
-	interrupted := g.interruptWhenUrgent(limited, cancel)
-	sentAt := g.now()
-	answer, err := g.watcher.Watch(limited, address, request)
+	asked := g.askOne(ctx, address, search.relays(g.now()))
+	request, answer, err := asked.request, asked.answer, asked.err
 	switch {
-	case err != nil && interrupted.Load():
-		g.calmUntil = g.now() + interruptEvery
-		g.reports.putBack(request.Reports)
-		return true
-	case err != nil && stoodStill(g.now()-sentAt, request.Wait+watchSlack):
+	case err != nil && stoodStill(g.now()-asked.sentAt, request.Wait+watchSlack):
 		g.reports.putBack(request.Reports)
 		g.noticeLease()
 		return true // which says nothing about the controller
@@ -93,13 +91,58 @@
 	}
 	search.answered(g.now(), address, answer.Members)
 	g.rememberPrimary(address)
-	if !g.apply(ctx, sentAt, answer) {
+	if !g.apply(ctx, asked.sentAt, answer) {
 		search.failed(g.now(), address, false)
 		return false
 	}
 	return true
 }
 
+// askOne sends a question and waits for its answer. When there is something to report that can't wait, another question with it follows on the same
+// connection, and the first one, which the controller holds back, is overtaken by it.
+func (g *Gateway) askOne(ctx context.Context, address string, relay bool) question {
+	limited, cancel := context.WithTimeout(ctx, watchFor(g.lease())+watchSlack)
+	defer cancel()
+	first := g.send(limited, address, relay, true)
+	if g.now() < g.calmUntil {
+		return <-first
+	}
+	select {
+	case ended := <-first:
+		return ended
+	case <-g.reports.urgent:
+	}
+	g.calmUntil = g.now() + interruptEvery
+	second := <-g.send(limited, address, relay, false)
+	overtaken := <-first
+	if overtaken.err != nil {
+		g.reports.putBack(overtaken.request.Reports)
+	}
+	return second
+}
+
+// send sends a question in the background. One that may be held back is answered when there is news.
+func (g *Gateway) send(ctx context.Context, address string, relay, heldBack bool) <-chan question {
+	ended := make(chan question, 1)
+	sent := question{request: g.question()}
+	sent.request.Relay = relay
+	if !heldBack {
+		sent.request.Wait = 0
+	}
+	sent.sentAt = g.now()
+	go func() {
+		sent.answer, sent.err = g.watcher.Watch(ctx, address, sent.request)
+		ended <- sent
+	}()
+	return ended
+}
+
+func (g *Gateway) lease() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.directory.lease
+}
+
 // wasRefused tells whether nobody listens where the question was to go.
 func wasRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
@@ -115,24 +158,6 @@
 // stoodStill tells whether this process was stopped for a while during a question, since it took far longer than allowed.
 func stoodStill(took, allowed time.Duration) bool { return took > allowed+sleptAfter }
 
-// interruptWhenUrgent ends a question that is held back when there is something to report that can't wait, and tells
-// whether it did. Not too often: an interrupted question brings no lease.
-func (g *Gateway) interruptWhenUrgent(asking context.Context, end context.CancelFunc) *atomic.Bool {
-	interrupted := &atomic.Bool{}
-	if g.now() < g.calmUntil {
-		return interrupted
-	}
-	go func() {
-		select {
-		case <-asking.Done():
-		case <-g.reports.urgent:
-			interrupted.Store(true)
-			end()
-		}
-	}()
-	return interrupted
-}
-
 func (g *Gateway) question() feed.WatchRequest {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
