Failover: a leader whose machine refuses connections is not waited for

Change: two refusals in a row over 0.25 s, with no gateway having told of answers alone within 0.4 s, freeze the service.

--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -43,6 +43,11 @@
 	departureLook = 2 * time.Second
 	// refusedMargin is added to the moment at which a process was found not to run.
 	refusedMargin = 500 * time.Millisecond
+	// refusedLeader is for how long a leader's machine must refuse connections: a process that is started again at once is back sooner.
+	refusedLeader = 250 * time.Millisecond
+	// refusedAnswers is how long an answer that a gateway got speaks for a leader whose machine refuses connections here. Gateways report
+	// what failed at once.
+	refusedAnswers = 400 * time.Millisecond
 	// replicaSilent is the silence, longer than two heartbeats take, after which a replica is probed at calm.
 	replicaSilent = 3 * time.Second
 	// heldFresh is how old the answer to a pause may be when one is chosen: a restart would have ended the pause.
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -120,6 +120,9 @@
 // silent tells whether the leader has failed to answer for so long that it is taken for gone, while no gateway gets answers
 // from it either.
 func (s *service) silent(now time.Duration, leader *member) bool {
+	if s.notRunning(now, leader) {
+		return true
+	}
 	if leader.failures == 0 || now-leader.failingSince < s.settings().SuspectAfter {
 		return false
 	}
@@ -130,6 +133,15 @@
 	return leader.failures >= 2 || askedAgain
 }
 
+// notRunning tells whether the leader's process has ended: its machine refuses connections, twice in a row and for a while, and no gateway has just
+// told of answers alone. Refusals say it sooner than silence can, since a machine that is slow, cut off or without power refuses nothing.
+func (s *service) notRunning(now time.Duration, leader *member) bool {
+	if leader.refusals < 2 || now-leader.refusedSince < refusedLeader {
+		return false
+	}
+	return !s.gatewayHeard || now-s.gatewayAnswer >= refusedAnswers
+}
+
 // mayHandOver tells whether a draining leader answers and somebody who stays can follow it.
 func (s *service) mayHandOver(now time.Duration, leader *member, others []*member) bool {
 	stays := lo.Filter(others, func(i *member, _ int) bool { return !i.instance.Draining && i.failures == 0 })
