--- a/simulation/generate.go
+++ b/simulation/generate.go
@@ -243,7 +243,11 @@
 	g.at(0, "order %d", g.number)
 	g.add("on ack %d wipe acknowledging for %s", g.number, min(lasting, 2*time.Second))
 	if g.random.IntN(2) == 0 {
-		g.add("on ack %d power core for %s loses all", g.number, g.between(200*time.Millisecond, 2*time.Second))
+		down := g.between(200*time.Millisecond, 2*time.Second)
+		g.add("on ack %d power core for %s loses all", g.number, down)
+		if g.number%2 == 0 { // the machines that don't count lose power too
+			g.add("on ack %d kill gateways for %s", g.number, down)
+		}
 		g.quiet(8 * time.Second)
 	}
 }
