Rpc: the services of a table travel packed

Cause: a whole table of 924 services takes some 330 kB, and went to each of 295 gateways at their start. Change: a table's services are packed like its configuration, once for all gateways that get the same. Measured: TestServicesTravelPacked, 900 instances under 25 bytes each; rpc, host, gateway pass.

--- a/control/rpc/message.go
+++ b/control/rpc/message.go
@@ -20,5 +20,5 @@
 type answerFrame struct {
 	ID     uint64
 	Answer feed.WatchAnswer
-	Packed []byte // the configuration of the answer's table, where it is large; the table is without it then
+	Packed packedParts
 }
--- a/control/rpc/packing.go
+++ b/control/rpc/packing.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/gob"
 	"io"
 	"sync"
 
@@ -12,37 +13,91 @@
 	"eiderway/control/feed"
 )
 
-// packFrom is the size of a configuration, in bytes, from which packing pays: a smaller one fits one packet.
-const packFrom = 1 << 10
+const (
+	// packFrom is the size of a configuration, in bytes, from which packing pays: a smaller one fits one packet.
+	packFrom = 1 << 10
+	// packServicesFrom is the number of services from which packing pays: each takes some hundred bytes.
+	packServicesFrom = 8
+	// packedKept is how many packed parts are kept. All gateways get the same at about the same time, but some are a version behind.
+	packedKept = 4
+	// mostUnpacked bounds what is unpacked, in bytes: more than any table takes.
+	mostUnpacked = 8 * MaxFrame
+)
+
+// packedParts are the large parts of an answer's table, which is without them then; nil: not packed.
+type packedParts struct {
+	Configuration []byte
+	Services      []byte
+}
 
-// packing packs the configurations of tables. All gateways get the same one at about the same time, so the last is kept.
+// packing packs the large parts of tables. Tables share them, and nobody changes them, so one is known by where it lies.
 type packing struct {
-	mutex  sync.Mutex
-	source []byte // as it came in a table; tables share it, and nobody changes it
+	configurations packedRing[byte]
+	services       packedRing[feed.Service]
+}
+
+// pack takes what is large out of the answer's table and returns it packed.
+func (p *packing) pack(answer *feed.WatchAnswer) (packedParts, error) {
+	var parts packedParts
+	if answer.Table == nil {
+		return parts, nil
+	}
+	table := *answer.Table
+	var err error
+	if len(table.Configuration) >= packFrom {
+		parts.Configuration, err = p.configurations.of(table.Configuration, func(source []byte) ([]byte, error) { return source, nil })
+		table.Configuration = nil
+	}
+	if err == nil && len(table.Services) >= packServicesFrom {
+		parts.Services, err = p.services.of(table.Services, encodeServices)
+		table.Services = nil
+	}
+	answer.Table = &table
+	return parts, err
+}
+
+func encodeServices(services []feed.Service) ([]byte, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(services)
+	return buffer.Bytes(), eris.Wrap(err, "pack services")
+}
+
+// packedRing keeps the parts of one kind that were packed last.
+type packedRing[Element any] struct {
+	mutex sync.Mutex
+	kept  []packedPart[Element] // the oldest first
+}
+
+type packedPart[Element any] struct {
+	source []Element
 	packed []byte
 }
 
-// pack takes the configuration out of the answer's table and returns it packed; nil where that doesn't pay.
-func (p *packing) pack(answer *feed.WatchAnswer) ([]byte, error) {
-	if answer.Table == nil || len(answer.Table.Configuration) < packFrom {
-		return nil, nil
+// of gives the part packed.
+func (r *packedRing[Element]) of(source []Element, encode func([]Element) ([]byte, error)) ([]byte, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, known := range r.kept {
+		if len(known.source) == len(source) && &known.source[0] == &source[0] {
+			return known.packed, nil
+		}
 	}
-	packed, err := p.packedOf(answer.Table.Configuration)
+	encoded, err := encode(source)
 	if err != nil {
 		return nil, err
 	}
-	table := *answer.Table
-	table.Configuration = nil
-	answer.Table = &table
+	packed, err := deflate(encoded)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.kept) == packedKept {
+		r.kept = append(r.kept[:0:0], r.kept[1:]...)
+	}
+	r.kept = append(r.kept, packedPart[Element]{source, packed})
 	return packed, nil
 }
 
-func (p *packing) packedOf(source []byte) ([]byte, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if len(p.source) == len(source) && &p.source[0] == &source[0] {
-		return p.packed, nil
-	}
+func deflate(source []byte) ([]byte, error) {
 	var buffer bytes.Buffer
 	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
 	if err != nil {
@@ -54,23 +109,42 @@
 	if err := writer.Close(); err != nil {
 		return nil, eris.Wrap(err, "pack")
 	}
-	p.source, p.packed = source, buffer.Bytes()
-	return p.packed, nil
+	return buffer.Bytes(), nil
 }
 
-// unpack puts a packed configuration back into the answer's table.
-func unpack(answer *feed.WatchAnswer, packed []byte) error {
-	if len(packed) == 0 {
+// unpack puts packed parts back into the answer's table.
+func unpack(answer *feed.WatchAnswer, parts packedParts) error {
+	if len(parts.Configuration) == 0 && len(parts.Services) == 0 {
 		return nil
 	}
 	if answer.Table == nil {
-		return eris.Wrap(errBadFrame, "configuration that can't be unpacked")
+		return eris.Wrap(errBadFrame, "parts of a table that isn't there")
 	}
-	reader := flate.NewReader(bytes.NewReader(packed))
-	body, err := io.ReadAll(io.LimitReader(reader, configuration.MaxBody+1))
-	if err != nil || len(body) > configuration.MaxBody {
-		return eris.Wrap(errBadFrame, "configuration that can't be unpacked")
+	if len(parts.Configuration) > 0 {
+		body, err := inflate(parts.Configuration, configuration.MaxBody)
+		if err != nil {
+			return err
+		}
+		answer.Table.Configuration = body
+	}
+	if len(parts.Services) == 0 {
+		return nil
+	}
+	encoded, err := inflate(parts.Services, mostUnpacked)
+	if err != nil {
+		return err
+	}
+	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&answer.Table.Services); err != nil {
+		return eris.Wrap(errBadFrame, "services that can't be read")
 	}
-	answer.Table.Configuration = body
 	return nil
 }
+
+func inflate(packed []byte, most int) ([]byte, error) {
+	reader := flate.NewReader(bytes.NewReader(packed))
+	unpacked, err := io.ReadAll(io.LimitReader(reader, int64(most)+1))
+	if err != nil || len(unpacked) > most {
+		return nil, eris.Wrap(errBadFrame, "a part that can't be unpacked")
+	}
+	return unpacked, nil
+}
--- a/control/rpc/packing_test.go
+++ b/control/rpc/packing_test.go
@@ -30,7 +30,7 @@
 		answer := feed.WatchAnswer{Table: table}
 		packed, err := shared.pack(&answer)
 		is.NoErr(err)
-		is.True(len(packed) > 0 && len(packed) < len(body)/8) // a configuration repeats itself
+		is.True(len(packed.Configuration) > 0 && len(packed.Configuration) < len(body)/8) // a configuration repeats itself
 		is.True(answer.Table.Configuration == nil)            // it travels once
 		is.True(bytes.Equal(table.Configuration, body))       // the table of others is untouched
 		is.NoErr(unpack(&answer, packed))
@@ -50,20 +50,51 @@
 		answer := feed.WatchAnswer{Table: table}
 		packed, err := shared.pack(&answer)
 		is.NoErr(err)
-		is.Equal(len(packed), 0)
+		is.Equal(packed, packedParts{})
 		is.Equal(answer.Table, table)
 		is.NoErr(unpack(&answer, packed))
 	}
 }
 
+func TestServicesTravelPacked(t *testing.T) {
+	is := is.New(t)
+	var services []feed.Service
+	for number := range 300 {
+		name := fmt.Sprintf("service%d", number)
+		service := feed.Service{Name: name, Leader: feed.Leader{InstanceID: name + "-0", Term: 3}}
+		for replica := range 3 {
+			id := fmt.Sprintf("%s-%d", name, replica)
+			service.Instances = append(service.Instances, feed.Instance{
+				ID: id, Service: name, Address: fmt.Sprintf("10.1.%d.%d:8080", number, replica), Zone: "a", Slots: 7,
+			})
+		}
+		services = append(services, service)
+	}
+	shared := &packing{}
+	var first []byte
+	for range 3 {
+		answer := feed.WatchAnswer{Table: &feed.Table{Services: services}}
+		packed, err := shared.pack(&answer)
+		is.NoErr(err)
+		is.True(answer.Table.Services == nil)
+		is.True(len(packed.Services) < 25*len(services)*3) // of some hundred bytes for each instance
+		if first == nil {
+			first = packed.Services
+		}
+		is.True(&first[0] == &packed.Services[0]) // packed once for all
+		is.NoErr(unpack(&answer, packed))
+		is.Equal(answer.Table.Services, services)
+	}
+}
+
 func TestBadPackingBreaksTheConnection(t *testing.T) {
 	is := is.New(t)
-	source := make([]byte, configuration.MaxBody+1)
-	tooLong, err := (&packing{}).packedOf(source)
+	tooLong, err := deflate(make([]byte, configuration.MaxBody+1))
 	is.NoErr(err)
 	for _, packed := range [][]byte{[]byte("no stream"), tooLong} {
 		answer := feed.WatchAnswer{Table: &feed.Table{}}
-		is.True(errors.Is(unpack(&answer, packed), errBadFrame))
+		is.True(errors.Is(unpack(&answer, packedParts{Configuration: packed}), errBadFrame))
+		is.True(errors.Is(unpack(&answer, packedParts{Services: packed}), errBadFrame))
 	}
-	is.True(errors.Is(unpack(&feed.WatchAnswer{}, []byte("x")), errBadFrame))
+	is.True(errors.Is(unpack(&feed.WatchAnswer{}, packedParts{Configuration: []byte("x")}), errBadFrame))
 }
