Controllers: what a change costs follows what changed, not how many services there are

Change: freezes are looked at when their count changes; decoded records are kept; entries of the state are listed by kind; services are compared field by field; a version that was put off is left alone until its time or the next change.

--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -326,4 +326,3 @@
 	}
 	return Reply{Call: command.call, Status: http.StatusOK}
 }
-
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -15,6 +15,7 @@
 	"eiderway/control/quorum"
 	"eiderway/control/registry"
 	"eiderway/control/replication"
+	"eiderway/control/state"
 )
 
 // Controller is the state machine of one controller. It is not safe for use by several goroutines.
@@ -41,6 +42,7 @@
 	epoch          quorum.Epoch
 	registry       *registry.Registry
 	failover       *failover.Manager
+	reader         *state.ServiceReader
 	services       []failover.ServiceView // as committed; not to be modified
 	departuresTold bool                   // the failover has been told who departed under earlier terms
 	grants         *grants
@@ -55,6 +57,7 @@
 	expiring       bool              // a look for silent instances waits for a batch
 	doubting       bool              // the state is from a dump, and what must be doubted isn't marked yet: nobody may work by it
 	freezes        map[string]freeze // services that are frozen, by name
+	freezesSeen    uint64            // the failover's count of changes when they were taken over
 }
 
 // New makes a controller from what its disk holds.
@@ -168,6 +171,7 @@
 	failoverSettings.Lacking = c.settings.Lacking
 	c.term = &term{
 		epoch:     epoch,
+		reader:    state.NewServiceReader(),
 		registry:  registry.New(c.now, c.settings.InstanceLost).Lacking(c.settings.Lacking),
 		failover:  failover.New(c.now, failoverSettings),
 		grants:    newGrants(c.now, c.settings.Lease+c.settings.LeaseMargin, c.guards),
--- a/control/controller/cost_test.go
+++ b/control/controller/cost_test.go
@@ -74,3 +74,19 @@
 		leads.controller.Step(w.now, Persisted{Write: effects.Writes[len(effects.Writes)-1].Number})
 	}
 }
+
+// BenchmarkChangeOfManyServices is the same with as many services as a large fleet has.
+func BenchmarkChangeOfManyServices(b *testing.B) {
+	w, leads := busyWorld(1000, 900, 20)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for index := range b.N {
+		one := w.instances[index%len(w.instances)]
+		one.draining = !one.draining
+		one.seq++
+		effects := leads.controller.Step(w.now, Heartbeat{Call: 1 << 40, Heartbeat: one.beat()})
+		if count := len(effects.Writes); count > 0 {
+			leads.controller.Step(w.now, Persisted{Write: effects.Writes[count-1].Number})
+		}
+	}
+}
--- a/control/controller/instances.go
+++ b/control/controller/instances.go
@@ -11,11 +11,16 @@
 // noteInstances writes a line for each instance that has joined, drains or has left since the services were read last, with how
 // many others its service has: that decides whether somebody can follow a leader.
 func (c *Controller) noteInstances(before, after []failover.ServiceView) {
+	last := make(map[string]failover.ServiceView, len(before))
+	for _, view := range before {
+		last[view.Name] = view
+	}
 	for _, view := range after {
-		c.noteInstancesOf(serviceNamed(before, view.Name), view)
+		c.noteInstancesOf(last[view.Name], view)
+		delete(last, view.Name)
 	}
 	for _, view := range before {
-		if !slices.ContainsFunc(after, named(view.Name)) {
+		if _, gone := last[view.Name]; gone {
 			c.noteInstancesOf(view, failover.ServiceView{Name: view.Name})
 		}
 	}
@@ -59,14 +64,6 @@
 	return func(view failover.ServiceView) bool { return view.Name == name }
 }
 
-// serviceNamed gives the service with this name, empty if there is none.
-func serviceNamed(views []failover.ServiceView, name string) failover.ServiceView {
-	if index := slices.IndexFunc(views, named(name)); index >= 0 {
-		return views[index]
-	}
-	return failover.ServiceView{Name: name}
-}
-
 func instanceIn(service failover.ServiceView, id string) (feed.Instance, bool) {
 	index := slices.IndexFunc(service.Instances, func(instance feed.Instance) bool { return instance.ID == id })
 	if index < 0 {
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -10,9 +10,9 @@
 
 // stateChanged tells everyone who works by the committed control state that it has changed.
 func (c *Controller) stateChanged() {
-	c.term.table.dirty = true
+	c.term.table.dirty, c.term.table.postponed = true, false
 	before := c.term.services
-	c.term.services = state.Services(c.node)
+	c.term.services = c.term.reader.Services(c.node)
 	c.noteInstances(before, c.term.services)
 	c.stepFailover(failover.World{Services: c.withDepartures(c.term.services)})
 }
--- a/control/controller/table.go
+++ b/control/controller/table.go
@@ -25,6 +25,8 @@
 	changed map[string]uint64      // the sequence in which each service changed last; one that is gone too
 	deltas  map[uint64]*feed.Table // what has changed since a sequence; emptied with each version
 	since   time.Duration          // when this version was made
+
+	postponed bool // what has changed since can wait until publishPause is over
 }
 
 // publishPause is the least time between two versions of the table where the later one only adds instances: when a fleet starts, hundreds of
@@ -50,13 +52,16 @@
 	}
 	frozenChanged := c.followFreezes()
 	members := c.node.View().Voters
+	if term.table.postponed && !frozenChanged && c.now-term.table.since < publishPause {
+		return
+	}
 	if !term.table.dirty && !frozenChanged && reflect.DeepEqual(members, term.table.members) {
 		return
 	}
 	next := c.buildTable(members)
 	same := sameTable(next, term.table)
 	if !same && !frozenChanged && c.now-term.table.since < publishPause && onlyAdds(term.table, next) {
-		term.table.dirty = true
+		term.table.postponed = true
 		return
 	}
 	if !same || c.freezeUnplaced() {
@@ -101,7 +106,7 @@
 		earlier[service.Name] = service
 	}
 	for _, service := range t.services {
-		if old, found := earlier[service.Name]; !found || !reflect.DeepEqual(old, service) {
+		if old, found := earlier[service.Name]; !found || !sameService(old, service) {
 			t.changed[service.Name] = t.version.Sequence
 		}
 		delete(earlier, service.Name)
@@ -142,12 +147,21 @@
 func sameTable(a, b table) bool {
 	return a.version.Sequence > 0 &&
 		a.configurationNumber == b.configurationNumber &&
-		reflect.DeepEqual(a.services, b.services) &&
+		slices.EqualFunc(a.services, b.services, sameService) &&
 		reflect.DeepEqual(a.members, b.members)
 }
 
+func sameService(a, b feed.Service) bool {
+	return a.Name == b.Name && a.Leader == b.Leader && a.Frozen == b.Frozen && slices.Equal(a.Instances, b.Instances)
+}
+
 // followFreezes takes over from the failover which services are frozen, and tells whether that has changed.
 func (c *Controller) followFreezes() bool {
+	changes := c.term.failover.FreezeChanges()
+	if changes == c.term.freezesSeen && !c.term.table.dirty {
+		return false
+	}
+	c.term.freezesSeen = changes
 	changed := false
 	kept := 0
 	for _, view := range c.term.services {
--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -29,8 +29,10 @@
 type Manager struct {
 	settings Settings
 	guards   guards
-	services map[string]*service
-	order    []string // names of services, sorted: nothing depends on the order of the map
+
+	freezeChanges uint64
+	services      map[string]*service
+	order         []string // names of services, sorted: nothing depends on the order of the map
 
 	freezes  uint64
 	numbers  uint64 // of probes, calls and requests
@@ -135,6 +137,9 @@
 	return slices.Clone(s.missing)
 }
 
+// FreezeChanges rises whenever a service is frozen, or isn't any more.
+func (m *Manager) FreezeChanges() uint64 { return m.freezeChanges }
+
 // Frozen tells whether no statement may be started at the leader of the service, and the number of the freeze.
 func (m *Manager) Frozen(service string) (freeze uint64, frozen bool) {
 	s, found := m.services[service]
@@ -148,7 +153,8 @@
 	m.order = lo.Map(world.Services, func(view ServiceView, _ int) string { return view.Name })
 	slices.Sort(m.order)
 	for name := range m.services {
-		if !slices.Contains(m.order, name) {
+		if _, found := slices.BinarySearch(m.order, name); !found {
+			m.freezeChanges++
 			delete(m.services, name)
 		}
 	}
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -325,6 +325,7 @@
 	s.manager.freezes++
 	s.freeze = s.manager.freezes
 	s.frozen, s.frozenAt, s.why = true, now, why
+	s.manager.freezeChanges++
 	s.cleared, s.caughtUp, s.stalled = false, false, false
 	s.phase = clearing
 	s.endRound()
@@ -335,6 +336,7 @@
 // unfreeze lets the recorded leader go on.
 func (s *service) unfreeze(now time.Duration) {
 	s.frozen = false
+	s.manager.freezeChanges++
 	s.phase = watching
 	s.endRound()
 	s.fastUntil = now + s.settings().FastWindow
--- a/control/replication/history.go
+++ b/control/replication/history.go
@@ -21,21 +21,49 @@
 // history is the state with the changes that led to it.
 type history struct {
 	entries map[string][]byte
-	size    int // bytes of all entries
+	groups  map[string]map[string][]byte // the same entries by the start of their keys, up to the first slash
+	size    int                          // bytes of all entries
 	stamp   quorum.Stamp
 	changes []Change // the newest, each applying to the one before; the last led to the stamp
 	bytes   int      // of the changes
 }
 
 func newHistory(stamp quorum.Stamp, entries map[string][]byte) history {
-	kept := history{entries: make(map[string][]byte, len(entries)), stamp: stamp}
+	kept := history{entries: make(map[string][]byte, len(entries)), groups: map[string]map[string][]byte{}, stamp: stamp}
 	for key, value := range entries {
-		kept.entries[key] = value
-		kept.size += entrySize(key, value)
+		kept.put(key, value)
 	}
 	return kept
 }
 
+// groupOf is the start of a key that it shares with entries of its kind.
+func groupOf(key string) string {
+	start, _, _ := strings.Cut(key, "/")
+	return start
+}
+
+func (h *history) put(key string, value []byte) {
+	h.remove(key)
+	h.entries[key] = value
+	group := h.groups[groupOf(key)]
+	if group == nil {
+		group = map[string][]byte{}
+		h.groups[groupOf(key)] = group
+	}
+	group[key] = value
+	h.size += entrySize(key, value)
+}
+
+func (h *history) remove(key string) {
+	old, found := h.entries[key]
+	if !found {
+		return
+	}
+	h.size -= entrySize(key, old)
+	delete(h.entries, key)
+	delete(h.groups[groupOf(key)], key)
+}
+
 func entrySize(key string, value []byte) int { return len(key) + len(value) + mutationOverhead }
 
 func changeSize(change Change) int {
@@ -49,15 +77,11 @@
 // apply makes one change.
 func (h *history) apply(change Change) {
 	for _, mutation := range change.Mutations {
-		if old, found := h.entries[mutation.Key]; found {
-			h.size -= entrySize(mutation.Key, old)
-		}
 		if mutation.Delete {
-			delete(h.entries, mutation.Key)
+			h.remove(mutation.Key)
 			continue
 		}
-		h.entries[mutation.Key] = mutation.Value
-		h.size += entrySize(mutation.Key, mutation.Value)
+		h.put(mutation.Key, mutation.Value)
 	}
 	h.stamp = change.Stamp
 	h.changes = append(h.changes, change)
@@ -95,8 +119,12 @@
 
 // list returns the entries whose keys begin with the prefix, sorted by key.
 func (h *history) list(prefix string) []Mutation {
+	searched := h.entries
+	if strings.Contains(prefix, "/") {
+		searched = h.groups[groupOf(prefix)]
+	}
 	var found []Mutation
-	for key, value := range h.entries {
+	for key, value := range searched {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, Mutation{Key: key, Value: value})
 		}
--- a/control/rpc/packing_test.go
+++ b/control/rpc/packing_test.go
@@ -31,8 +31,8 @@
 		packed, err := shared.pack(&answer)
 		is.NoErr(err)
 		is.True(len(packed.Configuration) > 0 && len(packed.Configuration) < len(body)/8) // a configuration repeats itself
-		is.True(answer.Table.Configuration == nil)            // it travels once
-		is.True(bytes.Equal(table.Configuration, body))       // the table of others is untouched
+		is.True(answer.Table.Configuration == nil)                                        // it travels once
+		is.True(bytes.Equal(table.Configuration, body))                                   // the table of others is untouched
 		is.NoErr(unpack(&answer, packed))
 		is.True(bytes.Equal(answer.Table.Configuration, body))
 	}
--- a/control/state/service.go
+++ b/control/state/service.go
@@ -83,15 +83,54 @@
 	return readAll[failover.Intent](reader, intentPrefix)
 }
 
+// ServiceReader reads services again and again, and decodes again only the records of instances that have changed.
+type ServiceReader struct{ decoded map[string]decodedInstance }
+
+// decodedInstance is a record with the bytes that it was decoded from. Entries are never changed in place.
+type decodedInstance struct {
+	from     []byte
+	instance Instance
+}
+
+// NewServiceReader has read nothing yet.
+func NewServiceReader() *ServiceReader { return &ServiceReader{decoded: map[string]decodedInstance{}} }
+
+// present returns the instances that have not left, sorted by id.
+func (r *ServiceReader) present(reader Reader) []Instance {
+	entries := reader.Entries(instancePrefix)
+	next := make(map[string]decodedInstance, len(entries))
+	instances := make([]Instance, 0, len(entries))
+	for _, entry := range entries {
+		known, found := r.decoded[entry.Key]
+		if !found || !sameBytes(known.from, entry.Value) {
+			var record instanceRecord
+			if decode(entry.Value, &record) != nil {
+				continue
+			}
+			known = decodedInstance{from: entry.Value, instance: record.Instance}
+		}
+		next[entry.Key] = known
+		instances = append(instances, known.instance)
+	}
+	r.decoded = next
+	return instances
+}
+
+// sameBytes tells whether two slices are the same memory.
+func sameBytes(a, b []byte) bool { return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] }
+
 // Services returns each service of the configuration, of an instance that has not left, or of a failover that may be
 // under way, sorted by name.
-func Services(reader Reader) []failover.ServiceView {
+func Services(reader Reader) []failover.ServiceView { return NewServiceReader().Services(reader) }
+
+// Services returns what the function of the same name does.
+func (r *ServiceReader) Services(reader Reader) []failover.ServiceView {
 	views := make(serviceViews)
 	head, _ := read[configurationHead](reader, configurationKey)
 	for _, service := range head.Services {
 		views.of(service.Name).SyncReplicas = service.SyncReplicas
 	}
-	for _, instance := range PresentInstances(reader) {
+	for _, instance := range r.present(reader) {
 		view := views.of(instance.Service)
 		view.Instances = append(view.Instances, instance.Instance)
 	}
