--- a/control/controller/cost_test.go
+++ b/control/controller/cost_test.go
@@ -62,22 +62,13 @@
 }
 
 // BenchmarkChange is a change of an instance and the tables that it makes for all gateways.
-func BenchmarkChange(b *testing.B) {
-	w, leads := busyWorld(1000, 30, 300)
-	b.ReportAllocs()
-	b.ResetTimer()
-	for index := range b.N {
-		one := w.instances[index%len(w.instances)]
-		one.draining = !one.draining
-		one.seq++
-		effects := leads.controller.Step(w.now, Heartbeat{Call: 1 << 40, Heartbeat: one.beat()})
-		leads.controller.Step(w.now, Persisted{Write: effects.Writes[len(effects.Writes)-1].Number})
-	}
-}
+func BenchmarkChange(b *testing.B) { benchmarkChange(b, 30, 300) }
 
 // BenchmarkChangeOfManyServices is the same with as many services as a large fleet has.
-func BenchmarkChangeOfManyServices(b *testing.B) {
-	w, leads := busyWorld(1000, 900, 20)
+func BenchmarkChangeOfManyServices(b *testing.B) { benchmarkChange(b, 900, 20) }
+
+func benchmarkChange(b *testing.B, services, gateways int) {
+	w, leads := busyWorld(1000, services, gateways)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for index := range b.N {
