Failover: many services are looked at in turn after a takeover

Cause: a new primary asked every instance of every service at once, and took each leader's first heartbeat for a change of role, which kept it asking for four seconds more: with 308 services its processor was full and it froze dozens whose leaders were well. Change: the first look at a service waits for its turn, 10 ms each, unless something is wrong there; a first heartbeat is no change of role.

--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -158,10 +158,12 @@
 			delete(m.services, name)
 		}
 	}
+	added := 0
 	for _, view := range world.Services {
 		s, found := m.services[view.Name]
 		if !found {
-			s = newService(m, now, view)
+			s = newService(m, now, view, added)
+			added++
 			m.services[view.Name] = s
 		}
 		s.take(now, view)
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -88,6 +88,7 @@
 	clearedAt time.Duration
 
 	idleUntil     time.Duration // nothing is due before
+	lookFrom      time.Duration // without a sign of trouble nobody is probed before
 	fastUntil     time.Duration
 	gatewayAnswer time.Duration // when a gateway last reported an answer of the leader
 	gatewayHeard  bool
@@ -115,9 +116,11 @@
 	nextAsk     time.Duration // no change is asked for before
 }
 
-func newService(manager *Manager, now time.Duration, view ServiceView) *service {
+// newService follows a service from now on. The first look, at what the last holder left behind, is its turn among those that are new.
+func newService(manager *Manager, now time.Duration, view ServiceView, turn int) *service {
 	s := &service{manager: manager, name: view.Name, unledFrom: now}
-	s.fastUntil = now + learnSettle // the first look: what did the last holder leave behind?
+	s.lookFrom = now + time.Duration(turn)*firstLookPace
+	s.fastUntil = s.lookFrom + learnSettle
 	if view.Intent != nil {
 		s.inherited, s.doubt = true, true
 		s.call.unknownUntil = now + manager.settings.LateCall
@@ -308,8 +311,8 @@
 	}
 	known.lastLife, known.refusals = now, 0
 	known.cover, known.coverDead = nil, false
+	turned := known.lastBeat != 0 && beat.Primary != known.beatPrimary
 	known.beat(now)
-	turned := beat.Primary != known.beatPrimary
 	known.beatPrimary = beat.Primary
 	leads := beat.InstanceID == s.view.Leader.InstanceID
 	if turned || beat.Primary != leads {
--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -23,6 +23,9 @@
 	replicaProbe = 500 * time.Millisecond
 	// signProbe is the time between probes of a replica while there are signs of change and the leader answers.
 	signProbe = time.Second
+	// firstLookPace is the time between the first looks at services that came at once, as after a takeover: all of them at once would keep
+	// this process too busy to hear the answers in time.
+	firstLookPace = 10 * time.Millisecond
 	// idleStep is how long a calm service is left alone.
 	idleStep = 200 * time.Millisecond
 	// probeGivenUp is the time after which a probe that the host never ended counts as silent.
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -59,6 +59,9 @@
 // look probes: at calm the leader alone, while there are signs of change everyone, and fast only once the leader fails.
 func (s *service) look(now time.Duration) {
 	leader := s.leader()
+	if now < s.lookFrom && !s.troubled(now) {
+		return
+	}
 	signs := now < s.fastUntil
 	if signs && (leader == nil || leader.failures > 0 || leader.instance.Draining || !leader.leads(0)) {
 		s.probeAll(now, leader)
@@ -81,6 +84,13 @@
 	}
 }
 
+// troubled tells whether the service can't wait for the turn of its first look.
+func (s *service) troubled(now time.Duration) bool {
+	return s.leader() == nil || lo.ContainsBy(s.present(), func(i *member) bool {
+		return i.failures > 0 || i.instance.Draining || i.beatMissed(now)
+	})
+}
+
 // mustFreeze tells whether the recorded leader can't go on, and why.
 func (s *service) mustFreeze(now time.Duration) (reason, bool) {
 	if s.ledElsewhere() {
