Tenants: clients are known by their keys, instances are told whose statements run

A configuration's tenantTable is read and checked now. A session's key is hashed; each first statement, and each one of an open transaction, is checked against the table held, the last time before its bytes leave. CONNECT carries the tenant's name, and a connection made for one tenant is lent to sessions of that tenant only. A lease stays below the time in which a withdrawn key binds all machines, and inside a transaction a table without news is trusted for less than it.

Tests of gateway, host, system and control/configuration pass.

TestSessionsShareAConnectionAndKeepTheirNamesAndValues also looks at the name given to instances now.

--- a/control/configuration/api.go
+++ b/control/configuration/api.go
@@ -13,7 +13,10 @@
 	Number   int64     `json:"configRevision" validate:"gte=1"`
 	Routes   []Route   `json:"routeTable" validate:"-"`   // checked one by one, so that an error names the route
 	Services []Service `json:"serviceTable" validate:"-"` // likewise
-	Limits   Limits    `json:"limits"`
+	Tenants  []Tenant  `json:"tenantTable" validate:"-"`  // likewise
+	// HasTenants tells an empty table of tenants, under which no key is known, from none, under which nobody needs one.
+	HasTenants bool   `json:"-"`
+	Limits     Limits `json:"limits"`
 }
 
 // Classes of routes, by what a read of theirs must see.
@@ -35,6 +38,7 @@
 	TargetService   string `json:"targetService" validate:"required"`
 	MaxAttempts     int    `json:"maxAttempts" validate:"gte=0"`
 	MaxStalenessMs  int64  `json:"maxStalenessMs" validate:"gte=0"`
+	NoAuth          bool   `json:"noAuth"` // clients need no key
 }
 
 // Service is a database service.
@@ -46,6 +50,16 @@
 	SyncReplicas   int    `json:"syncReplicas" validate:"gte=0"`
 }
 
+// Tenant is a customer. Its clients are known by their keys.
+type Tenant struct {
+	Name      string   `json:"name" validate:"required"`
+	Keys      []string `json:"apiKeys"` // may be empty: then none of its clients is let in
+	Priority  int      `json:"priority" validate:"gte=0"`
+	Limited   bool     `json:"-"`                          // a rate was given
+	RatePerS  float64  `json:"ratePerS" validate:"gte=0"`  // operations a second, over all gateways
+	BurstSize float64  `json:"burstSize" validate:"gte=0"` // operations beyond the rate that may come at once
+}
+
 // Limits of sessions.
 type Limits struct {
 	MaxHeaderBytes  int64 `json:"maxHeaderBytes" validate:"gte=0"`
--- a/control/configuration/check.go
+++ b/control/configuration/check.go
@@ -27,7 +27,10 @@
 	if refusal != nil {
 		return refusal
 	}
-	return checkRoutes(contents.Routes, services)
+	if refusal := checkRoutes(contents.Routes, services); refusal != nil {
+		return refusal
+	}
+	return checkTenants(contents.Tenants)
 }
 
 // names is a set of names.
@@ -70,6 +73,42 @@
 	return nil
 }
 
+// checkTenants looks at each tenant, and that no key leads to two of them. Problems don't quote keys.
+func checkTenants(tenants []Tenant) *Refusal {
+	known := make(names, len(tenants))
+	holders := map[string]string{} // by key
+	for index, tenant := range tenants {
+		where := label("tenant", tenant.Name, tenantTable, index)
+		if refusal := checkFields(where, tenant); refusal != nil {
+			return refusal
+		}
+		if strings.ContainsAny(tenant.Name, " \r\n") {
+			return invalid(where, "name must not hold a blank or the end of a line")
+		}
+		if _, twice := known[tenant.Name]; twice {
+			return invalid(where, "has the name of another tenant")
+		}
+		known[tenant.Name] = struct{}{}
+		if refusal := checkKeys(where, tenant, holders); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+func checkKeys(where string, tenant Tenant, holders map[string]string) *Refusal {
+	for _, key := range tenant.Keys {
+		if key == "" {
+			return invalid(where, "has a key that is empty")
+		}
+		if holder, taken := holders[key]; taken && holder != tenant.Name {
+			return invalid(where, fmt.Sprintf("shares a key with tenant %q", holder))
+		}
+		holders[key] = tenant.Name
+	}
+	return nil
+}
+
 func label(row, name, table string, index int) string {
 	if name == "" {
 		return fmt.Sprintf("%s[%d]", table, index)
--- a/control/configuration/contents.go
+++ b/control/configuration/contents.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 )
 
 // defaultPathPrefix is the prefix of a route that names none.
 const defaultPathPrefix = "/"
 
+// tenantTable is the only table that may be left out: a system without tenants has none.
+const tenantTable = "tenantTable"
+
 // readContents takes the known fields out of a body. Field names count letter by letter, as they do in the digest.
 func readContents(root value) (Contents, *Refusal) {
 	if root.kind != isObject {
@@ -19,8 +23,10 @@
 		Number:   reader.whole(top, "configRevision"),
 		Routes:   reader.routes(top),
 		Services: reader.services(top),
+		Tenants:  reader.tenants(top),
 		Limits:   reader.limits(top),
 	}
+	_, contents.HasTenants = root.field(tenantTable)
 	return contents, reader.refusal
 }
 
@@ -53,6 +59,7 @@
 		TargetService:   r.text(from, "targetService"),
 		MaxAttempts:     int(r.whole(from, "maxAttempts")),
 		MaxStalenessMs:  r.whole(from, "maxStalenessMs"),
+		NoAuth:          r.flag(from, "noAuth"),
 	}
 	if _, given := from.field("pathPrefix"); given {
 		route.PathPrefix = r.text(from, "pathPrefix")
@@ -74,6 +81,25 @@
 	return services
 }
 
+func (r *contentsReader) tenants(top object) []Tenant {
+	if _, given := top.field(tenantTable); !given {
+		return nil
+	}
+	var tenants []Tenant
+	for _, item := range r.objects(top, tenantTable, "tenant") {
+		_, limited := item.field("ratePerS")
+		tenants = append(tenants, Tenant{
+			Name:      r.text(item, "name"),
+			Keys:      r.texts(item, "apiKeys"),
+			Priority:  int(r.whole(item, "priority")),
+			Limited:   limited,
+			RatePerS:  r.decimal(item, "ratePerS"),
+			BurstSize: r.decimal(item, "burstSize"),
+		})
+	}
+	return tenants
+}
+
 func (r *contentsReader) limits(top object) Limits {
 	field, given := top.field("limits")
 	if !given {
@@ -132,6 +158,55 @@
 	return strings.Clone(field.text) // a part of the body would keep all of it in memory
 }
 
+// texts reads a list of texts. Problems don't quote them: they may be keys.
+func (r *contentsReader) texts(from object, name string) []string {
+	field, given := from.field(name)
+	if !given {
+		return nil
+	}
+	if field.kind != isList {
+		r.refuse(unreadable(from.where, name+" is not an array"))
+		return nil
+	}
+	texts := make([]string, 0, len(field.items))
+	for _, item := range field.items {
+		if item.kind != isText {
+			r.refuse(unreadable(from.where, name+" holds something that is not a text"))
+			return nil
+		}
+		texts = append(texts, strings.Clone(item.text))
+	}
+	return texts
+}
+
+func (r *contentsReader) flag(from object, name string) bool {
+	field, given := from.field(name)
+	if !given {
+		return false
+	}
+	if field.kind != isBool {
+		r.refuse(unreadable(from.where, name+" is neither true nor false"))
+	}
+	return field.text == "true"
+}
+
+// decimal reads a number that need not be whole.
+func (r *contentsReader) decimal(from object, name string) float64 {
+	field, given := from.field(name)
+	if !given {
+		return 0
+	}
+	if field.kind != isNumber {
+		r.refuse(unreadable(from.where, name+" is not a number"))
+		return 0
+	}
+	number, err := strconv.ParseFloat(field.text, 64)
+	if err != nil {
+		r.refuse(unreadable(from.where, name+" is out of range"))
+	}
+	return number
+}
+
 func (r *contentsReader) whole(from object, name string) int64 {
 	field, given := from.field(name)
 	if !given {
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -33,6 +33,7 @@
 	reader   *wire.Reader
 	buffer   []byte
 	database string
+	key      accessKey
 	session  *session.Session
 	flight   *flight           // of the open transaction
 	served   bool              // a statement has been answered
@@ -131,6 +132,12 @@
 		return false
 	}
 	c.database = connect.Database
+	c.key = newAccessKey(connect.Who)
+	if c.gateway.rejects(c.database, c.key) {
+		c.gateway.counters.unknownKey.Add(1)
+		c.write(wire.AppendError(c.buffer[:0], wire.AuthFail, ""))
+		return false
+	}
 	return c.write(wire.AppendReady(c.buffer[:0], wire.Idle, wire.NoPosition))
 }
 
@@ -140,6 +147,12 @@
 	return g.directory.lacks(g.now(), database)
 }
 
+func (g *Gateway) rejects(database string, key accessKey) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.directory.rejects(g.now(), database, key)
+}
+
 // explain tells the client why its connection ends, where that is its own doing.
 func (c *client) explain(err error) {
 	if errors.Is(err, wire.ErrTooLong) || errors.Is(err, wire.ErrMalformed) {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -22,6 +22,7 @@
 	timedOut   atomic.Uint64
 	malformed  atomic.Uint64
 	noDatabase atomic.Uint64
+	unknownKey atomic.Uint64
 	otherError atomic.Uint64
 	ended      atomic.Uint64 // transactions that rested for too long
 
@@ -36,8 +37,8 @@
 
 // totals is what is printed.
 type totals struct {
-	completed, busy, rolledBack, inDoubt, timedOut, malformed, noDatabase, otherError, ended uint64
-	replicaReads, lagging                                                                    uint64
+	completed, busy, rolledBack, inDoubt, timedOut, malformed, noDatabase, unknownKey, otherError, ended uint64
+	replicaReads, lagging                                                                                uint64
 }
 
 // answered counts an answer to a client.
@@ -57,6 +58,8 @@
 		c.malformed.Add(1)
 	case wire.NoDB:
 		c.noDatabase.Add(1)
+	case wire.AuthFail:
+		c.unknownKey.Add(1)
 	default:
 		c.otherError.Add(1)
 	}
@@ -71,6 +74,7 @@
 		timedOut:   c.timedOut.Load(),
 		malformed:  c.malformed.Load(),
 		noDatabase: c.noDatabase.Load(),
+		unknownKey: c.unknownKey.Load(),
 		otherError: c.otherError.Load(),
 		ended:      c.ended.Load(),
 
@@ -93,7 +97,7 @@
 	}
 	g.log.WithFields(logrus.Fields{
 		"completed": now.completed, "busy": now.busy, "rolledback": now.rolledBack, "indoubt": now.inDoubt,
-		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "other": now.otherError,
+		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "authfail": now.unknownKey, "other": now.otherError,
 		"at_replicas": now.replicaReads, "lagging": now.lagging,
 		"idle_ended": now.ended, "sessions": g.sessions(), "backends": open, "dials": made, "refused": refusals,
 	}).Info("counters")
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -27,6 +27,10 @@
 	leaseUntil time.Duration
 	lapses     uint64 // how often the lease had run out when it was renewed
 	drains     *feed.DrainDeadlines
+
+	access      accessTable
+	heardAt     time.Duration // when the question was sent whose answer came last
+	keysTrusted time.Duration // how long after it keys may be taken for good; 0: for as long as nothing else is heard
 }
 
 // service is one service of the table.
@@ -45,6 +49,8 @@
 	lapses  uint64            // of the lease when it was checked last
 	replica feed.Instance     // with an id: the statement goes to this replica instead of the leader
 	after   failover.Position // at a replica: what its log must hold
+	key     accessKey         // of the client
+	tenant  string            // for whom it runs; "": nobody's
 
 	maxConnections int
 }
@@ -66,6 +72,7 @@
 const (
 	placed          refusal = ""
 	noDatabase      refusal = "no such database"
+	unknownKey      refusal = "the key is not known"
 	noConfiguration refusal = "no configuration yet"
 	noLease         refusal = "no lease"
 	frozen          refusal = "the service is changing its leader"
@@ -116,6 +123,7 @@
 		}
 		changes = taken
 	}
+	d.heardAt = max(d.heardAt, sentAt)
 	d.drains.Take(sentAt, answer.Drains)
 	d.renew(now, sentAt, answer.Lease)
 	return changes, nil
@@ -159,6 +167,7 @@
 		changes.configured = true
 		d.limits = contents.Limits
 		d.routes = routesByDatabase(contents.Routes)
+		d.access = newAccessTable(contents)
 		d.most = connectionsByService(contents.Services)
 	} else {
 		table.ConfigurationNumber = d.table.ConfigurationNumber
@@ -278,6 +287,17 @@
 	return !known && d.configured() && d.leased(now)
 }
 
+// placeFor says where a first statement of a client goes. A key that isn't known is refused before anything else is waited for.
+func (d *directory) placeFor(now time.Duration, database string, key accessKey) (placement, refusal) {
+	found, why := d.place(now, database)
+	if d.rejects(now, database, key) {
+		return found, unknownKey
+	}
+	found.key = key
+	found.tenant, _ = d.access.admit(found.route, key)
+	return found, why
+}
+
 // place says where a first statement on the database goes.
 func (d *directory) place(now time.Duration, database string) (placement, refusal) {
 	route, known := d.routes[database]
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -53,7 +53,7 @@
 func (c *client) serveAtReplica(id string, statement session.Statement, asked time.Duration) (wire.Answer, bool) {
 	var tried []string
 	for len(tried) < replicaTries {
-		under := c.gateway.departRead(c.database, c.written, tried)
+		under := c.gateway.departRead(c.database, c.key, c.written, tried)
 		if under == nil {
 			return wire.Answer{}, false
 		}
@@ -82,10 +82,13 @@
 // serveAtLeader runs a statement at the leader. If it was not run, it is tried again on another connection as long as its patience lasts.
 func (c *client) serveAtLeader(id string, statement session.Statement, asked time.Duration) wire.Answer {
 	for attempt := 1; ; attempt++ {
-		under, why := c.gateway.depart(c.database, asked)
+		under, why := c.gateway.depart(c.database, c.key, asked)
 		if why == noDatabase {
 			return wire.Refusal(wire.NoDB, c.database, wire.Idle)
 		}
+		if why == unknownKey {
+			return wire.Refusal(wire.AuthFail, "", wire.Idle)
+		}
 		if why != placed {
 			return c.session.Ended(statement, notRun(string(why))).Answer
 		}
@@ -114,10 +117,10 @@
 
 // depart finds the leader for a first statement, and registers the flight in the same moment. Where a statement can't
 // be placed now but perhaps soon, it waits as long as its patience lasts.
-func (g *Gateway) depart(database string, asked time.Duration) (*flight, refusal) {
+func (g *Gateway) depart(database string, key accessKey, asked time.Duration) (*flight, refusal) {
 	for {
 		g.mutex.Lock()
-		found, why := g.directory.place(g.now(), database)
+		found, why := g.directory.placeFor(g.now(), database, key)
 		changed := g.news
 		if why == placed {
 			under := &flight{placed: found}
@@ -127,7 +130,7 @@
 		}
 		g.mutex.Unlock()
 		left := asked + patienceOf(found) - g.now()
-		if why == noDatabase || left <= 0 {
+		if why == noDatabase || why == unknownKey || left <= 0 {
 			return nil, why
 		}
 		timer := time.NewTimer(left)
@@ -156,7 +159,7 @@
 func (c *client) runFirst(id string, statement session.Statement, under *flight, asked time.Duration) session.Outcome {
 	until := asked + patienceOf(under.placed)
 	deadline := c.gateway.started.Add(asked + timeoutOf(under.placed))
-	lent, err := c.gateway.poolFor(under.placed).acquire(c.session, under.placed.route.Priority, until)
+	lent, err := c.gateway.poolFor(under.placed).acquire(c.session, under.placed.tenant, under.placed.route.Priority, until)
 	if err != nil {
 		return notRun(err.Error())
 	}
--- a/gateway/figures.go
+++ b/gateway/figures.go
@@ -7,7 +7,7 @@
 	now := g.counters.totals()
 	answers := map[string]uint64{
 		"completed": now.completed, "busy": now.busy, "rolledback": now.rolledBack, "indoubt": now.inDoubt,
-		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "other": now.otherError,
+		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "authfail": now.unknownKey, "other": now.otherError,
 	}
 	var figures []metrics.Figure
 	for answer, count := range answers {
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -94,14 +94,16 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	under.placed = g.directory.checked(under.placed)
-	return !under.cut && g.directory.mayBegin(g.now(), under.placed)
+	now := g.now()
+	return !under.cut && g.directory.mayBegin(now, under.placed) && g.directory.stillAdmits(now, under.placed)
 }
 
 // mayOpen is the last check before the first read or write of a transaction is sent.
 func (g *Gateway) mayOpen(under *flight) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return !under.cut && g.directory.mayOpen(g.now(), under.placed)
+	now := g.now()
+	return !under.cut && g.directory.mayOpen(now, under.placed) && g.directory.stillAdmits(now, under.placed)
 }
 
 // noteBegin looks whether a statement that begins something was sent in time. The check before the sending refuses what comes too
@@ -126,14 +128,15 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	under.placed = g.directory.checked(under.placed)
-	return !under.cut && g.directory.mayCommit(g.now(), under.placed)
+	now := g.now()
+	return !under.cut && g.directory.mayCommit(now, under.placed) && g.directory.stillAdmits(now, under.placed)
 }
 
 // mayGoOn is the check before another statement of a transaction.
 func (g *Gateway) mayGoOn(under *flight) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return !under.cut && g.directory.goesOn(under.placed)
+	return !under.cut && g.directory.goesOn(under.placed) && g.directory.stillAdmits(g.now(), under.placed)
 }
 
 // lasted tells whether the right to use the leader has lasted since the statement was sent.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,7 +120,13 @@
 	return nil
 }
 
+// keysTrustedShare is the part of the time in which a key that was taken away is to be of no use, in percent, after which a gateway that
+// has heard nothing runs no statement with a key any more. The rest is for clocks.
+const keysTrustedShare = 90
+
 func newGateway(boot Boot, asker watcher) *Gateway {
+	held := newDirectory()
+	held.keysTrusted = boot.Settings.Bounds.Revoke() * keysTrustedShare / 100
 	return &Gateway{
 		log:       boot.Log,
 		watcher:   asker,
@@ -132,7 +138,7 @@
 		reseed:    make(chan []string, 1),
 		budget:    wire.NewBudget(messageMemory(boot.Settings.Limits)),
 		settings:  boot.Settings,
-		directory: newDirectory(),
+		directory: held,
 		news:      make(chan struct{}),
 		flights:   map[*flight]struct{}{},
 		pools:     map[poolKey]*pool{},
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -184,7 +184,7 @@
 		{id: "b4", text: "EXECUTE pq2c 1 y", shape: "q2c", values: map[string]string{}},
 		{id: "a4", text: "EXECUTE pq2c 1 z", shape: "q2c", values: noord},
 	} {
-		want.connection = 1
+		want.connection, want.who = 1, "edge-1"
 		is.Equal(asked[place], want)
 	}
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,7 @@
 // backend is a connection to an instance.
 type backend struct {
 	home     *pool
+	tenant   string // under whose name it was made
 	conn     *wire.Conn
 	state    *session.Backend
 	lastUsed time.Duration
@@ -51,6 +53,7 @@
 
 // waiter is a statement that waits for a connection.
 type waiter struct {
+	tenant   string
 	priority int
 	until    time.Duration
 	given    chan *backend // takes one; nil: there won't be one
@@ -72,12 +75,12 @@
 	leads  atomic.Bool
 
 	mutex    sync.Mutex
-	idle     []*backend // the one used last is the last
-	waiting  []*waiter  // by priority, then by time left
-	open     int        // idle, lent, and being made
-	making   int
-	limit    int // by the configuration
-	most     int // as far as the instance has let us
+	idle     []*backend     // the one used last is the last
+	waiting  []*waiter      // by priority, then by time left
+	open     int            // idle, lent, and being made
+	making   map[string]int // by tenant
+	limit    int            // by the configuration
+	most     int            // as far as the instance has let us
 	growAt   time.Duration
 	retryAt  time.Duration
 	closed   bool
@@ -86,7 +89,7 @@
 }
 
 func newPool(key poolKey, who string, now func() time.Duration, failed func(string)) *pool {
-	return &pool{key: key, who: who, now: now, failed: failed, limit: poolLeast, most: poolLeast}
+	return &pool{key: key, who: who, now: now, failed: failed, limit: poolLeast, most: poolLeast, making: map[string]int{}}
 }
 
 // allow sets how many connections the instance takes from all its callers.
@@ -99,10 +102,10 @@
 	}
 }
 
-// acquire lends a connection for the session, at the latest at until.
-func (p *pool) acquire(asking *session.Session, priority int, until time.Duration) (*backend, error) {
+// acquire lends a connection of the tenant's for the session, at the latest at until.
+func (p *pool) acquire(asking *session.Session, tenant string, priority int, until time.Duration) (*backend, error) {
 	for {
-		found, wait, err := p.takeOrQueue(asking, priority, until)
+		found, wait, err := p.takeOrQueue(asking, tenant, priority, until)
 		if err != nil {
 			return nil, err
 		}
@@ -119,20 +122,20 @@
 	}
 }
 
-func (p *pool) takeOrQueue(asking *session.Session, priority int, until time.Duration) (*backend, *waiter, error) {
+func (p *pool) takeOrQueue(asking *session.Session, tenant string, priority int, until time.Duration) (*backend, *waiter, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
 		return nil, nil, errPoolClosed
 	}
-	if found := p.takeIdle(asking); found != nil {
+	if found := p.takeIdle(asking, tenant); found != nil {
 		return found, nil, nil
 	}
 	now := p.now()
 	if now >= until || (p.open == 0 && now < p.retryAt) {
 		return nil, nil, errNoConnection
 	}
-	wait := &waiter{priority: priority, until: until, given: make(chan *backend, 1)}
+	wait := &waiter{tenant: tenant, priority: priority, until: until, given: make(chan *backend, 1)}
 	place, _ := slices.BinarySearchFunc(p.waiting, wait, waitsAfter)
 	p.waiting = slices.Insert(p.waiting, place, wait)
 	p.makeMore(now)
@@ -150,10 +153,13 @@
 	return 1
 }
 
-// takeIdle takes the idle connection that suits the session best; of several, the one used last.
-func (p *pool) takeIdle(asking *session.Session) *backend {
+// takeIdle takes the tenant's idle connection that suits the session best; of several, the one used last.
+func (p *pool) takeIdle(asking *session.Session, tenant string) *backend {
 	best, bestFit := -1, session.Fit(-1)
 	for place := len(p.idle) - 1; place >= 0 && bestFit != session.Fits; place-- {
+		if p.idle[place].tenant != tenant {
+			continue
+		}
 		if fit := asking.FitOf(p.idle[place].state); fit > bestFit {
 			best, bestFit = place, fit
 		}
@@ -194,32 +200,75 @@
 	return found, nil
 }
 
-// makeMore makes connections for those who wait, as far as the limits go. It is called with the lock held.
+// makeMore makes connections for those who wait, as far as the limits go: one for each that none is being made for. It is called with the
+// lock held.
 func (p *pool) makeMore(now time.Duration) {
 	if p.most < p.limit && now >= p.growAt {
 		p.most++
 		p.growAt = now + growEvery
 	}
-	for p.making < len(p.waiting) && p.open < p.most && now >= p.retryAt && !p.closed {
-		p.making++
+	if now < p.retryAt || p.closed {
+		return
+	}
+	expected := maps.Clone(p.making)
+	for _, wait := range p.waiting {
+		if expected[wait.tenant] > 0 {
+			expected[wait.tenant]--
+			continue
+		}
+		if !p.makeRoom() {
+			return
+		}
+		p.making[wait.tenant]++
 		p.open++
-		go p.make()
+		go p.make(wait.tenant)
+	}
+}
+
+// makeRoom tells whether there is room for another connection, for which an idle one gives way if need be: the one that has been unused for
+// longest. It is called with the lock held.
+func (p *pool) makeRoom() bool {
+	if p.open < p.most {
+		return true
+	}
+	if len(p.idle) == 0 {
+		return false
 	}
+	p.closeIdle(0)
+	return true
 }
 
-func (p *pool) make() {
+// closeIdle closes an idle connection. It is called with the lock held.
+func (p *pool) closeIdle(place int) {
+	p.idle[place].conn.Close()
+	p.idle = slices.Delete(p.idle, place, place+1)
+	p.open--
+}
+
+// whoOf is the name under which connections for a tenant are made.
+func (p *pool) whoOf(tenant string) string {
+	if tenant == "" {
+		return p.who
+	}
+	return tenant
+}
+
+func (p *pool) make(tenant string) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTime)
 	defer cancel()
-	conn, err := wire.Dial(ctx, p.key.address, p.key.service, p.who, p.key.instanceID)
+	conn, err := wire.Dial(ctx, p.key.address, p.key.service, p.whoOf(tenant), p.key.instanceID)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.making--
+	p.making[tenant]--
+	if p.making[tenant] == 0 {
+		delete(p.making, tenant)
+	}
 	if err != nil {
 		p.notMade(err)
 		return
 	}
 	p.made++
-	p.hand(&backend{home: p, conn: conn, state: session.NewBackend()})
+	p.hand(&backend{home: p, tenant: tenant, conn: conn, state: session.NewBackend()})
 }
 
 // notMade deals with a connection that could not be made. It is called with the lock held.
@@ -257,15 +306,25 @@
 	case p.closed:
 		p.open--
 		free.conn.Close()
-	case len(p.waiting) > 0:
-		p.waiting[0].given <- free
-		p.waiting = slices.Delete(p.waiting, 0, 1)
+	case p.handToWaiter(free):
 	default:
 		free.lastUsed = p.now()
 		p.idle = append(p.idle, free)
+		p.makeMore(free.lastUsed) // for another tenant, which it gives way to
 	}
 }
 
+// handToWaiter gives a connection to whoever of its tenant waits first, and tells whether somebody does. It is called with the lock held.
+func (p *pool) handToWaiter(free *backend) bool {
+	place := slices.IndexFunc(p.waiting, func(wait *waiter) bool { return wait.tenant == free.tenant })
+	if place < 0 {
+		return false
+	}
+	p.waiting[place].given <- free
+	p.waiting = slices.Delete(p.waiting, place, place+1)
+	return true
+}
+
 // free takes back a sound connection that is outside a transaction.
 func (p *pool) free(lent *backend) {
 	p.mutex.Lock()
@@ -315,9 +374,7 @@
 	defer p.mutex.Unlock()
 	old := p.now() - idleTime
 	for len(p.idle) > 0 && p.open > idleKept && p.idle[0].lastUsed < old {
-		p.idle[0].conn.Close()
-		p.idle = slices.Delete(p.idle, 0, 1)
-		p.open--
+		p.closeIdle(0)
 	}
 }
 
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -45,14 +45,16 @@
 }
 
 // departRead finds a replica for a read, and registers the flight in the same moment; nil: the leader is to have it.
-func (g *Gateway) departRead(database string, written failover.Position, tried []string) *flight {
+func (g *Gateway) departRead(database string, key accessKey, written failover.Position, tried []string) *flight {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.now()
 	found, replicas := g.directory.placeRead(now, database)
-	if len(replicas) == 0 {
+	if len(replicas) == 0 || g.directory.rejects(now, database, key) {
 		return nil
 	}
+	found.key = key
+	found.tenant, _ = g.directory.access.admit(found.route, key)
 	known := g.readsOf(found.route.TargetService)
 	after, covered := boundOf(found.route).MustSee(now, &known.positions, written)
 	if !covered {
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -26,6 +26,7 @@
 // ran is a statement that reached the stand-in of an instance.
 type ran struct {
 	connection int
+	who        string // as the caller named itself when it connected
 	id         string
 	text       string
 	values     map[string]string
@@ -132,7 +133,7 @@
 		return
 	}
 	_, _ = network.Write(wire.AppendReady(nil, wire.Idle, "3.1"))
-	served := &standinConnection{instance: s, number: number, state: wire.Idle}
+	served := &standinConnection{instance: s, number: number, who: connect.Who, state: wire.Idle}
 	served.reset()
 	for {
 		line, err := reader.ReadLine()
@@ -157,6 +158,7 @@
 type standinConnection struct {
 	instance *standinInstance
 	number   int
+	who      string
 	state    wire.State
 	values   map[string]string
 	prepared map[string]wire.Statement
@@ -199,6 +201,7 @@
 	defer c.instance.mutex.Unlock()
 	c.instance.ran = append(c.instance.ran, ran{
 		connection: c.number,
+		who:        c.who,
 		id:         request.ID,
 		text:       request.Text,
 		values:     maps.Clone(c.values),
--- a/host/settings.go
+++ b/host/settings.go
@@ -51,8 +51,11 @@
 	}
 }
 
-// leaseOf keeps a lease within half of the time that a drain leaves, and within the time in which a configuration is to be in force:
-// a gateway that has not heard of either works on for a lease at most.
+// leaseShareOfRevoke is the most that a lease may take of the time in which a key that was taken away is to be of no use, in percent.
+const leaseShareOfRevoke = 75
+
+// leaseOf keeps a lease within half of the time that a drain leaves, within the time in which a configuration is to be in force,
+// and within that in which a key that was taken away is to be of no use: a gateway that has not heard of it works on for a lease at most.
 func leaseOf(bounds system.Bounds) time.Duration {
 	lease := tableLease
 	if drain := bounds.Drain(); drain > 0 {
@@ -61,6 +64,9 @@
 	if apply := bounds.ConfigApply(); apply > 0 {
 		lease = min(lease, apply)
 	}
+	if revoke := bounds.Revoke(); revoke > 0 {
+		lease = min(lease, revoke*leaseShareOfRevoke/100)
+	}
 	return lease
 }
 
--- a/system/bounds.go
+++ b/system/bounds.go
@@ -18,10 +18,16 @@
 	RecoveryS     float64 `json:"recoveryS" validate:"gte=0,lte=3600"`
 	FenceChecked  bool    `json:"fenceChecked"`
 	ThawSlackMs   float64 `json:"thawSlackMs" validate:"gte=0,lte=3600000"`
+
+	RevokeStrict bool    `json:"revokeStrict"`
+	RevokeMs     float64 `json:"revokeMs" validate:"gte=0,lte=3600000"`
+	QuotaWindowS float64 `json:"quotaWindowS" validate:"gt=0,lte=3600"`
+	QuotaOverrun float64 `json:"quotaOverrun" validate:"gte=0,lte=100"`
+	QuotaSlack   float64 `json:"quotaSlack" validate:"gte=0,lte=1000000"`
 }
 
-// DefaultBounds hold where the settings file has no figure: those of the example on the operators' page, but that the
-// platform is not trusted to check a fence.
+// DefaultBounds hold where the settings file has no figure: those of the examples on the operators' pages, but that the
+// platform is not trusted to check a fence, and that a key which was taken away binds all machines.
 func DefaultBounds() Bounds {
 	return Bounds{
 		SeedLagS:      3,
@@ -38,6 +44,11 @@
 		RecoveryS:     12,
 		FenceChecked:  false,
 		ThawSlackMs:   300,
+		RevokeStrict:  true,
+		RevokeMs:      5000,
+		QuotaWindowS:  5,
+		QuotaOverrun:  0.1,
+		QuotaSlack:    20,
 	}
 }
 
@@ -86,6 +97,15 @@
 // ThawSlack is how long after a freeze or trouble on its link a machine's statements are not held against it.
 func (b Bounds) ThawSlack() time.Duration { return milliseconds(b.ThawSlackMs) }
 
+// Revoke is within what time a key that was taken away is of no use at any gateway, whether it hears of it or not; zero: at those
+// that hear of it only.
+func (b Bounds) Revoke() time.Duration {
+	if !b.RevokeStrict {
+		return 0
+	}
+	return milliseconds(b.RevokeMs)
+}
+
 func milliseconds(count float64) time.Duration {
 	return time.Duration(count * float64(time.Millisecond))
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -42,6 +42,7 @@
 	ExecFail   Code = "EXECFAIL"
 	NoStmt     Code = "NOSTMT"
 	NoDB       Code = "NODB"
+	AuthFail   Code = "AUTHFAIL"
 	Malformed  Code = "MALFORMED"
 )
 
