Quotas: the primary grants operations of tenants to gateways for a second each

Callers of a hot tenant got more than its limit (QUOTA), since nothing counted operations. The primary keeps a token bucket a tenant; a gateway asks it for operations, by question and ahead of need where demand is steady, and takes one out before the first statement of an operation leaves.

Seen: control/quota's tests (random gateways, lost and late answers, takeovers) and TestOperationsBeyondTheLimitAreRefusedUnsent pass; on the code before, the latter does not compile, as nothing there counts.

--- a/control/controller/api.go
+++ b/control/controller/api.go
@@ -6,6 +6,7 @@
 	"eiderway/control/failover"
 	"eiderway/control/feed"
 	"eiderway/control/guard"
+	"eiderway/control/quota"
 	"eiderway/control/registry"
 	"eiderway/control/replication"
 )
@@ -120,7 +121,8 @@
 	WatchWait    time.Duration     // longest wait of a gateway's question
 	InstanceLost time.Duration     // silence after which an instance is taken for lost
 	CallWait     time.Duration     // after which a call that can't be settled is answered 503
-	Lacking      guard.Set         // guards that a test takes out
+	Quota        quota.Rules
+	Lacking      guard.Set // guards that a test takes out
 }
 
 // In controller.go:
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -13,6 +13,7 @@
 	"eiderway/control/failover"
 	"eiderway/control/invariant"
 	"eiderway/control/quorum"
+	"eiderway/control/quota"
 	"eiderway/control/registry"
 	"eiderway/control/replication"
 	"eiderway/control/state"
@@ -47,6 +48,7 @@
 	departuresTold bool                   // the failover has been told who departed under earlier terms
 	grants         *grants
 	table          table
+	bank           *quota.Bank
 	commands       []command         // waiting for the next batch
 	batch          *batch            // proposed and not decided yet
 	questions      []question        // need a confirmation that hasn't been asked for yet
@@ -176,6 +178,7 @@
 		failover:  failover.New(c.now, failoverSettings),
 		grants:    newGrants(c.now, c.settings.Lease+c.settings.LeaseMargin, c.guards),
 		table:     newTable(epoch),
+		bank:      quota.NewBank(c.now+operationsFresh+c.settings.LeaseMargin, c.settings.Quota),
 		confirmed: c.now,
 		freezes:   map[string]freeze{},
 	}
--- /dev/null
+++ b/control/controller/operations.go
@@ -0,0 +1,50 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"eiderway/control/configuration"
+	"eiderway/control/feed"
+	"eiderway/control/quota"
+)
+
+// operationsFresh is how long after a confirmation operations are granted without another. A primary that was deposed grants none later than
+// this after the promises that deposed it, and the bank of a later term opens no sooner.
+const operationsFresh = 400 * time.Millisecond
+
+// takeOperations answers a gateway's question for operations of tenants, at once if this controller was confirmed a moment ago.
+func (c *Controller) takeOperations(in Watch) {
+	asked := &watch{call: in.Call, request: in.Request}
+	if c.now-c.term.confirmed < operationsFresh {
+		c.answerOperations(asked)
+		return
+	}
+	c.ask(question{watch: asked})
+}
+
+func (c *Controller) answerOperations(asked *watch) {
+	if c.now-c.term.confirmed >= operationsFresh {
+		c.refuseWatch(asked.call) // the confirmation took too long to say that nobody else grants
+		return
+	}
+	answer := c.term.bank.Answer(c.now, *asked.request.Operations)
+	c.effects.WatchReplies = append(c.effects.WatchReplies, WatchReply{
+		Call:   asked.call,
+		Answer: feed.WatchAnswer{Primary: c.self, Members: c.term.table.members, Operations: &answer},
+	})
+}
+
+// limitTenants gives the bank the limits of a configuration that is in force from now on.
+func (c *Controller) limitTenants(body []byte) {
+	order, err := configuration.Parse(body)
+	if err != nil {
+		c.event("configuration", "the one in force can't be read: "+err.Error())
+		return
+	}
+	limited := lo.Filter(order.Contents.Tenants, func(tenant configuration.Tenant, _ int) bool { return tenant.Limited })
+	c.term.bank.SetLimits(c.now, lo.Map(limited, func(tenant configuration.Tenant, _ int) quota.Limit {
+		return quota.Limit{Tenant: tenant.Name, RatePerS: tenant.RatePerS, Burst: tenant.BurstSize}
+	}))
+}
--- a/control/controller/table.go
+++ b/control/controller/table.go
@@ -131,6 +131,7 @@
 	}
 	if state.ConfigurationNumber(c.node) != last.configurationNumber {
 		next.configurationNumber, next.configuration, _ = state.Configuration(c.node)
+		c.limitTenants(next.configuration)
 	}
 	for _, view := range c.term.services {
 		_, frozen := c.term.freezes[view.Name]
--- a/control/controller/watches.go
+++ b/control/controller/watches.go
@@ -21,6 +21,10 @@
 		c.refuseWatch(in.Call)
 		return
 	}
+	if in.Request.Operations != nil {
+		c.takeOperations(in)
+		return
+	}
 	c.term.grants.ask(in.Request)
 	for _, report := range in.Request.Reports {
 		c.stepFailover(failover.Reported{Gateway: in.Request.Gateway, Report: report})
@@ -91,6 +95,10 @@
 	if watch.gone {
 		return
 	}
+	if watch.request.Operations != nil {
+		c.answerOperations(watch)
+		return
+	}
 	answer := feed.WatchAnswer{
 		Primary: c.self,
 		Members: c.term.table.members,
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eiderway/control/quorum"
+	"eiderway/control/quota"
 )
 
 // Version orders tables. Tables of a later epoch are newer.
@@ -64,7 +65,9 @@
 	Wait          time.Duration
 	Reports       []InstanceReport
 	Leaving       bool // the gateway has stopped: no lease is wanted, none is counted
-	Relay         bool // the gateway can't reach the primary: a controller that isn't primary is to ask it, and pass its answer on
+	// Operations asks the primary for operations of tenants. Such a question asks for nothing else, is answered at once, and gets no lease.
+	Operations *quota.Request
+	Relay      bool // the gateway can't reach the primary: a controller that isn't primary is to ask it, and pass its answer on
 }
 
 // WatchAnswer is valid from the moment the request was sent, by the gateway's steady clock.
@@ -75,4 +78,5 @@
 	Table      *Table        // nil: Applied is the newest
 	Lease      time.Duration // 0: none. Counted from the sending of the request
 	Drains     []DrainLimit  // of all instances that drain by the newest table
+	Operations *quota.Answer // to a question for operations
 }
--- /dev/null
+++ b/control/quota/purse.go
@@ -0,0 +1,204 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandMemory is the time over which demand is averaged.
+	demandMemory = 2 * time.Second
+	// stockFrom is the demand, in operations a second, from which a gateway keeps operations in stock: below it, most of a stock would
+	// be lost unused at the end of its life.
+	stockFrom = 3.0
+	// stockLow and stockFull are the stocks, in parts of the life of a grant, at which the gateway asks for more, and for how much.
+	stockLow  = 0.3
+	stockFull = 0.6
+	// mostWanted bounds what is asked for at once.
+	mostWanted = 1000
+)
+
+// Verdict says whether an operation may begin.
+type Verdict int
+
+const (
+	// Taken: it may begin now.
+	Taken Verdict = iota
+	// Short: there is nothing in the purse; the bank may have something.
+	Short
+	// Refused: the tenant has used its limit up, as far as was heard a moment ago.
+	Refused
+)
+
+// Purse holds the operations that a gateway may begin. It is not safe for use by several goroutines.
+type Purse struct {
+	accounts map[string]*account // of tenants with a limit
+	asking   bool                // a request is under way
+}
+
+// account is what the purse holds of one tenant.
+type account struct {
+	lots      []lot // by their end
+	life      time.Duration
+	refusedTo time.Duration // until when nothing is to be had
+	waiting   int           // operations that wait for a grant
+	demand    float64       // operations a second
+	countedAt time.Duration
+}
+
+// lot is what is left of a grant.
+type lot struct {
+	operations int
+	until      time.Duration
+}
+
+// NewPurse makes a purse that knows no tenants: none has a limit.
+func NewPurse() *Purse { return &Purse{accounts: map[string]*account{}} }
+
+// SetLimited replaces the set of tenants that have a limit.
+func (p *Purse) SetLimited(tenants []string) {
+	next := make(map[string]*account, len(tenants))
+	for _, tenant := range tenants {
+		next[tenant] = p.accounts[tenant]
+		if next[tenant] == nil {
+			next[tenant] = &account{life: longestLife}
+		}
+	}
+	p.accounts = next
+}
+
+// Take takes one operation out for a new attempt.
+func (p *Purse) Take(now time.Duration, tenant string) Verdict {
+	known := p.accounts[tenant]
+	if known == nil {
+		return Taken
+	}
+	known.count(now)
+	return known.take(now)
+}
+
+// TakeAgain takes one operation out for an attempt that was told Short before.
+func (p *Purse) TakeAgain(now time.Duration, tenant string) Verdict {
+	known := p.accounts[tenant]
+	if known == nil {
+		return Taken
+	}
+	return known.take(now)
+}
+
+func (a *account) take(now time.Duration) Verdict {
+	a.dropEnded(now)
+	if len(a.lots) > 0 {
+		a.lots[0].operations--
+		if a.lots[0].operations == 0 {
+			a.lots = a.lots[1:]
+		}
+		return Taken
+	}
+	if now < a.refusedTo {
+		return Refused
+	}
+	return Short
+}
+
+func (a *account) dropEnded(now time.Duration) {
+	for len(a.lots) > 0 && now >= a.lots[0].until {
+		a.lots = a.lots[1:]
+	}
+}
+
+// count takes an attempt into the average.
+func (a *account) count(now time.Duration) {
+	a.demand = a.demandAt(now) + 1/demandMemory.Seconds()
+	a.countedAt = now
+}
+
+func (a *account) demandAt(now time.Duration) float64 {
+	return a.demand * math.Exp(-(now-a.countedAt).Seconds()/demandMemory.Seconds())
+}
+
+// Wait notes that an operation waits for a grant, and Waited that it does no more.
+func (p *Purse) Wait(tenant string) {
+	if known := p.accounts[tenant]; known != nil {
+		known.waiting++
+	}
+}
+
+// Waited ends a Wait.
+func (p *Purse) Waited(tenant string) {
+	if known := p.accounts[tenant]; known != nil {
+		known.waiting = max(0, known.waiting-1)
+	}
+}
+
+// Hungry tells whether there is a reason to ask the bank for operations of a tenant, and no request under way.
+func (p *Purse) Hungry(now time.Duration, tenant string) bool {
+	known := p.accounts[tenant]
+	return known != nil && !p.asking && known.wanted(now) > 0
+}
+
+// Next gives the request that is due, sorted by tenant; false: none is, or one is under way. It must be followed by Granted or Failed.
+func (p *Purse) Next(now time.Duration) (Request, bool) {
+	if p.asking {
+		return Request{}, false
+	}
+	var request Request
+	for tenant, known := range p.accounts {
+		if wanted := known.wanted(now); wanted > 0 {
+			request.Wants = append(request.Wants, Want{Tenant: tenant, Operations: wanted})
+		}
+	}
+	if len(request.Wants) == 0 {
+		return Request{}, false
+	}
+	slices.SortFunc(request.Wants, func(a, b Want) int { return cmp.Compare(a.Tenant, b.Tenant) })
+	p.asking = true
+	return request, true
+}
+
+// wanted is how many operations should be asked for.
+func (a *account) wanted(now time.Duration) int {
+	if now < a.refusedTo {
+		return 0
+	}
+	a.dropEnded(now)
+	stock := 0
+	for _, kept := range a.lots {
+		stock += kept.operations
+	}
+	wanted := max(0, a.waiting-stock)
+	demand := a.demandAt(now)
+	life := a.life.Seconds()
+	if demand >= stockFrom && float64(stock) < demand*life*stockLow {
+		wanted += int(math.Ceil(demand*life*stockFull)) - stock
+	}
+	return min(wanted, mostWanted)
+}
+
+// Granted books the answer to the request that was sent at sentAt.
+func (p *Purse) Granted(now, sentAt time.Duration, answer Answer) {
+	p.asking = false
+	for _, grant := range answer.Grants {
+		if known := p.accounts[grant.Tenant]; known != nil {
+			known.book(now, sentAt, grant)
+		}
+	}
+}
+
+func (a *account) book(now, sentAt time.Duration, grant Grant) {
+	if grant.Life > 0 {
+		a.life = grant.Life
+	}
+	if grant.Operations > 0 {
+		a.lots = append(a.lots, lot{operations: grant.Operations, until: sentAt + grant.Life})
+		slices.SortStableFunc(a.lots, func(x, y lot) int { return cmp.Compare(x.until, y.until) })
+	}
+	if grant.RetryAfter > 0 {
+		a.refusedTo = now + grant.RetryAfter
+	}
+}
+
+// Failed notes that the request got no answer: what it may have been granted is lost.
+func (p *Purse) Failed() { p.asking = false }
--- /dev/null
+++ b/control/quota/quota_test.go
@@ -0,0 +1,168 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var usualRules = Rules{Window: 5 * time.Second, Overrun: 0.1, Slack: 20}
+
+// QUOTA: termsOf must leave no window that holds more than the rule, whatever the limit.
+func TestTermsStayWithinTheRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{
+			RatePerS: rapid.Float64Range(0, 5000).Draw(t, "rate"),
+			Burst:    rapid.Float64Range(0, 10000).Draw(t, "burst"),
+		}
+		rules := Rules{
+			Window:  time.Duration(rapid.Float64Range(0.5, 60).Draw(t, "window") * float64(time.Second)),
+			Overrun: rapid.Float64Range(0, 1).Draw(t, "overrun"),
+			Slack:   rapid.Float64Range(0, 100).Draw(t, "slack"),
+		}
+		chosen := termsOf(limit, rules)
+		window := rules.Window.Seconds()
+		most := (limit.RatePerS*window+limit.Burst)*(1+rules.Overrun) + rules.Slack
+		if chosen.capacity+chosen.rate*(window+chosen.life.Seconds()) > most+1e-6 {
+			t.Fatalf("%+v under %+v: %+v", limit, rules, chosen)
+		}
+		if chosen.rate < 0 || chosen.capacity < 0 || chosen.life < 0 {
+			t.Fatalf("negative: %+v", chosen)
+		}
+	})
+}
+
+// begun is when an operation was taken out of a purse.
+type begun []time.Duration
+
+// mostInWindow is the most operations in any window, which is closed at both ends.
+func (b begun) mostInWindow(window time.Duration) int {
+	most, first := 0, 0
+	for last := range b {
+		for b[last]-b[first] > window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// QUOTA: gateways that ask one bank after another, whose answers are late or lost, and which stop and start again, stay within the rule.
+func TestNoWindowHoldsMoreThanTheRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{
+			Tenant:   "bakers",
+			RatePerS: float64(rapid.IntRange(1, 60).Draw(t, "rate")),
+			Burst:    float64(rapid.IntRange(0, 60).Draw(t, "burst")),
+		}
+		bank := NewBank(0, usualRules)
+		bank.SetLimits(0, []Limit{limit})
+		purses := make([]*Purse, 3)
+		for index := range purses {
+			purses[index] = newLimitedPurse()
+		}
+		var now time.Duration
+		var taken begun
+		steps := rapid.IntRange(50, 600).Draw(t, "steps")
+		for range steps {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond
+			purse := purses[rapid.IntRange(0, 2).Draw(t, "gateway")]
+			switch rapid.IntRange(0, 40).Draw(t, "event") {
+			case 0: // another bank follows
+				bank = NewBank(now+rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond}).Draw(t, "opens"), usualRules)
+				bank.SetLimits(now, []Limit{limit})
+			case 1:
+				*purse = *newLimitedPurse()
+			default:
+				taken = append(taken, takeMany(t, purse, bank, now)...)
+			}
+		}
+		most := (limit.RatePerS*usualRules.Window.Seconds()+limit.Burst)*(1+usualRules.Overrun) + usualRules.Slack
+		if found := taken.mostInWindow(usualRules.Window); float64(found) > math.Floor(most) {
+			t.Fatalf("%d operations in a window, %v at the most", found, most)
+		}
+	})
+}
+
+func newLimitedPurse() *Purse {
+	purse := NewPurse()
+	purse.SetLimited([]string{"bakers"})
+	return purse
+}
+
+// takeMany lets operations arrive at a gateway, which asks the bank for what it lacks.
+func takeMany(t *rapid.T, purse *Purse, bank *Bank, now time.Duration) begun {
+	var taken begun
+	for range rapid.IntRange(1, 30).Draw(t, "operations") {
+		verdict := purse.Take(now, "bakers")
+		if verdict == Short {
+			purse.Wait("bakers")
+			askBank(t, purse, bank, now)
+			verdict = purse.TakeAgain(now, "bakers")
+			purse.Waited("bakers")
+		}
+		if verdict == Taken {
+			taken = append(taken, now)
+		}
+	}
+	return taken
+}
+
+// askBank asks. The question may have been sent a while ago, and its answer may be lost.
+func askBank(t *rapid.T, purse *Purse, bank *Bank, now time.Duration) {
+	request, due := purse.Next(now)
+	if !due {
+		return
+	}
+	answer := bank.Answer(now, request)
+	if rapid.IntRange(0, 5).Draw(t, "lost") == 0 {
+		purse.Failed()
+		return
+	}
+	sentAt := max(0, now-time.Duration(rapid.IntRange(0, 300).Draw(t, "way"))*time.Millisecond)
+	purse.Granted(now, sentAt, answer)
+}
+
+func TestBankFillsFromWhenItOpens(t *testing.T) {
+	is := is.New(t)
+	bank := NewBank(2*time.Second, usualRules)
+	bank.SetLimits(0, []Limit{{Tenant: "bakers", RatePerS: 10, Burst: 10}})
+	want := Request{Wants: []Want{{Tenant: "bakers", Operations: 5}, {Tenant: "nobody", Operations: 1}}}
+	is.Equal(bank.Answer(time.Second, want).Grants[0].Operations, 0)
+	is.Equal(bank.Answer(2*time.Second, want).Grants[0].Operations, 0)
+	answer := bank.Answer(2300*time.Millisecond, want)
+	is.Equal(answer.Grants[0].Operations, 3)
+	is.Equal(answer.Grants[0].RetryAfter, 100*time.Millisecond)
+	is.Equal(answer.Grants[1], Grant{Tenant: "nobody", RetryAfter: unknownRetry})
+	is.Equal(bank.Counts(), Counts{Requests: 3, Granted: 3, Denied: 15})
+}
+
+func TestPurseForgetsWhatWasNotUsedInTime(t *testing.T) {
+	is := is.New(t)
+	purse := newLimitedPurse()
+	is.Equal(purse.Take(0, "others"), Taken) // without a limit
+	is.Equal(purse.Take(0, "bakers"), Short)
+	purse.Wait("bakers")
+	request, due := purse.Next(0)
+	is.True(due)
+	is.Equal(fmt.Sprint(request), "{[{bakers 1}]}")
+	_, due = purse.Next(0)
+	is.True(!due) // one at a time
+	purse.Granted(200*time.Millisecond, 100*time.Millisecond, Answer{Grants: []Grant{{Tenant: "bakers", Operations: 3, Life: time.Second}}})
+	is.Equal(purse.TakeAgain(200*time.Millisecond, "bakers"), Taken)
+	purse.Waited("bakers")
+	is.Equal(purse.Take(1100*time.Millisecond-1, "bakers"), Taken)
+	is.Equal(purse.Take(1100*time.Millisecond, "bakers"), Short)
+	_, due = purse.Next(1100 * time.Millisecond)
+	is.True(!due) // nobody waits, and there is little demand
+	purse.Wait("bakers")
+	_, due = purse.Next(1100 * time.Millisecond)
+	is.True(due)
+	purse.Granted(1200*time.Millisecond, 1100*time.Millisecond, Answer{Grants: []Grant{{Tenant: "bakers", RetryAfter: 300 * time.Millisecond}}})
+	is.Equal(purse.TakeAgain(1200*time.Millisecond, "bakers"), Refused)
+	is.Equal(purse.TakeAgain(1500*time.Millisecond, "bakers"), Short)
+}
--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -90,6 +90,23 @@
 	w.connect("flour").must("PUT a 1", "COMPLETE stamp / I")
 }
 
+// QUOTA: a tenant got more than its limit.
+func TestOperationsBeyondTheLimitAreRefusedUnsent(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	w.publishTenants(2, bakers+","+smiths)
+	w.controller.set(func(s *standinController) { s.grants = 2 })
+	c := w.connect("flour")
+	c.must("PUT a 1", "COMPLETE stamp / I")
+	c.must("BEGIN", "COMPLETE stamp / T")
+	c.must("PUT a 2", "COMPLETE stamp / T") // a transaction is one operation
+	c.must("COMMIT", "COMPLETE stamp / I")
+	c.must("PUT a 3", "ERROR BUSY / I")
+	c.must("FETCH a", "ERROR BUSY / I")
+	w.connect("yeast").must("BEGIN", "ERROR BUSY / I") // another key of the same tenant
+	is.Equal(len(w.first.asked()), 4)
+}
+
 func TestRouteWithoutAuthenticationTakesAnyWord(t *testing.T) {
 	w := startWorld(t)
 	table := w.table(2, "i-1", false)
--- /dev/null
+++ b/gateway/allowance.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"eiderway/control/configuration"
+	"eiderway/control/feed"
+	"eiderway/control/quota"
+)
+
+const (
+	// operationsTime bounds a question for operations: the primary answers it at once.
+	operationsTime = 700 * time.Millisecond
+	// operationsPause is the pause after one that got no answer.
+	operationsPause = 50 * time.Millisecond
+)
+
+// allowance lets operations of tenants begin as long as their limits allow it. Those who find its purse empty wait for what the bank
+// grants.
+type allowance struct {
+	now    func() time.Duration
+	hungry chan struct{} // takes a word when the bank should be asked; holds one
+
+	mutex   sync.Mutex
+	purse   *quota.Purse
+	changed chan struct{} // closed and replaced when the purse may hold something new
+}
+
+func newAllowance(now func() time.Duration) *allowance {
+	return &allowance{now: now, hungry: make(chan struct{}, 1), purse: quota.NewPurse(), changed: make(chan struct{})}
+}
+
+// limit takes over which tenants have a limit.
+func (a *allowance) limit(tenants []configuration.Tenant) {
+	var limited []string
+	for _, tenant := range tenants {
+		if tenant.Limited {
+			limited = append(limited, tenant.Name)
+		}
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.purse.SetLimited(limited)
+}
+
+// take lets an operation of the tenant begin, if its limit allows it; it waits until the time given at the latest.
+func (a *allowance) take(tenant string, until time.Duration) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	verdict := a.purse.Take(a.now(), tenant)
+	if verdict == quota.Short {
+		a.purse.Wait(tenant)
+		defer a.purse.Waited(tenant)
+	}
+	if a.purse.Hungry(a.now(), tenant) {
+		a.wakeBorrower()
+	}
+	for verdict == quota.Short && a.now() < until {
+		a.await(until)
+		verdict = a.purse.TakeAgain(a.now(), tenant)
+	}
+	return verdict == quota.Taken
+}
+
+// await waits for a change. It is called with the lock held, and gives it up meanwhile.
+func (a *allowance) await(until time.Duration) {
+	changed := a.changed
+	a.mutex.Unlock()
+	defer a.mutex.Lock()
+	timer := time.NewTimer(until - a.now())
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+func (a *allowance) wakeBorrower() {
+	select {
+	case a.hungry <- struct{}{}:
+	default:
+	}
+}
+
+// next is the request to the bank that is due, if any.
+func (a *allowance) next() (quota.Request, bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.purse.Next(a.now())
+}
+
+// granted books what the bank granted, and lets those who wait look again.
+func (a *allowance) granted(sentAt time.Duration, answer quota.Answer) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.purse.Granted(a.now(), sentAt, answer)
+	close(a.changed)
+	a.changed = make(chan struct{})
+	a.wakeBorrower() // others may have come to wait meanwhile
+}
+
+func (a *allowance) failed() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.purse.Failed()
+	a.wakeBorrower()
+}
+
+// borrow asks the primary for operations of tenants, one question at a time, until the context ends.
+func (g *Gateway) borrow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.allowance.hungry:
+		}
+		request, due := g.allowance.next()
+		if due && !g.askForOperations(ctx, request) {
+			pause(ctx, operationsPause)
+			g.allowance.failed()
+		}
+	}
+}
+
+// askForOperations tells whether the question was answered.
+func (g *Gateway) askForOperations(ctx context.Context, request quota.Request) bool {
+	address, relay := g.primaryAddress()
+	if address == "" {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, operationsTime)
+	defer cancel()
+	sentAt := g.now()
+	answer, err := g.watcher.Watch(limited, address, feed.WatchRequest{
+		Gateway: g.identity, Name: g.name, Operations: &request, Relay: relay,
+	})
+	if err != nil || answer.Operations == nil {
+		return false
+	}
+	g.allowance.granted(sentAt, *answer.Operations)
+	return true
+}
+
+func (g *Gateway) primaryAddress() (address string, relay bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.primary, g.primaryRelays
+}
+
+// limitOf says for whom an operation of a client counts, and until when it may wait; false: for nobody.
+func (g *Gateway) limitOf(database string, key accessKey, asked time.Duration) (tenant string, until time.Duration, counts bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	route, known := g.directory.routes[database]
+	if !known || !g.directory.leased(g.now()) {
+		return "", 0, false // it isn't served anyway
+	}
+	tenant, _ = g.directory.access.admit(route, key)
+	return tenant, asked + patienceOf(placement{route: route}), tenant != ""
+}
+
+// begin lets the operation whose first statement was asked for at the time given begin, as far as its tenant's limit goes.
+func (c *client) begin(asked time.Duration) bool {
+	tenant, until, counts := c.gateway.limitOf(c.database, c.key, asked)
+	if counts && !c.gateway.allowance.take(tenant, until) {
+		c.gateway.counters.overLimit.Add(1)
+		return false
+	}
+	c.begun = true
+	return true
+}
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -37,6 +37,7 @@
 	session  *session.Session
 	flight   *flight           // of the open transaction
 	served   bool              // a statement has been answered
+	begun    bool              // the operation counts for its tenant, and hasn't been sent to an instance
 	written  failover.Position // of the leader when it last acknowledged a commit of this session
 
 	mutex   sync.Mutex
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -23,6 +23,7 @@
 	malformed  atomic.Uint64
 	noDatabase atomic.Uint64
 	unknownKey atomic.Uint64
+	overLimit  atomic.Uint64 // operations that their tenants' limits didn't allow
 	otherError atomic.Uint64
 	ended      atomic.Uint64 // transactions that rested for too long
 
@@ -37,8 +38,8 @@
 
 // totals is what is printed.
 type totals struct {
-	completed, busy, rolledBack, inDoubt, timedOut, malformed, noDatabase, unknownKey, otherError, ended uint64
-	replicaReads, lagging                                                                                uint64
+	completed, busy, rolledBack, inDoubt, timedOut, malformed, noDatabase, unknownKey, overLimit, otherError, ended uint64
+	replicaReads, lagging                                                                                           uint64
 }
 
 // answered counts an answer to a client.
@@ -75,6 +76,7 @@
 		malformed:  c.malformed.Load(),
 		noDatabase: c.noDatabase.Load(),
 		unknownKey: c.unknownKey.Load(),
+		overLimit:  c.overLimit.Load(),
 		otherError: c.otherError.Load(),
 		ended:      c.ended.Load(),
 
@@ -97,7 +99,7 @@
 	}
 	g.log.WithFields(logrus.Fields{
 		"completed": now.completed, "busy": now.busy, "rolledback": now.rolledBack, "indoubt": now.inDoubt,
-		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "authfail": now.unknownKey, "other": now.otherError,
+		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "authfail": now.unknownKey, "over_limit": now.overLimit, "other": now.otherError,
 		"at_replicas": now.replicaReads, "lagging": now.lagging,
 		"idle_ended": now.ended, "sessions": g.sessions(), "backends": open, "dials": made, "refused": refusals,
 	}).Info("counters")
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -95,6 +95,7 @@
 	draining   []string // services whose leader drains and did not
 	vacant     []string // services whose leader is gone and wasn't, so that nothing can be sent
 	configured bool     // there is a newer configuration
+	tenants    []configuration.Tenant
 }
 
 func newDirectory() *directory {
@@ -165,6 +166,7 @@
 	}
 	if contents != nil {
 		changes.configured = true
+		changes.tenants = contents.Tenants
 		d.limits = contents.Limits
 		d.routes = routesByDatabase(contents.Routes)
 		d.access = newAccessTable(contents)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -40,6 +40,9 @@
 // in time, else at the leader.
 func (c *client) serveFirst(id string, statement session.Statement) wire.Answer {
 	asked := c.gateway.now()
+	if !c.begin(asked) {
+		return c.session.Ended(statement, notRun(overLimit)).Answer
+	}
 	if statement.ReadOnly {
 		if answer, done := c.serveAtReplica(id, statement, asked); done {
 			return answer
@@ -70,6 +73,9 @@
 	return wire.Answer{}, false
 }
 
+// overLimit is what a client is told whose tenant has used its limit up.
+const overLimit = "the limit of operations is used up: try again in a second"
+
 // mayRunElsewhere tells whether a read that a replica was offered can be offered to another instance: it was not run, or its answer was lost, and it
 // keeps nothing.
 func mayRunElsewhere(outcome session.Outcome) bool {
@@ -157,6 +163,9 @@
 
 // runFirst gets a connection and runs the statement on it.
 func (c *client) runFirst(id string, statement session.Statement, under *flight, asked time.Duration) session.Outcome {
+	if !c.begun && !c.begin(asked) {
+		return notRun(overLimit)
+	}
 	until := asked + patienceOf(under.placed)
 	deadline := c.gateway.started.Add(asked + timeoutOf(under.placed))
 	lent, err := c.gateway.poolFor(under.placed).acquire(c.session, under.placed.tenant, under.placed.route.Priority, until)
@@ -166,7 +175,14 @@
 	if !c.gateway.lend(under, lent) {
 		return notRun(string(frozen))
 	}
-	return c.run(id, statement, under, deadline)
+	outcome := c.run(id, statement, under, deadline)
+	c.begun = wasNotRun(outcome)
+	return outcome
+}
+
+// wasNotRun tells whether an attempt certainly wasn't run, so that the next one counts for the same operation.
+func wasNotRun(outcome session.Outcome) bool {
+	return outcome.Kind == session.NotRun || outcome.Kind == session.Answered && outcome.Answer.Code.Promise()
 }
 
 // serveInside runs a statement of the open transaction.
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -90,7 +90,7 @@
 		return search.sentOn(g.now(), address, answer.Primary, answer.Members)
 	}
 	search.answered(g.now(), address, answer.Members)
-	g.rememberPrimary(address)
+	g.rememberPrimary(address, request.Relay)
 	if !g.apply(ctx, asked.sentAt, answer) {
 		search.failed(g.now(), address, false)
 		return false
@@ -186,6 +186,9 @@
 	g.mutex.Lock()
 	hadLease := g.directory.leased(g.now())
 	changes, err := g.directory.take(g.now(), sentAt, answer)
+	if changes.configured {
+		g.allowance.limit(changes.tenants) // before any of them is let in
+	}
 	close(g.news)
 	g.news = make(chan struct{})
 	hasLease := g.directory.leased(g.now())
@@ -277,10 +280,10 @@
 	}
 }
 
-func (g *Gateway) rememberPrimary(address string) {
+func (g *Gateway) rememberPrimary(address string, relay bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.primary = address
+	g.primary, g.primaryRelays = address, relay
 }
 
 // sayGoodbye tells the controller that this gateway has stopped, so that no failover waits for it. It is the last thing
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,8 @@
 	reseed   chan []string
 	budget   *wire.Budget // of memory for long messages
 
+	allowance *allowance // of operations of tenants
+
 	// What belongs to the loop that asks.
 	calmUntil       time.Duration // until then no question is broken off
 	failedQuestions []string      // the last ones, for the log
@@ -70,6 +72,8 @@
 	reads     map[string]*reads // by service
 	primary   string            // the controller that answered last
 
+	primaryRelays bool // it isn't primary, and passes questions on
+
 	phase atomic.Int32
 }
 
@@ -103,6 +107,7 @@
 	}()
 	go gateway.accept(front)
 	go gateway.keepHouse(ctx)
+	go gateway.borrow(ctx)
 	go gateway.reload(ctx, boot.Reload)
 	gateway.log.WithField("front", boot.Settings.Listen.Front).Info("gateway started")
 
@@ -127,7 +132,7 @@
 func newGateway(boot Boot, asker watcher) *Gateway {
 	held := newDirectory()
 	held.keysTrusted = boot.Settings.Bounds.Revoke() * keysTrustedShare / 100
-	return &Gateway{
+	started := &Gateway{
 		log:       boot.Log,
 		watcher:   asker,
 		started:   time.Now(),
@@ -145,6 +150,8 @@
 		clients:   map[*client]struct{}{},
 		reads:     map[string]*reads{},
 	}
+	started.allowance = newAllowance(started.now)
+	return started
 }
 
 const (
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -18,6 +18,7 @@
 	"eiderway/control/failover"
 	"eiderway/control/feed"
 	"eiderway/control/quorum"
+	"eiderway/control/quota"
 	"eiderway/system"
 	"eiderway/testing/loopback"
 	"eiderway/wire"
@@ -307,6 +308,7 @@
 	silent  bool
 	asked   []feed.WatchRequest
 	changed chan struct{}
+	grants  int                  // operations that are left of each tenant; negative: any number
 	drains  map[string]time.Time // until when statements may be begun at instances that drain
 }
 
@@ -314,7 +316,7 @@
 const leaseOfTests = time.Second
 
 func startController(table *feed.Table) *standinController {
-	return &standinController{table: table, lease: leaseOfTests, changed: make(chan struct{})}
+	return &standinController{table: table, lease: leaseOfTests, grants: -1, changed: make(chan struct{})}
 }
 
 var errSilent = eris.New("no answer")
@@ -322,6 +324,11 @@
 // Watch answers as a controller does: at once if there is news, else when the wait is over.
 func (s *standinController) Watch(ctx context.Context, _ string, request feed.WatchRequest) (feed.WatchAnswer, error) {
 	s.mutex.Lock()
+	silent := s.silent
+	if request.Operations != nil && !silent {
+		defer s.mutex.Unlock()
+		return feed.WatchAnswer{Operations: s.grant(*request.Operations)}, nil
+	}
 	s.asked = append(s.asked, request)
 	s.mutex.Unlock()
 	wait := time.NewTimer(request.Wait)
@@ -360,6 +367,23 @@
 	return answer, true
 }
 
+// grant answers a question for operations. It is called with the lock held.
+func (s *standinController) grant(request quota.Request) *quota.Answer {
+	answer := &quota.Answer{}
+	for _, want := range request.Wants {
+		granted := quota.Grant{Tenant: want.Tenant, Operations: want.Operations, Life: time.Second}
+		if s.grants >= 0 {
+			granted.Operations = min(want.Operations, s.grants)
+			s.grants -= granted.Operations
+		}
+		if granted.Operations < want.Operations {
+			granted.RetryAfter = time.Minute
+		}
+		answer.Grants = append(answer.Grants, granted)
+	}
+	return answer
+}
+
 func (s *standinController) limits() []feed.DrainLimit {
 	var limits []feed.DrainLimit
 	for id, until := range s.drains {
--- a/host/settings.go
+++ b/host/settings.go
@@ -48,6 +48,7 @@
 		WatchWait:    watchWait,
 		InstanceLost: max(beatsMissedWhenLost*settings.BeatInterval(), leastInstanceLost),
 		CallWait:     callWait,
+		Quota:        settings.Bounds.QuotaRules(),
 	}
 }
 
--- a/simulation/plan.go
+++ b/simulation/plan.go
@@ -6,6 +6,7 @@
 	"eiderway/control/controller"
 	"eiderway/control/failover"
 	"eiderway/control/guard"
+	"eiderway/control/quota"
 	"eiderway/control/replication"
 )
 
@@ -20,6 +21,8 @@
 	ConfigApply time.Duration
 	StretchMax  time.Duration
 	ThawSlack   time.Duration
+	Revoke      time.Duration // within which a key that was taken away is of no use at any machine; zero: at those in touch
+	Quota       quota.Rules
 }
 
 // ServicePlan is a database service with its instances, the first of which is primary.
@@ -75,6 +78,7 @@
 			SeedLag: 3 * time.Second, Contact: 4 * time.Second, Ack: 5 * time.Second, CatchUp: 4 * time.Second,
 			Drain: 7 * time.Second, Grace: 6 * time.Second, ConfigApply: 3 * time.Second,
 			StretchMax: 12 * time.Second, ThawSlack: 300 * time.Millisecond,
+			Revoke: 5 * time.Second, Quota: quota.Rules{Window: 5 * time.Second, Overrun: 0.1, Slack: 20},
 		},
 	}
 }
@@ -102,6 +106,7 @@
 		WatchWait:    watchWait,
 		InstanceLost: instanceLost,
 		CallWait:     answerWithin,
+		Quota:        p.Bounds.Quota,
 		Lacking:      p.Lacking,
 	}
 }
--- a/system/bounds.go
+++ b/system/bounds.go
@@ -1,6 +1,10 @@
 package system
 
-import "time"
+import (
+	"time"
+
+	"eiderway/control/quota"
+)
 
 // Bounds are the figures of the rules in force.
 type Bounds struct {
@@ -106,6 +110,11 @@
 	return milliseconds(b.RevokeMs)
 }
 
+// QuotaRules are the figures by which the operations of a tenant are counted.
+func (b Bounds) QuotaRules() quota.Rules {
+	return quota.Rules{Window: seconds(b.QuotaWindowS), Overrun: b.QuotaOverrun, Slack: b.QuotaSlack}
+}
+
 func milliseconds(count float64) time.Duration {
 	return time.Duration(count * float64(time.Millisecond))
 }
