Quotas: an operation is counted for the tenant that it runs for, however long it waited

Callers got operations beyond their limit (QUOTA): a statement that came while the gateway had no lease, or didn't know its route, was taken as counted although nothing had been taken out, and ran once the lease was back within its patience. One that was counted for a tenant ran for another, if its key was passed on while it waited. Cause: whether an operation counts was decided before its placement.

Now the count is by tenant, and is checked again when the placement is known, before a connection is asked for.

Seen: TestOperationThatWaitedForTheLeaseIsCounted and TestOperationIsCountedForTheTenantItRunsFor failed on the code before (both statements ran) and pass now, with the other tests of gateway.

--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -107,6 +108,49 @@
 	is.Equal(len(w.first.asked()), 4)
 }
 
+// patientTenants is a configuration with tenants whose statements wait for up to 0.8 s to be offered.
+func patientTenants(number int64, tenants string) []byte {
+	return []byte(strings.Replace(string(tenantsOf(number, tenants)), `"targetLatencyMs":400`, `"targetLatencyMs":4000`, 1))
+}
+
+// QUOTA: a statement that came while the gateway had no lease ran uncounted once the lease was back.
+func TestOperationThatWaitedForTheLeaseIsCounted(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	table := w.table(2, "i-1", false)
+	table.ConfigurationNumber, table.Configuration = 102, patientTenants(102, bakers)
+	w.controller.publish(table)
+	w.eventually("the tenants are known", func() bool { return w.controller.applied(2) })
+	c := w.connect("flour")
+	w.controller.set(func(s *standinController) { s.grants, s.silent = 0, true })
+	w.eventually("the lease is over", func() bool { return w.readiness() != http.StatusOK })
+	c.start("PUT a 1")
+	time.Sleep(50 * time.Millisecond) // the statement is read meanwhile: nothing else shows it
+	w.controller.set(func(s *standinController) { s.silent = false })
+	is.Equal(c.answer(), "ERROR BUSY / I")
+	is.Equal(len(w.first.asked()), 0)
+}
+
+// QUOTA: an operation that was counted for one tenant ran for another, to whom its key had been passed on meanwhile.
+func TestOperationIsCountedForTheTenantItRunsFor(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	published := func(sequence uint64, frozen bool, tenants string) {
+		table := w.table(sequence, "i-1", frozen)
+		table.ConfigurationNumber, table.Configuration = int64(100+sequence), patientTenants(int64(100+sequence), tenants)
+		w.controller.publish(table)
+		w.eventually("the table is known", func() bool { return w.controller.applied(sequence) })
+	}
+	published(2, true, bakers)
+	c := w.connect("flour")
+	w.controller.set(func(s *standinController) { s.grants = 1 })
+	c.start("PUT a 1")
+	w.eventually("the operation is granted", func() bool { return w.controller.left() == 0 })
+	published(3, false, `{"name":"smiths","apiKeys":["flour"],"ratePerS":100,"burstSize":100}`)
+	is.Equal(c.answer(), "ERROR BUSY / I")
+	is.Equal(len(w.first.asked()), 0)
+}
+
 func TestRouteWithoutAuthenticationTakesAnyWord(t *testing.T) {
 	w := startWorld(t)
 	table := w.table(2, "i-1", false)
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -149,25 +149,28 @@
 	return g.primary, g.primaryRelays
 }
 
-// limitOf says for whom an operation of a client counts, and until when it may wait; false: for nobody.
-func (g *Gateway) limitOf(database string, key accessKey, asked time.Duration) (tenant string, until time.Duration, counts bool) {
+// limitOf says for whom an operation of a client is likely to count, and until when it may wait; "": for nobody, or it can't be served now.
+func (g *Gateway) limitOf(database string, key accessKey, asked time.Duration) (tenant string, until time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	route, known := g.directory.routes[database]
 	if !known || !g.directory.leased(g.now()) {
-		return "", 0, false // it isn't served anyway
+		return "", 0
 	}
 	tenant, _ = g.directory.access.admit(route, key)
-	return tenant, asked + patienceOf(placement{route: route}), tenant != ""
+	return tenant, asked + patienceOf(placement{route: route})
 }
 
-// begin lets the operation whose first statement was asked for at the time given begin, as far as its tenant's limit goes.
-func (c *client) begin(asked time.Duration) bool {
-	tenant, until, counts := c.gateway.limitOf(c.database, c.key, asked)
-	if counts && !c.gateway.allowance.take(tenant, until) {
+// count takes the operation out for the tenant, as far as its limit goes. One that was counted for this tenant and hasn't been sent
+// isn't counted again; what was counted for another is lost.
+func (c *client) count(tenant string, until time.Duration) bool {
+	if tenant == "" || c.counted == tenant {
+		return true
+	}
+	if !c.gateway.allowance.take(tenant, until) {
 		c.gateway.counters.overLimit.Add(1)
 		return false
 	}
-	c.begun = true
+	c.counted = tenant
 	return true
 }
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -37,7 +37,7 @@
 	session  *session.Session
 	flight   *flight           // of the open transaction
 	served   bool              // a statement has been answered
-	begun    bool              // the operation counts for its tenant, and hasn't been sent to an instance
+	counted  string            // the tenant for whom the operation was counted, and which hasn't been sent to an instance; "": none
 	written  failover.Position // of the leader when it last acknowledged a commit of this session
 
 	mutex   sync.Mutex
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -40,7 +40,8 @@
 // in time, else at the leader.
 func (c *client) serveFirst(id string, statement session.Statement) wire.Answer {
 	asked := c.gateway.now()
-	if !c.begin(asked) {
+	c.counted = ""
+	if tenant, until := c.gateway.limitOf(c.database, c.key, asked); !c.count(tenant, until) {
 		return c.session.Ended(statement, notRun(overLimit)).Answer
 	}
 	if statement.ReadOnly {
@@ -163,10 +164,10 @@
 
 // runFirst gets a connection and runs the statement on it.
 func (c *client) runFirst(id string, statement session.Statement, under *flight, asked time.Duration) session.Outcome {
-	if !c.begun && !c.begin(asked) {
+	until := asked + patienceOf(under.placed)
+	if !c.count(under.placed.tenant, until) {
 		return notRun(overLimit)
 	}
-	until := asked + patienceOf(under.placed)
 	deadline := c.gateway.started.Add(asked + timeoutOf(under.placed))
 	lent, err := c.gateway.poolFor(under.placed).acquire(c.session, under.placed.tenant, under.placed.route.Priority, until)
 	if err != nil {
@@ -176,7 +177,9 @@
 		return notRun(string(frozen))
 	}
 	outcome := c.run(id, statement, under, deadline)
-	c.begun = wasNotRun(outcome)
+	if !wasNotRun(outcome) {
+		c.counted = ""
+	}
 	return outcome
 }
 
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -384,6 +384,13 @@
 	return answer
 }
 
+// left is how many operations are left to grant.
+func (s *standinController) left() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.grants
+}
+
 func (s *standinController) limits() []feed.DrainLimit {
 	var limits []feed.DrainLimit
 	for id, until := range s.drains {
