Quotas: a statement that an instance undid counts as one that ran

An attempt answered with a promise that nothing is kept was taken for one that hadn't run, and the next was sent without another operation. ROLLEDBACK is such a promise, but says that something ran; NOSTMT is none, but says that nothing did. The answers that the protocol's page lists as not run are named now, one by one.

Seen: TestOnlyWhatAnInstanceDidNotRunIsSentAgainUncounted failed before and passes now. TestReadThatIsOfferedElsewhereIsCountedAgain is new and passed before too.

--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"eiderway/control/feed"
+	"eiderway/session"
 	"eiderway/wire"
 )
 
@@ -151,6 +152,36 @@
 	is.Equal(len(w.first.asked()), 0)
 }
 
+// QUOTA: a read that may have run at a replica ran again at another instance, and was counted once.
+func TestReadThatIsOfferedElsewhereIsCountedAgain(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	table := w.table(2, "i-1", false)
+	table.ConfigurationNumber = 8
+	table.Configuration = []byte(strings.Replace(readRoutes, `"serviceTable"`, `"tenantTable":[`+bakers+`],"serviceTable"`, 1))
+	w.controller.publish(table)
+	w.eventually("the tenants are known", func() bool { return w.controller.applied(2) })
+	w.controller.set(func(s *standinController) { s.grants = 2 })
+	w.connectTo("shop", "flour").must("FETCH a", `COMPLETE stamp [""] / I`) // the leader names a position
+	w.second.on(func(wire.Statement) mishap { return cutAfter })
+	w.connectTo("browse", "flour").must("FETCH x", "ERROR BUSY / I")
+	is.Equal(len(w.second.asked()), 1)
+	is.Equal(len(w.first.asked()), 1)
+}
+
+// QUOTA: a statement whose instance had begun it, and said that nothing of it is kept, was taken for one that never ran.
+func TestOnlyWhatAnInstanceDidNotRunIsSentAgainUncounted(t *testing.T) {
+	is := is.New(t)
+	for _, code := range []wire.Code{wire.Busy, wire.Lagging, wire.ReadOnly, wire.WrongNode, wire.ConnLimit, wire.NoStmt} {
+		is.True(wasNotRun(session.Outcome{Kind: session.Answered, Answer: wire.Refusal(code, "", wire.Idle)})) // each of them
+	}
+	for _, code := range []wire.Code{wire.RolledBack, wire.ExecFail, wire.Timeout, wire.InDoubt, ""} {
+		is.True(!wasNotRun(session.Outcome{Kind: session.Answered, Answer: wire.Refusal(code, "", wire.Idle)})) // none of them
+	}
+	is.True(wasNotRun(notRun("a reason")))
+	is.True(!wasNotRun(session.Outcome{Kind: session.Lost}))
+}
+
 func TestRouteWithoutAuthenticationTakesAnyWord(t *testing.T) {
 	w := startWorld(t)
 	table := w.table(2, "i-1", false)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -183,9 +183,16 @@
 	return outcome
 }
 
-// wasNotRun tells whether an attempt certainly wasn't run, so that the next one counts for the same operation.
+// wasNotRun tells whether an attempt certainly wasn't run, so that the next one counts for the same operation. To keep nothing is not enough.
 func wasNotRun(outcome session.Outcome) bool {
-	return outcome.Kind == session.NotRun || outcome.Kind == session.Answered && outcome.Answer.Code.Promise()
+	if outcome.Kind != session.Answered {
+		return outcome.Kind == session.NotRun
+	}
+	switch outcome.Answer.Code {
+	case wire.Busy, wire.Lagging, wire.ReadOnly, wire.WrongNode, wire.ConnLimit, wire.NoStmt:
+		return true
+	}
+	return false
 }
 
 // serveInside runs a statement of the open transaction.
