Quotas: limits beyond all numbers of operations are taken for a billion

A tenant with a rate or burst above some 1e19, which a valid configuration may hold, was refused everything: the level of its bucket didn't fit an integer. Rates and bursts are now bounded by a billion, which is within any higher limit.

Seen: TestLimitsAsLargeAsNumbersGo failed before (0 granted of 7 at 1e19) and passes now.

--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -166,3 +166,16 @@
 	is.Equal(purse.TakeAgain(1200*time.Millisecond, "bakers"), Refused)
 	is.Equal(purse.TakeAgain(1500*time.Millisecond, "bakers"), Short)
 }
+
+// QUOTA, refused below the limit: limits as large as numbers go were read as no operations at all.
+func TestLimitsAsLargeAsNumbersGo(t *testing.T) {
+	is := is.New(t)
+	for _, figure := range []float64{1e9, 1e19, 1e300, math.MaxFloat64} {
+		bank := NewBank(0, usualRules)
+		bank.SetLimits(0, []Limit{{Tenant: "bakers", RatePerS: figure, Burst: figure}, {Tenant: "smiths", Burst: figure}})
+		answer := bank.Answer(time.Hour, Request{Wants: []Want{{Tenant: "bakers", Operations: 7}, {Tenant: "smiths", Operations: -7}}})
+		is.Equal(answer.Grants[0].Operations, 7) // by figure
+		is.Equal(answer.Grants[1].Operations, 0)
+		is.Equal(bank.Counts(), Counts{Requests: 1, Granted: 7})
+	}
+}
--- a/control/quota/terms.go
+++ b/control/quota/terms.go
@@ -31,6 +31,8 @@
 	clockShare = 0.01
 	// leastCapacityS is the least capacity of a bucket in seconds of its rate, so that gateways may get several operations at once.
 	leastCapacityS = 0.1
+	// mostOperations bounds rates a second and bursts: no system serves as many, and sums of them are still exact.
+	mostOperations = 1e9
 )
 
 // terms are how a bank keeps one tenant's limit.
@@ -42,6 +44,7 @@
 
 // termsOf gives the terms under which no window holds more than the rule allows: capacity + rate x (window + life) is at most that.
 func termsOf(limit Limit, rules Rules) terms {
+	limit.RatePerS, limit.Burst = min(limit.RatePerS, mostOperations), min(limit.Burst, mostOperations)
 	window := rules.Window.Seconds()
 	most := (limit.RatePerS*window+limit.Burst)*(1+rules.Overrun) + rules.Slack
 	most -= limit.RatePerS * window * clockShare
