Quotas: a purse books one answer to the request that is under way, by its number

That an answer isn't booked twice, nor counted from the sending of a later request, rested on the connections between gateways and controllers alone. Requests are numbered now, and the purse remembers when the one under way was made.

Tests: the purse's takes over the time of a request from Next, so the tests hand in no time of sending any more; they also hand in answers twice and after Failed.

--- a/control/quota/bank.go
+++ b/control/quota/bank.go
@@ -75,7 +75,7 @@
 		b.counts.Denied += uint64(max(0, want.Operations-grant.Operations))
 		grants = append(grants, grant)
 	}
-	return Answer{Grants: grants}
+	return Answer{Number: request.Number, Grants: grants}
 }
 
 func (b *Bank) grant(now time.Duration, want Want) Grant {
--- a/control/quota/message.go
+++ b/control/quota/message.go
@@ -9,7 +9,10 @@
 }
 
 // Request is a gateway's question for operations. At most one is under way for a gateway.
-type Request struct{ Wants []Want }
+type Request struct {
+	Number uint64 // counted by the gateway's process
+	Wants  []Want
+}
 
 // Grant answers a Want.
 type Grant struct {
@@ -20,4 +23,7 @@
 }
 
 // Answer answers a Request.
-type Answer struct{ Grants []Grant }
+type Answer struct {
+	Number uint64 // of the request
+	Grants []Grant
+}
--- a/control/quota/purse.go
+++ b/control/quota/purse.go
@@ -36,6 +36,8 @@
 type Purse struct {
 	accounts map[string]*account // of tenants with a limit
 	asking   bool                // a request is under way
+	number   uint64              // of the last request
+	askedAt  time.Duration       // when it was made
 }
 
 // account is what the purse holds of one tenant.
@@ -154,7 +156,9 @@
 		return Request{}, false
 	}
 	slices.SortFunc(request.Wants, func(a, b Want) int { return cmp.Compare(a.Tenant, b.Tenant) })
-	p.asking = true
+	p.asking, p.askedAt = true, now
+	p.number++
+	request.Number = p.number
 	return request, true
 }
 
@@ -177,22 +181,25 @@
 	return min(wanted, mostWanted)
 }
 
-// Granted books the answer to the request that was sent at sentAt.
-func (p *Purse) Granted(now, sentAt time.Duration, answer Answer) {
+// Granted books the answer to the request that is under way. Any other one, such as one that comes twice or after Failed, changes nothing.
+func (p *Purse) Granted(now time.Duration, answer Answer) {
+	if !p.asking || answer.Number != p.number {
+		return
+	}
 	p.asking = false
 	for _, grant := range answer.Grants {
 		if known := p.accounts[grant.Tenant]; known != nil {
-			known.book(now, sentAt, grant)
+			known.book(now, p.askedAt, grant)
 		}
 	}
 }
 
-func (a *account) book(now, sentAt time.Duration, grant Grant) {
+func (a *account) book(now, askedAt time.Duration, grant Grant) {
 	if grant.Life > 0 {
 		a.life = grant.Life
 	}
 	if grant.Operations > 0 {
-		a.lots = append(a.lots, lot{operations: grant.Operations, until: sentAt + grant.Life})
+		a.lots = append(a.lots, lot{operations: grant.Operations, until: askedAt + grant.Life})
 		slices.SortStableFunc(a.lots, func(x, y lot) int { return cmp.Compare(x.until, y.until) })
 	}
 	if grant.RetryAfter > 0 {
--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -114,7 +114,8 @@
 
 // askBank asks. The question may have been sent a while ago, and its answer may be lost.
 func askBank(t *rapid.T, purse *Purse, bank *Bank, now time.Duration) {
-	request, due := purse.Next(now)
+	way := time.Duration(rapid.IntRange(0, 300).Draw(t, "way")) * time.Millisecond
+	request, due := purse.Next(max(0, now-way))
 	if !due {
 		return
 	}
@@ -123,8 +124,7 @@
 		purse.Failed()
 		return
 	}
-	sentAt := max(0, now-time.Duration(rapid.IntRange(0, 300).Draw(t, "way"))*time.Millisecond)
-	purse.Granted(now, sentAt, answer)
+	purse.Granted(now, answer)
 }
 
 func TestBankFillsFromWhenItOpens(t *testing.T) {
@@ -149,20 +149,27 @@
 	purse.Wait("bakers")
 	request, due := purse.Next(0)
 	is.True(due)
-	is.Equal(fmt.Sprint(request), "{[{bakers 1}]}")
+	is.Equal(fmt.Sprint(request), "{1 [{bakers 1}]}")
 	_, due = purse.Next(0)
 	is.True(!due) // one at a time
-	purse.Granted(200*time.Millisecond, 100*time.Millisecond, Answer{Grants: []Grant{{Tenant: "bakers", Operations: 3, Life: time.Second}}})
+	answer := Answer{Number: 1, Grants: []Grant{{Tenant: "bakers", Operations: 3, Life: time.Second}}}
+	purse.Granted(200*time.Millisecond, answer)
+	purse.Granted(200*time.Millisecond, answer) // comes twice
 	is.Equal(purse.TakeAgain(200*time.Millisecond, "bakers"), Taken)
 	purse.Waited("bakers")
-	is.Equal(purse.Take(1100*time.Millisecond-1, "bakers"), Taken)
-	is.Equal(purse.Take(1100*time.Millisecond, "bakers"), Short)
-	_, due = purse.Next(1100 * time.Millisecond)
+	is.Equal(purse.Take(time.Second-1, "bakers"), Taken)
+	is.Equal(purse.Take(time.Second, "bakers"), Short)
+	_, due = purse.Next(time.Second)
 	is.True(!due) // nobody waits, and there is little demand
 	purse.Wait("bakers")
+	_, due = purse.Next(time.Second)
+	is.True(due)
+	purse.Failed()
 	_, due = purse.Next(1100 * time.Millisecond)
 	is.True(due)
-	purse.Granted(1200*time.Millisecond, 1100*time.Millisecond, Answer{Grants: []Grant{{Tenant: "bakers", RetryAfter: 300 * time.Millisecond}}})
+	purse.Granted(1200*time.Millisecond, Answer{Number: 2, Grants: []Grant{{Tenant: "bakers", Operations: 3, Life: time.Second}}}) // too late
+	is.Equal(purse.TakeAgain(1200*time.Millisecond, "bakers"), Short)
+	purse.Granted(1200*time.Millisecond, Answer{Number: 3, Grants: []Grant{{Tenant: "bakers", RetryAfter: 300 * time.Millisecond}}})
 	is.Equal(purse.TakeAgain(1200*time.Millisecond, "bakers"), Refused)
 	is.Equal(purse.TakeAgain(1500*time.Millisecond, "bakers"), Short)
 }
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -92,10 +92,10 @@
 }
 
 // granted books what the bank granted, and lets those who wait look again.
-func (a *allowance) granted(sentAt time.Duration, answer quota.Answer) {
+func (a *allowance) granted(answer quota.Answer) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.purse.Granted(a.now(), sentAt, answer)
+	a.purse.Granted(a.now(), answer)
 	close(a.changed)
 	a.changed = make(chan struct{})
 	a.wakeBorrower() // others may have come to wait meanwhile
@@ -132,14 +132,13 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, operationsTime)
 	defer cancel()
-	sentAt := g.now()
 	answer, err := g.watcher.Watch(limited, address, feed.WatchRequest{
 		Gateway: g.identity, Name: g.name, Operations: &request, Relay: relay,
 	})
 	if err != nil || answer.Operations == nil {
 		return false
 	}
-	g.allowance.granted(sentAt, *answer.Operations)
+	g.allowance.granted(*answer.Operations)
 	return true
 }
 
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -369,7 +369,7 @@
 
 // grant answers a question for operations. It is called with the lock held.
 func (s *standinController) grant(request quota.Request) *quota.Answer {
-	answer := &quota.Answer{}
+	answer := &quota.Answer{Number: request.Number}
 	for _, want := range request.Wants {
 		granted := quota.Grant{Tenant: want.Tenant, Operations: want.Operations, Life: time.Second}
 		if s.grants >= 0 {
