--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -186,3 +186,30 @@
 		is.Equal(bank.Counts(), Counts{Requests: 1, Granted: 7})
 	}
 }
+
+// QUOTA: a limit that was lowered is kept in each window that begins once the grants before it are over.
+func TestLoweredLimitBindsOnceEarlierGrantsAreOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before := Limit{Tenant: "bakers", RatePerS: float64(rapid.IntRange(20, 200).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 200).Draw(t, "burst"))}
+		after := Limit{Tenant: "bakers", RatePerS: float64(rapid.IntRange(1, 20).Draw(t, "lower rate")), Burst: float64(rapid.IntRange(0, 20).Draw(t, "lower burst"))}
+		bank, purse := NewBank(0, usualRules), newLimitedPurse()
+		bank.SetLimits(0, []Limit{before})
+		loweredAt := time.Duration(rapid.IntRange(0, 6000).Draw(t, "lowered")) * time.Millisecond
+		isLowered := false
+		var taken begun
+		for now := time.Duration(0); now < 20*time.Second; now += time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond {
+			if !isLowered && now >= loweredAt {
+				bank.SetLimits(now, []Limit{after})
+				isLowered, loweredAt = true, now
+			}
+			once := takeMany(t, purse, bank, now)
+			if isLowered && now >= loweredAt+longestLife {
+				taken = append(taken, once...)
+			}
+		}
+		most := (after.RatePerS*usualRules.Window.Seconds()+after.Burst)*(1+usualRules.Overrun) + usualRules.Slack
+		if found := taken.mostInWindow(usualRules.Window); float64(found) > math.Floor(most) {
+			t.Fatalf("%d operations in a window, %v at the most", found, most)
+		}
+	})
+}
