Controller: operations are granted in one term at a time, shown with real takeovers

Tests in the simulated deployment: a primary that is cut off grants nothing once its last confirmation is operationsFresh old; a later term's bank opens only after that; a confirmation that took too long, and a primary that woke after a takeover, grant nothing. Two guards that tests take out are found.

--- a/control/controller/gateways_test.go
+++ b/control/controller/gateways_test.go
@@ -86,6 +86,8 @@
 	life    int
 	request feed.WatchRequest
 	replies int
+	answer  feed.WatchAnswer // the last
+	at      time.Duration    // when it was given
 }
 
 func (w *world) askController(one *gateway, ask int, request feed.WatchRequest) {
@@ -117,6 +119,7 @@
 		return
 	}
 	asked.replies++
+	asked.answer, asked.at = reply.Answer, w.now
 	if asked.replies > 1 {
 		w.fail("%s answers a gateway's question twice", by.name)
 	}
--- a/control/controller/guards.go
+++ b/control/controller/guards.go
@@ -9,6 +9,8 @@
 	leasesUncounted    bool // no gateway's lease holds up a freeze
 	formerLeases       bool // leases of earlier terms hold up no freeze
 	anyBeatUnconfirmed bool // plain beats are acknowledged however old the last confirmation is
+	operationsStale    bool // operations are granted however old the last confirmation is
+	bankOpensAtOnce    bool // a new term grants operations while an earlier one may
 }
 
 func (g disabledGuards) unconfirmed(question question) bool {
--- a/control/controller/operations.go
+++ b/control/controller/operations.go
@@ -17,15 +17,28 @@
 // takeOperations answers a gateway's question for operations of tenants, at once if this controller was confirmed a moment ago.
 func (c *Controller) takeOperations(in Watch) {
 	asked := &watch{call: in.Call, request: in.Request}
-	if c.now-c.term.confirmed < operationsFresh {
+	if c.mayGrant() {
 		c.answerOperations(asked)
 		return
 	}
 	c.ask(question{watch: asked})
 }
 
+// mayGrant tells whether no later term can have opened its bank yet.
+func (c *Controller) mayGrant() bool {
+	return c.now-c.term.confirmed < operationsFresh || c.guards.operationsStale
+}
+
+// newBank makes the bank of a term that begins now. It opens once no earlier term can grant any more.
+func (c *Controller) newBank() *quota.Bank {
+	if c.guards.bankOpensAtOnce {
+		return quota.NewBank(c.now, c.settings.Quota)
+	}
+	return quota.NewBank(c.now+operationsFresh+c.settings.LeaseMargin, c.settings.Quota)
+}
+
 func (c *Controller) answerOperations(asked *watch) {
-	if c.now-c.term.confirmed >= operationsFresh {
+	if !c.mayGrant() {
 		c.refuseWatch(asked.call) // the confirmation took too long to say that nobody else grants
 		return
 	}
--- a/control/controller/world_test.go
+++ b/control/controller/world_test.go
@@ -9,6 +9,7 @@
 
 	"eiderway/control/failover"
 	"eiderway/control/quorum"
+	"eiderway/control/quota"
 	"eiderway/control/replication"
 )
 
@@ -182,6 +183,7 @@
 		WatchWait:    600 * time.Millisecond,
 		InstanceLost: 10 * time.Second,
 		CallWait:     callWait,
+		Quota:        quota.Rules{Window: 5 * time.Second, Overrun: 0.1, Slack: 20},
 	}
 }
 
