--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -369,7 +369,7 @@
 
 // grant answers a question for operations. It is called with the lock held.
 func (s *standinController) grant(request quota.Request) *quota.Answer {
-	answer := &quota.Answer{}
+	answer := &quota.Answer{Number: request.Number}
 	for _, want := range request.Wants {
 		granted := quota.Grant{Tenant: want.Tenant, Operations: want.Operations, Life: time.Second}
 		if s.grants >= 0 {
@@ -384,6 +384,13 @@
 	return answer
 }
 
+// left is how many operations are left to grant.
+func (s *standinController) left() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.grants
+}
+
 func (s *standinController) limits() []feed.DrainLimit {
 	var limits []feed.DrainLimit
 	for id, until := range s.drains {
