Pools: a tenant's idle connections give way in time, and nobody waits behind another tenant

Cause: since a connection serves one tenant only, each gateway kept one for each tenant that had asked, for 20 to 30 s: instances reached their maxConnections, counted over all gateways, and refused connections (CONNLIMIT); operations came late.

Change: an idle connection of a tenant is kept for 4 s while the session that had it last is open, else for half a second. A CONNLIMIT halves the time at the gateway that it meets, closes what is over it, and lets an idle connection go for whoever waits; the time grows again slowly. Of idle ones those of ended sessions give way first. At the limit a connection that is given back is closed for a waiter of another tenant that has waited longer. Waiters are tried for again after a pause, not only when something else happens. Without tenants the times stay as they were.

--- a/gateway/client.go
+++ b/gateway/client.go
@@ -35,6 +35,7 @@
 	database string
 	key      accessKey
 	session  *session.Session
+	interest *interest         // in connections that the session has used
 	flight   *flight           // of the open transaction
 	served   bool              // a statement has been answered
 	begun    bool              // the operation counts for its tenant, and hasn't been sent to an instance
@@ -62,7 +63,7 @@
 
 // welcome starts a client's session, if there is room for it.
 func (g *Gateway) welcome(network net.Conn) {
-	arrived := &client{gateway: g, network: network, session: session.New()}
+	arrived := &client{gateway: g, network: network, session: session.New(), interest: &interest{}}
 	arrived.reader = wire.NewReader(network).WithBudget(g.budget)
 	g.mutex.Lock()
 	full := len(g.clients) >= g.mostClients()
@@ -295,6 +296,7 @@
 
 // end closes the connection, and rolls back a transaction that was left open.
 func (c *client) end() {
+	c.interest.end()
 	c.dropTransaction()
 	c.reader.Release()
 	c.gateway.mutex.Lock()
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -92,16 +92,12 @@
 		return
 	}
 	g.counters.printed = now
-	open, made, refusals := 0, 0, 0
-	for _, kept := range g.allPools() {
-		poolOpen, poolMade, poolRefusals := kept.load()
-		open, made, refusals = open+poolOpen, made+poolMade, refusals+poolRefusals
-	}
 	g.log.WithFields(logrus.Fields{
 		"completed": now.completed, "busy": now.busy, "rolledback": now.rolledBack, "indoubt": now.inDoubt,
 		"timeout": now.timedOut, "malformed": now.malformed, "nodb": now.noDatabase, "authfail": now.unknownKey, "over_limit": now.overLimit, "other": now.otherError,
 		"at_replicas": now.replicaReads, "lagging": now.lagging,
-		"idle_ended": now.ended, "sessions": g.sessions(), "backends": open, "dials": made, "refused": refusals,
+		"idle_ended": now.ended, "sessions": g.sessions(), "backends": g.backendsOpen(), "dials": g.backends.total(),
+		"refused": g.backends.refused.Load() + g.backends.limited.Load(), "connlimit": g.backends.limited.Load(),
 	}).Info("counters")
 }
 
@@ -189,3 +185,12 @@
 		present.ReadOnly += met.ReadOnly
 	}
 }
+
+// backendsOpen is how many connections to instances there are, with those that are being made.
+func (g *Gateway) backendsOpen() int {
+	open := 0
+	for _, kept := range g.allPools() {
+		open += kept.size()
+	}
+	return open
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -168,7 +168,9 @@
 	}
 	until := asked + patienceOf(under.placed)
 	deadline := c.gateway.started.Add(asked + timeoutOf(under.placed))
-	lent, err := c.gateway.poolFor(under.placed).acquire(c.session, under.placed.tenant, under.placed.route.Priority, until)
+	lent, err := c.gateway.poolFor(under.placed).acquire(ask{
+		session: c.session, interest: c.interest, tenant: under.placed.tenant, priority: under.placed.route.Priority, until: until,
+	})
 	if err != nil {
 		return notRun(err.Error())
 	}
--- a/gateway/figures.go
+++ b/gateway/figures.go
@@ -20,6 +20,8 @@
 			Name: "replica_reads_total", Help: "Reads at replicas, by how they ended.", Value: float64(count), Of: name,
 		})
 	}
+	figures = append(figures, g.backends.figures()...)
+	figures = append(figures, metrics.NewGauge("backends", "Connections to instances that are open or being made.", float64(g.backendsOpen())))
 	figures = append(figures, metrics.Figure{
 		Name: "invariants_broken_total", Help: "Invariants that did not hold, since the start.", Value: float64(g.counters.broken.Load()),
 	})
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -170,7 +170,7 @@
 	defer g.mutex.Unlock()
 	kept := g.pools[key]
 	if kept == nil {
-		kept = newPool(key, g.name, g.now, g.reports.failed)
+		kept = newPool(key, g.name, g.now, g.reports.failed, &g.backends)
 		g.pools[key] = kept
 	}
 	kept.allow(placed.maxConnections)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	identity string // the name and a random word: tells this life from an earlier one
 	name     string
 	counters counters
+	backends backendCounts
 	reports  reports
 	landed   chan struct{} // a flight has ended
 	reseed   chan []string
@@ -267,22 +268,43 @@
 }
 
 const (
-	// houseEvery is between the rounds in which unused connections are closed and counters printed.
-	houseEvery = 10 * time.Second
+	// sweepEvery is between the rounds in which unused connections of tenants are closed, which are kept for seconds only.
+	sweepEvery = time.Second
+	// sweepsInHouse is how many of these rounds there are to one in which those of others are closed too and counters printed.
+	sweepsInHouse = 10
 )
 
 func (g *Gateway) keepHouse(ctx context.Context) {
-	ticker := time.NewTicker(houseEvery)
+	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
-	for {
+	for round := 1; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		for _, kept := range g.allPools() {
-			kept.trim()
+		isHouse := round%sweepsInHouse == 0
+		if isHouse || g.hasTenants() {
+			g.trimPools(isHouse)
+		}
+		if isHouse {
+			g.printCounters()
+		}
+	}
+}
+
+func (g *Gateway) trimPools(isHouse bool) {
+	for _, kept := range g.allPools() {
+		kept.trim()
+		if isHouse {
+			kept.forgetParts()
 		}
-		g.printCounters()
 	}
 }
+
+// hasTenants tells whether the configuration held has tenants.
+func (g *Gateway) hasTenants() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.directory.access.required
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,18 +19,6 @@
 	poolShare = 4
 	// poolLeast is what a pool may hold in any case, and what is tried where the configuration says nothing.
 	poolLeast = 4
-	// growEvery is how soon a pool tries one connection more after the instance refused one: often enough to make use
-	// of what others give back within a few seconds, rarely enough not to cost the instance's slots.
-	growEvery = time.Second
-	// dialTime bounds the making of a connection: an instance that is there answers within a few round trips and a
-	// wait for a slot.
-	dialTime = 1500 * time.Millisecond
-	// retryDial is the pause after a connection that could not be made, while there is no other.
-	retryDial = 50 * time.Millisecond
-	// idleTime is how long a connection that nobody needs is kept, and idleKept how many are kept for ever: a new one
-	// costs a slot at the instance.
-	idleTime = 20 * time.Second
-	idleKept = 2
 	// rollbackTime bounds the end of a transaction that its session has given up. It needs no slot.
 	rollbackTime = time.Second
 )
@@ -49,14 +35,22 @@
 	conn     *wire.Conn
 	state    *session.Backend
 	lastUsed time.Duration
+	wantedBy *interest // of the session that had it last; nil: nobody's yet
 }
 
-// waiter is a statement that waits for a connection.
-type waiter struct {
+// ask is what a statement wants of a pool: a connection of its tenant's, for its session, at the latest at until.
+type ask struct {
+	session  *session.Session
+	interest *interest
 	tenant   string
 	priority int
 	until    time.Duration
-	given    chan *backend // takes one; nil: there won't be one
+}
+
+// waiter is a statement that waits for a connection.
+type waiter struct {
+	ask
+	given chan *backend // takes one; nil: there won't be one
 }
 
 // poolKey names an instance as a leader.
@@ -66,30 +60,52 @@
 	address    string
 }
 
-// pool holds the connections to one instance.
+// pool holds the connections to one instance. Each is lent to sessions of the tenant only under whose name it was made, and in whose name the
+// instance runs what is sent on it.
 type pool struct {
 	key    poolKey
 	who    string
 	now    func() time.Duration
 	failed func(instanceID string) // is told of connections that could not be made, while the instance leads
 	leads  atomic.Bool
+	counts *backendCounts
+
+	// What tests put in other words.
+	dial   func(ctx context.Context, tenant string) (*wire.Conn, error)
+	launch func(func())
+	after  func(time.Duration, func())
+
+	mutex     sync.Mutex
+	idle      []*backend       // the one used last is the last
+	waiting   []*waiter        // by priority, then by time left
+	open      int              // idle, lent, and being made
+	parts     map[string]*part // by tenant
+	limit     int              // by the configuration
+	most      int              // as far as the instance has let us
+	growAt    time.Duration
+	retryAt   time.Duration
+	retrySet  bool // there will be another try at retryAt
+	retention retention
+	closed    bool
+}
 
-	mutex    sync.Mutex
-	idle     []*backend     // the one used last is the last
-	waiting  []*waiter      // by priority, then by time left
-	open     int            // idle, lent, and being made
-	making   map[string]int // by tenant
-	limit    int            // by the configuration
-	most     int            // as far as the instance has let us
-	growAt   time.Duration
-	retryAt  time.Duration
-	closed   bool
-	made     int // since the start
-	refusals int
+// part is what a pool holds of one tenant.
+type part struct {
+	open   int // idle, lent, and being made
+	making int
+	lost   dialReason // what became of the last one, without any
+	lostAt time.Duration
 }
 
-func newPool(key poolKey, who string, now func() time.Duration, failed func(string)) *pool {
-	return &pool{key: key, who: who, now: now, failed: failed, limit: poolLeast, most: poolLeast, making: map[string]int{}}
+func newPool(key poolKey, who string, now func() time.Duration, failed func(string), counts *backendCounts) *pool {
+	made := &pool{
+		key: key, who: who, now: now, failed: failed, counts: counts,
+		limit: poolLeast, most: poolLeast, parts: map[string]*part{}, retention: newRetention(),
+	}
+	made.dial = made.dialInstance
+	made.launch = func(work func()) { go work() }
+	made.after = func(pause time.Duration, work func()) { time.AfterFunc(pause, work) }
+	return made
 }
 
 // allow sets how many connections the instance takes from all its callers.
@@ -102,10 +118,10 @@
 	}
 }
 
-// acquire lends a connection of the tenant's for the session, at the latest at until.
-func (p *pool) acquire(asking *session.Session, tenant string, priority int, until time.Duration) (*backend, error) {
+// acquire lends a connection.
+func (p *pool) acquire(asked ask) (*backend, error) {
 	for {
-		found, wait, err := p.takeOrQueue(asking, tenant, priority, until)
+		found, wait, err := p.takeOrQueue(asked)
 		if err != nil {
 			return nil, err
 		}
@@ -122,20 +138,20 @@
 	}
 }
 
-func (p *pool) takeOrQueue(asking *session.Session, tenant string, priority int, until time.Duration) (*backend, *waiter, error) {
+func (p *pool) takeOrQueue(asked ask) (*backend, *waiter, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
 		return nil, nil, errPoolClosed
 	}
-	if found := p.takeIdle(asking, tenant); found != nil {
+	if found := p.takeIdle(asked); found != nil {
 		return found, nil, nil
 	}
 	now := p.now()
-	if now >= until || (p.open == 0 && now < p.retryAt) {
+	if now >= asked.until || (p.open == 0 && now < p.retryAt) {
 		return nil, nil, errNoConnection
 	}
-	wait := &waiter{tenant: tenant, priority: priority, until: until, given: make(chan *backend, 1)}
+	wait := &waiter{ask: asked, given: make(chan *backend, 1)}
 	place, _ := slices.BinarySearchFunc(p.waiting, wait, waitsAfter)
 	p.waiting = slices.Insert(p.waiting, place, wait)
 	p.makeMore(now)
@@ -153,25 +169,6 @@
 	return 1
 }
 
-// takeIdle takes the tenant's idle connection that suits the session best; of several, the one used last.
-func (p *pool) takeIdle(asking *session.Session, tenant string) *backend {
-	best, bestFit := -1, session.Fit(-1)
-	for place := len(p.idle) - 1; place >= 0 && bestFit != session.Fits; place-- {
-		if p.idle[place].tenant != tenant {
-			continue
-		}
-		if fit := asking.FitOf(p.idle[place].state); fit > bestFit {
-			best, bestFit = place, fit
-		}
-	}
-	if best < 0 {
-		return nil
-	}
-	found := p.idle[best]
-	p.idle = slices.Delete(p.idle, best, best+1)
-	return found
-}
-
 // await waits for a connection to be handed over.
 func (p *pool) await(wait *waiter) (*backend, error) {
 	timer := time.NewTimer(wait.until - p.now())
@@ -181,115 +178,29 @@
 		return handed(found)
 	case <-timer.C:
 	}
-	p.mutex.Lock()
-	place := slices.Index(p.waiting, wait)
-	if place >= 0 {
-		p.waiting = slices.Delete(p.waiting, place, place+1)
-	}
-	p.mutex.Unlock()
-	if place >= 0 {
+	if p.giveUp(wait) {
 		return nil, errNoConnection
 	}
 	return handed(<-wait.given)
 }
 
-func handed(found *backend) (*backend, error) {
-	if found == nil {
-		return nil, errNoConnection
-	}
-	return found, nil
-}
-
-// makeMore makes connections for those who wait, as far as the limits go: one for each that none is being made for. It is called with the
-// lock held.
-func (p *pool) makeMore(now time.Duration) {
-	if p.most < p.limit && now >= p.growAt {
-		p.most++
-		p.growAt = now + growEvery
-	}
-	if now < p.retryAt || p.closed {
-		return
-	}
-	expected := maps.Clone(p.making)
-	for _, wait := range p.waiting {
-		if expected[wait.tenant] > 0 {
-			expected[wait.tenant]--
-			continue
-		}
-		if !p.makeRoom() {
-			return
-		}
-		p.making[wait.tenant]++
-		p.open++
-		go p.make(wait.tenant)
-	}
-}
-
-// makeRoom tells whether there is room for another connection, for which an idle one gives way if need be: the one that has been unused for
-// longest. It is called with the lock held.
-func (p *pool) makeRoom() bool {
-	if p.open < p.most {
-		return true
-	}
-	if len(p.idle) == 0 {
-		return false
-	}
-	p.closeIdle(0)
-	return true
-}
-
-// closeIdle closes an idle connection. It is called with the lock held.
-func (p *pool) closeIdle(place int) {
-	p.idle[place].conn.Close()
-	p.idle = slices.Delete(p.idle, place, place+1)
-	p.open--
-}
-
-// whoOf is the name under which connections for a tenant are made.
-func (p *pool) whoOf(tenant string) string {
-	if tenant == "" {
-		return p.who
-	}
-	return tenant
-}
-
-func (p *pool) make(tenant string) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTime)
-	defer cancel()
-	conn, err := wire.Dial(ctx, p.key.address, p.key.service, p.whoOf(tenant), p.key.instanceID)
+// giveUp takes a waiter out of the queue, and tells whether it was still there: otherwise it has been given something.
+func (p *pool) giveUp(wait *waiter) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.making[tenant]--
-	if p.making[tenant] == 0 {
-		delete(p.making, tenant)
-	}
-	if err != nil {
-		p.notMade(err)
-		return
+	place := slices.Index(p.waiting, wait)
+	if place < 0 {
+		return false
 	}
-	p.made++
-	p.hand(&backend{home: p, tenant: tenant, conn: conn, state: session.NewBackend()})
+	p.waiting = slices.Delete(p.waiting, place, place+1)
+	return true
 }
 
-// notMade deals with a connection that could not be made. It is called with the lock held.
-func (p *pool) notMade(err error) {
-	p.open--
-	now := p.now()
-	var refused *wire.Refused
-	if errors.As(err, &refused) {
-		p.refusals++
-	}
-	if refused != nil && refused.Code == wire.ConnLimit {
-		p.most = max(1, p.open)
-		p.growAt = now + growEvery
-	}
-	if p.leads.Load() && (refused == nil || refused.Code == wire.WrongNode) {
-		p.failed(p.key.instanceID)
-	}
-	p.retryAt = now + retryDial
-	if p.open == 0 {
-		p.refuseAll()
+func handed(found *backend) (*backend, error) {
+	if found == nil {
+		return nil, errNoConnection
 	}
+	return found, nil
 }
 
 // refuseAll sends all who wait away. It is called with the lock held.
@@ -300,18 +211,40 @@
 	p.waiting = nil
 }
 
-// hand gives a sound connection to whoever waits first, or keeps it. It is called with the lock held.
+// hand passes a sound connection on: to whoever of its tenant waits, unless somebody of another tenant needs its room first; else it is kept. It
+// is called with the lock held.
 func (p *pool) hand(free *backend) {
+	now := p.now()
 	switch {
 	case p.closed:
-		p.open--
-		free.conn.Close()
+		p.shut(free, afterBroken)
+	case p.mustGiveWay(now, free.tenant):
+		p.shut(free, afterGaveWay)
+		p.makeMore(now)
 	case p.handToWaiter(free):
 	default:
-		free.lastUsed = p.now()
+		free.lastUsed = now
 		p.idle = append(p.idle, free)
-		p.makeMore(free.lastUsed) // for another tenant, which it gives way to
+		p.makeMore(now)
+	}
+}
+
+// mustGiveWay tells whether the pool is full, and the first who waits and could be helped is of another tenant: without this, tenants whose
+// connections are never idle would keep all others out for ever. It is called with the lock held.
+func (p *pool) mustGiveWay(now time.Duration, tenant string) bool {
+	if p.open < p.most || now < p.retryAt {
+		return false
+	}
+	unserved := p.unserved()
+	for _, wait := range p.waiting {
+		if wait.tenant == tenant {
+			return false
+		}
+		if len(unserved) > 0 && unserved[0] == wait {
+			return true
+		}
 	}
+	return false
 }
 
 // handToWaiter gives a connection to whoever of its tenant waits first, and tells whether somebody does. It is called with the lock held.
@@ -320,6 +253,7 @@
 	if place < 0 {
 		return false
 	}
+	free.wantedBy = p.waiting[place].interest
 	p.waiting[place].given <- free
 	p.waiting = slices.Delete(p.waiting, place, place+1)
 	return true
@@ -334,17 +268,16 @@
 
 // drop takes back a connection that can't be used any more, and closes it.
 func (p *pool) drop(lent *backend) {
-	lent.conn.Close()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.open--
+	p.shut(lent, afterBroken)
 	p.makeMore(p.now())
 }
 
 // rollback ends the transaction on a connection whose session has given it up, and takes the connection back. It
 // doesn't wait for it.
 func (p *pool) rollback(lent *backend) {
-	go func() {
+	p.launch(func() {
 		answer, err := lent.conn.QueryBy(time.Now().Add(rollbackTime), wire.OwnID, string(wire.Abort))
 		if err != nil || answer.Code != "" || answer.State != wire.Idle {
 			p.drop(lent)
@@ -352,7 +285,7 @@
 		}
 		lent.state.Ended(true)
 		p.free(lent)
-	}()
+	})
 }
 
 // close ends the use of the instance: idle connections are closed now, lent ones when they are given back.
@@ -360,27 +293,13 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closed = true
-	p.open -= len(p.idle)
-	for _, unused := range p.idle {
-		unused.conn.Close()
-	}
-	p.idle = nil
+	p.closeIdle(afterBroken, func(*backend) bool { return true })
 	p.refuseAll()
 }
 
-// trim closes connections that haven't been used for long.
-func (p *pool) trim() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	old := p.now() - idleTime
-	for len(p.idle) > 0 && p.open > idleKept && p.idle[0].lastUsed < old {
-		p.closeIdle(0)
-	}
-}
-
-// load is how many connections there are, and how many were made since the start.
-func (p *pool) load() (open, made, refusals int) {
+// size is how many connections there are.
+func (p *pool) size() int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.open, p.made, p.refusals
+	return p.open
 }
--- /dev/null
+++ b/gateway/retention.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// How long idle connections of tenants are kept. An instance's connections are counted over all gateways, whose number none of them knows, and
+// each keeps some for each tenant: so it is time that bounds their sum. A new connection costs a slot for some milliseconds, one beyond the
+// limit costs a refusal: the bounds are far on the side of the former.
+const (
+	// wantedTime is how long a connection is kept whose last session is still open: some of these sessions ask again within it.
+	wantedTime = 4 * time.Second
+	// wantedLeast is what is left of it where an instance is at its limit all the time: even then a connection outlives the pause between a
+	// try that failed and the next.
+	wantedLeast = 250 * time.Millisecond
+	// unwantedTime is how long one is kept whose last session has ended: another of the same tenant seldom asks so soon.
+	unwantedTime = 500 * time.Millisecond
+	// shortenPause is within what refusals count as one sign: those that are under way together say the same.
+	shortenPause = 500 * time.Millisecond
+	// lengthenEvery and lengthenBy are how the time grows again: the limit is to be met seldom, not approached again at once.
+	lengthenEvery = 10 * time.Second
+	lengthenBy    = 500 * time.Millisecond
+)
+
+// retention says how long idle connections of tenants are kept at one instance. An instance that is at its limit halves the time at each
+// gateway that it refuses. It knows no clock: now is the steady time.
+type retention struct {
+	wanted    time.Duration
+	changedAt time.Duration
+	shortened bool // since the start
+}
+
+func newRetention() retention { return retention{wanted: wantedTime} }
+
+// refused notes that the instance was at its limit.
+func (r *retention) refused(now time.Duration) {
+	if r.shortened && now < r.changedAt+shortenPause {
+		return
+	}
+	r.shortened, r.changedAt = true, now
+	r.wanted = max(wantedLeast, r.wanted/2)
+}
+
+// lengthen lets the time grow again, if the instance hasn't been at its limit for long.
+func (r *retention) lengthen(now time.Duration) {
+	if r.wanted == wantedTime || now < r.changedAt+lengthenEvery {
+		return
+	}
+	r.changedAt = now
+	r.wanted = min(wantedTime, r.wanted+lengthenBy)
+}
+
+// keep is how long a connection is kept that was used last by a session that is still open, or isn't.
+func (r *retention) keep(isWanted bool) time.Duration {
+	if isWanted {
+		return r.wanted
+	}
+	return min(r.wanted, unwantedTime)
+}
+
+// interest is a session's interest in the connections that it has used.
+type interest struct{ ended atomic.Bool }
+
+func (i *interest) end() { i.ended.Store(true) }
+
+// lasts tells whether the session is still open; nobody's interest never lasts.
+func (i *interest) lasts() bool { return i != nil && !i.ended.Load() }
