Pools: the two idle connections used last are kept longer than others

Cause: at the busiest instances the idle connections of all gateways came near maxConnections within the 4 s that each was kept, while at quiet ones there was room for longer.

Change: of the idle connections whose session is open, a gateway keeps the two used last for 8 s, others for 1 s. So a gateway's share of an instance is about two and what it uses within a second, and the sum over gateways is bounded though none knows their number.

--- a/gateway/pool_idle.go
+++ b/gateway/pool_idle.go
@@ -75,13 +75,25 @@
 	held.lost, held.lostAt = why, p.now()
 }
 
-// isExpired tells whether an idle connection has been unused for too long. It is called with the lock held.
-func (p *pool) isExpired(now time.Duration, unused *backend) bool {
-	rested := now - unused.lastUsed
-	if unused.tenant == "" {
-		return p.open > idleKept && rested > idleTime
+// closeExpired closes idle connections that have been unused for too long, the oldest first. It is called with the lock held.
+func (p *pool) closeExpired(now time.Duration, why dialReason) {
+	newer := 0
+	for _, unused := range p.idle {
+		if unused.wantedBy.lasts() {
+			newer++
+		}
 	}
-	return rested >= p.retention.keep(unused.wantedBy.lasts())
+	p.closeIdle(why, func(unused *backend) bool {
+		isWanted := unused.wantedBy.lasts()
+		if isWanted && newer > 0 {
+			newer--
+		}
+		rested := now - unused.lastUsed
+		if unused.tenant == "" {
+			return p.open > idleKept && rested > idleTime
+		}
+		return rested >= p.retention.keep(isWanted, newer)
+	})
 }
 
 // trim closes connections that haven't been used for long, and helps those who wait if there is room by now.
@@ -90,7 +102,7 @@
 	defer p.mutex.Unlock()
 	now := p.now()
 	p.retention.lengthen(now)
-	p.closeIdle(afterExpired, func(unused *backend) bool { return p.isExpired(now, unused) })
+	p.closeExpired(now, afterExpired)
 	p.makeMore(now)
 }
 
--- a/gateway/pool_make.go
+++ b/gateway/pool_make.go
@@ -149,7 +149,7 @@
 		p.retryAt = now
 	}
 	p.retention.refused(now)
-	p.closeIdle(afterGaveWay, func(unused *backend) bool { return p.isExpired(now, unused) })
+	p.closeExpired(now, afterGaveWay)
 }
 
 // tryAgainLater makes connections for those who wait once the pause is over: nothing else need happen by then. It is called with the lock held.
--- a/gateway/retention.go
+++ b/gateway/retention.go
@@ -9,8 +9,12 @@
 // each keeps some for each tenant: so it is time that bounds their sum. A new connection costs a slot for some milliseconds, one beyond the
 // limit costs a refusal: the bounds are far on the side of the former.
 const (
-	// wantedTime is how long a connection is kept whose last session is still open: some of these sessions ask again within it.
-	wantedTime = 4 * time.Second
+	// wantedTime is how long a connection is kept whose last session is still open, as long as it is among the wantedKept that were used last:
+	// most of these sessions ask again within it. At a quiet instance these are all that there are; at a busy one a gateway has
+	// more, and the others are kept for surplusTime.
+	wantedTime  = 8 * time.Second
+	wantedKept  = 2
+	surplusTime = time.Second
 	// wantedLeast is what is left of it where an instance is at its limit all the time: even then a connection outlives the pause between a
 	// try that failed and the next.
 	wantedLeast = 250 * time.Millisecond
@@ -51,12 +55,16 @@
 	r.wanted = min(wantedTime, r.wanted+lengthenBy)
 }
 
-// keep is how long a connection is kept that was used last by a session that is still open, or isn't.
-func (r *retention) keep(isWanted bool) time.Duration {
-	if isWanted {
-		return r.wanted
+// keep is how long a connection is kept that was used last by a session that is still open, or isn't; newer is how many of the former kind have
+// been used since.
+func (r *retention) keep(isWanted bool, newer int) time.Duration {
+	switch {
+	case !isWanted:
+		return min(r.wanted, unwantedTime)
+	case newer >= wantedKept:
+		return min(r.wanted, surplusTime)
 	}
-	return min(r.wanted, unwantedTime)
+	return r.wanted
 }
 
 // interest is a session's interest in the connections that it has used.
