Quotas: gateways hold operations in reserve, and ride out the loss of the primary

While the primary of the control state is replaced, gateways had no operations to begin with after a second at the most, and refused statements that the table's lease still allowed. A gateway keeps a reserve now: operations that the bank counts as lent until they can't be used any more, and that the gateway renews by asking, so that nothing is lost by holding them. All reserves of a tenant, the bucket and what comes in during a window stay within the rule; a later bank counts what earlier ones have lent until it is told or is over. What was kept in stock before, and lost unused, goes.

The property test, the search and new tests of control/quota pass. The opening time of banks in the property test follows NewBank's new condition (GrantLife after the last grant of an earlier bank).

--- a/control/controller/operations.go
+++ b/control/controller/operations.go
@@ -12,7 +12,7 @@
 
 // operationsFresh is how long after a confirmation operations are granted without another. A primary that was deposed grants none later than
 // this after the promises that deposed it, and the bank of a later term opens no sooner.
-const operationsFresh = 400 * time.Millisecond
+const operationsFresh = 300 * time.Millisecond
 
 // takeOperations answers a gateway's question for operations of tenants, at once if this controller was confirmed a moment ago.
 func (c *Controller) takeOperations(in Watch) {
@@ -29,12 +29,18 @@
 	return c.now-c.term.confirmed < operationsFresh || c.guards.operationsStale
 }
 
-// newBank makes the bank of a term that begins now. It opens once no earlier term can grant any more.
+// bankNumber is a number that no other bank has, at this controller or another one: an epoch has one primary.
+func (c *Controller) bankNumber() uint64 {
+	const bitsOfRequests = 32
+	return uint64(c.node.Epoch())<<bitsOfRequests | c.nextRequest()
+}
+
+// newBank makes the bank of a term that begins now. It opens once what earlier terms have granted to operations that waited is over.
 func (c *Controller) newBank() *quota.Bank {
 	if c.guards.bankOpensAtOnce {
-		return quota.NewBank(c.now, c.settings.Quota)
+		return quota.NewBank(c.bankNumber(), c.now, c.settings.Quota)
 	}
-	return quota.NewBank(c.now+operationsFresh+c.settings.LeaseMargin, c.settings.Quota)
+	return quota.NewBank(c.bankNumber(), c.now+operationsFresh+quota.GrantLife+c.settings.LeaseMargin, c.settings.Quota)
 }
 
 func (c *Controller) answerOperations(asked *watch) {
--- a/control/quota/bank.go
+++ b/control/quota/bank.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -13,12 +14,30 @@
 	unknownRetry = 200 * time.Millisecond
 )
 
+const (
+	// numbersKept is how long the number of a gateway's last request is kept: a request that comes later than another one of the same
+	// gateway is on its way for far less.
+	numbersKept = 10 * time.Minute
+	// numbersPruned is between two looks at which numbers are too old.
+	numbersPruned = time.Minute
+)
+
 // Bank grants operations of tenants to gateways. There is one at a time; see NewBank.
 type Bank struct {
+	id      uint64
 	rules   Rules
 	opensAt time.Duration
 	buckets map[string]*bucket
 	counts  Counts
+
+	lastRequests map[string]lastRequest // by gateway
+	pruneAt      time.Duration
+}
+
+// lastRequest is the newest request of a gateway.
+type lastRequest struct {
+	number uint64
+	at     time.Duration
 }
 
 // Counts are what a bank has done since it was made.
@@ -33,11 +52,13 @@
 	terms
 	level    float64
 	filledAt time.Duration
+	reserves *reserves
 }
 
-// NewBank makes a bank that knows no tenants. It is empty until opensAt, the time from which no earlier bank grants anything.
-func NewBank(opensAt time.Duration, rules Rules) *Bank {
-	return &Bank{rules: rules, opensAt: opensAt, buckets: map[string]*bucket{}}
+// NewBank makes a bank that knows no tenants, with a number that no other has. It is empty until opensAt: by then no earlier bank has granted
+// anything for GrantLife.
+func NewBank(id uint64, opensAt time.Duration, rules Rules) *Bank {
+	return &Bank{id: id, rules: rules, opensAt: opensAt, buckets: map[string]*bucket{}, lastRequests: map[string]lastRequest{}}
 }
 
 // SetLimits replaces the limits of all tenants. What is left of a tenant's operations stays, as far as its new limit allows.
@@ -45,11 +66,13 @@
 	next := make(map[string]*bucket, len(limits))
 	for _, limit := range limits {
 		kept := b.buckets[limit.Tenant]
+		chosen := termsOf(limit, b.rules)
 		if kept == nil {
-			kept = &bucket{filledAt: max(now, b.opensAt)}
+			from := max(now, b.opensAt)
+			kept = &bucket{filledAt: from, reserves: newReserves(from, chosen.reserve)}
 		}
 		kept.fill(now)
-		kept.terms = termsOf(limit, b.rules)
+		kept.terms = chosen
 		kept.level = min(kept.level, kept.capacity)
 		next[limit.Tenant] = kept
 	}
@@ -68,17 +91,41 @@
 // Answer grants as many of the wanted operations as there are.
 func (b *Bank) Answer(now time.Duration, request Request) Answer {
 	b.counts.Requests++
+	answer := Answer{Number: request.Number}
+	if now >= b.opensAt {
+		answer.Bank = b.id
+	}
+	if b.isOvertaken(now, request) {
+		return answer // nobody waits for it
+	}
 	grants := make([]Grant, 0, len(request.Wants))
 	for _, want := range request.Wants {
-		grant := b.grant(now, want)
-		b.counts.Granted += uint64(grant.Operations)
+		grant := b.grant(now, request, want)
+		b.counts.Granted += uint64(grant.Operations + grant.Reserved)
 		b.counts.Denied += uint64(max(0, want.Operations-grant.Operations))
 		grants = append(grants, grant)
 	}
-	return Answer{Number: request.Number, Grants: grants}
+	answer.Grants = grants
+	return answer
+}
+
+// isOvertaken tells whether a newer request of the same gateway came before this one, or the same.
+func (b *Bank) isOvertaken(now time.Duration, request Request) bool {
+	if request.Gateway == "" {
+		return false
+	}
+	if now >= b.pruneAt {
+		b.pruneAt = now + numbersPruned
+		maps.DeleteFunc(b.lastRequests, func(_ string, last lastRequest) bool { return now-last.at > numbersKept })
+	}
+	if request.Number <= b.lastRequests[request.Gateway].number {
+		return true
+	}
+	b.lastRequests[request.Gateway] = lastRequest{number: request.Number, at: now}
+	return false
 }
 
-func (b *Bank) grant(now time.Duration, want Want) Grant {
+func (b *Bank) grant(now time.Duration, request Request, want Want) Grant {
 	known := b.buckets[want.Tenant]
 	if known == nil {
 		return Grant{Tenant: want.Tenant, RetryAfter: unknownRetry}
@@ -90,6 +137,7 @@
 	if granted < want.Operations {
 		grant.RetryAfter = known.retryAfter()
 	}
+	b.reserve(now, request, want, known, &grant)
 	return grant
 }
 
--- a/control/quota/purse.go
+++ b/control/quota/purse.go
@@ -10,12 +10,16 @@
 const (
 	// demandMemory is the time over which demand is averaged.
 	demandMemory = 2 * time.Second
-	// stockFrom is the demand, in operations a second, from which a gateway keeps operations in stock: below it, most of a stock would
-	// be lost unused at the end of its life.
-	stockFrom = 3.0
-	// stockLow and stockFull are the stocks, in parts of the life of a grant, at which the gateway asks for more, and for how much.
-	stockLow  = 0.3
-	stockFull = 0.6
+	// reserveTime is how long the reserve of a gateway should last at its demand: through the loss of a primary and an election.
+	reserveTime = 2500 * time.Millisecond
+	// reserveRest is how long after its last operation a tenant has a reserve at a gateway.
+	reserveRest = 20 * time.Second
+	// renewBefore is how long before its end a reserve is asked for again, and renewWith how long before it that is done with another
+	// request.
+	renewBefore = 2 * time.Second
+	renewWith   = 2500 * time.Millisecond
+	// reservePause is the pause after an answer in which nothing is asked for the sake of a reserve alone.
+	reservePause = 250 * time.Millisecond
 	// mostWanted bounds what is asked for at once.
 	mostWanted = 1000
 )
@@ -38,16 +42,20 @@
 	asking   bool                // a request is under way
 	number   uint64              // of the last request
 	askedAt  time.Duration       // when it was made
+	bank     uint64              // that answered last
 }
 
 // account is what the purse holds of one tenant.
 type account struct {
-	lots      []lot // by their end
-	life      time.Duration
+	lots      []lot         // by their end
 	refusedTo time.Duration // until when nothing is to be had
 	waiting   int           // operations that wait for a grant
 	demand    float64       // operations a second
-	countedAt time.Duration
+	countedAt time.Duration // when an operation came last; negative: none has come
+
+	held      int           // in reserve
+	heldUntil time.Duration // the end of the reserve
+	reserveAt time.Duration // when it may be asked for again
 }
 
 // lot is what is left of a grant.
@@ -65,7 +73,7 @@
 	for _, tenant := range tenants {
 		next[tenant] = p.accounts[tenant]
 		if next[tenant] == nil {
-			next[tenant] = &account{life: longestLife}
+			next[tenant] = &account{countedAt: -1}
 		}
 	}
 	p.accounts = next
@@ -99,6 +107,10 @@
 		}
 		return Taken
 	}
+	if a.held > 0 {
+		a.held--
+		return Taken
+	}
 	if now < a.refusedTo {
 		return Refused
 	}
@@ -109,6 +121,9 @@
 	for len(a.lots) > 0 && now >= a.lots[0].until {
 		a.lots = a.lots[1:]
 	}
+	if now >= a.heldUntil {
+		a.held = 0
+	}
 }
 
 // count takes an attempt into the average.
@@ -118,6 +133,9 @@
 }
 
 func (a *account) demandAt(now time.Duration) float64 {
+	if a.countedAt < 0 {
+		return 0
+	}
 	return a.demand * math.Exp(-(now-a.countedAt).Seconds()/demandMemory.Seconds())
 }
 
@@ -138,7 +156,7 @@
 // Hungry tells whether there is a reason to ask the bank for operations of a tenant, and no request under way.
 func (p *Purse) Hungry(now time.Duration, tenant string) bool {
 	known := p.accounts[tenant]
-	return known != nil && !p.asking && known.wanted(now) > 0
+	return known != nil && !p.asking && known.isDue(now)
 }
 
 // Next gives the request that is due, sorted by tenant; false: none is, or one is under way. It must be followed by Granted or Failed.
@@ -146,13 +164,15 @@
 	if p.asking {
 		return Request{}, false
 	}
-	var request Request
+	due := false
+	request := Request{Bank: p.bank}
 	for tenant, known := range p.accounts {
-		if wanted := known.wanted(now); wanted > 0 {
-			request.Wants = append(request.Wants, Want{Tenant: tenant, Operations: wanted})
+		due = due || known.isDue(now)
+		if known.isDue(now) || known.mayRenew(now, renewWith) {
+			request.Wants = append(request.Wants, known.want(now, tenant))
 		}
 	}
-	if len(request.Wants) == 0 {
+	if !due {
 		return Request{}, false
 	}
 	slices.SortFunc(request.Wants, func(a, b Want) int { return cmp.Compare(a.Tenant, b.Tenant) })
@@ -162,23 +182,43 @@
 	return request, true
 }
 
-// wanted is how many operations should be asked for.
+func (a *account) want(now time.Duration, tenant string) Want {
+	return Want{Tenant: tenant, Operations: a.wanted(now), Held: a.held, Reserve: a.reserveWanted(now)}
+}
+
+// isDue tells whether there is a reason to ask now: operations wait, or the reserve is low or ends soon.
+func (a *account) isDue(now time.Duration) bool {
+	if a.wanted(now) > 0 {
+		return true
+	}
+	isLow := a.held <= a.reserveWanted(now)/2
+	return a.mayRenew(now, renewBefore) || isLow && a.mayRenew(now, reserveLife)
+}
+
+// mayRenew tells whether the reserve may be asked for again, if its end is as near as given.
+func (a *account) mayRenew(now, before time.Duration) bool {
+	return now >= a.reserveAt && a.reserveWanted(now) > 0 && a.heldUntil-now < before
+}
+
+// reserveWanted is how many operations the reserve should hold.
+func (a *account) reserveWanted(now time.Duration) int {
+	if a.countedAt < 0 || now-a.countedAt > reserveRest {
+		return 0
+	}
+	return min(mostWanted, max(1, int(math.Ceil(a.demandAt(now)*reserveTime.Seconds()))))
+}
+
+// wanted is how many operations should be asked for, for those that wait.
 func (a *account) wanted(now time.Duration) int {
 	if now < a.refusedTo {
 		return 0
 	}
 	a.dropEnded(now)
-	stock := 0
+	ready := a.held
 	for _, kept := range a.lots {
-		stock += kept.operations
+		ready += kept.operations
 	}
-	wanted := max(0, a.waiting-stock)
-	demand := a.demandAt(now)
-	life := a.life.Seconds()
-	if demand >= stockFrom && float64(stock) < demand*life*stockLow {
-		wanted += int(math.Ceil(demand*life*stockFull)) - stock
-	}
-	return min(wanted, mostWanted)
+	return min(mostWanted, max(0, a.waiting-ready))
 }
 
 // Granted books the answer to the request that is under way. Any other one, such as one that comes twice or after Failed, changes nothing.
@@ -187,6 +227,7 @@
 		return
 	}
 	p.asking = false
+	p.bank = answer.Bank
 	for _, grant := range answer.Grants {
 		if known := p.accounts[grant.Tenant]; known != nil {
 			known.book(now, p.askedAt, grant)
@@ -195,9 +236,12 @@
 }
 
 func (a *account) book(now, askedAt time.Duration, grant Grant) {
-	if grant.Life > 0 {
-		a.life = grant.Life
+	a.dropEnded(now)
+	a.held = min(a.held, grant.Keep) + grant.Reserved
+	if grant.ReserveLife > 0 {
+		a.heldUntil = askedAt + grant.ReserveLife
 	}
+	a.reserveAt = now + reservePause
 	if grant.Operations > 0 {
 		a.lots = append(a.lots, lot{operations: grant.Operations, until: askedAt + grant.Life})
 		slices.SortStableFunc(a.lots, func(x, y lot) int { return cmp.Compare(x.until, y.until) })
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -15,6 +15,8 @@
 	operationsTime = 700 * time.Millisecond
 	// operationsPause is the pause after one that got no answer.
 	operationsPause = 50 * time.Millisecond
+	// reserveTick is between two looks at whether a reserve is to be renewed.
+	reserveTick = 250 * time.Millisecond
 )
 
 // allowance lets operations of tenants begin as long as their limits allow it. Those who find its purse empty wait for what the bank
@@ -110,11 +112,14 @@
 
 // borrow asks the primary for operations of tenants, one question at a time, until the context ends.
 func (g *Gateway) borrow(ctx context.Context) {
+	ticker := time.NewTicker(reserveTick)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.allowance.hungry:
+		case <-ticker.C:
 		}
 		request, due := g.allowance.next()
 		if due && !g.askForOperations(ctx, request) {
@@ -130,6 +135,7 @@
 	if address == "" {
 		return false
 	}
+	request.Gateway = g.identity
 	limited, cancel := context.WithTimeout(ctx, operationsTime)
 	defer cancel()
 	answer, err := g.watcher.Watch(limited, address, feed.WatchRequest{
