Gateway: a session whose key isn't known ends with the refusal of its first statement

A client that connected before a configuration was known, while no lease was held, or whose key was taken away later, was told AUTHFAIL at its first statement, and its session stayed open with a descriptor and a place among the sessions, for as long as the client liked. Now it ends after the answer, as it does at CONNECT; the client has its answer, and a close at I while nothing is asked is no failure.

Measured: TestRefusedKeyLeavesNothingBehind fails on the code before (no end after AUTHFAIL) and passes; it also looks that a refused transaction leaves no flight and gives its connection back. TestStrangerWhoCameEarlyIsRefusedAtTheFirstStatement and TestOnlyTheVeryKeyIsKnown pass on both: no statement of a stranger reached an instance in any of their cases. Tests of gateway pass.

--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -137,3 +137,64 @@
 	is.Equal(why, unknownKey)
 	is.Equal(wire.AuthFail.Promise(), false)
 }
+
+// ROUTE: sessions with keys that nobody holds stayed open once a statement of theirs had been refused.
+func TestRefusedKeyLeavesNothingBehind(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	w.publishTenants(2, bakers)
+	idle, inside, kept := w.connect("flour"), w.connect("flour"), w.connect("yeast")
+	inside.must("BEGIN", "COMPLETE stamp / T")
+	inside.must("PUT a 1", "COMPLETE stamp / T")
+	w.publishTenants(3, noBakers)
+	idle.must("FETCH a", "ERROR AUTHFAIL / I")
+	idle.gets("end")
+	inside.must("PUT a 2", "ERROR ROLLEDBACK / E")
+	is.Equal(w.figure("flights"), 0.0)
+	inside.must("ABORT", "COMPLETE - / I")
+	inside.must("BEGIN", "ERROR AUTHFAIL / I")
+	inside.gets("end")
+	w.eventually("their sessions are gone", func() bool { return w.figure("sessions") == 1 })
+	kept.must("PUT b 3", "COMPLETE stamp / I")
+	is.Equal(w.first.dials(), 1) // the connection of the refused ones is lent again
+	is.Equal(w.first.read("a"), "")
+}
+
+// ROUTE: a client without a key that came while no configuration was known, or no lease held, was let through to an instance.
+func TestStrangerWhoCameEarlyIsRefusedAtTheFirstStatement(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	early := w.connect("stranger") // under a configuration without tenants
+	w.publishTenants(2, bakers)
+	w.controller.set(func(s *standinController) { s.silent = true })
+	w.eventually("the lease is lost", func() bool { return w.figure("lease_left_seconds") < 0 })
+	late := w.connect("stranger")
+	late.must("FETCH a", "ERROR BUSY / I")
+	late.start("PUT a 1")
+	w.controller.set(func(s *standinController) { s.silent = false })
+	w.eventually("the lease is back", func() bool { return w.figure("lease_left_seconds") > 0 })
+	_ = late.answer() // BUSY, or AUTHFAIL if the lease came back in time
+	early.must("PUT a 2", "ERROR AUTHFAIL / I")
+	is.Equal(len(w.first.asked()), 0)
+}
+
+// ROUTE: words that are nearly a key must not do.
+func TestOnlyTheVeryKeyIsKnown(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	w.publishTenants(2, bakers)
+	for _, line := range []string{
+		"CONNECT shop Flour", "CONNECT shop flour\t", "CONNECT shop flou", "CONNECT shop flourflour", "CONNECT shop bakers", "CONNECT shop edge-1",
+		"CONNECT shop flour\x00", "CONNECT shop -", "CONNECT shop " + strings.Repeat("flour", 100_000),
+		"CONNECT shop flour i-1", "CONNECT shop flour ", "CONNECT shop  flour", "CONNECT shop", "CONNECT shop flour flour",
+		"CONNECT shop " + strings.Repeat("f", 1<<20),
+	} {
+		one := w.dial("stranger")
+		one.send(line)
+		answer, _ := one.reader.ReadLine()
+		is.True(answer == "ERROR AUTHFAIL" || answer == "ERROR MALFORMED" || answer == "") // "": reset while the line was too long
+		one.gets("end")
+	}
+	w.connect("flour").must("PUT a 1", "COMPLETE stamp / I")
+	is.Equal(len(w.first.asked()), 1)
+}
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -108,12 +108,15 @@
 			return
 		}
 		answer, goOn := c.take(line, err)
-		if !goOn || !c.write(wire.AppendAnswer(c.buffer[:0], answer)) {
+		if !goOn || !c.write(wire.AppendAnswer(c.buffer[:0], answer)) || endsSession(answer) {
 			return
 		}
 	}
 }
 
+// endsSession tells whether the session is over with this answer: a client whose key isn't known would be refused at CONNECT, too.
+func endsSession(answer wire.Answer) bool { return answer.Code == wire.AuthFail }
+
 // greet takes the CONNECT.
 func (c *client) greet() bool {
 	_ = c.network.SetReadDeadline(time.Now().Add(greetTime))
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"eiderway/control/quorum"
 	"eiderway/control/quota"
 	"eiderway/system"
+	"eiderway/system/metrics"
 	"eiderway/testing/loopback"
 	"eiderway/wire"
 )
@@ -426,6 +428,7 @@
 	settings   system.Settings
 	terminate  chan struct{}
 	ended      chan struct{}
+	figures    atomic.Pointer[metrics.Source]
 }
 
 // startWorld starts a world and waits until its gateway is ready.
@@ -460,7 +463,7 @@
 	asked := asker(started)
 	go func() {
 		defer close(started.ended)
-		boot := Boot{Settings: started.settings, Log: log, Terminate: started.terminate}
+		boot := Boot{Settings: started.settings, Log: log, Terminate: started.terminate, Publish: started.publishFigures}
 		if err := run(ctx, boot, asked); err != nil {
 			t.Error(err)
 		}
@@ -474,6 +477,18 @@
 	return started
 }
 
+func (w *world) publishFigures(source metrics.Source) { w.figures.Store(&source) }
+
+// figure gives one of the gateway's figures.
+func (w *world) figure(name string) float64 {
+	figures := (*w.figures.Load())()
+	place := slices.IndexFunc(figures, func(one metrics.Figure) bool { return one.Name == name })
+	if place < 0 {
+		w.Fatalf("no figure %s", name)
+	}
+	return figures[place].Value
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	return loopback.ReserveForTest(t).Address()
