Gateway: a statement that waited is sent by the newest route only

A first statement is placed by a route and may wait for a connection. The last check before the sending looked at the service, the lease and the key, but took the route as it was when the statement was placed: a statement of a client without a key was sent though the route asked for keys by then, and others were sent to a service to which the route didn't lead any more. Now the route held must be the same in service, class and need of a key, or the statement is placed anew. Transactions that have begun go on, as the protocol has it. On a route without keys, a word that happened to be a key no longer keeps its tenant's name once the key is another's.

Measured: TestWaitingStatementIsSentByTheNewestRoute fails in its three cases on the code before and passes. Tests of gateway pass.

--- a/gateway/access.go
+++ b/gateway/access.go
@@ -51,13 +51,18 @@
 	return !admitted
 }
 
+// stillRouted tells whether the database's route leads where it led when a placement was made, and asks for a key if it did then.
+func (d *directory) stillRouted(placed placement) bool {
+	route, known := d.routes[placed.route.Host]
+	return known && route.TargetService == placed.route.TargetService &&
+		route.Class == placed.route.Class && route.NoAuth == placed.route.NoAuth
+}
+
 // stillAdmits tells whether the key under which a placement was made is still good, as far as can be known: beyond the lease, inside a
 // transaction, the table is trusted for as long as keys that were taken away may be of use.
 func (d *directory) stillAdmits(now time.Duration, placed placement) bool {
-	if !d.access.required || placed.route.NoAuth {
-		return true
-	}
-	if d.keysTrusted > 0 && now >= d.heardAt+d.keysTrusted {
+	needsKey := d.access.required && !placed.route.NoAuth
+	if needsKey && d.keysTrusted > 0 && now >= d.heardAt+d.keysTrusted {
 		return false
 	}
 	return d.access.admits(placed.route, placed.key, placed.tenant)
--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -178,6 +178,36 @@
 	is.Equal(len(w.first.asked()), 0)
 }
 
+// ROUTE: a statement that waited while its route began to ask for keys, or to lead elsewhere, was sent as the old route had it.
+func TestWaitingStatementIsSentByTheNewestRoute(t *testing.T) {
+	for name, change := range map[string][2]string{
+		"keys are needed now":     {`"noAuth":true,`, ``},
+		"another service":         {`"targetService":"orders"`, `"targetService":"other"`},
+		"the database is dropped": {`"host":"shop"`, `"host":"shed"`},
+		"nothing":                 {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			held := newDirectory()
+			table := tableOf(1, "i-1", false)
+			plain := strings.Replace(string(tenantsOf(7, bakers)), `"pathPrefix"`, `"noAuth":true,"pathPrefix"`, 1)
+			table.Configuration = []byte(strings.Replace(plain, `"serviceTable":[`, `"serviceTable":[{"name":"other"},`, 1))
+			_, err := held.take(0, 0, feed.WatchAnswer{Table: table, Lease: 3 * time.Second})
+			is.NoErr(err)
+			found, why := held.placeFor(time.Second, "shop", newAccessKey("stranger"))
+			is.Equal(why, placed)
+			next := tableOf(2, "i-1", false)
+			next.ConfigurationNumber = 8
+			body := strings.Replace(string(table.Configuration), `"configRevision":7`, `"configRevision":8`, 1)
+			next.Configuration = []byte(strings.Replace(body, change[0], change[1], 1))
+			_, err = held.take(time.Second, time.Second, feed.WatchAnswer{Table: next, Lease: 3 * time.Second})
+			is.NoErr(err)
+			is.Equal(held.mayBegin(time.Second, found), name == "nothing")
+			is.True(held.mayOpen(time.Second, found)) // a transaction that has begun goes on
+		})
+	}
+}
+
 // ROUTE: words that are nearly a key must not do.
 func TestOnlyTheVeryKeyIsKnown(t *testing.T) {
 	is := is.New(t)
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -380,6 +380,9 @@
 // mayBegin tells whether a first statement may be sent now under a placement made before: the last check before the
 // bytes leave.
 func (d *directory) mayBegin(now time.Duration, placed placement) bool {
+	if !d.stillRouted(placed) {
+		return false
+	}
 	if placed.atReplica() {
 		return d.mayBeginAt(now, placed)
 	}
