Configuration: a tenantTable that is null is refused

A field that is null counts as left out, and a configuration without a tenantTable is one of a system in which nobody needs a key: with "tenantTable":null, which a program may write for an empty list, every stranger was let in (ROUTE). It is refused with a line that names the two ways out. TestTenantsThatCannotBeKeptAreRefused fails on the code before in this case and passes; the tests of the package pass.

--- a/control/configuration/contents.go
+++ b/control/configuration/contents.go
@@ -82,6 +82,10 @@
 }
 
 func (r *contentsReader) tenants(top object) []Tenant {
+	if top.isNullAt(tenantTable) {
+		r.refuse(unreadable(tenantTable, "is null: leave it out where nobody needs a key, or send an empty array to let nobody in"))
+		return nil
+	}
 	if _, given := top.field(tenantTable); !given {
 		return nil
 	}
--- a/control/configuration/value.go
+++ b/control/configuration/value.go
@@ -40,4 +40,10 @@
 	return v.members[index].value, true
 }
 
+// isNullAt tells whether there is a member with this key that is null.
+func (v value) isNullAt(key string) bool {
+	index, found := slices.BinarySearchFunc(v.members, key, compareKey)
+	return found && v.members[index].value.kind == isNull
+}
+
 func compareKey(m member, key string) int { return cmp.Compare(m.key, key) }
