Configuration: the table of tenants can't be dropped by leaving it out

A configuration without a tenantTable is one of a system in which nobody needs a key. While the configuration in force has a table, a newer one without is answered 409 with a line that names the two ways: an empty table, or noAuth on routes that need no key. Its number isn't taken. An older number without a table is taken as before, since it changes nothing. A state that an earlier program wrote doesn't say whether it has tenants, and is protected from its next configuration on.

Measured: with the check taken out by hand TestTenantsAreNotDroppedByLeavingTheirTableOut fails (InForce for LacksTenants), with it it passes. Tests of control/state and control/controller pass.

--- a/control/state/order.go
+++ b/control/state/order.go
@@ -12,6 +12,8 @@
 	Number   int64
 	Size     int // of the body as it was sent, in bytes
 	Services []configuredService
+
+	HasTenants bool // it has a table of tenants
 }
 
 type configuredService struct {
@@ -35,8 +37,12 @@
 		return Conflict
 	}
 	head, inForce := read[configurationHead](t, configurationKey)
+	isNewest := !inForce || order.Number > head.Number
+	if isNewest && head.HasTenants && !order.Contents.HasTenants {
+		return LacksTenants
+	}
 	t.recordOrder(order)
-	if inForce && order.Number <= head.Number {
+	if !isNewest {
 		return Overtaken
 	}
 	t.putConfiguration(order)
@@ -55,7 +61,7 @@
 }
 
 func (t *Transaction) putConfiguration(order configuration.Order) {
-	head := configurationHead{Number: order.Number, Size: len(order.Body)}
+	head := configurationHead{Number: order.Number, Size: len(order.Body), HasTenants: order.Contents.HasTenants}
 	for _, service := range order.Contents.Services {
 		configured := configuredService{Name: service.Name, SyncReplicas: service.SyncReplicas}
 		head.Services = append(head.Services, configured)
