Tenants are tested with real processes: frozen and cut-off gateways, a killed primary, a hot tenant

A key is taken away while a gateway is frozen inside transactions (SIGSTOP, woken past the bound), while one is cut off by relays, and right before the primary is killed, when it also moves to another tenant; a hot tenant asks over both gateways across a kill of the primary, and strangers try keys that nobody holds. Every world with tenants is judged by JudgeTenants, and no process may write a key.

--- /dev/null
+++ b/systemtest/tenants_test.go
@@ -0,0 +1,199 @@
+package systemtest
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eiderway/systemtest/workload"
+	"eiderway/wire"
+)
+
+// byHand opens a session that the test drives, at one gateway.
+func (w *world) byHand(number, gateway int, key string) *workload.Session {
+	w.Helper()
+	settings := w.clientSettings()
+	settings.Key = keyed(key)
+	var opened *workload.Session
+	w.await("a session is opened", func() bool {
+		opened = workload.OpenSession(lastNumbers+number, w.layout.Front(gateway), settings)
+		return opened != nil
+	})
+	w.Cleanup(opened.Close)
+	return opened
+}
+
+// awaitRefused waits until new sessions with the key are refused at a gateway.
+func (w *world) awaitRefused(number, gateway int, key string) {
+	w.Helper()
+	settings := w.clientSettings()
+	settings.Key = keyed(key)
+	before := w.history.Refused(key)
+	w.await("the key is refused", func() bool {
+		if opened := workload.OpenSession(lastNumbers+number, w.layout.Front(gateway), settings); opened != nil {
+			opened.Close()
+		}
+		return w.history.Refused(key) > before
+	})
+}
+
+// mustBegin opens a transaction with a write.
+func mustBegin(is *is.I, session *workload.Session, thing string) {
+	is.Helper()
+	is.True(session.Begin())
+	is.Equal(session.Put(thing, "before").Outcome, workload.Done)
+}
+
+// waitUntil waits for a moment that a rule names.
+func waitUntil(moment time.Time) { time.Sleep(time.Until(moment)) }
+
+// CONFIG: a gateway that was frozen inside a client's transaction went on with it though its key had been taken away.
+func TestTenantsKeyIsTakenAwayWhileAGatewayIsFrozen(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	w := startTenants(t, noLinks)
+	inside, committing, idle := w.byHand(1, 0, doomedKey), w.byHand(2, 0, doomedKey), w.byHand(3, 0, doomedKey)
+	mustBegin(is, inside, "x1")
+	mustBegin(is, committing, "x2")
+	is.Equal(idle.Put("x3", "before").Outcome, workload.Done)
+
+	w.gateways[0].signal(syscall.SIGSTOP)
+	taken := w.change(tenantsWith())
+	waitUntil(taken.Answered.Add(runsAfter))
+	answers := make(chan workload.Statement, 3)
+	go func() { answers <- inside.Put("x1", "after") }()
+	go func() { answers <- committing.Commit() }()
+	go func() { answers <- idle.Put("x3", "after") }()
+	time.Sleep(poll) // they are on their way before the gateway wakes
+	w.gateways[0].signal(syscall.SIGCONT)
+	for range cap(answers) {
+		is.True((<-answers).Outcome != workload.Done)
+	}
+	is.Equal(w.ranOf(lastNumbers+1), []string{"PUT x1 before"})
+	is.Equal(w.ranOf(lastNumbers+2), []string{"PUT x2 before"})
+	is.Equal(w.ranOf(lastNumbers+3), []string{"PUT x3 before"})
+	w.awaitRefused(4, 0, doomedKey)
+	w.awaitWrites("with the keys that are left")
+	w.conclude()
+}
+
+// CONFIG: a gateway that was cut off went on inside transactions, and by its old table, though a key had been taken away.
+func TestTenantsKeyIsTakenAwayWhileAGatewayIsCutOff(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	w := startTenants(t, startLinks)
+	inside, committing, idle := w.byHand(1, 0, doomedKey), w.byHand(2, 0, doomedKey), w.byHand(3, 0, doomedKey)
+	mustBegin(is, inside, "x1")
+	mustBegin(is, committing, "x2")
+	is.Equal(idle.Put("x3", "before").Outcome, workload.Done)
+
+	w.cutOff(0, true)
+	taken := w.change(tenantsWith())
+	waitUntil(taken.Answered.Add(runsAfter))
+	is.True(inside.Put("x1", "after").Outcome != workload.Done)
+	is.True(committing.Commit().Outcome != workload.Done)
+	is.True(idle.Put("x3", "after").Outcome != workload.Done)
+	is.Equal(w.ranOf(lastNumbers+1), []string{"PUT x1 before"})
+	is.Equal(w.ranOf(lastNumbers+2), []string{"PUT x2 before"})
+	is.Equal(w.ranOf(lastNumbers+3), []string{"PUT x3 before"})
+	w.awaitRefused(4, 1, doomedKey) // by the gateway that is in touch
+	w.cutOff(0, false)
+	w.awaitRefused(5, 0, doomedKey)
+	w.awaitWrites("with the keys that are left")
+	w.conclude()
+}
+
+// cutOff cuts a gateway from all controllers, or joins it again.
+func (w *world) cutOff(gateway int, isCut bool) {
+	for number := range workload.Controllers {
+		w.links.cut(gatewayName(gateway), controllerName(number), bothWays, isCut)
+	}
+}
+
+// CONFIG: keys that were taken away, moved and added were forgotten with the primary that had acknowledged it.
+func TestTenantsKeysChangeAsThePrimaryDies(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	w := startTenants(t, noLinks)
+	inside := w.byHand(1, 1, doomedKey)
+	mustBegin(is, inside, "x1")
+	w.awaitMembers()
+	killed := w.leader()
+	moved := tenantsWith()
+	moved[1].Keys = append(moved[1].Keys, doomedKey) // from the farmers to the traders
+	taken := w.change(moved)
+	w.controllers[killed].kill()
+	waitUntil(taken.Answered.Add(runsAfter))
+	is.True(inside.Put("x1", "after").Outcome != workload.Done)
+	w.awaitServed(2, 0, doomedKey)
+	w.awaitServed(3, 1, doomedKey)
+	w.startController(killed, false)
+	w.awaitOrders("after the primary was killed")
+	w.conclude()
+}
+
+// awaitServed waits until a write with the key is served at a gateway.
+func (w *world) awaitServed(number, gateway int, key string) {
+	w.Helper()
+	settings := w.clientSettings()
+	settings.Key = keyed(key)
+	w.await("the key is served", func() bool {
+		opened := workload.OpenSession(lastNumbers+number, w.layout.Front(gateway), settings)
+		if opened == nil {
+			return false
+		}
+		defer opened.Close()
+		return opened.Put("y", "mine").Outcome == workload.Done
+	})
+}
+
+const (
+	hotClients = 8
+	hotFirst   = 100             // the number of the first of them
+	hotFor     = 3 * time.Second // before and after the takeover
+)
+
+// QUOTA: a hot tenant got more than its limit, over two gateways and across a takeover; ROUTE: strangers were served meanwhile.
+func TestTenantsHotOneAcrossATakeover(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	w := startTenants(t, noLinks)
+	hot := w.clientSettings()
+	hot.Key, hot.Eager = keyed(hotKey), true
+	strangers := w.clientSettings()
+	strangers.Key = keyed(unheldKey)
+	crowding := workload.StartClients(hotFirst, hotClients, hot)
+	strange := workload.StartClients(hotFirst+hotClients, 2, strangers)
+	time.Sleep(hotFor)
+	w.awaitMembers()
+	killed := w.leader()
+	w.controllers[killed].kill()
+	w.await("another controller leads", func() bool { leads := w.leads(); return leads >= 0 && leads != killed })
+	w.awaitWrites("after the takeover")
+	time.Sleep(hotFor)
+	crowding.Stop()
+	strange.Stop()
+	w.startController(killed, false)
+	w.conclude()
+	served, refused := w.countOf(hotKey)
+	is.True(refused > served)                                     // it asked for far more than its limit
+	is.True(float64(served) > crowdRate*(2*hotFor).Seconds()*0.5) // statements; a transaction has several
+	is.True(w.history.Refused(unheldKey) > 0)
+	t.Logf("the hot tenant: %d statements served, %d refused; strangers refused %d times", served, refused, w.history.Refused(unheldKey))
+}
+
+// countOf counts the statements with a key that succeeded, and those that were answered BUSY.
+func (w *world) countOf(key string) (served, refused int) {
+	for _, statement := range w.history.Statements() {
+		switch {
+		case statement.Key != key:
+		case statement.Outcome == workload.Done:
+			served++
+		case statement.Code == wire.Busy:
+			refused++
+		}
+	}
+	return served, refused
+}
--- a/systemtest/workload/history.go
+++ b/systemtest/workload/history.go
@@ -91,6 +91,18 @@
 	h.statements = append(h.statements, statement)
 }
 
+// last is the newest statement of a client.
+func (h *History) last(client int) Statement {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, statement := range slices.Backward(h.statements) {
+		if statement.Client == client {
+			return statement
+		}
+	}
+	return Statement{}
+}
+
 // addWait notes how long a client waited for a write from its first try to its acknowledgement.
 func (h *History) addWait(wait time.Duration) {
 	h.mutex.Lock()
--- a/systemtest/world_test.go
+++ b/systemtest/world_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"eiderway/system"
 	"eiderway/systemtest/workload"
 	"eiderway/testinstance"
 )
@@ -49,6 +50,8 @@
 	clients     *workload.Clients
 	number      atomic.Int64 // of the newest configuration
 	links       *links       // nil: processes speak directly
+	tenants     tenants      // none: clients need no keys
+	bounds      func(*system.Bounds)
 	stopOrders  context.CancelFunc
 	operators   sync.WaitGroup
 }
@@ -73,18 +76,24 @@
 		t.Fatal(err)
 	}
 	w := &world{T: t, layout: layout, directory: t.TempDir(), history: &workload.History{}, orders: &workload.Orders{}}
+	w.begin(set, over)
+	return w
+}
+
+// begin starts all of a world.
+func (w *world) begin(set func(*testinstance.Settings), over func(*world) *links) {
+	w.Helper()
 	w.startSurroundings(set)
 	w.links = over(w)
 	for number := range workload.Controllers {
-		w.controllers = append(w.controllers, newProcess(t, w.directory, "controller-"+workload.Zone(number)))
+		w.controllers = append(w.controllers, newProcess(w.T, w.directory, "controller-"+workload.Zone(number)))
 		w.startController(number, true)
 	}
 	for number := range gatewayCount {
-		w.gateways = append(w.gateways, newProcess(t, w.directory, "gateway-"+workload.Zone(number)))
+		w.gateways = append(w.gateways, newProcess(w.T, w.directory, "gateway-"+workload.Zone(number)))
 		w.startGateway(number)
 	}
 	w.startLoad()
-	return w
 }
 
 // startSurroundings starts the instances and the platform.
@@ -93,6 +102,7 @@
 	instances := testinstance.DefaultSettings(service, w.controls)
 	instances.DrainTime = drainTime
 	instances.Linger = time.Second
+	instances.CallerOf = w.gatewayOf
 	set(&instances)
 	w.service = testinstance.NewService(instances)
 	w.Cleanup(w.service.Stop)
@@ -119,11 +129,7 @@
 	for number := range gatewayCount {
 		w.await("a gateway is ready", func() bool { return w.isReady(number) })
 	}
-	w.clients = workload.StartClients(1, clientCount, workload.ClientSettings{
-		Database: database,
-		Gateways: w.fronts,
-		History:  w.history,
-	})
+	w.clients = workload.StartClients(1, clientCount, w.clientSettings())
 	ctx, stop := context.WithCancel(context.Background())
 	w.stopOrders = stop
 	for number := range operatorsCount {
@@ -140,7 +146,25 @@
 }
 
 func (w *world) operator() *workload.Operator {
-	return &workload.Operator{Controllers: w.controls, Orders: w.orders, Service: service, Database: database}
+	operator := &workload.Operator{Controllers: w.controls, Orders: w.orders, Service: service, Database: database}
+	if w.tenants.are() {
+		operator.Tenants = w.tenants.now
+	}
+	return operator
+}
+
+func (w *world) clientSettings() workload.ClientSettings {
+	settings := workload.ClientSettings{Database: database, Gateways: w.fronts, History: w.history}
+	if w.tenants.are() {
+		settings.Key = usualKey
+	}
+	return settings
+}
+
+// gatewayOf names the gateway that a client's statement was sent through.
+func (w *world) gatewayOf(statementID string) (name string, known bool) {
+	address, known := w.history.GatewayOf(statementID)
+	return gatewayName(slices.Index(w.fronts(), address)), known
 }
 
 // keepOrdering places one configuration after the other. Another operator takes the same numbers at times.
@@ -186,11 +210,19 @@
 	if err := os.MkdirAll(w.dataOf(number), 0o700); err != nil {
 		w.Fatal(err)
 	}
-	w.controllers[number].start(w.links.through(w, w.layout.Controller(number, firstStart, w.dataOf(number))))
+	w.controllers[number].start(w.settled(w.layout.Controller(number, firstStart, w.dataOf(number))))
 }
 
 func (w *world) startGateway(number int) {
-	w.gateways[number].start(w.links.through(w, w.layout.Gateway(number)))
+	w.gateways[number].start(w.settled(w.layout.Gateway(number)))
+}
+
+// settled gives the settings of a process with the world's bounds, and with its ways through the relays.
+func (w *world) settled(settings system.Settings) system.Settings {
+	if w.bounds != nil {
+		w.bounds(&settings.Bounds)
+	}
+	return w.links.through(w, settings)
 }
 
 func (w *world) controls() []string { return w.layout.Controls(workload.Controllers) }
@@ -288,6 +320,7 @@
 	})...)
 	broken = append(broken, judgeFences(w.platform.Calls())...)
 	broken = append(broken, w.brokenInvariants()...)
+	broken = append(broken, w.judgeTenants()...)
 	if !areLinearizable(w.orders) {
 		broken = append(broken, "CONFIG: the orders are not linearizable")
 	}
