Tenants: a lower limit and a higher one, with real processes

A tenant that asks for far more than its limit has it lowered to a quarter and then raised. The judge wants the lower limit to bind from configApplyMs and one window after its acknowledgement on; the higher one must be given.

Measured: passes (9.4 s, in parallel with the others); with the taking over of lower limits taken out by hand of the bank it fails (QUOTA: 20 operations in a window of 1 s, 10.5 at the most).

--- a/systemtest/tenants_test.go
+++ b/systemtest/tenants_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"eiderway/system"
 	"eiderway/systemtest/workload"
+	"eiderway/testinstance"
 	"eiderway/wire"
 )
 
@@ -184,6 +186,36 @@
 	t.Logf("the hot tenant: %d statements served, %d refused; strangers refused %d times", served, refused, w.history.Refused(unheldKey))
 }
 
+// QUOTA: a lower limit did not bind in time; and a higher one was not given.
+func TestTenantsLimitIsLoweredAndRaised(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	const window = time.Second
+	w := startTenants(t, func(*testinstance.Settings) {}, noLinks, func(bounds *system.Bounds) {
+		shortBounds(bounds)
+		bounds.QuotaWindowS = window.Seconds()
+	})
+	binds := func(acknowledged time.Time) time.Time { return acknowledged.Add(configApply + window) }
+	w.limitBinds = binds
+	hot := w.clientSettings()
+	hot.Key, hot.Eager = keyed(hotKey), true
+	crowding := workload.StartClients(hotFirst, hotClients, hot)
+	time.Sleep(window)
+	lower := tenantsWith()
+	lower[2].RatePerS, lower[2].BurstSize = crowdRate/4, 0
+	lowered := w.change(lower)
+	waitUntil(binds(lowered.Answered).Add(2 * window)) // one window more than the judge needs
+	served, _ := w.countOf(hotKey)
+	higher := tenantsWith()
+	higher[2].RatePerS = 4 * crowdRate
+	raised := w.change(higher)
+	waitUntil(binds(raised.Answered))
+	crowding.Stop()
+	w.conclude()
+	afterwards, _ := w.countOf(hotKey)
+	is.True(float64(afterwards-served) > 2*crowdRate*window.Seconds()) // statements; far more than the first limit gave
+}
+
 // countOf counts the statements with a key that succeeded, and those that were answered BUSY.
 func (w *world) countOf(key string) (served, refused int) {
 	for _, statement := range w.history.Statements() {
--- a/systemtest/tenants_world_test.go
+++ b/systemtest/tenants_world_test.go
@@ -30,6 +30,7 @@
 	revoke      = 2 * time.Second               // bound of the tenants' worlds
 	quotaWindow = 2 * time.Second               // likewise
 	quotaSlack  = 5                             // likewise
+	configApply = 1500 * time.Millisecond       // likewise
 	runsAfter   = revoke + 300*time.Millisecond // past the bound, and before a transaction that rests is ended
 )
 
@@ -79,6 +80,7 @@
 	bounds.RevokeMs = float64(revoke.Milliseconds())
 	bounds.QuotaWindowS = quotaWindow.Seconds()
 	bounds.QuotaSlack = quotaSlack
+	bounds.ConfigApplyMs = float64(configApply.Milliseconds())
 }
 
 // startTenants starts a world with tenants.
@@ -138,6 +140,7 @@
 			Overrun: bounds.QuotaRules().Overrun,
 			Slack:   bounds.QuotaRules().Slack,
 		},
+		LimitBinds: w.limitBinds,
 	})
 	return append(broken, w.keysInLogs()...)
 }
--- a/systemtest/world_test.go
+++ b/systemtest/world_test.go
@@ -52,6 +52,7 @@
 	links       *links       // nil: processes speak directly
 	tenants     tenants      // none: clients need no keys
 	bounds      func(*system.Bounds)
+	limitBinds  func(acknowledged time.Time) time.Time // nil: a lower limit is not judged
 	stopOrders  context.CancelFunc
 	operators   sync.WaitGroup
 }
