Configuration: no refusal quotes a field within the table of tenants

A body in which an object of the tenantTable has a field twice was refused with the name of the field, which may be a key where keys were sent as fields ("apiKeys":{"KEY":1,"KEY":2}): the operator's answer, and whatever logs it, held the key. The refusal names the table only. TestTenantsThatCannotBeKeptAreRefused fails on the code before in two cases and passes; the tests of the package pass.

--- a/control/configuration/reader.go
+++ b/control/configuration/reader.go
@@ -33,6 +33,8 @@
 	refusal *Refusal // the first thing for which the value can't be taken
 	items   []value  // of the lists that are being read, the outer ones first
 	members []member // likewise of objects
+
+	inTenants bool // where anything may be a key, also the name of a field: no problem quotes it
 }
 
 func (r *valueReader) refuse(problem string) {
@@ -116,7 +118,9 @@
 	object := value{kind: isObject, members: slices.Clone(r.members[start:])}
 	r.members = r.members[:start]
 	slices.SortFunc(object.members, func(a, b member) int { return cmp.Compare(a.key, b.key) })
-	if key, twice := keyTwice(object.members); twice {
+	if key, twice := keyTwice(object.members); twice && r.inTenants {
+		r.refuse("an object in " + tenantTable + " has a field twice")
+	} else if twice {
 		r.refuse(fmt.Sprintf("an object has the field %q twice", key))
 	}
 	return object
@@ -128,6 +132,10 @@
 	if r.next() == ':' {
 		r.take(1)
 	}
+	if key == tenantTable {
+		r.inTenants = true
+		defer func() { r.inTenants = false }()
+	}
 	return member{key: key, value: r.value(depth + 1)}
 }
 
--- a/control/configuration/tenants_test.go
+++ b/control/configuration/tenants_test.go
@@ -54,6 +54,8 @@
 		"a rate of text":       `[{"name":"bakers","apiKeys":["sesame"],"ratePerS":"sesame"}]`,
 		"a burst below 0":      `[{"name":"bakers","apiKeys":["sesame"],"ratePerS":1,"burstSize":-1}]`,
 		"a priority below 0":   `[{"name":"bakers","apiKeys":["sesame"],"priority":-1}]`,
+		"keys that are fields": `[{"name":"bakers","apiKeys":{"sesame":1,"sesame":2}}]`,
+		"a field twice":        `[{"name":"bakers","sesame":1,"sesame":2}]`,
 		"a broken table":       `[{"name":"bakers","apiKeys":["sesame"]`,
 	} {
 		t.Run(name, func(t *testing.T) {
