Configuration: a table of tenants within another is read with the same care

A field tenantTable inside the table of tenants ended the care with which names of fields are left out of refusals. Tests of the package pass.

--- a/control/configuration/reader.go
+++ b/control/configuration/reader.go
@@ -133,8 +133,8 @@
 		r.take(1)
 	}
 	if key == tenantTable {
+		defer func(outer bool) { r.inTenants = outer }(r.inTenants)
 		r.inTenants = true
-		defer func() { r.inTenants = false }()
 	}
 	return member{key: key, value: r.value(depth + 1)}
 }
