--- a/systemtest/processes_test.go
+++ b/systemtest/processes_test.go
@@ -38,6 +38,7 @@
 	name    string
 	path    string // of the settings
 	logPath string
+	flags   []string // of run
 	running *exec.Cmd
 	ended   chan struct{}
 }
@@ -80,7 +81,7 @@
 		p.t.Fatal(err)
 	}
 	defer log.Close()
-	command := exec.Command(binary, "run")
+	command := exec.Command(binary, append([]string{"run"}, p.flags...)...)
 	command.Env = append(os.Environ(), system.PathVariable+"="+p.path)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the test itself is killed
--- a/systemtest/tenants_test.go
+++ b/systemtest/tenants_test.go
@@ -9,7 +9,6 @@
 
 	"eiderway/system"
 	"eiderway/systemtest/workload"
-	"eiderway/testinstance"
 	"eiderway/wire"
 )
 
@@ -191,7 +190,7 @@
 	t.Parallel() // mostly waits
 	is := is.New(t)
 	const window = time.Second
-	w := startTenants(t, func(*testinstance.Settings) {}, noLinks, func(bounds *system.Bounds) {
+	w := startTenants(t, noSettings, noLinks, func(bounds *system.Bounds) {
 		shortBounds(bounds)
 		bounds.QuotaWindowS = window.Seconds()
 	})
--- a/systemtest/tenants_world_test.go
+++ b/systemtest/tenants_world_test.go
@@ -84,13 +84,13 @@
 }
 
 // startTenants starts a world with tenants.
-func startTenants(t *testing.T, set func(*testinstance.Settings), over func(*world) *links, bounds func(*system.Bounds)) *world {
+func startTenants(t *testing.T, set func(*testinstance.Settings), over func(*world) *links, bounds func(*system.Bounds), flags ...string) *world {
 	t.Helper()
 	layout, err := workload.NewLayout()
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{T: t, layout: layout, directory: t.TempDir(), history: &workload.History{}, orders: &workload.Orders{}, bounds: bounds}
+	w := &world{T: t, layout: layout, directory: t.TempDir(), history: &workload.History{}, orders: &workload.Orders{}, bounds: bounds, flags: flags}
 	w.tenants.set(tenantsWith(doomedKey))
 	w.begin(set, over)
 	return w
@@ -99,9 +99,11 @@
 // startQuick starts a world with tenants and short bounds.
 func startQuick(t *testing.T, over func(*world) *links) *world {
 	t.Helper()
-	return startTenants(t, func(*testinstance.Settings) {}, over, shortBounds)
+	return startTenants(t, noSettings, over, shortBounds)
 }
 
+func noSettings(*testinstance.Settings) {}
+
 func noLinks(*world) *links { return nil }
 
 // change has a configuration with these tenants acknowledged, and no other one in force that was sent later.
--- a/systemtest/world_test.go
+++ b/systemtest/world_test.go
@@ -52,6 +52,7 @@
 	links       *links       // nil: processes speak directly
 	tenants     tenants      // none: clients need no keys
 	bounds      func(*system.Bounds)
+	flags       []string                               // of all processes
 	limitBinds  func(acknowledged time.Time) time.Time // nil: a lower limit is not judged
 	stopOrders  context.CancelFunc
 	operators   sync.WaitGroup
@@ -88,10 +89,12 @@
 	w.links = over(w)
 	for number := range workload.Controllers {
 		w.controllers = append(w.controllers, newProcess(w.T, w.directory, "controller-"+workload.Zone(number)))
+		w.controllers[number].flags = w.flags
 		w.startController(number, true)
 	}
 	for number := range gatewayCount {
 		w.gateways = append(w.gateways, newProcess(w.T, w.directory, "gateway-"+workload.Zone(number)))
+		w.gateways[number].flags = w.flags
 		w.startGateway(number)
 	}
 	w.startLoad()
