--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -104,6 +104,7 @@
 	c.must("PUT a 3", "ERROR BUSY / I")
 	c.must("FETCH a", "ERROR BUSY / I")
 	w.connect("yeast").must("BEGIN", "ERROR BUSY / I") // another key of the same tenant
+	is.Equal(w.figure("operations_over_limit_total"), 3.0)
 	is.Equal(len(w.first.asked()), 4)
 }
 
--- a/gateway/figures.go
+++ b/gateway/figures.go
@@ -20,6 +20,9 @@
 			Name: "replica_reads_total", Help: "Reads at replicas, by how they ended.", Value: float64(count), Of: name,
 		})
 	}
+	figures = append(figures, metrics.Figure{
+		Name: "operations_over_limit_total", Help: "Operations refused since their tenants' limits were used up.", Value: float64(now.overLimit),
+	})
 	figures = append(figures, metrics.Figure{
 		Name: "invariants_broken_total", Help: "Invariants that did not hold, since the start.", Value: float64(g.counters.broken.Load()),
 	})
