Demo: a tenant, a key that nobody holds, a limit

The demonstration runs with two tenants: a client without a key of theirs is refused, one of them asks for more than its limit, and the judge of tenants looks at the whole run in the end.

--- a/cmd/eidersystem/demo_story.go
+++ b/cmd/eidersystem/demo_story.go
@@ -58,6 +58,7 @@
 		Orders:      d.orders,
 		Service:     demoService,
 		Database:    demoDatabase,
+		Tenants:     demoTenants,
 	}
 	story.tell("started 3 controllers, 2 gateways and the service %s with 3 instances", demoService)
 	return d.play(ctx, duration)
@@ -68,11 +69,7 @@
 		return err
 	}
 	stopOrders := d.keepOrdering(ctx)
-	clients := workload.StartClients(1, demoClients, workload.ClientSettings{
-		Database: demoDatabase,
-		Gateways: d.fronts,
-		History:  d.history,
-	})
+	clients := workload.StartClients(1, demoClients, d.clientSettings(demoKey))
 	err := d.trouble(ctx, duration)
 	clients.Stop()
 	stopOrders()
@@ -93,7 +90,7 @@
 	}
 	leader, _ := d.leader(ctx)
 	d.story.tell("controller %d leads, %s leads %s, the gateways are ready", leader, d.service.Leader().ID(), demoService)
-	return nil
+	return d.showTenants(ctx)
 }
 
 // keepOrdering has an operator change the configuration from time to time. The function returned ends it.
@@ -190,6 +187,15 @@
 		Final:      d.service.Leader().Log(),
 		DrainTime:  system.DefaultBounds().Drain(),
 	})...)
+	rules := system.DefaultBounds().QuotaRules()
+	broken = append(broken, workload.JudgeTenants(workload.TenantEvidence{
+		Statements: d.history.Statements(),
+		Orders:     d.orders.Sent(),
+		Journal:    d.service.Journal(),
+		Rules: workload.TenantRules{
+			Revoke: system.DefaultBounds().Revoke(), Window: rules.Window, Overrun: rules.Overrun, Slack: rules.Slack,
+		},
+	})...)
 	d.tellSums(read)
 	for _, rule := range broken {
 		d.story.tell("NOT KEPT %s", rule)
@@ -197,7 +203,7 @@
 	if len(broken) > 0 {
 		return errDemoFailed
 	}
-	d.story.tell("nothing that was acknowledged is missing, nothing is there twice, no read was out of date")
+	d.story.tell("nothing that was acknowledged is missing, nothing is there twice, no read was out of date; statements ran as their tenants")
 	return nil
 }
 
--- a/cmd/eidersystem/demo_test.go
+++ b/cmd/eidersystem/demo_test.go
@@ -22,7 +22,7 @@
 	err := runDemo(t.Context(), demoLeast, newLog(io.Discard), &account)
 	t.Log(account.String())
 	is.NoErr(err)
-	for _, line := range []string{"leads orders in term", "which led, is gone", "nothing that was acknowledged is missing"} {
+	for _, line := range []string{"nobody holds is refused: AUTHFAIL", "tenant smiths", "leads orders in term", "which led, is gone", "nothing that was acknowledged is missing"} {
 		is.True(strings.Contains(account.String(), line))
 	}
 }
