Gateway: a test that an address which is used again runs nothing

The other halves of ROUTE: the instance at a known address is another one, or one of another service. CONNECT names the service and the instance of the table, and whoever isn't that refuses. Passes on the code as it is; with the id of the instance that was there before in place of the table's it fails at the second write.

--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -229,3 +229,26 @@
 	w.connect("flour").must("PUT a 1", "COMPLETE stamp / I")
 	is.Equal(len(w.first.asked()), 1)
 }
+
+// ROUTE: an address that another instance, or another service, uses again must run nothing of the one that had it before.
+func TestAddressThatIsUsedAgainRunsNothing(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	w.publishTenants(2, bakers)
+	c := w.connect("flour")
+	c.must("PUT a 1", "COMPLETE stamp / I")
+	gone := w.table(3, "i-9", false)
+	gone.ConfigurationNumber, gone.Configuration = 103, tenantsOf(103, bakers)
+	gone.Services[0].Instances = []feed.Instance{instance("i-9", w.first.address())} // where i-1 listens
+	w.controller.publish(gone)
+	w.eventually("the table is known", func() bool { return w.controller.applied(3) })
+	c.must("PUT a 2", "ERROR BUSY / I")
+	other := w.table(4, "i-1", false)
+	other.ConfigurationNumber = 104
+	other.Configuration = []byte(strings.ReplaceAll(string(tenantsOf(104, bakers)), "orders", "others"))
+	other.Services[0].Name = "others" // i-1 is of the service orders
+	w.controller.publish(other)
+	w.eventually("the table is known", func() bool { return w.controller.applied(4) })
+	c.must("PUT a 3", "ERROR BUSY / I")
+	is.Equal(len(w.first.asked()), 1)
+}
