--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,4 +1,4 @@
-// Package fleet plays many routers (the splitter, the books of packages lore and zone) before nodes of package model, in virtual
+// Package fleet plays many routers (the splitter, the books of packages peerstate and zone) before nodes of package model, in virtual
 // time: one seed, one history. It decides nothing. It is a rig: never part of a router.
 package fleet
 
--- a/fleet/router.go
+++ b/fleet/router.go
@@ -5,8 +5,8 @@
 import (
 	"math"
 
-	"eiderway/lore"
 	"eiderway/model"
+	"eiderway/peerstate"
 	"eiderway/splitter"
 	"eiderway/zone"
 )
@@ -16,7 +16,7 @@
 	f     *Fleet
 	me    int
 	split *splitter.Router
-	book  *lore.Book
+	book  *peerstate.Book
 	zones *zone.Book
 	open  map[int]bool
 	txns  map[int]*txn
@@ -62,7 +62,7 @@
 
 func newRouter(f *Fleet, me, of int, seed int64) *router {
 	r := &router{f: f, me: me, open: map[int]bool{}, txns: map[int]*txn{}, armed: math.Inf(1)}
-	r.book = lore.New(lore.Terms{Me: me, Routers: of, Seed: seed + int64(me), Bound: bound})
+	r.book = peerstate.New(peerstate.Terms{Me: me, Routers: of, Seed: seed + int64(me), Bound: bound})
 	t := zone.Terms{Me: me, Routers: of, Zone: zones[me%len(zones)], Life: uint32(f.set)<<12 + uint32(me) + 1}
 	if f.way.Numbers {
 		t.Every = stepsEvery
@@ -250,7 +250,7 @@
 func (r *router) send(to int, b []byte, take func(peer *router)) {
 	f := r.f
 	for _, peer := range f.routers {
-		if peer == r || to != lore.All && to != peer.me {
+		if peer == r || to != peerstate.All && to != peer.me {
 			continue
 		}
 		if f.counts() {
--- a/lease/wire.go
+++ b/lease/wire.go
@@ -14,7 +14,7 @@
 type kind uint8
 
 const (
-	// First is the least first byte of a datagram of ours; package lore has those below.
+	// First is the least first byte of a datagram of ours; package peerstate has those below.
 	First = 0x20
 
 	ask     = kind(First + iota) // a candidate, or a holder, asks a member
--- a/lore/api.go
+++ b/peerstate/api.go
@@ -1,4 +1,4 @@
-// Package lore decides what the routers of one tier tell each other of the nodes, so that what one of them has seen need not
+// Package peerstate decides what the routers of one tier tell each other of the nodes, so that what one of them has seen need not
 // be asked by all: which router keeps the word on a group, what it is told, when it tells all the others, and which nodes it
 // looks at for them.
 //
@@ -11,7 +11,7 @@
 // What travels is a fact and its own date: a position that a node has told, which holds from then on, whatever becomes of
 // the message. So a word that is late, doubled, reordered or from before a restart can do no harm; it proves less. A role
 // that travels is a hint whom to ask. The ways weighed: docs/knowing.md.
-package lore
+package peerstate
 
 // All stands for every other router.
 const All = -1
--- a/lore/lore.go
+++ b/peerstate/peerstate.go
@@ -1,4 +1,4 @@
-package lore
+package peerstate
 
 // This file owns the words and who keeps them. It must never make a position younger than its node told it, nor take a
 // peer's word for a role: that is only passed on as a hint.
--- a/lore/lore_test.go
+++ b/peerstate/peerstate_test.go
@@ -1,4 +1,4 @@
-package lore
+package peerstate
 
 import (
 	"cmp"
--- a/lore/wire.go
+++ b/peerstate/wire.go
@@ -1,4 +1,4 @@
-package lore
+package peerstate
 
 // This file owns the form of a datagram: a head of 13 bytes (kind, checksum, sender, group, the newest position in ms) and
 // five for each node (a hash of its name, how much older its position is, whether it was primary, and a count: in what is
--- a/proxy/lore.go
+++ b/proxy/peerstate.go
@@ -1,22 +1,22 @@
 package proxy
 
-// This file owns the core's side of package lore. The core's goroutine alone calls the book. It must never judge what a
+// This file owns the core's side of package peerstate. The core's goroutine alone calls the book. It must never judge what a
 // peer says.
 
 import (
 	"math"
 	"sync"
 
-	"eiderway/lore"
+	"eiderway/peerstate"
 	"eiderway/splitter"
 )
 
 type talk struct {
 	core  *core
-	book  *lore.Book
+	book  *peerstate.Book
 	next  nextStep
 	mu    sync.Mutex
-	shown lore.Counts
+	shown peerstate.Counts
 }
 
 // newTalk begins the talk where the deployment has it: peers, and reads with a bound. nil: it has not.
@@ -33,7 +33,7 @@
 		return nil
 	}
 	return &talk{core: c, next: newNextStep(),
-		book: lore.New(lore.Terms{Me: s.Me, Routers: len(c.tier.peers), Seed: int64(cfg.seed), Bound: bound})}
+		book: peerstate.New(peerstate.Terms{Me: s.Me, Routers: len(c.tier.peers), Seed: int64(cfg.seed), Bound: bound})}
 }
 
 // act does what the book asks for, and sets its timer.
@@ -85,7 +85,7 @@
 	}
 }
 
-func (t *talk) counted() lore.Counts {
+func (t *talk) counted() peerstate.Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.shown
--- a/proxy/tier.go
+++ b/proxy/tier.go
@@ -1,6 +1,6 @@
 package proxy
 
-// This file owns the socket on which the routers of one tier exchange datagrams, whoever uses them: package lore, package
+// This file owns the socket on which the routers of one tier exchange datagrams, whoever uses them: package peerstate, package
 // lease. One goroutine reads it, one writes it; all else is done in the core's. It takes datagrams from the addresses of
 // peers alone, and must never judge what they say.
 
--- a/zone/wire.go
+++ b/zone/wire.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// First is the first byte of a datagram of ours; package lore's are below 0x20, package lease's below 0x30.
+// First is the first byte of a datagram of ours; package peerstate's are below 0x20, package lease's below 0x30.
 const First = 0x30
 
 const (
