--- a/rumour/api.go
+++ b/gossip/api.go
@@ -1,4 +1,4 @@
-// Package rumour decides whom to believe: which peers are there, what their voices about nodes are worth, which nodes
+// Package gossip decides whom to believe: which peers are there, what their voices about nodes are worth, which nodes
 // this router should doubt for them, and what to tell whom within a bound of bytes.
 //
 // How to call it: New makes a Mill from Terms. The host tells what this router saw itself (Saw), the members of the list
@@ -6,7 +6,7 @@
 // what that returns: doubts for the splitter, and datagrams to send. Time (seconds of Unix time) is handed in, ids are
 // small indices that the host gives. One seed and one history of calls give one history of effects. The threat model and
 // the ways weighed: docs/gossip.md.
-package rumour
+package gossip
 
 // Kind says what a record is.
 type Kind uint8
--- a/rumour/bounds.go
+++ b/gossip/bounds.go
@@ -1,4 +1,4 @@
-package rumour
+package gossip
 
 // This file owns the bounds on what comes in: how many bytes are looked at, how often two processes of one name are told
 // of each other, and how often the member list is asked for because a peer has a newer one. It must never look into a
--- a/rumour/rumour.go
+++ b/gossip/gossip.go
@@ -1,4 +1,4 @@
-package rumour
+package gossip
 
 import (
 	"cmp"
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -20,7 +20,7 @@
 	"github.com/gaissmai/bart"
 	"golang.org/x/sync/errgroup"
 
-	"eiderway/rumour"
+	"eiderway/gossip"
 )
 
 // Terms are what a Mesh is told at start. Trust and Networks may be replaced while it runs.
@@ -65,14 +65,14 @@
 	mu      sync.Mutex
 	mail    []func()
 	wake    chan struct{}
-	mill    *rumour.Mill
+	mill    *gossip.Mill
 	start   time.Time
 	zero    float64
 	trust   atomic.Pointer[trust]
 	names   map[string]int // instances
 	named   []string       // by index; "" is free
 	addrs   []netip.AddrPort
-	alive   []rumour.Record // the newest sign of life of each
+	alive   []gossip.Record // the newest sign of life of each
 	zones   map[string]int
 	nodes   map[string]int
 	uids    []string
@@ -82,7 +82,7 @@
 	seed    int
 	key     ed25519.PrivateKey
 	counts  Counts
-	inlet   rumour.Inlet    // the reader's alone
+	inlet   gossip.Inlet    // the reader's alone
 	warned  map[string]bool // what was logged once; bounded by the names trusted
 }
 
@@ -110,9 +110,9 @@
 	}
 	m := &Mesh{terms: t, owner: owner, conn: conn, wake: make(chan struct{}, 1), start: now, zero: float64(now.UnixMicro()) / 1e6,
 		names: map[string]int{}, zones: map[string]int{}, nodes: map[string]int{}, senders: map[keyID]*sender{}, key: t.Key,
-		warned: map[string]bool{}, inlet: rumour.Inlet{Bytes: t.Bytes}}
+		warned: map[string]bool{}, inlet: gossip.Inlet{Bytes: t.Bytes}}
 	m.Trust(t.Trust, t.Networks)
-	m.mill = rumour.New(rumour.Terms{Seed: t.Seed, Epoch: t.Epoch, Zone: m.zone(t.Zone), Bytes: t.Bytes,
+	m.mill = gossip.New(gossip.Terms{Seed: t.Seed, Epoch: t.Epoch, Zone: m.zone(t.Zone), Bytes: t.Bytes,
 		Datagram: mostPacket - headBytes - ed25519.SignatureSize, Accuse: t.Accuse})
 	return m, nil
 }
@@ -229,7 +229,7 @@
 	Quorum float64          `json:"quorum"`
 	Peers  []PeerStatus     `json:"peers"`
 	Nodes  []NodeStatus     `json:"nodes"`
-	Mill   rumour.Counts    `json:"counts"`
+	Mill   gossip.Counts    `json:"counts"`
 	Bytes  [2]int64         `json:"bytes_in_out"`
 	Turned map[string]int64 `json:"turned_away"`
 }
@@ -239,14 +239,14 @@
 	Name string   `json:"name"`
 	Addr string   `json:"addr"`
 	Keys []string `json:"keys"` // fingerprints that are trusted for it
-	rumour.Peer
+	gossip.Peer
 }
 
 // NodeStatus is what is believed of a node.
 type NodeStatus struct {
 	Name   string   `json:"name"`
 	Voices []string `json:"voices"`
-	rumour.Believed
+	gossip.Believed
 }
 
 // Ask hands over the status.
@@ -376,7 +376,7 @@
 		}
 		r := w.record
 		r.Origin, r.Node = m.instance(name), -1
-		if r.Kind == rumour.Alive {
+		if r.Kind == gossip.Alive {
 			if addr, err := netip.ParseAddrPort(w.addr); err == nil {
 				m.addrs[r.Origin] = addr
 			}
@@ -403,10 +403,10 @@
 		return
 	}
 	m.once("twins "+name, "two processes have the name "+name)
-	m.datagram(from, []rumour.Record{m.alive[id]})
+	m.datagram(from, []gossip.Record{m.alive[id]})
 	for _, w := range words {
-		if w.key == e.key && w.record.Kind == rumour.Alive {
-			m.datagram(m.addrs[id], []rumour.Record{w.record})
+		if w.key == e.key && w.record.Kind == gossip.Alive {
+			m.datagram(m.addrs[id], []gossip.Record{w.record})
 		}
 	}
 }
@@ -437,7 +437,7 @@
 		m.names[name] = id
 		m.named = append(m.named, name)
 		m.addrs = append(m.addrs, netip.AddrPort{})
-		m.alive = append(m.alive, rumour.Record{})
+		m.alive = append(m.alive, gossip.Record{})
 	}
 	return id
 }
@@ -454,7 +454,7 @@
 	return id
 }
 
-func (m *Mesh) doubts(all []rumour.Doubt) {
+func (m *Mesh) doubts(all []gossip.Doubt) {
 	for _, d := range all {
 		m.owner.Doubt(m.uids[d.Node], d.Until, d.Now)
 	}
@@ -473,7 +473,7 @@
 	m.mill.Forgotten() // instances keep their index: there are as many as the settings name
 }
 
-func (m *Mesh) signed(r rumour.Record) rumour.Record {
+func (m *Mesh) signed(r gossip.Record) gossip.Record {
 	w := word{record: r, zone: m.terms.Zone, addr: m.Addr().String()}
 	if r.Node >= 0 {
 		w.node = m.uids[r.Node]
@@ -483,9 +483,9 @@
 	return r
 }
 
-func (m *Mesh) send(s rumour.Send) {
+func (m *Mesh) send(s gossip.Send) {
 	var to netip.AddrPort
-	if s.To == rumour.Seed {
+	if s.To == gossip.Seed {
 		if len(m.terms.Seeds) == 0 {
 			return
 		}
@@ -497,7 +497,7 @@
 	m.datagram(to, s.Records)
 }
 
-func (m *Mesh) datagram(to netip.AddrPort, records []rumour.Record) {
+func (m *Mesh) datagram(to netip.AddrPort, records []gossip.Record) {
 	if !to.IsValid() || to == m.Addr() {
 		return
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"eiderway/rumour"
+	"eiderway/gossip"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -194,21 +194,21 @@
 	require.NoError(t, err)
 	defer nc.Close()
 	count := a.Counts()
-	record := func(key ed25519.PrivateKey, seq int64) rumour.Record {
-		w := word{record: rumour.Record{Kind: rumour.Accuse, Epoch: a.terms.Epoch + 1e9, Seq: seq, At: a.now()}, node: "a"}
-		return rumour.Record{Sealed: seal(key, &w)}
+	record := func(key ed25519.PrivateKey, seq int64) gossip.Record {
+		w := word{record: gossip.Record{Kind: gossip.Accuse, Epoch: a.terms.Epoch + 1e9, Seq: seq, At: a.now()}, node: "a"}
+		return gossip.Record{Sealed: seal(key, &w)}
 	}
 	bad, real := keyOf(99), keyOf(1)
 	send := func(b []byte) { _, err := nc.Write(b); require.NoError(t, err) }
-	send(pack(bad, envelope{epoch: 1, counter: 1}, []rumour.Record{record(bad, 1)}))
+	send(pack(bad, envelope{epoch: 1, counter: 1}, []gossip.Record{record(bad, 1)}))
 	await(t, "a bad key", func() bool { return count.Untrusted.Load() == 1 })
 	// A stolen name: r1's key id with another's signature.
-	stolen := pack(bad, envelope{epoch: 1, counter: 1}, []rumour.Record{record(bad, 1)})
+	stolen := pack(bad, envelope{epoch: 1, counter: 1}, []gossip.Record{record(bad, 1)})
 	id := idOf(public(real))
 	copy(stolen[3:], id[:])
 	send(stolen)
 	await(t, "a stolen name", func() bool { return count.Forged.Load() == 1 })
-	flipped := pack(real, envelope{epoch: 1 << 62, counter: 1}, []rumour.Record{record(real, 1)})
+	flipped := pack(real, envelope{epoch: 1 << 62, counter: 1}, []gossip.Record{record(real, 1)})
 	flipped[40] ^= 1
 	send(flipped)
 	await(t, "a changed byte", func() bool { return count.Forged.Load() == 2 })
@@ -216,7 +216,7 @@
 	other[2] = 9
 	send(other)
 	await(t, "another version", func() bool { return count.Versions.Load() == 1 })
-	old := pack(real, envelope{epoch: 5, counter: 1}, []rumour.Record{record(real, 1)})
+	old := pack(real, envelope{epoch: 5, counter: 1}, []gossip.Record{record(real, 1)})
 	send(old)
 	await(t, "from an earlier life", func() bool { return count.Replayed.Load() >= 1 })
 	before := count.Malformed.Load() + count.Versions.Load() + count.Untrusted.Load() + count.Forged.Load() + count.Flood.Load()
@@ -324,8 +324,8 @@
 
 func FuzzUnpack(f *testing.F) {
 	key := keyOf(1)
-	w := word{record: rumour.Record{Kind: rumour.Alive, Seq: 1}, zone: "z", addr: "127.0.0.1:1"}
-	f.Add(pack(key, envelope{counter: 3}, []rumour.Record{{Sealed: seal(key, &w)}}))
+	w := word{record: gossip.Record{Kind: gossip.Alive, Seq: 1}, zone: "z", addr: "127.0.0.1:1"}
+	f.Add(pack(key, envelope{counter: 3}, []gossip.Record{{Sealed: seal(key, &w)}}))
 	f.Add([]byte("EW\x01"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		_, words, err := unpack(b, func(keyID) ed25519.PublicKey { return public(key) })
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -1,4 +1,4 @@
-// Package mesh is the host of the gossip (package rumour): its socket, its signatures, its timers. It decides nothing.
+// Package mesh is the host of the gossip (package gossip): its socket, its signatures, its timers. It decides nothing.
 //
 // This file owns the form of datagrams and records. Every record is signed by its origin and every datagram by its sender;
 // what is malformed, of another version or under a key that is not trusted is never handed on.
@@ -15,7 +15,7 @@
 	"os"
 	"strings"
 
-	"eiderway/rumour"
+	"eiderway/gossip"
 )
 
 const (
@@ -99,7 +99,7 @@
 // word is a record as it is on the wire.
 type word struct {
 	key    keyID
-	record rumour.Record // without Origin and Node
+	record gossip.Record // without Origin and Node
 	zone   string        // of Alive
 	addr   string        // of Alive: where its origin is reached
 	node   string        // of Accuse and Acquit
@@ -116,10 +116,10 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(w.record.Seq))
 	b = binary.BigEndian.AppendUint64(b, math.Float64bits(w.record.At))
 	switch w.record.Kind {
-	case rumour.Alive:
+	case gossip.Alive:
 		b = binary.BigEndian.AppendUint64(b, uint64(w.record.List))
 		b = appendText(appendText(b, w.zone), w.addr)
-	case rumour.Accuse, rumour.Acquit:
+	case gossip.Accuse, gossip.Acquit:
 		b = appendText(append(b, byte(w.record.Why)), w.node)
 	}
 	return append(b, ed25519.Sign(key, append([]byte("eiderway record 1 "), b...))...)
@@ -155,18 +155,18 @@
 // open reads one record and checks its signature.
 func open(r *reader, trusted func(keyID) ed25519.PublicKey) (w word, err error) {
 	from := r.at
-	w.record.Kind = rumour.Kind(r.bytes(1)[0])
+	w.record.Kind = gossip.Kind(r.bytes(1)[0])
 	copy(w.key[:], r.bytes(len(w.key)))
 	w.record.Epoch, w.record.Seq = int64(r.number()), int64(r.number())
 	w.record.At = math.Float64frombits(r.number())
 	switch w.record.Kind {
-	case rumour.Alive:
+	case gossip.Alive:
 		w.record.List = int64(r.number())
 		w.zone, w.addr = r.text(), r.text()
-	case rumour.Accuse, rumour.Acquit:
-		w.record.Why = rumour.Why(r.bytes(1)[0])
+	case gossip.Accuse, gossip.Acquit:
+		w.record.Why = gossip.Why(r.bytes(1)[0])
 		w.node = r.text()
-	case rumour.Leave:
+	case gossip.Leave:
 	default:
 		return w, errWire
 	}
@@ -196,7 +196,7 @@
 }
 
 // pack signs a datagram of records.
-func pack(key ed25519.PrivateKey, e envelope, records []rumour.Record) []byte {
+func pack(key ed25519.PrivateKey, e envelope, records []gossip.Record) []byte {
 	id := idOf(key.Public().(ed25519.PublicKey))
 	b := append([]byte{'E', 'W', version}, id[:]...)
 	b = binary.BigEndian.AppendUint64(b, uint64(e.epoch))
--- a/proxy/gossip.go
+++ b/proxy/gossip.go
@@ -1,6 +1,6 @@
 package proxy
 
-// This file owns the talk between the core and the gossip (packages mesh and rumour): it tells the one what submissions
+// This file owns the talk between the core and the gossip (packages mesh and gossip): it tells the one what submissions
 // and probes showed, and the module what peers doubt. It must never judge a node or a peer.
 
 import (
