--- a/cmd/eiderway/gossip.go
+++ b/cmd/eiderway/gossip.go
@@ -8,7 +8,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"eiderway/mesh"
+	"eiderway/gossip/transport"
 )
 
 type key struct {
@@ -22,11 +22,11 @@
 }
 
 func (k *keyNew) Run() error {
-	public, err := mesh.NewKey(k.File)
+	public, err := transport.NewKey(k.File)
 	if err != nil {
 		return err
 	}
-	fmt.Println(mesh.ShowKey(public))
+	fmt.Println(transport.ShowKey(public))
 	return nil
 }
 
@@ -37,19 +37,19 @@
 
 func (k *keyRotate) Run() error {
 	next := k.File + ".next"
-	if _, err := mesh.ReadKey(k.File); err != nil {
+	if _, err := transport.ReadKey(k.File); err != nil {
 		return err
 	}
 	if !k.Commit {
-		public, err := mesh.NewKey(next)
+		public, err := transport.NewKey(next)
 		if err != nil {
 			return err
 		}
-		fmt.Println(mesh.ShowKey(public))
+		fmt.Println(transport.ShowKey(public))
 		fmt.Fprintln(os.Stderr, "add it to this instance's keys under members everywhere, SIGHUP everywhere, then rotate with --commit")
 		return nil
 	}
-	if _, err := mesh.ReadKey(next); err != nil {
+	if _, err := transport.ReadKey(next); err != nil {
 		return fmt.Errorf("there is no next key to put in place: %w", err)
 	}
 	// The file in use is there at every moment: a link to it first, then the next key over it.
@@ -68,12 +68,12 @@
 }
 
 func (k *keyShow) Run() error {
-	private, err := mesh.ReadKey(k.File)
+	private, err := transport.ReadKey(k.File)
 	if err != nil {
 		return err
 	}
 	public := private.Public().(ed25519.PublicKey)
-	fmt.Println(mesh.ShowKey(public), mesh.Fingerprint(public))
+	fmt.Println(transport.ShowKey(public), transport.Fingerprint(public))
 	return nil
 }
 
@@ -84,7 +84,7 @@
 
 func (p *peers) Run() error {
 	var s struct {
-		mesh.Status
+		transport.Status
 		Error string `json:"error"`
 	}
 	text, err := ask(p.Socket, "peers", &s)
--- a/mesh/mesh.go
+++ b/gossip/transport/transport.go
@@ -1,4 +1,4 @@
-package mesh
+package transport
 
 // This file owns the socket, the timers and the names: it is the actor that steps a Mill, and maps the names of
 // instances, zones and nodes to small indices. It must never judge a voice, and never sends but to instances that it
--- a/mesh/mesh_test.go
+++ b/gossip/transport/transport_test.go
@@ -1,4 +1,4 @@
-package mesh
+package transport
 
 import (
 	"bytes"
--- a/mesh/wire.go
+++ b/gossip/transport/wire.go
@@ -1,8 +1,8 @@
-// Package mesh is the host of the gossip (package gossip): its socket, its signatures, its timers. It decides nothing.
+// Package transport is the host of the gossip (package gossip): its socket, its signatures, its timers. It decides nothing.
 //
 // This file owns the form of datagrams and records. Every record is signed by its origin and every datagram by its sender;
 // what is malformed, of another version or under a key that is not trusted is never handed on.
-package mesh
+package transport
 
 import (
 	"crypto/ed25519"
--- a/proxy/gossip.go
+++ b/proxy/gossip.go
@@ -1,32 +1,32 @@
 package proxy
 
-// This file owns the talk between the core and the gossip (packages mesh and gossip): it tells the one what submissions
-// and probes showed, and the module what peers doubt. It must never judge a node or a peer.
+// This file owns the talk between the core and the gossip (packages gossip and gossip/transport): it tells the one what
+// submissions and probes showed, and the module what peers doubt. It must never judge a node or a peer.
 
 import (
 	"slices"
 	"time"
 
-	"eiderway/mesh"
+	"eiderway/gossip/transport"
 	"eiderway/splitter"
 	"eiderway/terms"
 )
 
 type gossip struct {
 	core *core
-	mesh *mesh.Mesh
+	mesh *transport.Mesh
 	err  error // why it could not begin
 }
 
 func newGossip(c *core, cfg *Config) *gossip {
 	own := cfg.Own.Gossip
 	g := &gossip{core: c}
-	key, err := mesh.ReadKey(own.Key)
+	key, err := transport.ReadKey(own.Key)
 	if err != nil {
 		g.err = err
 		return g
 	}
-	g.mesh, g.err = mesh.New(mesh.Terms{Name: own.Name, Zone: cfg.zone(), Listen: own.Listen, Seeds: own.Seeds, Key: key,
+	g.mesh, g.err = transport.New(transport.Terms{Name: own.Name, Zone: cfg.zone(), Listen: own.Listen, Seeds: own.Seeds, Key: key,
 		Trust: own.Members, Networks: own.Networks, Bytes: float64(own.Bytes), Accuse: own.Tell, Seed: int64(cfg.seed)}, g)
 	if g.err == nil {
 		g.mesh.List(cfg.Known.Rev)
@@ -73,7 +73,7 @@
 	if err != nil || own.Gossip == nil {
 		return // told by the section classing, or with the next start
 	}
-	key, err := mesh.ReadKey(own.Gossip.Key)
+	key, err := transport.ReadKey(own.Gossip.Key)
 	if err != nil {
 		g.core.log.WithError(err).Warn("the new key is left aside")
 		return
@@ -86,13 +86,13 @@
 const statusIn = time.Second // the gossip tells its state by then
 
 // status asks the gossip for its state.
-func (g *gossip) status() (mesh.Status, bool) {
-	got := make(chan mesh.Status, 1)
-	g.mesh.Ask(func(s mesh.Status) { got <- s })
+func (g *gossip) status() (transport.Status, bool) {
+	got := make(chan transport.Status, 1)
+	g.mesh.Ask(func(s transport.Status) { got <- s })
 	select {
 	case s := <-got:
 		return s, true
 	case <-time.After(statusIn):
-		return mesh.Status{}, false
+		return transport.Status{}, false
 	}
 }
--- a/proxy/gossip_test.go
+++ b/proxy/gossip_test.go
@@ -18,7 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"eiderway/mesh"
+	"eiderway/gossip/transport"
 	"eiderway/testing/loopback"
 	"eiderway/testserver"
 )
@@ -51,9 +51,9 @@
 	members := ""
 	addrs := make([]string, n)
 	for i := range n {
-		public, err := mesh.NewKey(filepath.Join(dir, fmt.Sprint(i)))
+		public, err := transport.NewKey(filepath.Join(dir, fmt.Sprint(i)))
 		require.NoError(t, err)
-		members += fmt.Sprintf("    - {name: r%d, keys: [%q]}\n", i, mesh.ShowKey(ed25519.PublicKey(public)))
+		members += fmt.Sprintf("    - {name: r%d, keys: [%q]}\n", i, transport.ShowKey(ed25519.PublicKey(public)))
 		addrs[i] = loopback.ReserveForTest(t).Address()
 	}
 	routers := make([]*router, n)
