--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -177,7 +177,7 @@
 	for _, r := range f.routers {
 		for id, s := range f.servers {
 			if s.gone {
-				r.book.Forget(id)
+				r.peerState.RemoveNode(id)
 				r.zones.Forget(id)
 			} else {
 				r.names(id, s)
--- a/fleet/router.go
+++ b/fleet/router.go
@@ -13,19 +13,19 @@
 
 // router is a Host.
 type router struct {
-	f     *Fleet
-	me    int
-	split *splitter.Router
-	book  *peerstate.Book
-	zones *zone.Book
-	open  map[int]bool
-	txns  map[int]*txn
-	next  int
-	armed float64
-	life  int
-	dead  bool
-	alone bool    // no datagram comes or goes
-	still float64 // it does nothing until then
+	f         *Fleet
+	me        int
+	split     *splitter.Router
+	peerState *peerstate.Table
+	zones     *zone.Book
+	open      map[int]bool
+	txns      map[int]*txn
+	next      int
+	armed     float64
+	life      int
+	dead      bool
+	alone     bool    // no datagram comes or goes
+	still     float64 // it does nothing until then
 }
 
 type txn struct {
@@ -62,7 +62,7 @@
 
 func newRouter(f *Fleet, me, of int, seed int64) *router {
 	r := &router{f: f, me: me, open: map[int]bool{}, txns: map[int]*txn{}, armed: math.Inf(1)}
-	r.book = peerstate.New(peerstate.Terms{Me: me, Routers: of, Seed: seed + int64(me), Bound: bound})
+	r.peerState = peerstate.New(peerstate.Config{Self: me, Routers: of, Seed: seed + int64(me), Bound: bound})
 	t := zone.Terms{Me: me, Routers: of, Zone: zones[me%len(zones)], Life: uint32(f.set)<<12 + uint32(me) + 1}
 	if f.way.Numbers {
 		t.Every = stepsEvery
@@ -82,7 +82,7 @@
 
 // names tells the books of a node.
 func (r *router) names(id int, s *server) {
-	r.book.Node(id, s.name, s.group)
+	r.peerState.AddNode(id, s.name, s.group)
 	r.zones.Node(id, s.name, zones[s.zone], s.group)
 }
 
@@ -99,7 +99,7 @@
 func (r *router) Note(string) {}
 func (r *router) Want(g int) {
 	if r.f.way.Talk {
-		r.book.Want(g, r.f.now)
+		r.peerState.AwaitPrimary(g, r.f.now)
 		r.at(r.f.now, r.act)
 	}
 }
@@ -145,7 +145,7 @@
 	}
 	t.out = true
 	if f.way.Talk {
-		r.book.Out(node, sent)
+		r.peerState.Started(node, sent)
 		r.at(sent, r.act)
 	}
 	if node == 2 {
@@ -174,7 +174,7 @@
 			}
 		}
 		if f.way.Talk {
-			r.book.Back(node, rep.Pos, rep.Role == splitter.RolePrimary, f.now)
+			r.peerState.Finished(node, rep.Pos, rep.Role == splitter.RolePrimary, f.now)
 		}
 		if f.way.Zones {
 			r.zones.Saw(node, t.typ, o == splitter.Committed, res.Latency, f.now)
@@ -239,7 +239,7 @@
 		rep := r.report(a)
 		rep.Pos -= 0.1 * f.rng.Float64() // reports are refreshed now and then
 		if f.way.Talk {
-			r.book.Saw(node, rep.Pos, a.Primary, f.now)
+			r.peerState.Observe(node, rep.Pos, a.Primary, f.now)
 			r.act()
 		}
 		then(rep)
@@ -270,31 +270,31 @@
 func (r *router) act() {
 	f := r.f
 	for {
-		e, z := r.book.Effects(), r.zones.Effects()
-		if len(e.Sends)+len(e.Looks)+len(e.Told)+len(z.Sends)+len(z.Looks)+len(z.Doubts) == 0 && z.Word == "" {
+		e, z := r.peerState.Effects(), r.zones.Effects()
+		if len(e.Sends)+len(e.Probes)+len(e.Updates)+len(z.Sends)+len(z.Looks)+len(z.Doubts) == 0 && z.Word == "" {
 			break
 		}
 		for _, s := range e.Sends {
-			r.send(s.To, s.Bytes, func(peer *router) { peer.book.Take(r.me, s.Bytes, f.now) })
+			r.send(s.To, s.Bytes, func(peer *router) { peer.peerState.Receive(r.me, s.Bytes, f.now) })
 		}
 		for _, s := range z.Sends {
 			r.send(s.To, s.Bytes, func(peer *router) { peer.zones.Take(r.me, s.Bytes, f.now) })
 		}
-		for _, told := range e.Told {
-			words := make([]splitter.Word, len(told.Words))
-			for i, w := range told.Words {
+		for _, update := range e.Updates {
+			words := make([]splitter.Word, len(update.Nodes))
+			for i, w := range update.Nodes {
 				words[i] = splitter.Word(w)
 				words[i].Primary = w.Primary && f.way.Primes
 				if !f.way.Loads {
 					words[i].Load = 0
 				}
 			}
-			r.split.Told(told.Group, told.Until, told.Heard, words)
+			r.split.Told(update.Group, update.Until, update.Heard, words)
 		}
 		for _, d := range z.Doubts {
 			r.split.Doubt(d.Node, d.Until)
 		}
-		for _, n := range append(e.Looks, z.Looks...) {
+		for _, n := range append(e.Probes, z.Looks...) {
 			r.split.Look(n, splitter.ForAll)
 		}
 		if z.Word != "" {
@@ -302,12 +302,12 @@
 			f.speak(r)
 		}
 	}
-	if next := min(r.book.Next(), r.zones.Next()); next < r.armed {
+	if next := min(r.peerState.Next(), r.zones.Next()); next < r.armed {
 		r.armed = next
 		r.at(next, func() {
 			r.armed = math.Inf(1)
-			if r.book.Next() <= f.now {
-				r.book.Step(f.now)
+			if r.peerState.Next() <= f.now {
+				r.peerState.Step(f.now)
 			}
 			if r.zones.Next() <= f.now {
 				r.zones.Step(f.now)
@@ -336,7 +336,7 @@
 	f, group, typ := r.f, t.group, t.typ
 	r.txns[id] = t
 	if f.way.Talk {
-		r.book.Arrived(group, typ > 0, f.now)
+		r.peerState.Arrived(group, typ > 0, f.now)
 		r.act()
 	}
 	r.split.Arrive(splitter.Txn{ID: id, Group: group, Type: typ, Until: f.now + 3*t.sla})
--- a/peerstate/peerstate.go
+++ b/peerstate/peerstate.go
@@ -1,7 +1,7 @@
 package peerstate
 
-// This file owns the words and who keeps them. It must never make a position younger than its node told it, nor take a
-// peer's word for a role: that is only passed on as a hint.
+// This file owns the states of nodes and who coordinates them. It must never make a position younger than its node named it,
+// nor take a peer's word for a role: that is only passed on as a hint.
 
 import (
 	"cmp"
@@ -13,333 +13,336 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Book is one router's part. Its tables: nodes are emptied by Forget, groups grow with the groups ever listed, peers are
-// as many as the terms name.
-type Book struct {
-	terms   Terms
-	rng     *rand.Rand
-	every   float64
-	nodes   []*node
-	groups  map[int]*group
-	order   []*group
-	deaf    []float64 // by router: passed over until then
-	trust   float64   // share of the keepers asked of late that have spoken
-	out     Effects
-	counted Counts
+// Table is one router's part. What it holds: nodes until RemoveNode, groups as many as were ever listed, routers as many as
+// the configuration names.
+type Table struct {
+	config           Config
+	rng              *rand.Rand
+	interval         float64
+	nodes            []*node
+	groups           map[int]*group
+	groupOrder       []*group
+	unreachableUntil []float64 // by router: not chosen until then
+	replyShare       float64   // share of the coordinators asked of late that have answered
+	effects          Effects
+	counts           Counts
 }
 
 // node is what is known of a member.
 type node struct {
-	id      int
-	key     uint32
-	g       *group
-	own     float64 // newest position that it has told to this router
-	mine    bool    // it has told this router that it is primary
-	pos     float64 // newest that it has told to anybody
-	claimed float64 // newest position at which it was primary
-	at      float64 // when pos became newer
-	told    float64 // newest position that was told to all
-	news    float64 // last time that we told it
-	part    float64 // of the news of it that we tell
-	looked  float64
-	left    int            // submissions of ours that have left for it,
-	ended   int            // and those of them that have ended
-	outs    map[int]*tally // of peers, by router, while this router keeps the group; emptied by load
-}
-
-// tally is what a peer has told of its submissions to a node: how many have left and ended so far, each by its newest word,
-// modulo 256. So a word that is overtaken, doubled or long on its way changes nothing, and one that is lost is made up for by
-// the next.
-type tally struct {
-	left, ended byte
-	at          float64 // of the newest word
+	id                int
+	key               uint32
+	group             *group
+	own               float64 // newest position that it has named to this router
+	saidPrimary       bool    // it has said to this router that it is primary
+	position          float64 // newest that it has named to anybody
+	primaryPosition   float64 // newest position at which it was primary
+	positionAt        float64 // when position became newer
+	publishedPosition float64 // newest position that was published
+	reportedAt        float64 // last time that we reported it
+	reportPart        float64 // of the observations of it that we report
+	probedAt          float64
+	started           int                  // submissions of ours that have left for it,
+	finished          int                  // and those of them that have ended
+	inFlight          map[int]*flightCount // of peers, by router, while this router keeps the group; emptied by load
+}
+
+// flightCount is what a peer has reported of its submissions to a node: how many have started and finished so far, each by its
+// newest message, modulo 256. So a message that is overtaken, doubled or long on its way changes nothing, and one that is lost
+// is made up for by the next.
+type flightCount struct {
+	started, finished byte
+	updatedAt         float64 // of the newest message
 }
 
 // group is a primary with its replicas.
 type group struct {
-	id      int
-	members []*node
-	keeper  int     // whose word came last; -1: nobody's
-	heard   float64 // when
-	asked   int     // whom we asked to keep, -1: nobody
-	askedAt float64
-	again   kind      // what we ask it once more when half of our patience is over; 0: nothing
-	kept    float64   // by us, until then
-	due     float64   // our next tell
-	hurry   float64   // a txn somewhere waits for a primary until then
-	looks   float64   // that wants have paid for
-	lacks   float64   // share of our reads of late for which we had no proof of our own
-	users   []float64 // by router, while we keep it: when its last word on the group came
-	next    []int     // who keeps it where we are not heard, the first ones: they hear all that is told
-}
-
-// New makes a Book that knows nothing.
-func New(t Terms) *Book {
-	return &Book{terms: t, rng: rand.New(rand.NewSource(t.Seed)), groups: map[int]*group{}, trust: 1, deaf: make([]float64, t.Routers),
-		every: min(mostEvery, max(leastEvery, everyShare*t.Bound))}
+	id                 int
+	members            []*node
+	coordinator        int     // whose update came last; -1: nobody's
+	heardAt            float64 // when it came
+	asked              int     // whom we asked to coordinate, -1: nobody
+	askedAt            float64
+	retry              messageKind // what we ask it once more after half of replyTimeout; 0: nothing
+	coordinateUntil    float64     // by this router, until then
+	updateDue          float64     // this router's next update
+	primarySoughtUntil float64     // a txn somewhere waits for a primary until then
+	probeBudget        float64     // that requests have paid for
+	unprovenShare      float64     // share of our reads of late for which we had no proof of our own
+	subscribers        []float64   // by router, while this one coordinates: when its last message on the group came
+	successors         []int       // the first ones to coordinate it where this router is not heard: they get all updates
+}
+
+// New makes a Table that knows nothing.
+func New(t Config) *Table {
+	return &Table{config: t, rng: rand.New(rand.NewSource(t.Seed)), groups: map[int]*group{}, replyShare: 1, unreachableUntil: make([]float64, t.Routers),
+		interval: min(maxInterval, max(minInterval, intervalShare*t.Bound))}
 }
 
 // Effects hands over what is to be done, once.
-func (b *Book) Effects() Effects {
-	out := b.out
-	b.out = Effects{}
+func (t *Table) Effects() Effects {
+	out := t.effects
+	t.effects = Effects{}
 	return out
 }
 
-// Counted tells the counts.
-func (b *Book) Counted() Counts { return b.counted }
+// Counts tells the counts.
+func (t *Table) Counts() Counts { return t.counts }
 
-// Node names a member of the list. Its name is the same at every router.
-func (b *Book) Node(id int, name string, groupID int) {
-	for id >= len(b.nodes) {
-		b.nodes = append(b.nodes, nil)
+// AddNode names a member of the list. Its name is the same at every router.
+func (t *Table) AddNode(id int, name string, groupID int) {
+	for id >= len(t.nodes) {
+		t.nodes = append(t.nodes, nil)
 	}
-	if b.nodes[id] != nil || groupID < 0 || groupID > math.MaxUint16 {
+	if t.nodes[id] != nil || groupID < 0 || groupID > math.MaxUint16 {
 		return
 	}
-	g := b.group(groupID)
-	n := &node{id: id, key: uint32(xxhash.Sum64String(name)) & keyMask, g: g, part: 1}
-	b.nodes[id] = n
+	g := t.group(groupID)
+	n := &node{id: id, key: uint32(xxhash.Sum64String(name)) & keyMask, group: g, reportPart: 1}
+	t.nodes[id] = n
 	g.members = append(g.members, n)
 }
 
-// Forget ends a node: its index may stand for another.
-func (b *Book) Forget(id int) {
-	if id >= len(b.nodes) || b.nodes[id] == nil {
+// RemoveNode ends a node: its index may stand for another.
+func (t *Table) RemoveNode(id int) {
+	if id >= len(t.nodes) || t.nodes[id] == nil {
 		return
 	}
-	g := b.nodes[id].g
+	g := t.nodes[id].group
 	for i, n := range g.members {
 		if n.id == id {
 			g.members = append(g.members[:i:i], g.members[i+1:]...)
 			break
 		}
 	}
-	b.nodes[id] = nil
+	t.nodes[id] = nil
 }
 
-func (b *Book) group(id int) *group {
-	g := b.groups[id]
+func (t *Table) group(id int) *group {
+	g := t.groups[id]
 	if g == nil {
-		g = &group{id: id, keeper: -1, asked: -1, lacks: 1, heard: math.Inf(-1), askedAt: math.Inf(-1)}
-		b.groups[id] = g
-		b.order = append(b.order, g)
+		g = &group{id: id, coordinator: -1, asked: -1, unprovenShare: 1, heardAt: math.Inf(-1), askedAt: math.Inf(-1)}
+		t.groups[id] = g
+		t.groupOrder = append(t.groupOrder, g)
 	}
 	return g
 }
 
-// shows tells whether the keeper hears of our submissions: while it speaks to us, and for a while after that if we have hardly
-// any proof of our own. Who has no use for a group is not told of it, and that is how it is seen to have one again.
-func (b *Book) shows(g *group, now float64) bool {
-	return b.live(g, now) || g.lacks > lackFrom && g.keeper >= 0 && now-g.heard < keeperFor
+// reportsSubmissions tells whether the coordinator hears of our submissions: while it sends us updates, and for a while after
+// that if we have hardly any proof of our own. Who has no use for a group gets no updates, and that is how it is seen to have
+// one again.
+func (t *Table) reportsSubmissions(g *group, now float64) bool {
+	return t.hasCoordinator(g, now) || g.unprovenShare > unprovenThreshold && g.coordinator >= 0 && now-g.heardAt < coordinatorTimeout
 }
 
-// live tells whether a keeper speaks, we or another.
-func (b *Book) live(g *group, now float64) bool { return now < g.kept || now-g.heard < lives*b.every }
+// hasCoordinator tells whether a coordinator is active, this router or another.
+func (t *Table) hasCoordinator(g *group, now float64) bool {
+	return now < g.coordinateUntil || now-g.heardAt < missedUpdates*t.interval
+}
 
-// Saw takes what a node has told to this router, in an answer or a report.
-func (b *Book) Saw(id int, pos float64, primary bool, now float64) {
-	n := b.saw(id, pos, primary, now)
-	if n == nil || now < n.g.kept || !b.live(n.g, now) {
+// Observe takes what a node has named to this router, in an answer or to a probe.
+func (t *Table) Observe(id int, pos float64, primary bool, now float64) {
+	n := t.observe(id, pos, primary, now)
+	if n == nil || now < n.group.coordinateUntil || !t.hasCoordinator(n.group, now) {
 		return
 	}
-	// The keeper has positions from others, too. Each router's part in that is as large as told ones are old.
-	if pos-n.told < newsShare*b.every || now-n.news < newsShare*b.every || b.rng.Float64() >= n.part {
+	// The coordinator has positions from others, too. Each router's part in that is as large as published ones are old.
+	if pos-n.publishedPosition < reportShare*t.interval || now-n.reportedAt < reportShare*t.interval || t.rng.Float64() >= n.reportPart {
 		return
 	}
-	n.news = now
-	b.counted.News++
-	b.send(n.g.keeper, news, n.g, []*node{n}, now)
+	n.reportedAt = now
+	t.counts.Reports++
+	t.send(n.group.coordinator, kindReport, n.group, []*node{n}, now)
 }
 
-func (b *Book) saw(id int, pos float64, primary bool, now float64) *node {
-	if id >= len(b.nodes) || b.nodes[id] == nil || pos > now+future {
+func (t *Table) observe(id int, pos float64, primary bool, now float64) *node {
+	if id >= len(t.nodes) || t.nodes[id] == nil || pos > now+maxClockAhead {
 		return nil
 	}
-	n := b.nodes[id]
+	n := t.nodes[id]
 	n.own = max(n.own, pos)
-	n.mine = n.mine || primary
-	b.learn(n, pos, primary, now)
+	n.saidPrimary = n.saidPrimary || primary
+	t.learn(n, pos, primary, now)
 	return n
 }
 
-// Out says that a submission of this router leaves for a node, Back that it has ended, with what the node told then (0:
-// nothing). Only all routers together know how busy a node is where each has a txn there now and then; what their answers
-// show of it is older than a queue lasts.
-func (b *Book) Out(id int, now float64) {
-	if id >= len(b.nodes) || b.nodes[id] == nil {
+// Started says that a submission of this router leaves for a node. Only all routers together know how busy a node is where
+// each has a txn there now and then; what their answers show of it is older than a queue lasts.
+func (t *Table) Started(id int, now float64) {
+	if id >= len(t.nodes) || t.nodes[id] == nil {
 		return
 	}
-	n := b.nodes[id]
-	if n.left++; now >= n.g.kept && b.shows(n.g, now) {
-		b.counted.News++
-		b.send(n.g.keeper, leaves, n.g, []*node{n}, now)
+	n := t.nodes[id]
+	if n.started++; now >= n.group.coordinateUntil && t.reportsSubmissions(n.group, now) {
+		t.counts.Reports++
+		t.send(n.group.coordinator, kindStarted, n.group, []*node{n}, now)
 	}
 }
 
-func (b *Book) Back(id int, pos float64, primary bool, now float64) {
-	if id >= len(b.nodes) || b.nodes[id] == nil {
+// Finished says that a submission has ended, with the position that the node named then (0: none).
+func (t *Table) Finished(id int, pos float64, primary bool, now float64) {
+	if id >= len(t.nodes) || t.nodes[id] == nil {
 		return
 	}
-	n := b.nodes[id]
-	n.ended = min(n.ended+1, n.left) // what left before the node was listed anew is not counted
-	b.saw(id, pos, primary, now)
-	if now >= n.g.kept && b.shows(n.g, now) {
-		b.counted.News++
-		n.news = now
-		b.send(n.g.keeper, ends, n.g, []*node{n}, now)
+	n := t.nodes[id]
+	n.finished = min(n.finished+1, n.started) // what left before the node was listed anew is not counted
+	t.observe(id, pos, primary, now)
+	if now >= n.group.coordinateUntil && t.reportsSubmissions(n.group, now) {
+		t.counts.Reports++
+		n.reportedAt = now
+		t.send(n.group.coordinator, kindFinished, n.group, []*node{n}, now)
 	}
 }
 
-// hears takes a peer's word on how many of its submissions have left, or ended, so far.
-func (n *node) hears(k kind, router int, number byte, now float64) {
-	t := n.outs[router]
-	if t != nil && now-t.at <= outLasts {
-		count := &t.left
-		if k == ends {
-			count = &t.ended
+// receiveCount takes a peer's message on how many of its submissions have started, or finished, so far.
+func (n *node) receiveCount(k messageKind, router int, number byte, now float64) {
+	t := n.inFlight[router]
+	if t != nil && now-t.updatedAt <= inFlightTimeout {
+		count := &t.started
+		if k == kindFinished {
+			count = &t.finished
 		}
-		if by := int8(number - *count); by > 0 && by <= nearBy {
-			*count, t.at = number, now
+		if by := int8(number - *count); by > 0 && by <= counterWindow {
+			*count, t.updatedAt = number, now
 			return
-		} else if by <= 0 && by >= -nearBy {
+		} else if by <= 0 && by >= -counterWindow {
 			return
 		}
 	}
-	// Nothing is known of what it had out before. One that has started anew is told from one that was overtaken by how far
-	// its numbers are.
-	if t = (&tally{number, number, now}); k == leaves {
-		t.ended--
+	// Nothing is known of what it had in flight before. A peer that has restarted is told from a message that was overtaken
+	// by how far its numbers are.
+	if t = (&flightCount{number, number, now}); k == kindStarted {
+		t.finished--
 	}
-	if n.outs == nil {
-		n.outs = map[int]*tally{}
+	if n.inFlight == nil {
+		n.inFlight = map[int]*flightCount{}
 	}
-	n.outs[router] = t
+	n.inFlight[router] = t
 }
 
-// out is how many are out. An end that comes before its begin leaves none.
-func (t *tally) out() int {
-	if out := t.left - t.ended; out <= math.MaxUint8-nearBy {
+// inFlight is how many are in flight. An end that comes before its start leaves none.
+func (t *flightCount) inFlight() int {
+	if out := t.started - t.finished; out <= math.MaxUint8-counterWindow {
 		return int(out)
 	}
 	return 0
 }
 
-// load counts submissions that are out, without those of peers that have said nothing more: their ends must have been lost.
+// load counts submissions in flight, without those of peers that have said nothing more: their ends must have been lost.
 func (n *node) load(now float64) int {
-	all := n.left - n.ended
-	for router, t := range n.outs {
-		if now-t.at > outLasts {
-			delete(n.outs, router)
+	all := n.started - n.finished
+	for router, t := range n.inFlight {
+		if now-t.updatedAt > inFlightTimeout {
+			delete(n.inFlight, router)
 		} else {
-			all += t.out()
+			all += t.inFlight()
 		}
 	}
 	return all
 }
 
-func (b *Book) learn(n *node, pos float64, primary bool, now float64) {
-	if primary && pos > n.claimed {
-		n.claimed = pos
+func (t *Table) learn(n *node, pos float64, primary bool, now float64) {
+	if primary && pos > n.primaryPosition {
+		n.primaryPosition = pos
 	}
-	if pos > n.pos {
-		n.pos, n.at = pos, now
+	if pos > n.position {
+		n.position, n.positionAt = pos, now
 	}
 }
 
 // Arrived says that a read with a bound, or a write, has come for a group. Where this router has no proof of its own, it is
-// for such reads that a group is kept: a router with enough traffic asks for nothing. A write asks where no member has told
-// this router that it is primary: else each router would look at all of them for its first one.
-func (b *Book) Arrived(id int, write bool, now float64) {
-	g := b.groups[id]
+// for such reads that a group is coordinated: a router with enough traffic asks for nothing. A write asks where no member has
+// said to this router that it is primary: else each router would probe all of them for its first one.
+func (t *Table) Arrived(id int, write bool, now float64) {
+	g := t.groups[id]
 	if g == nil {
 		return
 	}
 	if write {
-		if !slices.ContainsFunc(g.members, func(n *node) bool { return n.mine }) && !b.live(g, now) {
-			b.want(g, true, now)
+		if !slices.ContainsFunc(g.members, func(n *node) bool { return n.saidPrimary }) && !t.hasCoordinator(g, now) {
+			t.request(g, true, now)
 		}
 		return
 	}
 	lacks := 1.0
 	for _, n := range g.members {
-		if n.own > now-b.terms.Bound && n.claimed < n.own {
+		if n.own > now-t.config.Bound && n.primaryPosition < n.own {
 			lacks = 0
 		}
 	}
-	if g.lacks += lackGain * (lacks - g.lacks); lacks > 0 && g.lacks > lackFrom {
-		b.want(g, false, now)
+	if g.unprovenShare += unprovenGain * (lacks - g.unprovenShare); lacks > 0 && g.unprovenShare > unprovenThreshold {
+		t.request(g, false, now)
 	}
 }
 
-// Want says that a txn waits for a group's primary to show.
-func (b *Book) Want(id int, now float64) {
-	if g := b.groups[id]; g != nil {
-		b.want(g, true, now)
+// AwaitPrimary says that a txn waits for a group's primary to show.
+func (t *Table) AwaitPrimary(id int, now float64) {
+	if g := t.groups[id]; g != nil {
+		t.request(g, true, now)
 	}
 }
 
-func (b *Book) want(g *group, primary bool, now float64) {
-	if b.terms.Routers < 2 {
+func (t *Table) request(g *group, primary bool, now float64) {
+	if t.config.Routers < 2 {
 		return
 	}
-	if now < g.kept {
-		b.serve(g, primary, now)
+	if now < g.coordinateUntil {
+		t.coordinate(g, primary, now)
 		return
 	}
-	to, kind := g.keeper, want
+	to, kind := g.coordinator, kindSubscribe
 	if primary {
-		kind = wantPrimary
+		kind = kindSeekPrimary
 	}
 	switch {
-	case b.live(g, now):
-		every := hurry / 2
+	case t.hasCoordinator(g, now):
+		every := primarySearchTime / 2
 		if !primary {
-			every = lingers / 4
-			if b.rng.Float64() >= wantsOf/float64(b.terms.Routers) {
+			every = coordinateFor / 4
+			if t.rng.Float64() >= requestsPerGroup/float64(t.config.Routers) {
 				return
 			}
 		}
 		if now-g.askedAt < every {
 			return
 		}
-	case g.asked >= 0 && now-g.askedAt < patience:
+	case g.asked >= 0 && now-g.askedAt < replyTimeout:
 		return
 	default:
-		if g.asked >= 0 && g.heard < g.askedAt {
-			b.counted.Silent++
-			b.deaf[g.asked] = now + deaf
-			b.trust -= trustGain * b.trust
+		if g.asked >= 0 && g.heardAt < g.askedAt {
+			t.counts.Unanswered++
+			t.unreachableUntil[g.asked] = now + unreachableFor
+			t.replyShare -= replyGain * t.replyShare
 		}
-		to = b.candidate(g, now)
-		if kind == want {
-			kind = wantAnswer
+		to = t.chooseCoordinator(g, now)
+		if kind == kindSubscribe {
+			kind = kindSubscribeNow
 		}
-		if b.trust > trustFrom {
-			// Its word is worth waiting for, unless most of late have not come: then peers are cut off, whatever the
-			// group, and this router looks for itself while it asks on.
-			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + patience})
+		if t.replyShare > replyShareToWait {
+			// Its answer is worth waiting for, unless most of late have not come: then peers are cut off, whatever the
+			// group, and this router probes for itself while it asks on.
+			t.effects.Updates = append(t.effects.Updates, Update{Group: g.id, Until: now + replyTimeout})
 		}
 	}
-	g.asked, g.askedAt, g.again = to, now, 0
-	if !b.live(g, now) {
-		g.again = kind
+	g.asked, g.askedAt, g.retry = to, now, 0
+	if !t.hasCoordinator(g, now) {
+		g.retry = kind
 	}
-	if to == b.terms.Me {
+	if to == t.config.Self {
 		g.asked = -1
-		b.serve(g, primary, now)
+		t.coordinate(g, primary, now)
 		return
 	}
-	b.counted.Wants++
-	b.send(to, kind, g, nil, now)
+	t.counts.Requests++
+	t.send(to, kind, g, nil, now)
 }
 
-// candidate is the router that should keep a group: of those that are not known to be deaf, the one that comes first by a
-// hash of both numbers. All come to the same one without asking anybody, and each has a group or so to keep.
-func (b *Book) candidate(g *group, now float64) int {
-	best, most := b.terms.Me, uint64(0)
-	for i := range b.terms.Routers {
-		if i != b.terms.Me && now < b.deaf[i] {
+// chooseCoordinator picks the router that should coordinate a group: of those not known to be unreachable, the first by a hash
+// of both numbers (rendezvous hashing). All come to the same one without asking anybody, and each has a group or so.
+func (t *Table) chooseCoordinator(g *group, now float64) int {
+	best, most := t.config.Self, uint64(0)
+	for i := range t.config.Routers {
+		if i != t.config.Self && now < t.unreachableUntil[i] {
 			continue
 		}
 		if h := rank(g.id, i); h >= most {
@@ -356,86 +359,86 @@
 	return xxhash.Sum64(key[:])
 }
 
-// serve keeps a group for as long as it is wanted.
-func (b *Book) serve(g *group, primary bool, now float64) {
-	if now >= g.kept {
-		g.due = now
+// coordinate makes this router the coordinator of a group for as long as it is asked for.
+func (t *Table) coordinate(g *group, primary bool, now float64) {
+	if now >= g.coordinateUntil {
+		g.updateDue = now
 	}
-	if now >= g.kept {
+	if now >= g.coordinateUntil {
 		for _, n := range g.members {
-			n.outs = nil
+			n.inFlight = nil
 		}
-		g.users = make([]float64, b.terms.Routers)
+		g.subscribers = make([]float64, t.config.Routers)
 	}
-	g.kept = now + lingers
+	g.coordinateUntil = now + coordinateFor
 	if primary {
-		g.hurry = now + hurry
+		g.primarySoughtUntil = now + primarySearchTime
 	}
-	g.looks = min(looksMost, g.looks+looksFor)
+	g.probeBudget = min(maxProbeBudget, g.probeBudget+probesPerRequest)
 }
 
-// Take takes a datagram that came from the address of a peer, and tells whether it was one of ours.
-func (b *Book) Take(from int, datagram []byte, now float64) bool {
-	m, err := parse(datagram, now, b.unit())
-	if err != nil || m.from != from || from == b.terms.Me || from < 0 || from >= len(b.deaf) {
-		b.counted.Spoilt++
+// Receive takes a datagram that came from the address of a peer, and tells whether it was one of ours.
+func (t *Table) Receive(from int, datagram []byte, now float64) bool {
+	m, err := decode(datagram, now, t.ageUnit())
+	if err != nil || m.from != from || from == t.config.Self || from < 0 || from >= len(t.unreachableUntil) {
+		t.counts.Malformed++
 		return false
 	}
-	b.counted.Taken++
-	b.deaf[from] = 0
-	g := b.groups[m.group]
+	t.counts.Received++
+	t.unreachableUntil[from] = 0
+	g := t.groups[m.group]
 	if g == nil {
-		b.counted.Unknown++
+		t.counts.UnknownGroups++
 		return true
 	}
-	words := b.words(g, m, now)
-	if m.kind != tell {
-		defer g.used(from, now)
+	states := t.nodeStates(g, m, now)
+	if m.kind != kindUpdate {
+		defer g.subscribe(from, now)
 	}
 	switch m.kind {
-	case want, wantAnswer, wantPrimary:
-		b.serve(g, m.kind == wantPrimary, now)
-		if m.kind == wantAnswer {
-			if all := b.useful(g, now, false); len(all) > 0 {
-				b.counted.Replies++
-				b.send(from, tell, g, all, now)
+	case kindSubscribe, kindSubscribeNow, kindSeekPrimary:
+		t.coordinate(g, m.kind == kindSeekPrimary, now)
+		if m.kind == kindSubscribeNow {
+			if all := t.provable(g, now, false); len(all) > 0 {
+				t.counts.Replies++
+				t.send(from, kindUpdate, g, all, now)
 			}
 		}
-	case news, leaves, ends:
-		if now < g.kept && len(words) > 0 {
-			b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true, Words: words})
+	case kindReport, kindStarted, kindFinished:
+		if now < g.coordinateUntil && len(states) > 0 {
+			t.effects.Updates = append(t.effects.Updates, Update{Group: g.id, Until: now + missedUpdates*t.interval, Heard: true, Nodes: states})
 		}
-	case tell:
-		if now < g.kept && rank(g.id, from) > rank(g.id, b.terms.Me) {
-			g.kept, g.users = 0, nil // it comes first; whoever can't hear it asks us again
+	case kindUpdate:
+		if now < g.coordinateUntil && rank(g.id, from) > rank(g.id, t.config.Self) {
+			g.coordinateUntil, g.subscribers = 0, nil // it comes first; whoever can't hear it asks us again
 		}
-		if !b.live(g, now) || g.keeper < 0 || from == g.keeper || rank(g.id, from) > rank(g.id, g.keeper) {
-			g.keeper = from
+		if !t.hasCoordinator(g, now) || g.coordinator < 0 || from == g.coordinator || rank(g.id, from) > rank(g.id, g.coordinator) {
+			g.coordinator = from
 		}
-		if g.asked >= 0 && g.heard < g.askedAt {
-			b.trust += trustGain * (1 - b.trust)
+		if g.asked >= 0 && g.heardAt < g.askedAt {
+			t.replyShare += replyGain * (1 - t.replyShare)
 		}
-		g.heard = now
-		for i, w := range words {
-			n := b.nodes[w.Node]
-			n.told = max(n.told, w.Pos)
-			if w.Pos == 0 {
+		g.heardAt = now
+		for i, s := range states {
+			n := t.nodes[s.Node]
+			n.publishedPosition = max(n.publishedPosition, s.Pos)
+			if s.Pos == 0 {
 				continue
 			}
-			if now-m.positions[i] < youngShare*b.every {
-				n.part = max(newsLeast, n.part*newsLess)
+			if now-m.positions[i] < freshShare*t.interval {
+				n.reportPart = max(minReportPart, n.reportPart*reportDecrease)
 			} else {
-				n.part = min(1, n.part*newsMore)
+				n.reportPart = min(1, n.reportPart*reportIncrease)
 			}
 		}
-		b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true, Words: words})
+		t.effects.Updates = append(t.effects.Updates, Update{Group: g.id, Until: now + missedUpdates*t.interval, Heard: true, Nodes: states})
 	}
 	return true
 }
 
-// words takes in what a message says of members, and keeps of the message what they are. A key that two members share says
+// nodeStates takes in what a message says of members, and keeps of the message what they are. A key that two members share says
 // nothing of either.
-func (b *Book) words(g *group, m *message, now float64) (out []Word) {
+func (t *Table) nodeStates(g *group, m *message, now float64) (out []NodeState) {
 	kept := m.positions[:0]
 	for i, key := range m.keys {
 		var n *node
@@ -447,31 +450,31 @@
 				n = x
 			}
 		}
-		if n == nil || m.positions[i] > now+future {
+		if n == nil || m.positions[i] > now+maxClockAhead {
 			continue
 		}
-		w := Word{Node: n.id, Pos: m.positions[i], Primary: m.primaries[i]}
+		s := NodeState{Node: n.id, Pos: m.positions[i], Primary: m.primaries[i]}
 		switch {
-		case m.kind == tell:
-			w.Load = int(m.counts[i])
-		case now < g.kept:
-			if m.kind == leaves || m.kind == ends {
-				n.hears(m.kind, m.from, m.counts[i], now)
+		case m.kind == kindUpdate:
+			s.Load = int(m.counts[i])
+		case now < g.coordinateUntil:
+			if m.kind == kindStarted || m.kind == kindFinished {
+				n.receiveCount(m.kind, m.from, m.counts[i], now)
 			}
-			w.Load = n.load(now)
+			s.Load = n.load(now)
 		}
-		b.learn(n, w.Pos, w.Primary, now)
-		out = append(out, w)
+		t.learn(n, s.Pos, s.Primary, now)
+		out = append(out, s)
 		kept = append(kept, m.positions[i])
 	}
 	m.positions = kept
 	return out
 }
 
-// useful are the members of which there is something to tell: a position young enough to prove something, a primary.
-func (b *Book) useful(g *group, now float64, fresh bool) (all []*node) {
+// provable are the members of which there is something to publish: a position young enough to prove something, a primary.
+func (t *Table) provable(g *group, now float64, fresh bool) (all []*node) {
 	for _, n := range g.members {
-		if now-n.pos < b.terms.Bound && (!fresh || n.pos > n.told) {
+		if now-n.position < t.config.Bound && (!fresh || n.position > n.publishedPosition) {
 			all = append(all, n)
 		}
 	}
@@ -479,100 +482,100 @@
 }
 
 // Next tells when Step is due; +Inf: not until something comes.
-func (b *Book) Next() float64 {
+func (t *Table) Next() float64 {
 	next := math.Inf(1)
-	for _, g := range b.order {
-		if g.due < g.kept {
-			next = min(next, g.due)
+	for _, g := range t.groupOrder {
+		if g.updateDue < g.coordinateUntil {
+			next = min(next, g.updateDue)
 		}
-		if g.again > 0 {
-			next = min(next, g.askedAt+patience/2)
+		if g.retry > 0 {
+			next = min(next, g.askedAt+replyTimeout/2)
 		}
 	}
 	return next
 }
 
-// Step tells all what is new of the groups that this router keeps, and looks at members of which nobody has news.
-func (b *Book) Step(now float64) {
-	for _, g := range b.order {
-		if g.again > 0 && now >= g.askedAt+patience/2 {
-			if g.asked >= 0 && g.heard < g.askedAt { // our question or its answer may have been lost
-				b.counted.Wants++
-				b.send(g.asked, g.again, g, nil, now)
+// Step publishes what is new of the groups that this router coordinates, and probes members of which nobody has news.
+func (t *Table) Step(now float64) {
+	for _, g := range t.groupOrder {
+		if g.retry > 0 && now >= g.askedAt+replyTimeout/2 {
+			if g.asked >= 0 && g.heardAt < g.askedAt { // our question or its answer may have been lost
+				t.counts.Requests++
+				t.send(g.asked, g.retry, g, nil, now)
 			}
-			g.again = 0
+			g.retry = 0
 		}
-		if now >= g.kept {
-			g.kept, g.users = 0, nil
+		if now >= g.coordinateUntil {
+			g.coordinateUntil, g.subscribers = 0, nil
 			continue
 		}
-		if now < g.due {
+		if now < g.updateDue {
 			continue
 		}
-		b.look(g, now)
-		all := b.useful(g, now, true)
-		own := make([]Word, len(all))
+		t.probe(g, now)
+		all := t.provable(g, now, true)
+		own := make([]NodeState, len(all))
 		for i, n := range all {
-			n.told = n.pos
-			own[i] = Word{n.id, n.pos, n.claimed >= n.pos, n.load(now)}
+			n.publishedPosition = n.position
+			own[i] = NodeState{n.id, n.position, n.primaryPosition >= n.position, n.load(now)}
 		}
-		b.counted.Tells++
-		b.tell(g, all, now)
-		g.due = now + b.every
-		b.out.Told = append(b.out.Told, Told{Group: g.id, Until: now + lives*b.every, Heard: true, Words: own})
+		t.counts.Updates++
+		t.publish(g, all, now)
+		g.updateDue = now + t.interval
+		t.effects.Updates = append(t.effects.Updates, Update{Group: g.id, Until: now + missedUpdates*t.interval, Heard: true, Nodes: own})
 	}
 }
 
-// used notes that a router has a use for what we tell of a group.
-func (g *group) used(router int, now float64) {
-	if g.users != nil {
-		g.users[router] = now
+// subscribe notes that a router has a use for updates of a group.
+func (g *group) subscribe(router int, now float64) {
+	if g.subscribers != nil {
+		g.subscribers[router] = now
 	}
 }
 
-// tell tells the routers that have had a use for the group of late, or all where most have. Those who keep it next hear of
-// it, too: two that keep one group must come to know of each other.
-func (b *Book) tell(g *group, all []*node, now float64) {
+// publish sends an update to the routers that have had a use for the group of late, or to all where most have. Its successors
+// get it, too: two that coordinate one group must come to know of each other.
+func (t *Table) publish(g *group, all []*node, now float64) {
 	var to []int
-	for r, at := range g.users {
-		if r != b.terms.Me && (now-at < usesFor || slices.Contains(b.nextOf(g), r)) {
+	for r, at := range g.subscribers {
+		if r != t.config.Self && (now-at < subscriptionTime || slices.Contains(t.successorsOf(g), r)) {
 			to = append(to, r)
 		}
 	}
-	if float64(len(to)) >= mostUse*float64(b.terms.Routers-1) {
+	if float64(len(to)) >= broadcastShare*float64(t.config.Routers-1) {
 		to = []int{All}
 	}
 	for _, r := range to {
-		b.send(r, tell, g, all, now)
+		t.send(r, kindUpdate, g, all, now)
 	}
 }
 
-// nextOf are the first routers that come to keep a group.
-func (b *Book) nextOf(g *group) []int {
-	if g.next == nil {
-		all := make([]int, b.terms.Routers)
+// successorsOf are the first routers that come to coordinate a group.
+func (t *Table) successorsOf(g *group) []int {
+	if g.successors == nil {
+		all := make([]int, t.config.Routers)
 		for i := range all {
 			all[i] = i
 		}
 		slices.SortFunc(all, func(x, y int) int { return cmp.Compare(rank(g.id, y), rank(g.id, x)) })
-		g.next = slices.Clone(all[:min(nextKeepers, len(all))])
+		g.successors = slices.Clone(all[:min(successorCount, len(all))])
 	}
-	return g.next
+	return g.successors
 }
 
-// look probes for all: while a txn waits for a primary, or none is known, every member; else, as far as wants have paid for
-// it, those of which nobody has told anything for a while, the longest first.
-func (b *Book) look(g *group, now float64) {
+// probe probes for all: while a txn waits for a primary, or none is known, every member; else, as far as requests have paid
+// for it, those of which nobody has reported anything for a while, the longest first.
+func (t *Table) probe(g *group, now float64) {
 	known := false
 	for _, n := range g.members {
-		known = known || n.claimed > 0
+		known = known || n.primaryPosition > 0
 	}
-	whole := now < g.hurry || !known
-	for whole || g.looks >= 1 {
+	whole := now < g.primarySoughtUntil || !known
+	for whole || g.probeBudget >= 1 {
 		var oldest *node
 		for _, n := range g.members {
-			due := now-n.looked >= lookAgain && (whole || now-n.at > lookAfter*b.terms.Bound)
-			if due && (oldest == nil || n.at < oldest.at) {
+			due := now-n.probedAt >= probeAgain && (whole || now-n.positionAt > probeAfter*t.config.Bound)
+			if due && (oldest == nil || n.positionAt < oldest.positionAt) {
 				oldest = n
 			}
 		}
@@ -580,18 +583,18 @@
 			return
 		}
 		if !whole {
-			g.looks--
+			g.probeBudget--
 		}
-		oldest.looked = now
-		b.counted.Looks++
-		b.out.Looks = append(b.out.Looks, oldest.id)
+		oldest.probedAt = now
+		t.counts.Probes++
+		t.effects.Probes = append(t.effects.Probes, oldest.id)
 	}
 }
 
-func (b *Book) unit() float64 { return b.terms.Bound / steps }
+func (t *Table) ageUnit() float64 { return t.config.Bound / ageSteps }
 
-func (b *Book) send(to int, k kind, g *group, about []*node, now float64) {
-	bytes := format(k, b.terms.Me, g.id, about, b.unit(), now)
-	b.counted.Bytes += int64(len(bytes))
-	b.out.Sends = append(b.out.Sends, Send{To: to, Bytes: bytes})
+func (t *Table) send(to int, k messageKind, g *group, about []*node, now float64) {
+	bytes := encode(k, t.config.Self, g.id, about, t.ageUnit(), now)
+	t.counts.Bytes += int64(len(bytes))
+	t.effects.Sends = append(t.effects.Sends, Send{To: to, Bytes: bytes})
 }
--- a/peerstate/peerstate_test.go
+++ b/peerstate/peerstate_test.go
@@ -18,36 +18,38 @@
 
 const bound = 0.2
 
-// scene plays a Book of a text. The notation (ROUTER is a number, or first, second, last: by who should keep group 0):
+// scene plays a Table of a text. The notation (ROUTER is a number, or first, second, last: by who should coordinate group 0):
 //
-//	book me=ROUTER of=N                    a new one
+//	table me=ROUTER of=N                   a new one
 //	node NAME [GROUP], forget NAME         of the list
-//	saw NAME AGE [primary]                 a probe of ours has shown that it stands as long ago
-//	out NAME, back NAME AGE                a submission of ours leaves, ends
+//	observe NAME AGE [primary]             a probe of ours has shown that it stands as long ago
+//	started NAME, finished NAME AGE        a submission of ours
 //	read [TIMES], write, primary           reads come; a write; a txn waits for its primary
-//	from ROUTER KIND [NAME AGE [primary] [load=N] [number=N]]...   a datagram; KIND is want, answer, waits, news, leaves, ends,
-//	                                       tell; what leaves or ends is the router's next there, or the one with that number
+//	from ROUTER KIND [NAME AGE [primary] [load=N] [number=N]]...   a datagram; KIND is subscribe, subscribe-now, seek-primary,
+//	                                       report, started, finished, update; what started or finished is the router's
+//	                                       next there, or the one with that number
 //	late ROUTER SECONDS KIND ...           one that was as long on its way
 //	garbled ROUTER, stranger ROUTER        one with a bit turned; one that says it is another's
 //	wait SECONDS
-//	expect WHAT..., never WHAT...          since the last expect: KIND to ROUTER|NUMBER|all [NAMES], look NAME, told NAME AGE, due,
+//	expect WHAT..., never WHAT...          since the last expect: KIND to ROUTER|NUMBER|all [NAMES], probe NAME, state NAME AGE, due,
 //	                                       heard
 //	rests yes|no                           nothing is due
 //	load NAME N                            submissions that are counted there
 type scene struct {
-	t     *testing.T
-	where string
-	now   float64
-	me    int
-	of    int
-	book  *Book
-	names map[string]int
-	did   []string
-	until float64
-	told  map[string]int // what has left and ended so far, by kind, router and node
+	t      *testing.T
+	where  string
+	now    float64
+	me     int
+	of     int
+	table  *Table
+	names  map[string]int
+	did    []string
+	until  float64
+	counts map[string]int // what has started and finished so far, by kind, router and node
 }
 
-var kindNames = map[string]kind{"want": want, "answer": wantAnswer, "waits": wantPrimary, "news": news, "leaves": leaves, "ends": ends, "tell": tell}
+var kindNames = map[string]messageKind{"subscribe": kindSubscribe, "subscribe-now": kindSubscribeNow, "seek-primary": kindSeekPrimary,
+	"report": kindReport, "started": kindStarted, "finished": kindFinished, "update": kindUpdate}
 
 func (s *scene) number(text string) float64 {
 	v, err := strconv.ParseFloat(text, 64)
@@ -76,19 +78,19 @@
 func (s *scene) datagram(from int, f []string, at float64) []byte {
 	var about []*node
 	for i := 1; i < len(f); {
-		n := &node{key: s.book.nodes[s.names[f[i]]].key, pos: at - s.number(f[i+1])}
-		if f[0] == "leaves" || f[0] == "ends" {
+		n := &node{key: s.table.nodes[s.names[f[i]]].key, position: at - s.number(f[i+1])}
+		if f[0] == "started" || f[0] == "finished" {
 			who := fmt.Sprint(f[0], from, f[i])
-			s.told[who]++
-			n.left, n.ended = s.told[who], s.told[who]
+			s.counts[who]++
+			n.started, n.finished = s.counts[who], s.counts[who]
 		}
 		for i += 2; i < len(f); i++ {
 			if load, ok := strings.CutPrefix(f[i], "load="); ok {
-				n.left = int(s.number(load))
+				n.started = int(s.number(load))
 			} else if number, ok := strings.CutPrefix(f[i], "number="); ok {
-				n.left, n.ended = int(s.number(number)), int(s.number(number))
+				n.started, n.finished = int(s.number(number)), int(s.number(number))
 			} else if f[i] == "primary" {
-				n.claimed = n.pos
+				n.primaryPosition = n.position
 			} else {
 				break
 			}
@@ -97,25 +99,25 @@
 	}
 	k, ok := kindNames[f[0]]
 	require.True(s.t, ok, s.where)
-	return format(k, from, 0, about, bound/steps, at)
+	return encode(k, from, 0, about, bound/ageSteps, at)
 }
 
 // settle writes down the effects.
 func (s *scene) settle() {
-	e := s.book.Effects()
-	for _, told := range e.Told {
-		s.until = told.Until
-		if told.Heard {
+	e := s.table.Effects()
+	for _, update := range e.Updates {
+		s.until = update.Until
+		if update.Heard {
 			s.did = append(s.did, "heard")
 		} else {
 			s.did = append(s.did, "due")
 		}
-		for _, w := range told.Words {
-			s.did = append(s.did, fmt.Sprintf("told %s %g", s.name(w.Node), math.Round((s.now-w.Pos)*1000)/1000))
+		for _, w := range update.Nodes {
+			s.did = append(s.did, fmt.Sprintf("state %s %g", s.name(w.Node), math.Round((s.now-w.Pos)*1000)/1000))
 		}
 	}
-	for _, id := range e.Looks {
-		s.did = append(s.did, "look "+s.name(id))
+	for _, id := range e.Probes {
+		s.did = append(s.did, "probe "+s.name(id))
 	}
 	for _, x := range e.Sends {
 		to := map[bool]string{true: "all", false: strconv.Itoa(x.To)}[x.To == All]
@@ -124,7 +126,7 @@
 				to = name
 			}
 		}
-		m, err := parse(x.Bytes, s.now, bound/steps)
+		m, err := decode(x.Bytes, s.now, bound/ageSteps)
 		require.NoError(s.t, err, s.where)
 		line := ""
 		for name, k := range kindNames {
@@ -133,7 +135,7 @@
 			}
 		}
 		for _, key := range m.keys {
-			for _, n := range s.book.nodes {
+			for _, n := range s.table.nodes {
 				if n != nil && n.key == key {
 					line += " " + s.name(n.id)
 				}
@@ -155,61 +157,61 @@
 func (s *scene) play(f []string) {
 	rest := func(i int) []string { return f[min(i, len(f)):] }
 	switch f[0] {
-	case "book":
+	case "table":
 		s.of = int(s.number(strings.TrimPrefix(f[2], "of=")))
 		s.me = s.router(strings.TrimPrefix(f[1], "me="))
-		s.book = New(Terms{Me: s.me, Routers: s.of, Seed: 1, Bound: bound})
+		s.table = New(Config{Self: s.me, Routers: s.of, Seed: 1, Bound: bound})
 	case "node":
 		group := 0
 		if len(f) > 2 {
 			group = int(s.number(f[2]))
 		}
 		s.names[f[1]] = len(s.names)
-		s.book.Node(s.names[f[1]], f[1], group)
+		s.table.AddNode(s.names[f[1]], f[1], group)
 	case "forget":
-		s.book.Forget(s.names[f[1]])
+		s.table.RemoveNode(s.names[f[1]])
 		s.names["was "+f[1]] = s.names[f[1]]
 		delete(s.names, f[1])
-	case "saw":
-		s.book.Saw(s.names[f[1]], s.now-s.number(f[2]), len(f) > 3, s.now)
-	case "out":
-		s.book.Out(s.names[f[1]], s.now)
-	case "back":
-		s.book.Back(s.names[f[1]], s.now-s.number(f[2]), false, s.now)
+	case "observe":
+		s.table.Observe(s.names[f[1]], s.now-s.number(f[2]), len(f) > 3, s.now)
+	case "started":
+		s.table.Started(s.names[f[1]], s.now)
+	case "finished":
+		s.table.Finished(s.names[f[1]], s.now-s.number(f[2]), false, s.now)
 	case "write":
-		s.book.Arrived(0, true, s.now)
+		s.table.Arrived(0, true, s.now)
 	case "read":
 		times := 1
 		if len(f) > 1 {
 			times = int(s.number(f[1]))
 		}
 		for range times {
-			s.book.Arrived(0, false, s.now)
+			s.table.Arrived(0, false, s.now)
 		}
 	case "primary":
-		s.book.Want(0, s.now)
+		s.table.AwaitPrimary(0, s.now)
 	case "from":
-		require.True(s.t, s.book.Take(s.router(f[1]), s.datagram(s.router(f[1]), rest(2), s.now), s.now), s.where)
+		require.True(s.t, s.table.Receive(s.router(f[1]), s.datagram(s.router(f[1]), rest(2), s.now), s.now), s.where)
 	case "late":
-		require.True(s.t, s.book.Take(s.router(f[1]), s.datagram(s.router(f[1]), rest(3), s.now-s.number(f[2])), s.now), s.where)
+		require.True(s.t, s.table.Receive(s.router(f[1]), s.datagram(s.router(f[1]), rest(3), s.now-s.number(f[2])), s.now), s.where)
 	case "garbled":
 		b := s.datagram(s.router(f[1]), rest(2), s.now)
 		for i := range len(b) * 8 {
 			b[i/8] ^= 1 << (i % 8)
-			require.False(s.t, s.book.Take(s.router(f[1]), b, s.now), "%s: bit %d", s.where, i)
+			require.False(s.t, s.table.Receive(s.router(f[1]), b, s.now), "%s: bit %d", s.where, i)
 			b[i/8] ^= 1 << (i % 8)
 		}
 	case "stranger":
-		require.False(s.t, s.book.Take(s.router(f[1]), s.datagram(s.of+3, []string{"want"}, s.now), s.now), s.where)
+		require.False(s.t, s.table.Receive(s.router(f[1]), s.datagram(s.of+3, []string{"subscribe"}, s.now), s.now), s.where)
 	case "wait":
 		for end := s.now + s.number(f[1]); ; {
-			next := s.book.Next()
+			next := s.table.Next()
 			if next > end {
 				s.now = end
 				break
 			}
 			s.now = max(s.now, next)
-			s.book.Step(s.now)
+			s.table.Step(s.now)
 			s.settle()
 		}
 	case "expect", "never":
@@ -221,9 +223,9 @@
 		require.GreaterOrEqual(s.t, i, 0, "%s: did %q", s.where, s.did)
 		s.did = s.did[i+1:]
 	case "rests":
-		require.Equal(s.t, f[1] == "yes", math.IsInf(s.book.Next(), 1), s.where)
+		require.Equal(s.t, f[1] == "yes", math.IsInf(s.table.Next(), 1), s.where)
 	case "load":
-		require.Equal(s.t, int(s.number(f[2])), s.book.nodes[s.names[f[1]]].load(s.now), s.where)
+		require.Equal(s.t, int(s.number(f[2])), s.table.nodes[s.names[f[1]]].load(s.now), s.where)
 	default:
 		require.Fail(s.t, "unknown line", s.where)
 	}
@@ -238,7 +240,7 @@
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
-			s := &scene{t: t, now: 1e9, names: map[string]int{}, told: map[string]int{}}
+			s := &scene{t: t, now: 1e9, names: map[string]int{}, counts: map[string]int{}}
 			for i, line := range strings.Split(string(text), "\n") {
 				line, _, _ = strings.Cut(line, "#")
 				if f := strings.Fields(line); len(f) > 0 {
@@ -250,29 +252,29 @@
 	}
 }
 
-// TestNeverYounger: whatever becomes of datagrams (lost, doubled, late, reordered, garbled), no word that comes out of a
-// Book is younger than what its node has told to somebody.
+// TestNeverYounger: whatever becomes of datagrams (lost, doubled, late, reordered, garbled), no state that comes out of a
+// Table is younger than what its node has named to somebody.
 func TestNeverYounger(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		rng := rand.New(rand.NewSource(rapid.Int64().Draw(rt, "seed")))
 		const routers, nodes = 6, 5
 		now := 1e9 + rapid.Float64Range(0, 1e7).Draw(rt, "start")
-		stands := make([]float64, nodes) // the position that a node has told last
-		var books []*Book
+		stands := make([]float64, nodes) // the position that a node has named last
+		var tables []*Table
 		type flying struct {
 			from, to int
 			b        []byte
 		}
 		var air []flying
 		for i := range routers {
-			b := New(Terms{Me: i, Routers: routers, Seed: int64(i), Bound: bound})
+			b := New(Config{Self: i, Routers: routers, Seed: int64(i), Bound: bound})
 			for n := range nodes {
-				b.Node(n, fmt.Sprint(n), 0)
+				b.AddNode(n, fmt.Sprint(n), 0)
 			}
-			books = append(books, b)
+			tables = append(tables, b)
 		}
 		settle := func(i int) {
-			e := books[i].Effects()
+			e := tables[i].Effects()
 			for _, s := range e.Sends {
 				for to := range routers {
 					if to != i && (s.To == All || s.To == to) {
@@ -280,10 +282,10 @@
 					}
 				}
 			}
-			for _, told := range e.Told {
-				for _, w := range told.Words {
+			for _, update := range e.Updates {
+				for _, w := range update.Nodes {
 					if w.Pos > stands[w.Node]+1e-6 {
-						rt.Fatalf("node %d stands at %.4f, a word says %.4f", w.Node, stands[w.Node], w.Pos)
+						rt.Fatalf("node %d stands at %.4f, a state says %.4f", w.Node, stands[w.Node], w.Pos)
 					}
 				}
 			}
@@ -293,13 +295,13 @@
 			i, n := rng.Intn(routers), rng.Intn(nodes)
 			switch rng.Intn(5) {
 			case 0:
-				books[i].Arrived(0, rng.Intn(4) == 0, now)
+				tables[i].Arrived(0, rng.Intn(4) == 0, now)
 			case 1:
 				if rng.Intn(3) > 0 {
 					stands[n] = max(stands[n], now-rng.Float64()*0.5) // else it stands still
 				}
 				if stands[n] > 0 {
-					books[i].Back(n, stands[n], n == 0, now)
+					tables[i].Finished(n, stands[n], n == 0, now)
 				}
 			case 2, 3:
 				if len(air) > 0 {
@@ -316,18 +318,18 @@
 					default:
 						air = slices.Delete(air, k, k+1)
 					}
-					books[f.to].Take(f.from, b, now)
+					tables[f.to].Receive(f.from, b, now)
 					settle(f.to)
 				}
 			case 4:
-				books[i].Step(now)
+				tables[i].Step(now)
 			}
 			settle(i)
 		}
 	})
 }
 
-// TestLoads: whatever way words take (doubled, overtaken, seconds late), a keeper counts what is out, once they have come; of
+// TestLoads: whatever way messages take (doubled, overtaken, seconds late), a coordinator counts what is in flight, once they have come; of
 // those that are lost, once each router's next have.
 func TestLoads(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -335,14 +337,14 @@
 		loses := rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(rt, "loses")
 		const routers = 6
 		now := 1e9
-		keeper := -1
-		var books []*Book
+		coordinator := -1
+		var tables []*Table
 		for i := range routers {
-			b := New(Terms{Me: i, Routers: routers, Seed: int64(i), Bound: bound})
-			b.Node(0, "a", 0)
-			books = append(books, b)
-			if keeper < 0 || rank(0, i) > rank(0, keeper) {
-				keeper = i
+			b := New(Config{Self: i, Routers: routers, Seed: int64(i), Bound: bound})
+			b.AddNode(0, "a", 0)
+			tables = append(tables, b)
+			if coordinator < 0 || rank(0, i) > rank(0, coordinator) {
+				coordinator = i
 			}
 		}
 		type flying struct {
@@ -352,13 +354,13 @@
 		}
 		var air []flying
 		settle := func(i int, lossless bool) {
-			for _, s := range books[i].Effects().Sends {
+			for _, s := range tables[i].Effects().Sends {
 				for to := range routers {
 					switch {
 					case to == i || s.To != All && s.To != to:
-					case i == keeper:
-						books[to].Take(i, s.Bytes, now)
-					case to == keeper && (lossless || rng.Float64() >= loses):
+					case i == coordinator:
+						tables[to].Receive(i, s.Bytes, now)
+					case to == coordinator && (lossless || rng.Float64() >= loses):
 						for range 1 + rng.Intn(20)/19 {
 							late := map[bool]float64{true: 1, false: 0.005}[rng.Intn(50) == 0]
 							air = append(air, flying{now + rng.Float64()*late, i, s.Bytes})
@@ -381,29 +383,29 @@
 				f := air[next]
 				air = slices.Delete(air, next, next+1)
 				now = max(now, f.at)
-				books[keeper].Take(f.from, f.b, now)
-				settle(keeper, false)
+				tables[coordinator].Receive(f.from, f.b, now)
+				settle(coordinator, false)
 			}
 			now = max(now, until)
-			books[keeper].Step(now)
-			settle(keeper, false)
+			tables[coordinator].Step(now)
+			settle(coordinator, false)
 		}
 		outs := make([]int, routers)
 		submits := func(i int, lossless bool) {
-			books[i].Out(0, now)
+			tables[i].Started(0, now)
 			outs[i]++
 			settle(i, lossless)
 		}
 		ends := func(i int, lossless bool) {
-			books[i].Back(0, now, false, now)
+			tables[i].Finished(0, now, false, now)
 			outs[i]--
 			settle(i, lossless)
 		}
 		wanted := func() {
-			books[keeper].Want(0, now)
+			tables[coordinator].AwaitPrimary(0, now)
 			lands(now + 0.01)
 		}
-		books[keeper].Saw(0, now, false, now)
+		tables[coordinator].Observe(0, now, false, now)
 		wanted()
 		for _, does := range []func(int, bool){submits, ends} { // what a router had out before it is heard is not known
 			for i := range routers {
@@ -419,7 +421,7 @@
 				submits(i, false)
 			}
 			lands(now + rng.Float64()*0.004)
-			books[keeper].Saw(0, now, false, now)
+			tables[coordinator].Observe(0, now, false, now)
 			wanted()
 		}
 		for i := range routers {
@@ -432,27 +434,27 @@
 		for _, n := range outs {
 			want += n
 		}
-		if got := books[keeper].nodes[0].load(now); got != want {
-			rt.Fatalf("%d are out (%d), the keeper counts %d", want, outs, got)
+		if got := tables[coordinator].nodes[0].load(now); got != want {
+			rt.Fatalf("%d are in flight (%d), the coordinator counts %d", want, outs, got)
 		}
 	})
 }
 
-// TestCandidates: each router keeps about its even part of the groups, and one that is deaf hands on only its own.
-func TestCandidates(t *testing.T) {
+// TestCoordinators: each router coordinates about its even part of the groups, and one that is unreachable hands on only its own.
+func TestCoordinators(t *testing.T) {
 	const routers, groups = 30, 3000
-	b := New(Terms{Me: 0, Routers: routers, Bound: bound})
+	b := New(Config{Self: 0, Routers: routers, Bound: bound})
 	kept := make([]int, routers)
 	was := make([]int, groups)
 	for g := range groups {
-		was[g] = b.candidate(b.group(g), 0)
+		was[g] = b.chooseCoordinator(b.group(g), 0)
 		kept[was[g]]++
 	}
 	require.Less(t, slices.Max(kept), 2*groups/routers)
 	require.Greater(t, slices.Min(kept), groups/routers/2)
-	b.deaf[7] = math.Inf(1)
+	b.unreachableUntil[7] = math.Inf(1)
 	for g := range groups {
-		if now := b.candidate(b.group(g), 0); was[g] != 7 {
+		if now := b.chooseCoordinator(b.group(g), 0); was[g] != 7 {
 			require.Equal(t, was[g], now)
 		} else {
 			require.NotEqual(t, 7, now)
@@ -461,13 +463,13 @@
 }
 
 func FuzzParse(f *testing.F) {
-	f.Add(format(tell, 3, 1, []*node{{key: 7, pos: 1e9}, {key: 9, pos: 1e9 - 0.1, claimed: 1e9}}, bound/steps, 1e9))
-	f.Add([]byte{byte(want)})
+	f.Add(encode(kindUpdate, 3, 1, []*node{{key: 7, position: 1e9}, {key: 9, position: 1e9 - 0.1, primaryPosition: 1e9}}, bound/ageSteps, 1e9))
+	f.Add([]byte{byte(kindSubscribe)})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if m, err := parse(b, 1e9, bound/steps); err == nil {
+		if m, err := decode(b, 1e9, bound/ageSteps); err == nil {
 			require.Len(t, m.positions, len(m.keys))
 			for _, pos := range m.positions {
-				require.LessOrEqual(t, pos, 1e9+future)
+				require.LessOrEqual(t, pos, 1e9+maxClockAhead)
 			}
 		}
 	})
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -53,13 +53,13 @@
 	byUID     map[string]int
 	groups    map[int]bool
 	list      *list
-	gossip    *gossip // nil: peers are not spoken to
-	noGossip  error   // why it could not begin
-	tier      *tier   // nil: routers of the tier don't speak to each other
-	talk      *talk   // nil: they don't tell each other of nodes
-	zones     *zones  // nil: zones are not left together
-	leases    *leases // nil: they have no tasks of which one holder is wanted
-	noTier    error   // why one of them could not begin
+	gossip    *gossip    // nil: peers are not spoken to
+	noGossip  error      // why it could not begin
+	tier      *tier      // nil: routers of the tier don't speak to each other
+	peerState *peerState // nil: they don't tell each other of nodes
+	zones     *zones     // nil: zones are not left together
+	leases    *leases    // nil: they have no tasks of which one holder is wanted
+	noTier    error      // why one of them could not begin
 	hub       *clients
 	classes   *classes // nil: statements without our comment are not served
 	counters  *counters
@@ -90,13 +90,13 @@
 		}
 	}
 	if c.tier, c.noTier = newTier(c, cfg); c.noTier == nil {
-		c.talk = newTalk(c, cfg)
+		c.peerState = newPeerState(c, cfg)
 		c.leases, c.noTier = newLeases(c, cfg)
 	}
 	if c.noTier == nil {
 		c.zones, c.noTier = newZones(c, cfg)
 	}
-	if c.talk == nil && c.leases == nil && c.zones == nil && c.tier != nil { // nobody speaks
+	if c.peerState == nil && c.leases == nil && c.zones == nil && c.tier != nil { // nobody speaks
 		c.tier.conn.Close()
 		c.tier = nil
 	}
@@ -164,9 +164,9 @@
 		return
 	}
 	x := c.txn(h, at)
-	if write := c.terms.Writes(x.Type); c.talk != nil && (write || c.terms.Bounded(x.Type)) {
-		c.talk.book.Arrived(x.Group, write, c.now)
-		c.talk.act()
+	if write := c.terms.Writes(x.Type); c.peerState != nil && (write || c.terms.Bounded(x.Type)) {
+		c.peerState.table.Arrived(x.Group, write, c.now)
+		c.peerState.act()
 	}
 	c.router.Arrive(x)
 }
@@ -228,8 +228,8 @@
 	if c.gossip != nil {
 		c.gossip.landed(n, sent, res.Outcome)
 	}
-	if c.talk != nil {
-		c.talk.landed(n, res.Report)
+	if c.peerState != nil {
+		c.peerState.landed(n, res.Report)
 	}
 	if c.zones != nil {
 		c.zones.landed(n, c.typeOf(h), res)
@@ -304,8 +304,8 @@
 		if c.gossip != nil && m.State == splitter.On && m.Group >= 0 {
 			c.gossip.mesh.Node(e.UID, m.Group)
 		}
-		if c.talk != nil && m.State == splitter.On {
-			c.talk.book.Node(id, e.UID, m.Group)
+		if c.peerState != nil && m.State == splitter.On {
+			c.peerState.table.AddNode(id, e.UID, m.Group)
 		}
 		if c.zones != nil && m.State == splitter.On {
 			c.zones.book.Node(id, e.UID, e.Zone, m.Group)
@@ -336,9 +336,9 @@
 	if c.gossip != nil {
 		c.gossip.mesh.Out(n.uid, j.sent)
 	}
-	if c.talk != nil {
-		c.talk.book.Out(node, c.now)
-		c.tell(c.talk.act)
+	if c.peerState != nil {
+		c.peerState.table.Started(node, c.now)
+		c.tell(c.peerState.act)
 	}
 	n.tell(func() { n.start(j) })
 	if plant == "resends" {
@@ -371,9 +371,9 @@
 }
 
 func (c *core) Want(group int) {
-	if c.talk != nil {
-		c.talk.book.Want(group, c.now)
-		c.tell(c.talk.act)
+	if c.peerState != nil {
+		c.peerState.table.AwaitPrimary(group, c.now)
+		c.tell(c.peerState.act)
 	}
 }
 
@@ -388,8 +388,8 @@
 			if c.gossip != nil {
 				c.gossip.mesh.Saw(n.uid, res.OK, true, j.sent)
 			}
-			if c.talk != nil {
-				c.talk.saw(n, res.Report)
+			if c.peerState != nil {
+				c.peerState.saw(n, res.Report)
 			}
 			then(res.Report)
 		})
@@ -416,8 +416,8 @@
 	if c.gossip != nil {
 		c.gossip.mesh.Forget(n.uid)
 	}
-	if c.talk != nil {
-		c.talk.book.Forget(node)
+	if c.peerState != nil {
+		c.peerState.table.RemoveNode(node)
 	}
 	if c.zones != nil {
 		c.zones.book.Forget(node)
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -100,10 +100,10 @@
 		k.log.WithFields(logrus.Fields{"doubts": k.doubts.Load(), "behind": k.behind.Load(), "bytes_in": c.gossip.mesh.Counts().BytesIn.Load(),
 			"bytes_out": c.gossip.mesh.Counts().BytesOut.Load()}).Info("gossip")
 	}
-	if c.talk != nil {
-		n := c.talk.counted()
-		k.log.WithFields(logrus.Fields{"wants": n.Wants, "news": n.News, "tells": n.Tells, "replies": n.Replies, "looks": n.Looks,
-			"bytes": n.Bytes, "taken": n.Taken, "spoilt": n.Spoilt, "unknown": n.Unknown, "silent": n.Silent,
+	if c.peerState != nil {
+		n := c.peerState.counted()
+		k.log.WithFields(logrus.Fields{"wants": n.Requests, "news": n.Reports, "tells": n.Updates, "replies": n.Replies, "looks": n.Probes,
+			"bytes": n.Bytes, "taken": n.Received, "spoilt": n.Malformed, "unknown": n.UnknownGroups, "silent": n.Unanswered,
 			"dropped": c.tier.dropped.Load()}).Info("knowing")
 	}
 	if c.zones != nil {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -41,18 +41,18 @@
 	}
 	counter("node_connections_opened_total", "Connections to nodes that were opened.", k.linksOpened.Load())
 	counter("list_calls_total", "Calls for the member list.", k.listCalls.Load())
-	if t := c.talk; t != nil {
+	if t := c.peerState; t != nil {
 		n := t.counted()
 		for _, x := range []struct {
 			kind string
 			n    int64
-		}{{"want", n.Wants}, {"news", n.News}, {"tell", n.Tells}, {"reply", n.Replies}} {
+		}{{"want", n.Requests}, {"news", n.Reports}, {"tell", n.Updates}, {"reply", n.Replies}} {
 			counter("words_sent_total", "Datagrams to the routers of the tier, by kind.", x.n, "kind", x.kind)
 		}
 		counter("words_bytes_total", "Bytes of them as they left.", n.Bytes)
-		counter("words_taken_total", "Datagrams taken from them.", n.Taken)
-		counter("words_refused_total", "Datagrams that were none of theirs, or came where there was no room.", n.Spoilt+c.tier.dropped.Load())
-		counter("keepers_silent_total", "Keepers that did not answer.", n.Silent)
+		counter("words_taken_total", "Datagrams taken from them.", n.Received)
+		counter("words_refused_total", "Datagrams that were none of theirs, or came where there was no room.", n.Malformed+c.tier.dropped.Load())
+		counter("keepers_silent_total", "Keepers that did not answer.", n.Unanswered)
 	}
 	if z := c.zones; z != nil {
 		n := z.counted()
--- a/proxy/peerstate.go
+++ b/proxy/peerstate.go
@@ -1,6 +1,6 @@
 package proxy
 
-// This file owns the core's side of package peerstate. The core's goroutine alone calls the book. It must never judge what a
+// This file owns the core's side of package peerstate. The core's goroutine alone calls the table. It must never judge what a
 // peer says.
 
 import (
@@ -11,16 +11,17 @@
 	"eiderway/splitter"
 )
 
-type talk struct {
+// peerState is this router's side of what the routers of its tier tell each other of nodes.
+type peerState struct {
 	core  *core
-	book  *peerstate.Book
+	table *peerstate.Table
 	next  nextStep
 	mu    sync.Mutex
 	shown peerstate.Counts
 }
 
-// newTalk begins the talk where the deployment has it: peers, and reads with a bound. nil: it has not.
-func newTalk(c *core, cfg *Config) *talk {
+// newPeerState begins the exchange where the deployment has it: peers, and reads with a bound. nil: it has not.
+func newPeerState(c *core, cfg *Config) *peerState {
 	bound := math.Inf(1)
 	for _, t := range cfg.terms.Splitter.Types {
 		if t.Need == splitter.NeedBounded && t.Bound > 0 {
@@ -32,60 +33,60 @@
 	if c.tier == nil || !s.ProbeRoles || math.IsInf(bound, 1) || silent {
 		return nil
 	}
-	return &talk{core: c, next: newNextStep(),
-		book: peerstate.New(peerstate.Terms{Me: s.Me, Routers: len(c.tier.peers), Seed: int64(cfg.seed), Bound: bound})}
+	return &peerState{core: c, next: newNextStep(),
+		table: peerstate.New(peerstate.Config{Self: s.Me, Routers: len(c.tier.peers), Seed: int64(cfg.seed), Bound: bound})}
 }
 
-// act does what the book asks for, and sets its timer.
-func (t *talk) act() {
+// act does what the table asks for, and sets its timer.
+func (t *peerState) act() {
 	for {
-		e := t.book.Effects()
-		if len(e.Sends)+len(e.Looks)+len(e.Told) == 0 {
+		e := t.table.Effects()
+		if len(e.Sends)+len(e.Probes)+len(e.Updates) == 0 {
 			break
 		}
 		for _, s := range e.Sends {
 			t.core.tier.send(s.To, s.Bytes)
 		}
-		for _, told := range e.Told {
-			words := make([]splitter.Word, len(told.Words))
-			for i, w := range told.Words {
-				words[i] = splitter.Word(w)
+		for _, update := range e.Updates {
+			states := make([]splitter.Word, len(update.Nodes))
+			for i, w := range update.Nodes {
+				states[i] = splitter.Word(w)
 			}
-			t.core.router.Told(told.Group, told.Until, told.Heard, words)
+			t.core.router.Told(update.Group, update.Until, update.Heard, states)
 		}
-		for _, node := range e.Looks {
+		for _, node := range e.Probes {
 			t.core.router.Look(node, splitter.ForAll)
 		}
 	}
-	t.next.arm(t.core, t.book.Next(), t)
+	t.next.arm(t.core, t.table.Next(), t)
 	t.mu.Lock()
-	t.shown = t.book.Counted()
+	t.shown = t.table.Counts()
 	t.mu.Unlock()
 }
 
-// step has the book do what is due.
-func (t *talk) step() {
-	t.book.Step(t.core.now)
+// step has the table do what is due.
+func (t *peerState) step() {
+	t.table.Step(t.core.now)
 	t.act()
 }
 
-// saw tells the book what a probe has shown of a node.
-func (t *talk) saw(n *node, r splitter.Report) {
+// saw tells the table what a probe has shown of a node.
+func (t *peerState) saw(n *node, r splitter.Report) {
 	if id, ok := t.core.byUID[n.uid]; ok && r.Pos > 0 {
-		t.book.Saw(id, r.Pos, r.Role == splitter.RolePrimary, t.core.now)
+		t.table.Observe(id, r.Pos, r.Role == splitter.RolePrimary, t.core.now)
 		t.act()
 	}
 }
 
-// landed tells the book that a submission has ended, with what the node told of itself.
-func (t *talk) landed(n *node, r splitter.Report) {
+// landed tells the table that a submission has ended, with what the node named of itself.
+func (t *peerState) landed(n *node, r splitter.Report) {
 	if id, ok := t.core.byUID[n.uid]; ok {
-		t.book.Back(id, r.Pos, r.Role == splitter.RolePrimary, t.core.now)
+		t.table.Finished(id, r.Pos, r.Role == splitter.RolePrimary, t.core.now)
 		t.act()
 	}
 }
 
-func (t *talk) counted() peerstate.Counts {
+func (t *peerState) counted() peerstate.Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.shown
--- a/proxy/peerstate_test.go
+++ b/proxy/peerstate_test.go
@@ -116,7 +116,7 @@
 		return c
 	}
 	c := none(fresh())
-	require.NotNil(t, c.talk)
+	require.NotNil(t, c.peerState)
 	c.tier.conn.Close()
 	for _, change := range []func(*Config){
 		func(c *Config) { c.terms.Peers = false },
@@ -131,7 +131,7 @@
 	} {
 		cfg := fresh()
 		change(cfg)
-		require.Nil(t, none(cfg).talk)
+		require.Nil(t, none(cfg).peerState)
 	}
 	for _, change := range []func(*Config){
 		func(c *Config) { c.Peers = []string{addr, "peer"} },
--- a/proxy/tier.go
+++ b/proxy/tier.go
@@ -120,9 +120,9 @@
 	case len(b) > 0 && b[0] >= lease.First && c.leases != nil:
 		c.leases.book.Take(peer, b, c.leases.now())
 		c.leases.act()
-	case c.talk != nil:
-		c.talk.book.Take(peer, b, c.now)
-		c.talk.act()
+	case c.peerState != nil:
+		c.peerState.table.Receive(peer, b, c.now)
+		c.peerState.act()
 	}
 }
 
