--- a/cmd/eiderway/gossip.go
+++ b/cmd/eiderway/gossip.go
@@ -99,7 +99,7 @@
 		return err
 	}
 	fmt.Printf("%s, %d peers, a quorum is a weight of %.0f; %d bytes in, %d out; turned away: %v\n", s.Name, len(s.Peers), s.Quorum, s.Bytes[0],
-		s.Bytes[1], s.Turned)
+		s.Bytes[1], s.TurnedAway)
 	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(table, "PEER\tADDRESS\tSTATE\tWEIGHT\tRIGHT\tWRONG\tACCUSES\tCLOCK\tKEYS")
 	for _, x := range s.Peers {
@@ -108,7 +108,7 @@
 	}
 	for _, n := range s.Nodes {
 		fmt.Fprintf(table, "\nnode %s\t%s\town evidence: %.1f good, %.1f bad\tvoices: %s\n", n.Name,
-			map[bool]string{true: "doubted", false: "not doubted"}[n.Doubted], n.Good, n.Bad, strings.Join(n.Voices, " "))
+			map[bool]string{true: "doubted", false: "not doubted"}[n.Suspected], n.Good, n.Bad, strings.Join(n.Accusers, " "))
 	}
 	return table.Flush()
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -7,204 +7,213 @@
 	"slices"
 )
 
-// This file owns the beliefs: what this router saw itself, what voices say, and which nodes are doubted for it. It must
-// never let fewer than a quorum of voices change anything, nor any number of them outlast own evidence.
-
-// Mill is one instance's side of the gossip. Its tables: peers are emptied keepGone after they left, nodes by Forget,
-// items as they have been passed on.
-type Mill struct {
-	terms     Terms
-	rng       *rand.Rand
-	peers     []*peer
-	live      int // peers that are there
-	nodes     map[int]*node
-	order     []int // nodes as first met
-	items     []item
-	forgotten []int
-	seq       int64
-	list      int64
-	beatAt    float64
-	roundAt   float64
-	credit    float64
-	credited  float64
-	leaving   bool
-	notes     []string
-	askedFor  int64   // the version of the list that was asked for last
-	askAt     float64 // not again before
-	ticked    float64 // the last Tick
-	usual     float64 // s, latency of submissions, all nodes together; 0: none was answered yet
-	urgent    bool    // an accusation of ours, or one that came, has not been told yet
-	counted   Counts
-}
-
-// Counts tell what a Mill has done.
+// This file owns what is believed: what this router observed itself, what peers accuse, and which servers are suspected for
+// it. It must never let fewer than a quorum of peers change anything, nor any number of them outlast own evidence.
+
+// Node is one instance's side of the gossip. What it holds: peers until gonePeerRetention after they left, servers until
+// RemoveServer, queued records until they have been passed on.
+type Node struct {
+	config           Config
+	rng              *rand.Rand
+	peers            []*peer
+	alivePeers       int
+	servers          map[int]*serverState
+	serverOrder      []int // as first met
+	queue            []queuedRecord
+	freedIndices     []int
+	seq              int64
+	listVersion      int64
+	heartbeatAt      float64
+	roundAt          float64
+	byteCredit       float64
+	creditAt         float64
+	leaving          bool
+	notes            []string
+	requestedVersion int64   // the version of the list that was asked for last
+	nextListRequest  float64 // not again before
+	tickedAt         float64 // the last Tick
+	usualLatency     float64 // s, latency of submissions, all servers together; 0: none was answered yet
+	urgent           bool    // an accusation of ours, or one that came, has not been sent yet
+	counts           Counts
+}
+
+// Counts tell what a Node has done. Operators see them under their first names.
 type Counts struct {
-	Taken, Old, Repeated, Skewed, Dropped, Held, Voices, Unseasoned, Frequent, Crowds, Wrong, Right, Doubts, Overruled, Overdue int64
-	Out                                                                                                                         int64 // bytes
+	Received    int64 `json:"Taken"`
+	Accusations int64 `json:"Voices"`
+	Suspicions  int64 `json:"Doubts"`
+
+	Old, Repeated, Skewed, Dropped, Held, Unseasoned, Frequent, Crowds, Wrong, Right, Overruled, Overdue int64
+
+	Out int64 // bytes
 }
 
-// node is a member of the cluster as this instance sees it and hears of it.
-type node struct {
-	id, group int
-	sight     [2]sight // own evidence: of whether it answers, and of what is submitted to it
-	accused   bool     // by us
-	said      float64
-	voices    map[int]voice // by peer; emptied as they end
-	doubted   bool
-	until     float64
-	out       []outing // submissions without an end yet, oldest first; emptied by their ends, outMost at most
+// serverState is a member of the cluster as this instance observes it and hears of it.
+type serverState struct {
+	id, group      int
+	evidence       [2]evidence // own evidence: of whether it answers, and of what is submitted to it
+	accusedByUs    bool
+	accusedAt      float64
+	accusations    map[int]accusation // by peer; emptied as they end
+	suspected      bool
+	suspectedUntil float64
+	inFlight       []submission // submissions without an end yet, oldest first; emptied by their ends, maxInFlight at most
 }
 
-type outing struct {
+type submission struct {
 	sent    float64
 	overdue bool // counted
 }
 
-type voice struct {
-	at    float64 // when it came
-	until float64
-	why   Why
+type accusation struct {
+	receivedAt float64
+	expires    float64
+	reason     Reason
 }
 
-// sight is own evidence of one kind, faded.
-type sight struct {
-	good, bad float64
-	faded     float64
-	goodAt    float64 // the newest good one, by when it was sent
-	badAt     float64
-	streak    int // failures since the last good one
+// evidence is what this instance observed of one kind, decayed.
+type evidence struct {
+	successes, failures float64
+	decayedAt           float64
+	successAt           float64 // the newest success, by when it was sent
+	failureAt           float64
+	streak              int // failures since the last success
 }
 
-// good tells whether it speaks against a voice that comes now.
-func (s *sight) fine(now float64) bool { return now-s.goodAt < freshness && s.badAt < s.goodAt }
+// refutes tells whether it speaks against an accusation that comes now.
+func (e *evidence) refutes(now float64) bool {
+	return now-e.successAt < refutationWindow && e.failureAt < e.successAt
+}
 
-// New makes a Mill that knows nobody.
-func New(t Terms) *Mill {
-	return &Mill{terms: t, rng: rand.New(rand.NewSource(t.Seed)), nodes: map[int]*node{}, credit: t.Bytes,
-		beatAt: math.Inf(-1), roundAt: math.Inf(-1), credited: math.Inf(1)}
+// New makes a Node that knows nobody.
+func New(t Config) *Node {
+	return &Node{config: t, rng: rand.New(rand.NewSource(t.Seed)), servers: map[int]*serverState{}, byteCredit: t.BytesPerSecond,
+		heartbeatAt: math.Inf(-1), roundAt: math.Inf(-1), creditAt: math.Inf(1)}
 }
 
-// Counted tells the counts.
-func (m *Mill) Counted() Counts { return m.counted }
+// Counts tells the counts.
+func (n *Node) Counts() Counts { return n.counts }
 
-// Node tells a member of the list, new or moved.
-func (m *Mill) Node(id, group int) {
-	if n := m.nodes[id]; n != nil {
-		n.group = group
+// AddServer tells a member of the list, new or moved.
+func (n *Node) AddServer(id, group int) {
+	if server := n.servers[id]; server != nil {
+		server.group = group
 		return
 	}
-	none := sight{goodAt: math.Inf(-1), badAt: math.Inf(-1)}
-	m.nodes[id] = &node{id: id, group: group, voices: map[int]voice{}, sight: [2]sight{none, none}}
-	m.order = append(m.order, id)
+	none := evidence{successAt: math.Inf(-1), failureAt: math.Inf(-1)}
+	n.servers[id] = &serverState{id: id, group: group, accusations: map[int]accusation{}, evidence: [2]evidence{none, none}}
+	n.serverOrder = append(n.serverOrder, id)
 }
 
-// Forget ends a node: its index may stand for another one, of which nothing is suspected.
-func (m *Mill) Forget(id int) {
-	delete(m.nodes, id)
-	m.order = slices.DeleteFunc(m.order, func(n int) bool { return n == id })
-	for _, p := range m.peers {
+// RemoveServer ends a server: its index may stand for another one, of which nothing is suspected.
+func (n *Node) RemoveServer(id int) {
+	delete(n.servers, id)
+	n.serverOrder = slices.DeleteFunc(n.serverOrder, func(n int) bool { return n == id })
+	for _, p := range n.peers {
 		if p != nil {
 			delete(p.accused, id)
 		}
 	}
 }
 
-// List tells the version of our member list.
-func (m *Mill) List(rev int64) { m.list = rev }
+// SetListVersion tells the version of our member list.
+func (n *Node) SetListVersion(rev int64) { n.listVersion = rev }
 
-// Out tells that a submission has left for a node. Its end is told by Saw, or by Back where it shows nothing.
-func (m *Mill) Out(id int, sent float64) {
-	if n := m.nodes[id]; n != nil && len(n.out) < outMost {
-		n.out = append(n.out, outing{sent: sent})
+// Started tells that a submission has left for a server. Its end is told by Observe, or by Finished where it shows nothing.
+func (n *Node) Started(id int, sent float64) {
+	if server := n.servers[id]; server != nil && len(server.inFlight) < maxInFlight {
+		server.inFlight = append(server.inFlight, submission{sent: sent})
 	}
 }
 
-// Back ends what Out began.
-func (m *Mill) Back(id int, sent float64) {
-	if n := m.nodes[id]; n != nil {
-		if i := slices.IndexFunc(n.out, func(o outing) bool { return o.sent == sent }); i >= 0 {
-			n.out = slices.Delete(n.out, i, i+1)
+// Finished ends what Started began.
+func (n *Node) Finished(id int, sent float64) {
+	if server := n.servers[id]; server != nil {
+		if i := slices.IndexFunc(server.inFlight, func(o submission) bool { return o.sent == sent }); i >= 0 {
+			server.inFlight = slices.Delete(server.inFlight, i, i+1)
 		}
 	}
 }
 
-// overdue counts submissions whose answers should be there by far: each is taken as silence, before it times out. A
-// probe that is answered, or any answer, says otherwise. It covers nodes that hang, on which else each of many quiet
-// routers loses a submission of its own to find out; it harms where a type of txn takes eight usual latencies: voices
-// of a quorum then cost that node a probe and its turn, no more.
-func (m *Mill) overdue(n *node, now float64) {
-	if m.usual == 0 || now-m.ticked > lateLeast+2*hasty {
+// countOverdue counts submissions whose answers should be there by far: each is taken as no answer, before it times out. A
+// probe that is answered, or any answer, says otherwise. It covers servers that hang, on which else each of many quiet
+// routers loses a submission of its own to find out; it harms where a type of txn takes eight usual latencies: the
+// accusations of a quorum then cost that server a probe and its turn, no more.
+func (n *Node) countOverdue(server *serverState, now float64) {
+	if n.usualLatency == 0 || now-n.tickedAt > overdueMin+2*urgentRoundEvery {
 		return // or this process has paused
 	}
-	limit := max(lateLeast, lateTimes*m.usual)
-	s := &n.sight[Silent]
-	for i := range n.out {
-		if o := &n.out[i]; !o.overdue && now-o.sent > limit {
+	limit := max(overdueMin, overdueFactor*n.usualLatency)
+	evidence := &server.evidence[Unresponsive]
+	for i := range server.inFlight {
+		if o := &server.inFlight[i]; !o.overdue && now-o.sent > limit {
 			o.overdue = true
-			if o.sent > s.goodAt {
-				s.fade(now)
-				s.bad, s.badAt, s.streak = s.bad+2*evidenceOf, now, s.streak+evidenceRow
-				m.counted.Overdue++
+			if o.sent > evidence.successAt {
+				evidence.decay(now)
+				evidence.failures += 2 * accuseFromFailures
+				evidence.failureAt = now
+				evidence.streak += accuseFromStreak
+				n.counts.Overdue++
 			}
 		}
 	}
 }
 
-// Saw tells what a submission, or a probe, of ours that was sent at a time has shown of a node. A probe says nothing of
-// what becomes of submissions; an answered submission says that the node answers, too.
-func (m *Mill) Saw(id int, good, probe bool, sent, now float64) []Doubt {
-	n := m.nodes[id]
-	if n == nil {
+// Observe tells what a submission, or a probe, of ours that was sent at a time has shown of a server. A probe says nothing of
+// what becomes of submissions; an answered submission says that the server answers, too.
+func (n *Node) Observe(id int, good, probe bool, sent, now float64) []Suspicion {
+	server := n.servers[id]
+	if server == nil {
 		return nil
 	}
 	if !probe {
-		m.Back(id, sent)
+		n.Finished(id, sent)
 		if good {
-			if m.usual == 0 {
-				m.usual = max(now-sent, 1e-6)
+			if n.usualLatency == 0 {
+				n.usualLatency = max(now-sent, 1e-6)
 			}
-			m.usual += lateGain * (now - sent - m.usual)
+			n.usualLatency += latencyGain * (now - sent - n.usualLatency)
 		}
 	}
-	for why := range n.sight {
-		s := &n.sight[why]
-		s.fade(now)
+	for reason := range server.evidence {
+		evidence := &server.evidence[reason]
+		evidence.decay(now)
 		switch {
-		case probe && Why(why) == Fails, !probe && !good && Why(why) == Silent:
+		case probe && Reason(reason) == Failing, !probe && !good && Reason(reason) == Unresponsive:
 		case good:
-			s.good++
-			s.streak = 0
-			s.goodAt = max(s.goodAt, sent)
+			evidence.successes++
+			evidence.streak = 0
+			evidence.successAt = max(evidence.successAt, sent)
 		default:
-			s.bad++
-			s.streak++
-			s.badAt = now
+			evidence.failures++
+			evidence.streak++
+			evidence.failureAt = now
 		}
 	}
 	// What was said before we asked, and is not so: they are wrong, or it has passed. Whoever goes on saying so loses
 	// weight for it. Who is right gets weight back.
-	for _, who := range sorted(n.voices) {
-		v, p := n.voices[who], m.at(who)
+	for _, who := range sortedKeys(server.accusations) {
+		a, p := server.accusations[who], n.peerAt(who)
 		switch {
-		case v.at > sent || probe && v.why == Fails || p == nil:
+		case a.receivedAt > sent || probe && a.reason == Failing || p == nil:
 		case good:
-			m.wrong(who, now)
-			delete(n.voices, who)
+			n.penalize(who, now)
+			delete(server.accusations, who)
 		default:
-			p.wrong, p.wrongAt = max(0, p.lost(now)-rightGain), now
-			p.right++
-			m.counted.Right++
+			p.lostWeight, p.lostWeightAt = max(0, p.penalty(now)-trueAccusationGain), now
+			p.confirmed++
+			n.counts.Right++
 		}
 	}
-	if n.doubted && len(n.voices) == 0 {
-		n.doubted = false
-		m.counted.Overruled++
-		return []Doubt{{Node: id, Until: now}}
+	if server.suspected && len(server.accusations) == 0 {
+		server.suspected = false
+		n.counts.Overruled++
+		return []Suspicion{{Server: id, Until: now}}
 	}
 	return nil
 }
 
-func sorted[V any](m map[int]V) []int {
+func sortedKeys[V any](m map[int]V) []int {
 	keys := make([]int, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
@@ -213,163 +222,163 @@
 	return keys
 }
 
-func (s *sight) fade(now float64) {
-	f := math.Exp2(-max(0, now-s.faded) / evidence)
-	s.good, s.bad, s.faded = s.good*f, s.bad*f, now
+func (e *evidence) decay(now float64) {
+	f := math.Exp2(-max(0, now-e.decayedAt) / evidenceHalfLife)
+	e.successes, e.failures, e.decayedAt = e.successes*f, e.failures*f, now
 }
 
-func (m *Mill) at(who int) *peer {
-	if who < 0 || who >= len(m.peers) {
+func (n *Node) peerAt(who int) *peer {
+	if who < 0 || who >= len(n.peers) {
 		return nil
 	}
-	return m.peers[who]
+	return n.peers[who]
 }
 
-func (m *Mill) wrong(who int, now float64) {
-	p := m.at(who)
+func (n *Node) penalize(who int, now float64) {
+	p := n.peerAt(who)
 	if p == nil {
 		return
 	}
-	p.wrong = p.lost(now) + wrongCost
-	p.wrongAt = now
-	m.counted.Wrong++
+	p.lostWeight = p.penalty(now) + falseAccusationCost
+	p.lostWeightAt = now
+	n.counts.Wrong++
 }
 
-func (p *peer) lost(now float64) float64 {
-	return p.wrong * math.Exp2(-max(0, now-p.wrongAt)/wrongFades)
+func (p *peer) penalty(now float64) float64 {
+	return p.lostWeight * math.Exp2(-max(0, now-p.lostWeightAt)/penaltyHalfLife)
 }
 
-// weight of a peer's voice, 0 to 1: by its record, and nothing while it is new or accuses half of the world.
-func (m *Mill) weight(p *peer, now float64) float64 {
+// weight of a peer's accusations, 0 to 1: by its record, and nothing while it is new or accuses half of the servers.
+func (n *Node) weight(p *peer, now float64) float64 {
 	switch {
-	case p == nil || !p.known || p.gone || now-p.first < seasoned:
+	case p == nil || !p.known || p.gone || now-p.firstHeard < minPeerAge:
 		return 0
-	case len(p.accused) >= crowdLeast && float64(len(p.accused)) > crowdShare*float64(len(m.nodes)):
-		m.counted.Crowds++
+	case len(p.accused) >= minAccused && float64(len(p.accused)) > maxAccusedShare*float64(len(n.servers)):
+		n.counts.Crowds++
 		return 0
 	}
-	return 1 / (1 + p.lost(now))
+	return 1 / (1 + p.penalty(now))
 }
 
-// Quorum is the weight of voices that makes a doubt: it grows with the peers that are there. Fewer than that many
+// Quorum is the weight of accusations that makes a suspicion: it grows with the peers that are alive. Fewer than that many
 // peers can't bring it up, whatever they say.
-func (m *Mill) Quorum() float64 { return max(2, math.Ceil(math.Log2(float64(m.live)+1))) }
+func (n *Node) Quorum() float64 { return max(2, math.Ceil(math.Log2(float64(n.alivePeers)+1))) }
 
-// silence drops all that a peer said.
-func (m *Mill) silence(p *peer) {
-	for who, q := range m.peers {
+// dropAccusations drops all that a peer accuses.
+func (n *Node) dropAccusations(p *peer) {
+	for who, q := range n.peers {
 		if q == p {
-			for _, id := range m.order {
-				delete(m.nodes[id].voices, who)
+			for _, id := range n.serverOrder {
+				delete(n.servers[id].accusations, who)
 			}
 		}
 	}
 	clear(p.accused)
 }
 
-// Take takes a record whose signature is its origin's. The host names its origin and node by index; a node that our own
-// list does not name has index -1.
-func (m *Mill) Take(r Record, now float64) Effects {
-	p, ok := m.admit(&r, now)
+// Receive takes a record whose signature is its origin's. The host names its origin and server by index; a server that our
+// own list does not name has index -1.
+func (n *Node) Receive(r Record, now float64) Effects {
+	p, ok := n.admit(&r, now)
 	if !ok {
 		return Effects{}
 	}
-	m.counted.Taken++
+	n.counts.Received++
 	var e Effects
 	switch r.Kind {
 	case Alive:
-		m.lives(p, &r, now)
-		e.Behind = m.behind(r.List, now)
+		n.markAlive(p, &r, now)
+		e.ListOutdated = n.needsList(r.ListVersion, now)
 	case Leave:
-		m.goes(p)
+		n.markGone(p)
 		p.left = true
-	case Accuse, Acquit:
-		if n := m.nodes[r.Node]; n != nil {
-			m.hear(n, p, r, now)
-			e.Doubts = m.weigh(n, now)
+	case Accuse, Retract:
+		if server := n.servers[r.Server]; server != nil {
+			n.receiveAccusation(server, p, r, now)
+			e.Suspicions = n.assess(server, now)
 		}
 	default:
 		return Effects{}
 	}
-	m.urgent = m.urgent || r.Kind == Accuse
-	m.carry(r)
+	n.urgent = n.urgent || r.Kind == Accuse
+	n.enqueue(r)
 	return e
 }
 
-// hear takes a voice.
-func (m *Mill) hear(n *node, p *peer, r Record, now float64) {
-	m.counted.Voices++
-	if r.Kind == Acquit {
-		delete(n.voices, r.Origin)
-		delete(p.accused, n.id)
+// receiveAccusation takes an accusation, or its retraction.
+func (n *Node) receiveAccusation(server *serverState, p *peer, r Record, now float64) {
+	n.counts.Accusations++
+	if r.Kind == Retract {
+		delete(server.accusations, r.Origin)
+		delete(p.accused, server.id)
 		return
 	}
-	if v, ok := n.voices[r.Origin]; ok && now-v.at < voiceEvery {
-		m.counted.Frequent++
+	if previous, ok := server.accusations[r.Origin]; ok && now-previous.receivedAt < accusationInterval {
+		n.counts.Frequent++
 		return
 	}
-	p.accused[n.id] = now + voiceLasts
-	if r.Why > Fails {
+	p.accused[server.id] = now + accusationLifetime
+	if r.Reason > Failing {
 		return
 	}
-	if n.sight[r.Why].fine(now) {
-		m.wrong(r.Origin, now) // we have just had an answer
+	if server.evidence[r.Reason].refutes(now) {
+		n.penalize(r.Origin, now) // we have just had an answer
 		return
 	}
-	n.voices[r.Origin] = voice{now, now + voiceLasts, r.Why}
+	server.accusations[r.Origin] = accusation{now, now + accusationLifetime, r.Reason}
 }
 
-// weigh tells whether voices make a node doubted. Voices of one zone alone are one way to the node, which may be cut:
-// where peers are in several zones they fall short of the quorum together.
-func (m *Mill) weigh(n *node, now float64) []Doubt {
+// assess tells whether accusations make a server suspected. Those of one zone alone have one way to the server, which may be
+// cut: where peers are in several zones they fall short of the quorum together.
+func (n *Node) assess(server *serverState, now float64) []Suspicion {
 	zones := map[int]float64{}
 	until, total := math.Inf(1), 0.0
-	quorum := m.Quorum()
-	if m.terms.Plain {
+	quorum := n.Quorum()
+	if n.config.BelieveAll {
 		quorum = 1
 	}
-	for _, who := range sorted(n.voices) {
-		v, p := n.voices[who], m.at(who)
-		if now >= v.until || p == nil {
-			delete(n.voices, who)
+	for _, who := range sortedKeys(server.accusations) {
+		a, p := server.accusations[who], n.peerAt(who)
+		if now >= a.expires || p == nil {
+			delete(server.accusations, who)
 			continue
 		}
-		w := m.weight(p, now)
-		if m.terms.Plain {
+		w := n.weight(p, now)
+		if n.config.BelieveAll {
 			w = 1
 		}
 		if w > 0 {
 			zones[p.zone] += w
-			until = min(until, v.until)
+			until = min(until, a.expires)
 		}
 	}
-	several := !m.terms.Plain && m.zones() > 1
-	for _, z := range sorted(zones) {
+	several := !n.config.BelieveAll && n.zoneCount() > 1
+	for _, z := range sortedKeys(zones) {
 		w := zones[z]
 		if several {
 			w = min(w, quorum-1)
 		}
 		total += w
 	}
-	if total < quorum || !m.terms.Plain && !n.doubted && m.spent(n, now) {
-		if n.doubted {
-			n.doubted = false
-			return []Doubt{{Node: n.id, Until: now}}
+	if total < quorum || !n.config.BelieveAll && !server.suspected && n.budgetSpent(server, now) {
+		if server.suspected {
+			server.suspected = false
+			return []Suspicion{{Server: server.id, Until: now}}
 		}
 		return nil
 	}
-	began := !n.doubted
+	began := !server.suspected
 	if began {
-		m.counted.Doubts++
+		n.counts.Suspicions++
 	}
-	n.doubted, n.until = true, until
-	return []Doubt{{Node: n.id, Until: until, Now: began}}
+	server.suspected, server.suspectedUntil = true, until
+	return []Suspicion{{Server: server.id, Until: until, ProbeNow: began}}
 }
 
-// zones counts those in which peers are.
-func (m *Mill) zones() int {
-	seen := map[int]bool{m.terms.Zone: true}
-	for _, p := range m.peers {
+// zoneCount counts the zones in which peers are.
+func (n *Node) zoneCount() int {
+	seen := map[int]bool{n.config.Zone: true}
+	for _, p := range n.peers {
 		if p != nil && p.known && !p.gone {
 			seen[p.zone] = true
 		}
@@ -377,158 +386,164 @@
 	return len(seen)
 }
 
-// spent tells whether as much of a node's group is doubted already as voices alone may bring about.
-func (m *Mill) spent(n *node, now float64) bool {
-	all, doubted := 0, 0
-	for _, id := range m.order {
-		if o := m.nodes[id]; o.group == n.group {
+// budgetSpent tells whether as much of a server's group is suspected already as accusations alone may bring about.
+func (n *Node) budgetSpent(server *serverState, now float64) bool {
+	all, suspected := 0, 0
+	for _, id := range n.serverOrder {
+		if other := n.servers[id]; other.group == server.group {
 			all++
-			if o.doubted && now < o.until {
-				doubted++
+			if other.suspected && now < other.suspectedUntil {
+				suspected++
 			}
 		}
 	}
-	return float64(doubted+1) > max(1, budget*float64(all))
+	return float64(suspected+1) > max(1, suspectBudget*float64(all))
 }
 
-// Tick does what is due: ends voices and peers, tells what we saw, and sends. Records of our own come back signed
-// through Sealed before Sends are asked for by the next call of Round.
-func (m *Mill) Tick(now float64) (e Effects) {
-	m.sweep(now)
-	if m.ticked == 0 {
-		m.ticked = now
+// Tick does what is due: it ends accusations and peers, and tells what we observed. Records of our own come back signed
+// through Publish before Round is asked for what to send.
+func (n *Node) Tick(now float64) (e Effects) {
+	n.expirePeers(now)
+	if n.tickedAt == 0 {
+		n.tickedAt = now
 	}
-	for _, p := range m.peers {
+	for _, p := range n.peers {
 		if p == nil {
 			continue
 		}
-		for _, id := range sorted(p.accused) {
+		for _, id := range sortedKeys(p.accused) {
 			if now >= p.accused[id] {
 				delete(p.accused, id)
 			}
 		}
 	}
 	accusing := 0
-	for _, id := range m.order {
-		n := m.nodes[id]
-		m.overdue(n, now)
-		for why := range n.sight {
-			n.sight[why].fade(now)
+	for _, id := range n.serverOrder {
+		server := n.servers[id]
+		n.countOverdue(server, now)
+		for i := range server.evidence {
+			server.evidence[i].decay(now)
 		}
-		if n.doubted || len(n.voices) > 0 {
-			e.Doubts = append(e.Doubts, m.weigh(n, now)...)
+		if server.suspected || len(server.accusations) > 0 {
+			e.Suspicions = append(e.Suspicions, n.assess(server, now)...)
 		}
-		if _, failing := n.failing(); failing {
+		if _, failing := server.failing(); failing {
 			accusing++
 		}
 	}
-	m.ticked = now
-	// When half of the world fails us, the trouble is ours.
-	ill := accusing >= crowdLeast && float64(accusing) > crowdShare*float64(len(m.nodes))
-	for _, id := range m.order {
-		n := m.nodes[id]
-		why, failing := n.failing()
-		failing = failing && !ill && m.terms.Accuse
+	n.tickedAt = now
+	// When half of the servers fail us, the trouble is ours.
+	ownTrouble := accusing >= minAccused && float64(accusing) > maxAccusedShare*float64(len(n.servers))
+	for _, id := range n.serverOrder {
+		server := n.servers[id]
+		reason, failing := server.failing()
+		failing = failing && !ownTrouble && n.config.Accuse
 		switch {
-		case failing && (!n.accused || now-n.said >= sayEvery):
-			m.urgent = m.urgent || !n.accused
-			n.accused, n.said = true, now
-			e.Own = append(e.Own, m.own(Record{Kind: Accuse, Node: id, Why: why}, now))
-		case !failing && n.accused:
-			n.accused = false
-			e.Own = append(e.Own, m.own(Record{Kind: Acquit, Node: id}, now))
+		case failing && (!server.accusedByUs || now-server.accusedAt >= repeatAccusationEvery):
+			n.urgent = n.urgent || !server.accusedByUs
+			server.accusedByUs, server.accusedAt = true, now
+			e.Own = append(e.Own, n.newRecord(Record{Kind: Accuse, Server: id, Reason: reason}, now))
+		case !failing && server.accusedByUs:
+			server.accusedByUs = false
+			e.Own = append(e.Own, n.newRecord(Record{Kind: Retract, Server: id}, now))
 		}
 	}
-	if now-m.beatAt >= m.interval() && !m.leaving {
-		m.beatAt = now
-		e.Own = append(e.Own, m.own(Record{Kind: Alive, Zone: m.terms.Zone, List: m.list, Node: -1}, now))
+	if now-n.heartbeatAt >= n.heartbeatInterval() && !n.leaving {
+		n.heartbeatAt = now
+		e.Own = append(e.Own, n.newRecord(Record{Kind: Alive, Zone: n.config.Zone, ListVersion: n.listVersion, Server: -1}, now))
 	}
-	e.Note, m.notes = m.notes, nil
+	e.Notes, n.notes = n.notes, nil
 	return e
 }
 
-// failing tells whether what we saw of a node is bad enough to say so, and of what kind it is.
-func (n *node) failing() (Why, bool) {
-	for why := range n.sight {
-		s := &n.sight[why]
-		if s.bad >= evidenceOf && s.badAt > s.goodAt && (s.streak >= evidenceRow || s.bad > evidenceIn*(s.good+s.bad)) {
-			return Why(why), true
+// failing tells whether what we observed of a server is bad enough to say so, and of what kind it is.
+func (s *serverState) failing() (Reason, bool) {
+	for reason := range s.evidence {
+		if s.evidence[reason].fails() {
+			return Reason(reason), true
 		}
 	}
 	return 0, false
 }
 
-func (m *Mill) own(r Record, now float64) Record {
-	m.seq++
-	r.Origin, r.Epoch, r.Seq, r.At = -1, m.terms.Epoch, m.seq, now
+func (e *evidence) fails() bool {
+	return e.failures >= accuseFromFailures && e.failureAt > e.successAt &&
+		(e.streak >= accuseFromStreak || e.failures > accuseFromShare*(e.successes+e.failures))
+}
+
+func (n *Node) newRecord(r Record, now float64) Record {
+	n.seq++
+	r.Origin, r.Incarnation, r.Seq, r.At = -1, n.config.Incarnation, n.seq, now
 	return r
 }
 
-// Sealed takes back a record of our own, signed.
-func (m *Mill) Sealed(r Record) { m.carry(r) }
+// Publish takes back a record of our own, signed.
+func (n *Node) Publish(r Record) { n.enqueue(r) }
 
 // Round tells what to send now, if a round is due.
-func (m *Mill) Round(now float64) []Send {
-	every := rounds
-	if m.urgent {
-		every = hasty
+func (n *Node) Round(now float64) []Send {
+	every := roundEvery
+	if n.urgent {
+		every = urgentRoundEvery
 	}
-	if now-m.roundAt < every*0.99 {
+	if now-n.roundAt < every*0.99 {
 		return nil
 	}
-	m.urgent = false
-	if math.IsInf(m.credited, 1) {
-		m.credited = now
+	n.urgent = false
+	if math.IsInf(n.creditAt, 1) {
+		n.creditAt = now
 	}
-	m.roundAt = now
-	return m.round(now)
+	n.roundAt = now
+	return n.chooseSends(now)
 }
 
-// Going makes the record by which this instance leaves.
-func (m *Mill) Going(now float64) Record {
-	m.leaving = true
-	return m.own(Record{Kind: Leave, Node: -1}, now)
+// LeaveRecord makes the record by which this instance leaves.
+func (n *Node) LeaveRecord(now float64) Record {
+	n.leaving = true
+	return n.newRecord(Record{Kind: Leave, Server: -1}, now)
 }
 
-// Believed is what is believed of a node, and why.
-type Believed struct {
-	Node      int     `json:"-"`
-	Doubted   bool    `json:"doubted"`
-	Good, Bad float64 // own evidence, faded
-	Voices    []int   `json:"-"`
+// ServerStatus is what is believed of a server, and why.
+type ServerStatus struct {
+	Server    int     `json:"-"`
+	Suspected bool    `json:"doubted"`
+	Good, Bad float64 // own evidence, decayed
+	Accusers  []int   `json:"-"`
 }
 
-// Peer is what is known of a peer.
-type Peer struct {
-	Index   int     `json:"-"`
-	Gone    bool    `json:"gone"`
-	Zone    int     `json:"zone"`
-	Epoch   int64   `json:"epoch"`
-	Heard   float64 `json:"heard"`
-	Weight  float64 `json:"weight"`
-	Right   int     `json:"right"`
-	Wrong   float64 `json:"wrong"`
-	Skew    float64 `json:"skew"`
-	Accuses int     `json:"accuses"`
+// PeerStatus is what is known of a peer.
+type PeerStatus struct {
+	Index       int     `json:"-"`
+	Gone        bool    `json:"gone"`
+	Zone        int     `json:"zone"`
+	Incarnation int64   `json:"epoch"`
+	Heard       float64 `json:"heard"`
+	Weight      float64 `json:"weight"`
+	Right       int     `json:"right"`
+	Wrong       float64 `json:"wrong"`
+	Skew        float64 `json:"skew"`
+	Accuses     int     `json:"accuses"`
 }
 
 // Peers tells of all peers that are known.
-func (m *Mill) Peers(now float64) (out []Peer) {
-	for i, p := range m.peers {
+func (n *Node) Peers(now float64) (out []PeerStatus) {
+	for i, p := range n.peers {
 		if p != nil && p.known {
-			out = append(out, Peer{i, p.gone, p.zone, p.epoch, p.heard, m.weight(p, now), p.right, p.lost(now), p.skew, len(p.accused)})
+			out = append(out, PeerStatus{i, p.gone, p.zone, p.incarnation, p.heard, n.weight(p, now), p.confirmed, p.penalty(now), p.clockSkew, len(p.accused)})
 		}
 	}
 	return out
 }
 
-// Beliefs tells of all nodes of which there is something to tell.
-func (m *Mill) Beliefs(now float64) (out []Believed) {
-	for _, id := range m.order {
-		if n := m.nodes[id]; n.doubted || len(n.voices) > 0 || n.sight[Silent].bad+n.sight[Fails].bad > evidenceIn {
-			out = append(out, Believed{id, n.doubted, n.sight[Fails].good, n.sight[Silent].bad + n.sight[Fails].bad, sorted(n.voices)})
+// Servers tells of all servers of which there is something to tell.
+func (n *Node) Servers(now float64) (out []ServerStatus) {
+	for _, id := range n.serverOrder {
+		server := n.servers[id]
+		failures := server.evidence[Unresponsive].failures + server.evidence[Failing].failures
+		if server.suspected || len(server.accusations) > 0 || failures > accuseFromShare {
+			out = append(out, ServerStatus{id, server.suspected, server.evidence[Failing].successes, failures, sortedKeys(server.accusations)})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b Believed) int { return cmp.Compare(a.Node, b.Node) })
+	slices.SortStableFunc(out, func(a, b ServerStatus) int { return cmp.Compare(a.Server, b.Server) })
 	return out
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -16,34 +16,34 @@
 	"pgregory.net/rapid"
 )
 
-// scene plays a text scenario of one Mill. The notation:
+// scene plays a text scenario of one Node. The notation:
 //
-//	mill [zone=N] [nodes=N] [plain]      a new one, with nodes 0 to N-1 in group 0
+//	node [zone=N] [servers=N] [believe-all]   a new one, with servers 0 to N-1 in group 0
 //	peers A-B [zone=N]                   peers that are heard of from now on, each second
 //	wait SECONDS                         time passes, ticks included
-//	say PEER NODE [times]                a voice accuses, so often in a tenth of a second
-//	acquit PEER NODE                     a voice takes it back
-//	leave PEER, restart PEER, hush PEER  it goes, starts with a new epoch, falls silent
+//	accuse PEER SERVER [times]           a peer accuses, so often in a tenth of a second
+//	retract PEER SERVER                  it takes that back
+//	leave PEER, restart PEER, silence PEER   it leaves, starts with a new incarnation, falls silent
 //	clock PEER SECONDS                   its clock is off by as much
 //	replay PEER                          its last record comes again
-//	good NODE, bad NODE                  own evidence of a submission
-//	up NODE, down NODE                   of a probe
-//	fail PEER NODE                       a voice says that submissions to it fail
-//	forget NODE, node NODE               it is gone for good; it is there, new
-//	doubt NODE, trust NODE               it is doubted now; it is not
-//	weight PEER LOW HIGH                 what its voice is worth
-//	tells KIND NODE, silent              what it had told since the last such line
-//	answer NODE SECONDS                  a submission was answered after as long
-//	out NODE, back NODE                  one leaves, and comes to an end that shows nothing
+//	good SERVER, bad SERVER              own evidence of a submission
+//	up SERVER, down SERVER               of a probe
+//	fail PEER SERVER                     a peer says that submissions to it fail
+//	forget SERVER, server SERVER         it is gone for good; it is there, new
+//	suspect SERVER, trust SERVER         it is suspected now; it is not
+//	weight PEER LOW HIGH                 what its accusations are worth
+//	tells KIND SERVER, silent            what it had told since the last such line
+//	answer SERVER SECONDS                a submission was answered after as long
+//	out SERVER, back SERVER              one leaves, and comes to an end that shows nothing
 //	list N, version PEER N, asks TIMES   our list's version, a peer's; the list was asked for as often so far
-//	twins PEER yes|no                    two processes of its name are told of each other now
-//	under-way PEER, late PEER            it makes a sign of life that comes with the line late
-//	live N                               peers that are there
+//	duplicate PEER yes|no                two processes of its name are told of each other now
+//	under-way PEER, late PEER            it makes a heartbeat that comes with the line late
+//	alive N                              peers that are
 type scene struct {
 	t     *testing.T
 	where string
 	now   float64
-	mill  *Mill
+	node  *Node
 	peers map[int]*speaker
 	last  map[int]Record
 	until map[int]float64
@@ -56,7 +56,7 @@
 	epoch, seq int64
 	zone       int
 	skew       float64
-	hushed     bool
+	silenced   bool
 	underWay   Record
 }
 
@@ -70,18 +70,18 @@
 	p := s.peers[who]
 	require.NotNil(s.t, p, s.where)
 	p.seq++
-	r.Origin, r.Epoch, r.Seq, r.At, r.Zone, r.Size = who, p.epoch, p.seq, s.now+p.skew, p.zone, recordBytes
+	r.Origin, r.Incarnation, r.Seq, r.At, r.Zone, r.Size = who, p.epoch, p.seq, s.now+p.skew, p.zone, recordBytes
 	s.last[who] = r
-	e := s.mill.Take(r, s.now)
-	if e.Behind {
+	e := s.node.Receive(r, s.now)
+	if e.ListOutdated {
 		s.asked++
 	}
-	s.doubts(e.Doubts)
+	s.suspect(e.Suspicions)
 }
 
-func (s *scene) doubts(all []Doubt) {
+func (s *scene) suspect(all []Suspicion) {
 	for _, d := range all {
-		s.until[d.Node] = d.Until
+		s.until[d.Server] = d.Until
 	}
 }
 
@@ -89,46 +89,46 @@
 	for end := s.now + seconds - 1e-9; s.now < end; {
 		s.now += 0.1
 		if tenth := int(math.Round(s.now * 10)); tenth%10 == 0 {
-			for _, who := range sorted(s.peers) {
-				if !s.peers[who].hushed {
-					s.take(who, Record{Kind: Alive, Node: -1})
+			for _, who := range sortedKeys(s.peers) {
+				if !s.peers[who].silenced {
+					s.take(who, Record{Kind: Alive, Server: -1})
 				}
 			}
 		}
-		e := s.mill.Tick(s.now)
-		s.doubts(e.Doubts)
+		e := s.node.Tick(s.now)
+		s.suspect(e.Suspicions)
 		for _, r := range e.Own {
 			if r.Kind != Alive {
 				s.told = append(s.told, r)
 			}
 			r.Size = recordBytes
-			s.mill.Sealed(r)
+			s.node.Publish(r)
 		}
-		s.mill.Round(s.now)
+		s.node.Round(s.now)
 	}
 }
 
 func (s *scene) play(f []string) {
 	arg := func(i int) int { return int(s.number(f[i])) }
 	switch f[0] {
-	case "mill":
-		t, nodes := Terms{Seed: 1, Epoch: 1, Bytes: 8192, Datagram: 1100, Accuse: true}, 4
+	case "node":
+		t, servers := Config{Seed: 1, Incarnation: 1, BytesPerSecond: 8192, DatagramBytes: 1100, Accuse: true}, 4
 		for _, o := range f[1:] {
 			name, n, _ := strings.Cut(o, "=")
 			switch name {
 			case "zone":
 				t.Zone = int(s.number(n))
-			case "nodes":
-				nodes = int(s.number(n))
-			case "plain":
-				t.Plain = true
+			case "servers":
+				servers = int(s.number(n))
+			case "believe-all":
+				t.BelieveAll = true
 			default:
 				require.Fail(s.t, "unknown option", s.where)
 			}
 		}
-		s.mill = New(t)
-		for i := range nodes {
-			s.mill.Node(i, 0)
+		s.node = New(t)
+		for i := range servers {
+			s.node.AddServer(i, 0)
 		}
 	case "peers":
 		from, to, _ := strings.Cut(f[1], "-")
@@ -138,84 +138,84 @@
 		}
 		for i := int(s.number(from)); i <= int(s.number(to)); i++ {
 			s.peers[i] = &speaker{epoch: 1, zone: zone}
-			s.take(i, Record{Kind: Alive, Node: -1})
+			s.take(i, Record{Kind: Alive, Server: -1})
 		}
 	case "wait":
 		s.pass(s.number(f[1]))
-	case "say":
+	case "accuse":
 		times := 1
 		if len(f) > 3 {
 			times = arg(3)
 		}
 		for range times {
-			s.take(arg(1), Record{Kind: Accuse, Node: arg(2)})
+			s.take(arg(1), Record{Kind: Accuse, Server: arg(2)})
 			s.now += 0.1 / float64(times)
 		}
-	case "acquit":
-		s.take(arg(1), Record{Kind: Acquit, Node: arg(2)})
+	case "retract":
+		s.take(arg(1), Record{Kind: Retract, Server: arg(2)})
 	case "leave":
-		s.take(arg(1), Record{Kind: Leave, Node: -1})
-		s.peers[arg(1)].hushed = true
+		s.take(arg(1), Record{Kind: Leave, Server: -1})
+		s.peers[arg(1)].silenced = true
 	case "answer":
 		sent := s.now - s.number(f[2])
-		s.mill.Out(arg(1), sent)
-		s.doubts(s.mill.Saw(arg(1), true, false, sent, s.now))
+		s.node.Started(arg(1), sent)
+		s.suspect(s.node.Observe(arg(1), true, false, sent, s.now))
 	case "out":
 		s.out[arg(1)] = s.now
-		s.mill.Out(arg(1), s.now)
+		s.node.Started(arg(1), s.now)
 	case "back":
-		s.mill.Back(arg(1), s.out[arg(1)])
+		s.node.Finished(arg(1), s.out[arg(1)])
 	case "list":
-		s.mill.List(int64(arg(1)))
+		s.node.SetListVersion(int64(arg(1)))
 	case "version":
-		s.take(arg(1), Record{Kind: Alive, Node: -1, List: int64(arg(2))})
+		s.take(arg(1), Record{Kind: Alive, Server: -1, ListVersion: int64(arg(2))})
 	case "asks":
 		require.Equal(s.t, arg(1), s.asked, s.where)
-	case "twins":
-		require.Equal(s.t, f[2] == "yes", s.mill.Twins(arg(1), s.now), s.where)
-	case "under-way": // a sign of life that comes later, by the line late
+	case "duplicate":
+		require.Equal(s.t, f[2] == "yes", s.node.ReportDuplicate(arg(1), s.now), s.where)
+	case "under-way": // a heartbeat that comes later, by the line late
 		p := s.peers[arg(1)]
 		p.seq++
-		p.underWay = Record{Kind: Alive, Node: -1, Origin: arg(1), Epoch: p.epoch, Seq: p.seq, At: s.now, Zone: p.zone, Size: recordBytes}
+		p.underWay = Record{Kind: Alive, Server: -1, Origin: arg(1), Incarnation: p.epoch, Seq: p.seq, At: s.now, Zone: p.zone, Size: recordBytes}
 	case "late":
-		s.doubts(s.mill.Take(s.peers[arg(1)].underWay, s.now).Doubts)
-	case "hush":
-		s.peers[arg(1)].hushed = true
+		s.suspect(s.node.Receive(s.peers[arg(1)].underWay, s.now).Suspicions)
+	case "silence":
+		s.peers[arg(1)].silenced = true
 	case "restart":
 		p := s.peers[arg(1)]
-		p.epoch, p.seq, p.hushed = p.epoch+1, 0, false
-		s.take(arg(1), Record{Kind: Alive, Node: -1})
+		p.epoch, p.seq, p.silenced = p.epoch+1, 0, false
+		s.take(arg(1), Record{Kind: Alive, Server: -1})
 	case "clock":
 		s.peers[arg(1)].skew = s.number(f[2])
 	case "replay":
-		s.doubts(s.mill.Take(s.last[arg(1)], s.now).Doubts)
+		s.suspect(s.node.Receive(s.last[arg(1)], s.now).Suspicions)
 	case "fail":
-		s.take(arg(1), Record{Kind: Accuse, Node: arg(2), Why: Fails})
+		s.take(arg(1), Record{Kind: Accuse, Server: arg(2), Reason: Failing})
 	case "good", "bad", "up", "down":
-		s.doubts(s.mill.Saw(arg(1), f[0] == "good" || f[0] == "up", f[0] == "up" || f[0] == "down", s.now, s.now))
+		s.suspect(s.node.Observe(arg(1), f[0] == "good" || f[0] == "up", f[0] == "up" || f[0] == "down", s.now, s.now))
 		s.now += 0.001
 	case "forget":
-		s.mill.Forget(arg(1))
+		s.node.RemoveServer(arg(1))
 		delete(s.until, arg(1))
-	case "node":
-		s.mill.Node(arg(1), 0)
-	case "doubt":
+	case "server":
+		s.node.AddServer(arg(1), 0)
+	case "suspect":
 		require.Greater(s.t, s.until[arg(1)], s.now, s.where)
 	case "trust":
 		require.LessOrEqual(s.t, s.until[arg(1)], s.now, s.where)
 	case "weight":
-		w := s.mill.weight(s.mill.at(arg(1)), s.now)
+		w := s.node.weight(s.node.peerAt(arg(1)), s.now)
 		require.True(s.t, s.number(f[2]) <= w && w <= s.number(f[3]), "%s: it is %g", s.where, w)
 	case "tells":
 		i := slices.IndexFunc(s.told, func(r Record) bool {
-			return map[string]Kind{"accuse": Accuse, "acquit": Acquit}[f[1]] == r.Kind && r.Node == arg(2)
+			return map[string]Kind{"accuse": Accuse, "retract": Retract}[f[1]] == r.Kind && r.Server == arg(2)
 		})
 		require.GreaterOrEqual(s.t, i, 0, "%s: %v", s.where, s.told)
 		s.told = nil
 	case "silent":
 		require.Empty(s.t, s.told, s.where)
-	case "live":
-		require.Equal(s.t, arg(1), s.mill.Live(), s.where)
+	case "alive":
+		require.Equal(s.t, arg(1), s.node.AlivePeers(), s.where)
 	default:
 		require.Fail(s.t, "unknown line", s.where)
 	}
@@ -241,25 +241,25 @@
 	}
 }
 
-// TestFewChangeNothing: whatever fewer peers than a quorum say, in whatever order, nothing is doubted; every doubt that
-// many bring about ends; the state stays bounded.
+// TestFewChangeNothing: whatever fewer peers than a quorum say, in whatever order, nothing is suspected; every suspicion
+// that many bring about ends; the state stays bounded.
 func TestFewChangeNothing(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(2, 40).Draw(rt, "peers")
 		s := &scene{t: t, now: 1e6, peers: map[int]*speaker{}, last: map[int]Record{}, until: map[int]float64{}, out: map[int]float64{}}
-		s.play(strings.Fields("mill nodes=6"))
+		s.play(strings.Fields("node servers=6"))
 		for i := range n {
 			s.play([]string{"peers", fmt.Sprintf("%d-%d", i, i), fmt.Sprintf("zone=%d", i%3)})
 		}
 		s.pass(6)
-		liars := int(s.mill.Quorum()) - 1
+		liars := int(s.node.Quorum()) - 1
 		for range rapid.IntRange(1, 150).Draw(rt, "steps") {
-			who, node := rapid.IntRange(0, min(liars, n)-1).Draw(rt, "who"), rapid.IntRange(0, 5).Draw(rt, "node")
+			who, server := rapid.IntRange(0, min(liars, n)-1).Draw(rt, "who"), rapid.IntRange(0, 5).Draw(rt, "node")
 			switch rapid.IntRange(0, 6).Draw(rt, "what") {
 			case 0, 1, 2:
-				s.take(who, Record{Kind: Accuse, Node: node})
+				s.take(who, Record{Kind: Accuse, Server: server})
 			case 3:
-				s.take(who, Record{Kind: Acquit, Node: node})
+				s.take(who, Record{Kind: Retract, Server: server})
 			case 4:
 				s.play([]string{"replay", strconv.Itoa(who)})
 			case 5:
@@ -267,59 +267,59 @@
 			case 6:
 				s.play([]string{"restart", strconv.Itoa(who)})
 			}
-			if s.mill.Counted().Doubts != 0 {
-				rt.Fatalf("%d of %d peers made a doubt, a quorum is %g", liars, n, s.mill.Quorum())
+			if s.node.Counts().Suspicions != 0 {
+				rt.Fatalf("%d of %d peers made a suspicion, a quorum is %g", liars, n, s.node.Quorum())
 			}
 		}
 		for i := range n {
-			s.take(i, Record{Kind: Accuse, Node: 2})
+			s.take(i, Record{Kind: Accuse, Server: 2})
 		}
-		s.pass(voiceLasts + 0.2)
-		for node, until := range s.until {
+		s.pass(accusationLifetime + 0.2)
+		for server, until := range s.until {
 			if until > s.now {
-				rt.Fatalf("node %d is doubted for ever", node)
+				rt.Fatalf("server %d is suspected for ever", server)
 			}
 		}
-		for _, node := range s.mill.nodes {
-			if len(node.voices) > 0 {
-				rt.Fatalf("voices stay")
+		for _, server := range s.node.servers {
+			if len(server.accusations) > 0 {
+				rt.Fatalf("accusations stay")
 			}
 		}
-		if len(s.mill.items) > 7*n+10 {
-			rt.Fatalf("%d records are passed on", len(s.mill.items))
+		if len(s.node.queue) > 7*n+10 {
+			rt.Fatalf("%d records are passed on", len(s.node.queue))
 		}
 	})
 }
 
 var scale = flag.Int("instances", 100, "instances in virtual time")
 
-// TestScale plays many instances under loss: a node hangs, everyone who asks it sees that now and then. With the record
-// of voices and the quorum no healthy node is doubted though some peers accuse at random; without, many are.
+// TestScale plays many instances under loss: a server hangs, everyone who asks it sees that now and then. With the record
+// of accusers and the quorum no healthy server is suspected though some peers accuse at random; without, many are.
 func TestScale(t *testing.T) {
 	type figures struct {
-		doubted, wrong int
-		half, all      float64
-		bytes          float64
+		suspected, wrong int
+		half, all        float64
+		bytes            float64
 	}
-	run := func(plain bool, seed int64) (f figures, history []SimDoubt) {
+	run := func(plain bool, seed int64) (f figures, history []SimSuspicion) {
 		n := *scale
-		s := NewSim(n, Terms{Bytes: 8192, Datagram: 1100, Accuse: true, Plain: plain}, seed, func(i int, t *Terms) { t.Zone = i % 2 })
+		s := NewSim(n, Config{BytesPerSecond: 8192, DatagramBytes: 1100, Accuse: true, BelieveAll: plain}, seed, func(i int, t *Config) { t.Zone = i % 2 })
 		s.Loss = 0.3
-		for _, m := range s.Mills {
-			for node := range 12 {
-				m.Node(node, node/4)
+		for _, m := range s.Nodes {
+			for server := range 12 {
+				m.AddServer(server, server/4)
 			}
 		}
-		// A few are ill: their own network fails them now and then, whatever node they ask.
+		// A few are ill: their own network fails them now and then, whatever server they ask.
 		ill := max(1, n/50)
 		step := func(seconds float64, hung bool) {
 			for end := s.Now + seconds; s.Now < end; {
 				for i := range n {
-					for node := range 12 {
-						if (i+node+int(s.Now*5))%10 != 0 {
+					for server := range 12 {
+						if (i+server+int(s.Now*5))%10 != 0 {
 							continue // each is asked twice in about a second
 						}
-						s.Saw(i, node, !(hung && node == 5) && !(i < ill && node%3 == int(s.Now)%3))
+						s.Observe(i, server, !(hung && server == 5) && !(i < ill && server%3 == int(s.Now)%3))
 					}
 				}
 				s.Run(0.2)
@@ -327,14 +327,14 @@
 		}
 		step(40, false)
 		bytes, from := s.Bytes, s.Now
-		f.wrong = len(falseDoubts(s.Doubts, 1e18))
+		f.wrong = len(falseSuspicions(s.Suspicions, 1e18))
 		step(8, true)
 		f.bytes = float64(s.Bytes-bytes) / float64(n) / 8
 		first := map[int]float64{}
-		for _, d := range s.Doubts {
-			if d.Node == 5 && d.Until > d.At && d.At >= from {
-				if _, ok := first[d.Mill]; !ok {
-					first[d.Mill] = d.At - from
+		for _, d := range s.Suspicions {
+			if d.Server == 5 && d.Until > d.At && d.At >= from {
+				if _, ok := first[d.Node]; !ok {
+					first[d.Node] = d.At - from
 				}
 			}
 		}
@@ -343,32 +343,32 @@
 			times = append(times, at)
 		}
 		slices.Sort(times)
-		f.doubted = len(times)
+		f.suspected = len(times)
 		if len(times) > 0 {
 			f.half, f.all = times[len(times)/2], times[len(times)-1]
 		}
-		f.wrong = len(falseDoubts(s.Doubts, 5))
-		return f, s.Doubts
+		f.wrong = len(falseSuspicions(s.Suspicions, 5))
+		return f, s.Suspicions
 	}
 	ours, history := run(false, 1)
 	plain, _ := run(true, 1)
-	t.Logf("%d instances, 30%% loss, 2%% of them ill. With record and quorum: the hung node is doubted by %d, half after %.1f s, the last after %.1f s; "+
-		"%d doubts of healthy nodes; %.0f bytes a second an instance", *scale, ours.doubted, ours.half, ours.all, ours.wrong, ours.bytes)
-	t.Logf("Any voice believed: by %d, half after %.1f s, the last after %.1f s; %d doubts of healthy nodes; %.0f bytes a second", plain.doubted, plain.half,
+	t.Logf("%d instances, 30%% loss, 2%% of them ill. With record and quorum: the hung server is suspected by %d, half after %.1f s, the last after %.1f s; "+
+		"%d suspicions of healthy servers; %.0f bytes a second an instance", *scale, ours.suspected, ours.half, ours.all, ours.wrong, ours.bytes)
+	t.Logf("Any accusation believed: by %d, half after %.1f s, the last after %.1f s; %d suspicions of healthy servers; %.0f bytes a second", plain.suspected, plain.half,
 		plain.all, plain.wrong, plain.bytes)
 	again, same := run(false, 1)
 	require.Equal(t, ours, again)
 	require.Equal(t, history, same, "one seed, one history")
-	require.GreaterOrEqual(t, ours.doubted, *scale*9/10)
+	require.GreaterOrEqual(t, ours.suspected, *scale*9/10)
 	require.Zero(t, ours.wrong)
 	require.Greater(t, plain.wrong, 0, "the defence is needed")
 	require.Less(t, ours.bytes, 8192.0*9/8, "of eight seconds, and a second's worth at once")
 }
 
-// falseDoubts are those of other nodes than one.
-func falseDoubts(all []SimDoubt, node float64) (out []SimDoubt) {
+// falseSuspicions are those of other servers than one.
+func falseSuspicions(all []SimSuspicion, server float64) (out []SimSuspicion) {
 	for _, d := range all {
-		if float64(d.Node) != node && d.Now {
+		if float64(d.Server) != server && d.ProbeNow {
 			out = append(out, d)
 		}
 	}
@@ -377,12 +377,12 @@
 
 // TestPartition: halves that can't hear each other forget each other, and find each other again through the seeds.
 func TestPartition(t *testing.T) {
-	s := NewSim(16, Terms{Bytes: 8192, Datagram: 1100}, 3, nil)
+	s := NewSim(16, Config{BytesPerSecond: 8192, DatagramBytes: 1100}, 3, nil)
 	s.Run(20)
 	live := func() (least, most int) {
 		least = 1 << 30
-		for _, m := range s.Mills {
-			least, most = min(least, m.Live()), max(most, m.Live())
+		for _, m := range s.Nodes {
+			least, most = min(least, m.AlivePeers()), max(most, m.AlivePeers())
 		}
 		return least, most
 	}
@@ -398,29 +398,29 @@
 	require.Equal(t, 15, least)
 }
 
-// TestLiar: two runs of one seed, with and without a member that accuses everything all the time, give the same doubts.
+// TestLiar: two runs of one seed, with and without a member that accuses everything all the time, give the same suspicions.
 func TestLiar(t *testing.T) {
-	run := func(lies bool) []SimDoubt {
-		s := NewSim(20, Terms{Bytes: 8192, Datagram: 1100, Accuse: true}, 9, nil)
-		for _, m := range s.Mills {
-			for node := range 6 {
-				m.Node(node, 0)
+	run := func(lies bool) []SimSuspicion {
+		s := NewSim(20, Config{BytesPerSecond: 8192, DatagramBytes: 1100, Accuse: true}, 9, nil)
+		for _, m := range s.Nodes {
+			for server := range 6 {
+				m.AddServer(server, 0)
 			}
 		}
 		for range 60 {
 			for i := range 20 {
-				s.Saw(i, i%6, true)
+				s.Observe(i, i%6, true)
 			}
 			if lies {
-				for node := range 6 {
+				for server := range 6 {
 					for range 3 {
-						s.Saw(19, node, false)
+						s.Observe(19, server, false)
 					}
 				}
 			}
 			s.Run(0.5)
 		}
-		return slices.DeleteFunc(s.Doubts, func(d SimDoubt) bool { return d.Mill == 19 })
+		return slices.DeleteFunc(s.Suspicions, func(d SimSuspicion) bool { return d.Node == 19 })
 	}
 	require.Empty(t, run(false))
 	require.Empty(t, run(true))
@@ -429,16 +429,16 @@
 // TestLeaveGoesFirst: in the one round that an instance that goes has left, every datagram says so, whatever else there is
 // to tell.
 func TestLeaveGoesFirst(t *testing.T) {
-	m := New(Terms{Seed: 1, Epoch: 1, Bytes: 8192, Datagram: 1100, Accuse: true})
+	m := New(Config{Seed: 1, Incarnation: 1, BytesPerSecond: 8192, DatagramBytes: 1100, Accuse: true})
 	for who := range 19 {
-		m.Take(Record{Kind: Alive, Origin: who, Epoch: 1, Seq: 1, At: 1e6, Node: -1, Size: recordBytes}, 1e6)
+		m.Receive(Record{Kind: Alive, Origin: who, Incarnation: 1, Seq: 1, At: 1e6, Server: -1, Size: recordBytes}, 1e6)
 	}
-	for node := range 40 {
-		m.Sealed(Record{Kind: Accuse, Origin: -1, Epoch: 1, Seq: int64(node + 1), At: 1e6, Node: node, Size: recordBytes})
+	for server := range 40 {
+		m.Publish(Record{Kind: Accuse, Origin: -1, Incarnation: 1, Seq: int64(server + 1), At: 1e6, Server: server, Size: recordBytes})
 	}
-	r := m.Going(1e6)
+	r := m.LeaveRecord(1e6)
 	r.Size = recordBytes
-	m.Sealed(r)
+	m.Publish(r)
 	sends := m.Round(1e6)
 	require.NotEmpty(t, sends)
 	for _, s := range sends {
@@ -449,23 +449,23 @@
 
 var hour = flag.Float64("hour", 120, "s of random faults in virtual time")
 
-// TestHour plays random faults: nodes hang or fail, instances have a bad network of their own, some lie, a zone is cut. No
-// healthy node is ever doubted by an instance that reaches it, nodes that are ill for long are, and no doubt begins or goes on longer after its fault
-// than voices last and are on their way.
+// TestHour plays random faults: servers hang or fail, instances have a bad network of their own, some lie, a zone is cut. No
+// healthy server is ever suspected by an instance that reaches it, servers that are ill for long are, and no suspicion begins
+// or goes on longer after its fault than accusations last and are on their way.
 func TestHour(t *testing.T) {
-	const n, nodes, step = 20, 12, 0.2
-	const onWay = 2.0 // s until a voice has come to all, passed on by those who lose one in ten
-	s := NewSim(n, Terms{Bytes: 8192, Datagram: 1100, Accuse: true}, 5, func(i int, t *Terms) { t.Zone = i % 2 })
+	const n, servers, step = 20, 12, 0.2
+	const onWay = 2.0 // s until an accusation has come to all, passed on by those who lose one in ten
+	s := NewSim(n, Config{BytesPerSecond: 8192, DatagramBytes: 1100, Accuse: true}, 5, func(i int, t *Config) { t.Zone = i % 2 })
 	s.Loss = 0.1
-	for _, m := range s.Mills {
-		for node := range nodes {
-			m.Node(node, node/4)
+	for _, m := range s.Nodes {
+		for server := range servers {
+			m.AddServer(server, server/4)
 		}
 	}
 	rng := rand.New(rand.NewSource(7))
 	type fault struct{ from, until, share float64 }
-	sick := make([]fault, nodes) // a share of what is submitted to it fails
-	ill := make([]fault, n)      // a share of what it submits anywhere fails
+	sick := make([]fault, servers) // a share of what is submitted to it fails
+	ill := make([]fault, n)        // a share of what it submits anywhere fails
 	liar := make([]fault, n)
 	cut := fault{}
 	on := func(f fault) bool { return s.Now >= f.from && s.Now < f.until }
@@ -482,7 +482,7 @@
 	for end := s.Now + *hour; s.Now < end; {
 		switch {
 		case rng.Float64() < 0.02:
-			f := &sick[rng.Intn(nodes)]
+			f := &sick[rng.Intn(servers)]
 			if begin(f, 10, min(1, 0.5+rng.Float64())) && f.share == 1 && f.until-f.from > 5 {
 				long++ // and fails all that is submitted to it
 			}
@@ -493,34 +493,34 @@
 		case rng.Float64() < 0.005:
 			begin(&cut, 10, 1)
 		}
-		before := len(s.Doubts)
+		before := len(s.Suspicions)
 		for i := range n {
-			for node := range nodes {
+			for server := range servers {
 				if rng.Float64() < 0.25 {
-					bad := on(sick[node]) && rng.Float64() < sick[node].share || on(ill[i]) && rng.Float64() < ill[i].share ||
-						on(cut) && i%2 != node%2
-					s.Saw(i, node, !bad && !(on(liar[i]) && node%3 == int(s.Now)%3))
+					bad := on(sick[server]) && rng.Float64() < sick[server].share || on(ill[i]) && rng.Float64() < ill[i].share ||
+						on(cut) && i%2 != server%2
+					s.Observe(i, server, !bad && !(on(liar[i]) && server%3 == int(s.Now)%3))
 				}
 			}
 		}
 		s.Run(step)
-		for _, d := range s.Doubts[before:] {
-			if f := sick[d.Node]; d.Until > d.At {
+		for _, d := range s.Suspicions[before:] {
+			if f := sick[d.Server]; d.Until > d.At {
 				if f.share == 1 && f.until-f.from > 5 && d.At < f.until {
-					seen[[2]float64{float64(d.Node), f.from}] = true
+					seen[[2]float64{float64(d.Server), f.from}] = true
 				}
-				if d.Mill%2 != d.Node%2 && d.At < cut.until+voiceLasts+onWay && d.At >= cut.from {
+				if d.Node%2 != d.Server%2 && d.At < cut.until+accusationLifetime+onWay && d.At >= cut.from {
 					continue // this one can't reach it
 				}
-				if own := ill[d.Mill]; own.share > 0.5 && d.At < own.until+voiceLasts+onWay && d.At >= own.from {
+				if own := ill[d.Node]; own.share > 0.5 && d.At < own.until+accusationLifetime+onWay && d.At >= own.from {
 					continue // nor this one, mostly
 				}
-				require.Less(t, d.At, f.until+voiceLasts+onWay, "instance %d doubts node %d, healthy since %.1f s", d.Mill, d.Node, d.At-f.until)
+				require.Less(t, d.At, f.until+accusationLifetime+onWay, "instance %d suspects server %d, healthy since %.1f s", d.Node, d.Server, d.At-f.until)
 				require.GreaterOrEqual(t, d.At, f.from)
 			}
 		}
 	}
-	t.Logf("%.0f s, %d instances: %d nodes failed all for over 5 s, %d of them were doubted by somebody; %d words of doubt, none of a healthy node",
-		*hour, n, long, len(seen), len(s.Doubts))
+	t.Logf("%.0f s, %d instances: %d servers failed all for over 5 s, %d of them were suspected by somebody; %d suspicions, none of a healthy server",
+		*hour, n, long, len(seen), len(s.Suspicions))
 	require.Greater(t, 3*len(seen), long, "it is no silence")
 }
--- a/gossip/sim.go
+++ b/gossip/sim.go
@@ -5,30 +5,30 @@
 	"math/rand"
 )
 
-// This file owns the play of many Mills in virtual time: one seed, one history. It must never look into a Mill but
+// This file owns the play of many Nodes in virtual time: one seed, one history. It must never look into a Node but
 // through its calls.
 
 // Sim plays instances that lose datagrams among each other.
 type Sim struct {
-	Now    float64
-	Mills  []*Mill
-	Loss   float64
-	Delay  float64                   // s, at most
-	Cut    func(from, to int) bool   // datagrams that never come
-	Forge  func(from int, r *Record) // what a liar makes of its own records
-	Doubts []SimDoubt                // as they came
-	Bytes  int64
-	rng    *rand.Rand
-	queue  deliveries
-	set    int
-	seeds  int
+	Now        float64
+	Nodes      []*Node
+	Loss       float64
+	Delay      float64                   // s, at most
+	Cut        func(from, to int) bool   // datagrams that never come
+	Forge      func(from int, r *Record) // what a liar makes of its own records
+	Suspicions []SimSuspicion            // as they came
+	Bytes      int64
+	rng        *rand.Rand
+	queue      deliveries
+	set        int
+	seeds      int
 }
 
-// SimDoubt is a doubt of an instance.
-type SimDoubt struct {
+// SimSuspicion is a suspicion of an instance.
+type SimSuspicion struct {
 	At   float64
-	Mill int
-	Doubt
+	Node int
+	Suspicion
 }
 
 type delivery struct {
@@ -57,16 +57,16 @@
 // recordBytes is about what a record takes, signed.
 const recordBytes = 130
 
-// NewSim makes instances of given terms, each of which takes its peers by their number; change may alter some.
-func NewSim(n int, terms Terms, seed int64, change func(i int, t *Terms)) *Sim {
+// NewSim makes instances of a given configuration, each of which takes its peers by their number; change may alter some.
+func NewSim(n int, terms Config, seed int64, change func(i int, t *Config)) *Sim {
 	s := &Sim{Now: 1e6, rng: rand.New(rand.NewSource(seed)), Delay: 0.05, seeds: 3}
 	for i := range n {
 		t := terms
-		t.Seed, t.Epoch = seed+int64(i), 1
+		t.Seed, t.Incarnation = seed+int64(i), 1
 		if change != nil {
 			change(i, &t)
 		}
-		s.Mills = append(s.Mills, New(t))
+		s.Nodes = append(s.Nodes, New(t))
 	}
 	return s
 }
@@ -79,19 +79,19 @@
 			d := heap.Pop(&s.queue).(delivery)
 			for _, r := range d.r {
 				if r.Origin != d.to {
-					s.note(d.to, s.Mills[d.to].Take(r, s.Now).Doubts)
+					s.note(d.to, s.Nodes[d.to].Receive(r, s.Now).Suspicions)
 				}
 			}
 		}
-		for i, m := range s.Mills {
+		for i, m := range s.Nodes {
 			e := m.Tick(s.Now)
-			s.note(i, e.Doubts)
+			s.note(i, e.Suspicions)
 			for _, r := range e.Own {
 				r.Size = recordBytes
 				if s.Forge != nil {
 					s.Forge(i, &r)
 				}
-				m.Sealed(r)
+				m.Publish(r)
 			}
 			for _, send := range m.Round(s.Now) {
 				s.send(i, send)
@@ -100,21 +100,23 @@
 	}
 }
 
-// Saw tells an instance what it saw of a node.
-func (s *Sim) Saw(i, node int, good bool) { s.note(i, s.Mills[i].Saw(node, good, false, s.Now, s.Now)) }
+// Observe tells an instance what it observed of a server.
+func (s *Sim) Observe(i, server int, good bool) {
+	s.note(i, s.Nodes[i].Observe(server, good, false, s.Now, s.Now))
+}
 
-func (s *Sim) note(i int, all []Doubt) {
+func (s *Sim) note(i int, all []Suspicion) {
 	for _, d := range all {
-		s.Doubts = append(s.Doubts, SimDoubt{s.Now, i, d})
+		s.Suspicions = append(s.Suspicions, SimSuspicion{s.Now, i, d})
 	}
 }
 
 func (s *Sim) send(from int, send Send) {
 	to := send.To
-	if to == Seed {
-		to = s.rng.Intn(min(s.seeds, len(s.Mills)))
+	if to == SeedPeer {
+		to = s.rng.Intn(min(s.seeds, len(s.Nodes)))
 	}
-	size := int64(Envelope)
+	size := int64(EnvelopeBytes)
 	records := make([]Record, len(send.Records))
 	for i, r := range send.Records {
 		size += int64(r.Size)
--- a/gossip/transport/transport.go
+++ b/gossip/transport/transport.go
@@ -1,8 +1,8 @@
 package transport
 
-// This file owns the socket, the timers and the names: it is the actor that steps a Mill, and maps the names of
-// instances, zones and nodes to small indices. It must never judge a voice, and never sends but to instances that it
-// trusts and to seeds.
+// This file owns the socket, the timers and the names: it is the actor that steps a gossip.Node, and maps the names of
+// instances, zones and servers to small indices. It must never judge an accusation, and never sends but to instances that
+// it trusts and to seeds.
 
 import (
 	"context"
@@ -23,71 +23,71 @@
 	"eiderway/gossip"
 )
 
-// Terms are what a Mesh is told at start. Trust and Networks may be replaced while it runs.
-type Terms struct {
-	Name     string
-	Zone     string
-	Listen   netip.AddrPort
-	Seeds    []netip.AddrPort
-	Key      ed25519.PrivateKey
-	Trust    map[string][]ed25519.PublicKey // by name; several while keys are changed
-	Networks []netip.Prefix                 // empty: any
-	Bytes    float64                        // a second, out, and the same in for each peer that is trusted
-	Accuse   bool
-	Seed     int64
-	Epoch    int64 // 0: by the clock
-}
-
-// Node tells what is asked of the host's owner: to doubt a node until a time (Unix, s).
+// Config is what a Transport is given at start. Trust and Networks may be replaced while it runs.
+type Config struct {
+	Name           string
+	Zone           string
+	Listen         netip.AddrPort
+	Seeds          []netip.AddrPort
+	Key            ed25519.PrivateKey
+	Trust          map[string][]ed25519.PublicKey // by name; several while keys are changed
+	Networks       []netip.Prefix                 // empty: any
+	BytesPerSecond float64                        // out, and the same in for each peer that is trusted
+	Accuse         bool
+	Seed           int64
+	Incarnation    int64 // 0: by the clock
+}
+
+// Owner is asked to suspect a server until a time (Unix, s), and to probe it now.
 type Owner interface {
-	Doubt(node string, until float64, now bool)
-	Behind() // a peer has a newer member list
+	Suspect(server string, until float64, probeNow bool)
+	ListOutdated() // a peer has a newer member list
 	Log(text string)
 }
 
 // Counts of what came and went.
 type Counts struct {
-	In, Out, BytesIn, BytesOut                                              atomic.Int64
-	Malformed, Versions, Untrusted, Forged, Replayed, Network, Flood, Twice atomic.Int64
+	In, Out, BytesIn, BytesOut                                                   atomic.Int64
+	Malformed, Versions, Untrusted, Forged, Replayed, Network, Flood, Duplicates atomic.Int64
 }
 
 const (
 	tickEvery = 100 * time.Millisecond
-	mailMost  = 1024 // datagrams and words that wait: beyond it they are dropped, as the network would
-	mostZones = 64   // zones that are told apart
+	maxMail   = 1024 // datagrams and calls that wait: beyond it they are dropped, as the network would
+	maxZones  = 64   // zones that are told apart
 )
 
-// Mesh is one instance's side.
-type Mesh struct {
-	terms   Terms
-	owner   Owner
-	conn    *net.UDPConn
-	mu      sync.Mutex
-	mail    []func()
-	wake    chan struct{}
-	mill    *gossip.Mill
-	start   time.Time
-	zero    float64
-	trust   atomic.Pointer[trust]
-	names   map[string]int // instances
-	named   []string       // by index; "" is free
-	addrs   []netip.AddrPort
-	alive   []gossip.Record // the newest sign of life of each
-	zones   map[string]int
-	nodes   map[string]int
-	uids    []string
-	spare   []int
-	senders map[keyID]*sender // emptied as keys are taken from the trusted
-	counter int64
-	seed    int
-	key     ed25519.PrivateKey
-	counts  Counts
-	inlet   gossip.Inlet    // the reader's alone
-	warned  map[string]bool // what was logged once; bounded by the names trusted
-}
-
-// trust is who may speak.
-type trust struct {
+// Transport is one instance's side.
+type Transport struct {
+	config        Config
+	owner         Owner
+	conn          *net.UDPConn
+	mu            sync.Mutex
+	mail          []func()
+	wake          chan struct{}
+	node          *gossip.Node
+	start         time.Time
+	startUnix     float64
+	trust         atomic.Pointer[trustSet]
+	instanceIDs   map[string]int // by name
+	instanceNames []string       // by index
+	addrs         []netip.AddrPort
+	lastAlive     []gossip.Record // the newest sign of life of each
+	zoneIDs       map[string]int
+	serverIDs     map[string]int
+	serverUIDs    []string
+	freeServerIDs []int
+	senders       map[keyID]*sender // emptied as keys are taken from the trusted
+	counter       int64
+	nextSeed      int
+	key           ed25519.PrivateKey
+	counts        Counts
+	inbound       gossip.InboundLimit // the reader's alone
+	logged        map[string]bool     // what was logged once; bounded by the names trusted
+}
+
+// trustSet is who may speak.
+type trustSet struct {
 	names    map[keyID]string
 	keys     map[keyID]ed25519.PublicKey
 	networks *bart.Lite
@@ -95,129 +95,136 @@
 
 // sender is what is remembered of datagrams under a key.
 type sender struct {
-	epoch, counter int64
+	incarnation, counter int64
 }
 
 // New binds the socket.
-func New(t Terms, owner Owner) (*Mesh, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(t.Listen))
+func New(config Config, owner Owner) (*Transport, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(config.Listen))
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	if t.Epoch == 0 {
-		t.Epoch = now.UnixMicro()
+	if config.Incarnation == 0 {
+		config.Incarnation = now.UnixMicro()
 	}
-	m := &Mesh{terms: t, owner: owner, conn: conn, wake: make(chan struct{}, 1), start: now, zero: float64(now.UnixMicro()) / 1e6,
-		names: map[string]int{}, zones: map[string]int{}, nodes: map[string]int{}, senders: map[keyID]*sender{}, key: t.Key,
-		warned: map[string]bool{}, inlet: gossip.Inlet{Bytes: t.Bytes}}
-	m.Trust(t.Trust, t.Networks)
-	m.mill = gossip.New(gossip.Terms{Seed: t.Seed, Epoch: t.Epoch, Zone: m.zone(t.Zone), Bytes: t.Bytes,
-		Datagram: mostPacket - headBytes - ed25519.SignatureSize, Accuse: t.Accuse})
-	return m, nil
+	t := &Transport{config: config, owner: owner, conn: conn, wake: make(chan struct{}, 1), start: now, startUnix: float64(now.UnixMicro()) / 1e6,
+		instanceIDs: map[string]int{}, zoneIDs: map[string]int{}, serverIDs: map[string]int{}, senders: map[keyID]*sender{}, key: config.Key,
+		logged: map[string]bool{}, inbound: gossip.InboundLimit{BytesPerPeer: config.BytesPerSecond}}
+	t.Trust(config.Trust, config.Networks)
+	t.node = gossip.New(gossip.Config{Seed: config.Seed, Incarnation: config.Incarnation, Zone: t.zoneID(config.Zone), BytesPerSecond: config.BytesPerSecond,
+		DatagramBytes: maxDatagramBytes - headBytes - ed25519.SignatureSize, Accuse: config.Accuse})
+	return t, nil
 }
 
 // Addr tells where it listens.
-func (m *Mesh) Addr() netip.AddrPort { return m.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+func (t *Transport) Addr() netip.AddrPort { return t.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
 // Counts tells what came and went.
-func (m *Mesh) Counts() *Counts { return &m.counts }
+func (t *Transport) Counts() *Counts { return &t.counts }
 
 // Trust replaces who may speak, and from where.
-func (m *Mesh) Trust(names map[string][]ed25519.PublicKey, networks []netip.Prefix) {
-	t := &trust{names: map[keyID]string{}, keys: map[keyID]ed25519.PublicKey{}}
+func (t *Transport) Trust(names map[string][]ed25519.PublicKey, networks []netip.Prefix) {
+	trusted := &trustSet{names: map[keyID]string{}, keys: map[keyID]ed25519.PublicKey{}}
 	for name, keys := range names {
 		for _, k := range keys {
 			id := idOf(k)
-			t.names[id], t.keys[id] = name, k
+			trusted.names[id], trusted.keys[id] = name, k
 		}
 	}
 	if len(networks) > 0 {
-		t.networks = &bart.Lite{}
+		trusted.networks = &bart.Lite{}
 		for _, n := range networks {
-			t.networks.Insert(n)
+			trusted.networks.Insert(n)
 		}
 	}
-	m.trust.Store(t)
+	t.trust.Store(trusted)
 }
 
 // SetKey changes the key that this instance signs with.
-func (m *Mesh) SetKey(key ed25519.PrivateKey) { m.tell(func() { m.key = key }) }
+func (t *Transport) SetKey(key ed25519.PrivateKey) { t.tell(func() { t.key = key }) }
 
-func (m *Mesh) now() float64 { return m.zero + time.Since(m.start).Seconds() }
+func (t *Transport) now() float64 { return t.startUnix + time.Since(t.start).Seconds() }
 
 // tell has the actor do something. It never blocks.
-func (m *Mesh) tell(f func()) { m.post(f, math.MaxInt) }
+func (t *Transport) tell(f func()) { t.post(f, math.MaxInt) }
 
 // offer does the same where there is room: what comes from outside is dropped beyond it, as the network would.
-func (m *Mesh) offer(f func()) { m.post(f, mailMost) }
+func (t *Transport) offer(f func()) { t.post(f, maxMail) }
 
-func (m *Mesh) post(f func(), most int) {
-	m.mu.Lock()
-	if len(m.mail) < most {
-		m.mail = append(m.mail, f)
+func (t *Transport) post(f func(), most int) {
+	t.mu.Lock()
+	if len(t.mail) < most {
+		t.mail = append(t.mail, f)
 	}
-	m.mu.Unlock()
+	t.mu.Unlock()
 	select {
-	case m.wake <- struct{}{}:
+	case t.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (m *Mesh) work() {
-	m.mu.Lock()
-	all := m.mail
-	m.mail = nil
-	m.mu.Unlock()
+func (t *Transport) drainMail() {
+	t.mu.Lock()
+	all := t.mail
+	t.mail = nil
+	t.mu.Unlock()
 	for _, f := range all {
 		f()
 	}
 }
 
-// Node tells of a member of the list; Forget that it is gone for good; List of the list's version.
-func (m *Mesh) Node(uid string, group int) {
-	m.tell(func() {
-		id, ok := m.nodes[uid]
+// AddServer tells of a member of the list, new or moved.
+func (t *Transport) AddServer(uid string, group int) {
+	t.tell(func() {
+		id, ok := t.serverIDs[uid]
 		if !ok {
-			id = len(m.uids)
-			if k := len(m.spare); k > 0 {
-				id, m.spare = m.spare[k-1], m.spare[:k-1]
-				m.uids[id] = uid
+			id = len(t.serverUIDs)
+			if k := len(t.freeServerIDs); k > 0 {
+				id, t.freeServerIDs = t.freeServerIDs[k-1], t.freeServerIDs[:k-1]
+				t.serverUIDs[id] = uid
 			} else {
-				m.uids = append(m.uids, uid)
+				t.serverUIDs = append(t.serverUIDs, uid)
 			}
-			m.nodes[uid] = id
+			t.serverIDs[uid] = id
 		}
-		m.mill.Node(id, group)
+		t.node.AddServer(id, group)
 	})
 }
 
-func (m *Mesh) Forget(uid string) {
-	m.tell(func() {
-		if id, ok := m.nodes[uid]; ok {
-			m.mill.Forget(id)
-			delete(m.nodes, uid)
-			m.uids[id] = ""
-			m.spare = append(m.spare, id)
+// RemoveServer tells that a member of the list is gone for good.
+func (t *Transport) RemoveServer(uid string) {
+	t.tell(func() {
+		if id, ok := t.serverIDs[uid]; ok {
+			t.node.RemoveServer(id)
+			delete(t.serverIDs, uid)
+			t.serverUIDs[id] = ""
+			t.freeServerIDs = append(t.freeServerIDs, id)
 		}
 	})
 }
 
-func (m *Mesh) List(rev int64) { m.tell(func() { m.mill.List(rev) }) }
+// SetListVersion tells the version of the member list.
+func (t *Transport) SetListVersion(rev int64) { t.tell(func() { t.node.SetListVersion(rev) }) }
 
-// Saw tells what a submission or probe showed of a node.
-func (m *Mesh) Saw(uid string, good, probe bool, sent float64) {
-	m.of(uid, func(id int) { m.doubts(m.mill.Saw(id, good, probe, sent, m.now())) })
+// Observe tells what a submission or probe showed of a server.
+func (t *Transport) Observe(uid string, good, probe bool, sent float64) {
+	t.withServer(uid, func(id int) { t.suspect(t.node.Observe(id, good, probe, sent, t.now())) })
 }
 
-// Out tells that a submission has left for a node; Back that it came to an end that shows nothing.
-func (m *Mesh) Out(uid string, sent float64) { m.of(uid, func(id int) { m.mill.Out(id, sent) }) }
+// Started tells that a submission has left for a server.
+func (t *Transport) Started(uid string, sent float64) {
+	t.withServer(uid, func(id int) { t.node.Started(id, sent) })
+}
 
-func (m *Mesh) Back(uid string, sent float64) { m.of(uid, func(id int) { m.mill.Back(id, sent) }) }
+// Finished tells that a submission came to an end that shows nothing.
+func (t *Transport) Finished(uid string, sent float64) {
+	t.withServer(uid, func(id int) { t.node.Finished(id, sent) })
+}
 
-func (m *Mesh) of(uid string, f func(id int)) {
-	m.offer(func() {
-		if id, ok := m.nodes[uid]; ok {
+func (t *Transport) withServer(uid string, f func(id int)) {
+	t.offer(func() {
+		if id, ok := t.serverIDs[uid]; ok {
 			f(id)
 		}
 	})
@@ -225,41 +232,41 @@
 
 // Status is what `eiderway peers` shows.
 type Status struct {
-	Name   string           `json:"name"`
-	Quorum float64          `json:"quorum"`
-	Peers  []PeerStatus     `json:"peers"`
-	Nodes  []NodeStatus     `json:"nodes"`
-	Mill   gossip.Counts    `json:"counts"`
-	Bytes  [2]int64         `json:"bytes_in_out"`
-	Turned map[string]int64 `json:"turned_away"`
+	Name       string           `json:"name"`
+	Quorum     float64          `json:"quorum"`
+	Peers      []NamedPeer      `json:"peers"`
+	Nodes      []NamedServer    `json:"nodes"`
+	Counts     gossip.Counts    `json:"counts"`
+	Bytes      [2]int64         `json:"bytes_in_out"`
+	TurnedAway map[string]int64 `json:"turned_away"`
 }
 
-// PeerStatus is a peer with its name.
-type PeerStatus struct {
+// NamedPeer is a peer with its name.
+type NamedPeer struct {
 	Name string   `json:"name"`
 	Addr string   `json:"addr"`
 	Keys []string `json:"keys"` // fingerprints that are trusted for it
-	gossip.Peer
-}
-
-// NodeStatus is what is believed of a node.
-type NodeStatus struct {
-	Name   string   `json:"name"`
-	Voices []string `json:"voices"`
-	gossip.Believed
-}
-
-// Ask hands over the status.
-func (m *Mesh) Ask(then func(Status)) {
-	m.tell(func() {
-		now := m.now()
-		s := Status{Name: m.terms.Name, Quorum: m.mill.Quorum(), Mill: m.mill.Counted(), Bytes: [2]int64{m.counts.BytesIn.Load(), m.counts.BytesOut.Load()},
-			Turned: map[string]int64{"malformed": m.counts.Malformed.Load(), "version": m.counts.Versions.Load(), "untrusted": m.counts.Untrusted.Load(),
-				"forged": m.counts.Forged.Load(), "replayed": m.counts.Replayed.Load(), "network": m.counts.Network.Load(), "flood": m.counts.Flood.Load()}}
-		t := m.trust.Load()
-		for _, p := range m.mill.Peers(now) {
-			x := PeerStatus{Name: m.named[p.Index], Addr: m.addrs[p.Index].String(), Peer: p}
-			for id, name := range t.names {
+	gossip.PeerStatus
+}
+
+// NamedServer is what is believed of a server, with its name.
+type NamedServer struct {
+	Name     string   `json:"name"`
+	Accusers []string `json:"voices"`
+	gossip.ServerStatus
+}
+
+// AskStatus hands over the status.
+func (t *Transport) AskStatus(then func(Status)) {
+	t.tell(func() {
+		now := t.now()
+		s := Status{Name: t.config.Name, Quorum: t.node.Quorum(), Counts: t.node.Counts(), Bytes: [2]int64{t.counts.BytesIn.Load(), t.counts.BytesOut.Load()},
+			TurnedAway: map[string]int64{"malformed": t.counts.Malformed.Load(), "version": t.counts.Versions.Load(), "untrusted": t.counts.Untrusted.Load(),
+				"forged": t.counts.Forged.Load(), "replayed": t.counts.Replayed.Load(), "network": t.counts.Network.Load(), "flood": t.counts.Flood.Load()}}
+		trusted := t.trust.Load()
+		for _, p := range t.node.Peers(now) {
+			x := NamedPeer{Name: t.instanceNames[p.Index], Addr: t.addrs[p.Index].String(), PeerStatus: p}
+			for id, name := range trusted.names {
 				if name == x.Name {
 					x.Keys = append(x.Keys, fmt.Sprintf("%x", id))
 				}
@@ -267,10 +274,10 @@
 			slices.Sort(x.Keys)
 			s.Peers = append(s.Peers, x)
 		}
-		for _, b := range m.mill.Beliefs(now) {
-			x := NodeStatus{Name: m.uids[b.Node], Believed: b}
-			for _, who := range b.Voices {
-				x.Voices = append(x.Voices, m.named[who])
+		for _, b := range t.node.Servers(now) {
+			x := NamedServer{Name: t.serverUIDs[b.Server], ServerStatus: b}
+			for _, who := range b.Accusers {
+				x.Accusers = append(x.Accusers, t.instanceNames[who])
 			}
 			s.Nodes = append(s.Nodes, x)
 		}
@@ -279,31 +286,31 @@
 }
 
 // Run serves until ctx ends, then says that it leaves.
-func (m *Mesh) Run(ctx context.Context) error {
+func (t *Transport) Run(ctx context.Context) error {
 	g, life := errgroup.WithContext(ctx)
-	g.Go(func() error { return m.read(life) })
+	g.Go(func() error { return t.read(life) })
 	g.Go(func() error {
 		tick := time.NewTicker(tickEvery)
 		defer tick.Stop()
 		for {
 			select {
-			case <-m.wake:
-				m.work()
+			case <-t.wake:
+				t.drainMail()
 			case <-tick.C:
-				m.tick()
+				t.tick()
 			case <-life.Done():
-				m.leave()
-				return m.conn.Close()
+				t.sendLeave()
+				return t.conn.Close()
 			}
 		}
 	})
 	return g.Wait()
 }
 
-func (m *Mesh) read(ctx context.Context) error {
+func (t *Transport) read(ctx context.Context) error {
 	buf := make([]byte, 64<<10)
 	for {
-		n, from, err := m.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := t.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -313,207 +320,207 @@
 			}
 			continue
 		}
-		m.counts.In.Add(1)
-		m.counts.BytesIn.Add(int64(n))
-		m.arrived(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		t.counts.In.Add(1)
+		t.counts.BytesIn.Add(int64(n))
+		t.receiveDatagram(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
-// arrived checks a datagram before the actor sees it.
-func (m *Mesh) arrived(b []byte, from netip.AddrPort) {
-	t := m.trust.Load()
-	if t.networks != nil && !t.networks.Contains(from.Addr()) {
-		m.counts.Network.Add(1)
+// receiveDatagram checks a datagram before the actor sees it.
+func (t *Transport) receiveDatagram(b []byte, from netip.AddrPort) {
+	trusted := t.trust.Load()
+	if trusted.networks != nil && !trusted.networks.Contains(from.Addr()) {
+		t.counts.Network.Add(1)
 		return
 	}
-	if !m.inlet.Allows(len(b), len(t.names), m.now()) {
-		m.counts.Flood.Add(1)
+	if !t.inbound.Allow(len(b), len(trusted.names), t.now()) {
+		t.counts.Flood.Add(1)
 		return
 	}
-	e, words, err := unpack(b, func(id keyID) ed25519.PublicKey { return t.keys[id] })
+	e, records, err := decodeDatagram(b, func(id keyID) ed25519.PublicKey { return trusted.keys[id] })
 	switch {
 	case errors.Is(err, errVersion):
-		m.counts.Versions.Add(1)
-		m.offer(func() { m.once("version", "a peer of another protocol version is left out: "+from.String()) })
-	case errors.Is(err, errKey):
-		m.counts.Untrusted.Add(1)
-	case errors.Is(err, errSigned):
-		m.counts.Forged.Add(1)
+		t.counts.Versions.Add(1)
+		t.offer(func() { t.logOnce("version", "a peer of another protocol version is left out: "+from.String()) })
+	case errors.Is(err, errUntrusted):
+		t.counts.Untrusted.Add(1)
+	case errors.Is(err, errSignature):
+		t.counts.Forged.Add(1)
 	case err != nil:
-		m.counts.Malformed.Add(1)
+		t.counts.Malformed.Add(1)
 	}
-	if err != nil && len(words) == 0 {
+	if err != nil && len(records) == 0 {
 		return
 	}
-	m.offer(func() { m.take(e, words, from) })
+	t.offer(func() { t.receive(e, records, from) })
 }
 
-// take hands the records of a datagram to the Mill.
-func (m *Mesh) take(e envelope, words []word, from netip.AddrPort) {
-	s := m.senders[e.key]
+// receive hands the records of a datagram to the Node.
+func (t *Transport) receive(e envelope, records []wireRecord, from netip.AddrPort) {
+	s := t.senders[e.key]
 	if s == nil {
-		s = &sender{epoch: math.MinInt64}
-		m.senders[e.key] = s
+		s = &sender{incarnation: math.MinInt64}
+		t.senders[e.key] = s
 	}
-	if e.epoch < s.epoch {
-		m.twins(e, words, from)
+	if e.incarnation < s.incarnation {
+		t.reportDuplicate(e, records, from)
 	}
-	if e.epoch < s.epoch || e.epoch == s.epoch && e.counter <= s.counter {
-		m.counts.Replayed.Add(1)
+	if e.incarnation < s.incarnation || e.incarnation == s.incarnation && e.counter <= s.counter {
+		t.counts.Replayed.Add(1)
 		return
 	}
-	s.epoch, s.counter = e.epoch, e.counter
-	t := m.trust.Load()
-	now := m.now()
-	for _, w := range words {
-		name, ok := t.names[w.key]
+	s.incarnation, s.counter = e.incarnation, e.counter
+	trusted := t.trust.Load()
+	now := t.now()
+	for _, w := range records {
+		name, ok := trusted.names[w.key]
 		if !ok {
 			continue
 		}
-		if name == m.terms.Name {
-			m.echo(w)
+		if name == t.config.Name {
+			t.checkOwnName(w)
 			continue
 		}
 		r := w.record
-		r.Origin, r.Node = m.instance(name), -1
+		r.Origin, r.Server = t.instanceID(name), -1
 		if r.Kind == gossip.Alive {
 			if addr, err := netip.ParseAddrPort(w.addr); err == nil {
-				m.addrs[r.Origin] = addr
+				t.addrs[r.Origin] = addr
 			}
-			m.alive[r.Origin] = r
-			r.Zone = m.zone(w.zone)
+			t.lastAlive[r.Origin] = r
+			r.Zone = t.zoneID(w.zone)
 		}
-		if id, ok := m.nodes[w.node]; ok && w.node != "" {
-			r.Node = id
+		if id, ok := t.serverIDs[w.server]; ok && w.server != "" {
+			r.Server = id
 		}
-		effects := m.mill.Take(r, now)
-		m.doubts(effects.Doubts)
-		if effects.Behind {
-			m.owner.Behind()
+		effects := t.node.Receive(r, now)
+		t.suspect(effects.Suspicions)
+		if effects.ListOutdated {
+			t.owner.ListOutdated()
 		}
 	}
 }
 
-// twins tells two processes of one name about each other, now and then: the earlier one hears of the later, and the
+// reportDuplicate tells two processes of one name about each other, now and then: the earlier one hears of the later, and the
 // later of the earlier.
-func (m *Mesh) twins(e envelope, words []word, from netip.AddrPort) {
-	name := m.trust.Load().names[e.key]
-	id, ok := m.names[name]
-	if !ok || len(m.alive[id].Sealed) == 0 || !m.mill.Twins(id, m.now()) {
+func (t *Transport) reportDuplicate(e envelope, records []wireRecord, from netip.AddrPort) {
+	name := t.trust.Load().names[e.key]
+	id, ok := t.instanceIDs[name]
+	if !ok || len(t.lastAlive[id].Encoded) == 0 || !t.node.ReportDuplicate(id, t.now()) {
 		return
 	}
-	m.once("twins "+name, "two processes have the name "+name)
-	m.datagram(from, []gossip.Record{m.alive[id]})
-	for _, w := range words {
+	t.logOnce("twins "+name, "two processes have the name "+name)
+	t.sendDatagram(from, []gossip.Record{t.lastAlive[id]})
+	for _, w := range records {
 		if w.key == e.key && w.record.Kind == gossip.Alive {
-			m.datagram(m.addrs[id], []gossip.Record{w.record})
+			t.sendDatagram(t.addrs[id], []gossip.Record{w.record})
 		}
 	}
 }
 
-// echo notices another process under our name: the later start wins, both say so.
-func (m *Mesh) echo(w word) {
-	if w.record.Epoch != m.terms.Epoch {
-		m.counts.Twice.Add(1)
+// checkOwnName notices another process under our name: the later start wins, both say so.
+func (t *Transport) checkOwnName(w wireRecord) {
+	if w.record.Incarnation != t.config.Incarnation {
+		t.counts.Duplicates.Add(1)
 		what := "an earlier process had this instance's name, or still has it"
-		if w.record.Epoch > m.terms.Epoch {
+		if w.record.Incarnation > t.config.Incarnation {
 			what = "a later process has this instance's name; peers believe that one"
 		}
-		m.once("twice", what)
+		t.logOnce("twice", what)
 	}
 }
 
-func (m *Mesh) once(key, text string) {
-	if !m.warned[key] {
-		m.warned[key] = true
-		m.owner.Log(text)
+func (t *Transport) logOnce(key, text string) {
+	if !t.logged[key] {
+		t.logged[key] = true
+		t.owner.Log(text)
 	}
 }
 
-func (m *Mesh) instance(name string) int {
-	id, ok := m.names[name]
+func (t *Transport) instanceID(name string) int {
+	id, ok := t.instanceIDs[name]
 	if !ok {
-		id = len(m.named)
-		m.names[name] = id
-		m.named = append(m.named, name)
-		m.addrs = append(m.addrs, netip.AddrPort{})
-		m.alive = append(m.alive, gossip.Record{})
+		id = len(t.instanceNames)
+		t.instanceIDs[name] = id
+		t.instanceNames = append(t.instanceNames, name)
+		t.addrs = append(t.addrs, netip.AddrPort{})
+		t.lastAlive = append(t.lastAlive, gossip.Record{})
 	}
 	return id
 }
 
-func (m *Mesh) zone(name string) int {
-	id, ok := m.zones[name]
-	if !ok && len(m.zones) >= mostZones {
-		return mostZones // all further ones are one
+func (t *Transport) zoneID(name string) int {
+	id, ok := t.zoneIDs[name]
+	if !ok && len(t.zoneIDs) >= maxZones {
+		return maxZones // all further ones are one
 	}
 	if !ok {
-		id = len(m.zones)
-		m.zones[name] = id
+		id = len(t.zoneIDs)
+		t.zoneIDs[name] = id
 	}
 	return id
 }
 
-func (m *Mesh) doubts(all []gossip.Doubt) {
+func (t *Transport) suspect(all []gossip.Suspicion) {
 	for _, d := range all {
-		m.owner.Doubt(m.uids[d.Node], d.Until, d.Now)
+		t.owner.Suspect(t.serverUIDs[d.Server], d.Until, d.ProbeNow)
 	}
 }
 
-func (m *Mesh) tick() {
-	now := m.now()
-	e := m.mill.Tick(now)
+func (t *Transport) tick() {
+	now := t.now()
+	e := t.node.Tick(now)
 	for _, r := range e.Own {
-		m.mill.Sealed(m.signed(r))
+		t.node.Publish(t.sign(r))
 	}
-	m.doubts(e.Doubts)
-	for _, s := range m.mill.Round(now) {
-		m.send(s)
+	t.suspect(e.Suspicions)
+	for _, s := range t.node.Round(now) {
+		t.send(s)
 	}
-	m.mill.Forgotten() // instances keep their index: there are as many as the settings name
+	t.node.FreedIndices() // instances keep their index: there are as many as the settings name
 }
 
-func (m *Mesh) signed(r gossip.Record) gossip.Record {
-	w := word{record: r, zone: m.terms.Zone, addr: m.Addr().String()}
-	if r.Node >= 0 {
-		w.node = m.uids[r.Node]
+func (t *Transport) sign(r gossip.Record) gossip.Record {
+	w := wireRecord{record: r, zone: t.config.Zone, addr: t.Addr().String()}
+	if r.Server >= 0 {
+		w.server = t.serverUIDs[r.Server]
 	}
-	r.Sealed = seal(m.key, &w)
-	r.Size = len(r.Sealed)
+	r.Encoded = encodeRecord(t.key, &w)
+	r.Size = len(r.Encoded)
 	return r
 }
 
-func (m *Mesh) send(s gossip.Send) {
+func (t *Transport) send(s gossip.Send) {
 	var to netip.AddrPort
-	if s.To == gossip.Seed {
-		if len(m.terms.Seeds) == 0 {
+	if s.To == gossip.SeedPeer {
+		if len(t.config.Seeds) == 0 {
 			return
 		}
-		m.seed++
-		to = m.terms.Seeds[m.seed%len(m.terms.Seeds)]
+		t.nextSeed++
+		to = t.config.Seeds[t.nextSeed%len(t.config.Seeds)]
 	} else {
-		to = m.addrs[s.To]
+		to = t.addrs[s.To]
 	}
-	m.datagram(to, s.Records)
+	t.sendDatagram(to, s.Records)
 }
 
-func (m *Mesh) datagram(to netip.AddrPort, records []gossip.Record) {
-	if !to.IsValid() || to == m.Addr() {
+func (t *Transport) sendDatagram(to netip.AddrPort, records []gossip.Record) {
+	if !to.IsValid() || to == t.Addr() {
 		return
 	}
-	m.counter++
-	b := pack(m.key, envelope{epoch: m.terms.Epoch, counter: m.counter, at: m.now()}, records)
-	m.counts.Out.Add(1)
-	m.counts.BytesOut.Add(int64(len(b)))
-	m.conn.SetWriteDeadline(time.Now().Add(tickEvery))
-	m.conn.WriteToUDPAddrPort(b, to)
-}
-
-// leave tells some peers at once.
-func (m *Mesh) leave() {
-	now := m.now()
-	m.mill.Sealed(m.signed(m.mill.Going(now)))
-	for _, s := range m.mill.Round(now + 1) {
-		m.send(s)
+	t.counter++
+	b := encodeDatagram(t.key, envelope{incarnation: t.config.Incarnation, counter: t.counter, at: t.now()}, records)
+	t.counts.Out.Add(1)
+	t.counts.BytesOut.Add(int64(len(b)))
+	t.conn.SetWriteDeadline(time.Now().Add(tickEvery))
+	t.conn.WriteToUDPAddrPort(b, to)
+}
+
+// sendLeave tells some peers at once.
+func (t *Transport) sendLeave() {
+	now := t.now()
+	t.node.Publish(t.sign(t.node.LeaveRecord(now)))
+	for _, s := range t.node.Round(now + 1) {
+		t.send(s)
 	}
 }
--- a/gossip/transport/transport_test.go
+++ b/gossip/transport/transport_test.go
@@ -26,31 +26,31 @@
 
 // owner writes down what it was asked for.
 type owner struct {
-	mu     sync.Mutex
-	doubts map[string]float64
-	behind int
-	logs   []string
+	mu        sync.Mutex
+	suspected map[string]float64
+	behind    int
+	logs      []string
 }
 
-func (o *owner) Doubt(node string, until float64, _ bool) {
+func (o *owner) Suspect(server string, until float64, _ bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.doubts[node] = until
+	o.suspected[server] = until
 }
-func (o *owner) Behind() { o.mu.Lock(); o.behind++; o.mu.Unlock() }
+func (o *owner) ListOutdated() { o.mu.Lock(); o.behind++; o.mu.Unlock() }
 func (o *owner) Log(text string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.logs = append(o.logs, text)
 }
-func (o *owner) doubted(node string) bool {
+func (o *owner) suspects(server string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.doubts[node] > float64(time.Now().UnixMicro())/1e6
+	return o.suspected[server] > float64(time.Now().UnixMicro())/1e6
 }
 
 type instance struct {
-	*Mesh
+	*Transport
 	owner *owner
 	stop  func()
 }
@@ -71,9 +71,9 @@
 	return all
 }
 
-func launch(t *testing.T, terms Terms) *instance {
+func launch(t *testing.T, terms Config) *instance {
 	terms.Listen = netip.MustParseAddrPort("127.0.0.1:0")
-	o := &owner{doubts: map[string]float64{}}
+	o := &owner{suspected: map[string]float64{}}
 	m, err := New(terms, o)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -90,22 +90,22 @@
 // tier launches instances that know the first of them.
 func tier(t *testing.T, n int, bytes float64) (all []*instance) {
 	for i := range n {
-		terms := Terms{Name: fmt.Sprintf("r%d", i), Zone: fmt.Sprintf("z%d", i%2), Key: keyOf(int64(i)), Trust: trustOf(n), Bytes: bytes, Accuse: true, Seed: int64(i)}
+		terms := Config{Name: fmt.Sprintf("r%d", i), Zone: fmt.Sprintf("z%d", i%2), Key: keyOf(int64(i)), Trust: trustOf(n), BytesPerSecond: bytes, Accuse: true, Seed: int64(i)}
 		if i > 0 {
 			terms.Seeds = []netip.AddrPort{all[0].Addr()}
 		}
 		all = append(all, launch(t, terms))
-		all[i].Node("a", 0)
-		all[i].Node("b", 0)
-		all[i].Node("c", 0)
-		all[i].Node("d", 0)
+		all[i].AddServer("a", 0)
+		all[i].AddServer("b", 0)
+		all[i].AddServer("c", 0)
+		all[i].AddServer("d", 0)
 	}
 	return all
 }
 
 func (i *instance) status() Status {
 	got := make(chan Status, 1)
-	i.Ask(func(s Status) { got <- s })
+	i.AskStatus(func(s Status) { got <- s })
 	return <-got
 }
 
@@ -124,14 +124,14 @@
 }
 
 // TestTwenty: 20 instances find each other from one seed; a storm of accusations stays under the bound of bytes; what a
-// quorum saw is doubted by all; one voice is not; one that leaves is known to have left.
+// quorum observed is suspected by all; what one peer accuses is not; one that leaves is known to have left.
 func TestTwenty(t *testing.T) {
 	const n, bound = 20, 8 << 10
 	all := tier(t, n, bound)
 	for _, i := range all {
 		await(t, "each finds all others", func() bool { return i.live() == n-1 })
 	}
-	seasoned := time.Now().Add(6 * time.Second) // voices of peers heard of for under 5 s count nothing
+	seasoned := time.Now().Add(6 * time.Second) // accusations of peers heard of for under 5 s count nothing
 	worst := int64(0)
 	second := func() {
 		before := make([]int64, n)
@@ -154,27 +154,27 @@
 	t.Logf("%d bytes out in the worst second of an instance while they find each other, %d at rest", start, worst)
 	worst = max(worst, start)
 	require.Less(t, worst, int64(2*bound), "a second's worth may go at once")
-	fail := func(i *instance, node string) {
+	fail := func(i *instance, server string) {
 		for range 3 {
-			i.Saw(node, false, true, i.now())
+			i.Observe(server, false, true, i.now())
 		}
 	}
 	fail(all[3], "a")
-	await(t, "the voice is heard", func() bool { s := all[0].status(); return len(s.Nodes) > 0 && len(s.Nodes[0].Voices) > 0 })
-	require.False(t, all[0].owner.doubted("a"), "one voice is none")
+	await(t, "the accusation is heard", func() bool { s := all[0].status(); return len(s.Nodes) > 0 && len(s.Nodes[0].Accusers) > 0 })
+	require.False(t, all[0].owner.suspects("a"), "one accusation is none")
 	for k := range 8 {
 		fail(all[k+4], "b")
 	}
 	for _, i := range all {
-		await(t, "a quorum is believed", func() bool { return i.owner.doubted("b") })
+		await(t, "a quorum is believed", func() bool { return i.owner.suspects("b") })
 	}
-	all[0].Saw("b", true, true, all[0].now())
-	await(t, "own evidence wins", func() bool { return !all[0].owner.doubted("b") })
+	all[0].Observe("b", true, true, all[0].now())
+	await(t, "own evidence wins", func() bool { return !all[0].owner.suspects("b") })
 	worst = 0
 	for range 3 {
 		for _, i := range all { // a storm: everyone accuses everything
-			for _, node := range []string{"a", "b", "c", "d"} {
-				fail(i, node)
+			for _, server := range []string{"a", "b", "c", "d"} {
+				fail(i, server)
 			}
 		}
 		second()
@@ -195,28 +195,28 @@
 	defer nc.Close()
 	count := a.Counts()
 	record := func(key ed25519.PrivateKey, seq int64) gossip.Record {
-		w := word{record: gossip.Record{Kind: gossip.Accuse, Epoch: a.terms.Epoch + 1e9, Seq: seq, At: a.now()}, node: "a"}
-		return gossip.Record{Sealed: seal(key, &w)}
+		w := wireRecord{record: gossip.Record{Kind: gossip.Accuse, Incarnation: a.config.Incarnation + 1e9, Seq: seq, At: a.now()}, server: "a"}
+		return gossip.Record{Encoded: encodeRecord(key, &w)}
 	}
 	bad, real := keyOf(99), keyOf(1)
 	send := func(b []byte) { _, err := nc.Write(b); require.NoError(t, err) }
-	send(pack(bad, envelope{epoch: 1, counter: 1}, []gossip.Record{record(bad, 1)}))
+	send(encodeDatagram(bad, envelope{incarnation: 1, counter: 1}, []gossip.Record{record(bad, 1)}))
 	await(t, "a bad key", func() bool { return count.Untrusted.Load() == 1 })
 	// A stolen name: r1's key id with another's signature.
-	stolen := pack(bad, envelope{epoch: 1, counter: 1}, []gossip.Record{record(bad, 1)})
+	stolen := encodeDatagram(bad, envelope{incarnation: 1, counter: 1}, []gossip.Record{record(bad, 1)})
 	id := idOf(public(real))
 	copy(stolen[3:], id[:])
 	send(stolen)
 	await(t, "a stolen name", func() bool { return count.Forged.Load() == 1 })
-	flipped := pack(real, envelope{epoch: 1 << 62, counter: 1}, []gossip.Record{record(real, 1)})
+	flipped := encodeDatagram(real, envelope{incarnation: 1 << 62, counter: 1}, []gossip.Record{record(real, 1)})
 	flipped[40] ^= 1
 	send(flipped)
 	await(t, "a changed byte", func() bool { return count.Forged.Load() == 2 })
-	other := pack(real, envelope{epoch: 1 << 62, counter: 1}, nil)
+	other := encodeDatagram(real, envelope{incarnation: 1 << 62, counter: 1}, nil)
 	other[2] = 9
 	send(other)
 	await(t, "another version", func() bool { return count.Versions.Load() == 1 })
-	old := pack(real, envelope{epoch: 5, counter: 1}, []gossip.Record{record(real, 1)})
+	old := encodeDatagram(real, envelope{incarnation: 5, counter: 1}, []gossip.Record{record(real, 1)})
 	send(old)
 	await(t, "from an earlier life", func() bool { return count.Replayed.Load() >= 1 })
 	before := count.Malformed.Load() + count.Versions.Load() + count.Untrusted.Load() + count.Forged.Load() + count.Flood.Load()
@@ -232,8 +232,8 @@
 	a.Trust(trustOf(3), []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")})
 	send(other)
 	await(t, "another network", func() bool { return count.Network.Load() >= 1 })
-	require.False(t, a.owner.doubted("a"))
-	require.Equal(t, int64(0), a.status().Mill.Doubts)
+	require.False(t, a.owner.suspects("a"))
+	require.Equal(t, int64(0), a.status().Counts.Suspicions)
 }
 
 // TestRotation changes an instance's key while half of the others trust only the old one yet, then only the new one.
@@ -276,7 +276,7 @@
 func TestStartsAnew(t *testing.T) {
 	all := tier(t, 3, 8<<10)
 	await(t, "three", func() bool { return all[1].live() == 2 && all[2].live() == 2 })
-	twin := launch(t, Terms{Name: "r2", Zone: "z0", Key: keyOf(2), Trust: trustOf(3), Bytes: 8 << 10, Seeds: []netip.AddrPort{all[0].Addr()}})
+	twin := launch(t, Config{Name: "r2", Zone: "z0", Key: keyOf(2), Trust: trustOf(3), BytesPerSecond: 8 << 10, Seeds: []netip.AddrPort{all[0].Addr()}})
 	await(t, "both say so", func() bool {
 		all[2].owner.mu.Lock()
 		defer all[2].owner.mu.Unlock()
@@ -285,7 +285,7 @@
 	await(t, "the later one counts", func() bool {
 		for _, p := range all[1].status().Peers {
 			if p.Name == "r2" {
-				return p.Epoch == twin.terms.Epoch && p.Addr == twin.Addr().String()
+				return p.Incarnation == twin.config.Incarnation && p.Addr == twin.Addr().String()
 			}
 		}
 		return false
@@ -295,7 +295,7 @@
 // TestList: a peer with a newer member list is noticed.
 func TestList(t *testing.T) {
 	all := tier(t, 2, 8<<10)
-	all[0].List(7)
+	all[0].SetListVersion(7)
 	await(t, "behind", func() bool { all[1].owner.mu.Lock(); defer all[1].owner.mu.Unlock(); return all[1].owner.behind > 0 })
 	require.Zero(t, all[0].owner.behind)
 }
@@ -324,14 +324,14 @@
 
 func FuzzUnpack(f *testing.F) {
 	key := keyOf(1)
-	w := word{record: gossip.Record{Kind: gossip.Alive, Seq: 1}, zone: "z", addr: "127.0.0.1:1"}
-	f.Add(pack(key, envelope{counter: 3}, []gossip.Record{{Sealed: seal(key, &w)}}))
+	w := wireRecord{record: gossip.Record{Kind: gossip.Alive, Seq: 1}, zone: "z", addr: "127.0.0.1:1"}
+	f.Add(encodeDatagram(key, envelope{counter: 3}, []gossip.Record{{Encoded: encodeRecord(key, &w)}}))
 	f.Add([]byte("EW\x01"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		_, words, err := unpack(b, func(keyID) ed25519.PublicKey { return public(key) })
+		_, words, err := decodeDatagram(b, func(keyID) ed25519.PublicKey { return public(key) })
 		if err == nil {
 			for _, w := range words {
-				require.NotEmpty(t, w.record.Sealed)
+				require.NotEmpty(t, w.record.Encoded)
 			}
 		}
 	})
--- a/gossip/transport/wire.go
+++ b/gossip/transport/wire.go
@@ -19,17 +19,17 @@
 )
 
 const (
-	version    = 1
-	mostName   = 64 // bytes, of an instance's, a zone's or a node's name, or an address
-	headBytes  = 2 + 1 + 8 + 8 + 8 + 8
-	mostPacket = 1200 // bytes of a datagram: no path worth the name splits it
+	version          = 1
+	maxNameBytes     = 64 // bytes, of an instance's, a zone's or a server's name, or an address
+	headBytes        = 2 + 1 + 8 + 8 + 8 + 8
+	maxDatagramBytes = 1200 // bytes of a datagram: no path worth the name splits it
 )
 
 var (
-	errWire    = errors.New("malformed")
-	errVersion = errors.New("another version of the protocol")
-	errKey     = errors.New("a key that is not trusted")
-	errSigned  = errors.New("a signature that does not hold")
+	errMalformed = errors.New("malformed")
+	errVersion   = errors.New("another version of the protocol")
+	errUntrusted = errors.New("a key that is not trusted")
+	errSignature = errors.New("a signature that does not hold")
 )
 
 // keyID names a public key on the wire.
@@ -96,31 +96,31 @@
 	return key, nil
 }
 
-// word is a record as it is on the wire.
-type word struct {
+// wireRecord is a record as it is on the wire.
+type wireRecord struct {
 	key    keyID
-	record gossip.Record // without Origin and Node
+	record gossip.Record // without Origin and Server
 	zone   string        // of Alive
 	addr   string        // of Alive: where its origin is reached
-	node   string        // of Accuse and Acquit
+	server string        // of Accuse and Retract
 	signed []byte        // with its signature
 }
 
 func appendText(dst []byte, s string) []byte { return append(append(dst, byte(len(s))), s...) }
 
-// seal signs a record.
-func seal(key ed25519.PrivateKey, w *word) []byte {
+// encodeRecord encodes and signs a record.
+func encodeRecord(key ed25519.PrivateKey, w *wireRecord) []byte {
 	id := idOf(key.Public().(ed25519.PublicKey))
 	b := append([]byte{byte(w.record.Kind)}, id[:]...)
-	b = binary.BigEndian.AppendUint64(b, uint64(w.record.Epoch))
+	b = binary.BigEndian.AppendUint64(b, uint64(w.record.Incarnation))
 	b = binary.BigEndian.AppendUint64(b, uint64(w.record.Seq))
 	b = binary.BigEndian.AppendUint64(b, math.Float64bits(w.record.At))
 	switch w.record.Kind {
 	case gossip.Alive:
-		b = binary.BigEndian.AppendUint64(b, uint64(w.record.List))
+		b = binary.BigEndian.AppendUint64(b, uint64(w.record.ListVersion))
 		b = appendText(appendText(b, w.zone), w.addr)
-	case gossip.Accuse, gossip.Acquit:
-		b = appendText(append(b, byte(w.record.Why)), w.node)
+	case gossip.Accuse, gossip.Retract:
+		b = appendText(append(b, byte(w.record.Reason)), w.server)
 	}
 	return append(b, ed25519.Sign(key, append([]byte("eiderway record 1 "), b...))...)
 }
@@ -145,73 +145,73 @@
 
 func (r *reader) text() string {
 	n := int(r.bytes(1)[0])
-	if n > mostName {
+	if n > maxNameBytes {
 		r.bad = true
 		return ""
 	}
 	return string(r.bytes(n))
 }
 
-// open reads one record and checks its signature.
-func open(r *reader, trusted func(keyID) ed25519.PublicKey) (w word, err error) {
+// decodeRecord reads one record and checks its signature.
+func decodeRecord(r *reader, trusted func(keyID) ed25519.PublicKey) (w wireRecord, err error) {
 	from := r.at
 	w.record.Kind = gossip.Kind(r.bytes(1)[0])
 	copy(w.key[:], r.bytes(len(w.key)))
-	w.record.Epoch, w.record.Seq = int64(r.number()), int64(r.number())
+	w.record.Incarnation, w.record.Seq = int64(r.number()), int64(r.number())
 	w.record.At = math.Float64frombits(r.number())
 	switch w.record.Kind {
 	case gossip.Alive:
-		w.record.List = int64(r.number())
+		w.record.ListVersion = int64(r.number())
 		w.zone, w.addr = r.text(), r.text()
-	case gossip.Accuse, gossip.Acquit:
-		w.record.Why = gossip.Why(r.bytes(1)[0])
-		w.node = r.text()
+	case gossip.Accuse, gossip.Retract:
+		w.record.Reason = gossip.Reason(r.bytes(1)[0])
+		w.server = r.text()
 	case gossip.Leave:
 	default:
-		return w, errWire
+		return w, errMalformed
 	}
 	body := r.b[from:r.at]
 	signature := r.bytes(ed25519.SignatureSize)
 	if r.bad || math.IsNaN(w.record.At) || math.IsInf(w.record.At, 0) || w.record.Seq < 0 {
-		return w, errWire
+		return w, errMalformed
 	}
 	key := trusted(w.key)
 	if key == nil {
-		return w, errKey
+		return w, errUntrusted
 	}
 	if !ed25519.Verify(key, append([]byte("eiderway record 1 "), body...), signature) {
-		return w, errSigned
+		return w, errSignature
 	}
 	w.signed = r.b[from:r.at:r.at]
-	w.record.Size, w.record.Sealed = len(w.signed), append([]byte(nil), w.signed...)
+	w.record.Size, w.record.Encoded = len(w.signed), append([]byte(nil), w.signed...)
 	return w, nil
 }
 
 // envelope is what a datagram says of itself.
 type envelope struct {
-	key     keyID
-	epoch   int64
-	counter int64
-	at      float64
+	key         keyID
+	incarnation int64
+	counter     int64
+	at          float64
 }
 
-// pack signs a datagram of records.
-func pack(key ed25519.PrivateKey, e envelope, records []gossip.Record) []byte {
+// encodeDatagram encodes and signs a datagram of records.
+func encodeDatagram(key ed25519.PrivateKey, e envelope, records []gossip.Record) []byte {
 	id := idOf(key.Public().(ed25519.PublicKey))
 	b := append([]byte{'E', 'W', version}, id[:]...)
-	b = binary.BigEndian.AppendUint64(b, uint64(e.epoch))
+	b = binary.BigEndian.AppendUint64(b, uint64(e.incarnation))
 	b = binary.BigEndian.AppendUint64(b, uint64(e.counter))
 	b = binary.BigEndian.AppendUint64(b, math.Float64bits(e.at))
 	for _, r := range records {
-		b = append(b, r.Sealed...)
+		b = append(b, r.Encoded...)
 	}
 	return append(b, ed25519.Sign(key, b)...)
 }
 
-// unpack checks a datagram and its records. A record that does not hold spoils no other one before it.
-func unpack(b []byte, trusted func(keyID) ed25519.PublicKey) (e envelope, words []word, err error) {
+// decodeDatagram checks a datagram and its records. A record that does not hold spoils no other one before it.
+func decodeDatagram(b []byte, trusted func(keyID) ed25519.PublicKey) (e envelope, decoded []wireRecord, err error) {
 	if len(b) < headBytes+ed25519.SignatureSize || b[0] != 'E' || b[1] != 'W' {
-		return e, nil, errWire
+		return e, nil, errMalformed
 	}
 	if b[2] != version {
 		return e, nil, errVersion
@@ -219,24 +219,24 @@
 	body := b[:len(b)-ed25519.SignatureSize]
 	r := &reader{b: body, at: 3}
 	copy(e.key[:], r.bytes(len(e.key)))
-	e.epoch, e.counter = int64(r.number()), int64(r.number())
+	e.incarnation, e.counter = int64(r.number()), int64(r.number())
 	e.at = math.Float64frombits(r.number())
 	key := trusted(e.key)
 	if key == nil {
-		return e, nil, errKey
+		return e, nil, errUntrusted
 	}
 	if !ed25519.Verify(key, body, b[len(body):]) {
-		return e, nil, errSigned
+		return e, nil, errSignature
 	}
 	for r.at < len(body) {
-		w, err := open(r, trusted)
+		w, err := decodeRecord(r, trusted)
 		if err != nil {
-			if errors.Is(err, errKey) && !r.bad {
+			if errors.Is(err, errUntrusted) && !r.bad {
 				continue // of an instance that we don't trust, passed on by one that we do
 			}
-			return e, words, err
+			return e, decoded, err
 		}
-		words = append(words, w)
+		decoded = append(decoded, w)
 	}
-	return e, words, nil
+	return e, decoded, nil
 }
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -302,7 +302,7 @@
 		}
 		c.nodes[id].listed(e.Endpoint, m.State)
 		if c.gossip != nil && m.State == splitter.On && m.Group >= 0 {
-			c.gossip.mesh.Node(e.UID, m.Group)
+			c.gossip.transport.AddServer(e.UID, m.Group)
 		}
 		if c.peerState != nil && m.State == splitter.On {
 			c.peerState.table.AddNode(id, e.UID, m.Group)
@@ -334,7 +334,7 @@
 	n := c.nodes[node]
 	j.node = n
 	if c.gossip != nil {
-		c.gossip.mesh.Out(n.uid, j.sent)
+		c.gossip.transport.Started(n.uid, j.sent)
 	}
 	if c.peerState != nil {
 		c.peerState.table.Started(node, c.now)
@@ -386,7 +386,7 @@
 	j.done = func(res splitter.Result, _ []byte) {
 		c.tell(func() {
 			if c.gossip != nil {
-				c.gossip.mesh.Saw(n.uid, res.OK, true, j.sent)
+				c.gossip.transport.Observe(n.uid, res.OK, true, j.sent)
 			}
 			if c.peerState != nil {
 				c.peerState.saw(n, res.Report)
@@ -414,7 +414,7 @@
 	c.spare = append(c.spare, node)
 	delete(c.byUID, n.uid)
 	if c.gossip != nil {
-		c.gossip.mesh.Forget(n.uid)
+		c.gossip.transport.RemoveServer(n.uid)
 	}
 	if c.peerState != nil {
 		c.peerState.table.RemoveNode(node)
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -97,8 +97,8 @@
 		c.classes.print(k.log)
 	}
 	if c.gossip != nil {
-		k.log.WithFields(logrus.Fields{"doubts": k.doubts.Load(), "behind": k.behind.Load(), "bytes_in": c.gossip.mesh.Counts().BytesIn.Load(),
-			"bytes_out": c.gossip.mesh.Counts().BytesOut.Load()}).Info("gossip")
+		k.log.WithFields(logrus.Fields{"doubts": k.doubts.Load(), "behind": k.behind.Load(), "bytes_in": c.gossip.transport.Counts().BytesIn.Load(),
+			"bytes_out": c.gossip.transport.Counts().BytesOut.Load()}).Info("gossip")
 	}
 	if c.peerState != nil {
 		n := c.peerState.counted()
--- a/proxy/gossip.go
+++ b/proxy/gossip.go
@@ -1,7 +1,7 @@
 package proxy
 
 // This file owns the talk between the core and the gossip (packages gossip and gossip/transport): it tells the one what
-// submissions and probes showed, and the module what peers doubt. It must never judge a node or a peer.
+// submissions and probes showed, and the module what peers suspect. It must never judge a node or a peer.
 
 import (
 	"slices"
@@ -13,9 +13,9 @@
 )
 
 type gossip struct {
-	core *core
-	mesh *transport.Mesh
-	err  error // why it could not begin
+	core      *core
+	transport *transport.Transport
+	err       error // why it could not begin
 }
 
 func newGossip(c *core, cfg *Config) *gossip {
@@ -26,10 +26,10 @@
 		g.err = err
 		return g
 	}
-	g.mesh, g.err = transport.New(transport.Terms{Name: own.Name, Zone: cfg.zone(), Listen: own.Listen, Seeds: own.Seeds, Key: key,
-		Trust: own.Members, Networks: own.Networks, Bytes: float64(own.Bytes), Accuse: own.Tell, Seed: int64(cfg.seed)}, g)
+	g.transport, g.err = transport.New(transport.Config{Name: own.Name, Zone: cfg.zone(), Listen: own.Listen, Seeds: own.Seeds, Key: key,
+		Trust: own.Members, Networks: own.Networks, BytesPerSecond: float64(own.Bytes), Accuse: own.Tell, Seed: int64(cfg.seed)}, g)
 	if g.err == nil {
-		g.mesh.List(cfg.Known.Rev)
+		g.transport.SetListVersion(cfg.Known.Rev)
 	}
 	return g
 }
@@ -38,19 +38,19 @@
 func (g *gossip) landed(n *node, sent float64, o splitter.Outcome) {
 	switch {
 	case o == splitter.Committed || o == splitter.Answered:
-		g.mesh.Saw(n.uid, true, false, sent)
+		g.transport.Observe(n.uid, true, false, sent)
 	case slices.Contains([]splitter.Outcome{splitter.Failed, splitter.TimedOut, splitter.Broken}, o):
-		g.mesh.Saw(n.uid, false, false, sent)
+		g.transport.Observe(n.uid, false, false, sent)
 	case o == splitter.NoConn: // as a probe that is not answered: it is not there
-		g.mesh.Saw(n.uid, false, true, sent)
-		g.mesh.Back(n.uid, sent)
+		g.transport.Observe(n.uid, false, true, sent)
+		g.transport.Finished(n.uid, sent)
 	default:
-		g.mesh.Back(n.uid, sent)
+		g.transport.Finished(n.uid, sent)
 	}
 }
 
-// Doubt, Behind and Log are what the gossip asks for.
-func (g *gossip) Doubt(uid string, until float64, _ bool) {
+// Suspect, ListOutdated and Log are what the gossip asks for.
+func (g *gossip) Suspect(uid string, until float64, _ bool) {
 	g.core.tell(func() {
 		if id, ok := g.core.byUID[uid]; ok {
 			g.core.counters.doubts.Add(1)
@@ -59,8 +59,8 @@
 	})
 }
 
-// Behind has the list looked at, for a peer has a newer version of it. Nodes are taken from discovery alone.
-func (g *gossip) Behind() {
+// ListOutdated has the list looked at, for a peer has a newer version of it. Nodes are taken from discovery alone.
+func (g *gossip) ListOutdated() {
 	g.core.counters.behind.Add(1)
 	g.core.list.look()
 }
@@ -78,8 +78,8 @@
 		g.core.log.WithError(err).Warn("the new key is left aside")
 		return
 	}
-	g.mesh.Trust(own.Gossip.Members, own.Gossip.Networks)
-	g.mesh.SetKey(key)
+	g.transport.Trust(own.Gossip.Members, own.Gossip.Networks)
+	g.transport.SetKey(key)
 	g.core.log.Info("members of the gossip read again")
 }
 
@@ -88,7 +88,7 @@
 // status asks the gossip for its state.
 func (g *gossip) status() (transport.Status, bool) {
 	got := make(chan transport.Status, 1)
-	g.mesh.Ask(func(s transport.Status) { got <- s })
+	g.transport.AskStatus(func(s transport.Status) { got <- s })
 	select {
 	case s := <-got:
 		return s, true
--- a/proxy/list.go
+++ b/proxy/list.go
@@ -258,7 +258,7 @@
 		l.shown.Store(news.Rev)
 		l.got(news.Rev)
 		if g := l.core.gossip; g != nil {
-			g.mesh.List(news.Rev)
+			g.transport.SetListVersion(news.Rev)
 		}
 		kind := splitter.ListChanges
 		if news.All {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -75,7 +75,7 @@
 		counter("lease_spoilt_total", "Datagrams on leases that were none of ours.", n.Spoilt)
 	}
 	if g := c.gossip; g != nil {
-		n := g.mesh.Counts()
+		n := g.transport.Counts()
 		counter("gossip_bytes_total", "Bytes of the gossip.", n.BytesIn.Load(), "way", "in")
 		counter("gossip_bytes_total", "Bytes of the gossip.", n.BytesOut.Load(), "way", "out")
 		for _, x := range []struct {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -272,7 +272,7 @@
 	g.Go(func() error { return c.run(life) })
 	g.Go(func() error { return c.list.run(life) })
 	if c.gossip != nil {
-		g.Go(func() error { return c.gossip.mesh.Run(life) })
+		g.Go(func() error { return c.gossip.transport.Run(life) })
 	}
 	if c.tier != nil {
 		c.tier.run(life, g)
