Tests of replication and controller share their agenda, links and scenario reading

Both worlds had an agenda of simulated time, a table of cut links with the words A>B and A-B, and the same reader of text scenarios. Now testing/virtualtime has the agenda and the links, testing/scenario reads the files and their words. The disks stay where they are: replication's own tests can't import a package that imports replication.

--- a/control/controller/scenario_test.go
+++ b/control/controller/scenario_test.go
@@ -3,15 +3,13 @@
 import (
 	"fmt"
 	"maps"
-	"os"
-	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"eiderway/control/replication"
+	"eiderway/testing/scenario"
 )
 
 // A scenario is a text file: one command a line, # begins a remark. The first command is
@@ -56,7 +54,7 @@
 //	expect leader GATEWAY ID             of service s
 //	expect instance GATEWAY ID ready|draining|gone
 //	expect ends NODE                     after SIGTERM
-type scenario struct {
+type player struct {
 	world  *world
 	labels map[string]*call
 	dumps  map[*machine]replication.Durable
@@ -68,47 +66,26 @@
 const patience = 10 * time.Second
 
 func play(path string, seed int64, guards disabledGuards, trace func(string)) error {
-	text, err := os.ReadFile(path)
+	lines, err := scenario.Read(path)
 	if err != nil {
 		return err
 	}
-	s := &scenario{labels: map[string]*call{}, seed: seed, guards: guards, trace: trace}
-	for index, line := range strings.Split(string(text), "\n") {
-		line, _, _ = strings.Cut(line, "#")
-		words := strings.Fields(line)
-		if len(words) == 0 {
-			continue
-		}
+	s := &player{labels: map[string]*call{}, seed: seed, guards: guards, trace: trace}
+	for _, line := range lines {
 		if trace != nil {
-			trace("--- " + line)
+			trace("--- " + line.Text)
 		}
-		if err := s.do(words); err != nil {
-			return fmt.Errorf("%s:%d: %s: %w", filepath.Base(path), index+1, strings.TrimSpace(line), err)
+		if err := s.do(line.Words); err != nil {
+			return fmt.Errorf("%s: %w", line.Place, err)
 		}
 		if s.world.broken != "" {
-			return fmt.Errorf("%s:%d: %s: %s", filepath.Base(path), index+1, strings.TrimSpace(line), s.world.broken)
+			return fmt.Errorf("%s: %s", line.Place, s.world.broken)
 		}
 	}
 	return nil
 }
 
-func number(word string) int {
-	value, err := strconv.Atoi(word)
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-func span(word string) time.Duration {
-	value, err := time.ParseDuration(word)
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-func (s *scenario) do(words []string) error {
+func (s *player) do(words []string) error {
 	if label, found := strings.CutSuffix(words[0], ":"); found {
 		s.labels[label] = s.ask(words[1:])
 		return nil
@@ -132,7 +109,7 @@
 	return s.trouble(words)
 }
 
-func (s *scenario) answered(made *call, wanted string) error {
+func (s *player) answered(made *call, wanted string) error {
 	s.world.until(3*time.Second, func() bool { return made.reply != nil })
 	if got := made.outcome(); !slices.Contains(strings.Split(wanted, " | "), got) {
 		return fmt.Errorf("got %s", got)
@@ -140,12 +117,12 @@
 	return nil
 }
 
-func (s *scenario) ask(words []string) *call {
+func (s *player) ask(words []string) *call {
 	w := s.world
 	to := w.machine(words[1])
 	switch words[0] {
 	case "order":
-		return w.sendOrder(to, int64(number(words[2])), words[3])
+		return w.sendOrder(to, int64(scenario.Number(words[2])), words[3])
 	case "invalid":
 		return w.sendInvalid(to)
 	case "fetch":
@@ -153,7 +130,7 @@
 	case "leave":
 		return w.sendLeave(to, words[2])
 	case "beat":
-		one := instance{id: words[2], draining: words[3] == "draining", seq: uint64(number(words[4]))}
+		one := instance{id: words[2], draining: words[3] == "draining", seq: uint64(scenario.Number(words[4]))}
 		beat := one.beat()
 		if words[3] == "warming" {
 			beat.WarmupLeftMs = 1000
@@ -164,7 +141,7 @@
 }
 
 // restore has all controllers lose their disks, and start again with what was dumped.
-func (s *scenario) restore() {
+func (s *player) restore() {
 	for _, one := range s.world.machines {
 		s.world.powerLoss(one)
 		one.disk.durable = s.dumps[one]
@@ -175,11 +152,11 @@
 	}
 }
 
-func (s *scenario) trouble(words []string) error {
+func (s *player) trouble(words []string) error {
 	w := s.world
 	switch words[0] {
 	case "controllers":
-		s.world = newWorld(s.seed, number(words[1]), number(words[3]), s.guards)
+		s.world = newWorld(s.seed, scenario.Number(words[1]), scenario.Number(words[3]), s.guards)
 		s.world.trace = s.trace
 	case "gateway":
 		for _, name := range words[1:] {
@@ -188,19 +165,19 @@
 	case "instance":
 		w.addInstance(words[1], words[2] == "primary")
 	case "run":
-		w.run(span(words[1]))
+		w.run(scenario.Span(words[1]))
 	case "cut", "join":
-		s.links(words[1], words[0] == "cut")
+		w.cut.Set(words[1], words[0] == "cut")
 	case "isolate":
 		w.isolate(words[1])
 	case "links":
 		clear(w.cut)
 	case "disk":
-		w.machine(words[1]).disk.delay = span(words[2])
+		w.machine(words[1]).disk.delay = scenario.Span(words[2])
 	case "probes":
-		w.probeTime = span(words[1])
+		w.probeTime = scenario.Span(words[1])
 	case "slow":
-		w.gateway(words[1]).slow = span(words[2])
+		w.gateway(words[1]).slow = scenario.Span(words[2])
 	case "dump":
 		s.dumps = map[*machine]replication.Durable{}
 		for _, one := range w.machines {
@@ -227,7 +204,7 @@
 	return nil
 }
 
-func (s *scenario) abandon(made *call) {
+func (s *player) abandon(made *call) {
 	for number, one := range s.world.calls {
 		if one == made {
 			s.world.give(made.to, Abandon{Call: number})
@@ -235,16 +212,7 @@
 	}
 }
 
-func (s *scenario) links(name string, cut bool) {
-	from, to, oneWay := strings.Cut(name, ">")
-	if !oneWay {
-		from, to, _ = strings.Cut(name, "-")
-		s.world.cut[link{to, from}] = cut
-	}
-	s.world.cut[link{from, to}] = cut
-}
-
-func (s *scenario) processes(what, name string) error {
+func (s *player) processes(what, name string) error {
 	if one := s.world.gateway(name); one != nil {
 		switch what {
 		case "freeze", "thaw":
@@ -276,7 +244,7 @@
 	return nil
 }
 
-func (s *scenario) expect(words []string) error {
+func (s *player) expect(words []string) error {
 	wanted := words[len(words)-1]
 	if got := s.observe(words[:len(words)-1], wanted); got != wanted {
 		return fmt.Errorf("got %s", got)
@@ -291,7 +259,7 @@
 	return "no"
 }
 
-func (s *scenario) observe(what []string, last string) string {
+func (s *player) observe(what []string, last string) string {
 	w := s.world
 	switch what[0] {
 	case "unanswered":
@@ -329,7 +297,7 @@
 	return s.observeGateway(what)
 }
 
-func (s *scenario) observeGateway(what []string) string {
+func (s *player) observeGateway(what []string) string {
 	one := s.world.gateway(what[1])
 	switch what[0] {
 	case "lease":
@@ -354,21 +322,15 @@
 }
 
 func TestScenarios(t *testing.T) {
-	paths, _ := filepath.Glob("testdata/*.txt")
-	if len(paths) == 0 {
-		t.Fatal("no scenarios")
-	}
-	for _, path := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) {
-			for seed := int64(1); seed <= 5; seed++ {
-				var trace func(string)
-				if testing.Verbose() && seed == 2 {
-					trace = func(line string) { t.Log(line) }
-				}
-				if err := play(path, seed, disabledGuards{}, trace); err != nil {
-					t.Fatalf("seed %d: %v", seed, err)
-				}
+	scenario.Each(t, func(t *testing.T, path string) {
+		for seed := int64(1); seed <= 5; seed++ {
+			var trace func(string)
+			if testing.Verbose() && seed == 2 {
+				trace = func(line string) { t.Log(line) }
 			}
-		})
-	}
+			if err := play(path, seed, disabledGuards{}, trace); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+		}
+	})
 }
--- a/control/controller/world_test.go
+++ b/control/controller/world_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand"
@@ -10,6 +9,7 @@
 	"eiderway/control/failover"
 	"eiderway/control/quorum"
 	"eiderway/control/replication"
+	"eiderway/testing/virtualtime"
 )
 
 // The world is a small simulated deployment: controllers with disks, gateways, instances, a platform and callers. One
@@ -45,38 +45,16 @@
 	synced  uint64
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
-type link struct{ from, to string }
+type link = virtualtime.Link
 
 type world struct {
 	now       time.Duration
-	agenda    agenda
-	order     uint64
+	agenda    virtualtime.Agenda
 	random    *rand.Rand
 	tolerance int
 	guards    disabledGuards
 	machines  []*machine
-	cut       map[link]bool
+	cut       virtualtime.Links
 	calls     map[Call]*call
 	lastCall  Call
 	orders    orderJudge
@@ -98,7 +76,7 @@
 		random:    rand.New(rand.NewSource(seed)),
 		tolerance: tolerance,
 		guards:    guards,
-		cut:       map[link]bool{},
+		cut:       virtualtime.Links{},
 		calls:     map[Call]*call{},
 		orders:    newOrderJudge(),
 		drained:   map[string]time.Duration{},
@@ -122,18 +100,18 @@
 	}
 }
 
-func (w *world) after(delay time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.agenda, event{at: w.now + delay, order: w.order, run: run})
-}
+func (w *world) after(delay time.Duration, run func()) { w.agenda.Add(w.now+delay, run) }
 
 // run lets time pass.
 func (w *world) run(span time.Duration) {
 	end := w.now + span
-	for len(w.agenda) > 0 && w.agenda[0].at <= end && w.broken == "" {
-		next := heap.Pop(&w.agenda).(event)
-		w.now = next.at
-		next.run()
+	for w.broken == "" {
+		at, happens, found := w.agenda.Next(end)
+		if !found {
+			break
+		}
+		w.now = at
+		happens()
 	}
 	w.now = end
 }
@@ -392,8 +370,9 @@
 }
 
 func (w *world) isolate(name string) {
+	var names []string
 	for _, one := range w.machines {
-		w.cut[link{one.name, name}] = true
-		w.cut[link{name, one.name}] = true
+		names = append(names, one.name)
 	}
+	w.cut.Isolate([]string{name}, names)
 }
--- a/control/replication/scenario_test.go
+++ b/control/replication/scenario_test.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"eiderway/testing/scenario"
 )
 
 // A scenario is a text file: one command a line, # begins a remark. The first command is
@@ -46,82 +45,49 @@
 //	expect ended NODE
 //	check                         all acknowledged orders are at the primary
 //	settle                        trouble ends; within five seconds orders are acknowledged and none is lost
-type scenario struct {
-	world *world
-	line  int
-}
+type player struct{ world *world }
 
 func playScenario(path string, seed int64, guards disabledGuards, trace func(string)) error {
-	text, err := os.ReadFile(path)
+	lines, err := scenario.Read(path)
 	if err != nil {
 		return err
 	}
-	playing := &scenario{}
-	for index, line := range strings.Split(string(text), "\n") {
-		line, _, _ = strings.Cut(line, "#")
-		words := strings.Fields(line)
-		if len(words) == 0 {
-			continue
-		}
-		playing.line = index + 1
-		if words[0] == "nodes" {
-			playing.begin(words, seed, guards, trace)
+	playing := &player{}
+	for _, line := range lines {
+		if line.Words[0] == "nodes" {
+			playing.begin(line.Words, seed, guards, trace)
 			continue
 		}
 		if trace != nil {
-			trace(fmt.Sprintf("%8s --- %s", playing.world.now.Round(time.Millisecond), line))
+			trace(fmt.Sprintf("%8s --- %s", playing.world.now.Round(time.Millisecond), line.Text))
 		}
-		if err := playing.do(words); err != nil {
-			return fmt.Errorf("%s:%d: %w", filepath.Base(path), index+1, err)
+		if err := playing.do(line.Words); err != nil {
+			return fmt.Errorf("%s: %w", line.Place, err)
 		}
 		if playing.world.judge.broken != "" {
-			return fmt.Errorf("%s:%d: %s", filepath.Base(path), index+1, playing.world.judge.broken)
+			return fmt.Errorf("%s: %s", line.Place, playing.world.judge.broken)
 		}
 	}
 	return nil
 }
 
-func (s *scenario) begin(words []string, seed int64, guards disabledGuards, trace func(string)) {
-	s.world = newWorld(seed, number(words[1]), number(words[3]), number(words[5]), guards)
+func (s *player) begin(words []string, seed int64, guards disabledGuards, trace func(string)) {
+	s.world = newWorld(seed, scenario.Number(words[1]), scenario.Number(words[3]), scenario.Number(words[5]), guards)
 	s.world.sameWord = guards.emptyDiskVotes
 	s.world.trace = trace
 }
 
-func number(word string) int {
-	value, err := strconv.Atoi(word)
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-func share(word string) float64 {
-	value, err := strconv.ParseFloat(word, 64)
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-func span(word string) time.Duration {
-	value, err := time.ParseDuration(word)
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-func (s *scenario) do(words []string) error {
+func (s *player) do(words []string) error {
 	w := s.world
 	switch words[0] {
 	case "run":
-		w.run(span(words[1]))
+		w.run(scenario.Span(words[1]))
 	case "await":
 		return s.await(words[1], strings.Join(words[2:], " "))
 	case "cut", "join":
-		s.links(words[1], words[0] == "cut")
+		w.cut.Set(words[1], words[0] == "cut")
 	case "isolate":
-		s.isolate(words[1:])
+		w.cut.Isolate(words[1:], w.names())
 	case "links":
 		clear(w.cut)
 	case "heal":
@@ -129,9 +95,9 @@
 	case "client":
 		w.client = words[1] == "on"
 	case "network":
-		w.loss, w.doubled, w.late = share(words[1]), share(words[2]), share(words[3])
+		w.loss, w.doubled, w.late = scenario.Share(words[1]), scenario.Share(words[2]), scenario.Share(words[3])
 	case "value":
-		w.orderBytes = number(words[1])
+		w.orderBytes = scenario.Number(words[1])
 	case "seeds":
 		s.changeSeeds(words[1:])
 	case "add":
@@ -151,7 +117,7 @@
 }
 
 // everyone does the same to all machines that aren't gone.
-func (s *scenario) everyone(word string) error {
+func (s *player) everyone(word string) error {
 	for _, one := range s.world.machines {
 		if one.gone {
 			continue
@@ -164,14 +130,14 @@
 }
 
 // named is a machine by its name, or the primary.
-func (s *scenario) named(name string) *machine {
+func (s *player) named(name string) *machine {
 	if name == "primary" {
 		return s.world.primary()
 	}
 	return s.world.machine(name)
 }
 
-func (s *scenario) trouble(words []string) error {
+func (s *player) trouble(words []string) error {
 	w := s.world
 	one := s.named(words[1])
 	switch words[0] {
@@ -194,9 +160,9 @@
 	case "leave":
 		w.leave(one, false)
 	case "disk":
-		one.disk.delay = span(words[2])
+		one.disk.delay = scenario.Span(words[2])
 	case "stall":
-		one.disk.busyUntil = w.now + span(words[2])
+		one.disk.busyUntil = w.now + scenario.Span(words[2])
 	case "refuse":
 		one.disk.refuses = true
 	case "accept":
@@ -207,7 +173,7 @@
 	return nil
 }
 
-func (s *scenario) changeSeeds(names []string) {
+func (s *player) changeSeeds(names []string) {
 	w := s.world
 	if names[0] == "standbys" {
 		names = s.standbys()
@@ -224,7 +190,7 @@
 }
 
 // standbys are three controllers without a vote.
-func (s *scenario) standbys() []string {
+func (s *player) standbys() []string {
 	var names []string
 	view := s.world.primary().node.leadership.committed
 	for _, one := range s.world.machines {
@@ -235,26 +201,7 @@
 	return names
 }
 
-func (s *scenario) links(word string, cut bool) {
-	one, other, oneWay := strings.Cut(word, ">")
-	if !oneWay {
-		one, other, _ = strings.Cut(word, "-")
-		s.world.cut[linkName{other, one}] = cut
-	}
-	s.world.cut[linkName{one, other}] = cut
-}
-
-func (s *scenario) isolate(names []string) {
-	for _, one := range s.world.machines {
-		for _, other := range s.world.machines {
-			if slices.Contains(names, one.name) != slices.Contains(names, other.name) {
-				s.world.cut[linkName{one.name, other.name}] = true
-			}
-		}
-	}
-}
-
-func (s *scenario) await(name, event string) error {
+func (s *player) await(name, event string) error {
 	one := s.world.machine(name)
 	before := len(one.events)
 	for end := s.world.now + 10*time.Second; s.world.now < end; {
@@ -271,7 +218,7 @@
 	return fmt.Errorf("%s never told %q: %s", name, event, s.world.describe())
 }
 
-func (s *scenario) expect(words []string) error {
+func (s *player) expect(words []string) error {
 	w := s.world
 	switch words[0] {
 	case "primary":
@@ -279,13 +226,13 @@
 	case "voters", "copies":
 		return s.expectView(words[0], words[1:])
 	case "voter-count":
-		return s.expectVoterCount(number(words[1]))
+		return s.expectVoterCount(scenario.Number(words[1]))
 	case "all-know-primary":
 		return s.expectAllKnowPrimary()
 	case "orders":
 		before := w.judge.done
-		w.run(span(words[3]))
-		if got := w.judge.done - before; got < number(words[1]) {
+		w.run(scenario.Span(words[3]))
+		if got := w.judge.done - before; got < scenario.Number(words[1]) {
 			return fmt.Errorf("%d orders acknowledged: %s", got, w.describe())
 		}
 	case "events":
@@ -295,7 +242,7 @@
 				count++
 			}
 		}
-		if count != number(words[len(words)-1]) {
+		if count != scenario.Number(words[len(words)-1]) {
 			return fmt.Errorf("%d events", count)
 		}
 	case "ended":
@@ -308,7 +255,7 @@
 	return nil
 }
 
-func (s *scenario) expectPrimary(name string) error {
+func (s *player) expectPrimary(name string) error {
 	leads := s.world.primary()
 	got := "none"
 	if leads != nil {
@@ -320,7 +267,7 @@
 	return nil
 }
 
-func (s *scenario) expectVoterCount(count int) error {
+func (s *player) expectVoterCount(count int) error {
 	leads := s.world.primary()
 	if leads == nil || len(leads.node.leadership.committed.Voters) != count {
 		return fmt.Errorf("not %d voters: %s", count, s.world.describe())
@@ -329,7 +276,7 @@
 }
 
 // expectAllKnowPrimary wants every controller that runs to send callers to the primary.
-func (s *scenario) expectAllKnowPrimary() error {
+func (s *player) expectAllKnowPrimary() error {
 	leads := s.world.primary()
 	for _, one := range s.world.machines {
 		if one.node == nil {
@@ -342,7 +289,7 @@
 	return nil
 }
 
-func (s *scenario) expectView(what string, names []string) error {
+func (s *player) expectView(what string, names []string) error {
 	leads := s.world.primary()
 	if leads == nil {
 		return fmt.Errorf("no primary: %s", s.world.describe())
@@ -361,18 +308,12 @@
 }
 
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scenarios", err)
-	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			t.Parallel()
-			for seed := int64(1); seed <= 10; seed++ {
-				if err := playScenario(file, seed, disabledGuards{}, nil); err != nil {
-					t.Errorf("seed %d: %v", seed, err)
-				}
+	scenario.Each(t, func(t *testing.T, path string) {
+		t.Parallel()
+		for seed := int64(1); seed <= 10; seed++ {
+			if err := playScenario(path, seed, disabledGuards{}, nil); err != nil {
+				t.Errorf("seed %d: %v", seed, err)
 			}
-		})
-	}
+		}
+	})
 }
--- a/control/replication/search_test.go
+++ b/control/replication/search_test.go
@@ -57,7 +57,7 @@
 		}},
 		{name: "link", hits: func(w *world, one *machine) {
 			other := w.machines[w.random.Intn(len(w.machines))]
-			w.cut[linkName{one.name, other.name}] = true
+			w.cut[link{one.name, other.name}] = true
 			later(w, shortWhile(w), func() { clear(w.cut) })
 		}},
 		{name: "freeze", hits: func(w *world, one *machine) {
--- a/control/replication/world_test.go
+++ b/control/replication/world_test.go
@@ -1,7 +1,6 @@
 package replication
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand"
@@ -9,6 +8,7 @@
 	"time"
 
 	"eiderway/control/quorum"
+	"eiderway/testing/virtualtime"
 )
 
 // The world is a small simulated network of nodes with disks, and a judge of what they say. The judge knows only what
@@ -58,49 +58,16 @@
 	return d.failPoint != 0 && d.written == d.failPoint
 }
 
-type happening struct {
-	at       time.Duration
-	order    uint64
-	machine  *machine
-	life     int // of the process that it is for; negative: any
-	address  string
-	input    Input
-	does     func()
-	isWrite  bool
-	isTick   bool
-	isDeliv  bool
-	fromName string
-}
-
-type agenda []*happening
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].order < a[j].order
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(*happening)) }
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
-type linkName struct{ from, to string }
+type link = virtualtime.Link
 
 type world struct {
 	now        time.Duration
-	agenda     agenda
-	order      uint64
+	agenda     virtualtime.Agenda
 	random     *rand.Rand
 	machines   []*machine
 	byAddress  map[string]*machine
 	lost       []Durable // disks that are gone
-	cut        map[linkName]bool
+	cut        virtualtime.Links
 	loss       float64
 	doubled    float64
 	late       float64
@@ -122,7 +89,7 @@
 	w := &world{
 		random:    rand.New(rand.NewSource(seed)),
 		byAddress: map[string]*machine{},
-		cut:       map[linkName]bool{},
+		cut:       virtualtime.Links{},
 		tolerance: tolerance,
 		guards:    guards,
 		judge:     newJudge(),
@@ -159,6 +126,14 @@
 	panic("no machine " + name)
 }
 
+func (w *world) names() []string {
+	var names []string
+	for _, one := range w.machines {
+		names = append(names, one.name)
+	}
+	return names
+}
+
 func (w *world) emptyDisk(one *machine) {
 	if !w.sameWord || one.lives == 0 {
 		one.lives++
@@ -262,61 +237,50 @@
 	}
 }
 
-func (w *world) add(what *happening) {
-	w.order++
-	what.order = w.order
-	heap.Push(&w.agenda, what)
-}
+func (w *world) schedule(after time.Duration, does func()) { w.agenda.Add(w.now+after, does) }
 
-func (w *world) schedule(after time.Duration, does func()) {
-	w.add(&happening{at: w.now + after, does: does})
+func (w *world) tickLater(one *machine, after time.Duration) {
+	life := one.life
+	w.schedule(after, func() {
+		if one.life != life {
+			return
+		}
+		if !one.frozen {
+			w.step(one, Tick{})
+		}
+		w.tickLater(one, tickPause)
+	})
 }
 
-func (w *world) tickLater(one *machine, after time.Duration) {
-	w.add(&happening{at: w.now + after, machine: one, life: one.life, isTick: true})
+func (w *world) syncAt(at time.Duration, one *machine) {
+	life := one.life
+	w.agenda.Add(at, func() {
+		if one.life == life {
+			w.writeDone(one)
+		}
+	})
 }
 
 // run lets time pass.
 func (w *world) run(span time.Duration) {
 	end := w.now + span
-	for len(w.agenda) > 0 && w.agenda[0].at <= end && w.judge.broken == "" {
-		next := heap.Pop(&w.agenda).(*happening)
-		w.now = next.at
-		w.happen(next)
-	}
-	w.now = end
-}
-
-func (w *world) happen(next *happening) {
-	switch {
-	case next.does != nil:
-		next.does()
-	case next.isTick:
-		if next.machine.life != next.life {
-			return
-		}
-		if !next.machine.frozen {
-			w.step(next.machine, Tick{})
-		}
-		w.tickLater(next.machine, tickPause)
-	case next.isWrite:
-		if next.machine.life == next.life {
-			w.writeDone(next.machine)
+	for w.judge.broken == "" {
+		at, happens, found := w.agenda.Next(end)
+		if !found {
+			break
 		}
-	case next.isDeliv:
-		w.deliver(next)
+		w.now = at
+		happens()
 	}
+	w.now = end
 }
 
-func (w *world) deliver(next *happening) {
-	one := w.byAddress[next.address]
-	if one == nil || one.node == nil {
-		return
-	}
-	if w.cut[linkName{next.fromName, one.name}] {
+func (w *world) deliver(from *machine, envelope Envelope) {
+	one := w.byAddress[envelope.To]
+	if one == nil || one.node == nil || w.cut[link{from.name, one.name}] {
 		return
 	}
-	w.give(one, next.input)
+	w.give(one, Received{Message: envelope.Message})
 }
 
 func (w *world) give(one *machine, input Input) {
@@ -335,7 +299,7 @@
 		return
 	}
 	if w.now < one.disk.busyUntil { // it has been stalled meanwhile
-		w.add(&happening{at: one.disk.busyUntil, machine: one, life: one.life, isWrite: true})
+		w.syncAt(one.disk.busyUntil, one)
 		return
 	}
 	write := one.disk.handed[0]
@@ -361,7 +325,7 @@
 	}
 	one.disk.synced = write.Number
 	if len(one.disk.handed) > 0 {
-		w.add(&happening{at: w.now + one.disk.delay, machine: one, life: one.life, isWrite: true})
+		w.syncAt(w.now+one.disk.delay, one)
 	}
 	w.giveDisk(one, Persisted{Write: write.Number})
 }
@@ -387,7 +351,7 @@
 	begin := len(one.disk.handed) == 0
 	one.disk.handed = append(one.disk.handed, effects.Writes...)
 	if begin && len(effects.Writes) > 0 {
-		w.add(&happening{at: max(w.now, one.disk.busyUntil) + one.disk.delay, machine: one, life: one.life, isWrite: true})
+		w.syncAt(max(w.now, one.disk.busyUntil)+one.disk.delay, one)
 	}
 	one.held = append(one.held, effects.Send...)
 	w.letGo(one)
@@ -432,7 +396,7 @@
 		w.sentBytes += w.bytes(envelope.Message)
 	}
 	to := w.byAddress[envelope.To]
-	if to == nil || w.cut[linkName{one.name, to.name}] || w.chance(w.loss) {
+	if to == nil || w.cut[link{one.name, to.name}] || w.chance(w.loss) {
 		return
 	}
 	copies := 1
@@ -444,13 +408,7 @@
 		if w.chance(w.late) {
 			delay += time.Duration(w.random.Int63n(int64(3 * time.Second)))
 		}
-		w.add(&happening{
-			at:       w.now + delay,
-			isDeliv:  true,
-			address:  envelope.To,
-			fromName: one.name,
-			input:    Received{Message: envelope.Message},
-		})
+		w.schedule(delay, func() { w.deliver(one, envelope) })
 	}
 }
 
@@ -494,21 +452,21 @@
 func (w *world) isolate(one *machine) {
 	for _, other := range w.machines {
 		if other != one {
-			w.cut[linkName{one.name, other.name}] = true
-			w.cut[linkName{other.name, one.name}] = true
+			w.cut[link{one.name, other.name}] = true
+			w.cut[link{other.name, one.name}] = true
 		}
 	}
 }
 
 func (w *world) deafen(one *machine) {
 	for _, other := range w.machines {
-		w.cut[linkName{other.name, one.name}] = other != one
+		w.cut[link{other.name, one.name}] = other != one
 	}
 }
 
 func (w *world) silence(one *machine) {
 	for _, other := range w.machines {
-		w.cut[linkName{one.name, other.name}] = other != one
+		w.cut[link{one.name, other.name}] = other != one
 	}
 }
 
--- /dev/null
+++ b/testing/scenario/scenario.go
@@ -0,0 +1,85 @@
+// Package scenario reads the text scenarios that tests play: one command a line, # begins a remark.
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Line is one command.
+type Line struct {
+	Place string // file, number and text, for what is said of it
+	Text  string // without the remark
+	Words []string
+}
+
+// Each plays every scenario in testdata as a test of its own, and fails where there is none.
+func Each(t *testing.T, play func(t *testing.T, path string)) {
+	t.Helper()
+	paths, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) { play(t, path) })
+	}
+}
+
+// Read reads the commands of a file.
+func Read(path string) ([]Line, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var lines []Line
+	for index, line := range strings.Split(string(text), "\n") {
+		command, _, _ := strings.Cut(line, "#")
+		if words := strings.Fields(command); len(words) > 0 {
+			place := fmt.Sprintf("%s:%d: %s", filepath.Base(path), index+1, strings.TrimSpace(command))
+			lines = append(lines, Line{Place: place, Text: command, Words: words})
+		}
+	}
+	return lines, nil
+}
+
+// MustRead is Read for a test.
+func MustRead(t testing.TB, path string) []Line {
+	t.Helper()
+	lines, err := Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// Number reads a whole number. A scenario that can't be read is a mistake in it, so this panics, as do Share and Span.
+func Number(word string) int {
+	value, err := strconv.Atoi(word)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// Share reads a number such as 0.3.
+func Share(word string) float64 {
+	value, err := strconv.ParseFloat(word, 64)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// Span reads a duration such as 300ms.
+func Span(word string) time.Duration {
+	value, err := time.ParseDuration(word)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
--- /dev/null
+++ b/testing/virtualtime/virtualtime_test.go
@@ -0,0 +1,43 @@
+package virtualtime
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestAgendaKeepsOrder(t *testing.T) {
+	is := is.New(t)
+	var agenda Agenda
+	var ran []string
+	for _, event := range []struct {
+		at   time.Duration
+		name string
+	}{{2, "b"}, {1, "a"}, {2, "c"}, {3, "late"}} {
+		agenda.Add(event.at, func() { ran = append(ran, event.name) })
+	}
+	for {
+		_, run, found := agenda.Next(2)
+		if !found {
+			break
+		}
+		run()
+	}
+	is.Equal(ran, []string{"a", "b", "c"})
+	at, _, found := agenda.Next(3)
+	is.True(found)
+	is.Equal(at, time.Duration(3))
+}
+
+func TestLinks(t *testing.T) {
+	is := is.New(t)
+	links := Links{}
+	links.Set("a>b", true)
+	is.Equal(links, Links{{"a", "b"}: true})
+	links.Set("a-b", true)
+	is.Equal(links, Links{{"a", "b"}: true, {"b", "a"}: true})
+	clear(links)
+	links.Isolate([]string{"a"}, []string{"a", "b", "c"})
+	is.Equal(links, Links{{"a", "b"}: true, {"b", "a"}: true, {"a", "c"}: true, {"c", "a"}: true})
+}
