--- a/control/failover/scenario_test.go
+++ b/control/failover/scenario_test.go
@@ -1,11 +1,9 @@
 package failover
 
 import (
-	"bufio"
 	"cmp"
 	"fmt"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,34 +11,18 @@
 	"time"
 
 	"eiderway/control/feed"
+	"eiderway/testing/scenario"
 )
 
 // TestScenarios plays the files of testdata. A line "world KEY VALUE..." shapes the world; "at TIME VERB ..." does something,
 // "check TIME ..." looks. The judge's rules hold in every scenario.
-func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scenarios", err)
-	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { playScenario(t, file) })
-	}
-}
+func TestScenarios(t *testing.T) { scenario.Each(t, playScenario) }
 
 func playScenario(t *testing.T, file string) {
-	opened, err := os.Open(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer opened.Close()
 	chosen := options{services: 1, replicas: 2, sync: 1, gateways: 2, termFromHeld: true}
 	var w *world
-	lines := bufio.NewScanner(opened)
-	for number := 1; lines.Scan(); number++ {
-		fields := strings.Fields(lines.Text())
-		if len(fields) == 0 || fields[0] == "#" {
-			continue
-		}
+	for _, line := range scenario.MustRead(t, file) {
+		fields := line.Words
 		if fields[0] == "world" {
 			chosen.set(t, fields[1:])
 			continue
@@ -50,17 +32,17 @@
 		}
 		when, err := time.ParseDuration(fields[1])
 		if err != nil {
-			t.Fatalf("%s:%d: %v", file, number, err)
+			t.Fatalf("%s: %v", line.Place, err)
 		}
 		w.runUntil(when)
 		if fields[0] == "check" {
 			if fault := w.check(fields[2:]); fault != "" {
-				t.Errorf("%s:%d: at %v %s", file, number, when, fault)
+				t.Errorf("%s: at %v %s", line.Place, when, fault)
 			}
 			continue
 		}
 		if !w.do(fields[2:]) {
-			t.Fatalf("%s:%d: unknown %q", file, number, lines.Text())
+			t.Fatalf("%s: unknown", line.Place)
 		}
 	}
 	for _, fault := range w.judge.faults {
--- a/control/failover/world_test.go
+++ b/control/failover/world_test.go
@@ -1,21 +1,20 @@
 package failover
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"eiderway/control/feed"
+	"eiderway/testing/virtualtime"
 )
 
 // world is a small simulated deployment: instances with logs, a platform, gateways that write and read, and controllers.
 // Everything happens on one queue of events in simulated time; one seed gives one history.
 type world struct {
 	now     time.Duration
-	queue   eventQueue
-	serial  uint64
+	agenda  virtualtime.Agenda
 	random  *rand.Rand
 	options options
 
@@ -48,27 +47,6 @@
 	guards          guards
 }
 
-type event struct {
-	at     time.Duration
-	serial uint64
-	run    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].serial < q[j].serial
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 func newWorld(seed uint64, chosen options) *world {
 	w := &world{
 		random:    rand.New(rand.NewPCG(seed, 1)),
@@ -112,17 +90,17 @@
 	w.after(w.between(0, beatEvery), w.instances[id].beat)
 }
 
-func (w *world) after(delay time.Duration, run func()) {
-	w.serial++
-	heap.Push(&w.queue, event{at: w.now + delay, serial: w.serial, run: run})
-}
+func (w *world) after(delay time.Duration, run func()) { w.agenda.Add(w.now+delay, run) }
 
 // runUntil plays events up to a moment.
 func (w *world) runUntil(end time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
-		next.run()
+	for {
+		at, happens, found := w.agenda.Next(end)
+		if !found {
+			break
+		}
+		w.now = at
+		happens()
 	}
 	w.now = end
 }
--- a/control/registry/scenario_test.go
+++ b/control/registry/scenario_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,6 +11,7 @@
 	"eiderway/control/registry"
 	"eiderway/control/state"
 	"eiderway/control/state/statetest"
+	"eiderway/testing/scenario"
 )
 
 // Scenarios are text files. A line is a time, a command and, after "->", what must come of it:
@@ -32,34 +31,18 @@
 	scenarioTick = time.Second
 )
 
-func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no scenarios: %v", err)
-	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { runScenario(t, file) })
-	}
-}
+func TestScenarios(t *testing.T) { scenario.Each(t, runScenario) }
 
 func runScenario(t *testing.T, file string) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
 	world := &world{memory: statetest.NewMemory(), registry: registry.New(0, scenarioLost)}
-	for index, line := range strings.Split(string(text), "\n") {
-		line, _, _ = strings.Cut(line, "#")
-		if strings.TrimSpace(line) == "" {
-			continue
-		}
-		before, want, _ := strings.Cut(line, "->")
+	for _, line := range scenario.MustRead(t, file) {
+		before, want, _ := strings.Cut(line.Text, "->")
 		got, err := world.step(strings.Fields(before))
 		if err != nil {
-			t.Fatalf("%s:%d: %v", file, index+1, err)
+			t.Fatalf("%s: %v", line.Place, err)
 		}
 		if got != strings.Join(strings.Fields(want), " ") {
-			t.Errorf("%s:%d: %s\n got %q", file, index+1, line, got)
+			t.Errorf("%s\n got %q", line.Place, got)
 		}
 	}
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"eiderway/testing/scenario"
 )
 
 // scene plays a text scenario of one Node. The notation:
@@ -222,23 +222,13 @@
 }
 
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			text, err := os.ReadFile(file)
-			require.NoError(t, err)
-			s := &scene{t: t, now: 1e6, peers: map[int]*speaker{}, last: map[int]Record{}, until: map[int]float64{}, out: map[int]float64{}}
-			for i, line := range strings.Split(string(text), "\n") {
-				line, _, _ = strings.Cut(line, "#")
-				if f := strings.Fields(line); len(f) > 0 {
-					s.where = fmt.Sprintf("%s:%d: %s", file, i+1, line)
-					s.play(f)
-				}
-			}
-		})
-	}
+	scenario.Each(t, func(t *testing.T, path string) {
+		s := &scene{t: t, now: 1e6, peers: map[int]*speaker{}, last: map[int]Record{}, until: map[int]float64{}, out: map[int]float64{}}
+		for _, line := range scenario.MustRead(t, path) {
+			s.where = line.Place
+			s.play(line.Words)
+		}
+	})
 }
 
 // TestFewChangeNothing: whatever fewer peers than a quorum say, in whatever order, nothing is suspected; every suspicion
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -1,20 +1,19 @@
 package lease
 
 import (
-	"bufio"
 	"container/heap"
 	"flag"
 	"fmt"
 	"math"
 	"math/rand"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"eiderway/testing/scenario"
 )
 
 // fleet is many Books in virtual time, with the ways between them.
@@ -245,172 +244,157 @@
 
 // TestScenarios plays testdata/*.txt: a line is a thing that happens, or what must be so then.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			in, err := os.Open(file)
-			require.NoError(t, err)
-			defer in.Close()
-			var f *fleet
-			tasks := []Task{}
-			last := -1
-			drift := 0.01
-			lines := bufio.NewScanner(in)
-			for at := 1; lines.Scan(); at++ {
-				line, _, _ := strings.Cut(lines.Text(), "#")
-				w := strings.Fields(line)
-				if len(w) == 0 {
-					continue
-				}
-				where := fmt.Sprintf("%s:%d: %s", file, at, line)
-				num := func(i int) float64 {
-					x, err := strconv.ParseFloat(w[i], 64)
+	scenario.Each(t, func(t *testing.T, path string) {
+		var f *fleet
+		tasks := []Task{}
+		last := -1
+		drift := 0.01
+		for _, line := range scenario.MustRead(t, path) {
+			w, where := line.Words, line.Place
+			num := func(i int) float64 {
+				x, err := strconv.ParseFloat(w[i], 64)
+				require.NoError(t, err, where)
+				return x
+			}
+			router := func(i int) int { // a number, the holder, or members of its council
+				switch {
+				case w[i] == "holder":
+					held := f.holders(tasks[0].Name)
+					require.Len(t, held, 1, where)
+					last = held[0]
+					return last
+				case w[i] == "last":
+					return last
+				case strings.HasPrefix(w[i], "member"):
+					k, err := strconv.Atoi(w[i][6:])
 					require.NoError(t, err, where)
-					return x
-				}
-				router := func(i int) int { // a number, the holder, or members of its council
-					switch {
-					case w[i] == "holder":
-						held := f.holders(tasks[0].Name)
-						require.Len(t, held, 1, where)
-						last = held[0]
-						return last
-					case w[i] == "last":
-						return last
-					case strings.HasPrefix(w[i], "member"):
-						k, err := strconv.Atoi(w[i][6:])
-						require.NoError(t, err, where)
-						for _, m := range f.books[max(0, slices.IndexFunc(f.books, func(b *Book) bool { return b != nil }))].seats[0].members {
-							if m == last {
-								continue
-							}
-							if k--; k == 0 {
-								return m
-							}
+					for _, m := range f.books[max(0, slices.IndexFunc(f.books, func(b *Book) bool { return b != nil }))].seats[0].members {
+						if m == last {
+							continue
+						}
+						if k--; k == 0 {
+							return m
 						}
-						require.Fail(t, where)
 					}
-					return int(num(i))
+					require.Fail(t, where)
 				}
-				switch w[0] {
-				case "task":
-					k := Task{Name: w[1]}
-					for _, x := range w[2:] {
-						name, value, _ := strings.Cut(x, "=")
-						v, _ := strconv.ParseFloat(value, 64)
-						switch name {
-						case "slots":
-							k.Slots = int(v)
-						case "every":
-							k.Every = v
-						case "standing":
-							k.Standing = true
-						}
+				return int(num(i))
+			}
+			switch w[0] {
+			case "task":
+				k := Task{Name: w[1]}
+				for _, x := range w[2:] {
+					name, value, _ := strings.Cut(x, "=")
+					v, _ := strconv.ParseFloat(value, 64)
+					switch name {
+					case "slots":
+						k.Slots = int(v)
+					case "every":
+						k.Every = v
+					case "standing":
+						k.Standing = true
+					}
+				}
+				tasks = append(tasks, k)
+			case "drift":
+				drift = num(1)
+			case "fleet":
+				n := int(num(1))
+				f = newFleet(n, 1, func(int) Terms { return Terms{Routers: n, Span: 1, Drift: drift, Council: 5, Tasks: tasks} })
+			case "wait":
+				f.run(f.now + num(1))
+			case "loss":
+				f.loss = num(1)
+			case "delay":
+				f.delay = [2]float64{num(1), num(2)}
+			case "rate":
+				i := router(1)
+				f.clocks[i] += (f.now - 1000) * (f.rates[i] - num(2))
+				f.rates[i] = num(2)
+			case "kill":
+				f.books[router(1)] = nil
+			case "start":
+				f.start(router(1))
+			case "freeze":
+				f.frozen[router(1)] = f.now + num(2)
+			case "cut", "mend": // from, to
+				a, b := router(1), router(2)
+				f.cut[[2]int{a, b}] = w[0] == "cut"
+			case "alone", "back": // cut off from all
+				a := router(1)
+				for k := range f.books {
+					f.cut[[2]int{a, k}], f.cut[[2]int{k, a}] = w[0] == "alone", w[0] == "alone"
+				}
+			case "half": // those below a number can't hear the others, nor be heard
+				for a := range f.books {
+					for b := range f.books {
+						f.cut[[2]int{a, b}] = (float64(a) < num(1)) != (float64(b) < num(1))
 					}
-					tasks = append(tasks, k)
-				case "drift":
-					drift = num(1)
-				case "fleet":
-					n := int(num(1))
-					f = newFleet(n, 1, func(int) Terms { return Terms{Routers: n, Span: 1, Drift: drift, Council: 5, Tasks: tasks} })
-				case "wait":
-					f.run(f.now + num(1))
-				case "loss":
-					f.loss = num(1)
-				case "delay":
-					f.delay = [2]float64{num(1), num(2)}
-				case "rate":
-					i := router(1)
-					f.clocks[i] += (f.now - 1000) * (f.rates[i] - num(2))
-					f.rates[i] = num(2)
-				case "kill":
-					f.books[router(1)] = nil
-				case "start":
-					f.start(router(1))
-				case "freeze":
-					f.frozen[router(1)] = f.now + num(2)
-				case "cut", "mend": // from, to
-					a, b := router(1), router(2)
-					f.cut[[2]int{a, b}] = w[0] == "cut"
-				case "alone", "back": // cut off from all
-					a := router(1)
-					for k := range f.books {
-						f.cut[[2]int{a, k}], f.cut[[2]int{k, a}] = w[0] == "alone", w[0] == "alone"
+				}
+			case "whole":
+				clear(f.cut)
+			case "want", "drop":
+				i := router(1)
+				f.books[i].Want(w[2], w[0] == "want", f.clock(i))
+				f.act(i)
+			case "leave":
+				i := router(1)
+				f.books[i].Leave("", f.clock(i))
+				f.act(i)
+			case "give":
+				i := router(1)
+				require.True(t, f.books[i].Give(tasks[0].Name, router(2), f.clock(i)), where)
+				f.act(i)
+			case "tell":
+				i := router(1)
+				require.True(t, f.books[i].Tell(tasks[0].Name, w[2], f.clock(i)), where)
+				f.act(i)
+			case "routers": // all go by another set
+				for i, b := range f.books {
+					if b != nil && (len(w) < 4 || i < int(num(3))) {
+						b.Routers(int(num(1)), int(num(2)), f.clock(i))
+						f.act(i)
 					}
-				case "half": // those below a number can't hear the others, nor be heard
-					for a := range f.books {
-						for b := range f.books {
-							f.cut[[2]int{a, b}] = (float64(a) < num(1)) != (float64(b) < num(1))
-						}
+				}
+			case "expect":
+				switch w[1] {
+				case "holders":
+					require.Len(t, f.holders(tasks[0].Name), int(num(2)), where)
+				case "holder":
+					held := f.holders(tasks[0].Name)
+					require.Len(t, held, 1, where)
+					if w[2] == "other" {
+						require.NotEqual(t, last, held[0], where)
+					} else {
+						require.Equal(t, router(2), held[0], where)
 					}
-				case "whole":
-					clear(f.cut)
-				case "want", "drop":
-					i := router(1)
-					f.books[i].Want(w[2], w[0] == "want", f.clock(i))
-					f.act(i)
-				case "leave":
-					i := router(1)
-					f.books[i].Leave("", f.clock(i))
-					f.act(i)
-				case "give":
-					i := router(1)
-					require.True(t, f.books[i].Give(tasks[0].Name, router(2), f.clock(i)), where)
-					f.act(i)
-				case "tell":
-					i := router(1)
-					require.True(t, f.books[i].Tell(tasks[0].Name, w[2], f.clock(i)), where)
-					f.act(i)
-				case "routers": // all go by another set
-					for i, b := range f.books {
-						if b != nil && (len(w) < 4 || i < int(num(3))) {
-							b.Routers(int(num(1)), int(num(2)), f.clock(i))
-							f.act(i)
+				case "obeyed":
+					n := 0
+					for _, b := range f.books {
+						if b != nil && b.seats[0].fence.now.text == w[2] {
+							n++
 						}
 					}
-				case "expect":
-					switch w[1] {
-					case "holders":
-						require.Len(t, f.holders(tasks[0].Name), int(num(2)), where)
-					case "holder":
-						held := f.holders(tasks[0].Name)
-						require.Len(t, held, 1, where)
-						if w[2] == "other" {
-							require.NotEqual(t, last, held[0], where)
-						} else {
-							require.Equal(t, router(2), held[0], where)
-						}
-					case "obeyed":
-						n := 0
-						for _, b := range f.books {
-							if b != nil && b.seats[0].fence.now.text == w[2] {
-								n++
-							}
-						}
-						require.Equal(t, int(num(3)), n, where)
-					case "stale":
-						n := int64(0)
-						for _, b := range f.books {
-							if b != nil {
-								n += b.Counted().Stales
-							}
+					require.Equal(t, int(num(3)), n, where)
+				case "stale":
+					n := int64(0)
+					for _, b := range f.books {
+						if b != nil {
+							n += b.Counted().Stales
 						}
-						require.Positive(t, n, where)
-					default:
-						require.Fail(t, where)
 					}
+					require.Positive(t, n, where)
 				default:
 					require.Fail(t, where)
 				}
+			default:
+				require.Fail(t, where)
 			}
-			require.NoError(t, lines.Err())
-			if f != nil {
-				judge(t, f)
-			}
-		})
-	}
+		}
+		if f != nil {
+			judge(t, f)
+		}
+	})
 }
 
 // judge checks a history: words are obeyed under tokens that never fall, of one holder each, and holders come one after
--- a/splitter/scenario_test.go
+++ b/splitter/scenario_test.go
@@ -2,14 +2,14 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"eiderway/testing/scenario"
 )
 
 // world is the Host of a scenario: it keeps what the router did and plays what is said of the nodes.
@@ -283,22 +283,12 @@
 }
 
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			text, err := os.ReadFile(file)
-			require.NoError(t, err)
-			w := &world{t: t, now: 1000, roles: map[string][]string{}, then: map[int]func(Result){},
-				sent: map[int]float64{}, cut: map[int]float64{}, over: map[int]bool{}}
-			for i, line := range strings.Split(string(text), "\n") {
-				line, _, _ = strings.Cut(line, "#")
-				if f := strings.Fields(line); len(f) > 0 {
-					w.where = fmt.Sprintf("%s:%d: %s", file, i+1, line)
-					w.play(f)
-				}
-			}
-		})
-	}
+	scenario.Each(t, func(t *testing.T, path string) {
+		w := &world{t: t, now: 1000, roles: map[string][]string{}, then: map[int]func(Result){},
+			sent: map[int]float64{}, cut: map[int]float64{}, over: map[int]bool{}}
+		for _, line := range scenario.MustRead(t, path) {
+			w.where = line.Place
+			w.play(line.Words)
+		}
+	})
 }
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -1,20 +1,18 @@
 package zone
 
 import (
-	"bufio"
 	"container/heap"
 	"flag"
 	"fmt"
 	"math"
 	"math/rand"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"eiderway/testing/scenario"
 )
 
 // fleet is many Books in virtual time. Each router reads at chance times from a node of a zone that it does not doubt, the
@@ -237,142 +235,127 @@
 
 // TestScenarios plays testdata/*.txt.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			in, err := os.Open(file)
-			require.NoError(t, err)
-			defer in.Close()
-			var f *fleet
-			regions := map[string]string{}
-			lines := bufio.NewScanner(in)
-			for at := 1; lines.Scan(); at++ {
-				line, _, _ := strings.Cut(lines.Text(), "#")
-				w := strings.Fields(line)
-				if len(w) == 0 {
-					continue
+	scenario.Each(t, func(t *testing.T, path string) {
+		var f *fleet
+		regions := map[string]string{}
+		for _, line := range scenario.MustRead(t, path) {
+			w, where := line.Words, line.Place
+			num := func(i int) float64 {
+				x, err := strconv.ParseFloat(w[i], 64)
+				require.NoError(t, err, where)
+				return x
+			}
+			switch w[0] {
+			case "region": // NAME ZONE...; before the fleet
+				for _, z := range w[2:] {
+					regions[z] = w[1]
+				}
+			case "fleet": // routers, nodes of a zone, reads a second of a router, zones
+				f = newFleet(t, int(num(1)), w[4:], int(num(2)), num(3), regions)
+			case "holder": // numbers the steps from now on; -1: nobody
+				f.hold(int(num(1)))
+			case "mute": // this holder's words go nowhere, though it goes on
+				f.mute[int(num(1))] = true
+			case "kill": // routers from one number to another
+				for i := int(num(1)); i <= int(num(2)); i++ {
+					f.dead[i] = true
 				}
-				where := fmt.Sprintf("%s:%d: %s", file, at, line)
-				num := func(i int) float64 {
-					x, err := strconv.ParseFloat(w[i], 64)
+			case "order": // WHAT ZONE, asked of a router; "not" where it has to be refused
+				what := map[string]Hand{"auto": Auto, "leave": Leave, "hold": Hold}[w[1]]
+				i := int(num(3))
+				err := f.books[i].Order(w[2], what, f.clock(i))
+				if len(w) > 4 {
+					require.Error(t, err, where)
+				} else {
 					require.NoError(t, err, where)
-					return x
 				}
-				switch w[0] {
-				case "region": // NAME ZONE...; before the fleet
-					for _, z := range w[2:] {
-						regions[z] = w[1]
-					}
-				case "fleet": // routers, nodes of a zone, reads a second of a router, zones
-					f = newFleet(t, int(num(1)), w[4:], int(num(2)), num(3), regions)
-				case "holder": // numbers the steps from now on; -1: nobody
-					f.hold(int(num(1)))
-				case "mute": // this holder's words go nowhere, though it goes on
-					f.mute[int(num(1))] = true
-				case "kill": // routers from one number to another
-					for i := int(num(1)); i <= int(num(2)); i++ {
-						f.dead[i] = true
-					}
-				case "order": // WHAT ZONE, asked of a router; "not" where it has to be refused
-					what := map[string]Hand{"auto": Auto, "leave": Leave, "hold": Hold}[w[1]]
-					i := int(num(3))
-					err := f.books[i].Order(w[2], what, f.clock(i))
-					if len(w) > 4 {
-						require.Error(t, err, where)
-					} else {
-						require.NoError(t, err, where)
-					}
-					f.act(i)
-				case "slow": // a zone or all, times its usual latency, and perhaps how many of its nodes
-					most := len(f.nodes)
-					if len(w) > 3 {
-						most = int(num(3))
-					}
-					for k, z := range f.nodes {
-						if (z == w[1] || w[1] == "all") && most > 0 {
-							f.slow[k] = num(2)
-							most--
-						}
+				f.act(i)
+			case "slow": // a zone or all, times its usual latency, and perhaps how many of its nodes
+				most := len(f.nodes)
+				if len(w) > 3 {
+					most = int(num(3))
+				}
+				for k, z := range f.nodes {
+					if (z == w[1] || w[1] == "all") && most > 0 {
+						f.slow[k] = num(2)
+						most--
 					}
-				case "ill": // a zone or all, share of bad answers, and perhaps how many of its nodes
-					most := len(f.nodes)
-					if len(w) > 3 {
-						most = int(num(3))
+				}
+			case "ill": // a zone or all, share of bad answers, and perhaps how many of its nodes
+				most := len(f.nodes)
+				if len(w) > 3 {
+					most = int(num(3))
+				}
+				for k, z := range f.nodes {
+					if (z == w[1] || w[1] == "all") && most > 0 {
+						f.ill[k] = num(2)
+						most--
 					}
-					for k, z := range f.nodes {
-						if (z == w[1] || w[1] == "all") && most > 0 {
-							f.ill[k] = num(2)
-							most--
+				}
+			case "late":
+				f.late = num(1)
+			case "silence": // no datagram gets from one zone's routers to another's
+				f.silent[w[1]] = true
+			case "cut", "mend":
+				f.cut[w[1]] = w[0] == "cut"
+			case "wait":
+				clear(f.asked)
+				f.run(num(1))
+			case "drop": // a zone's nodes are no more in the list
+				for k, z := range f.nodes {
+					for i := range f.books {
+						if z == w[1] {
+							f.books[i].Forget(k)
+							f.doubted[i][k] = math.Inf(1)
 						}
 					}
-				case "late":
-					f.late = num(1)
-				case "silence": // no datagram gets from one zone's routers to another's
-					f.silent[w[1]] = true
-				case "cut", "mend":
-					f.cut[w[1]] = w[0] == "cut"
-				case "wait":
-					clear(f.asked)
-					f.run(num(1))
-				case "drop": // a zone's nodes are no more in the list
-					for k, z := range f.nodes {
-						for i := range f.books {
-							if z == w[1] {
-								f.books[i].Forget(k)
-								f.doubted[i][k] = math.Inf(1)
+				}
+			case "start": // a router starts anew
+				i := int(num(1))
+				f.dead[i] = false
+				f.books[i] = New(Terms{Me: i, Routers: len(f.books), Zone: f.home[i], Life: 99, Every: 0.4, Regions: f.regions})
+				f.doubted[i] = make([]float64, len(f.nodes))
+				for k, z := range f.nodes {
+					f.books[i].Node(k, fmt.Sprint("n", k), z, k%3)
+				}
+			case "expect": // using ZONE MOST [HOME], uses ZONE LEAST [HOME], asked ZONE MOST, steps MOST
+				home := ""
+				if len(w) > 4 {
+					home = w[4]
+				}
+				switch w[1] {
+				case "using":
+					require.LessOrEqual(t, f.using(w[2], home), int(num(3)), "%s; steps %+v", where, f.events)
+				case "uses":
+					require.GreaterOrEqual(t, f.using(w[2], home), int(num(3)), where)
+				case "asked":
+					require.LessOrEqual(t, f.asked[w[2]], int(num(3)), where)
+				case "hand": // ZONE WHAT: so all know it
+					for i, b := range f.books {
+						for _, s := range b.States(f.clock(i)) {
+							if s.Zone == w[2] && !f.dead[i] {
+								require.Equal(t, w[3], s.Hand, "%s, router %d", where, i)
 							}
 						}
 					}
-				case "start": // a router starts anew
-					i := int(num(1))
-					f.dead[i] = false
-					f.books[i] = New(Terms{Me: i, Routers: len(f.books), Zone: f.home[i], Life: 99, Every: 0.4, Regions: f.regions})
-					f.doubted[i] = make([]float64, len(f.nodes))
-					for k, z := range f.nodes {
-						f.books[i].Node(k, fmt.Sprint("n", k), z, k%3)
-					}
-				case "expect": // using ZONE MOST [HOME], uses ZONE LEAST [HOME], asked ZONE MOST, steps MOST
-					home := ""
-					if len(w) > 4 {
-						home = w[4]
-					}
-					switch w[1] {
-					case "using":
-						require.LessOrEqual(t, f.using(w[2], home), int(num(3)), "%s; steps %+v", where, f.events)
-					case "uses":
-						require.GreaterOrEqual(t, f.using(w[2], home), int(num(3)), where)
-					case "asked":
-						require.LessOrEqual(t, f.asked[w[2]], int(num(3)), where)
-					case "hand": // ZONE WHAT: so all know it
-						for i, b := range f.books {
-							for _, s := range b.States(f.clock(i)) {
-								if s.Zone == w[2] && !f.dead[i] {
-									require.Equal(t, w[3], s.Hand, "%s, router %d", where, i)
-								}
+				case "same": // ZONE: all have the same share of it
+					for i, b := range f.books {
+						for k, s := range b.States(f.clock(i)) {
+							if s.Zone == w[2] && !f.dead[i] {
+								require.Equal(t, f.books[f.holder].States(f.clock(f.holder))[k].Share, s.Share, "%s, router %d", where, i)
 							}
 						}
-					case "same": // ZONE: all have the same share of it
-						for i, b := range f.books {
-							for k, s := range b.States(f.clock(i)) {
-								if s.Zone == w[2] && !f.dead[i] {
-									require.Equal(t, f.books[f.holder].States(f.clock(f.holder))[k].Share, s.Share, "%s, router %d", where, i)
-								}
-							}
-						}
-					case "steps":
-						require.LessOrEqual(t, f.steps, int(num(2)), where)
-					default:
-						require.Fail(t, where)
 					}
+				case "steps":
+					require.LessOrEqual(t, f.steps, int(num(2)), where)
 				default:
 					require.Fail(t, where)
 				}
+			default:
+				require.Fail(t, where)
 			}
-			require.NoError(t, lines.Err())
-		})
-	}
+		}
+	})
 }
 
 var most = flag.Int("routers", 30, "routers at most, for TestSize; 1000 take some minutes")
