--- a/proxy/tier.go
+++ b/proxy/tier.go
@@ -1,6 +1,6 @@
 package proxy
 
-// This file owns the socket on which the routers of one tier exchange datagrams, whoever uses them: package lore, package
+// This file owns the socket on which the routers of one tier exchange datagrams, whoever uses them: package peerstate, package
 // lease. One goroutine reads it, one writes it; all else is done in the core's. It takes datagrams from the addresses of
 // peers alone, and must never judge what they say.
 
@@ -120,9 +120,9 @@
 	case len(b) > 0 && b[0] >= lease.First && c.leases != nil:
 		c.leases.book.Take(peer, b, c.leases.now())
 		c.leases.act()
-	case c.talk != nil:
-		c.talk.book.Take(peer, b, c.now)
-		c.talk.act()
+	case c.peerState != nil:
+		c.peerState.table.Receive(peer, b, c.now)
+		c.peerState.act()
 	}
 }
 
