--- a/control/controller/commands.go
+++ b/control/controller/commands.go
@@ -319,17 +319,10 @@
 	return found && (instance.Draining || instance.SaidFarewell())
 }
 
-// lacksTenants is what an operator is told whose configuration leaves out the table of tenants that the one in force has.
-const lacksTenants = "tenantTable is missing, and the configuration in force has one: " +
-	"send an empty one to let nobody in, or set noAuth on the routes that need no key"
-
 func orderReply(command command) Reply {
-	switch command.verdict {
-	case state.Conflict:
+	if command.verdict == state.Conflict {
 		text := "configRevision " + strconv.FormatInt(command.order.Number, 10) + " is taken by another content"
 		return Reply{Call: command.call, Status: http.StatusConflict, Body: errorBody(text)}
-	case state.LacksTenants:
-		return Reply{Call: command.call, Status: http.StatusConflict, Body: errorBody(lacksTenants)}
 	}
 	return Reply{Call: command.call, Status: http.StatusOK}
 }
--- a/control/state/api.go
+++ b/control/state/api.go
@@ -33,8 +33,6 @@
 	Overtaken
 	// Conflict: the number is taken by another content.
 	Conflict
-	// LacksTenants: the configuration in force has a table of tenants, and this one leaves it out, which would let everybody in.
-	LacksTenants
 )
 
 // Instance is an instance as the control state has it.
--- a/control/state/order.go
+++ b/control/state/order.go
@@ -12,8 +12,6 @@
 	Number   int64
 	Size     int // of the body as it was sent, in bytes
 	Services []configuredService
-
-	HasTenants bool // it has a table of tenants
 }
 
 type configuredService struct {
@@ -37,12 +35,8 @@
 		return Conflict
 	}
 	head, inForce := read[configurationHead](t, configurationKey)
-	isNewest := !inForce || order.Number > head.Number
-	if isNewest && head.HasTenants && !order.Contents.HasTenants {
-		return LacksTenants
-	}
 	t.recordOrder(order)
-	if !isNewest {
+	if inForce && order.Number <= head.Number {
 		return Overtaken
 	}
 	t.putConfiguration(order)
@@ -61,7 +55,7 @@
 }
 
 func (t *Transaction) putConfiguration(order configuration.Order) {
-	head := configurationHead{Number: order.Number, Size: len(order.Body), HasTenants: order.Contents.HasTenants}
+	head := configurationHead{Number: order.Number, Size: len(order.Body)}
 	for _, service := range order.Contents.Services {
 		configured := configuredService{Name: service.Name, SyncReplicas: service.SyncReplicas}
 		head.Services = append(head.Services, configured)
