--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"eiderway/control/access"
 	"eiderway/control/feed"
 	"eiderway/wire"
 )
@@ -121,19 +122,19 @@
 func TestKeysAreNotTrustedForLongWithoutNews(t *testing.T) {
 	is := is.New(t)
 	held := newDirectory()
-	held.keysTrusted = 4 * time.Second
+	held.keys.Lasting = 4 * time.Second
 	table := tableOf(1, "i-1", false)
 	table.Configuration = tenantsOf(7, bakers)
 	_, err := held.take(0, 0, feed.WatchAnswer{Table: table, Lease: 3 * time.Second})
 	is.NoErr(err)
-	found, why := held.placeFor(time.Second, "shop", newAccessKey("flour"))
+	found, why := held.placeFor(time.Second, "shop", access.NewKey("flour"))
 	is.Equal(why, placed)
 	is.Equal(found.tenant, "bakers")
 	is.True(held.stillAdmits(4*time.Second-1, found))
 	is.True(!held.stillAdmits(4*time.Second, found))
-	held.keysTrusted = 0 // where keys bind only machines that are in touch
+	held.keys.Lasting = 0 // where keys bind only machines that are in touch
 	is.True(held.stillAdmits(time.Hour, found))
-	_, why = held.placeFor(time.Second, "shop", newAccessKey("stranger"))
+	_, why = held.placeFor(time.Second, "shop", access.NewKey("stranger"))
 	is.Equal(why, unknownKey)
 	is.Equal(wire.AuthFail.Promise(), false)
 }
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/control/configuration"
 	"eiderway/control/feed"
 	"eiderway/control/quota"
@@ -150,14 +151,14 @@
 }
 
 // limitOf says for whom an operation of a client counts, and until when it may wait; false: for nobody.
-func (g *Gateway) limitOf(database string, key accessKey, asked time.Duration) (tenant string, until time.Duration, counts bool) {
+func (g *Gateway) limitOf(database string, key access.Key, asked time.Duration) (tenant string, until time.Duration, counts bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	route, known := g.directory.routes[database]
 	if !known || !g.directory.leased(g.now()) {
 		return "", 0, false // it isn't served anyway
 	}
-	tenant, _ = g.directory.access.admit(route, key)
+	tenant, _ = g.directory.access.Admit(route, key)
 	return tenant, asked + patienceOf(placement{route: route}), tenant != ""
 }
 
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/control/failover"
 	"eiderway/session"
 	"eiderway/wire"
@@ -33,7 +34,7 @@
 	reader   *wire.Reader
 	buffer   []byte
 	database string
-	key      accessKey
+	key      access.Key
 	session  *session.Session
 	flight   *flight           // of the open transaction
 	served   bool              // a statement has been answered
@@ -133,7 +134,7 @@
 		return false
 	}
 	c.database = connect.Database
-	c.key = newAccessKey(connect.Who)
+	c.key = access.NewKey(connect.Who)
 	if c.gateway.rejects(c.database, c.key) {
 		c.gateway.counters.unknownKey.Add(1)
 		c.write(wire.AppendError(c.buffer[:0], wire.AuthFail, ""))
@@ -148,7 +149,7 @@
 	return g.directory.lacks(g.now(), database)
 }
 
-func (g *Gateway) rejects(database string, key accessKey) bool {
+func (g *Gateway) rejects(database string, key access.Key) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.directory.rejects(g.now(), database, key)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/session"
 	"eiderway/wire"
 )
@@ -123,7 +124,7 @@
 
 // depart finds the leader for a first statement, and registers the flight in the same moment. Where a statement can't
 // be placed now but perhaps soon, it waits as long as its patience lasts.
-func (g *Gateway) depart(database string, key accessKey, asked time.Duration) (*flight, refusal) {
+func (g *Gateway) depart(database string, key access.Key, asked time.Duration) (*flight, refusal) {
 	for {
 		g.mutex.Lock()
 		found, why := g.directory.placeFor(g.now(), database, key)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"eiderway/control/access"
 	"eiderway/control/feed"
 	"eiderway/control/rpc"
 	"eiderway/system"
@@ -125,13 +126,9 @@
 	return nil
 }
 
-// keysTrustedShare is the part of the time in which a key that was taken away is to be of no use, in percent, after which a gateway that
-// has heard nothing runs no statement with a key any more. The rest is for clocks.
-const keysTrustedShare = 90
-
 func newGateway(boot Boot, asker watcher) *Gateway {
 	held := newDirectory()
-	held.keysTrusted = boot.Settings.Bounds.Revoke() * keysTrustedShare / 100
+	held.keys.Lasting = access.LastingFor(boot.Settings.Bounds.Revoke())
 	started := &Gateway{
 		log:       boot.Log,
 		watcher:   asker,
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/control/configuration"
 	"eiderway/control/failover"
 	"eiderway/role"
@@ -45,7 +46,7 @@
 }
 
 // departRead finds a replica for a read, and registers the flight in the same moment; nil: the leader is to have it.
-func (g *Gateway) departRead(database string, key accessKey, written failover.Position, tried []string) *flight {
+func (g *Gateway) departRead(database string, key access.Key, written failover.Position, tried []string) *flight {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.now()
@@ -54,7 +55,7 @@
 		return nil
 	}
 	found.key = key
-	found.tenant, _ = g.directory.access.admit(found.route, key)
+	found.tenant, _ = g.directory.access.Admit(found.route, key)
 	known := g.readsOf(found.route.TargetService)
 	after, covered := boundOf(found.route).MustSee(now, &known.positions, written)
 	if !covered {
