Quotas: three guards of the primary's bank can be taken out by tests

That a term's bank starts empty, opens once no earlier one grants, and grants only while a majority has confirmed the primary a moment ago was proven by reading only. control/guard names them, with those about keys that the simulation's model of a gateway has; its sets are 16 bits wide now.

--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -178,7 +178,7 @@
 		failover:  failover.New(c.now, failoverSettings),
 		grants:    newGrants(c.now, c.settings.Lease+c.settings.LeaseMargin, c.guards),
 		table:     newTable(epoch),
-		bank:      quota.NewBank(c.now+operationsFresh+c.settings.LeaseMargin, c.settings.Quota),
+		bank:      c.newBank(),
 		confirmed: c.now,
 		freezes:   map[string]freeze{},
 	}
--- a/control/controller/operations.go
+++ b/control/controller/operations.go
@@ -7,6 +7,7 @@
 
 	"eiderway/control/configuration"
 	"eiderway/control/feed"
+	"eiderway/control/guard"
 	"eiderway/control/quota"
 )
 
@@ -17,15 +18,32 @@
 // takeOperations answers a gateway's question for operations of tenants, at once if this controller was confirmed a moment ago.
 func (c *Controller) takeOperations(in Watch) {
 	asked := &watch{call: in.Call, request: in.Request}
-	if c.now-c.term.confirmed < operationsFresh {
+	if c.confirmedForOperations() {
 		c.answerOperations(asked)
 		return
 	}
 	c.ask(question{watch: asked})
 }
 
+// confirmedForOperations tells whether a majority has confirmed this controller so lately that no other one grants operations.
+func (c *Controller) confirmedForOperations() bool {
+	return c.now-c.term.confirmed < operationsFresh || c.settings.Lacking.Lacks(guard.GrantConfirmed)
+}
+
+// newBank makes the bank of a term that starts now.
+func (c *Controller) newBank() *quota.Bank {
+	opensAt := c.now + operationsFresh + c.settings.LeaseMargin
+	if c.settings.Lacking.Lacks(guard.BankOpensLate) {
+		opensAt = c.now
+	}
+	if c.settings.Lacking.Lacks(guard.BankStartsEmpty) {
+		opensAt = 0
+	}
+	return quota.NewBank(opensAt, c.settings.Quota)
+}
+
 func (c *Controller) answerOperations(asked *watch) {
-	if c.now-c.term.confirmed >= operationsFresh {
+	if !c.confirmedForOperations() {
 		c.refuseWatch(asked.call) // the confirmation took too long to say that nobody else grants
 		return
 	}
@@ -44,7 +62,11 @@
 		return
 	}
 	limited := lo.Filter(order.Contents.Tenants, func(tenant configuration.Tenant, _ int) bool { return tenant.Limited })
-	c.term.bank.SetLimits(c.now, lo.Map(limited, func(tenant configuration.Tenant, _ int) quota.Limit {
+	since := c.now
+	if c.settings.Lacking.Lacks(guard.BankStartsEmpty) {
+		since = 0 // as if it had been filling all along
+	}
+	c.term.bank.SetLimits(since, lo.Map(limited, func(tenant configuration.Tenant, _ int) quota.Limit {
 		return quota.Limit{Tenant: tenant.Name, RatePerS: tenant.RatePerS, Burst: tenant.BurstSize}
 	}))
 }
--- a/control/guard/guard.go
+++ b/control/guard/guard.go
@@ -1,9 +1,9 @@
-// Package guard names the rules about instances that end which tests take out one at a time, to see that the days they
+// Package guard names the rules about instances that end, and about keys and limits of tenants, which tests take out one at a time, to see that the days they
 // play find what each rule prevents. A running system has all of them in force.
 package guard
 
 // Guard is one rule that can be taken out.
-type Guard uint8
+type Guard uint16
 
 const (
 	// LeaverStays: an instance that leaves without having drained stays until it is seen to have ended.
@@ -20,10 +20,24 @@
 	PositionProven
 	// DeparturesTold: a primary of the control state that has just taken over hears of departures under earlier ones.
 	DeparturesTold
+	// KeyPerStatement: a client's key is checked with each first statement, not only when its session begins.
+	KeyPerStatement
+	// KeyInTransaction: it is checked with each statement of a transaction, not only with the first.
+	KeyInTransaction
+	// KeyTrustEnds: whoever has heard nothing for a while takes no key for good any more.
+	KeyTrustEnds
+	// BankStartsEmpty: the bank of a new primary grants nothing of what an earlier one may have granted.
+	BankStartsEmpty
+	// BankOpensLate: it fills only once no earlier bank grants any more.
+	BankOpensLate
+	// GrantEnds: operations that were granted can be begun for a short time only.
+	GrantEnds
+	// GrantConfirmed: a primary grants operations only if a majority has confirmed it a moment ago.
+	GrantConfirmed
 )
 
 // Set is a set of guards that are taken out; its zero value takes out none.
-type Set uint8
+type Set uint16
 
 // Without takes one more out.
 func (s Set) Without(guard Guard) Set { return s | Set(guard) }
