--- a/control/controller/operations.go
+++ b/control/controller/operations.go
@@ -7,6 +7,7 @@
 
 	"eiderway/control/configuration"
 	"eiderway/control/feed"
+	"eiderway/control/guard"
 	"eiderway/control/quota"
 )
 
@@ -26,7 +27,8 @@
 
 // mayGrant tells whether no later term can have opened its bank yet.
 func (c *Controller) mayGrant() bool {
-	return c.now-c.term.confirmed < operationsFresh || c.guards.operationsStale
+	lacks := c.guards.operationsStale || c.settings.Lacking.Lacks(guard.GrantConfirmed)
+	return c.now-c.term.confirmed < operationsFresh || lacks
 }
 
 // bankNumber is a number that no other bank has, at this controller or another one: an epoch has one primary.
@@ -37,10 +39,14 @@
 
 // newBank makes the bank of a term that begins now. It opens once what earlier terms have granted to operations that waited is over.
 func (c *Controller) newBank() *quota.Bank {
-	if c.guards.bankOpensAtOnce {
-		return quota.NewBank(c.bankNumber(), c.now, c.settings.Quota)
+	opensAt := c.now + operationsFresh + quota.GrantLife + c.settings.LeaseMargin
+	if c.guards.bankOpensAtOnce || c.settings.Lacking.Lacks(guard.BankOpensLate) {
+		opensAt = c.now
 	}
-	return quota.NewBank(c.bankNumber(), c.now+operationsFresh+quota.GrantLife+c.settings.LeaseMargin, c.settings.Quota)
+	if c.settings.Lacking.Lacks(guard.BankStartsEmpty) {
+		opensAt = 0
+	}
+	return quota.NewBank(c.bankNumber(), opensAt, c.settings.Quota)
 }
 
 func (c *Controller) answerOperations(asked *watch) {
@@ -63,7 +69,11 @@
 		return
 	}
 	limited := lo.Filter(order.Contents.Tenants, func(tenant configuration.Tenant, _ int) bool { return tenant.Limited })
-	c.term.bank.SetLimits(c.now, lo.Map(limited, func(tenant configuration.Tenant, _ int) quota.Limit {
+	since := c.now
+	if c.settings.Lacking.Lacks(guard.BankStartsEmpty) {
+		since = 0 // as if it had been filling all along
+	}
+	c.term.bank.SetLimits(since, lo.Map(limited, func(tenant configuration.Tenant, _ int) quota.Limit {
 		return quota.Limit{Tenant: tenant.Name, RatePerS: tenant.RatePerS, Burst: tenant.BurstSize}
 	}))
 }
--- a/control/controller/operations_test.go
+++ b/control/controller/operations_test.go
@@ -131,8 +131,9 @@
 		is.True(w.until(patience, func() bool { return w.primary() != nil }))
 		began := w.now
 		is.True(w.until(patience, func() bool { return w.grantsNow(w.primary()) }))
-		is.True(w.now > began+operationsFresh)
-		is.True(w.now < began+2*operationsFresh) // no later than needed
+		opens := began + operationsFresh + quota.GrantLife // what was granted before is over then
+		is.True(w.now > opens)
+		is.True(w.now < opens+operationsFresh) // no later than needed
 	}
 }
 
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/control/configuration"
 	"eiderway/control/feed"
 	"eiderway/control/quota"
@@ -155,14 +156,14 @@
 }
 
 // limitOf says for whom an operation of a client is likely to count, and until when it may wait; "": for nobody, or it can't be served now.
-func (g *Gateway) limitOf(database string, key accessKey, asked time.Duration) (tenant string, until time.Duration) {
+func (g *Gateway) limitOf(database string, key access.Key, asked time.Duration) (tenant string, until time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	route, known := g.directory.routes[database]
 	if !known || !g.directory.leased(g.now()) {
 		return "", 0
 	}
-	tenant, _ = g.directory.access.admit(route, key)
+	tenant, _ = g.directory.access.Admit(route, key)
 	return tenant, asked + patienceOf(placement{route: route})
 }
 
