Quotas: a tenant that comes back takes no gateway's old word on what it holds

A tenant that was taken out of the configuration and came back at the same bank got new reserves, all of which counted as lent. A gateway that knew the bank could have what it told that it holds taken off that at once, though it had told it before the tenant was taken out: what it held had ended, and the bank had lent as much to another gateway. With the next request the gateway was lent it again.

TestTenantThatComesBackIsLentNothingThatMayStillBeHeld failed before: lent and held together above the most that may be held.

--- a/control/quota/bank.go
+++ b/control/quota/bank.go
@@ -69,7 +69,7 @@
 		chosen := termsOf(limit, b.rules)
 		if kept == nil {
 			from := max(now, b.opensAt)
-			kept = &bucket{filledAt: from, reserves: newReserves(from, chosen.reserve)}
+			kept = &bucket{filledAt: from, reserves: newReserves(from, chosen.reserve, now <= b.opensAt)}
 		}
 		kept.fill(now)
 		kept.terms = chosen
--- a/control/quota/reserve.go
+++ b/control/quota/reserve.go
@@ -18,10 +18,13 @@
 type reserves struct {
 	byGateway map[string]reserve
 
-	// unheard is the most that gateways may hold by the grants of earlier banks, but for those that have told this bank what they hold.
-	// It is over at unheardUntil.
+	// unheard is the most that gateways may hold by earlier grants, but for those that have told what they hold. It is over at
+	// unheardUntil.
 	unheard      int
 	unheardUntil time.Duration
+	// hears: what a gateway tells that it holds is taken off unheard. Not so for a tenant that came while the bank was open: the gateway may
+	// have told it while what it held could still be lent to others, before the tenant was taken out.
+	hears bool
 }
 
 // reserve is the most that a gateway may hold.
@@ -30,9 +33,9 @@
 	until      time.Duration
 }
 
-// newReserves knows of no gateway. Earlier banks, none of which grants any more from the time given, had lent this much at the most.
-func newReserves(from time.Duration, lent int) *reserves {
-	return &reserves{byGateway: map[string]reserve{}, unheard: lent, unheardUntil: from + reserveLife}
+// newReserves knows of no gateway. So much was lent at the most, and nothing later than at the time given.
+func newReserves(from time.Duration, lent int, hears bool) *reserves {
+	return &reserves{byGateway: map[string]reserve{}, unheard: lent, unheardUntil: from + reserveLife, hears: hears}
 }
 
 // room is how many operations the gateway may hold, of so many in all, beside what all others may hold.
@@ -54,7 +57,7 @@
 
 // hear takes in what a gateway holds, when it tells this bank for the first time.
 func (r *reserves) hear(now time.Duration, gateway string, held int) {
-	if known, found := r.byGateway[gateway]; !found || known.until <= now {
+	if known, found := r.byGateway[gateway]; r.hears && (!found || known.until <= now) {
 		r.unheard = max(0, r.unheard-held)
 	}
 }
--- a/control/quota/reserve_test.go
+++ b/control/quota/reserve_test.go
@@ -171,3 +171,38 @@
 	is.True(before > most)
 	is.True(held <= most)
 }
+
+// heldBy is what a gateway may still begin of its reserve.
+func (w *reserveWorld) heldBy(name string) int {
+	account := w.purse(name).accounts["bakers"]
+	account.dropEnded(w.now)
+	return account.held
+}
+
+// hoard has a gateway ask on and on, whose operations all fail before they are taken out.
+func (w *reserveWorld) hoard(name string, length time.Duration) {
+	for end := w.now + length; w.now < end; w.now += 100 * time.Millisecond {
+		w.purse(name).accounts["bakers"].count(w.now)
+		w.ask(name)
+	}
+}
+
+// QUOTA: a tenant was taken out and came back, and what a gateway had held long before was taken off what others held.
+func TestTenantThatComesBackIsLentNothingThatMayStillBeHeld(t *testing.T) {
+	is := is.New(t)
+	w := newReserveWorld(t, tenPerSecond)
+	most := termsOf(tenPerSecond, usualRules).reserve
+	w.now += 10 * time.Second
+	w.hoard("a", time.Second)
+	delayed := Request{Gateway: "a", Number: 100, Bank: 1, Wants: []Want{{Tenant: "bakers", Held: w.heldBy("a")}}}
+	w.hoard("b", reserveLife+4*time.Second)
+	is.Equal(w.heldBy("a"), 0)
+	is.True(w.heldBy("b") > most/2)
+	w.bank.SetLimits(w.now, nil)
+	w.bank.SetLimits(w.now, []Limit{tenPerSecond})
+	w.bank.Answer(w.now, delayed)
+	w.now += 2 * time.Second
+	next := Request{Gateway: "a", Number: 101, Bank: 1, Wants: []Want{{Tenant: "bakers", Reserve: most}}}
+	lent := w.bank.Answer(w.now, next).Grants[0].Reserved
+	is.True(lent+w.heldBy("b") <= most)
+}
