Quotas: a later bank allows for reserves that were lent by a higher limit

A later bank took what earlier ones had lent for as much as may be held by the limit of the configuration that it began with. Where that limit had been lowered a moment before, and was raised again, more was held than was counted, and the bank lent the difference once more.

A limit that is raised now raises what counts as lent by earlier banks, until that is over.

TestLaterBankCountsWhatWasLentByAHigherLimit failed before: held by two gateways together above the most that may be held.

--- a/control/quota/bank.go
+++ b/control/quota/bank.go
@@ -69,9 +69,10 @@
 		chosen := termsOf(limit, b.rules)
 		if kept == nil {
 			from := max(now, b.opensAt)
-			kept = &bucket{filledAt: from, reserves: newReserves(from, chosen.reserve, now <= b.opensAt)}
+			kept = &bucket{terms: chosen, filledAt: from, reserves: newReserves(from, chosen.reserve, now <= b.opensAt)}
 		}
 		kept.fill(now)
+		kept.reserves.raise(chosen.reserve - kept.terms.reserve)
 		kept.terms = chosen
 		kept.level = min(kept.level, kept.capacity)
 		next[limit.Tenant] = kept
--- a/control/quota/reserve.go
+++ b/control/quota/reserve.go
@@ -38,6 +38,9 @@
 	return &reserves{byGateway: map[string]reserve{}, unheard: lent, unheardUntil: from + reserveLife, hears: hears}
 }
 
+// raise has gateways hold so many more operations. The limit may have been as high before, when what is unheard was lent.
+func (r *reserves) raise(by int) { r.unheard += max(0, by) }
+
 // room is how many operations the gateway may hold, of so many in all, beside what all others may hold.
 func (r *reserves) room(now time.Duration, gateway string, most int) int {
 	others := 0
--- a/control/quota/reserve_test.go
+++ b/control/quota/reserve_test.go
@@ -206,3 +206,19 @@
 	lent := w.bank.Answer(w.now, next).Grants[0].Reserved
 	is.True(lent+w.heldBy("b") <= most)
 }
+
+// QUOTA: a limit was lowered before a later bank took over, and raised after it: what was held by the first limit was lent again.
+func TestLaterBankCountsWhatWasLentByAHigherLimit(t *testing.T) {
+	is := is.New(t)
+	w := newReserveWorld(t, tenPerSecond)
+	most := termsOf(tenPerSecond, usualRules).reserve
+	w.now += 10 * time.Second
+	w.hoard("b", 6*time.Second)
+	is.True(w.heldBy("b") > most/2)
+	w.follow(2, Limit{Tenant: "bakers"})
+	w.bank.SetLimits(w.now, []Limit{tenPerSecond})
+	for range 20 {
+		w.hoard("a", 100*time.Millisecond)
+		is.True(w.heldBy("a")+w.heldBy("b") <= most)
+	}
+}
