Quotas: a reserve is counted a little longer than any clock may take it

The bank counted a reserve for 3 s from its answer, the gateway used it for 3 s from its question: by steady clocks that differ by more than the way takes, it could be used while the bank had lent it to another gateway already. It is now counted 100 ms longer, the same drift of three percent that leases allow for.

TestReserveIsCountedLongerThanAnyClockMayTakeIt failed before: 1% past the life nothing was counted any more.

--- a/control/quota/reserve.go
+++ b/control/quota/reserve.go
@@ -9,6 +9,8 @@
 	// reserveLife is how long a gateway may use its reserve after it asked last: as long as a lease of the table, without which a gateway
 	// begins nothing.
 	reserveLife = 3 * time.Second
+	// reserveMargin is for how much longer a reserve is counted: steady clocks may differ by as much in its life.
+	reserveMargin = 100 * time.Millisecond
 	// waitersShare is the part of a bucket that reserves leave to operations that wait.
 	waitersShare = 0.3
 )
@@ -35,7 +37,7 @@
 
 // newReserves knows of no gateway. So much was lent at the most, and nothing later than at the time given.
 func newReserves(from time.Duration, lent int, hears bool) *reserves {
-	return &reserves{byGateway: map[string]reserve{}, unheard: lent, unheardUntil: from + reserveLife, hears: hears}
+	return &reserves{byGateway: map[string]reserve{}, unheard: lent, unheardUntil: from + reserveLife + reserveMargin, hears: hears}
 }
 
 // raise has gateways hold so many more operations. The limit may have been as high before, when what is unheard was lent.
@@ -83,6 +85,6 @@
 	from.level -= float64(grant.Reserved)
 	from.reserves.byGateway[request.Gateway] = reserve{
 		operations: max(want.Held, grant.Keep+grant.Reserved), // the answer may be lost
-		until:      now + reserveLife,
+		until:      now + reserveLife + reserveMargin,
 	}
 }
--- a/control/quota/reserve_test.go
+++ b/control/quota/reserve_test.go
@@ -18,7 +18,7 @@
 func newReserveWorld(t *testing.T, limit Limit) *reserveWorld {
 	w := &reserveWorld{T: t, gateways: map[string]*Purse{}}
 	w.follow(1, limit)
-	w.now = reserveLife // nothing is left of earlier banks
+	w.now = reserveLife + reserveMargin // nothing is left of earlier banks
 	return w
 }
 
@@ -222,3 +222,17 @@
 		is.True(w.heldBy("a")+w.heldBy("b") <= most)
 	}
 }
+
+// QUOTA: a gateway whose steady clock is a little slow used a reserve that the bank had lent to another one.
+func TestReserveIsCountedLongerThanAnyClockMayTakeIt(t *testing.T) {
+	is := is.New(t)
+	w := newReserveWorld(t, tenPerSecond)
+	w.now += 10 * time.Second
+	w.hoard("a", 3*time.Second)
+	asked := w.purse("a").askedAt
+	lent := w.bank.buckets["bakers"].reserves
+	w.now = asked + reserveLife + reserveLife/100
+	is.True(lent.room(w.now, "b", 0) < 0)
+	w.now = asked + reserveLife + reserveLife/20
+	is.Equal(lent.room(w.now, "b", 0), 0)
+}
