--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -158,12 +158,12 @@
 	return nil, wait, nil
 }
 
-// waitsAfter orders the queue: by priority, then by time left.
+// waitsAfter orders the queue: by priority, then by time left; of equals, who came first.
 func waitsAfter(a, b *waiter) int {
 	if a.priority != b.priority {
 		return a.priority - b.priority
 	}
-	if a.until < b.until {
+	if a.until <= b.until {
 		return -1
 	}
 	return 1
@@ -225,7 +225,6 @@
 	default:
 		free.lastUsed = now
 		p.idle = append(p.idle, free)
-		p.makeMore(now)
 	}
 }
 
--- a/gateway/pool_make.go
+++ b/gateway/pool_make.go
@@ -26,7 +26,7 @@
 		p.most++
 		p.growAt = now + growEvery
 	}
-	if now < p.retryAt || p.closed {
+	if p.closed || p.mustPause(now) {
 		return
 	}
 	for _, wait := range p.unserved() {
@@ -137,7 +137,6 @@
 		return
 	}
 	p.makeMore(now)
-	p.tryAgainLater(now)
 }
 
 // atLimit: the instance takes no more connections, from any gateway. What is idle here gives way: to those who wait here, and to other
@@ -152,18 +151,22 @@
 	p.closeExpired(now, afterGaveWay)
 }
 
-// tryAgainLater makes connections for those who wait once the pause is over: nothing else need happen by then. It is called with the lock held.
-func (p *pool) tryAgainLater(now time.Duration) {
-	if p.retrySet || len(p.waiting) == 0 || now >= p.retryAt {
-		return
+// mustPause tells whether no connection is to be made for a while, since one could not be made. Those who wait are tried for when the pause is
+// over: nothing else need happen by then. It is called with the lock held.
+func (p *pool) mustPause(now time.Duration) bool {
+	if now >= p.retryAt {
+		return false
 	}
-	p.retrySet = true
-	p.after(p.retryAt-now, func() {
-		p.mutex.Lock()
-		defer p.mutex.Unlock()
-		p.retrySet = false
-		now := p.now()
-		p.makeMore(now)
-		p.tryAgainLater(now)
-	})
+	if len(p.waiting) > 0 && !p.retrySet {
+		p.retrySet = true
+		p.after(p.retryAt-now, p.pauseOver)
+	}
+	return true
+}
+
+func (p *pool) pauseOver() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.retrySet = false
+	p.makeMore(p.now())
 }
--- a/gateway/standins_test.go
+++ b/gateway/standins_test.go
@@ -32,6 +32,7 @@
 	text       string
 	values     map[string]string
 	shape      string // of an EXECUTE
+	inside     bool   // a transaction was open on the connection
 }
 
 // mishap is what a stand-in of an instance does to a statement.
@@ -207,6 +208,7 @@
 		text:       request.Text,
 		values:     maps.Clone(c.values),
 		shape:      c.prepared[statement.Name].Shape,
+		inside:     c.state == wire.InTransaction,
 	})
 }
 
