--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,4 +1,4 @@
-// Package fleet plays many routers (the splitter, the books of packages lore and zone) before nodes of package model, in virtual
+// Package fleet plays many routers (the splitter, the books of packages peerstate and zone) before nodes of package model, in virtual
 // time: one seed, one history. It decides nothing. It is a rig: never part of a router.
 package fleet
 
@@ -177,7 +177,7 @@
 	for _, r := range f.routers {
 		for id, s := range f.servers {
 			if s.gone {
-				r.book.Forget(id)
+				r.peerState.RemoveNode(id)
 				r.zones.Forget(id)
 			} else {
 				r.names(id, s)
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -5,16 +5,20 @@
 	"sync"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/control/configuration"
 	"eiderway/control/feed"
 	"eiderway/control/quota"
 )
 
 const (
-	// operationsTime bounds a question for operations: the primary answers it at once.
-	operationsTime = 700 * time.Millisecond
+	// operationsTime bounds a question for operations: the primary answers it at once, or says after 0.7 s that nobody confirms that it leads. A
+	// question that is given up closes the connection, and with it the gateway's question for news.
+	operationsTime = 1100 * time.Millisecond
 	// operationsPause is the pause after one that got no answer.
 	operationsPause = 50 * time.Millisecond
+	// reserveTick is between two looks at whether a reserve is to be renewed.
+	reserveTick = 250 * time.Millisecond
 )
 
 // allowance lets operations of tenants begin as long as their limits allow it. Those who find its purse empty wait for what the bank
@@ -92,10 +96,10 @@
 }
 
 // granted books what the bank granted, and lets those who wait look again.
-func (a *allowance) granted(sentAt time.Duration, answer quota.Answer) {
+func (a *allowance) granted(answer quota.Answer) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.purse.Granted(a.now(), sentAt, answer)
+	a.purse.Granted(a.now(), answer)
 	close(a.changed)
 	a.changed = make(chan struct{})
 	a.wakeBorrower() // others may have come to wait meanwhile
@@ -110,11 +114,14 @@
 
 // borrow asks the primary for operations of tenants, one question at a time, until the context ends.
 func (g *Gateway) borrow(ctx context.Context) {
+	ticker := time.NewTicker(reserveTick)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.allowance.hungry:
+		case <-ticker.C:
 		}
 		request, due := g.allowance.next()
 		if due && !g.askForOperations(ctx, request) {
@@ -130,16 +137,16 @@
 	if address == "" {
 		return false
 	}
+	request.Gateway = g.identity
 	limited, cancel := context.WithTimeout(ctx, operationsTime)
 	defer cancel()
-	sentAt := g.now()
 	answer, err := g.watcher.Watch(limited, address, feed.WatchRequest{
 		Gateway: g.identity, Name: g.name, Operations: &request, Relay: relay,
 	})
 	if err != nil || answer.Operations == nil {
 		return false
 	}
-	g.allowance.granted(sentAt, *answer.Operations)
+	g.allowance.granted(*answer.Operations)
 	return true
 }
 
@@ -149,25 +156,28 @@
 	return g.primary, g.primaryRelays
 }
 
-// limitOf says for whom an operation of a client counts, and until when it may wait; false: for nobody.
-func (g *Gateway) limitOf(database string, key accessKey, asked time.Duration) (tenant string, until time.Duration, counts bool) {
+// limitOf says for whom an operation of a client is likely to count, and until when it may wait; "": for nobody, or it can't be served now.
+func (g *Gateway) limitOf(database string, key access.Key, asked time.Duration) (tenant string, until time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	route, known := g.directory.routes[database]
 	if !known || !g.directory.leased(g.now()) {
-		return "", 0, false // it isn't served anyway
+		return "", 0
 	}
-	tenant, _ = g.directory.access.admit(route, key)
-	return tenant, asked + patienceOf(placement{route: route}), tenant != ""
+	tenant, _ = g.directory.access.Admit(route, key)
+	return tenant, asked + patienceOf(placement{route: route})
 }
 
-// begin lets the operation whose first statement was asked for at the time given begin, as far as its tenant's limit goes.
-func (c *client) begin(asked time.Duration) bool {
-	tenant, until, counts := c.gateway.limitOf(c.database, c.key, asked)
-	if counts && !c.gateway.allowance.take(tenant, until) {
+// count takes the operation out for the tenant, as far as its limit goes. One that was counted for this tenant and hasn't been sent
+// isn't counted again; what was counted for another is lost.
+func (c *client) count(tenant string, until time.Duration) bool {
+	if tenant == "" || c.counted == tenant {
+		return true
+	}
+	if !c.gateway.allowance.take(tenant, until) {
 		c.gateway.counters.overLimit.Add(1)
 		return false
 	}
-	c.begun = true
+	c.counted = tenant
 	return true
 }
