--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -225,7 +225,6 @@
 	default:
 		free.lastUsed = now
 		p.idle = append(p.idle, free)
-		p.makeMore(now)
 	}
 }
 
--- a/gateway/tenants_test.go
+++ b/gateway/tenants_test.go
@@ -111,6 +111,8 @@
 	keeping := hold(t, wire.Put)
 	w.first.on(keeping.meet)
 	flour.must("PUT a 1", "ERROR TIMEOUT / I")
+	yeast.must("FETCH b", `COMPLETE stamp [""] / I`) // while the instance is still at work on it
+	anvil.must("FETCH b", `COMPLETE stamp [""] / I`)
 	keeping.release()
 	w.first.on(nil)
 	w.eventually("the statement has run late", func() bool { return w.first.read("a") == "1" })
