--- a/control/quota/bank.go
+++ b/control/quota/bank.go
@@ -8,7 +8,7 @@
 
 const (
 	// leastRetry and longestRetry bound how long a gateway is told to wait before it asks again.
-	leastRetry   = 50 * time.Millisecond
+	leastRetry   = 100 * time.Millisecond
 	longestRetry = time.Second
 	// unknownRetry is the wait for a tenant that the bank doesn't know: its configuration is about to change.
 	unknownRetry = 200 * time.Millisecond
@@ -69,9 +69,10 @@
 		chosen := termsOf(limit, b.rules)
 		if kept == nil {
 			from := max(now, b.opensAt)
-			kept = &bucket{filledAt: from, reserves: newReserves(from, chosen.reserve)}
+			kept = &bucket{terms: chosen, filledAt: from, reserves: newReserves(from, chosen.reserve, now <= b.opensAt)}
 		}
 		kept.fill(now)
+		kept.reserves.raise(chosen.reserve - kept.terms.reserve)
 		kept.terms = chosen
 		kept.level = min(kept.level, kept.capacity)
 		next[limit.Tenant] = kept
--- a/control/quota/reserve_test.go
+++ b/control/quota/reserve_test.go
@@ -18,7 +18,7 @@
 func newReserveWorld(t *testing.T, limit Limit) *reserveWorld {
 	w := &reserveWorld{T: t, gateways: map[string]*Purse{}}
 	w.follow(1, limit)
-	w.now = reserveLife // nothing is left of earlier banks
+	w.now = reserveLife + reserveMargin // nothing is left of earlier banks
 	return w
 }
 
@@ -171,3 +171,68 @@
 	is.True(before > most)
 	is.True(held <= most)
 }
+
+// heldBy is what a gateway may still begin of its reserve.
+func (w *reserveWorld) heldBy(name string) int {
+	account := w.purse(name).accounts["bakers"]
+	account.dropEnded(w.now)
+	return account.held
+}
+
+// hoard has a gateway ask on and on, whose operations all fail before they are taken out.
+func (w *reserveWorld) hoard(name string, length time.Duration) {
+	for end := w.now + length; w.now < end; w.now += 100 * time.Millisecond {
+		w.purse(name).accounts["bakers"].count(w.now)
+		w.ask(name)
+	}
+}
+
+// QUOTA: a tenant was taken out and came back, and what a gateway had held long before was taken off what others held.
+func TestTenantThatComesBackIsLentNothingThatMayStillBeHeld(t *testing.T) {
+	is := is.New(t)
+	w := newReserveWorld(t, tenPerSecond)
+	most := termsOf(tenPerSecond, usualRules).reserve
+	w.now += 10 * time.Second
+	w.hoard("a", time.Second)
+	delayed := Request{Gateway: "a", Number: 100, Bank: 1, Wants: []Want{{Tenant: "bakers", Held: w.heldBy("a")}}}
+	w.hoard("b", reserveLife+4*time.Second)
+	is.Equal(w.heldBy("a"), 0)
+	is.True(w.heldBy("b") > most/2)
+	w.bank.SetLimits(w.now, nil)
+	w.bank.SetLimits(w.now, []Limit{tenPerSecond})
+	w.bank.Answer(w.now, delayed)
+	w.now += 2 * time.Second
+	next := Request{Gateway: "a", Number: 101, Bank: 1, Wants: []Want{{Tenant: "bakers", Reserve: most}}}
+	lent := w.bank.Answer(w.now, next).Grants[0].Reserved
+	is.True(lent+w.heldBy("b") <= most)
+}
+
+// QUOTA: a limit was lowered before a later bank took over, and raised after it: what was held by the first limit was lent again.
+func TestLaterBankCountsWhatWasLentByAHigherLimit(t *testing.T) {
+	is := is.New(t)
+	w := newReserveWorld(t, tenPerSecond)
+	most := termsOf(tenPerSecond, usualRules).reserve
+	w.now += 10 * time.Second
+	w.hoard("b", 6*time.Second)
+	is.True(w.heldBy("b") > most/2)
+	w.follow(2, Limit{Tenant: "bakers"})
+	w.bank.SetLimits(w.now, []Limit{tenPerSecond})
+	for range 20 {
+		w.hoard("a", 100*time.Millisecond)
+		is.True(w.heldBy("a")+w.heldBy("b") <= most)
+	}
+}
+
+// QUOTA: a gateway whose steady clock is a little slow used a reserve that the bank had lent to another one.
+func TestReserveIsCountedLongerThanAnyClockMayTakeIt(t *testing.T) {
+	is := is.New(t)
+	w := newReserveWorld(t, tenPerSecond)
+	w.now += 10 * time.Second
+	w.hoard("a", 3*time.Second)
+	asked := w.purse("a").askedAt
+	lent := w.bank.buckets["bakers"].reserves
+	w.now = asked + reserveLife + reserveLife/100
+	is.True(lent.room(w.now, "b", 0) < 0)
+	w.now = asked + reserveLife + reserveLife/20
+	is.Equal(lent.room(w.now, "b", 0), 0)
+}
