lease: both searches pack the keys of their worlds in one way

The world of all routers and the one of a lone member each had the same packing of numbers, times and datagrams in any order. The searches reach the same states as before: go test ./lease -v prints the same counts and depths, and passes.

--- a/lease/proof_test.go
+++ b/lease/proof_test.go
@@ -1,14 +1,11 @@
 package lease
 
 import (
-	"encoding/binary"
 	"fmt"
-	"math"
 	"math/bits"
 	"slices"
 	"testing"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 )
 
@@ -170,42 +167,25 @@
 }
 
 func (w *lone) key() [2]uint64 {
-	var b []byte
-	num := func(all ...uint64) {
-		for _, n := range all {
-			b = binary.AppendUvarint(b, n)
-		}
-	}
-	flo := func(all ...float64) {
-		for _, f := range all {
-			num(math.Float64bits(f))
-		}
-	}
+	var d digest
 	m := &w.member
-	num(uint64(w.ticks), uint64(w.crashes), uint64(w.doubles), uint64(w.gives), m.serial, m.token, uint64(m.to.router), m.to.life, uint64(m.by.router),
-		uint64(m.left.router), m.left.life)
-	flo(m.quiet, m.until, m.leftAt, m.asks)
+	d.numbers(uint64(w.ticks), uint64(w.crashes), uint64(w.doubles), uint64(w.gives), m.serial, m.token, uint64(m.to.router), m.to.life,
+		uint64(m.by.router), uint64(m.left.router), m.left.life)
+	d.times(m.quiet, m.until, m.leftAt, m.asks)
 	for i, c := range w.claims {
 		v := c.votes[0]
-		num(c.token, c.top, uint64(w.asked[i]), uint64(w.outside[i]), v.serial, w.before[v.serial])
-		flo(c.began, v.at, v.until, v.stored)
-	}
-	var net []string
-	at := len(b)
-	for _, f := range w.net {
-		num(uint64(f.kind), uint64(f.from), uint64(f.to), f.ask.token, f.ask.serial, f.grant.serial, f.grant.token, uint64(f.grant.to.router), f.by.life)
-		flo(f.ask.at, f.grant.at, f.at)
-		num(map[bool]uint64{true: 1}[f.grant.granted], map[bool]uint64{true: 1}[f.grant.stored], w.before[f.grant.serial])
-		net = append(net, string(b[at:]))
-		b = b[:at]
-	}
-	slices.Sort(net)
-	for _, f := range net {
-		b = append(append(b, f...), 0xff)
+		d.numbers(c.token, c.top, uint64(w.asked[i]), uint64(w.outside[i]), v.serial, w.before[v.serial])
+		d.times(c.began, v.at, v.until, v.stored)
 	}
-	h := xxhash.NewWithSeed(1)
-	h.Write(b)
-	return [2]uint64{xxhash.Sum64(b), h.Sum64()}
+	d.unordered(len(w.net), func(i int) {
+		f := w.net[i]
+		d.numbers(uint64(f.kind), uint64(f.from), uint64(f.to), f.ask.token, f.ask.serial, f.grant.serial, f.grant.token,
+			uint64(f.grant.to.router), f.by.life)
+		d.times(f.ask.at, f.grant.at, f.at)
+		d.flags(f.grant.granted, f.grant.stored)
+		d.numbers(w.before[f.grant.serial])
+	})
+	return d.key()
 }
 
 // searchLone goes all ways.
--- a/lease/search_test.go
+++ b/lease/search_test.go
@@ -16,58 +16,75 @@
 
 var deep = flag.Bool("deep", false, "search larger worlds, for minutes")
 
-// key tells two worlds apart that can go on differently.
-func (w *world) key() [2]uint64 {
-	var b []byte
-	num := func(all ...uint64) {
-		for _, n := range all {
-			b = binary.AppendUvarint(b, n)
-		}
+// digest packs what makes worlds differ into a key.
+type digest struct{ bytes []byte }
+
+func (d *digest) numbers(all ...uint64) {
+	for _, n := range all {
+		d.bytes = binary.AppendUvarint(d.bytes, n)
 	}
-	flo := func(all ...float64) {
-		for _, f := range all {
-			num(math.Float64bits(f))
-		}
+}
+
+func (d *digest) times(all ...float64) {
+	for _, f := range all {
+		d.numbers(math.Float64bits(f))
 	}
-	flag := func(all ...bool) {
-		for _, f := range all {
-			num(map[bool]uint64{true: 1}[f])
-		}
+}
+
+func (d *digest) flags(all ...bool) {
+	for _, f := range all {
+		d.numbers(map[bool]uint64{true: 1}[f])
+	}
+}
+
+// unordered packs parts of which it makes no difference which comes first.
+func (d *digest) unordered(count int, pack func(i int)) {
+	parts := make([]string, count)
+	at := len(d.bytes)
+	for i := range parts {
+		pack(i)
+		parts[i] = string(d.bytes[at:])
+		d.bytes = d.bytes[:at]
+	}
+	slices.Sort(parts)
+	for _, part := range parts {
+		d.bytes = append(append(d.bytes, part...), 0xff)
 	}
-	num(uint64(w.tick), uint64(w.crashes), uint64(w.forgets), w.lives, uint64(w.doubled))
+}
+
+func (d *digest) key() [2]uint64 {
+	h := xxhash.NewWithSeed(1)
+	h.Write(d.bytes)
+	return [2]uint64{xxhash.Sum64(d.bytes), h.Sum64()}
+}
+
+// key tells two worlds apart that can go on differently.
+func (w *world) key() [2]uint64 {
+	var d digest
+	d.numbers(uint64(w.tick), uint64(w.crashes), uint64(w.forgets), w.lives, uint64(w.doubled))
 	for _, m := range w.members {
-		num(m.serial, m.token, uint64(m.to.router), m.to.life, uint64(m.by.router), m.by.life, uint64(m.left.router))
-		flo(m.quiet, m.until, m.leftAt, m.asks)
+		d.numbers(m.serial, m.token, uint64(m.to.router), m.to.life, uint64(m.by.router), m.by.life, uint64(m.left.router))
+		d.times(m.quiet, m.until, m.leftAt, m.asks)
 	}
 	for i, c := range w.claims {
-		num(c.token, c.top, uint64(w.asked[i]))
-		flag(c.held)
-		flo(c.began)
+		d.numbers(c.token, c.top, uint64(w.asked[i]))
+		d.flags(c.held)
+		d.times(c.began)
 		for _, v := range c.votes {
-			num(v.serial)
-			flo(v.at, v.until, v.stored)
+			d.numbers(v.serial)
+			d.times(v.at, v.until, v.stored)
 		}
 	}
 	for _, h := range w.held {
-		num(uint64(h.n), h.token)
+		d.numbers(uint64(h.n), h.token)
 	}
-	var net []string
-	at := len(b)
-	for _, f := range w.net {
-		num(uint64(f.kind), uint64(f.from), uint64(f.to), f.ask.token, f.ask.serial, f.grant.serial, f.grant.token)
-		flo(f.ask.at, f.grant.at, f.at)
-		flag(f.grant.granted, f.grant.stored)
-		net = append(net, string(b[at:]))
-		b = b[:at]
-	}
-	slices.Sort(net)
-	for _, f := range net {
-		b = append(b, f...)
-		b = append(b, 0xff)
-	}
-	h := xxhash.NewWithSeed(1)
-	h.Write(b)
-	return [2]uint64{xxhash.Sum64(b), h.Sum64()}
+	d.unordered(len(w.net), func(i int) {
+		f := w.net[i]
+		d.numbers(uint64(f.kind), uint64(f.from), uint64(f.to), f.ask.token, f.ask.serial, f.grant.serial, f.grant.token)
+		d.times(f.ask.at, f.grant.at, f.at)
+		d.flags(f.grant.granted, f.grant.stored)
+	})
+	return d.key()
 }
 
 // ways lists all that may happen next in a search. A datagram that is never delivered is lost.
