host: the stand-ins of tests share their listener, and one answers for both

The platform's and the instance's stand-in had the same listening and closing; an instance that answers every question stood twice, once for primaries only. Nothing is asked of the tests differently; they pass.

--- a/host/core_test.go
+++ b/host/core_test.go
@@ -14,12 +14,10 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
-	"eiderway/control/failover"
 	"eiderway/control/feed"
 	"eiderway/control/rpc"
 	"eiderway/system"
 	"eiderway/testing/loopback"
-	"eiderway/wire"
 )
 
 const (
@@ -198,27 +196,6 @@
 		`"warmupLeftMs":0,"dbRole":%q,"callSeq":%d}`, address, role, sequence)
 }
 
-// newLeadingInstance is an instance that answers every question as the primary of its service.
-func newLeadingInstance(t *testing.T) *instanceStandIn {
-	t.Helper()
-	stand := newInstanceStandIn(t, ready)
-	status := failover.Status{Primary: true, Term: 3, Received: failover.Position{Term: 3, Number: 9}, TermHeld: 3}
-	row := "ROW " + wire.FormatStatus(status) + "\r\nCOMPLETE -\r\n" + ready
-	ctx, cancel := context.WithCancel(context.Background())
-	stand.running.Go(func() {
-		for {
-			select {
-			case question := <-stand.asked:
-				question.answer(row)
-			case <-ctx.Done():
-				return
-			}
-		}
-	})
-	t.Cleanup(cancel)
-	return stand
-}
-
 // watch asks as a gateway until the table is as wanted, and returns the last answer.
 func (c *core) watch(client *rpc.Client, wanted func(feed.Table) bool) feed.Table {
 	c.t.Helper()
@@ -256,7 +233,7 @@
 	is.Equal(c.settle(0, "POST", "/config/replace", `{"configRevision":3`).status, 400)
 
 	// An instance appears, is probed, and is in the table of a gateway as the leader.
-	instance := newLeadingInstance(t)
+	instance := newAnsweringInstance(t, true)
 	address := instance.listener.Addr().String()
 	is.Equal(c.settle(1, "POST", "/instances/i-1/heartbeat", beatText(address, "primary", 1)).status, 200)
 	gateway := &rpc.Client{}
--- a/host/measure_test.go
+++ b/host/measure_test.go
@@ -23,11 +23,9 @@
 
 	"github.com/matryer/is"
 
-	"eiderway/control/failover"
 	"eiderway/control/feed"
 	"eiderway/control/rpc"
 	"eiderway/system"
-	"eiderway/wire"
 )
 
 var (
@@ -249,27 +247,6 @@
 	return m
 }
 
-// newAnsweringInstance answers every question with the same row.
-func newAnsweringInstance(t *testing.T, primary bool) *instanceStandIn {
-	t.Helper()
-	stand := newInstanceStandIn(t, ready)
-	status := failover.Status{Primary: primary, Term: 3, Received: failover.Position{Term: 3, Number: 9}, TermHeld: 3}
-	row := "ROW " + wire.FormatStatus(status) + "\r\nCOMPLETE -\r\n" + ready
-	ctx, cancel := context.WithCancel(context.Background())
-	stand.running.Go(func() {
-		for {
-			select {
-			case question := <-stand.asked:
-				question.answer(row)
-			case <-ctx.Done():
-				return
-			}
-		}
-	})
-	t.Cleanup(cancel)
-	return stand
-}
-
 func (m *measuredCore) configuration(number int) string {
 	var routes, services []string
 	for index := range m.routes {
--- a/host/platform_test.go
+++ b/host/platform_test.go
@@ -32,29 +32,11 @@
 
 func newPlatformStandIn(t *testing.T, end func(net.Conn)) *platformStandIn {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	stand := &platformStandIn{listener: listener, end: end, requests: make(chan receivedCall, 10)}
-	stand.running.Go(stand.accept)
-	t.Cleanup(func() {
-		_ = listener.Close()
-		stand.running.Wait()
-	})
+	stand := &platformStandIn{end: end, requests: make(chan receivedCall, 10)}
+	stand.listener = serveConnections(t, &stand.running, stand.serve)
 	return stand
 }
 
-func (p *platformStandIn) accept() {
-	for {
-		connection, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		p.running.Go(func() { p.serve(connection) })
-	}
-}
-
 // serve answers all calls on a connection, as a platform with keep-alive would.
 func (p *platformStandIn) serve(connection net.Conn) {
 	defer connection.Close()
--- a/host/prober_test.go
+++ b/host/prober_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"net"
 	"sync"
 	"testing"
@@ -36,28 +37,54 @@
 }
 
 func newInstanceStandIn(t *testing.T, greeting string) *instanceStandIn {
+	t.Helper()
+	stand := &instanceStandIn{greeting: greeting, asked: make(chan askedQuestion, 10), ended: make(chan struct{}, 100)}
+	stand.listener = serveConnections(t, &stand.running, stand.serve)
+	return stand
+}
+
+// serveConnections listens, and serves each connection by itself until the test ends.
+func serveConnections(t *testing.T, running *sync.WaitGroup, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	stand := &instanceStandIn{listener: listener, greeting: greeting, asked: make(chan askedQuestion, 10), ended: make(chan struct{}, 100)}
-	stand.running.Go(stand.accept)
+	running.Go(func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() { serve(connection) })
+		}
+	})
 	t.Cleanup(func() {
 		_ = listener.Close()
-		stand.running.Wait()
+		running.Wait()
 	})
-	return stand
+	return listener
 }
 
-func (s *instanceStandIn) accept() {
-	for {
-		connection, err := s.listener.Accept()
-		if err != nil {
-			return
+// newAnsweringInstance is an instance that answers every question with the same row, as the primary of its service or not.
+func newAnsweringInstance(t *testing.T, primary bool) *instanceStandIn {
+	t.Helper()
+	stand := newInstanceStandIn(t, ready)
+	status := failover.Status{Primary: primary, Term: 3, Received: failover.Position{Term: 3, Number: 9}, TermHeld: 3}
+	row := "ROW " + wire.FormatStatus(status) + "\r\nCOMPLETE -\r\n" + ready
+	ctx, cancel := context.WithCancel(context.Background())
+	stand.running.Go(func() {
+		for {
+			select {
+			case question := <-stand.asked:
+				question.answer(row)
+			case <-ctx.Done():
+				return
+			}
 		}
-		s.running.Go(func() { s.serve(connection) })
-	}
+	})
+	t.Cleanup(cancel)
+	return stand
 }
 
 func (s *instanceStandIn) serve(connection net.Conn) {
