Quotas: what gateways keep in stock comes after what waits, and only from plenty

A tenant near its limit lost up to a fifth of its operations below it: gateways asked for stocks and for those that waited in one figure, and what one let end unused another's clients were refused. Now the two are asked for apart; the bank grants stocks only from the upper half of what a bucket holds beyond the tenant's burst, and says when it didn't, so that the gateway asks for none for a second.

--- a/control/quota/bank.go
+++ b/control/quota/bank.go
@@ -84,15 +84,22 @@
 		return Grant{Tenant: want.Tenant, RetryAfter: unknownRetry}
 	}
 	known.fill(now)
-	granted := max(0, min(want.Operations, int(math.Floor(known.level))))
-	known.level -= float64(granted)
-	grant := Grant{Tenant: want.Tenant, Operations: granted, Life: known.life}
+	granted := known.take(want.Operations, 0)
+	spare := known.take(want.Spare, known.reserve)
+	grant := Grant{Tenant: want.Tenant, Operations: granted + spare, Life: known.life, Scarce: spare < want.Spare}
 	if granted < want.Operations {
-		grant.RetryAfter = known.retryAfter()
+		grant.RetryAfter, grant.Scarce = known.retryAfter(), true
 	}
 	return grant
 }
 
+// take takes out as many of the wanted operations as leave the rest given.
+func (b *bucket) take(wanted int, rest float64) int {
+	taken := max(0, min(wanted, int(math.Floor(b.level-rest))))
+	b.level -= float64(taken)
+	return taken
+}
+
 // retryAfter is when there will be an operation to grant.
 func (b *bucket) retryAfter() time.Duration {
 	if b.rate <= 0 {
--- a/control/quota/message.go
+++ b/control/quota/message.go
@@ -5,7 +5,8 @@
 // Want asks for operations of a tenant.
 type Want struct {
 	Tenant     string
-	Operations int
+	Operations int // for those that wait
+	Spare      int // to keep in stock; granted only where the bank has plenty
 }
 
 // Request is a gateway's question for operations. At most one is under way for a gateway.
@@ -17,9 +18,10 @@
 // Grant answers a Want.
 type Grant struct {
 	Tenant     string
-	Operations int           // not more than were wanted
+	Operations int           // not more than were wanted, those in stock among them
 	Life       time.Duration // within which they may be begun, counted from the sending of the request
-	RetryAfter time.Duration // if fewer were granted than wanted: when it may be worth asking again
+	RetryAfter time.Duration // if fewer were granted than wait: when it may be worth asking again
+	Scarce     bool          // nothing should be kept in stock for a while
 }
 
 // Answer answers a Request.
--- a/control/quota/purse.go
+++ b/control/quota/purse.go
@@ -16,6 +16,8 @@
 	// stockLow and stockFull are the stocks, in parts of the life of a grant, at which the gateway asks for more, and for how much.
 	stockLow  = 0.3
 	stockFull = 0.6
+	// scarceTime is for how long nothing is kept in stock once the bank had too little: what one gateway lets end unused, another would have used.
+	scarceTime = time.Second
 	// mostWanted bounds what is asked for at once.
 	mostWanted = 1000
 )
@@ -45,6 +47,7 @@
 	lots      []lot // by their end
 	life      time.Duration
 	refusedTo time.Duration // until when nothing is to be had
+	scarceTo  time.Duration // until when nothing is kept in stock
 	waiting   int           // operations that wait for a grant
 	demand    float64       // operations a second
 	countedAt time.Duration
@@ -138,7 +141,7 @@
 // Hungry tells whether there is a reason to ask the bank for operations of a tenant, and no request under way.
 func (p *Purse) Hungry(now time.Duration, tenant string) bool {
 	known := p.accounts[tenant]
-	return known != nil && !p.asking && known.wanted(now) > 0
+	return known != nil && !p.asking && known.wants(now)
 }
 
 // Next gives the request that is due, sorted by tenant; false: none is, or one is under way. It must be followed by Granted or Failed.
@@ -148,8 +151,8 @@
 	}
 	var request Request
 	for tenant, known := range p.accounts {
-		if wanted := known.wanted(now); wanted > 0 {
-			request.Wants = append(request.Wants, Want{Tenant: tenant, Operations: wanted})
+		if known.wants(now) {
+			request.Wants = append(request.Wants, known.want(now, tenant))
 		}
 	}
 	if len(request.Wants) == 0 {
@@ -162,23 +165,30 @@
 	return request, true
 }
 
-// wanted is how many operations should be asked for.
-func (a *account) wanted(now time.Duration) int {
+// wants tells whether something should be asked for.
+func (a *account) wants(now time.Duration) bool {
+	want := a.want(now, "")
+	return want.Operations > 0 || want.Spare > 0
+}
+
+// want is what should be asked for.
+func (a *account) want(now time.Duration, tenant string) Want {
+	want := Want{Tenant: tenant}
 	if now < a.refusedTo {
-		return 0
+		return want
 	}
 	a.dropEnded(now)
 	stock := 0
 	for _, kept := range a.lots {
 		stock += kept.operations
 	}
-	wanted := max(0, a.waiting-stock)
+	want.Operations = min(mostWanted, max(0, a.waiting-stock))
 	demand := a.demandAt(now)
 	life := a.life.Seconds()
-	if demand >= stockFrom && float64(stock) < demand*life*stockLow {
-		wanted += int(math.Ceil(demand*life*stockFull)) - stock
+	if now >= a.scarceTo && demand >= stockFrom && float64(stock) < demand*life*stockLow {
+		want.Spare = min(mostWanted, int(math.Ceil(demand*life*stockFull))) - stock
 	}
-	return min(wanted, mostWanted)
+	return want
 }
 
 // Granted books the answer to the request that is under way. Any other one, such as one that comes twice or after Failed, changes nothing.
@@ -202,6 +212,9 @@
 		a.lots = append(a.lots, lot{operations: grant.Operations, until: askedAt + grant.Life})
 		slices.SortStableFunc(a.lots, func(x, y lot) int { return cmp.Compare(x.until, y.until) })
 	}
+	if grant.Scarce {
+		a.scarceTo = now + scarceTime
+	}
 	if grant.RetryAfter > 0 {
 		a.refusedTo = now + grant.RetryAfter
 	}
--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -149,7 +149,7 @@
 	purse.Wait("bakers")
 	request, due := purse.Next(0)
 	is.True(due)
-	is.Equal(fmt.Sprint(request), "{1 [{bakers 1}]}")
+	is.Equal(fmt.Sprint(request), "{1 [{bakers 1 0}]}")
 	_, due = purse.Next(0)
 	is.True(!due) // one at a time
 	answer := Answer{Number: 1, Grants: []Grant{{Tenant: "bakers", Operations: 3, Life: time.Second}}}
--- a/control/quota/terms.go
+++ b/control/quota/terms.go
@@ -31,6 +31,8 @@
 	clockShare = 0.01
 	// leastCapacityS is the least capacity of a bucket in seconds of its rate, so that gateways may get several operations at once.
 	leastCapacityS = 0.1
+	// reserveShare is the part of the capacity beyond the tenant's burst that is left for operations that wait.
+	reserveShare = 0.5
 	// mostOperations bounds rates a second and bursts: no system serves as many, and sums of them are still exact.
 	mostOperations = 1e9
 )
@@ -40,6 +42,7 @@
 	rate     float64 // operations a second
 	capacity float64
 	life     time.Duration
+	reserve  float64 // of the capacity: what isn't granted to be kept in stock
 }
 
 // termsOf gives the terms under which no window holds more than the rule allows: capacity + rate x (window + life) is at most that.
@@ -56,5 +59,11 @@
 	least := min(most, 1+limit.RatePerS*leastCapacityS)
 	capacity := max(least, room-limit.RatePerS*life)
 	rate := min(limit.RatePerS, max(0, most-capacity)/(window+life))
-	return terms{rate: rate, capacity: capacity, life: time.Duration(math.Floor(life * float64(time.Second)))}
+	burst := min(limit.Burst, capacity)
+	return terms{
+		rate:     rate,
+		capacity: capacity,
+		life:     time.Duration(math.Floor(life * float64(time.Second))),
+		reserve:  burst + (capacity-burst)*reserveShare,
+	}
 }
