Quotas: a bucket holds a tenant's whole burst, whatever the life of its grants

The life of grants took up to half of the room that a tenant's burst makes, so a tenant at rest was refused part of its own burst (rate 945.5, burst 5,000: capacity 4,999.975; rate 493, burst 493: 390). It takes from the room beyond the burst only, so that grants of tenants with large bursts live shorter.

Seen: TestCapacityHoldsTheBurst failed before and passes now.

--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -213,3 +213,13 @@
 		}
 	})
 }
+
+// Refused below the limit: the life of grants took so much of the capacity that a tenant at rest couldn't have its whole burst.
+func TestCapacityHoldsTheBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{RatePerS: rapid.Float64Range(0, 5000).Draw(t, "rate"), Burst: rapid.Float64Range(0, 5000).Draw(t, "burst")}
+		if chosen := termsOf(limit, usualRules); chosen.capacity < limit.Burst || chosen.rate < limit.RatePerS-1e-6 {
+			t.Fatalf("%+v: %+v", limit, chosen)
+		}
+	})
+}
--- a/control/quota/terms.go
+++ b/control/quota/terms.go
@@ -25,7 +25,7 @@
 	longestLife = time.Second
 	// shortestLife of a grant: a few round trips between gateway and controller.
 	shortestLife = 200 * time.Millisecond
-	// lifeShare is the part of the room beyond the rate that the life of grants may take.
+	// lifeShare is the part of the room beyond the rate and the burst that the life of grants may take.
 	lifeShare = 0.5
 	// clockShare is the part of the operations at the rate that is left unused, since steady clocks may differ a little.
 	clockShare = 0.01
@@ -54,7 +54,7 @@
 	life := longestLife.Seconds()
 	room := most - limit.RatePerS*window
 	if limit.RatePerS > 0 {
-		life = min(life, max(shortestLife.Seconds(), room*lifeShare/limit.RatePerS))
+		life = min(life, max(shortestLife.Seconds(), (room-limit.Burst)*lifeShare/limit.RatePerS))
 	}
 	least := min(most, 1+limit.RatePerS*leastCapacityS)
 	capacity := max(least, room-limit.RatePerS*life)
