--- a/control/quota/bank.go
+++ b/control/quota/bank.go
@@ -7,7 +7,7 @@
 
 const (
 	// leastRetry and longestRetry bound how long a gateway is told to wait before it asks again.
-	leastRetry   = 50 * time.Millisecond
+	leastRetry   = 100 * time.Millisecond
 	longestRetry = time.Second
 	// unknownRetry is the wait for a tenant that the bank doesn't know: its configuration is about to change.
 	unknownRetry = 200 * time.Millisecond
