Quotas: a question for an operation that waits brings stock with it where demand is worth it

A question that is sent anyway now asks for stock too, from a demand of 0.6 operations in the life of a grant; questions for stock alone are sent from 10 operations a second. The bank keeps 0.7 of what it holds beyond a tenant's burst for operations that wait.

--- a/control/quota/measure_test.go
+++ b/control/quota/measure_test.go
@@ -324,3 +324,48 @@
 		}
 	}
 }
+
+// benchmarkBank has as many tenants as given.
+func benchmarkBank(b *testing.B, tenants int) {
+	bank, names := NewBank(0, usualRules), make([]string, tenants)
+	var limits []Limit
+	for index := range tenants {
+		names[index] = fmt.Sprintf("t%d", index)
+		limits = append(limits, Limit{Tenant: names[index], RatePerS: 1000, Burst: 1000})
+	}
+	bank.SetLimits(0, limits)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for index := range b.N {
+		bank.Answer(time.Duration(index)*time.Millisecond, Request{Wants: []Want{{Tenant: names[index%tenants], Operations: 1}}})
+	}
+}
+
+func BenchmarkBankAnswer(b *testing.B)              { benchmarkBank(b, 72) }
+func BenchmarkBankAnswerOfManyTenants(b *testing.B) { benchmarkBank(b, 7200) }
+
+func benchmarkPurse(b *testing.B, tenants int) {
+	purse, names := NewPurse(), make([]string, tenants)
+	for index := range tenants {
+		names[index] = fmt.Sprintf("t%d", index)
+	}
+	purse.SetLimited(names)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for index := range b.N {
+		now := time.Duration(index) * time.Millisecond
+		name := names[index%tenants]
+		if purse.Take(now, name) == Taken {
+			continue
+		}
+		purse.Wait(name)
+		request, _ := purse.Next(now)
+		purse.Granted(now, Answer{Number: request.Number, Grants: []Grant{{Tenant: name, Operations: 1, Life: time.Second}}})
+		purse.TakeAgain(now, name)
+		purse.Waited(name)
+	}
+}
+
+// Each operation asks for its grant, as thin tenants' do.
+func BenchmarkPurse(b *testing.B)              { benchmarkPurse(b, 72) }
+func BenchmarkPurseOfManyTenants(b *testing.B) { benchmarkPurse(b, 7200) }
--- a/control/quota/purse.go
+++ b/control/quota/purse.go
@@ -12,10 +12,13 @@
 	demandMemory = 2 * time.Second
 	// stockFrom is the demand, in operations a second, from which a gateway keeps operations in stock: below it, most of a stock would
 	// be lost unused at the end of its life.
-	stockFrom = 3.0
+	stockFrom = 10.0
 	// stockLow and stockFull are the stocks, in parts of the life of a grant, at which the gateway asks for more, and for how much.
 	stockLow  = 0.3
 	stockFull = 0.6
+	// spareFrom is the demand, in operations within the life of a grant, from which a question for one that waits also asks for stock: below it
+	// most of that would end unused.
+	spareFrom = 0.6
 	// scarceTime is for how long nothing is kept in stock once the bank had too little: what one gateway lets end unused, another would have used.
 	scarceTime = time.Second
 	// mostWanted bounds what is asked for at once.
@@ -185,8 +188,9 @@
 	want.Operations = min(mostWanted, max(0, a.waiting-stock))
 	demand := a.demandAt(now)
 	life := a.life.Seconds()
-	if now >= a.scarceTo && demand >= stockFrom && float64(stock) < demand*life*stockLow {
-		want.Spare = min(mostWanted, int(math.Ceil(demand*life*stockFull))) - stock
+	asks := want.Operations > 0 && demand*life >= spareFrom || demand >= stockFrom && float64(stock) < demand*life*stockLow
+	if asks && now >= a.scarceTo {
+		want.Spare = max(0, min(mostWanted, int(math.Ceil(demand*life*stockFull)))-stock)
 	}
 	return want
 }
--- a/control/quota/terms.go
+++ b/control/quota/terms.go
@@ -32,7 +32,7 @@
 	// leastCapacityS is the least capacity of a bucket in seconds of its rate, so that gateways may get several operations at once.
 	leastCapacityS = 0.1
 	// reserveShare is the part of the capacity beyond the tenant's burst that is left for operations that wait.
-	reserveShare = 0.5
+	reserveShare = 0.7
 	// mostOperations bounds rates a second and bursts: no system serves as many, and sums of them are still exact.
 	mostOperations = 1e9
 )
