Quotas: a gateway looks only at the tenants that may need something

Each question looked at all tenants with a limit. Those that wait or have just been found to need something are kept in a set.

--- a/control/quota/purse.go
+++ b/control/quota/purse.go
@@ -40,6 +40,7 @@
 // Purse holds the operations that a gateway may begin. It is not safe for use by several goroutines.
 type Purse struct {
 	accounts map[string]*account // of tenants with a limit
+	due      map[string]struct{} // tenants of which something may have to be asked for
 	asking   bool                // a request is under way
 	number   uint64              // of the last request
 	askedAt  time.Duration       // when it was made
@@ -63,7 +64,9 @@
 }
 
 // NewPurse makes a purse that knows no tenants: none has a limit.
-func NewPurse() *Purse { return &Purse{accounts: map[string]*account{}} }
+func NewPurse() *Purse {
+	return &Purse{accounts: map[string]*account{}, due: map[string]struct{}{}}
+}
 
 // SetLimited replaces the set of tenants that have a limit.
 func (p *Purse) SetLimited(tenants []string) {
@@ -131,6 +134,7 @@
 func (p *Purse) Wait(tenant string) {
 	if known := p.accounts[tenant]; known != nil {
 		known.waiting++
+		p.due[tenant] = struct{}{}
 	}
 }
 
@@ -141,10 +145,15 @@
 	}
 }
 
-// Hungry tells whether there is a reason to ask the bank for operations of a tenant, and no request under way.
+// Hungry tells whether there is a reason to ask the bank for operations of a tenant, and no request under way. Where one is, the next one
+// asks for this tenant too.
 func (p *Purse) Hungry(now time.Duration, tenant string) bool {
 	known := p.accounts[tenant]
-	return known != nil && !p.asking && known.wants(now)
+	if known == nil || !known.wants(now) {
+		return false
+	}
+	p.due[tenant] = struct{}{}
+	return !p.asking
 }
 
 // Next gives the request that is due, sorted by tenant; false: none is, or one is under way. It must be followed by Granted or Failed.
@@ -153,10 +162,14 @@
 		return Request{}, false
 	}
 	var request Request
-	for tenant, known := range p.accounts {
-		if known.wants(now) {
+	for tenant := range p.due {
+		known := p.accounts[tenant]
+		if known != nil && known.wants(now) {
 			request.Wants = append(request.Wants, known.want(now, tenant))
 		}
+		if known == nil || known.waiting == 0 {
+			delete(p.due, tenant)
+		}
 	}
 	if len(request.Wants) == 0 {
 		return Request{}, false
