--- a/control/rpc/support_test.go
+++ b/control/rpc/support_test.go
@@ -17,7 +17,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
