Gateway: a question for operations outlasts the primary's own limit for it

A primary that nobody confirms refuses after 0.7 s and a tick. A gateway gave its question for operations up after 0.7 s, just before, which closes the connection to the primary together with the question for news on it.

--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// operationsTime bounds a question for operations: the primary answers it at once.
-	operationsTime = 700 * time.Millisecond
+	// operationsTime bounds a question for operations: the primary answers it at once, or says after 0.7 s that nobody confirms that it leads. A
+	// question that is given up closes the connection, and with it the gateway's question for news.
+	operationsTime = 1100 * time.Millisecond
 	// operationsPause is the pause after one that got no answer.
 	operationsPause = 50 * time.Millisecond
 )
