Metrics: operations refused by tenant, and what the primary granted and denied

A gateway counts refusals by tenant; the figures name the ten with the most and sum the rest, and tenants without a limit are summed too. A controller tells the questions, grants and denials of its terms.

--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -35,7 +35,8 @@
 	terminating bool
 	effects     Effects
 
-	invariantsBroken uint64 // since the start
+	invariantsBroken uint64       // since the start
+	operations       quota.Counts // of the terms that have ended
 }
 
 // term is the memory of one term of office as primary. It starts empty with each term.
@@ -193,6 +194,7 @@
 func (c *Controller) endTerm() {
 	ended := c.term
 	c.term = nil
+	c.operations = c.operations.Plus(ended.bank.Counts())
 	for _, waiting := range ended.watches {
 		c.refuseWatch(waiting.call)
 	}
@@ -251,6 +253,7 @@
 	Configuration int64
 	Frozen        []string
 	Broken        uint64          // invariants, since the start
+	Operations    quota.Counts    // of tenants, since the start
 	Services      []ServiceStatus // at the primary
 }
 
@@ -264,8 +267,9 @@
 
 // Status tells how things stand.
 func (c *Controller) Status() Status {
-	status := Status{Role: c.node.Role(), View: c.node.View(), Stamp: c.node.Stamp(), Broken: c.invariantsBroken}
+	status := Status{Role: c.node.Role(), View: c.node.View(), Stamp: c.node.Stamp(), Broken: c.invariantsBroken, Operations: c.operations}
 	if c.term != nil {
+		status.Operations = c.operations.Plus(c.term.bank.Counts())
 		status.Configuration = c.term.table.configurationNumber
 		status.Frozen = c.term.frozenServices()
 		status.Services = c.term.serviceStatus()
--- a/control/quota/bank.go
+++ b/control/quota/bank.go
@@ -28,6 +28,11 @@
 	Denied   uint64 // operations that were wanted and not granted
 }
 
+// Plus gives the sum.
+func (c Counts) Plus(more Counts) Counts {
+	return Counts{Requests: c.Requests + more.Requests, Granted: c.Granted + more.Granted, Denied: c.Denied + more.Denied}
+}
+
 // bucket holds what may be granted of a tenant's operations.
 type bucket struct {
 	terms
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -27,10 +27,11 @@
 	mutex   sync.Mutex
 	purse   *quota.Purse
 	changed chan struct{} // closed and replaced when the purse may hold something new
+	refused refusals
 }
 
 func newAllowance(now func() time.Duration) *allowance {
-	return &allowance{now: now, hungry: make(chan struct{}, 1), purse: quota.NewPurse(), changed: make(chan struct{})}
+	return &allowance{now: now, hungry: make(chan struct{}, 1), purse: quota.NewPurse(), changed: make(chan struct{}), refused: refusals{}}
 }
 
 // limit takes over which tenants have a limit.
@@ -44,6 +45,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.purse.SetLimited(limited)
+	a.refused.keep(limited)
 }
 
 // take lets an operation of the tenant begin, if its limit allows it; it waits until the time given at the latest.
@@ -62,9 +64,19 @@
 		a.await(until)
 		verdict = a.purse.TakeAgain(a.now(), tenant)
 	}
+	if verdict != quota.Taken {
+		a.refused[tenant]++
+	}
 	return verdict == quota.Taken
 }
 
+// refusedByTenant gives how many operations were refused, by tenant.
+func (a *allowance) refusedByTenant() map[string]uint64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.refused.busiest(mostTenantsShown)
+}
+
 // await waits for a change. It is called with the lock held, and gives it up meanwhile.
 func (a *allowance) await(until time.Duration) {
 	changed := a.changed
@@ -118,7 +130,12 @@
 		case <-g.allowance.hungry:
 		}
 		request, due := g.allowance.next()
-		if due && !g.askForOperations(ctx, request) {
+		if !due {
+			continue
+		}
+		g.counters.operationQuestions.Add(1)
+		if !g.askForOperations(ctx, request) {
+			g.counters.operationFailures.Add(1)
 			pause(ctx, operationsPause)
 			g.allowance.failed()
 		}
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -24,6 +24,10 @@
 	noDatabase atomic.Uint64
 	unknownKey atomic.Uint64
 	overLimit  atomic.Uint64 // operations that their tenants' limits didn't allow
+
+	operationQuestions atomic.Uint64 // for operations of tenants
+	operationFailures  atomic.Uint64 // of those: not answered
+
 	otherError atomic.Uint64
 	ended      atomic.Uint64 // transactions that rested for too long
 
--- a/gateway/figures.go
+++ b/gateway/figures.go
@@ -20,6 +20,16 @@
 			Name: "replica_reads_total", Help: "Reads at replicas, by how they ended.", Value: float64(count), Of: name,
 		})
 	}
+	for tenant, count := range g.allowance.refusedByTenant() {
+		figures = append(figures, metrics.Figure{
+			Name: "operations_refused_total", Help: "Operations that their tenant's limit didn't allow, by tenant.", Value: float64(count), Of: tenant,
+		})
+	}
+	for outcome, count := range map[string]uint64{"sent": g.counters.operationQuestions.Load(), "failed": g.counters.operationFailures.Load()} {
+		figures = append(figures, metrics.Figure{
+			Name: "operation_questions_total", Help: "Questions to the primary for operations of tenants.", Value: float64(count), Of: outcome,
+		})
+	}
 	figures = append(figures, metrics.Figure{
 		Name: "invariants_broken_total", Help: "Invariants that did not hold, since the start.", Value: float64(g.counters.broken.Load()),
 	})
--- a/host/figures.go
+++ b/host/figures.go
@@ -31,6 +31,14 @@
 	figures = append(figures, metrics.Figure{
 		Name: "invariants_broken_total", Help: "Invariants that did not hold, since the start.", Value: float64(status.Broken),
 	})
+	for name, count := range map[string]uint64{
+		"asked": status.Operations.Requests, "granted": status.Operations.Granted, "denied": status.Operations.Denied,
+	} {
+		figures = append(figures, metrics.Figure{
+			Name: "operations_total", Help: "Questions of gateways for operations of tenants, and operations granted and denied.",
+			Value: float64(count), Of: name,
+		})
+	}
 	for _, service := range status.Services {
 		figures = append(figures,
 			metrics.NewGaugeOf("service_instances", "Instances that are present.", service.Name, float64(service.Instances)),
