--- a/control/quota/measure_test.go
+++ b/control/quota/measure_test.go
@@ -305,6 +305,14 @@
 				fleets = append(fleets, one)
 			}
 		}
+		for _, gateways := range []int{30, 300, 3300} {
+			one := usual
+			one.gateways, one.length = gateways, 20*time.Second
+			fleets = append(fleets, one)
+		}
+		many := usual
+		many.gateways, many.tenants, many.perSecond, many.length = 3300, 7200, 88_000, 3*time.Second
+		fleets = append(fleets, many)
 		brief := usual
 		brief.burst, brief.hot, brief.times = 1, 10, 7.5
 		fleets = append(fleets, brief)
