--- a/control/quota/doc.go
+++ b/control/quota/doc.go
@@ -6,6 +6,9 @@
 // is lost; nothing is given back, reported or settled, so nothing has to be remembered of a gateway that dies, is cut off or starts
 // again, nor of a bank that ends.
 //
+// Grants beyond what waits at a gateway, to be kept in stock, come from the top of a bucket only: most of what is kept for thin demand ends
+// unused, and nobody is to be refused for it.
+//
 // # Why the limit holds
 //
 // An operation counts in a window if its client sent it, and it reached an instance, within the window. It is taken out of a purse in
