--- a/control/controller/operations_test.go
+++ b/control/controller/operations_test.go
@@ -127,12 +127,14 @@
 	for seed := int64(1); seed <= 20; seed++ {
 		is := is.New(t)
 		w, old := leadingWithTenants(t, seed, disabledGuards{})
+		killed := w.now
 		w.kill(old)
 		is.True(w.until(patience, func() bool { return w.primary() != nil }))
 		began := w.now
 		is.True(w.until(patience, func() bool { return w.grantsNow(w.primary()) }))
 		is.True(w.now > began+operationsFresh)
 		is.True(w.now < began+2*operationsFresh) // no later than needed
+		t.Logf("seed %d: a primary after %s, grants after %s", seed, began-killed, w.now-killed)
 	}
 }
 
