Controllers: questions for operations are passed on over a shared connection

Where gateways are cut from the primary but not from another controller, each of their questions for operations, one for nearly each operation, opened a connection from that controller to the primary.

--- a/host/host.go
+++ b/host/host.go
@@ -84,6 +84,7 @@
 	prober   *prober
 	platform *platform
 	peers    *rpc.Peers
+	relay    *relay
 	loop     *loop
 	http     *http.Server
 	front    *front
@@ -107,9 +108,10 @@
 
 	p.disk = newDiskWriter(opened, durable.Incarnation, inbox, boot.Log, counters, cancel)
 	p.peers = rpc.NewPeers(boot.Settings.RPCAddress(), boot.Settings.InternalRoutes, boot.Log)
+	p.relay = newRelay(boot.Settings.InternalRoutes)
 	p.front = newFront(inbox, numbers, replies, counters)
 	p.http = newHTTPServer(p.front, boot.Log)
-	p.internal = processFront{inbox: inbox, numbers: numbers, watches: watches, counters: counters, backstop: watchBackstop, relay: p.relay}
+	p.internal = processFront{inbox: inbox, numbers: numbers, watches: watches, counters: counters, backstop: watchBackstop, relay: p.relay.ask}
 
 	started := time.Now()
 	decides := controller.New(time.Since(started), ControllerSettings(boot.Settings), durable)
@@ -142,13 +144,6 @@
 	return p
 }
 
-// relay asks another controller over a connection of its own: gateways that need it are few, and for seconds.
-func (p *process) relay(ctx context.Context, address string, request feed.WatchRequest) (feed.WatchAnswer, error) {
-	client := &rpc.Client{Routes: p.boot.Settings.InternalRoutes}
-	defer client.Close()
-	return client.Watch(ctx, address, request)
-}
-
 func (p *process) send(envelope replication.Envelope) { p.peers.Send(envelope.To, envelope.Message) }
 
 func (p *process) probed(result failover.ProbeResult) {
@@ -221,6 +216,7 @@
 	p.cancel(nil)
 	p.server.Close()
 	p.peers.Close()
+	p.relay.close()
 	p.prober.close()
 	p.platform.calls.Wait()
 	p.background.Wait()
