--- a/control/quota/measure_test.go
+++ b/control/quota/measure_test.go
@@ -330,7 +330,9 @@
 		}
 		brief := usual
 		brief.burst, brief.hot, brief.times = 0, 10, 7.5
-		fleets = append(fleets, brief)
+		many := usual
+		many.gateways, many.length = 300, 20*time.Second
+		fleets = append(fleets, brief, many)
 	}
 	for _, one := range fleets {
 		outcome := one.play()
