--- a/control/quota/search_test.go
+++ b/control/quota/search_test.go
@@ -102,22 +102,26 @@
 
 func (w *smallWorld) copied() *smallWorld {
 	next := *w
-	next.purses, next.banks = nil, nil
+	next.purses = make([]*Purse, 0, len(w.purses))
 	for _, purse := range w.purses {
 		own, held := *purse, *purse.accounts["t"]
 		held.lots = slices.Clone(held.lots)
 		own.accounts = map[string]*account{"t": &held}
 		next.purses = append(next.purses, &own)
 	}
-	for _, bank := range w.banks {
-		own, level := *bank, *bank.buckets["t"]
-		own.buckets = map[string]*bucket{"t": &level}
-		next.banks = append(next.banks, &own)
-	}
 	next.requests, next.answers, next.taken = slices.Clone(w.requests), slices.Clone(w.answers), slices.Clone(w.taken)
 	return &next
 }
 
+// own gives a bank that may be changed, which moments share otherwise.
+func (w *smallWorld) own(term int) *Bank {
+	own, level := *w.banks[term], *w.banks[term].buckets["t"]
+	own.buckets = map[string]*bucket{"t": &level}
+	w.banks = slices.Clone(w.banks)
+	w.banks[term] = &own
+	return &own
+}
+
 // key tells moments apart from which the same may follow. Times are told as of now; the gateways' order doesn't matter.
 func (w *smallWorld) key() string {
 	var gateways []string
@@ -170,18 +174,30 @@
 			all = append(all, next)
 		}
 	}
-	for gateway := range w.purses {
-		try(func(next *smallWorld) bool { return next.restart(gateway) })
-		try(func(next *smallWorld) bool { return next.giveUp(gateway) })
+	for gateway, purse := range w.purses {
+		if len(purse.accounts["t"].lots) > 0 {
+			try(func(next *smallWorld) bool { return next.restart(gateway) })
+		}
+		if purse.asking {
+			try(func(next *smallWorld) bool { return next.giveUp(gateway) })
+		}
 	}
-	try((*smallWorld).takeOver)
-	try((*smallWorld).forgetLimit)
-	for gateway := range w.purses {
-		try(func(next *smallWorld) bool { return next.ask(gateway) })
+	if w.mayTakeOver() {
+		try((*smallWorld).takeOver)
+	}
+	if w.forgets {
+		try((*smallWorld).forgetLimit)
+	}
+	for gateway, purse := range w.purses {
+		if !purse.asking {
+			try(func(next *smallWorld) bool { return next.ask(gateway) })
+		}
 	}
 	for index := range w.requests {
 		for term := range w.banks {
-			try(func(next *smallWorld) bool { return next.decide(index, term) })
+			if w.mayDecide(term) {
+				try(func(next *smallWorld) bool { return next.decide(index, term) })
+			}
 		}
 	}
 	for index := range w.answers {
@@ -239,23 +255,26 @@
 	return was
 }
 
-// decide has a primary answer a request, as long as it may. Few answers are on their way at a time, to bound the search.
-func (w *smallWorld) decide(index, term int) bool {
+// mayDecide tells whether the primary of a term may answer. Few answers are on their way at a time, to bound the search.
+func (w *smallWorld) mayDecide(term int) bool {
 	isDeposed := w.deposed > 0 && term == 0
-	if isDeposed && w.tick >= w.deposed+searchFresh && w.lacks != grantsDeposed {
-		return false
-	}
-	sent := w.requests[index]
-	answer := w.banks[term].Answer(w.now(), sent.request)
+	isOver := isDeposed && w.tick >= w.deposed+searchFresh && w.lacks != grantsDeposed
+	return !isOver && len(w.answers) < len(w.purses)
+}
+
+// decide has a primary answer a request.
+func (w *smallWorld) decide(index, term int) bool {
+	sent, bank := w.requests[index], w.own(term)
+	answer := bank.Answer(w.now(), sent.request)
 	grant := &answer.Grants[0]
 	grant.RetryAfter = 0 // gateways may ask on
-	if grant.Operations == 0 || len(w.answers) >= len(w.purses) {
+	if grant.Operations == 0 {
 		return false
 	}
 	if w.lacks == grantsLast {
 		grant.Life *= 2
 	}
-	w.banks[term].counts = Counts{}
+	bank.counts = Counts{}
 	w.answers = append(w.answers, sentAnswer{gateway: sent.gateway, age: sent.age, answer: answer})
 	return true
 }
@@ -276,10 +295,9 @@
 	return before != len(purse.accounts["t"].lots)
 }
 
+func (w *smallWorld) mayTakeOver() bool { return w.deposed == 0 && w.tick > 0 }
+
 func (w *smallWorld) takeOver() bool {
-	if w.deposed > 0 || w.tick == 0 {
-		return false
-	}
 	w.deposed = w.tick
 	opensAt := w.now() + searchFresh*searchTick
 	if w.lacks == opensAtOnce {
@@ -289,18 +307,14 @@
 	if w.lacks == laterBankFull {
 		second.buckets["t"].level = second.buckets["t"].capacity
 	}
-	w.banks = append(w.banks, second)
+	w.banks = append(slices.Clone(w.banks), second)
 	return true
 }
 
 // forgetLimit takes the tenant out of the configuration of the present primary, and brings it back.
 func (w *smallWorld) forgetLimit() bool {
-	if !w.forgets {
-		return false
-	}
 	w.forgets = false
-	newest := len(w.banks) - 1
-	bank := w.banks[newest]
+	bank := w.own(len(w.banks) - 1)
 	kept := bank.buckets["t"].terms
 	bank.SetLimits(w.now(), nil)
 	bank.SetLimits(w.now(), []Limit{{Tenant: "t"}})
