--- a/control/quota/terms.go
+++ b/control/quota/terms.go
@@ -1,9 +1,6 @@
 package quota
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Rules are the figures of the operators' rule: in any window of this length a tenant's operations are at most
 // (rate x window + burst) x (1 + Overrun) + Slack.
@@ -21,18 +18,21 @@
 }
 
 const (
-	// longestLife of a grant: long enough to use a grant for several operations, short enough for what isn't used to cost little.
-	longestLife = time.Second
-	// shortestLife of a grant: a few round trips between gateway and controller.
-	shortestLife = 200 * time.Millisecond
-	// lifeShare is the part of the room beyond the rate and the burst that the life of grants may take.
-	lifeShare = 0.5
-	// clockShare is the part of the operations at the rate that is left unused, since steady clocks may differ a little.
+	// GrantLife is how long an operation that waited may take to begin once it was granted, counted from the asking: a few round trips
+	// between gateway and controller.
+	GrantLife = 300 * time.Millisecond
+	// clockShare is the part of the operations in a window that is left unused, since steady clocks may differ a little.
 	clockShare = 0.01
-	// leastCapacityS is the least capacity of a bucket in seconds of its rate, so that gateways may get several operations at once.
-	leastCapacityS = 0.1
-	// reserveShare is the part of the capacity beyond the tenant's burst that is left for operations that wait.
-	reserveShare = 0.7
+	// leastRateShare is the least part of a tenant's rate at which its bucket is refilled while gateways hold much in reserve.
+	leastRateShare = 0.88
+	// reserveSeconds is how many seconds of a tenant's rate gateways may hold in reserve, where the rule leaves room for it.
+	reserveSeconds = 2.0
+	// capacityShare is the part of the room beside the rate that a bucket may hold; the rest is for reserves.
+	capacityShare = 0.3
+	// leastBeside is the least room beside the full rate, in operations, from which it is used, and besideShare the most of it that a
+	// bucket may hold.
+	leastBeside = 2.0
+	besideShare = 0.7
 	// mostOperations bounds rates a second and bursts: no system serves as many, and sums of them are still exact.
 	mostOperations = 1e9
 )
@@ -40,30 +40,40 @@
 // terms are how a bank keeps one tenant's limit.
 type terms struct {
 	rate     float64 // operations a second
-	capacity float64
+	capacity float64 // of the bucket
+	reserve  int     // operations that all gateways together may hold in reserve
 	life     time.Duration
-	reserve  float64 // of the capacity: what isn't granted to be kept in stock
+
+	// fullRate is the tenant's own rate. The bucket is refilled at it once gateways have held no more than modest in reserve for settle:
+	// those of a tenant that uses all of its limit hold little.
+	fullRate float64
+	modest   int
+	settle   time.Duration
 }
 
-// termsOf gives the terms under which no window holds more than the rule allows: capacity + rate x (window + life) is at most that.
+// termsOf gives the terms under which no window holds more than the rule allows. In a window at whose start gateways hold more than modest,
+// nothing comes in at the full rate, so that capacity + reserve + rate x window + fullRate x life bounds it; in others
+// capacity + modest + fullRate x (window + life) does.
 func termsOf(limit Limit, rules Rules) terms {
 	limit.RatePerS, limit.Burst = min(limit.RatePerS, mostOperations), min(limit.Burst, mostOperations)
 	window := rules.Window.Seconds()
-	most := (limit.RatePerS*window+limit.Burst)*(1+rules.Overrun) + rules.Slack
-	most -= limit.RatePerS * window * clockShare
-	life := longestLife.Seconds()
-	room := most - limit.RatePerS*window
-	if limit.RatePerS > 0 {
-		life = min(life, max(shortestLife.Seconds(), (room-limit.Burst)*lifeShare/limit.RatePerS))
+	most := ((limit.RatePerS*window+limit.Burst)*(1+rules.Overrun) + rules.Slack) * (1 - clockShare)
+	granting := window + GrantLife.Seconds()
+	rate := max((most-limit.RatePerS*reserveSeconds)/granting, limit.RatePerS*leastRateShare)
+	rate = min(rate, limit.RatePerS, most*leastRateShare/granting)
+	beside := most - limit.RatePerS*granting // the full rate
+	if beside < leastBeside {
+		room := most - rate*granting
+		capacity := capacityOf(room)
+		return terms{rate: rate, capacity: capacity, reserve: int(room - capacity), life: GrantLife, fullRate: rate}
 	}
-	least := min(most, 1+limit.RatePerS*leastCapacityS)
-	capacity := max(least, room-limit.RatePerS*life)
-	rate := min(limit.RatePerS, max(0, most-capacity)/(window+life))
-	burst := min(limit.Burst, capacity)
+	room := most - rate*window - limit.RatePerS*GrantLife.Seconds()
+	capacity := min(capacityOf(room), max(1, beside*besideShare))
 	return terms{
-		rate:     rate,
-		capacity: capacity,
-		life:     time.Duration(math.Floor(life * float64(time.Second))),
-		reserve:  burst + (capacity-burst)*reserveShare,
+		rate: rate, capacity: capacity, reserve: int(room - capacity), life: GrantLife,
+		fullRate: limit.RatePerS, modest: int(beside - capacity), settle: rules.Window + GrantLife,
 	}
 }
+
+// capacityOf is the capacity of a bucket where there is so much room beside its rate.
+func capacityOf(room float64) float64 { return max(room*capacityShare, min(room, 1)) }
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/control/configuration"
 	"eiderway/control/feed"
 	"eiderway/control/quota"
@@ -16,6 +17,8 @@
 	operationsTime = 1100 * time.Millisecond
 	// operationsPause is the pause after one that got no answer.
 	operationsPause = 50 * time.Millisecond
+	// reserveTick is between two looks at whether a reserve is to be renewed.
+	reserveTick = 250 * time.Millisecond
 )
 
 // allowance lets operations of tenants begin as long as their limits allow it. Those who find its purse empty wait for what the bank
@@ -123,11 +126,14 @@
 
 // borrow asks the primary for operations of tenants, one question at a time, until the context ends.
 func (g *Gateway) borrow(ctx context.Context) {
+	ticker := time.NewTicker(reserveTick)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.allowance.hungry:
+		case <-ticker.C:
 		}
 		request, due := g.allowance.next()
 		if !due {
@@ -148,6 +154,7 @@
 	if address == "" {
 		return false
 	}
+	request.Gateway = g.identity
 	limited, cancel := context.WithTimeout(ctx, operationsTime)
 	defer cancel()
 	answer, err := g.watcher.Watch(limited, address, feed.WatchRequest{
@@ -167,14 +174,14 @@
 }
 
 // limitOf says for whom an operation of a client is likely to count, and until when it may wait; "": for nobody, or it can't be served now.
-func (g *Gateway) limitOf(database string, key accessKey, asked time.Duration) (tenant string, until time.Duration) {
+func (g *Gateway) limitOf(database string, key access.Key, asked time.Duration) (tenant string, until time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	route, known := g.directory.routes[database]
 	if !known || !g.directory.leased(g.now()) {
 		return "", 0
 	}
-	tenant, _ = g.directory.access.admit(route, key)
+	tenant, _ = g.directory.access.Admit(route, key)
 	return tenant, asked + patienceOf(placement{route: route})
 }
 
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/control/failover"
 	"eiderway/session"
 	"eiderway/wire"
@@ -33,8 +34,9 @@
 	reader   *wire.Reader
 	buffer   []byte
 	database string
-	key      accessKey
+	key      access.Key
 	session  *session.Session
+	interest *interest         // in connections that the session has used
 	flight   *flight           // of the open transaction
 	served   bool              // a statement has been answered
 	counted  string            // the tenant for whom the operation was counted, and which hasn't been sent to an instance; "": none
@@ -62,7 +64,7 @@
 
 // welcome starts a client's session, if there is room for it.
 func (g *Gateway) welcome(network net.Conn) {
-	arrived := &client{gateway: g, network: network, session: session.New()}
+	arrived := &client{gateway: g, network: network, session: session.New(), interest: &interest{}}
 	arrived.reader = wire.NewReader(network).WithBudget(g.budget)
 	g.mutex.Lock()
 	full := len(g.clients) >= g.mostClients()
@@ -108,12 +110,15 @@
 			return
 		}
 		answer, goOn := c.take(line, err)
-		if !goOn || !c.write(wire.AppendAnswer(c.buffer[:0], answer)) {
+		if !goOn || !c.write(wire.AppendAnswer(c.buffer[:0], answer)) || endsSession(answer) {
 			return
 		}
 	}
 }
 
+// endsSession tells whether the session is over with this answer: a client whose key isn't known would be refused at CONNECT, too.
+func endsSession(answer wire.Answer) bool { return answer.Code == wire.AuthFail }
+
 // greet takes the CONNECT.
 func (c *client) greet() bool {
 	_ = c.network.SetReadDeadline(time.Now().Add(greetTime))
@@ -133,7 +138,7 @@
 		return false
 	}
 	c.database = connect.Database
-	c.key = newAccessKey(connect.Who)
+	c.key = access.NewKey(connect.Who)
 	if c.gateway.rejects(c.database, c.key) {
 		c.gateway.counters.unknownKey.Add(1)
 		c.write(wire.AppendError(c.buffer[:0], wire.AuthFail, ""))
@@ -148,7 +153,7 @@
 	return g.directory.lacks(g.now(), database)
 }
 
-func (g *Gateway) rejects(database string, key accessKey) bool {
+func (g *Gateway) rejects(database string, key access.Key) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.directory.rejects(g.now(), database, key)
@@ -295,6 +300,7 @@
 
 // end closes the connection, and rolls back a transaction that was left open.
 func (c *client) end() {
+	c.interest.end()
 	c.dropTransaction()
 	c.reader.Release()
 	c.gateway.mutex.Lock()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"eiderway/control/access"
 	"eiderway/session"
 	"eiderway/wire"
 )
@@ -124,7 +125,7 @@
 
 // depart finds the leader for a first statement, and registers the flight in the same moment. Where a statement can't
 // be placed now but perhaps soon, it waits as long as its patience lasts.
-func (g *Gateway) depart(database string, key accessKey, asked time.Duration) (*flight, refusal) {
+func (g *Gateway) depart(database string, key access.Key, asked time.Duration) (*flight, refusal) {
 	for {
 		g.mutex.Lock()
 		found, why := g.directory.placeFor(g.now(), database, key)
@@ -169,7 +170,9 @@
 		return notRun(overLimit)
 	}
 	deadline := c.gateway.started.Add(asked + timeoutOf(under.placed))
-	lent, err := c.gateway.poolFor(under.placed).acquire(c.session, under.placed.tenant, under.placed.route.Priority, until)
+	lent, err := c.gateway.poolFor(under.placed).acquire(ask{
+		session: c.session, interest: c.interest, tenant: under.placed.tenant, priority: under.placed.route.Priority, until: until,
+	})
 	if err != nil {
 		return notRun(err.Error())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"eiderway/control/access"
 	"eiderway/control/feed"
 	"eiderway/control/rpc"
 	"eiderway/system"
@@ -51,6 +52,7 @@
 	identity string // the name and a random word: tells this life from an earlier one
 	name     string
 	counters counters
+	backends backendCounts
 	reports  reports
 	landed   chan struct{} // a flight has ended
 	reseed   chan []string
@@ -125,13 +127,9 @@
 	return nil
 }
 
-// keysTrustedShare is the part of the time in which a key that was taken away is to be of no use, in percent, after which a gateway that
-// has heard nothing runs no statement with a key any more. The rest is for clocks.
-const keysTrustedShare = 90
-
 func newGateway(boot Boot, asker watcher) *Gateway {
 	held := newDirectory()
-	held.keysTrusted = boot.Settings.Bounds.Revoke() * keysTrustedShare / 100
+	held.keys.Lasting = access.LastingFor(boot.Settings.Bounds.Revoke())
 	started := &Gateway{
 		log:       boot.Log,
 		watcher:   asker,
@@ -267,22 +265,43 @@
 }
 
 const (
-	// houseEvery is between the rounds in which unused connections are closed and counters printed.
-	houseEvery = 10 * time.Second
+	// sweepEvery is between the rounds in which unused connections of tenants are closed, which are kept for seconds only.
+	sweepEvery = time.Second
+	// sweepsInHouse is how many of these rounds there are to one in which those of others are closed too and counters printed.
+	sweepsInHouse = 10
 )
 
 func (g *Gateway) keepHouse(ctx context.Context) {
-	ticker := time.NewTicker(houseEvery)
+	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
-	for {
+	for round := 1; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		for _, kept := range g.allPools() {
-			kept.trim()
+		isHouse := round%sweepsInHouse == 0
+		if isHouse || g.hasTenants() {
+			g.trimPools(isHouse)
+		}
+		if isHouse {
+			g.printCounters()
 		}
-		g.printCounters()
 	}
 }
+
+func (g *Gateway) trimPools(isHouse bool) {
+	for _, kept := range g.allPools() {
+		kept.trim()
+		if isHouse {
+			kept.forgetParts()
+		}
+	}
+}
+
+// hasTenants tells whether the configuration held has tenants.
+func (g *Gateway) hasTenants() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.directory.access.Required()
+}
