Quotas: a gateway looks closely only at tenants that have had an operation lately

Each question worked out the demand of every tenant with a limit, several times. Measured (go test ./control/quota -run XXX -bench Purse -benchtime 2000x), before and after: 11,816 and 3,534 ns with 72 tenants, 1,282,580 and 1,073,805 ns with 7,200 that are all active.

--- a/control/quota/purse.go
+++ b/control/quota/purse.go
@@ -167,8 +167,12 @@
 	due := false
 	request := Request{Bank: p.bank}
 	for tenant, known := range p.accounts {
-		due = due || known.isDue(now)
-		if known.isDue(now) || known.mayRenew(now, renewWith) {
+		if !known.isActive(now) {
+			continue
+		}
+		isDue := known.isDue(now)
+		due = due || isDue
+		if isDue || known.mayRenew(now, renewWith) {
 			request.Wants = append(request.Wants, known.want(now, tenant))
 		}
 	}
@@ -191,8 +195,15 @@
 	if a.wanted(now) > 0 {
 		return true
 	}
-	isLow := a.held <= a.reserveWanted(now)/2
-	return a.mayRenew(now, renewBefore) || isLow && a.mayRenew(now, reserveLife)
+	if now < a.reserveAt {
+		return false
+	}
+	return a.mayRenew(now, renewBefore) || a.mayRenew(now, reserveLife) && a.held <= a.reserveWanted(now)/2
+}
+
+// isActive tells whether something may have to be asked for. It is cheap, as most tenants are at rest at most gateways.
+func (a *account) isActive(now time.Duration) bool {
+	return a.waiting > 0 || a.countedAt >= 0 && now-a.countedAt <= reserveRest
 }
 
 // mayRenew tells whether the reserve may be asked for again, if its end is as near as given.
