--- a/gateway/figures.go
+++ b/gateway/figures.go
@@ -20,11 +20,6 @@
 			Name: "replica_reads_total", Help: "Reads at replicas, by how they ended.", Value: float64(count), Of: name,
 		})
 	}
-	figures = append(figures, g.backends.figures()...)
-	figures = append(figures, metrics.NewGauge("backends", "Connections to instances that are open or being made.", float64(g.backendsOpen())))
-	figures = append(figures, metrics.Figure{
-		Name: "operations_over_limit_total", Help: "Operations refused since their tenants' limits were used up.", Value: float64(now.overLimit),
-	})
 	for tenant, count := range g.allowance.refusedByTenant() {
 		figures = append(figures, metrics.Figure{
 			Name: "operations_refused_total", Help: "Operations that their tenant's limit didn't allow, by tenant.", Value: float64(count), Of: tenant,
@@ -35,6 +30,11 @@
 			Name: "operation_questions_total", Help: "Questions to the primary for operations of tenants.", Value: float64(count), Of: outcome,
 		})
 	}
+	figures = append(figures, g.backends.figures()...)
+	figures = append(figures, metrics.NewGauge("backends", "Connections to instances that are open or being made.", float64(g.backendsOpen())))
+	figures = append(figures, metrics.Figure{
+		Name: "operations_over_limit_total", Help: "Operations refused since their tenants' limits were used up.", Value: float64(now.overLimit),
+	})
 	figures = append(figures, metrics.Figure{
 		Name: "invariants_broken_total", Help: "Invariants that did not hold, since the start.", Value: float64(g.counters.broken.Load()),
 	})
