--- a/simulation/actions.go
+++ b/simulation/actions.go
@@ -48,6 +48,10 @@
 		"join":         joinAction,        // join db4 to db: a new instance, at an address of its own, with an empty log
 		"give-up":      giveUpAction,      // give-up SERVICE: an operator gives up what its lost copies held, asked of the acting controller
 		"late-beats":   lateBeatsAction,   // late-beats 40% for 20s: so many heartbeats come once more, seconds late
+		"revoke":       revokeAction,      // revoke KEY order N [to WHO]: takes a key away with an order of its own
+		"key":          keyAction,         // key KEY for TENANT order N [to WHO]: gives it a new key, or one that another tenant has
+		"limit":        limitAction,       // limit TENANT RATE BURST order N [to WHO]
+		"hot":          hotAction,         // hot TENANT at 200 for 5s: so many operations a second more
 		"platform":     platformAction,    // platform slow 2s for 5s | lose-call | lose-answer | late 4s
 	}
 }
@@ -288,7 +292,8 @@
 		}
 	}
 	made := &order{number: number, content: content, routes: routes, sent: -1, acked: -1}
-	made.body = w.makeBody(number, content, routes)
+	made.tenants = w.desk.snapshot()
+	made.body = w.makeBody(number, content, routes, made.tenants)
 	w.orders = append(w.orders, made)
 	return made
 }
--- a/simulation/clients.go
+++ b/simulation/clients.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -20,6 +21,7 @@
 	name    string
 	service string
 	gateway int
+	tenant  string // "": the system has none
 	count   int
 	own     entry             // the last commit of the session that was acknowledged
 	written failover.Position // the position that was told with it
@@ -38,8 +40,8 @@
 	c.own, c.written = entry{}, failover.Position{}
 }
 
-func (w *World) addClient(name, service string, gateway int) {
-	added := &client{world: w, name: name, service: service, gateway: gateway}
+func (w *World) addClient(name, service, tenant string, gateway int) {
+	added := &client{world: w, name: name, service: service, tenant: tenant, gateway: gateway}
 	w.schedule.after(w.jitter(clientPause), added.next)
 }
 
@@ -47,6 +49,7 @@
 	w := c.world
 	c.count++
 	one := &statement{service: c.service, write: c.count%2 == 0, sent: w.now(), own: c.own, written: c.written}
+	one.operation = w.operationOf(c.tenant, fmt.Sprintf("%s %d", c.name, c.gateway))
 	if !one.write {
 		one.bound = readBounds[c.count/2%len(readBounds)]
 	}
@@ -69,17 +72,22 @@
 		finish(answerInDoubt)
 	})
 	via := w.gateways[c.gateway%len(w.gateways)]
-	w.network.send(c.name, via.name, func() {
+	w.askGateway(c.name, via, one, finish, func() {
+		c.another()
+		finish(answerBusy)
+	})
+}
+
+// askGateway sends a statement to a gateway. It ends with an answer, or with none, or is refused by a machine whose process doesn't run.
+func (w *World) askGateway(from string, via *gateway, one *statement, answered func(answerKind), refused func()) {
+	w.network.send(from, via.name, func() {
 		if !via.running {
-			w.network.send(via.name, c.name, func() {
-				c.another()
-				finish(answerBusy)
-			})
+			w.network.send(via.name, from, refused)
 			return
 		}
 		via.whenAwake(via.life, func() {
 			via.take(one, func(kind answerKind) {
-				w.network.send(via.name, c.name, func() { finish(kind) })
+				w.network.send(via.name, from, func() { answered(kind) })
 			})
 		})
 	})
--- a/simulation/expectations.go
+++ b/simulation/expectations.go
@@ -14,6 +14,8 @@
 //	expect configuration 12 [content a]
 //	expect leader db = db2 | != db1
 //	expect writes 20s 30s [20]          at least one (or so many) successful writes in that time
+//	expect operations t1 20s 30s [100]  at least one (or so many) operations of a tenant that were run in that time
+//	expect unknown-keys 20              at least so many statements refused for their keys
 //	expect acting != c1
 //	expect voter c4 | no-voter c2       by the acting controller's view
 //	expect calls 2                      at most, to the platform
@@ -39,6 +41,12 @@
 		return differs(w.actingName(), words[1:])
 	case "writes":
 		return unmetCount(w.judge.writes, words[1:])
+	case "operations":
+		return unmetCount(w.judge.arrivals(words[1]), words[2:])
+	case "unknown-keys":
+		if least, _ := strconv.Atoi(words[1]); w.judge.strangers < least {
+			return fmt.Sprintf("there were %d", w.judge.strangers)
+		}
 	case "replica-reads":
 		return unmetCount(w.judge.replicaReads, words[1:])
 	case "give-ups":
--- a/simulation/gateway.go
+++ b/simulation/gateway.go
@@ -5,11 +5,8 @@
 	"time"
 
 	"eiderway/control/controller"
-	"eiderway/control/failover"
 	"eiderway/control/feed"
 	"eiderway/control/guard"
-	"eiderway/role"
-	"eiderway/routing"
 )
 
 // Times of gateways.
@@ -40,6 +37,8 @@
 	reports    map[string]*feed.InstanceReport
 	backlog    []func()
 
+	tenantry
+
 	lastTrouble time.Duration
 	highest     int64 // configuration seen in this life
 }
@@ -51,88 +50,10 @@
 	freeze    int
 	answer    func(answerKind)
 	over      bool
+	unleased  bool // passed on outside the lease, inside a transaction
 	replica   bool // a read at a replica, which no freeze concerns
 }
 
-// serviceReads is what the gateway knows of a service for reads that may be some time old.
-type serviceReads struct {
-	positions role.Positions
-	picker    *routing.Picker
-}
-
-func (g *gateway) readsOf(service string) *serviceReads {
-	if g.reads[service] == nil {
-		g.reads[service] = &serviceReads{picker: routing.NewPicker("zone1", g.world.random)}
-	}
-	return g.reads[service]
-}
-
-// replicaFor finds a replica for a read that may be some time old; nil: the leader is to have it.
-func (g *gateway) replicaFor(one *statement, service *feed.Service) *instance {
-	now := g.world.now()
-	if one.bound == nil || now >= g.leaseUntil {
-		return nil
-	}
-	known := g.readsOf(service.Name)
-	after, covered := one.bound.MustSee(now, &known.positions, one.written)
-	if !covered {
-		return nil
-	}
-	var replicas []feed.Instance
-	for _, candidate := range service.Instances {
-		if candidate.ID != service.Leader.InstanceID && !candidate.Draining {
-			replicas = append(replicas, candidate)
-		}
-	}
-	chosen, any := known.picker.Choose(now, replicas, nil)
-	if !any {
-		return nil
-	}
-	target := g.world.instanceAt(chosen.Address)
-	if target == nil || target.id != chosen.ID {
-		return nil
-	}
-	if !g.world.plan.Lacking.Lacks(guard.PositionProven) {
-		one.after = after
-	}
-	return target
-}
-
-// readAtReplica passes a read to a replica. If it wasn't run there, the leader gets it.
-func (g *gateway) readAtReplica(one *statement, service *feed.Service, target *instance, answer func(answerKind)) {
-	w, life := g.world, g.life
-	known := g.readsOf(service.Name)
-	known.picker.Began(target.id)
-	passed := &flight{statement: one, service: service.Name, answer: answer, replica: true}
-	g.flights[passed] = true
-	one.gateway, one.passed = g, w.now()
-	ended := func(result routing.Result, kind answerKind) {
-		if !passed.over {
-			known.picker.Ended(w.now(), target.id, result, w.now()-one.passed)
-			passed.end(g, kind)
-		}
-	}
-	w.run(g.name, target, one, func(outcome statementOutcome) {
-		g.whenAwake(life, func() {
-			switch {
-			case outcome == statementDone:
-				ended(routing.Served, answerDone)
-			case passed.over:
-			default:
-				passed.over = true
-				delete(g.flights, passed)
-				known.picker.Ended(w.now(), target.id, routing.Lagging, 0)
-				again := *one // the one that was sent may come to the replica twice
-				again.after = failover.Position{}
-				g.takeAtLeader(&again, answer)
-			}
-		})
-	})
-	w.schedule.after(statementTimeout, func() {
-		g.whenAwake(life, func() { ended(routing.Failed, answerBusy) })
-	})
-}
-
 // answerKind is what a client gets.
 type answerKind int
 
@@ -143,6 +64,8 @@
 	answerBusy
 	// answerInDoubt: it may have run.
 	answerInDoubt
+	// answerUnknownKey: the client's key is not known.
+	answerUnknownKey
 )
 
 func (w *World) addGateway(name string) *gateway {
@@ -167,6 +90,7 @@
 	g.freezes = map[string]int{}
 	g.reads = map[string]*serviceReads{}
 	g.reports = map[string]*feed.InstanceReport{}
+	g.tenantry = newTenantry(g.world.plan)
 	g.known = nil
 	for _, seed := range g.world.seedNames() {
 		g.known = append(g.known, seed+":7440")
@@ -299,6 +223,8 @@
 		}
 		g.apply(whole)
 	}
+	g.keys.HeardAt = max(g.keys.HeardAt, sent)
+	g.primary = g.target
 	g.drains.Take(sent, answer.Drains)
 	if answer.Lease > 0 && g.table != nil {
 		g.leaseUntil = max(g.leaseUntil, sent+answer.Lease)
@@ -317,6 +243,9 @@
 			g.freezes[service.Name]++
 		}
 	}
+	if g.table == nil || g.table.ConfigurationNumber != table.ConfigurationNumber {
+		g.readTenants(table.Configuration)
+	}
 	g.table = &table
 	g.world.judge.gatewayTook(g, table.ConfigurationNumber)
 }
@@ -391,6 +320,24 @@
 	if g.world.now() < g.leaseUntil {
 		g.world.judge.gatewayServes(g, one)
 	}
+	switch {
+	case one.inside():
+		g.takeInside(one, answer)
+	case g.world.plan.Tenants.Count == 0:
+		g.takeFirst(one, answer)
+	case g.admit(one, answer):
+		g.spend(one.tenant, func(may bool) {
+			if may {
+				g.takeFirst(one, answer)
+				return
+			}
+			answer(answerBusy)
+		})
+	}
+}
+
+// takeFirst serves a statement that stands alone or begins a transaction.
+func (g *gateway) takeFirst(one *statement, answer func(answerKind)) {
 	if service := g.service(one.service); service != nil {
 		if target := g.replicaFor(one, service); target != nil {
 			g.readAtReplica(one, service, target, answer)
@@ -402,7 +349,7 @@
 
 func (g *gateway) takeAtLeader(one *statement, answer func(answerKind)) {
 	service := g.service(one.service)
-	if service == nil || service.Frozen || service.Leader.InstanceID == "" || g.world.now() >= g.leaseUntil {
+	if service == nil || service.Frozen || service.Leader.InstanceID == "" || g.world.now() >= g.leaseUntil || !g.stillAdmits(one) {
 		answer(answerBusy)
 		return
 	}
@@ -434,6 +381,7 @@
 	w := g.world
 	life := g.life
 	passed := &flight{statement: one, service: service.Name, freeze: g.freezes[service.Name], answer: answer}
+	passed.unleased = w.now() >= g.leaseUntil
 	g.flights[passed] = true
 	one.gateway = g
 	one.passed = w.now()
@@ -465,6 +413,7 @@
 	switch outcome {
 	case statementDone:
 		report.Answers++
+		g.open(one.statement, target)
 		if g.rightLasted(one) {
 			g.readsOf(one.service).positions.Saw(one.statement.passed, one.statement.told)
 		}
@@ -492,5 +441,5 @@
 // rightLasted tells whether the right to use the leader has lasted since the statement was passed on.
 func (g *gateway) rightLasted(one *flight) bool {
 	leased := g.world.now() < g.leaseUntil
-	return leased && g.freezes[one.service] == one.freeze && !g.isFrozen(one.service)
+	return leased && !one.unleased && g.freezes[one.service] == one.freeze && !g.isFrozen(one.service)
 }
--- a/simulation/judge.go
+++ b/simulation/judge.go
@@ -16,6 +16,10 @@
 	ruleDrain  = "DRAIN"
 	ruleAcks   = "Acks"
 	ruleDuty   = "Duty"
+	// Rules of tenants: whose key a statement came with, whom an instance was told, and how many operations there were.
+	ruleRoute   = "ROUTE"
+	ruleUnasked = "UNASKED"
+	ruleQuota   = "QUOTA"
 	// ruleAnswer: whoever can't settle a call says so before its caller gives up.
 	ruleAnswer = "Answer"
 	// ruleInvariant: what a process checks of itself holds.
@@ -40,6 +44,7 @@
 	seen   map[string]bool // breaks that were reported: each is reported once
 
 	served, busy, doubt int
+	strangers           int             // statements that were refused for their keys
 	writes              []time.Duration // moments of successes of writes
 	replicaReads        []time.Duration // moments of reads at replicas
 
@@ -51,12 +56,17 @@
 	register registerHistory
 	calm     time.Duration // since when core and links have been calm; negative: they aren't
 	lastRead readBack
+
+	operations map[string][]ranOperation // by tenant
+	bindings   map[*order]*binding
+	nearest    float64 // of the operations in a window to the limit, as a share of it
 }
 
 func newJudge(w *World) *Judge {
 	return &Judge{
 		world: w, seen: map[string]bool{}, services: map[string]*serviceRecord{},
 		gateways: map[string]*gatewayRecord{}, drains: map[string]drainRecord{}, calm: -1,
+		operations: map[string][]ranOperation{}, bindings: map[*order]*binding{},
 	}
 }
 
@@ -84,6 +94,7 @@
 	}
 	j.lookForLateOrders()
 	j.lookForLateLeaves()
+	j.followLimits()
 	w.schedule.after(watchEvery, j.watch)
 }
 
@@ -170,6 +181,9 @@
 
 // reached looks at a statement that reaches an instance.
 func (j *Judge) reached(i *instance, one *statement) {
+	if one.inside() {
+		return // what a transaction does was begun with its first statement
+	}
 	record, drained := j.drains[i.id]
 	if !drained || j.world.now()-record.at <= j.world.plan.Bounds.Drain {
 		return
@@ -230,5 +244,6 @@
 func (j *Judge) finish() []Break {
 	j.judgeReadBack()
 	j.judgeRegister()
+	j.judgeQuota()
 	return j.breaks
 }
--- a/simulation/judge_statements.go
+++ b/simulation/judge_statements.go
@@ -63,6 +63,8 @@
 		j.doubt++
 	case answerDone:
 		j.served++
+	case answerUnknownKey:
+		j.strangers++
 	}
 	if !one.write {
 		return
@@ -114,7 +116,7 @@
 // read looks at the log that a read runs on.
 func (j *Judge) read(i *instance, one *statement) {
 	record := j.record(i.service.name)
-	horizon := one.sent
+	horizon := one.begun()
 	if one.bound != nil {
 		horizon -= one.bound.Staleness
 		j.boundedReads(i, one)
--- a/simulation/operators.go
+++ b/simulation/operators.go
@@ -22,6 +22,7 @@
 	content string // a name for the content; those that begin with ! are invalid
 	body    []byte
 	routes  int
+	tenants []wireTenant
 
 	sent    time.Duration // first try
 	acked   time.Duration // first acknowledgement; negative: none
@@ -68,6 +69,7 @@
 	Number   int64         `json:"configRevision"`
 	Routes   []wireRoute   `json:"routeTable"`
 	Services []wireService `json:"serviceTable"`
+	Tenants  []wireTenant  `json:"tenantTable,omitempty"`
 	Limits   wireLimits    `json:"limits"`
 }
 
@@ -77,11 +79,12 @@
 	contentUnknownService = "!service"
 	contentTwoRoutes      = "!routes"
 	contentCutOff         = "!text"
+	contentSharedKey      = "!keys"
 )
 
 // makeBody writes a configuration down. The content's name is that of the first route.
-func (w *World) makeBody(number int64, content string, routes int) []byte {
-	whole := wireOrder{Number: number, Limits: wireLimits{16384, 262144, 3000, 15000, 3000}}
+func (w *World) makeBody(number int64, content string, routes int, tenants []wireTenant) []byte {
+	whole := wireOrder{Number: number, Tenants: tenants, Limits: wireLimits{16384, 262144, 3000, 15000, 3000}}
 	for _, service := range w.services {
 		whole.Services = append(whole.Services, wireService{service.name, "/health", 84, "h1", service.syncReplicas})
 	}
@@ -96,6 +99,8 @@
 		whole.Routes[0].TimeoutMs = 0
 	case contentUnknownService:
 		whole.Routes[0].TargetService = "nobody"
+	case contentSharedKey:
+		whole.Tenants = []wireTenant{{Name: "one", Keys: []string{"shared"}}, {Name: "other", Keys: []string{"shared"}}}
 	case contentTwoRoutes:
 		whole.Routes = append(whole.Routes, whole.Routes[0])
 	}
--- a/simulation/parse.go
+++ b/simulation/parse.go
@@ -15,6 +15,8 @@
 //	seeds c1 c2 c3           the first three if left out
 //	gateways 2               named g1, g2, ...
 //	clients 3
+//	tenants 3 rate 40 burst 30   named t1, t2, t3; t1 has the key t1-key1; without a rate: no limit
+//	revoke 0s                within which keys that were taken away bind all machines; 0s: those in touch
 //	service db 3 sync 1      instances db1, db2, db3; db1 is primary
 //	length 40s
 //	disk 5ms                 of a sync
@@ -69,6 +71,8 @@
 		return nil
 	case "service":
 		return p.takeService(rest)
+	case "tenants":
+		return p.takeTenants(rest)
 	case "conditions":
 		return p.takeConditions(rest)
 	case "runs":
@@ -85,7 +89,7 @@
 		"controllers": &p.Controllers, "tolerance": &p.Tolerance, "gateways": &p.Gateways, "clients": &p.Clients,
 	}
 	times := map[string]*time.Duration{
-		"length": &p.Length, "disk": &p.DiskSync, "promote": &p.PromoteTime, "beat": &p.BeatInterval,
+		"length": &p.Length, "disk": &p.DiskSync, "promote": &p.PromoteTime, "revoke": &p.Bounds.Revoke, "beat": &p.BeatInterval,
 	}
 	var err error
 	switch {
@@ -119,6 +123,24 @@
 	return nil
 }
 
+func (p *Plan) takeTenants(words []string) error {
+	count, err := strconv.Atoi(words[0])
+	if err != nil {
+		return err
+	}
+	p.Tenants.Count = count
+	for index := 1; index+1 < len(words); index += 2 {
+		figure := map[string]*float64{"rate": &p.Tenants.Rate, "burst": &p.Tenants.Burst}[words[index]]
+		if figure == nil {
+			return eris.Errorf("unknown figure %q", words[index])
+		}
+		if *figure, err = strconv.ParseFloat(words[index+1], 64); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (p *Plan) takeConditions(words []string) error {
 	for index := 0; index+1 < len(words); index += 2 {
 		var err error
--- a/simulation/plan.go
+++ b/simulation/plan.go
@@ -41,6 +41,7 @@
 	Tolerance    int
 	Gateways     int
 	Clients      int
+	Tenants      TenantsPlan
 	Services     []ServicePlan
 	Length       time.Duration
 	DiskSync     time.Duration
--- a/simulation/statements.go
+++ b/simulation/statements.go
@@ -20,18 +20,33 @@
 
 // statement is a read or a write that a client sent.
 type statement struct {
-	service string
-	write   bool
-	bound   *role.Bound       // of a read that may be some time old; nil: it must see all that was acknowledged before
-	own     entry             // the last commit of its session
-	written failover.Position // the position that the session was told with it
-	after   failover.Position // at a replica: what its log must hold
-	told    failover.Position // by the instance that ran it
-	made    entry             // by a write
-	sent    time.Duration     // first byte, at the client
-	gateway *gateway
-	passed  time.Duration // when the gateway passed it on
-	dropped bool          // the gateway waits no longer: nobody hears the answer
+	service     string
+	write       bool
+	bound       *role.Bound       // of a read that may be some time old; nil: it must see all that was acknowledged before
+	own         entry             // the last commit of its session
+	written     failover.Position // the position that the session was told with it
+	after       failover.Position // at a replica: what its log must hold
+	told        failover.Position // by the instance that ran it
+	made        entry             // by a write
+	sent        time.Duration     // first byte, at the client
+	gateway     *gateway
+	operation   *operation    // that counts for a tenant
+	transaction *transaction  // nil: it stands alone
+	tenant      string        // that the instance is told; "": nobody
+	passed      time.Duration // when the gateway passed it on
+	arrived     time.Duration // at an instance
+	dropped     bool          // the gateway waits no longer: nobody hears the answer
+}
+
+// inside tells whether it belongs to a transaction that has begun before.
+func (s *statement) inside() bool { return s.transaction != nil && s.transaction.open }
+
+// begun is when what it belongs to was begun by the client.
+func (s *statement) begun() time.Duration {
+	if s.transaction != nil {
+		return s.transaction.began
+	}
+	return s.sent
 }
 
 // run carries a statement from a gateway to an instance.
@@ -48,6 +63,7 @@
 			return
 		}
 		w.judge.reached(target, one)
+		one.arrived = w.now()
 		life := target.life
 		work := statementWork + w.jitter(statementWork)
 		w.schedule.after(work, func() {
@@ -71,6 +87,7 @@
 			back(statementLagging)
 			return
 		}
+		i.world.judge.ran(i, one)
 		i.world.judge.read(i, one)
 		one.told = i.position()
 		back(statementDone)
@@ -80,6 +97,7 @@
 		back(statementReadOnly)
 		return
 	}
+	i.world.judge.ran(i, one)
 	i.world.commits++
 	added := entry{term: i.term, number: uint64(len(i.log) + 1), commit: i.world.commits}
 	i.log = append(i.log, added)
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -29,6 +29,8 @@
 	instances          []*instance
 	orders             []*order
 	triggers           []*trigger
+	desk               *tenantDesk
+	presses            int // statements of hot tenants
 
 	copier            *copier
 	commits           uint64
@@ -60,7 +62,8 @@
 	Acked  int           // orders
 	Outage time.Duration // longest time without a successful write
 	Events uint64
-	Bytes  int64 // handed to the disks
+	Quota  float64 // the most operations of a tenant in a window, as a share of what is allowed
+	Bytes  int64   // handed to the disks
 }
 
 // Play plays a day.
@@ -80,6 +83,7 @@
 	w.network.conditions = plan.Conditions
 	w.platform = newPlatform(w)
 	w.judge = newJudge(w)
+	w.desk = newTenantDesk(plan.Tenants)
 	w.controllerSettings = plan.Settings()
 	return w
 }
@@ -92,8 +96,9 @@
 	}
 	for index := range w.plan.Clients {
 		service := w.services[index%len(w.services)]
-		w.addClient(fmt.Sprintf("client%d", index+1), service.name, index/len(w.services))
+		w.addClient(fmt.Sprintf("client%d", index+1), service.name, w.tenantOf(index), index/len(w.services))
 	}
+	w.addTenantClients()
 	for _, item := range w.plan.Items {
 		w.enter(item)
 	}
@@ -353,6 +358,7 @@
 		Breaks: w.judge.finish(), Failed: w.failedExpectations(), Story: w.story,
 		Served: w.judge.served, Busy: w.judge.busy, Doubt: w.judge.doubt, Events: w.schedule.sequence,
 	}
+	result.Quota = w.judge.nearest
 	result.Outage = w.judge.longestOutage(w.now())
 	for _, one := range w.orders {
 		if one.acked >= 0 {
