--- a/simulation/generate.go
+++ b/simulation/generate.go
@@ -29,6 +29,7 @@
 	number      int64
 	successors  int
 	catchUp     time.Duration
+	tenants     *tenantGenerator
 	second      bool // there is a second service, which may be used up
 	three       bool // it has three instances, not two
 	wild        bool // any number of machines in trouble at once, but no disk is lost: safety must hold all the same
@@ -37,12 +38,14 @@
 // Generate writes a day for a seed of chance. The same seed gives the same text.
 func Generate(seed uint64) string {
 	g := &generator{random: rand.New(rand.NewPCG(seed, 0xda942042e4dd58b5)), now: firstTrouble, number: 10, catchUp: 4 * time.Second}
+	g.tenants = newTenantGenerator(seed)
 	g.header(seed)
 	if g.second {
 		g.decline()
 	}
 	for g.now < lastTrouble {
 		g.trouble()
+		g.tenantTrouble()
 		g.now += g.between(50*time.Millisecond, 4*time.Second)
 	}
 	g.footer()
@@ -96,10 +99,12 @@
 	if g.random.IntN(5) == 0 {
 		g.add("conditions loss 0.5%% duplicate 1%% reorder 4ms")
 	}
+	g.tenantsHeader()
 	g.add("at 4s order 10")
 }
 
 func (g *generator) footer() {
+	g.tenantsFooter()
 	g.number += 5
 	g.add("at %s order %d", lastOrder, g.number)
 	g.add("expect order %d acknowledged before %s", g.number, lastOrder+5*time.Second)
--- a/simulation/generate_test.go
+++ b/simulation/generate_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -16,12 +18,41 @@
 	firstDay  = flag.Uint64("first", 1, "seed of the first generated day")
 )
 
+// nearest is how near generated days came to the bounds of tenants.
+var nearest nearness
+
+type nearness struct {
+	mutex                         sync.Mutex
+	quota                         float64
+	withdrawn                     time.Duration
+	days, quotaSeed, withdrawSeed uint64
+}
+
+func (n *nearness) note(seed uint64, plan Plan, result Result) {
+	if plan.Tenants.Count == 0 {
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.days++
+	if result.Quota > n.quota {
+		n.quota, n.quotaSeed = result.Quota, seed
+	}
+	if plan.Bounds.Revoke > 0 && result.Withdrawn > n.withdrawn {
+		n.withdrawn, n.withdrawSeed = result.Withdrawn, seed
+	}
+}
+
 // generatedGroups play side by side.
 const generatedGroups = 8
 
 // TestGeneratedDays plays days with random troubles within the tolerance. A day that breaks a rule is found again by its
 // seed: -run TestGeneratedDays -first SEED -days 1 -story.
 func TestGeneratedDays(t *testing.T) {
+	t.Cleanup(func() {
+		t.Logf("%d days with tenants: at most %.3f of a limit (seed %d), a key last used %s after it was taken away (seed %d)",
+			nearest.days, nearest.quota, nearest.quotaSeed, nearest.withdrawn, nearest.withdrawSeed)
+	})
 	last := *firstDay + uint64(*dayCount)
 	for group := uint64(0); group < generatedGroups; group++ {
 		t.Run(fmt.Sprintf("group%d", group+1), func(t *testing.T) {
@@ -46,6 +77,11 @@
 		{"ends not final", guard.Set(guard.EndIsFinal), 15},
 		{"departures not told", guard.Set(guard.DeparturesTold), 22},
 		{"reads at replicas without a position", guard.Set(guard.PositionProven), 1},
+		{"keys checked when a session begins only", guard.Set(guard.KeyPerStatement), 1},
+		{"keys checked at the first statement of a transaction only", guard.Set(guard.KeyInTransaction), 1},
+		{"keys trusted for ever without news", guard.Set(guard.KeyTrustEnds), 141},
+		{"grants that never end", guard.Set(guard.GrantEnds), 2},
+		{"a bank that opens full", guard.Set(guard.BankStartsEmpty), 205},
 		// Each of these two stands in for the other, so only a day without both breaks the rule.
 		{"a lone leader not frozen, no deadline at gateways", guard.Set(guard.LoneLeaderFrozen | guard.DrainDeadline), 10},
 	} {
@@ -87,7 +123,8 @@
 	text := Generate(seed)
 	plan, err := Parse("generated", text)
 	is.New(t).NoErr(err)
-	playSeed(t, plan, seed)
+	result := playSeed(t, plan, seed)
+	nearest.note(seed, plan, result)
 	if *dayCount == 1 && t.Failed() {
 		t.Log("\n" + text)
 	}
--- a/simulation/judge.go
+++ b/simulation/judge.go
@@ -57,9 +57,10 @@
 	calm     time.Duration // since when core and links have been calm; negative: they aren't
 	lastRead readBack
 
-	operations map[string][]ranOperation // by tenant
-	bindings   map[*order]*binding
-	nearest    float64 // of the operations in a window to the limit, as a share of it
+	operations    map[string][]ranOperation // by tenant
+	bindings      map[*order]*binding
+	lastWithdrawn time.Duration // the longest after its key was taken away that a statement was sent that ran
+	nearest       float64       // of the operations in a window to the limit, as a share of it
 }
 
 func newJudge(w *World) *Judge {
--- a/simulation/judge_tenants.go
+++ b/simulation/judge_tenants.go
@@ -61,11 +61,34 @@
 	case !asTenant:
 		j.broken(ruleUnasked, fmt.Sprintf("%s was told %q for a statement with %s", i.id, one.tenant, key))
 	default:
+		j.noteWithdrawn(one)
 		j.judgeWithdrawn(i, one)
 		j.judgeDropped(i, one)
 	}
 }
 
+// noteWithdrawn notes how long after the acknowledgement that took its key away a statement that ran was sent.
+func (j *Judge) noteWithdrawn(one *statement) {
+	allowed, any := j.allowed(one.sent, func(*order) time.Duration { return 0 })
+	if !any || slices.ContainsFunc(allowed, func(placed *order) bool { return placed.holder(one.operation.key) != "" }) {
+		return
+	}
+	since := allowed[0].acked
+	for _, placed := range j.world.orders { // later orders lack it too: the first of them took it away
+		if placed.possible() && placed.acked >= 0 && placed.acked < since && !j.heldSince(one.operation.key, placed) {
+			since = placed.acked
+		}
+	}
+	j.lastWithdrawn = max(j.lastWithdrawn, one.sent-since)
+}
+
+// heldSince tells whether any configuration that may be in force once an order is has a key.
+func (j *Judge) heldSince(key string, from *order) bool {
+	return slices.ContainsFunc(j.world.orders, func(placed *order) bool {
+		return placed.possible() && placed.number >= from.number && placed.holder(key) != ""
+	})
+}
+
 // judgeWithdrawn: a key that was taken away binds all machines, in touch or not.
 func (j *Judge) judgeWithdrawn(i *instance, one *statement) {
 	revoke := j.world.plan.Bounds.Revoke
--- a/simulation/scenario_test.go
+++ b/simulation/scenario_test.go
@@ -58,7 +58,7 @@
 	return seeds
 }
 
-func playSeed(t *testing.T, plan Plan, seed uint64) {
+func playSeed(t *testing.T, plan Plan, seed uint64) Result {
 	t.Helper()
 	result := Play(plan, seed, realCore, *storyWanted)
 	if *storyWanted {
@@ -74,8 +74,9 @@
 		t.Errorf("seed %d: no write for %s", seed, result.Outage.Round(time.Millisecond))
 	}
 	if !t.Failed() {
-		return
+		return result
 	}
 	t.Logf("seed %d: %d served, %d busy, %d in doubt, %d orders acknowledged, %d events", seed,
 		result.Served, result.Busy, result.Doubt, result.Acked, result.Events)
+	return result
 }
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -62,8 +62,10 @@
 	Acked  int           // orders
 	Outage time.Duration // longest time without a successful write
 	Events uint64
-	Quota  float64 // the most operations of a tenant in a window, as a share of what is allowed
-	Bytes  int64   // handed to the disks
+	// Withdrawn is how long after the acknowledgement that took its key away a statement was sent that ran, at the most.
+	Withdrawn time.Duration
+	Quota     float64 // the most operations of a tenant in a window, as a share of what is allowed
+	Bytes     int64   // handed to the disks
 }
 
 // Play plays a day.
@@ -358,6 +360,7 @@
 		Breaks: w.judge.finish(), Failed: w.failedExpectations(), Story: w.story,
 		Served: w.judge.served, Busy: w.judge.busy, Doubt: w.judge.doubt, Events: w.schedule.sequence,
 	}
+	result.Withdrawn = w.judge.lastWithdrawn
 	result.Quota = w.judge.nearest
 	result.Outage = w.judge.longestOutage(w.now())
 	for _, one := range w.orders {
