Simulation: a gateway takes what came on a client's connection once

With limits the two were told different things: one ran, the other was refused, and the judge found a write that was committed though its client was told BUSY (ONE).

--- a/simulation/clients.go
+++ b/simulation/clients.go
@@ -80,7 +80,12 @@
 
 // askGateway sends a statement to a gateway. It ends with an answer, or with none, or is refused by a machine whose process doesn't run.
 func (w *World) askGateway(from string, via *gateway, one *statement, answered func(answerKind), refused func()) {
+	taken := false
 	w.network.send(from, via.name, func() {
+		if taken {
+			return // a connection gives the same bytes once
+		}
+		taken = true
 		if !via.running {
 			w.network.send(via.name, from, refused)
 			return
