--- a/control/quota/terms.go
+++ b/control/quota/terms.go
@@ -27,8 +27,10 @@
 	leastRateShare = 0.88
 	// reserveSeconds is how many seconds of a tenant's rate gateways may hold in reserve, where the rule leaves room for it.
 	reserveSeconds = 2.0
-	// capacityShare is the part of the room beside the rate that a bucket may hold; the rest is for reserves.
+	// capacityShare is the least part of the room beside the rate that a bucket may hold; the rest is for reserves.
 	capacityShare = 0.3
+	// reserveOnce is what reserves need whatever the rate: an operation for each of the gateways that a tenant's sessions are at.
+	reserveOnce = 20.0
 	// leastBeside is the least room beside the full rate, in operations, from which it is used, and besideShare the most of it that a
 	// bucket may hold.
 	leastBeside = 2.0
@@ -64,16 +66,20 @@
 	beside := most - limit.RatePerS*granting // the full rate
 	if beside < leastBeside {
 		room := most - rate*granting
-		capacity := capacityOf(room)
+		capacity := capacityOf(room, limit.RatePerS)
 		return terms{rate: rate, capacity: capacity, reserve: int(room - capacity), life: GrantLife, fullRate: rate}
 	}
 	room := most - rate*window - limit.RatePerS*GrantLife.Seconds()
-	capacity := min(capacityOf(room), max(1, beside*besideShare))
+	capacity := min(capacityOf(room, limit.RatePerS), max(1, beside*besideShare))
 	return terms{
 		rate: rate, capacity: capacity, reserve: int(room - capacity), life: GrantLife,
 		fullRate: limit.RatePerS, modest: int(beside - capacity), settle: rules.Window + GrantLife,
 	}
 }
 
-// capacityOf is the capacity of a bucket where there is so much room beside its rate.
-func capacityOf(room float64) float64 { return max(room*capacityShare, min(room, 1)) }
+// capacityOf is the capacity of a bucket where there is so much room beside its rate: what reserves can't use, so that a large burst is there
+// for a tenant that has been at rest.
+func capacityOf(room, ratePerS float64) float64 {
+	needed := ratePerS*reserveSeconds + reserveOnce
+	return max(room*capacityShare, room-needed, min(room, 1))
+}
--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -328,3 +328,18 @@
 	c.must("PUT a 3", "ERROR BUSY / I")
 	is.Equal(len(w.first.asked()), 1)
 }
+
+// CONFIG, UNASKED: the ABORT of a client reached an instance, with the client's id and under its former tenant, after its key had been taken away.
+func TestAbortWithKeyThatWasTakenAwayReachesNoInstance(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t)
+	w.publishTenants(2, bakers)
+	leaving := w.connect("flour")
+	leaving.must("BEGIN", "COMPLETE stamp / T")
+	leaving.must("PUT a 1", "COMPLETE stamp / T")
+	w.publishTenants(3, noBakers)
+	leaving.ask("ABORT")
+	for _, text := range w.first.texts() {
+		is.True(!strings.HasSuffix(text, " ABORT") || strings.HasPrefix(text, "- "))
+	}
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -302,7 +302,7 @@
 func (c *client) may(statement session.Statement, under *flight) bool {
 	switch {
 	case statement.Class == session.Abort:
-		return true
+		return c.gateway.mayAbort(under)
 	case statement.Class == session.Commit:
 		return c.gateway.mayCommit(under)
 	case c.session.Opens(statement):
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -132,6 +132,13 @@
 	return !under.cut && g.directory.mayCommit(now, under.placed) && g.directory.stillAdmits(now, under.placed)
 }
 
+// mayAbort is the check before an ABORT. One that isn't sent closes the connection, which rolls back as well.
+func (g *Gateway) mayAbort(under *flight) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return !under.cut && g.directory.stillAdmits(g.now(), under.placed)
+}
+
 // mayGoOn is the check before another statement of a transaction.
 func (g *Gateway) mayGoOn(under *flight) bool {
 	g.mutex.Lock()
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -94,10 +94,13 @@
 	g.readsOf(under.placed.route.TargetService).picker.Ended(g.now(), under.placed.replica.ID, result, took)
 }
 
+// wasNotAsked tells whether a statement was stopped here, for a reason that has nothing to do with the instance.
+func wasNotAsked(reason string) bool { return reason == overLimit || reason == string(frozen) }
+
 // resultOf reads what an outcome says of the instance.
 func resultOf(outcome session.Outcome) routing.Result {
 	switch {
-	case outcome.Kind == session.NotRun && outcome.Intact:
+	case outcome.Kind == session.NotRun && (outcome.Intact || wasNotAsked(outcome.Reason)):
 		return routing.Unsaid
 	case outcome.Kind == session.NotRun && outcome.Reason == errNoConnection.Error():
 		return routing.Busy
--- a/gateway/reads_test.go
+++ b/gateway/reads_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 
+	"eiderway/routing"
+
 	"eiderway/control/feed"
 	"eiderway/wire"
 )
@@ -167,3 +169,10 @@
 	w.connectTo("browse", "c").must("FETCH x", `COMPLETE stamp [""] / I`)
 	is.Equal(lastOf(w.first), "FETCH x") // asked anew: the position that came late counts for nothing, and the one before is too old or lacked
 }
+
+// Price: a replica that was never asked, since a tenant's limit or a cut stopped the statement at the gateway, was taken for one that fails.
+func TestReplicaThatWasNotAskedIsNotTakenForOneThatFails(t *testing.T) {
+	is := is.New(t)
+	is.Equal(resultOf(notRun(overLimit)), routing.Unsaid)
+	is.Equal(resultOf(notRun(string(frozen))), routing.Unsaid)
+}
