Add review case 3: late heartbeats take back a leave

Cause: heartbeats of an instance that was warming up when it left count as a restart of it if they come seconds late, so its acknowledged leave is taken back.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -121,6 +121,14 @@
 
 // start starts instances, platform, processes, a first configuration and the clients.
 func (d *deployment) start(set func(*testinstance.Settings), platform testinstance.PlatformSettings) error {
+	if err := d.startWithoutLoad(set, platform); err != nil {
+		return err
+	}
+	return d.startLoad()
+}
+
+// startWithoutLoad starts all but the clients.
+func (d *deployment) startWithoutLoad(set func(*testinstance.Settings), platform testinstance.PlatformSettings) error {
 	settings := testinstance.DefaultSettings(serviceName, d.controls)
 	settings.Delay = replicaDelay
 	settings.BeatInterval = beatIntervalMs * time.Millisecond
@@ -144,10 +152,7 @@
 	if err := d.startPrograms(platform.FenceChecked); err != nil {
 		return err
 	}
-	if err := d.placeConfiguration(); err != nil {
-		return err
-	}
-	return d.startLoad()
+	return d.placeConfiguration()
 }
 
 // startPrograms starts the controllers and the gateways.
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -13,7 +13,9 @@
 	if d.service == nil {
 		return
 	}
-	d.clients.Stop()
+	if d.clients != nil {
+		d.clients.Stop()
+	}
 	journal := d.service.Journal()
 	for _, statement := range d.history.Statements() {
 		d.record.note("client %d sent at %.3f %s %q, answered at %.3f: outcome %d code %q stamp %q", statement.Client,
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 
 // cases are the disruptions by name. Each returns the violations that it found.
 var cases = map[string]func(*deployment) ([]string, error){
+	"late-beats":         lateBeats,
 	"replaced-replica":   replacedReplica,
 	"terminated-gateway": terminatedGateway,
 }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -41,7 +41,7 @@
 	delivered bool // the answer was written to a connection that was still open
 }
 
-func startReadServer(d *deployment, id, address, zone string, primary bool, work time.Duration) (*readServer, error) {
+func startReadServer(d *deployment, id, address, zone string, primary bool, work time.Duration, beats func(*readServer)) (*readServer, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -51,7 +51,7 @@
 		listener: listener, stopped: make(chan struct{}),
 	}
 	go s.accept()
-	go s.beat()
+	go beats(s)
 	return s, nil
 }
 
@@ -157,11 +157,7 @@
 func (s *readServer) beat() {
 	client := &http.Client{Timeout: time.Second}
 	for {
-		for _, control := range s.deployment.controls() {
-			if s.beatOnce(client, control) {
-				break
-			}
-		}
+		s.beatAnywhere(client, 0)
 		select {
 		case <-s.stopped:
 			return
@@ -170,20 +166,32 @@
 	}
 }
 
-func (s *readServer) beatOnce(client *http.Client, control string) bool {
+// beatAnywhere sends a heartbeat to one controller after the other until one acknowledges it.
+func (s *readServer) beatAnywhere(client *http.Client, warmupLeft time.Duration) {
+	for _, control := range s.deployment.controls() {
+		if s.post(client, control, "heartbeat", s.nextBeat(warmupLeft)) {
+			return
+		}
+	}
+}
+
+// nextBeat returns the body of the next heartbeat.
+func (s *readServer) nextBeat(warmupLeft time.Duration) []byte {
 	s.callSeq++
 	role := "replica"
 	if s.primary {
 		role = "primary"
 	}
-	body, err := json.Marshal(map[string]any{
+	body, _ := json.Marshal(map[string]any{
 		"targetService": serviceName, "address": s.address, "zone": s.zone, "configRevision": "v1", "slotCount": 7,
-		"operState": "ready", "warmupLeftMs": 0, "dbRole": role, "callSeq": s.callSeq,
+		"operState": "ready", "warmupLeftMs": warmupLeft.Milliseconds(), "dbRole": role, "callSeq": s.callSeq,
 	})
-	if err != nil {
-		return false
-	}
-	answer, err := client.Post("http://"+control+"/instances/"+s.id+"/heartbeat", "application/json", bytes.NewReader(body))
+	return body
+}
+
+// post sends a call of the server to a controller, follows redirects, and reports whether it was acknowledged.
+func (s *readServer) post(client *http.Client, control, action string, body []byte) bool {
+	answer, err := client.Post("http://"+control+"/instances/"+s.id+"/"+action, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
--- a/review/standin/terminated.go
+++ b/review/standin/terminated.go
@@ -35,7 +35,7 @@
 func terminatedGateway(d *deployment) ([]string, error) {
 	var servers []*readServer
 	for number := range 3 {
-		server, err := startReadServer(d, "db-"+workload.Zone(number), d.layout.Instance(number), workload.Zone(number), number == 0, slowWork)
+		server, err := startReadServer(d, "db-"+workload.Zone(number), d.layout.Instance(number), workload.Zone(number), number == 0, slowWork, (*readServer).beat)
 		if err != nil {
 			return nil, err
 		}
