--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -250,7 +250,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	operator := &workload.Operator{Controllers: d.controls, Orders: d.orders, Service: serviceName, Database: databaseName}
-	order := operator.Place(ctx, 1, "first.example")
+	order := operator.Place(ctx, 1, "first")
 	if order.Status != http.StatusOK {
 		return fmt.Errorf("%w: the configuration was answered with %d", errSetup, order.Status)
 	}
