--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -60,7 +60,7 @@
 func (c *client) serveAtReplica(id string, statement session.Statement, receivedAt time.Duration) (wire.Answer, bool) {
 	var tried []string
 	for len(tried) < maxReplicaTries {
-		flight := c.gateway.startAtReplica(c.database, c.key, c.lastCommit, tried)
+		flight := c.gateway.startAtReplica(c.database, c.key, receivedAt, c.lastCommit, tried)
 		if flight == nil {
 			return wire.Answer{}, false
 		}
@@ -132,6 +132,9 @@
 	for {
 		g.mutex.Lock()
 		placement, reason := g.directory.placeForKey(g.elapsed(), database, key)
+		if reason != noDatabase && reason != keyRejected && !g.mayTake(receivedAt, receivedAt+timeoutOf(placement)) {
+			reason = shuttingDown
+		}
 		directoryChanged := g.directoryChanged
 		if reason == notRefused {
 			flight := &flight{placement: placement}
@@ -141,7 +144,7 @@
 		}
 		g.mutex.Unlock()
 		remaining := receivedAt + maxPlacementWait(placement) - g.elapsed()
-		if reason == noDatabase || reason == keyRejected || remaining <= 0 {
+		if isFinal(reason) || remaining <= 0 {
 			return nil, reason
 		}
 		timer := time.NewTimer(remaining)
@@ -153,6 +156,11 @@
 	}
 }
 
+// isFinal reports whether waiting can't change the refusal of a statement.
+func isFinal(reason refusal) bool {
+	return reason == noDatabase || reason == keyRejected || reason == shuttingDown
+}
+
 // maxPlacementWait returns how long a statement may wait to be offered to an instance.
 func maxPlacementWait(placement placement) time.Duration {
 	targetLatency := time.Duration(placement.route.TargetLatencyMs) * time.Millisecond
@@ -206,9 +214,14 @@
 func (c *client) serveInTransaction(id string, statement session.Statement) wire.Answer {
 	flight := c.flight
 	outcome := notRun("the transaction was ended")
-	if c.gateway.resume(flight) {
-		deadline := time.Now().Add(timeoutOf(flight.placement))
-		outcome = c.run(id, statement, flight, deadline)
+	receivedAt := c.gateway.elapsed()
+	deadline := receivedAt + timeoutOf(flight.placement)
+	switch {
+	case !c.gateway.resume(flight):
+	case !c.gateway.mayTake(receivedAt, deadline):
+		outcome = notRun(string(shuttingDown))
+	default:
+		outcome = c.run(id, statement, flight, c.gateway.startedAt.Add(deadline))
 	}
 	resolution := c.session.HandleOutcome(statement, outcome)
 	c.recordCommit(statement, resolution.Answer)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,7 +77,8 @@
 
 	primaryRelays bool // that controller isn't the primary but passes requests on to it
 
-	phase atomic.Int32
+	phase    atomic.Int32
+	shutdown atomic.Pointer[shutdown] // nil until the process is asked to shut down
 }
 
 // Run serves until it is asked to shut down and has done so in order, or until the context ends. It returns an error if
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -45,6 +45,7 @@
 	noLease         refusal = "no lease"
 	frozen          refusal = "the service is changing its leader"
 	noLeader        refusal = "the service has no known leader"
+	shuttingDown    refusal = "the gateway is shutting down"
 	leaderDraining  refusal = "the leader goes, and nobody follows it yet"
 )
 
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -47,12 +47,12 @@
 
 // startAtReplica finds a replica for a read and registers the flight under the same lock. It returns nil if the leader
 // must run the read.
-func (g *Gateway) startAtReplica(database string, key access.Key, lastCommit failover.Position, tried []string) *flight {
+func (g *Gateway) startAtReplica(database string, key access.Key, receivedAt time.Duration, lastCommit failover.Position, tried []string) *flight {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.elapsed()
 	placement, replicas := g.directory.placeStaleRead(now, database)
-	if len(replicas) == 0 || g.directory.rejectsKey(now, database, key) {
+	if len(replicas) == 0 || g.directory.rejectsKey(now, database, key) || !g.mayTake(receivedAt, receivedAt+timeoutOf(placement)) {
 		return nil
 	}
 	placement.key = key
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -135,7 +135,7 @@
 		return
 	}
 	kinds := []func(){
-		s.killController, s.stopController, s.killGateway, s.stopGateway, s.cutGateway, s.cutController, s.cutReplication,
+		s.killController, s.stopController, s.killGateway, s.stopGateway, s.terminateController, s.terminateGateway, s.cutGateway, s.cutController, s.cutReplication,
 		s.freezeInstance, s.crashInstance, s.loseAnswers, s.disturbPlatform, s.cutControl,
 		s.cutControllers, s.cutControllers, s.isolateController, s.cutGatewayFromCore, s.cutGatewayFromCore,
 		s.changeTenants, s.changeTenants,
@@ -145,10 +145,14 @@
 
 // startFault starts a fault of random length, unless its target has an active fault.
 func (s *soak) startFault(what, how string, begin, end func()) {
+	s.startFaultFor(what, how, s.between(minFaultTime, maxFaultTime), begin, end)
+}
+
+// startFaultFor starts a fault, unless its target has an active one.
+func (s *soak) startFaultFor(what, how string, lasting time.Duration, begin, end func()) {
 	if s.busy[what] {
 		return
 	}
-	lasting := s.between(minFaultTime, maxFaultTime)
 	s.record("%s: %s for %v", what, how, lasting.Round(time.Millisecond))
 	s.busy[what] = true
 	begin()
@@ -161,6 +165,26 @@
 	s.startFault(one.name, "killed", one.kill, func() { s.startController(number, false) })
 }
 
+// terminateController asks a controller to shut down, as the platform does: it is killed if it still runs after the grace period.
+func (s *soak) terminateController() {
+	number := s.random.IntN(workload.ControllerCount)
+	one := s.controllers[number]
+	s.startFaultFor(one.name, "terminated", workload.GraceTime, func() { one.signal(syscall.SIGTERM) }, func() {
+		one.kill()
+		s.startController(number, false)
+	})
+}
+
+// terminateGateway does the same to a gateway.
+func (s *soak) terminateGateway() {
+	number := s.random.IntN(gatewayCount)
+	one := s.gateways[number]
+	s.startFaultFor(one.name, "terminated", workload.GraceTime, func() { one.signal(syscall.SIGTERM) }, func() {
+		one.kill()
+		s.startGateway(number)
+	})
+}
+
 func (s *soak) stopController() {
 	one := s.controllers[s.random.IntN(workload.ControllerCount)]
 	s.startFault(one.name, "stopped", func() { one.signal(syscall.SIGSTOP) }, func() { one.signal(syscall.SIGCONT) })
@@ -334,10 +358,11 @@
 	s.startFault("platform", "slow, and loses an answer", func() { s.platform.Set(trouble) }, func() { s.platform.Set(calm) })
 }
 
-// endInstance has an instance drain, or leave without draining.
+// endInstance has an instance drain, or leave without draining. The platform replaces the instances of a service one after the other: if
+// all left at once, nobody would have their logs.
 func (s *soak) endInstance() {
 	one := s.anyInstance()
-	if one.HasLeft() || s.busy[one.ID()] {
+	if s.busy[one.ID()] || slices.ContainsFunc(s.instances, (*testinstance.Instance).IsEnding) {
 		return
 	}
 	if s.random.IntN(2) == 0 {
--- a/systemtest/workload/layout.go
+++ b/systemtest/workload/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"eiderway/system"
 	"eiderway/testing/loopback"
@@ -20,11 +21,14 @@
 
 const (
 	beatInterval = 300 // ms
-	graceS       = 4   // from SIGTERM to the end of the process
 	platformRate = 50  // calls a second
+	graceS       = 4   // see GraceTime
 	firstHost    = 10  // host number of the first machine of a layout
 )
 
+// GraceTime is how long after SIGTERM the platform lets a process run.
+const GraceTime = graceS * time.Second
+
 // Layout assigns loopback addresses to the machines of a system: each has an address of its own, and all use the same ports.
 type Layout struct{ network loopback.Network }
 
--- a/systemtest/workload/session.go
+++ b/systemtest/workload/session.go
@@ -51,6 +51,12 @@
 	return s.ask(text, []testinstance.Write{write})
 }
 
+// Fetch sends a read.
+func (s *Session) Fetch(thing string) Statement {
+	s.client.tries++
+	return s.ask(string(wire.Fetch)+" "+thing, nil)
+}
+
 // Commit commits the open transaction.
 func (s *Session) Commit() Statement {
 	s.inTransaction = false
--- a/testinstance/connection.go
+++ b/testinstance/connection.go
@@ -205,7 +205,7 @@
 	if !c.takeSlot() {
 		return c.fail(wire.Busy, ""), nil
 	}
-	c.work(c.instance.service.settings.Work)
+	c.work(c.instance.service.settings.workOn(statement.Key))
 	c.freeSlot() // a commit that waits for a replica holds no slot
 	return c.run(request, statement)
 }
--- a/testinstance/fault.go
+++ b/testinstance/fault.go
@@ -100,6 +100,13 @@
 	})
 }
 
+// IsEnding reports whether the instance has begun its planned end, or has left.
+func (i *Instance) IsEnding() bool {
+	i.service.mutex.Lock()
+	defer i.service.mutex.Unlock()
+	return i.left || i.draining || i.leavesWithoutDrain
+}
+
 // HasLeft reports whether the instance has left for good.
 func (i *Instance) HasLeft() bool {
 	i.service.mutex.Lock()
--- a/testinstance/service.go
+++ b/testinstance/service.go
@@ -17,20 +17,21 @@
 // Settings control a service and its instances.
 type Settings struct {
 	Name            string
-	SyncReplicas    int                  // 1: a commit is answered once a replica has received it
-	Delay           time.Duration        // replication delay from the primary to a replica
-	StepDownDelay   time.Duration        // how long an old primary stays one after it can reach the new one
-	Slots           int                  // statements that an instance executes at a time
-	MaxConnections  int                  // from all callers
-	ConnectTime     time.Duration        // for which a new connection holds a slot
-	Work            time.Duration        // for which a statement holds a slot
-	CutBackTime     time.Duration        // for which a replica is busy after its log was truncated
-	BeatInterval    time.Duration        // between heartbeats
-	DrainTime       time.Duration        // for which an instance serves after a drain or a leave is acknowledged
-	Linger          time.Duration        // for which it serves beyond the drain time
-	BeatsAfterLeave bool                 // whether heartbeats go on after a leave without a drain
-	Controllers     func() []string      // control addresses of the controllers
-	Note            func(message string) // called for each event, with the lock held; may be nil
+	SyncReplicas    int                            // 1: a commit is answered once a replica has received it
+	Delay           time.Duration                  // replication delay from the primary to a replica
+	StepDownDelay   time.Duration                  // how long an old primary stays one after it can reach the new one
+	Slots           int                            // statements that an instance executes at a time
+	MaxConnections  int                            // from all callers
+	ConnectTime     time.Duration                  // for which a new connection holds a slot
+	Work            time.Duration                  // for which a statement holds a slot
+	ExtraWork       func(key string) time.Duration // beyond that for a statement on the key; nil: none
+	CutBackTime     time.Duration                  // for which a replica is busy after its log was truncated
+	BeatInterval    time.Duration                  // between heartbeats
+	DrainTime       time.Duration                  // for which an instance serves after a drain or a leave is acknowledged
+	Linger          time.Duration                  // for which it serves beyond the drain time
+	BeatsAfterLeave bool                           // whether heartbeats go on after a leave without a drain
+	Controllers     func() []string                // control addresses of the controllers
+	Note            func(message string)           // called for each event, with the lock held; may be nil
 	// CallerOf returns the process that sent a client's statement, if it knows it: the user of CONNECT is a tenant, and doesn't
 	// name the process. It may be nil.
 	CallerOf func(statementID string) (process string, known bool)
@@ -55,6 +56,14 @@
 	}
 }
 
+// workOn returns for how long a statement on the key holds a slot.
+func (s Settings) workOn(key string) time.Duration {
+	if s.ExtraWork == nil || key == "" {
+		return s.Work
+	}
+	return s.Work + s.ExtraWork(key)
+}
+
 // Service is a primary with its replicas.
 type Service struct {
 	settings Settings
