registry: only a proven restart ends an acknowledged drain or leave

Cause: heartbeats with low, rising numbers over 2 s, one of which says that the server warms up, counted as a restart, which ends a drain or a leave. Heartbeats come seconds late, and those from before the leave of a server that warms up look the same. Now a drain or a leave ends only once no heartbeat of the earlier life can still be on its way: a minute after that life was last able to say that it warms up, or after its newest heartbeat. Where nothing was promised, a restart is believed as before.

Stand-ins: warm-ups, heartbeats that come late only, calls numbered anew after a restart, in the simulation and the soak; both were always 0, always in time as well, never.

--- a/control/guard/guard.go
+++ b/control/guard/guard.go
@@ -34,6 +34,8 @@
 	GrantExpires
 	// GrantConfirmed: a primary grants operations only if a majority has confirmed it recently.
 	GrantConfirmed
+	// RestartProven: a drain or a leave ends only with a restart that no delayed heartbeats can be mistaken for.
+	RestartProven
 )
 
 // Set is a set of guards. Components are given the set of disabled guards; the zero value disables none.
--- a/control/registry/api.go
+++ b/control/registry/api.go
@@ -11,18 +11,22 @@
 // doesn't count. When the heartbeat with the highest number arrives again, it is processed again: the change that it called for may
 // not have been committed.
 //
-// An instance that is restarted under the same id may begin again with low numbers. It counts as restarted when
-//   - late heartbeats with rising numbers have arrived for at least restartEvidence, with no heartbeat of the old numbering in between:
-//     delayed heartbeats arrive in a burst, or mixed with newer ones; or
-//   - it was recorded as lost, and a late heartbeat says that the instance is still warming up: an instance warms up only
-//     after its start, and a heartbeat of its earlier start would have been delayed for its whole life.
+// An instance that is restarted under the same id may begin again with low numbers. As long as it has announced neither a drain nor a
+// leave, nothing rests on it, and it counts as restarted when
+//   - late heartbeats with rising numbers have arrived for at least restartEvidence, with no heartbeat of the old numbering in between; or
+//   - it was recorded as lost, and a late heartbeat says that the instance is still warming up.
 //
 // # Return of an instance
 //
 // An acknowledged drain or leave is final for the life of an instance: gateways and operators rely on it. Some instances
 // leave without having drained, go on sending heartbeats and report that they are ready, and a heartbeat may arrive seconds late; so no
-// heartbeat of the same life reverts a drain or a leave, whatever its number. A new life shows itself by a new numbering with a
-// heartbeat in it that says that the instance is warming up.
+// heartbeat of the same life reverts a drain or a leave, whatever its number. Delayed heartbeats have low numbers too, and may
+// say that the instance is warming up, since they are from before the end. They prove a new life only where the earlier one can't have
+// sent them, because no heartbeat is on its way for longer than maxHeartbeatDelay:
+//   - one that says that the instance is warming up, so long after the earlier life was last able to say so; or
+//   - one after such a heartbeat, so long after the newest one of the earlier life.
+//
+// Until then the instance stays draining, or away.
 //
 // An instance that was recorded as lost, or whose address another instance had, comes back with the next heartbeat that isn't late; if it
 // was draining, it still is. No instance comes back to an address at which another one is present.
--- a/control/registry/order.go
+++ b/control/registry/order.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"eiderway/control/guard"
 	"eiderway/control/state"
 )
 
@@ -20,10 +21,20 @@
 // isRenumbered tells whether the heartbeat is the first accepted one of a new numbering, which must be recorded.
 func (o callOrder) isRenumbered() bool { return o == renumbered || o == restartedProcess }
 
-func orderOf(now time.Duration, seen *observation, record state.Instance, heartbeat Heartbeat) callOrder {
+// orderOf finds the place of a heartbeat. An acknowledged drain or leave ends only with a proven restart.
+func orderOf(now time.Duration, seen *observation, record state.Instance, heartbeat Heartbeat, disabled guard.Set) callOrder {
+	isWarmingUp := heartbeat.WarmupLeftMs > 0
+	hasRestarted := seen.life.observe(now, heartbeat.CallSeq, isWarmingUp)
+	hasEnded := (record.Draining || record.HasAnnouncedLeave()) && !disabled.Has(guard.RestartProven)
 	switch {
+	case hasEnded && hasRestarted:
+		return restartedProcess
 	case isLate(seen, record, heartbeat.CallSeq):
-		return orderOfLate(now, seen, record, heartbeat)
+		order := orderOfLate(now, seen, record, heartbeat)
+		if hasEnded && order == restartedProcess {
+			return renumbered
+		}
+		return order
 	case seen.hasSequence && heartbeat.CallSeq == seen.highest:
 		return repeated
 	default:
@@ -38,7 +49,7 @@
 	return record.ID != "" && callSeq <= record.CallSeq
 }
 
-// orderOfLate finds out whether a heartbeat that seems late shows that the instance was restarted.
+// orderOfLate finds out whether a heartbeat that seems late suggests that the instance was restarted.
 func orderOfLate(now time.Duration, seen *observation, record state.Instance, heartbeat Heartbeat) callOrder {
 	isWarmingUp := heartbeat.WarmupLeftMs > 0
 	switch {
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -14,6 +14,7 @@
 // It has no clock: the time is passed in and never runs backwards.
 type Registry struct {
 	lostAfter      time.Duration
+	startedAt      time.Duration
 	disabledGuards guard.Set
 	observations   map[string]*observation // by instance id
 	expiry         expiryTimer
@@ -24,6 +25,7 @@
 func New(now, lostAfter time.Duration) *Registry {
 	return &Registry{
 		lostAfter:    lostAfter,
+		startedAt:    now,
 		observations: make(map[string]*observation),
 		expiry:       newExpiryTimer(now, lostAfter),
 	}
@@ -50,12 +52,15 @@
 
 func (r *Registry) apply(now time.Duration, tx *state.Transaction, heartbeat Heartbeat) (fresh bool) {
 	record, isKnown := state.InstanceByID(tx, heartbeat.InstanceID)
-	seen := r.observation(heartbeat.InstanceID)
-	order := orderOf(now, seen, record, heartbeat)
+	seen := r.observationOf(heartbeat.InstanceID, record.CallSeq)
+	order := orderOf(now, seen, record, heartbeat, r.disabledGuards)
 	if order == late {
 		return false
 	}
 	seen.accept(now, heartbeat.CallSeq)
+	if order == restartedProcess {
+		seen.life = newLife(now, heartbeat.CallSeq)
+	}
 	if record.Left && !r.canReturn(tx, record, order, heartbeat) {
 		recordDrainOfDeparted(tx, record, heartbeat)
 		return false
@@ -199,11 +204,17 @@
 	r.observation(id).deferredAt = now
 }
 
-func (r *Registry) observation(id string) *observation {
+func (r *Registry) observation(id string) *observation { return r.observationOf(id, 0) }
+
+// observationOf returns what is known of an instance whose record, if there is one, has this callSeq.
+func (r *Registry) observationOf(id string, recorded uint64) *observation {
 	seen, found := r.observations[id]
 	if !found {
 		seen = &observation{}
 		r.observations[id] = seen
 	}
+	if !seen.life.hasHighest {
+		seen.life = newLife(r.startedAt, recorded)
+	}
 	return seen
 }
--- a/simulation/beats.go
+++ b/simulation/beats.go
@@ -54,7 +54,7 @@
 	i.callSeq++
 	beat := registry.Heartbeat{
 		InstanceID: i.id, TargetService: i.service.name, Address: i.address, Zone: i.zone, ConfigRevision: "v1",
-		SlotCount: 8, OperState: "ready", DBRole: "replica", CallSeq: i.callSeq,
+		SlotCount: 8, OperState: "ready", DBRole: "replica", CallSeq: i.callSeq, WarmupLeftMs: i.warmupLeft().Milliseconds(),
 	}
 	if i.draining {
 		beat.OperState = "draining"
@@ -65,13 +65,16 @@
 	return beat
 }
 
+func (i *instance) warmupLeft() time.Duration {
+	return max(0, i.begunAt+i.world.plan.Warmup-i.world.now())
+}
+
 func (i *instance) tryBeat(life int, control string, tries int) {
 	beat := i.heartbeat()
 	makeInput := func(call controller.CallID) controller.Input {
 		return controller.Heartbeat{Call: call, Heartbeat: beat}
 	}
-	i.heldUp(control, makeInput)
-	i.world.callControl(i.id, control, makeInput, func(result callResult) {
+	answered := func(result callResult) {
 		if i.life != life {
 			return
 		}
@@ -85,17 +88,24 @@
 			return
 		}
 		i.beatEnded()
-	})
+	}
+	if i.holdUp(control, makeInput) {
+		i.world.schedule.after(callWait, func() { answered(callResult{outcome: callSilent}) })
+		return
+	}
+	i.world.callControl(i.id, control, makeInput, answered)
 }
 
-// heldUp has some beats come once more, seconds late, as long as the day says so. Nobody waits for the answer.
-func (i *instance) heldUp(control string, makeInput func(controller.CallID) controller.Input) {
+// holdUp has some beats come seconds late, as long as the day says so, and reports whether this one comes late only: in half of the
+// cases it comes in time as well. Nobody waits for the late answer.
+func (i *instance) holdUp(control string, makeInput func(controller.CallID) controller.Input) (lateOnly bool) {
 	if i.world.lateBeats <= 0 || i.world.random.Float64() >= i.world.lateBeats {
-		return
+		return false
 	}
 	i.world.schedule.after(i.world.jitter(lateBeatMost), func() {
 		i.world.callControl(i.id, control, makeInput, func(callResult) {})
 	})
+	return i.world.random.IntN(2) == 0
 }
 
 func (i *instance) beatTaken(beat registry.Heartbeat, result callResult, control string) {
--- a/simulation/generate.go
+++ b/simulation/generate.go
@@ -99,10 +99,22 @@
 	if g.random.IntN(5) == 0 {
 		g.add("conditions loss 0.5%% duplicate 1%% reorder 4ms")
 	}
+	g.startsHeader(seed)
 	g.tenantsHeader()
 	g.add("at 4s order 10")
 }
 
+// startsHeader says what a start of an instance is like. It has a source of chance of its own.
+func (g *generator) startsHeader(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0x7761726d7570))
+	if random.IntN(2) == 0 {
+		g.add("warmup %s", 5*time.Second+time.Duration(random.IntN(14))*time.Second)
+	}
+	if random.IntN(3) == 0 {
+		g.add("renumber yes")
+	}
+}
+
 func (g *generator) footer() {
 	g.tenantsFooter()
 	g.number += 5
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -44,6 +44,7 @@
 	log      []entry
 	waiting  []*commitWait
 	life     int
+	begunAt  time.Duration // of this life
 
 	draining    bool
 	drainAcked  time.Duration // zero: not yet
@@ -98,6 +99,7 @@
 
 func (i *instance) begin() {
 	i.life++
+	i.begunAt = i.world.now()
 	i.beatLoop(i.life)
 	i.streamLoop(i.life)
 }
@@ -247,6 +249,9 @@
 		i.primary = false
 	}
 	i.beating = false
+	if i.world.plan.Renumber {
+		i.callSeq = 0
+	}
 	i.begin()
 }
 
--- a/simulation/judge.go
+++ b/simulation/judge.go
@@ -137,7 +137,7 @@
 		if one.late || one.instance.drainAcked > 0 || !one.instance.running || one.instance.frozen {
 			continue
 		}
-		since := max(j.calm, one.since)
+		since := max(j.calm, one.since, one.instance.begunAt) // an instance that is back from a crash says it anew
 		if j.world.now()-since > j.world.plan.Bounds.Ack {
 			one.late = true
 			j.broken(ruleAcks, one.instance.id+" has said that it leaves and has no acknowledgement, in calm times")
--- a/simulation/parse.go
+++ b/simulation/parse.go
@@ -89,7 +89,7 @@
 		"controllers": &p.Controllers, "tolerance": &p.Tolerance, "gateways": &p.Gateways, "clients": &p.Clients,
 	}
 	times := map[string]*time.Duration{
-		"length": &p.Length, "disk": &p.DiskSync, "promote": &p.PromoteTime, "revoke": &p.Bounds.Revoke, "beat": &p.BeatInterval,
+		"length": &p.Length, "disk": &p.DiskSync, "promote": &p.PromoteTime, "revoke": &p.Bounds.Revoke, "beat": &p.BeatInterval, "warmup": &p.Warmup,
 	}
 	var err error
 	switch {
@@ -99,6 +99,8 @@
 		*times[name], err = time.ParseDuration(value)
 	case name == "fencechecked":
 		p.FenceChecked = value == "yes"
+	case name == "renumber":
+		p.Renumber = value == "yes"
 	default:
 		return eris.Errorf("unknown word %q", name)
 	}
--- a/simulation/plan.go
+++ b/simulation/plan.go
@@ -47,6 +47,8 @@
 	DiskSync     time.Duration
 	PromoteTime  time.Duration
 	BeatInterval time.Duration
+	Warmup       time.Duration // for which an instance is warming up after its start
+	Renumber     bool          // whether an instance numbers its calls anew after a restart
 	FenceChecked bool
 	Conditions   Conditions
 	Bounds       Bounds
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -37,7 +37,7 @@
 	operators         int
 	answersLost       float64 // share of answers of controllers that are lost
 	giveUps           []bool  // whether each was carried out
-	lateBeats         float64 // share of heartbeats that come once more, late
+	lateBeats         float64 // share of heartbeats that come late
 	lastAcknowledging string  // machine that acknowledged an order last
 	closing           bool
 	listedChanges     []listedChange
--- a/testinstance/fault.go
+++ b/testinstance/fault.go
@@ -12,8 +12,8 @@
 type Faults struct {
 	LoseAnswers  float64       // share of the clients' statements whose answer is lost after the execution
 	LoseAcks     float64       // share of the controllers' acknowledgements that an instance never sees
-	LateShare    float64       // share of the calls to controllers that are sent a second time, late
-	MaxLateDelay time.Duration // the longest delay of the second call
+	LateShare    float64       // share of the calls to controllers that arrive late, half of them in time as well
+	MaxLateDelay time.Duration // the longest delay of a late call
 }
 
 // SetFaults replaces the faults.
@@ -85,12 +85,25 @@
 	return errCutOff
 }
 
-// sendDuplicateLate sends some calls a second time, later, as if the network had delayed and duplicated them.
-func (c *controllerClient) sendDuplicateLate(ctx context.Context, target, action string, body any) {
+// errDelayed reports that a call arrives too late for its answer to be awaited.
+var errDelayed = eris.New("the call is delayed")
+
+// delay lets some calls arrive late, as if the network had held them up, and some of these in time as well. It returns an error, after
+// the time of a call that isn't answered, for one that arrives late only.
+func (c *controllerClient) delay(ctx context.Context, target, action string, body any) error {
 	faults := c.instance.service.currentFaults()
 	if !occurs(faults.LateShare) {
-		return
+		return nil
+	}
+	c.sendLate(ctx, faults, target, action, body)
+	if occurs(0.5) {
+		return nil
 	}
+	sleep(ctx, callTimeout)
+	return errDelayed
+}
+
+func (c *controllerClient) sendLate(ctx context.Context, faults Faults, target, action string, body any) {
 	late := newControllerClient(c.instance)
 	c.instance.service.running.Go(func() {
 		defer late.client.CloseIdleConnections()
--- a/testinstance/heartbeat.go
+++ b/testinstance/heartbeat.go
@@ -117,6 +117,7 @@
 		OperState:      "ready",
 		DBRole:         "replica",
 		CallSeq:        i.callSeq,
+		WarmupLeftMs:   max(0, i.service.settings.WarmupTime-time.Since(i.begunAt)).Milliseconds(),
 	}
 	if i.draining {
 		beat.OperState = "draining"
@@ -136,8 +137,7 @@
 	}
 	for _, target := range targets {
 		call := body()
-		c.sendDuplicateLate(ctx, target, action, call)
-		answer, err := c.post(ctx, target, action, call)
+		answer, err := c.postInTime(ctx, target, action, call)
 		if err == nil && occurs(c.instance.service.currentFaults().LoseAcks) {
 			err = errLostAck
 		}
@@ -153,6 +153,14 @@
 	return errNoController
 }
 
+// postInTime sends a call, unless it is delayed.
+func (c *controllerClient) postInTime(ctx context.Context, target, action string, body any) (acknowledgement, error) {
+	if err := c.delay(ctx, target, action, body); err != nil {
+		return acknowledgement{}, err
+	}
+	return c.post(ctx, target, action, body)
+}
+
 func (c *controllerClient) post(ctx context.Context, target, action string, body any) (acknowledgement, error) {
 	if err := c.checkReachable(ctx, target); err != nil {
 		return acknowledgement{}, err
--- a/testinstance/instance.go
+++ b/testinstance/instance.go
@@ -33,6 +33,7 @@
 	newPrimarySeenAt   time.Time // when an old primary could first reach the new one
 	busy               int
 	callSeq            uint64
+	begunAt            time.Time // of this life
 	stop               context.CancelFunc
 	listener           net.Listener
 	connections        map[*connection]struct{}
@@ -103,6 +104,9 @@
 	i.paused = false
 	i.isFrozen = false
 	i.newPrimarySeenAt = time.Time{}
+	if i.service.settings.Renumber {
+		i.callSeq = 0
+	}
 	i.service.note("%s is started again", i.id)
 	return i.begin()
 }
@@ -115,6 +119,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	i.isRunning = true
+	i.begunAt = time.Now()
 	i.stop = stop
 	i.listener = listener
 	i.busy = 0
--- a/testinstance/service.go
+++ b/testinstance/service.go
@@ -26,6 +26,8 @@
 	Work            time.Duration                  // for which a statement holds a slot
 	ExtraWork       func(key string) time.Duration // beyond that for a statement on the key; nil: none
 	CutBackTime     time.Duration                  // for which a replica is busy after its log was truncated
+	WarmupTime      time.Duration                  // for which an instance reports after its start that it is warming up
+	Renumber        bool                           // whether an instance numbers its calls anew after a restart
 	BeatInterval    time.Duration                  // between heartbeats
 	DrainTime       time.Duration                  // for which an instance serves after a drain or a leave is acknowledged
 	Linger          time.Duration                  // for which it serves beyond the drain time
