--- a/simulation/generate.go
+++ b/simulation/generate.go
@@ -104,7 +104,7 @@
 	g.add("at 4s order 10")
 }
 
-// startsHeader says what a start of an instance is like. It has a source of chance of its own.
+// startsHeader says what instances are like at their start and when they are probed. It has a source of chance of its own.
 func (g *generator) startsHeader(seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0x7761726d7570))
 	if random.IntN(2) == 0 {
@@ -113,6 +113,9 @@
 	if random.IntN(3) == 0 {
 		g.add("renumber yes")
 	}
+	if random.IntN(3) == 0 {
+		g.add("busyprobes %d", 4+random.IntN(12))
+	}
 }
 
 func (g *generator) footer() {
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -293,6 +293,8 @@
 			return
 		case !target.running, target.id != probe.InstanceID:
 			back(failover.Refused, failover.Status{})
+		case w.plan.BusyProbes > 0 && w.random.IntN(w.plan.BusyProbes) == 0:
+			back(failover.Busy, failover.Status{})
 		default:
 			status := target.carryOut(probe)
 			if probe.Kind != failover.AskStatus {
--- a/simulation/parse.go
+++ b/simulation/parse.go
@@ -87,6 +87,7 @@
 func (p *Plan) takeFigure(name, value string) error {
 	numbers := map[string]*int{
 		"controllers": &p.Controllers, "tolerance": &p.Tolerance, "gateways": &p.Gateways, "clients": &p.Clients,
+		"busyprobes": &p.BusyProbes,
 	}
 	times := map[string]*time.Duration{
 		"length": &p.Length, "disk": &p.DiskSync, "promote": &p.PromoteTime, "revoke": &p.Bounds.Revoke, "beat": &p.BeatInterval, "warmup": &p.Warmup,
--- a/simulation/plan.go
+++ b/simulation/plan.go
@@ -48,6 +48,7 @@
 	PromoteTime  time.Duration
 	BeatInterval time.Duration
 	Warmup       time.Duration // for which an instance is warming up after its start
+	BusyProbes   int           // one probe in so many is answered with BUSY; 0: none
 	Renumber     bool          // whether an instance numbers its calls anew after a restart
 	FenceChecked bool
 	Conditions   Conditions
