failover: a position of a pause counts only while the service is frozen

The position at which an instance was paused covers it when it leaves. It was dropped with the CONTINUE that follows, which an instance that is promoted never gets: if it left later, as a replica that alone had received, a choice could have rested on a position from long before. Now the position is dropped when the service is given back, before anything can be acknowledged again.

--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -38,7 +38,7 @@
 	isPaused         bool // confirmed: it receives nothing, in the term of the round
 	pauseConfirmedAt time.Duration
 	pausedPosition   Position
-	heldAt           *Position // its position when a pause was last confirmed, while it can have received nothing since
+	heldAt           *Position // its position at its last pause, while the service is frozen and nothing may have ended the pause
 	pauseLost        bool      // its process was found not to run since the freeze: a restart ends the pause
 	pauseSent        bool      // in this round
 	pauseSentAt      time.Duration
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -337,6 +337,9 @@
 	s.manager.freezeChanges++
 	s.phase = watching
 	s.endRound()
+	for _, m := range s.members {
+		m.heldAt = nil // commits are acknowledged again
+	}
 	s.fastProbesUntil = now + s.settings().FastWindow
 	s.addEvent("unfrozen", "leader %s term %d after %v", s.view.Leader.InstanceID, s.view.Leader.Term, now-s.frozenAt)
 	s.resumePaused(now)
