--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -16,6 +16,7 @@
 
 // cases are the cases by their names. Each reports whether the rule was broken. Without trouble it does the same without the disruption.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
+	"quick-restart":            quickRestart,
 	"sigterm-open-transaction": sigtermOpenTransaction,
 }
 
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,13 +38,16 @@
 	platform  *testinstance.Platform
 	processes []*process
 	record    *record
+	asked     atomic.Int64
 }
 
 // process is a program of the project.
 type process struct {
-	name    string
-	command *exec.Cmd
-	ended   chan struct{}
+	name     string
+	role     string
+	settings system.Settings
+	command  *exec.Cmd
+	ended    chan struct{}
 }
 
 // record collects what was sent, answered and run. It is safe for concurrent use.
@@ -105,6 +109,24 @@
 		return err
 	}
 	w.platform = platform
+	return w.startOwn(gateways, routes)
+}
+
+// startProcesses starts the processes of the project alone, with databases and a platform that stand elsewhere.
+func startProcesses(r *record, layout workload.Layout, gateways int, routes []route) (*world, error) {
+	directory, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{layout: layout, directory: directory, record: r}
+	if err := w.startOwn(gateways, routes); err != nil {
+		w.stop()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *world) startOwn(gateways int, routes []route) error {
 	for number := range workload.ControllerCount {
 		data := filepath.Join(w.directory, "data-"+workload.Zone(number))
 		if err := os.MkdirAll(data, 0o700); err != nil {
@@ -170,7 +192,7 @@
 	if err := os.WriteFile(path, encoded, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(w.directory, settings.Name+".log"))
+	log, err := os.OpenFile(filepath.Join(w.directory, settings.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -182,7 +204,7 @@
 	if err := run.Start(); err != nil {
 		return err
 	}
-	started := &process{name: settings.Name, command: run, ended: make(chan struct{})}
+	started := &process{name: settings.Name, role: role, settings: settings, command: run, ended: make(chan struct{})}
 	go func() {
 		defer close(started.ended)
 		_ = run.Wait()
@@ -192,6 +214,30 @@
 	return nil
 }
 
+// killAndStartAll kills all processes of the project, and starts them again with their disks.
+func (w *world) killAndStartAll(down time.Duration) error {
+	killed := w.processes
+	w.processes = nil
+	for _, one := range killed {
+		_ = one.command.Process.Kill()
+	}
+	for _, one := range killed {
+		<-one.ended
+	}
+	time.Sleep(down)
+	for _, one := range killed {
+		settings := one.settings
+		settings.FirstStart = false
+		if err := w.startProcess(settings, one.role); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// nextID returns an id that no other statement has.
+func (w *world) nextID() string { return fmt.Sprintf("s%d", w.asked.Add(1)) }
+
 func (w *world) find(name string) *process {
 	for _, one := range w.processes {
 		if one.name == name {
