failover: a leader that comes back under a new id goes on

Cause: the failover knew an instance by its id alone. The recorded leader was gone, nobody led a later term, and its log counted as two open copies, the old id's and the new one's, of which only one may be missing. The log line "waiting ... open: a1 a1+" of the new scenario says just that; the registry did as it should.

Change: a term has one primary, and an address has one process at a time. An instance that leads the recorded term, appeared at the leader's address after the leader had gone and lacks nothing that the leader was seen to have, is the leader; its new id is recorded. That gives nobody the lead: a freeze, a call that may act and a doubt go on as with a leader that is back under its id. What followed the leader at its address counts as one copy with it. The same holds for the target of a promote, which waited until the call could act no more; and for a leader that had stepped down: an instance that has all it had then may follow it.

Stand-ins: in the search a crashed instance now comes back under a new id in half of all cases, often at once, and its first heartbeats may be lost. Seeds of former failures keep the world they were found in. The search goes on after a violation, lists all seeds, plays on all processors and takes a first seed (FAILOVER_FIRST).

--- a/control/failover/change.go
+++ b/control/failover/change.go
@@ -37,6 +37,8 @@
 		return
 	}
 	switch {
+	case done.change.Leader != nil && isSameLeadership(done.leaderBefore, done.change.Leader.Leader):
+		s.onReturnedLeaderCommitted(done.leaderBefore, done.change.Leader.Leader)
 	case done.change.Leader != nil:
 		s.onLeaderCommitted(now, done.leaderBefore, done.change.Leader.Leader)
 	case done.change.Intent != nil:
--- a/control/failover/checker_test.go
+++ b/control/failover/checker_test.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// renamed records that the instance promoted last goes on under a new id.
+func (c *checker) renamed(service, from, to string) {
+	if made := c.promotes[service]; len(made) > 0 && made[len(made)-1].id == from {
+		made[len(made)-1].id = to
+	}
+}
+
 // read checks rule STALE when an instance runs a read for a gateway that may serve.
 func (c *checker) read(w *world, g *gateway, at *database) {
 	if !g.serves(at.service) || g.leaders[at.service].InstanceID != at.id {
--- a/control/failover/choose.go
+++ b/control/failover/choose.go
@@ -110,11 +110,12 @@
 // the logs of two instances: of the leader of its term and of a replica. The chosen one is the furthest of the paused members (or of the
 // part of them that counts here), so it has the commit if
 //   - all instances but one are paused: one of the two that have the commit is among them; or
-//   - the recorded leader is paused, and no later term is known in which another instance led; or
+//   - the recorded leader is paused, or has stepped down with no more than the chosen one has, and no later term is known in which
+//     another instance led; or
 //   - each instance that isn't paused, but one, had fallen silent or left before the leader's position was read that the chosen
 //     one has reached (and no later term is known).
 //
-// Of those that left and were covered long ago only the furthest of these positions is kept, as the floor.
+// The recorded leader and those that followed it at its address are one copy. Of those that left and were covered long ago only the furthest of these positions is kept, as the floor.
 func (s *service) blockingInstances(chosen *member, paused []*member) []string {
 	led := s.view.Leader.InstanceID
 	laterTerm := s.highestLedTerm() > s.view.Leader.Term
@@ -123,14 +124,14 @@
 		return !lo.Contains(paused, m) && (!covered || m.instance.ID == led)
 	})
 	leader := s.findMember(led)
-	if leader != nil && lo.Contains(paused, leader) && !laterTerm {
+	if !laterTerm && (lo.ContainsBy(paused, s.hasLeaderLog) || s.hasAllOfSteppedDown(chosen, leader)) {
 		return nil
 	}
 	spare := 1
 	if led == "" || leader == nil {
 		spare = 0 // the leader is unknown, or was forgotten: it is the one instance that may be missing
 	}
-	missing := lo.Map(open, func(m *member, _ int) string { return m.instance.ID })
+	missing := lo.Map(s.withoutLeaderCopies(open), func(m *member, _ int) string { return m.instance.ID })
 	if chosen.pausedPosition.Less(s.view.Floor) && !s.settings().DisabledGuards.Has(guard.Floor) {
 		missing = append(missing, DepartedEarlier)
 	}
@@ -140,6 +141,13 @@
 	return missing
 }
 
+// hasAllOfSteppedDown reports whether the recorded leader was seen to have stepped down, and the chosen instance has all that it had then.
+// It has nothing more since: a replica receives only from a primary, and nobody else leads its term.
+func (s *service) hasAllOfSteppedDown(chosen, leader *member) bool {
+	steppedDown := leader != nil && leader.hasStatus && !leader.status.Primary && leader.status.Term == s.view.Leader.Term
+	return steppedDown && !chosen.pausedPosition.Less(leader.status.Received)
+}
+
 // DepartedEarlier stands for the instances that departed, and were covered by a position that the chosen one hasn't reached.
 const DepartedEarlier = "(departed)"
 
--- a/control/failover/freeze.go
+++ b/control/failover/freeze.go
@@ -83,8 +83,7 @@
 	if found == nil || !s.cleared {
 		return false
 	}
-	forTarget := s.intent != nil && s.intent.InstanceID == found.instance.ID
-	if s.intent != nil && !forTarget && (s.callMayAct(now) || s.isLeadInDoubt(found)) {
+	if s.intent != nil && !s.isIntentTarget(found) && (s.callMayAct(now) || s.isLeadInDoubt(found)) {
 		return false
 	}
 	s.phase = recordingLeader
--- a/control/failover/host_test.go
+++ b/control/failover/host_test.go
@@ -101,7 +101,7 @@
 		}
 		switch {
 		case change.Leader != nil:
-			w.committed[change.Leader.Service].Leader = change.Leader.Leader
+			w.committed[change.Leader.Service].setLeader(change.Leader.Leader)
 		case change.Intent != nil:
 			w.committed[change.Intent.Service].Intent = change.Intent
 		case change.Covered != nil:
@@ -124,6 +124,15 @@
 	})
 }
 
+// setLeader records the leader. One that leads the recorded term under a new id has all that it held under the earlier one.
+func (v *ServiceView) setLeader(leader feed.Leader) {
+	if leader.Term == v.Leader.Term {
+		earlier := v.Leader.InstanceID
+		v.Departed = slices.DeleteFunc(slices.Clone(v.Departed), func(i feed.Instance) bool { return i.ID == earlier && i.ID != leader.InstanceID })
+	}
+	v.Leader = leader
+}
+
 func (h *host) probe(probe Probe) {
 	w := h.world
 	started := w.now
@@ -132,13 +141,16 @@
 	}
 	delay := w.between(time.Millisecond, 6*time.Millisecond)
 	w.after(delay, func() {
-		target := w.instances[probe.InstanceID]
+		target := w.instanceAt(probe.Address)
 		switch {
-		case target == nil || w.canReach(h.name, probe.InstanceID) && !target.up:
+		case !w.canReach(h.name, target.id):
+			w.after(probeTimeout-delay, func() { end(Silent, Status{}) })
+			return
+		case !target.up:
 			end(Refused, Status{})
 			return
-		case !w.canReach(h.name, probe.InstanceID):
-			w.after(probeTimeout-delay, func() { end(Silent, Status{}) })
+		case target.id != probe.InstanceID:
+			end(Refused, Status{})
 			return
 		case w.chance(w.options.lossPer1000):
 			end(Busy, Status{})
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -13,6 +13,8 @@
 	instance   feed.Instance
 	departed   bool // it has left or was lost; its log may still matter
 	departedAt time.Duration
+	earlierIDs []string // of the instances that had gone from its address when it appeared there
+	copyOfTerm uint64   // it was the leader of this term under an earlier id, or followed it at its address; 0: neither
 
 	drainSince        time.Duration // when it was first known to be draining
 	drainStartUnknown bool          // it was draining when first seen: its drain was acknowledged at an unknown time
--- a/control/failover/pause.go
+++ b/control/failover/pause.go
@@ -36,7 +36,7 @@
 	if found == nil || found.status.Term < s.highestLedTerm() {
 		return false
 	}
-	if s.intent != nil && s.intent.InstanceID != found.instance.ID && s.isLeadInDoubt(found) {
+	if s.intent != nil && !s.isIntentTarget(found) && s.isLeadInDoubt(found) {
 		return false
 	}
 	s.probe(now, found, AskStatus, 0, s.settings().FastProbeInterval)
@@ -164,6 +164,9 @@
 // pausePrimary makes an instance step down that led an earlier term, or that may have been succeeded unseen. Any other primary is
 // asked whether it still leads.
 func (s *service) pausePrimary(now time.Duration, m *member) {
+	if s.isReturnedLeader(m) {
+		return // its new id is being recorded: only a primary shows whose log it has
+	}
 	if s.isDeposed(m) || s.leadInDoubt {
 		s.probe(now, m, AskStepDown, s.stepDownTerm(), s.settings().FastProbeInterval)
 		return
--- a/control/failover/scenario_test.go
+++ b/control/failover/scenario_test.go
@@ -82,6 +82,12 @@
 		target.crash()
 	case "start":
 		target.start()
+	case "return": // under a new id, with its log; its heartbeats may be lost for some time
+		if len(fields) > 3 {
+			lost, _ := time.ParseDuration(fields[3])
+			target.heardFrom = w.now + lost
+		}
+		target.returnAs(fields[2])
 	case "dark", "lit":
 		target.dark = fields[0] == "dark"
 	case "cut", "join":
@@ -143,6 +149,7 @@
 
 // leave ends an instance, which takes its log along, and starts a new one with its address and an empty log.
 func (w *world) leave(d *database) {
+	d.register()
 	view := w.committed[d.service]
 	for _, gone := range view.Instances {
 		if gone.ID == d.id {
@@ -154,8 +161,7 @@
 	d.crash()
 	delete(w.instances, d.id)
 	w.names = slices.DeleteFunc(w.names, func(id string) bool { return id == d.id })
-	w.addInstance(d.service, d.id+"+", nil, false)
-	view.Instances[len(view.Instances)-1].Address = "at-" + strings.TrimRight(d.id, "+")
+	w.addInstance(d.service, d.id+"+", d.address, false)
 	next := w.instances[d.id+"+"]
 	next.term, next.termHeld, next.up = 0, 0, false
 	w.after(restartTakes, next.start)
--- a/control/failover/search_test.go
+++ b/control/failover/search_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,48 +18,82 @@
 const (
 	searchLength = 40 * time.Second
 	settleLength = 40 * time.Second // after the last fault; every service must recover within it
+
+	lateHeartbeat = 4 * time.Second // the first heartbeat of an instance that is back may come so late
 )
 
-// TestSearch injects random faults into small worlds. No safety rule may be broken, and every service must be served in the end.
+// TestSearch injects random faults into small worlds. No safety rule may be broken, and every service must be served in the end. It goes on
+// after a violation, and lists every seed that has one; the first of them is told in full.
 func TestSearch(t *testing.T) {
-	seeds := searchSeeds(t)
-	for seed := range seeds {
-		w := playRandomFaults(seed, safetyOverrides{}, false)
-		if violations := append(w.checker.violations, w.unservedServices()...); len(violations) > 0 {
-			t.Errorf("seed %d:\n%s", seed, strings.Join(violations, "\n"))
-			t.Log("\n" + strings.Join(w.events, "\n"))
-			return
-		}
+	first, count := searchSeeds(t)
+	failed := playSeeds(first, count)
+	for _, seed := range failed {
+		t.Errorf("seed %d: %s", seed, strings.Join(violationsOf(playRandomFaults(seed, safetyOverrides{}, false)), "; "))
+	}
+	if len(failed) > 0 {
+		t.Log("\n" + strings.Join(playRandomFaults(failed[0], safetyOverrides{}, false).events, "\n"))
 	}
 }
 
+// playSeeds plays seeds on all processors, and returns those with a violation in order.
+func playSeeds(first, count uint64) []uint64 {
+	var next atomic.Uint64
+	var mutex sync.Mutex
+	var failed []uint64
+	var playing sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		playing.Go(func() {
+			for done := next.Add(1); done <= count; done = next.Add(1) {
+				seed := first + done - 1
+				if len(violationsOf(playRandomFaults(seed, safetyOverrides{}, false))) > 0 {
+					mutex.Lock()
+					failed = append(failed, seed)
+					mutex.Unlock()
+				}
+			}
+		})
+	}
+	playing.Wait()
+	slices.Sort(failed)
+	return failed
+}
+
+func violationsOf(w *world) []string { return append(w.checker.violations, w.unservedServices()...) }
+
 // TestSearchSeedsOfFormerFailures plays seeds with which the search once found a violation.
 func TestSearchSeedsOfFormerFailures(t *testing.T) {
+	// In the world that found these a crashed instance came back under its own id, and not at once.
 	for _, seed := range []uint64{
 		6159, 38715, 50905, // a leader that an unseen promote had deposed was given its service back
 		813, 3901, 4905, // a replica that was paused until it left counted as one that may hold anything
 		7615, // a pause is overtaken by a CONTINUE
 	} {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			w := playRandomFaults(seed, safetyOverrides{}, false)
-			if violations := append(w.checker.violations, w.unservedServices()...); len(violations) > 0 {
+			chosen := randomOptions(seed)
+			chosen.keepIDs = true
+			w := playRandomFaultsIn(newWorld(seed, chosen))
+			if violations := violationsOf(w); len(violations) > 0 {
 				t.Error(strings.Join(violations, "\n"))
 			}
 		})
 	}
 }
 
-// searchSeeds returns how many seeds are played; FAILOVER_SEEDS overrides the default.
-func searchSeeds(t *testing.T) uint64 {
-	wanted, given := os.LookupEnv("FAILOVER_SEEDS")
+// searchSeeds returns the first seed and how many are played. FAILOVER_FIRST and FAILOVER_SEEDS override the defaults.
+func searchSeeds(t *testing.T) (first, count uint64) {
+	return seedSetting(t, "FAILOVER_FIRST", 0), seedSetting(t, "FAILOVER_SEEDS", 400)
+}
+
+func seedSetting(t *testing.T, name string, unless uint64) uint64 {
+	wanted, given := os.LookupEnv(name)
 	if !given {
-		return 400
+		return unless
 	}
-	seeds, err := strconv.ParseUint(wanted, 10, 64)
+	value, err := strconv.ParseUint(wanted, 10, 64)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return seeds
+	return value
 }
 
 // TestGuards disables each safety rule of the manager in turn: the search must then find a violation that the rule prevents, in a history
@@ -107,11 +144,19 @@
 
 // playRandomFaults plays one seed.
 func playRandomFaults(seed uint64, overrides safetyOverrides, allAnswers bool) *world {
-	chosen := options{
+	chosen := randomOptions(seed)
+	chosen.overrides, chosen.allAnswers = overrides, allAnswers
+	return playRandomFaultsIn(newWorld(seed, chosen))
+}
+
+func randomOptions(seed uint64) options {
+	return options{
 		services: 1 + int(seed%5)/4, replicas: 2 + int(seed/5%4)/3, sync: 1, gateways: 2, lossPer1000: 10,
-		fenceChecked: seed%2 == 0, promoteReleases: seed/2%2 == 0, termFromHeld: seed/4%3 > 0, overrides: overrides, allAnswers: allAnswers,
+		fenceChecked: seed%2 == 0, promoteReleases: seed/2%2 == 0, termFromHeld: seed/4%3 > 0,
 	}
-	w := newWorld(seed, chosen)
+}
+
+func playRandomFaultsIn(w *world) *world {
 	w.runUntil(2 * time.Second)
 	w.platform.promoteDelay = w.between(100*time.Millisecond, time.Second)
 	for w.now < searchLength {
@@ -142,14 +187,14 @@
 	duration := w.between(200*time.Millisecond, 7*time.Second)
 	switch w.random.IntN(12) {
 	case 0, 1:
-		w.crashFor(target, max(duration, restartTakes))
+		w.crashFor(target, w.downTime(duration))
 	case 2:
-		if w.maySilence(id, duration) {
+		if w.maySilence(target, duration) {
 			target.dark = true
 			w.after(duration, func() { target.dark = false })
 		}
 	case 3:
-		if !w.maySilence(id, duration) {
+		if !w.maySilence(target, duration) {
 			return
 		}
 		w.cutFor(id, "core", duration)
@@ -180,7 +225,7 @@
 
 // isolateWithReplicas lets an instance reach only its replicas and one gateway, which doesn't reach the controllers either.
 func (w *world) isolateWithReplicas(target *database, duration time.Duration) {
-	if !w.maySilence(target.id, duration) {
+	if !w.maySilence(target, duration) {
 		return
 	}
 	alone := w.random.IntN(len(w.gateways))
@@ -200,11 +245,11 @@
 // maySilence reports whether an instance may be made unreachable for the controllers, and keeps such silences of one instance apart: an
 // instance that no controller hears for Settings.ReplicaLostAfter, and that yet receives from the leader, breaks what the manager
 // relies on.
-func (w *world) maySilence(id string, duration time.Duration) bool {
-	if w.now < w.silentUntil[id] {
+func (w *world) maySilence(target *database, duration time.Duration) bool {
+	if w.now < w.silentUntil[target.address] {
 		return false
 	}
-	w.silentUntil[id] = w.now + duration + 3*time.Second
+	w.silentUntil[target.address] = w.now + duration + 3*time.Second
 	return true
 }
 
@@ -212,15 +257,36 @@
 	if !target.up {
 		return
 	}
-	w.silentUntil[target.id] = max(w.silentUntil[target.id], w.now+duration+3*time.Second)
+	w.silentUntil[target.address] = max(w.silentUntil[target.address], w.now+duration+3*time.Second)
 	target.crash()
+	returnsAs := target.id
+	if !w.options.keepIDs && w.chance(500) {
+		w.returns++
+		name, _, _ := strings.Cut(target.id, "'")
+		returnsAs = fmt.Sprintf("%s'%d", name, w.returns)
+	}
 	w.after(duration, func() {
-		if w.instances[target.id] == target && !target.up {
+		switch {
+		case w.instances[target.id] != target || target.up:
+		case returnsAs == target.id:
 			target.start()
+		default:
+			if w.chance(250) {
+				target.heardFrom = w.now + w.between(0, lateHeartbeat)
+			}
+			target.returnAs(returnsAs)
 		}
 	})
 }
 
+// downTime returns how long a crashed instance is away: often it is back at once, as a process is that is started again where it ended.
+func (w *world) downTime(most time.Duration) time.Duration {
+	if !w.options.keepIDs && w.chance(500) {
+		return w.between(50*time.Millisecond, time.Second)
+	}
+	return max(most, restartTakes)
+}
+
 func (w *world) cutFor(id, from string, duration time.Duration) {
 	w.cutOff(id, from, true)
 	w.after(duration, func() { w.cutOff(id, from, false) })
@@ -230,19 +296,20 @@
 // it replaces two at once all the same.
 func (w *world) drainAndLeave(target *database) {
 	isNew := len(target.log) == 0
-	if target.draining || !target.up || len(target.id) > 4 || isNew || w.isReplacing(target.service) && !w.chance(200) {
+	if target.draining || !target.up || target.replaces != "" || strings.Count(target.id, "+") > 2 || isNew || w.isReplacing(target.service) && !w.chance(200) {
 		return
 	}
 	w.drain(target)
+	id := target.id
 	w.after(w.between(7*time.Second, 10*time.Second), func() {
-		if w.instances[target.id] == target {
+		if w.instances[id] == target {
 			w.noteLeave(target.service)
 			w.leave(target)
 		}
 	})
 }
 
-// noteLeave notes that an instance leaves with its log. If another one has left and nothing was acknowledged in between, those that are
+// noteLeave notes that an instance leaves with its log, or comes back under a new id and isn't the primary. If another one has left and nothing was acknowledged in between, those that are
 // left can't be shown to have what the two had: nothing may be lost by it, but such a service need not recover.
 func (w *world) noteLeave(service string) {
 	if last, found := w.lastLeave[service]; found && w.checker.ackedAt[service] < last+time.Second {
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -149,6 +149,7 @@
 	givenUp := view.GiveUpCount > s.view.GiveUpCount && s.view.Name != ""
 	s.view = view
 	s.intent = view.Intent
+	var appeared []*member
 	for _, instance := range view.Instances {
 		if m := s.findMember(instance.ID); m != nil {
 			m.update(now, instance)
@@ -159,6 +160,7 @@
 		}
 		added := &member{lastAliveAt: now, drainStartUnknown: instance.Draining}
 		added.update(now, instance)
+		appeared = append(appeared, added)
 		s.members = append(s.members, added)
 		s.fastProbesUntil = max(s.fastProbesUntil, now+discoveryWait)
 	}
@@ -169,6 +171,9 @@
 			s.fastProbesUntil = max(s.fastProbesUntil, now+departureProbeWindow)
 		}
 	}
+	for _, added := range appeared {
+		s.noteEarlierIDs(added)
+	}
 	if givenUp {
 		s.giveUpDepartedCopies()
 	}
@@ -279,6 +284,7 @@
 // advance runs the step that is due in the current phase.
 func (s *service) advance(now time.Duration) {
 	s.idleUntil = 0
+	s.recordReturnedLeader(now)
 	switch s.phase {
 	case watching:
 		s.watch(now)
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -35,7 +35,9 @@
 		return false
 	}
 	leader := s.view.Leader
-	return leader.InstanceID != s.intent.InstanceID || leader.Term <= s.intent.Previous.Term
+	member := s.findMember(leader.InstanceID)
+	isTarget := leader.InstanceID == s.intent.InstanceID || member != nil && s.isIntentTarget(member)
+	return !isTarget || leader.Term <= s.intent.Previous.Term
 }
 
 // settleIntent removes the intent once its target leads and no call for it may still act.
--- a/control/failover/world_test.go
+++ b/control/failover/world_test.go
@@ -28,8 +28,9 @@
 	services     []string
 	epoch        uint64
 	writes       int
+	returns      int // of instances under a new id
 	checker      *checker
-	silentUntil  map[string]time.Duration // until when an instance may be unreachable for the controllers
+	silentUntil  map[string]time.Duration // by address: until when an instance may be unreachable for the controllers
 	lastLeave    map[string]time.Duration // by service: when an instance last left
 	leftUnserved map[string]bool          // services of which two instances left with nothing acknowledged in between
 	events       []string
@@ -46,6 +47,7 @@
 	gateways        int
 	lossPer1000     int  // probes whose answer is lost
 	allAnswers      bool // answers that the gateway no longer waits for also count as acknowledged
+	keepIDs         bool // a crashed instance comes back under its own id, and not at once
 	overrides       safetyOverrides
 }
 
@@ -68,7 +70,8 @@
 		view := &ServiceView{Name: service, SyncReplicas: chosen.sync}
 		w.committed[service] = view
 		for n := range chosen.replicas + 1 {
-			w.addInstance(service, fmt.Sprintf("%s%d", service, n+1), nil, n == 0)
+			id := fmt.Sprintf("%s%d", service, n+1)
+			w.addInstance(service, id, "at-"+id, n == 0)
 		}
 		w.platform.leading[service] = service + "1"
 		w.platform.terms[service] = 1
@@ -84,14 +87,14 @@
 	return w
 }
 
-func (w *world) addInstance(service, id string, log []entry, primary bool) {
+func (w *world) addInstance(service, id, address string, primary bool) {
 	w.instances[id] = &database{
-		world: w, id: id, service: service, up: true, primary: primary, term: 1, termHeld: 1, log: log, lag: 5 * time.Millisecond,
+		world: w, id: id, service: service, address: address, up: true, primary: primary, term: 1, termHeld: 1, lag: 5 * time.Millisecond,
 	}
 	w.names = append(w.names, id)
 	slices.Sort(w.names)
 	view := w.committed[service]
-	view.Instances = append(view.Instances, feed.Instance{ID: id, Service: service, Address: "at-" + id})
+	view.Instances = append(view.Instances, feed.Instance{ID: id, Service: service, Address: address})
 	w.after(w.between(0, beatEvery), w.instances[id].beat)
 }
 
@@ -135,6 +138,16 @@
 	return !w.cuts[[2]string{a, b}]
 }
 
+// instanceAt returns the instance that runs at an address, or did last.
+func (w *world) instanceAt(address string) *database {
+	for _, name := range w.names {
+		if w.instances[name].address == address {
+			return w.instances[name]
+		}
+	}
+	return nil
+}
+
 func (w *world) instancesOf(service string) []*database {
 	var found []*database
 	for _, name := range w.names {
@@ -169,18 +182,22 @@
 	world    *world
 	id       string
 	service  string
-	up       bool
-	dark     bool
-	primary  bool
-	term     uint64
-	termHeld uint64
-	log      []entry
-	paused   bool
-	draining bool
-	lag      time.Duration
-	waiting  []waiter
-	deposed  time.Duration // since when it has been connected to a later primary; 0: not connected
-	life     int
+	address  string
+	replaces string // the id under which it ran before, until a controller has heard of the new one
+
+	heardFrom time.Duration // its heartbeats before are lost
+	up        bool
+	dark      bool
+	primary   bool
+	term      uint64
+	termHeld  uint64
+	log       []entry
+	paused    bool
+	draining  bool
+	lag       time.Duration
+	waiting   []waiter
+	deposed   time.Duration // since when it has been connected to a later primary; 0: not connected
+	life      int
 }
 
 func (d *database) position() Position {
@@ -325,6 +342,25 @@
 	d.dropWaiting()
 }
 
+// returnAs starts a crashed instance again with its log and under a new id, as primary if no other was promoted meanwhile. The controllers
+// learn of it from its first heartbeat that reaches them.
+func (d *database) returnAs(id string) {
+	w := d.world
+	w.note("%s returns as %s at %v", d.id, id, d.position())
+	earlier := d.id
+	d.id, d.replaces, d.draining = id, earlier, false
+	delete(w.instances, earlier)
+	w.instances[id] = d
+	w.names = slices.DeleteFunc(w.names, func(name string) bool { return name == earlier })
+	w.names = append(w.names, id)
+	slices.Sort(w.names)
+	if w.platform.leading[d.service] == earlier {
+		w.platform.leading[d.service] = id
+		w.checker.renamed(d.service, earlier, id)
+	}
+	d.start()
+}
+
 func (d *database) start() {
 	d.world.note("%s starts at %v", d.id, d.position())
 	d.up, d.paused = true, false
@@ -346,9 +382,31 @@
 
 func (d *database) sendHeartbeat() {
 	host := d.world.current
-	if d.up && host != nil && d.world.canReach(d.id, host.name) {
-		host.step(Heartbeat{InstanceID: d.id, Service: d.service, Primary: d.primary})
+	if !d.up || host == nil || !d.world.canReach(d.id, host.name) || d.world.now < d.heardFrom {
+		return
 	}
+	d.register()
+	host.step(Heartbeat{InstanceID: d.id, Service: d.service, Primary: d.primary})
+}
+
+// register records an instance that has come back under a new id, in place of the one that was at its address.
+func (d *database) register() {
+	if d.replaces == "" {
+		return
+	}
+	view := d.world.committed[d.service]
+	for _, gone := range view.Instances {
+		if gone.Address == d.address {
+			view.Departed = append(slices.Clone(view.Departed), gone)
+		}
+	}
+	view.Instances = slices.DeleteFunc(slices.Clone(view.Instances), func(i feed.Instance) bool { return i.Address == d.address })
+	view.Instances = append(view.Instances, feed.Instance{ID: d.id, Service: d.service, Address: d.address})
+	d.replaces = ""
+	if d.world.platform.leading[d.service] != d.id {
+		d.world.noteLeave(d.service) // nothing says that a replica comes back with its log
+	}
+	d.world.current.tellWorld()
 }
 
 // platform carries out POST /failover.
@@ -405,7 +463,11 @@
 	if p.leading[call.Service] == call.InstanceID && (target.primary || w.options.seemsPrimary) {
 		return Accepted, 200
 	}
-	w.after(p.promoteDelay, func() { p.promote(target) })
+	w.after(p.promoteDelay, func() {
+		if target.id == call.InstanceID {
+			p.promote(target)
+		}
+	})
 	return Accepted, 200
 }
 
--- a/control/state/service.go
+++ b/control/state/service.go
@@ -15,8 +15,13 @@
 	Leader  feed.Leader
 }
 
-// SetLeader records who leads a service.
+// SetLeader records who leads a service. A term has one leader: if another instance leads the recorded term, it is the recorded leader under
+// a new id, and has all that the leader held under the earlier one.
 func (t *Transaction) SetLeader(service string, leader feed.Leader) {
+	previous, found := read[leaderRecord](t, leaderKey(service))
+	if found && leader.Term != 0 && previous.Leader.Term == leader.Term && previous.Leader.InstanceID != leader.InstanceID {
+		t.clearUncovered(previous.Leader.InstanceID)
+	}
 	t.set(leaderKey(service), encode(leaderRecord{Service: service, Leader: leader}))
 }
 
