failover: an instance that answers at another's address is no dead one

Cause: WRONGNODE from an instance's address counted as a refused connection, twice of which show that the instance's process doesn't run, so the leader's position of that moment covered it. But somebody does run there: an instance that has come back under a new id, and isn't known until its first heartbeat arrives. It receives, and the leader acknowledges commits that it alone has. A heartbeat may come seconds late, and the choice of a new leader didn't wait for it.

Change: the answer is a case of its own (Replaced). It still shows that the instance has ended, so a leader is given up as before; but nothing covers that address before its new instance is known.

--- a/control/failover/api.go
+++ b/control/failover/api.go
@@ -72,10 +72,12 @@
 	Answered ProbeAnswer = iota
 	// Busy: the instance is there but has no slot or connection to spare.
 	Busy
-	// Refused: the connection was refused or reset before the question was sent, or another instance answers at the address.
+	// Refused: the connection was refused or reset before the question was sent.
 	Refused
 	// Silent: no answer in time, or the connection broke after the question was sent, so that it may have been carried out.
 	Silent
+	// Replaced: another instance answers at the address, so this one has ended. It may not be known yet.
+	Replaced
 )
 
 // PlatformCall is POST /failover. The host sends it once, on a fresh connection, and never retries it.
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -32,6 +32,7 @@
 	refusedSince     time.Duration
 	cover            *Position // position of the leader, read after this instance had fallen silent or left
 	coverIsTentative bool      // the cover holds only as long as connections are refused
+	isReplaced       bool      // another instance was found at its address, which may not be known yet
 
 	outstanding [probeKinds]uint64
 	askedAt     [probeKinds]time.Duration
@@ -106,12 +107,12 @@
 }
 
 func (m *member) noteAlive(now time.Duration) {
-	m.lastAliveAt, m.failures, m.refusals = now, 0, 0
+	m.lastAliveAt, m.failures, m.refusals, m.isReplaced = now, 0, 0, false
 	m.cover, m.coverIsTentative = nil, false
 }
 
 func (m *member) noteRefusal(result ProbeResult) {
-	if result.Answer != Refused {
+	if result.Answer != Refused && result.Answer != Replaced {
 		m.refusals = 0
 		if m.coverIsTentative {
 			m.cover, m.coverIsTentative = nil, false // the process may run again without having been heard
@@ -119,6 +120,9 @@
 		return
 	}
 	m.pauseLost, m.heldAt = true, nil
+	if result.Answer == Replaced {
+		m.isReplaced, m.cover, m.coverIsTentative = true, nil, false
+	}
 	if m.refusals == 0 {
 		m.refusedSince = result.Started
 	}
@@ -127,9 +131,10 @@
 
 // coverBy records the leader's position, read at the given moment, if the instance can be taken to have received nothing from before
 // that moment until now. That holds if it has left; if it has long been silent and was probed meanwhile, since this process may have
-// been stopped; or if its process doesn't run, but then only as long as connections are refused.
+// been stopped; or if its process doesn't run, but then only as long as connections are refused. None of this
+// tells what another instance holds that runs at its address and isn't known yet.
 func (m *member) coverBy(position Position, moment, replicaLost time.Duration) {
-	if m.cover != nil && !m.coverIsTentative {
+	if m.cover != nil && !m.coverIsTentative || m.isReplaced && !m.departed {
 		return
 	}
 	left := m.departed && moment >= m.departedAt+departureMargin
--- a/host/probefailure.go
+++ b/host/probefailure.go
@@ -32,7 +32,7 @@
 func classifyRefusal(code wire.Code) failover.ProbeAnswer {
 	switch code {
 	case wire.WrongNode, wire.NoDB:
-		return failover.Refused // another instance has this address
+		return failover.Replaced
 	case wire.ExecFail, wire.Timeout, wire.InDoubt:
 		return failover.Silent // the command may have been executed
 	}
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -291,8 +291,10 @@
 		switch {
 		case target.frozen:
 			return
-		case !target.running, target.id != probe.InstanceID:
+		case !target.running:
 			back(failover.Refused, failover.Status{})
+		case target.id != probe.InstanceID:
+			back(failover.Replaced, failover.Status{})
 		case w.plan.BusyProbes > 0 && w.random.IntN(w.plan.BusyProbes) == 0:
 			back(failover.Busy, failover.Status{})
 		default:
