testinstance: a commit is appended in place, and an instance may return under a new ID

Change: a log that is taken from another one, or cut back, is clipped, so only one log is ever appended to in the memory that it shares. The test fails if a log is taken over without being clipped.

--- a/testinstance/instance.go
+++ b/testinstance/instance.go
@@ -56,7 +56,7 @@
 func (i *Instance) Log() Log {
 	i.service.mutex.Lock()
 	defer i.service.mutex.Unlock()
-	return i.log
+	return i.log.clipped()
 }
 
 // Crash stops the instance without a report to the controllers. Its log stays.
@@ -111,6 +111,29 @@
 	return i.begin()
 }
 
+// RestartAs starts a crashed instance with its log and under a new ID, as Restart does under its own.
+func (i *Instance) RestartAs(id string) (*Instance, error) {
+	i.service.mutex.Lock()
+	defer i.service.mutex.Unlock()
+	if i.isRunning || i.left {
+		return nil, eris.Errorf("%s can't be started again", i.id)
+	}
+	next := &Instance{
+		service: i.service, id: id, address: i.address, zone: i.zone, beatRequests: make(chan struct{}, 1),
+		primary: i.primary && i.service.leader == i, term: i.term, termHeld: i.termHeld, log: i.log.clipped(),
+	}
+	if err := next.begin(); err != nil {
+		return nil, err
+	}
+	i.left = true
+	if i.service.leader == i {
+		i.service.leader = next
+	}
+	i.service.instances = append(i.service.instances, next)
+	i.service.note("%s is started again as %s", i.id, id)
+	return next, nil
+}
+
 // begin starts serving. The lock is held.
 func (i *Instance) begin() error {
 	listener, err := net.Listen("tcp4", i.address)
--- a/testinstance/instance_test.go
+++ b/testinstance/instance_test.go
@@ -291,3 +291,30 @@
 	}
 	c.eventually("it has ended", func() bool { _, err := net.Dial("tcp4", c.instances[1].Address()); return err != nil })
 }
+
+// TestLogsThatShareMemoryDoNotOverwriteEachOther guards against an entry of one log that shows up in another one: a primary appends in
+// place, and its replicas' logs share its memory.
+func TestLogsThatShareMemoryDoNotOverwriteEachOther(t *testing.T) {
+	is := is.New(t)
+	service := NewService(DefaultSettings("s", nil))
+	first, second := &Instance{service: service, id: "first", term: 1}, &Instance{service: service, id: "second", term: 1}
+	service.instances = []*Instance{first, second}
+	for range 3 {
+		first.appendEntry("shared", nil)
+	}
+	second.receive(first, time.Now().Add(time.Hour))
+	shared := first.Log()
+
+	second.term = 2
+	second.appendEntry("second's", nil)
+	first.appendEntry("first's", nil)
+	first.term = 3
+	is.Equal(len(shared), 3)
+	is.Equal(first.Log()[3].ID, "first's")
+	is.Equal(second.Log()[3].ID, "second's")
+
+	first.enterTerm(second, time.Now()) // cut back to what both have
+	first.appendEntry("first's again", nil)
+	is.Equal(second.Log()[3].ID, "second's")
+	is.Equal(shared[2].ID, "shared")
+}
--- a/testinstance/log.go
+++ b/testinstance/log.go
@@ -18,10 +18,13 @@
 	At       time.Time // when it was committed
 }
 
-// Log holds an instance's commits, oldest first. Appending and truncating make a new slice, so a log that was returned never
-// changes.
+// Log holds an instance's commits, oldest first. Logs share memory, but no entry is ever overwritten: a log that is taken from another one, or
+// cut back, is clipped, so that only one log is ever appended to in the memory that it shares.
 type Log []Entry
 
+// clipped returns the log without the memory behind its end, so that appending to it makes a copy.
+func (l Log) clipped() Log { return l[:len(l):len(l)] }
+
 // End returns the position of the last entry.
 func (l Log) End() failover.Position {
 	if len(l) == 0 {
--- a/testinstance/replicate.go
+++ b/testinstance/replicate.go
@@ -65,7 +65,7 @@
 		return
 	}
 	i.service.note("%s is cut back by %d", i.id, len(i.log)-shared)
-	i.log = i.log[:shared:shared]
+	i.log = i.log[:shared].clipped()
 	i.busyUntil = now.Add(i.service.settings.CutBackTime)
 }
 
@@ -83,7 +83,7 @@
 		arrived++
 	}
 	if arrived > had {
-		i.log = source.log[:arrived:arrived]
+		i.log = source.log[:arrived].clipped()
 		i.service.notifyChange()
 	}
 	return due
@@ -111,7 +111,7 @@
 	entry := Entry{ID: id, Instance: i.id, Writes: writes, At: time.Now()}
 	entry.Position.Term = i.term
 	entry.Position.Number = uint64(len(i.log) + 1)
-	i.log = append(i.log[:len(i.log):len(i.log)], entry)
+	i.log = append(i.log, entry)
 	i.service.notifyChange()
 	return entry
 }
