systemtest: primaries come back under new IDs, and the soak bounds its own memory

Change: in the soak half of the crashed instances come back under a new ID, and half after 50 ms to 1 s. A replica under a new ID counts as replaced, so no instance departs beside it. The soak fails if its own process takes more than 1 GiB.

--- a/systemtest/soak_faults_test.go
+++ b/systemtest/soak_faults_test.go
@@ -183,12 +183,49 @@
 	s.startFault(one.ID(), "frozen", func() { one.Freeze(true) }, func() { one.Freeze(false) })
 }
 
+// crashInstance crashes an instance, which comes back with its log: often at once, and under its ID or a new one.
 func (s *soak) crashInstance() {
 	one := s.anyInstance()
 	if one.HasLeft() {
 		return
 	}
-	s.startFault(one.ID(), "crashed", one.Crash, func() { _ = one.Restart() }) // an instance that has left meanwhile cannot be restarted
+	lasting := s.between(minFaultTime, maxFaultTime)
+	if s.random.IntN(2) == 0 {
+		lasting = s.between(minRestartTime, time.Second)
+	}
+	isRenamed := s.random.IntN(2) == 0
+	s.startFaultFor(one.ID(), "crashed", lasting, one.Crash, func() {
+		if isRenamed && s.mayRename(one) {
+			s.restartAs(one)
+			return
+		}
+		_ = one.Restart() // an instance that has left meanwhile cannot be restarted
+	})
+}
+
+// mayRename reports whether an instance may come back under a new ID. A replica that does counts as another one: with a departure beside it,
+// two copies would be gone, and nobody could be shown to have all that was acknowledged.
+func (s *soak) mayRename(one *testinstance.Instance) bool {
+	return one == s.service.Leader() || !s.isAnyEnding()
+}
+
+func (s *soak) restartAs(one *testinstance.Instance) {
+	index := slices.Index(s.instances, one)
+	id := fmt.Sprintf("back-%d", s.returned)
+	next, err := one.RestartAs(id)
+	if err != nil || index < 0 {
+		return
+	}
+	s.returned++
+	s.record("%s returns as %s", one.ID(), id)
+	s.instances[index] = next
+	if next != s.service.Leader() {
+		s.renamedAt = time.Now()
+	}
+}
+
+func (s *soak) isAnyEnding() bool {
+	return slices.ContainsFunc(s.instances, (*testinstance.Instance).IsEnding)
 }
 
 func (s *soak) loseAnswers() {
@@ -205,10 +242,10 @@
 }
 
 // endInstance has an instance drain, or leave without draining. The platform replaces the instances of a service one after the other: if
-// all left at once, nobody would have their logs.
+// all left at once, nobody would have their logs. A replica that has come back under a new ID was replaced as well.
 func (s *soak) endInstance() {
 	one := s.anyInstance()
-	if s.busy[one.ID()] || slices.ContainsFunc(s.instances, (*testinstance.Instance).IsEnding) {
+	if s.busy[one.ID()] || s.isAnyEnding() || time.Since(s.renamedAt) < renamedWait {
 		return
 	}
 	if s.random.IntN(2) == 0 {
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -5,9 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
+	"runtime"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -31,7 +30,9 @@
 	maxFaultTime      = 4 * time.Second
 	maxFaultInterval  = time.Second
 	successorWait     = 2 * time.Second
-	maxLateDelay      = 6 * time.Second // of a heartbeat
+	minRestartTime    = 50 * time.Millisecond // for which a crashed instance is away at the least
+	renamedWait       = 6 * time.Second       // after a replica has come back under a new ID, before an instance departs
+	maxLateDelay      = 6 * time.Second       // of a heartbeat
 )
 
 // TestSoak injects random kills, pauses, cuts, lost answers and planned departures of instances into a system of real
@@ -68,6 +69,19 @@
 	s.awaitOrders("after all faults")
 	s.mayRunLate = s.wasCallerStopped
 	s.conclude()
+	s.checkOwnMemory()
+}
+
+// maxOwnMemory bounds the memory of the test's process, with the stand-ins and all that the judge keeps. Soaks run many seeds in one process.
+const maxOwnMemory = 1 << 30
+
+func (s *soak) checkOwnMemory() {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	s.Logf("%d MiB taken from the system so far", memory.Sys>>20)
+	if memory.Sys > maxOwnMemory {
+		s.Errorf("the test's process has taken %d MiB", memory.Sys>>20)
+	}
 }
 
 // soakInstances returns what the instances of a seed are like.
@@ -92,6 +106,9 @@
 	busy    map[string]bool   // targets of active faults, by name
 	stopped map[string][]span // when gateways were stopped, by name
 	added   int               // count of instances that were added
+
+	returned  int       // count of instances that came back under a new ID
+	renamedAt time.Time // when a replica last did
 }
 
 // active is a fault that has not ended.
@@ -156,24 +173,14 @@
 		lost = s.random.IntN(workload.ControllerCount)
 	}
 	s.record("all are killed; lost disk: %d", lost)
-	for _, one := range append(slices.Clone(s.controllers), s.gateways...) {
-		one.signal(syscall.SIGKILL)
-	}
-	for _, one := range append(slices.Clone(s.controllers), s.gateways...) {
-		<-one.ended
-	}
+	s.killProcesses()
 	if lost >= 0 {
 		if err := os.RemoveAll(s.dataOf(lost)); err != nil {
 			s.Fatal(err)
 		}
 	}
 	time.Sleep(s.between(minDownTime, maxDownTime))
-	for number := range s.controllers {
-		s.startController(number, false)
-	}
-	for number := range s.gateways {
-		s.startGateway(number)
-	}
+	s.startProcesses()
 }
 
 // anyInstance returns the primary in half of all calls at least, else any instance.
--- a/systemtest/system_test.go
+++ b/systemtest/system_test.go
@@ -1,7 +1,9 @@
 package systemtest
 
 import (
+	"fmt"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -55,6 +57,50 @@
 	w.conclude()
 }
 
+// TestPrimaryBackUnderNewID guards against a service that is refused for ever: its primary crashes and is back at once, with its log and under a
+// new ID, several times in a row. Writes must be acknowledged each time, also after all processes were killed and started again.
+func TestPrimaryBackUnderNewID(t *testing.T) {
+	w := startWorld(t)
+	w.awaitWrites("at first")
+	for turn, away := range []time.Duration{150 * time.Millisecond, time.Second, 100 * time.Millisecond, 100 * time.Millisecond} {
+		crashed := w.service.Leader()
+		crashed.Crash()
+		time.Sleep(away)
+		if _, err := crashed.RestartAs(fmt.Sprintf("back-%d", turn)); err != nil {
+			t.Fatal(err)
+		}
+		if away >= 150*time.Millisecond { // the last two follow at once
+			w.awaitWrites(fmt.Sprintf("after the primary was away for %v", away))
+		}
+	}
+	w.awaitWrites("after the primary was away twice in a row")
+	w.killProcesses()
+	w.startProcesses()
+	w.awaitWrites("after all processes were killed")
+	w.conclude()
+}
+
+// killProcesses kills all controllers and gateways at once.
+func (w *world) killProcesses() {
+	all := slices.Concat(w.controllers, w.gateways)
+	for _, one := range all {
+		one.signal(syscall.SIGKILL)
+	}
+	for _, one := range all {
+		<-one.ended
+	}
+}
+
+// startProcesses starts all controllers and gateways again.
+func (w *world) startProcesses() {
+	for number := range w.controllers {
+		w.startController(number, false)
+	}
+	for number := range w.gateways {
+		w.startGateway(number)
+	}
+}
+
 // lagging returns the first of the replicas, which the test makes lag.
 func (w *world) lagging(primary *testinstance.Instance) *testinstance.Instance {
 	for _, one := range w.instances {
