failover: a refused connection is no proof that a replica is dead

Cause: two refused probes half a second apart counted as proof that a replica's process didn't run, so the leader's position of that moment covered the replica, for the choice of a new leader. A cut that answers with resets looks the same, and the replica behind it goes on receiving and lets commits be acknowledged.

Change: an instance is covered when it has left, or has been silent for ReplicaLostAfter while it was probed. Refusals still let a silent leader be given up sooner, which is safe: nothing is chosen before the freeze, the pauses and the proof. The world of the search gets cuts that answer with resets.

--- a/control/failover/host_test.go
+++ b/control/failover/host_test.go
@@ -143,6 +143,9 @@
 	w.after(delay, func() {
 		target := w.instanceAt(probe.Address)
 		switch {
+		case !w.canReach(h.name, target.id) && w.resets[target.address] && !target.dark:
+			end(Refused, Status{})
+			return
 		case !w.canReach(h.name, target.id):
 			w.after(probeTimeout-delay, func() { end(Silent, Status{}) })
 			return
--- a/control/failover/manager.go
+++ b/control/failover/manager.go
@@ -6,7 +6,8 @@
 //   - After FreezeCleared for a freeze no gateway passes on the success of a write that it sent before the freeze was lifted.
 //   - An intent is on the disks of all copies before its call is made, so a later holder knows of each call under way.
 //   - A call that was sent acts within Settings.MaxCallDelay, or never.
-//   - A pause lasts until CONTINUE, a promote or a restart, and a restart takes longer than a commit waits for a replica.
+//   - A pause lasts until CONTINUE, a promote or a restart. A restart may be too quick to be noticed: what an instance receives after it is
+//     acknowledged to nobody, since every gateway keeps the freeze.
 //   - STEPDOWN makes a replica that receives like any other: only a pause after it stops it from receiving.
 //   - In a planned handover the leader is not told to step down first, unless a replica is silent: all replicas are paused, so it
 //     can acknowledge nothing, and if the platform can't be reached it goes on.
--- a/control/failover/member.go
+++ b/control/failover/member.go
@@ -23,16 +23,15 @@
 	lastBeatAt        time.Duration // 0: none yet
 	beatInterval      time.Duration // the last interval between heartbeats, or its mean with the previous estimate if that is longer
 
-	hasStatus        bool // status is set
-	status           Status
-	statusAskedAt    time.Duration // when the question that the status answers was sent
-	failures         int           // consecutive probes without an answer
-	failingSince     time.Duration
-	refusals         int // consecutive refused connections: the process isn't running
-	refusedSince     time.Duration
-	cover            *Position // position of the leader, read after this instance had fallen silent or left
-	coverIsTentative bool      // the cover holds only as long as connections are refused
-	isReplaced       bool      // another instance was found at its address, which may not be known yet
+	hasStatus     bool // status is set
+	status        Status
+	statusAskedAt time.Duration // when the question that the status answers was sent
+	failures      int           // consecutive probes without an answer
+	failingSince  time.Duration
+	refusals      int // consecutive refused connections: the process isn't running, or a cut answers with resets
+	refusedSince  time.Duration
+	cover         *Position // position of the leader, read after this instance had fallen silent or left
+	isReplaced    bool      // another instance was found at its address, which may not be known yet
 
 	outstanding [probeKinds]uint64
 	askedAt     [probeKinds]time.Duration
@@ -108,20 +107,17 @@
 
 func (m *member) noteAlive(now time.Duration) {
 	m.lastAliveAt, m.failures, m.refusals, m.isReplaced = now, 0, 0, false
-	m.cover, m.coverIsTentative = nil, false
+	m.cover = nil
 }
 
 func (m *member) noteRefusal(result ProbeResult) {
 	if result.Answer != Refused && result.Answer != Replaced {
 		m.refusals = 0
-		if m.coverIsTentative {
-			m.cover, m.coverIsTentative = nil, false // the process may run again without having been heard
-		}
 		return
 	}
 	m.pauseLost, m.heldAt = true, nil
 	if result.Answer == Replaced {
-		m.isReplaced, m.cover, m.coverIsTentative = true, nil, false
+		m.isReplaced, m.cover = true, nil
 	}
 	if m.refusals == 0 {
 		m.refusedSince = result.Started
@@ -130,18 +126,17 @@
 }
 
 // coverBy records the leader's position, read at the given moment, if the instance can be taken to have received nothing from before
-// that moment until now. That holds if it has left; if it has long been silent and was probed meanwhile, since this process may have
-// been stopped; or if its process doesn't run, but then only as long as connections are refused. None of this
-// tells what another instance holds that runs at its address and isn't known yet.
+// that moment until now. That holds if it has left, or if it has long been silent and was probed meanwhile, since this process may have
+// been stopped. A refused connection shows nothing: a cut that answers with resets looks like a process that doesn't run. Nor does silence
+// tell what another instance holds that runs at the same address and isn't known yet.
 func (m *member) coverBy(position Position, moment, replicaLost time.Duration) {
-	if m.cover != nil && !m.coverIsTentative || m.isReplaced && !m.departed {
+	if m.cover != nil || m.isReplaced && !m.departed {
 		return
 	}
 	left := m.departed && moment >= m.departedAt+departureMargin
 	silent := !m.departed && m.failures >= 3 && moment >= max(m.lastAliveAt+replicaLost, m.failingSince+replicaLost/2)
-	dead := !m.departed && m.refusals >= 2 && moment >= m.refusedSince+refusedMargin
-	if left || silent || dead && m.cover == nil {
-		m.cover, m.coverIsTentative = &position, !left && !silent
+	if left || silent {
+		m.cover = &position
 	}
 }
 
@@ -150,7 +145,7 @@
 	m.departed, m.departedAt = true, now
 	m.isPaused = false
 	if m.heldAt != nil {
-		m.cover, m.coverIsTentative = m.heldAt, false
+		m.cover = m.heldAt
 	}
 }
 
--- a/control/failover/scenario_test.go
+++ b/control/failover/scenario_test.go
@@ -90,6 +90,8 @@
 		target.returnAs(fields[2])
 	case "dark", "lit":
 		target.dark = fields[0] == "dark"
+	case "resets": // cuts of the instance answer with resets from now on
+		w.resets[target.address] = true
 	case "cut", "join":
 		w.cutOff(fields[1], fields[2], fields[0] == "cut")
 	case "lag":
--- a/control/failover/search_test.go
+++ b/control/failover/search_test.go
@@ -198,6 +198,7 @@
 		if !w.maySilence(target, duration) {
 			return
 		}
+		w.resets[target.address] = !w.options.keepIDs && w.chance(500)
 		w.cutFor(id, "core", duration)
 	case 4:
 		other := w.names[w.random.IntN(len(w.names))]
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -310,8 +310,7 @@
 	if m == nil || m.departed {
 		return
 	}
-	m.lastAliveAt, m.refusals = now, 0
-	m.cover, m.coverIsTentative = nil, false
+	m.lastAliveAt, m.refusals, m.cover = now, 0, nil
 	turned := m.lastBeatAt != 0 && beat.Primary != m.beatSaysPrimary
 	m.noteBeat(now)
 	m.beatSaysPrimary = beat.Primary
--- a/control/failover/settings.go
+++ b/control/failover/settings.go
@@ -44,8 +44,6 @@
 	departureMargin = 500 * time.Millisecond
 	// departureProbeWindow is how long the leader is probed more often after a departure, so that its position covers the departed instance.
 	departureProbeWindow = 2 * time.Second
-	// refusedMargin is added to the moment at which a process was found not to run, before the leader's position covers it.
-	refusedMargin = 500 * time.Millisecond
 	// leaderRefusedAfter is how long a leader's machine must refuse connections: a process that is restarted at once is back sooner.
 	leaderRefusedAfter = 250 * time.Millisecond
 	// refusedAnswerMaxAge replaces gatewayAnswerMaxAge for a leader whose machine refuses connections here. It is shorter because
--- a/control/failover/watch.go
+++ b/control/failover/watch.go
@@ -51,7 +51,7 @@
 // recordCover records the position that covers a departed instance, for one instance at a time.
 func (s *service) recordCover(now time.Duration) {
 	for _, gone := range s.members {
-		if gone.departed && gone.cover != nil && !gone.coverIsTentative {
+		if gone.departed && gone.cover != nil {
 			s.requestChange(now, Change{Covered: &CoveredDeparture{Service: s.name, InstanceID: gone.instance.ID, Position: *gone.cover}})
 			return
 		}
--- a/control/failover/world_test.go
+++ b/control/failover/world_test.go
@@ -21,6 +21,7 @@
 	instances    map[string]*database
 	names        []string
 	cuts         map[[2]string]bool
+	resets       map[string]bool // instances whose cuts answer with resets: a probe takes them for a dead port
 	platform     *platform
 	gateways     []*gateway
 	current      *host
@@ -57,6 +58,7 @@
 		options:      chosen,
 		instances:    map[string]*database{},
 		cuts:         map[[2]string]bool{},
+		resets:       map[string]bool{},
 		committed:    map[string]*ServiceView{},
 		checker:      newChecker(),
 		silentUntil:  map[string]time.Duration{},
