gateway: an open transaction may go on in the first half of the grace period

Cause: from 2.5 s after SIGTERM on a statement was taken only if its route's timeout ended before the process did.

Change: a statement of an open transaction is taken until transactions are ended, at any graceS and timeoutMs. One that is still in progress when the process ends is answered with what is known of it.

Measured: TestCommitLateInTheFirstHalfOfTheGracePeriodIsTaken fails before ("ERROR ROLLEDBACK / I", 2.8 s after the request) and passes now.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -218,7 +218,7 @@
 	deadline := receivedAt + timeoutOf(flight.placement)
 	switch {
 	case !c.gateway.resume(flight):
-	case !c.gateway.mayTake(receivedAt, deadline):
+	case !c.gateway.mayTakeNext(receivedAt, deadline):
 		outcome = notRun(string(shuttingDown))
 	default:
 		outcome = c.run(id, statement, flight, c.gateway.startedAt.Add(deadline))
--- a/gateway/terminate.go
+++ b/gateway/terminate.go
@@ -50,21 +50,35 @@
 	return s.begunAt + time.Duration(float64(s.grace)*part)
 }
 
-// mayTake reports whether a statement that was received at this time, and that may run until its deadline, can be
+// mayTake reports whether a first statement that was received at this time, and that may run until its deadline, can be
 // answered before the process ends, or was received so early that it is taken in any case.
 func (s shutdown) mayTake(receivedAt, deadline time.Duration) bool {
-	if receivedAt <= min(s.begunAt+anyLengthTime, s.after(endTransactionsPart)) {
-		return true
-	}
+	return receivedAt <= min(s.begunAt+anyLengthTime, s.after(endTransactionsPart)) || s.canAnswerBy(deadline)
+}
+
+// mayTakeNext does the same for a statement of an open transaction, which has until transactions are ended, however long the statement may
+// run: one that is still in progress when the process ends is answered with what is known of it.
+func (s shutdown) mayTakeNext(receivedAt, deadline time.Duration) bool {
+	return receivedAt <= s.after(endTransactionsPart) || s.canAnswerBy(deadline)
+}
+
+// canAnswerBy reports whether a statement that may run until its deadline is answered before the process ends.
+func (s shutdown) canAnswerBy(deadline time.Duration) bool {
 	return deadline+answerMargin <= s.after(stopPart)
 }
 
-// mayTake reports whether a statement may be passed on to an instance as far as a shutdown is concerned.
+// mayTake reports whether a first statement may be passed on to an instance as far as a shutdown is concerned.
 func (g *Gateway) mayTake(receivedAt, deadline time.Duration) bool {
 	shutdown := g.shutdown.Load()
 	return shutdown == nil || shutdown.mayTake(receivedAt, deadline)
 }
 
+// mayTakeNext reports the same for a statement of an open transaction.
+func (g *Gateway) mayTakeNext(receivedAt, deadline time.Duration) bool {
+	shutdown := g.shutdown.Load()
+	return shutdown == nil || shutdown.mayTakeNext(receivedAt, deadline)
+}
+
 // hasReached reports whether the gateway is in the phase or a later one.
 func (g *Gateway) hasReached(phase phase) bool { return g.phase.Load() >= phase }
 
--- a/gateway/terminate_test.go
+++ b/gateway/terminate_test.go
@@ -31,6 +31,40 @@
 	}
 }
 
+// A transaction that is open at the request to shut down has the first half of the grace period, whatever the grace period and the timeout of its
+// route are.
+func TestShutdownLetsTransactionsEndInTheFirstHalf(t *testing.T) {
+	is := is.New(t)
+	for _, grace := range []time.Duration{time.Second, 6 * time.Second, 20 * time.Second} {
+		for _, timeout := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, time.Minute} {
+			shutdown := shutdown{begunAt: 10 * time.Second, grace: grace}
+			half := shutdown.begunAt + grace/2
+			is.True(shutdown.mayTakeNext(half, half+timeout))
+			late := half + time.Millisecond
+			is.Equal(shutdown.mayTakeNext(late, late+timeout), late+timeout+answerMargin <= shutdown.after(stopPart))
+		}
+	}
+}
+
+// A COMMIT that comes late in the first half of the grace period is passed on, though its route's timeout ends after the process does: else the
+// transaction would be refused that the platform lets end (review/6).
+func TestCommitLateInTheFirstHalfOfTheGracePeriodIsTaken(t *testing.T) {
+	is := is.New(t)
+	env := startEnvWith(t, func(env *testEnv) controllerClient {
+		env.settings.Bounds.GraceS = 6
+		return env.controller
+	})
+	client := env.connect("c")
+	is.Equal(client.ask("BEGIN"), "COMPLETE stamp / T")
+	close(env.terminate)
+	for range 3 { // never idle for so long that the transaction is ended
+		is.Equal(client.ask("PUT 1 x"), "COMPLETE stamp / T")
+		time.Sleep(930 * time.Millisecond)
+	}
+	is.Equal(client.ask("COMMIT"), "COMPLETE stamp / I") // 2.8 s after the request
+	<-env.ended
+}
+
 // The first statement of a session that was open before the shutdown comes when too little of the grace period is left:
 // it is refused, with the promise that it didn't run, in place of being passed on and cut.
 func TestLateFirstStatementOfShutdownIsRefusedNotCut(t *testing.T) {
