--- a/control/failover/search_test.go
+++ b/control/failover/search_test.go
@@ -69,6 +69,8 @@
 		{true, []uint64{6159, 38715, 50905}}, // a leader that an unseen promote had deposed was given its service back
 		{true, []uint64{813, 3901, 4905}},    // a replica that was paused until it left counted as one that may hold anything
 		{true, []uint64{7615}},               // a pause is overtaken by a CONTINUE
+		{false, []uint64{24136}},             // the same
+		{false, []uint64{10542}},             // a service that no write reaches again
 		{false, []uint64{2427}},              // the target of a call led unseen and left, and the old leader was given its service back
 	}
 	for _, c := range cases {
