--- a/simulation/actions_instances.go
+++ b/simulation/actions_instances.go
@@ -37,7 +37,7 @@
 	for _, name := range w.resolve(a.word(0)) {
 		leaving := w.instanceByID(name)
 		leaving.replacement = successor
-		leaving.leaveFirst(a.has("beating"))
+		leaving.leaveWithoutDrain(a.has("beating"))
 	}
 }
 
--- a/simulation/beats.go
+++ b/simulation/beats.go
@@ -14,34 +14,34 @@
 	BeatTarget string `json:"beatTarget"`
 }
 
-// beatLoop sends a heartbeat about every beat interval.
-func (i *instance) beatLoop(life int) {
+// heartbeatLoop sends a heartbeat about every beat interval.
+func (i *instance) heartbeatLoop(life int) {
 	if i.life != life || !i.running {
 		return
 	}
 	if !i.frozen {
-		i.beatNow()
+		i.beat()
 	}
 	interval := i.world.plan.BeatInterval
-	i.world.schedule.after(interval*9/10+i.world.jitter(interval/5), func() { i.beatLoop(life) })
+	i.world.schedule.after(interval*9/10+i.world.jitter(interval/5), func() { i.heartbeatLoop(life) })
 }
 
-// beatNow sends a heartbeat, or another one right after the one that is under way.
-func (i *instance) beatNow() {
-	if !i.running || i.left || i.farewell && !i.beatsOn {
+// beat sends a heartbeat, or another one right after the one that is under way.
+func (i *instance) beat() {
+	if !i.running || i.left || i.leaveAcknowledged && !i.beatsAfterLeave {
 		return
 	}
 	if i.beating {
-		i.beatAgain = true
+		i.beatIsDue = true
 		return
 	}
 	i.beating = true
-	i.beatAgain = false
-	i.tryBeat(i.life, i.beatTargetOrAny(), beatTries)
+	i.beatIsDue = false
+	i.sendHeartbeat(i.life, i.beatTargetOrAny(), heartbeatAttempts)
 }
 
-// beatTries is how many controllers a heartbeat is offered to.
-const beatTries = 4
+// heartbeatAttempts is how many controllers a heartbeat is offered to.
+const heartbeatAttempts = 4
 
 func (i *instance) beatTargetOrAny() string {
 	if i.beatTarget != "" {
@@ -66,10 +66,10 @@
 }
 
 func (i *instance) warmupLeft() time.Duration {
-	return max(0, i.begunAt+i.world.plan.Warmup-i.world.now())
+	return max(0, i.startedAt+i.world.plan.Warmup-i.world.now())
 }
 
-func (i *instance) tryBeat(life int, control string, tries int) {
+func (i *instance) sendHeartbeat(life int, control string, tries int) {
 	beat := i.heartbeat()
 	makeInput := func(call controller.CallID) controller.Input {
 		return controller.Heartbeat{Call: call, Heartbeat: beat}
@@ -79,55 +79,55 @@
 			return
 		}
 		if result.outcome == callAnswered && result.reply.Status/100 == 2 {
-			i.beatTaken(beat, result, control)
+			i.onHeartbeatAcknowledged(beat, result, control)
 			return
 		}
 		i.beatTarget = ""
 		if tries > 1 {
-			i.tryBeat(life, i.world.listedControl(), tries-1)
+			i.sendHeartbeat(life, i.world.listedControl(), tries-1)
 			return
 		}
-		i.beatEnded()
+		i.onHeartbeatEnded()
 	}
-	if i.holdUp(control, makeInput) {
+	if i.delayHeartbeat(control, makeInput) {
 		i.world.schedule.after(callWait, func() { answered(callResult{outcome: callSilent}) })
 		return
 	}
 	i.world.callControl(i.id, control, makeInput, answered)
 }
 
-// holdUp has some beats come seconds late, as long as the day says so, and reports whether this one comes late only: in half of the
+// delayHeartbeat has some beats come seconds late, as long as the day says so, and reports whether this one comes late only: in half of the
 // cases it comes in time as well. Nobody waits for the late answer.
-func (i *instance) holdUp(control string, makeInput func(controller.CallID) controller.Input) (lateOnly bool) {
+func (i *instance) delayHeartbeat(control string, makeInput func(controller.CallID) controller.Input) (lateOnly bool) {
 	if i.world.lateBeats <= 0 || i.world.random.Float64() >= i.world.lateBeats {
 		return false
 	}
-	i.world.schedule.after(i.world.jitter(lateBeatMost), func() {
+	i.world.schedule.after(i.world.jitter(maxHeartbeatDelay), func() {
 		i.world.callControl(i.id, control, makeInput, func(callResult) {})
 	})
 	return i.world.random.IntN(2) == 0
 }
 
-func (i *instance) beatTaken(beat registry.Heartbeat, result callResult, control string) {
+func (i *instance) onHeartbeatAcknowledged(beat registry.Heartbeat, result callResult, control string) {
 	i.beatTarget = control
 	var answer beatAnswer
 	if json.Unmarshal(result.reply.Body, &answer) == nil && answer.BeatTarget != "" {
 		i.beatTarget = answer.BeatTarget
 	}
-	if beat.OperState == "draining" && i.drainAcked == 0 {
-		i.drainAcked = i.world.now()
+	if beat.OperState == "draining" && i.drainAckedAt == 0 {
+		i.drainAckedAt = i.world.now()
 		i.world.judge.drainAcknowledged(i)
 		i.world.fire(fmt.Sprintf("drained %s", i.id))
-		linger := drainLinger + i.world.jitter(drainLingerMost)
+		linger := minDrainLinger + i.world.jitter(maxDrainLinger)
 		i.world.schedule.after(i.world.plan.Bounds.Drain+linger, func() { i.leave() })
 	}
-	i.beatEnded()
+	i.onHeartbeatEnded()
 }
 
-func (i *instance) beatEnded() {
+func (i *instance) onHeartbeatEnded() {
 	i.beating = false
-	if i.beatAgain {
-		i.beatNow()
+	if i.beatIsDue {
+		i.beat()
 	}
 }
 
@@ -139,10 +139,10 @@
 	i.draining = true
 	i.replacement = replacement
 	i.world.judge.drainBegun(i)
-	i.beatNow()
+	i.beat()
 	life := i.life
-	i.world.schedule.after(i.world.plan.Bounds.Drain+2*leaveTries, func() {
-		if i.life == life && i.running && i.drainAcked == 0 {
+	i.world.schedule.after(i.world.plan.Bounds.Drain+2*leaveTimeout, func() {
+		if i.life == life && i.running && i.drainAckedAt == 0 {
 			i.leave()
 		}
 	})
@@ -153,7 +153,7 @@
 	if !i.running || i.left {
 		return
 	}
-	until := i.world.now() + leaveTries
+	until := i.world.now() + leaveTimeout
 	i.tryLeave(i.life, until)
 }
 
@@ -167,7 +167,7 @@
 		}
 		if result.outcome == callAnswered && result.reply.Status/100 == 2 {
 			i.world.judge.leaveAcknowledged(i)
-			i.leftSay()
+			i.onLeaveAcknowledged()
 			return
 		}
 		i.beatTarget = ""
@@ -183,26 +183,26 @@
 	})
 }
 
-// leaveFirst begins a planned end without a drain: the instance says that it leaves, serves on, and ends.
-func (i *instance) leaveFirst(goesOnBeating bool) {
+// leaveWithoutDrain begins a planned end without a drain: the instance says that it leaves, serves on, and ends.
+func (i *instance) leaveWithoutDrain(beatsAfterLeave bool) {
 	if !i.running || i.draining || i.leaving {
 		return
 	}
 	i.leaving = true
-	i.beatsOn = goesOnBeating
+	i.beatsAfterLeave = beatsAfterLeave
 	i.leave()
 }
 
-// leftSay goes on after the acknowledgement of a leave: one that has drained ends, another one serves on for as long first.
-func (i *instance) leftSay() {
+// onLeaveAcknowledged goes on after the acknowledgement of a leave: one that has drained ends, another one serves on for as long first.
+func (i *instance) onLeaveAcknowledged() {
 	if i.draining || !i.leaving {
 		i.depart()
 		return
 	}
-	i.farewell = true
+	i.leaveAcknowledged = true
 	i.world.fire(fmt.Sprintf("left %s", i.id))
 	life := i.life
-	linger := drainLinger + i.world.jitter(drainLingerMost)
+	linger := minDrainLinger + i.world.jitter(maxDrainLinger)
 	i.world.schedule.after(i.world.plan.Bounds.Drain+linger, func() {
 		if i.life == life {
 			i.depart()
@@ -222,7 +222,7 @@
 	if i.replacement == "" {
 		return
 	}
-	i.world.schedule.after(reuseAfter, func() {
+	i.world.schedule.after(addressReuseDelay, func() {
 		i.world.addInstance(i.service, i.replacement, i.address)
 	})
 }
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -9,15 +9,15 @@
 
 // Times of instances.
 const (
-	statementWork = 6 * time.Millisecond // a statement keeps its slot at least so long, and up to twice that
-	streamEvery   = 50 * time.Millisecond
-	// oldPrimaryGoesOn is how long an old primary goes on once it can reach the new one.
-	oldPrimaryGoesOn = time.Second
-	drainLinger      = 500 * time.Millisecond // served beyond drainMs after the acknowledgement, at least
-	drainLingerMost  = 4 * time.Second        // and at most so much longer
-	leaveTries       = 4 * time.Second        // after which an instance ends without an acknowledgement
-	lateBeatMost     = 6 * time.Second        // a heartbeat may come so late
-	reuseAfter       = 2 * time.Second        // after which a new instance takes a released address
+	minStatementTime    = 6 * time.Millisecond // a statement keeps its slot at least so long, and up to twice that
+	replicationInterval = 50 * time.Millisecond
+	// stepDownDelay is how long an old primary stays one after it can reach the new one.
+	stepDownDelay     = time.Second
+	minDrainLinger    = 500 * time.Millisecond // served beyond drainMs after the acknowledgement, at least
+	maxDrainLinger    = 4 * time.Second        // and at most so much longer
+	leaveTimeout      = 4 * time.Second        // after which an instance ends without an acknowledgement
+	maxHeartbeatDelay = 6 * time.Second        // a heartbeat may come so late
+	addressReuseDelay = 2 * time.Second        // after which a new instance takes a released address
 )
 
 // entry is one commit in an instance's log.
@@ -27,7 +27,7 @@
 	commit uint64 // identity of the commit
 }
 
-// instance is a database server. It lives until it ends; its address may go to a successor.
+// instance is a database server. When it has ended, another one may take its address.
 type instance struct {
 	world   *World
 	id      string
@@ -35,30 +35,30 @@
 	address string
 	zone    string
 
-	running  bool
-	frozen   bool
-	primary  bool
-	term     uint64 // that it leads or follows
-	termHeld uint64
-	paused   bool
-	log      []entry
-	waiting  []*commitWait
-	life     int
-	begunAt  time.Duration // of this life
+	running   bool
+	frozen    bool
+	primary   bool
+	term      uint64 // that it leads or follows
+	termHeld  uint64 // the highest that it has been told
+	paused    bool
+	log       []entry
+	waiting   []*commitWait // commits that no replica has acknowledged yet
+	life      int           // counts its processes
+	startedAt time.Duration // of this process
 
-	draining    bool
-	drainAcked  time.Duration // zero: not yet
-	leaving     bool          // it leaves without having drained
-	farewell    bool          // its leave was acknowledged
-	beatsOn     bool          // it goes on beating after that
-	left        bool
-	replacement string // id of the instance that takes over the address
-	nextFall    bool   // stepping down because the new primary was met
+	draining          bool
+	drainAckedAt      time.Duration // zero: not yet
+	leaving           bool          // it leaves without having drained
+	leaveAcknowledged bool          // its leave was acknowledged
+	beatsAfterLeave   bool          // it goes on sending heartbeats after that
+	left              bool
+	replacement       string // id of the instance that takes over the address
+	isSteppingDown    bool   // an old primary that has reached the new one
 
 	callSeq    uint64
-	beatTarget string // control address that took the last beat
-	beatAgain  bool   // something changed while a beat was under way
-	beating    bool
+	beatTarget string // control address that acknowledged the last heartbeat
+	beatIsDue  bool   // something has changed since the heartbeat that is under way was sent
+	beating    bool   // a heartbeat is under way
 }
 
 type commitWait struct {
@@ -99,9 +99,9 @@
 
 func (i *instance) begin() {
 	i.life++
-	i.begunAt = i.world.now()
-	i.beatLoop(i.life)
-	i.streamLoop(i.life)
+	i.startedAt = i.world.now()
+	i.heartbeatLoop(i.life)
+	i.replicateLoop(i.life)
 }
 
 // position is that of the last entry.
@@ -117,15 +117,15 @@
 	return failover.Status{Primary: i.primary, Term: i.term, Received: i.position(), TermHeld: i.termHeld}
 }
 
-// streamLoop keeps replicas up to date and tells an old primary of the new one.
-func (i *instance) streamLoop(life int) {
+// replicateLoop keeps replicas up to date and tells an old primary of the new one.
+func (i *instance) replicateLoop(life int) {
 	if i.life != life || !i.running {
 		return
 	}
 	if i.primary && !i.frozen {
 		i.stream()
 	}
-	i.world.schedule.after(streamEvery, func() { i.streamLoop(life) })
+	i.world.schedule.after(replicationInterval, func() { i.replicateLoop(life) })
 }
 
 // stream sends the log to all others of the service. A log is never changed in place, so a slice of it is a message.
@@ -146,7 +146,7 @@
 		return
 	}
 	if i.primary {
-		i.meetNewPrimary(term)
+		i.onNewPrimary(term)
 		return
 	}
 	if i.paused && term < i.termHeld {
@@ -171,13 +171,13 @@
 	}
 }
 
-func (i *instance) meetNewPrimary(term uint64) {
-	if term <= i.term || i.nextFall {
+func (i *instance) onNewPrimary(term uint64) {
+	if term <= i.term || i.isSteppingDown {
 		return
 	}
-	i.nextFall = true
+	i.isSteppingDown = true
 	life := i.life
-	i.world.schedule.after(oldPrimaryGoesOn, func() {
+	i.world.schedule.after(stepDownDelay, func() {
 		if i.life == life && i.primary && i.term < term {
 			i.stepDown(term)
 		}
@@ -187,14 +187,14 @@
 // stepDown turns a primary into a replica. What it had not acknowledged stays unanswered.
 func (i *instance) stepDown(term uint64) {
 	i.primary = false
-	i.nextFall = false
+	i.isSteppingDown = false
 	i.termHeld = max(i.termHeld, term)
 	waiting := i.waiting
 	i.waiting = nil
 	for _, wait := range waiting {
 		wait.answer(statementLost)
 	}
-	i.beatNow()
+	i.beat()
 }
 
 // acknowledged takes a replica's word that it has received the log up to a position.
@@ -219,11 +219,11 @@
 func (i *instance) promote(term uint64) {
 	i.primary = true
 	i.paused = false
-	i.nextFall = false
+	i.isSteppingDown = false
 	i.term = term
 	i.termHeld = max(i.termHeld, term)
 	i.stream()
-	i.beatNow()
+	i.beat()
 }
 
 // crash ends the process; the log stays.
@@ -244,7 +244,7 @@
 	i.running = true
 	i.frozen = false
 	i.paused = false
-	i.nextFall = false
+	i.isSteppingDown = false
 	if i.primary && i.service.leader != i {
 		i.primary = false
 	}
@@ -274,8 +274,8 @@
 	next.restart()
 }
 
-// carryOut answers a probe that has arrived.
-func (i *instance) carryOut(probe failover.Probe) failover.Status {
+// answerProbe carries out a probe that has arrived, and returns the status row of its answer.
+func (i *instance) answerProbe(probe failover.Probe) failover.Status {
 	switch probe.Kind {
 	case failover.AskPause:
 		if !i.primary && probe.Term > i.termHeld {
@@ -292,7 +292,7 @@
 	return i.statusRow()
 }
 
-// probeNames are the words of the wire, for the story of a day.
+// probeNames are the statements of probes as they are logged.
 var probeNames = map[failover.ProbeKind]string{
 	failover.AskPause: "PAUSE", failover.AskContinue: "CONTINUE", failover.AskStepDown: "STEPDOWN",
 }
@@ -317,7 +317,7 @@
 		case w.plan.BusyProbes > 0 && w.random.IntN(w.plan.BusyProbes) == 0:
 			back(failover.Busy, failover.Status{})
 		default:
-			status := target.carryOut(probe)
+			status := target.answerProbe(probe)
 			if probe.Kind != failover.AskStatus {
 				w.note(target.id, fmt.Sprintf("%s %d by %s: term %d held %d at %d.%d", probeNames[probe.Kind], probe.Term, from,
 					status.Term, status.TermHeld, status.Received.Term, status.Received.Number))
--- a/simulation/judge.go
+++ b/simulation/judge.go
@@ -134,10 +134,10 @@
 		return
 	}
 	for _, one := range j.leaves {
-		if one.late || one.instance.drainAcked > 0 || !one.instance.running || one.instance.frozen {
+		if one.late || one.instance.drainAckedAt > 0 || !one.instance.running || one.instance.frozen {
 			continue
 		}
-		since := max(j.calm, one.since, one.instance.begunAt) // an instance that is back from a crash says it anew
+		since := max(j.calm, one.since, one.instance.startedAt) // an instance that is back from a crash says it anew
 		if j.world.now()-since > j.world.plan.Bounds.Ack {
 			one.late = true
 			j.broken(ruleAcks, one.instance.id+" has said that it leaves and has no acknowledgement, in calm times")
--- a/simulation/statements.go
+++ b/simulation/statements.go
@@ -65,7 +65,7 @@
 		w.judge.reached(target, one)
 		one.arrived = w.now()
 		life := target.life
-		work := statementWork + w.jitter(statementWork)
+		work := minStatementTime + w.jitter(minStatementTime)
 		w.schedule.after(work, func() {
 			if target.life != life || target.frozen {
 				return
