--- a/simulation/actions.go
+++ b/simulation/actions.go
@@ -28,7 +28,7 @@
 		"power":        powerAction,       // power WHO [for 3s] [loses all|some|none]
 		"wipe":         wipeAction,        // wipe WHO [for 3s]
 		"freeze":       freezeAction,      // freeze WHO for 3s
-		"cut":          cutAction,         // cut WHO from WHO [for 20s]
+		"cut":          cutAction,         // cut WHO from WHO [for 20s] [resetting]: it answers the probes of controllers with resets
 		"oneway":       oneWayAction,      // oneway WHO to WHO [for 5s]: nothing gets from the first to the second
 		"slow":         slowAction,        // slow WHO to WHO by 50ms for 5s
 		"reset":        resetAction,       // reset WHO [with WHO]
--- a/simulation/generate.go
+++ b/simulation/generate.go
@@ -338,7 +338,11 @@
 	case 1:
 		g.at(0, "freeze %s for %s", who, lasting)
 	case 2:
-		g.at(0, "cut %s from %s for %s", who, g.one("all", "core", "replicas:db", "gateways", "g1", "core,g1"), lasting)
+		how := ""
+		if g.returns.IntN(2) == 0 {
+			how = " resetting"
+		}
+		g.at(0, "cut %s from %s for %s%s", who, g.one("all", "core", "replicas:db", "gateways", "g1", "core,g1"), lasting, how)
 	case 3:
 		g.at(0, "oneway %s to %s for %s", who, g.one("all", "core", "gateways"), lasting)
 	case 4:
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -303,6 +303,10 @@
 	if target == nil {
 		return
 	}
+	if w.network.isRefused(from, target.id) {
+		w.schedule.after(linkDelay, func() { finish(failover.Refused, failover.Status{}) })
+		return
+	}
 	w.network.send(from, target.id, func() {
 		back := func(answer failover.ProbeAnswer, status failover.Status) {
 			w.network.send(target.id, from, func() { finish(answer, status) })
--- a/simulation/links.go
+++ b/simulation/links.go
@@ -41,6 +41,9 @@
 	var joins []func()
 	for _, pair := range pairs {
 		joins = append(joins, w.network.cut(pair.from, pair.to))
+		if a.has("resetting") {
+			joins = append(joins, w.network.refuse(pair.from, pair.to))
+		}
 		w.troubledLink(pair)
 	}
 	w.assess()
--- a/simulation/network.go
+++ b/simulation/network.go
@@ -25,6 +25,7 @@
 // link is one direction between two hosts.
 type link struct {
 	cuts     int           // troubles that cut it now
+	refusing int           // those of them that answer new connections with resets
 	held     []func()      // sent into the cut
 	latest   time.Duration // arrival of the last message: bytes of one connection don't overtake each other
 	slow     time.Duration // extra delay
@@ -109,6 +110,16 @@
 	}
 }
 
+// refuse has a direction that is cut answer new connections with resets, until the returned function is called.
+func (n *network) refuse(from, to string) (restore func()) {
+	way := n.link(from, to)
+	way.refusing++
+	return func() { way.refusing-- }
+}
+
+// isRefused reports whether a new connection is answered with a reset by a cut.
+func (n *network) isRefused(from, to string) bool { return n.link(from, to).refusing > 0 }
+
 func (n *network) release(way *link) {
 	held := way.held
 	way.held = nil
