--- a/control/failover/choose.go
+++ b/control/failover/choose.go
@@ -115,7 +115,8 @@
 //   - each instance that isn't paused, but one, had fallen silent or left before the leader's position was read that the chosen
 //     one has reached (and no later term is known).
 //
-// The recorded leader and those that followed it at its address are one copy. Of those that left and were covered long ago only the furthest of these positions is kept, as the floor.
+// The recorded leader and those that followed it at its address are one copy. Of those that left and were covered long ago only the
+// furthest of these positions is kept, as the floor.
 func (s *service) blockingInstances(chosen *member, paused []*member) []string {
 	led := s.view.Leader.InstanceID
 	laterTerm := s.highestLedTerm() > s.view.Leader.Term
