failover: a pause that is not sent yet is cancelled when a service is given back

Seen (in the search only; no client can see it): a replica was paused while gateways served (FREEZE).

Cause: a controller sends the probes of an instance one after the other. A PAUSE that waited behind a probe without an answer was sent after the leader had answered again and the service had been given back. The search's world sent all probes at once and in any order, so it showed other orders than real ones.

Change: what is given back takes its pauses and step-downs with it, as far as they have not been sent: the manager names them, the prober drops them. The search's world orders the probes of an instance.

TestCancelledProbeIsNotSent fails without the cancelling.

--- a/control/controller/api.go
+++ b/control/controller/api.go
@@ -102,14 +102,15 @@
 
 // Effects is what the host must do after a step, in this order.
 type Effects struct {
-	Writes        []replication.Write
-	Send          []replication.Envelope
-	Replies       []Reply
-	WatchReplies  []WatchReply
-	Probes        []failover.Probe
-	PlatformCalls []failover.PlatformCall
-	Events        []Event
-	CanExit       bool // after Terminate: the process can exit without losing anything
+	Writes          []replication.Write
+	Send            []replication.Envelope
+	Replies         []Reply
+	WatchReplies    []WatchReply
+	CancelledProbes []uint64 // numbers of probes that are not to be sent any more, if they have not been yet; they have no result
+	Probes          []failover.Probe
+	PlatformCalls   []failover.PlatformCall
+	Events          []Event
+	CanExit         bool // after Terminate: the process can exit without losing anything
 }
 
 // Settings of a controller.
--- a/control/controller/failover.go
+++ b/control/controller/failover.go
@@ -37,6 +37,9 @@
 		return
 	}
 	effects := c.term.failover.Step(c.now, input)
+	for _, number := range effects.CancelledProbes {
+		c.effects.CancelledProbes = append(c.effects.CancelledProbes, c.term.globalNumber(number))
+	}
 	for _, probe := range effects.Probes {
 		probe.Number = c.term.globalNumber(probe.Number)
 		c.effects.Probes = append(c.effects.Probes, probe)
--- a/control/failover/api.go
+++ b/control/failover/api.go
@@ -210,6 +210,7 @@
 // Effects are the actions that a step requests of the host.
 type Effects struct {
 	Probes          []Probe
+	CancelledProbes []uint64 // numbers of probes that must not be sent any more, if they have not been yet; they have no result
 	Calls           []PlatformCall
 	Changes         []Change
 	Events          []Event
--- a/control/failover/probe.go
+++ b/control/failover/probe.go
@@ -24,6 +24,19 @@
 	return true
 }
 
+// cancelOrders takes back the pauses and step-downs that were meant for a frozen service and may not have been sent yet.
+func (s *service) cancelOrders() {
+	for _, m := range s.members {
+		for _, kind := range []ProbeKind{AskPause, AskStepDown} {
+			if number := m.outstanding[kind]; number != 0 {
+				delete(s.manager.probes, number)
+				m.outstanding[kind] = 0
+				s.manager.effects.CancelledProbes = append(s.manager.effects.CancelledProbes, number)
+			}
+		}
+	}
+}
+
 // probeNow asks for the status ahead of the usual interval.
 func (s *service) probeNow(now time.Duration, to *member) {
 	s.probe(now, to, AskStatus, 0, s.settings().FastProbeInterval/2)
--- a/control/failover/service.go
+++ b/control/failover/service.go
@@ -345,6 +345,7 @@
 	s.manager.freezeChanges++
 	s.phase = watching
 	s.endRound()
+	s.cancelOrders()
 	for _, m := range s.members {
 		m.heldAt = nil // commits are acknowledged again
 	}
--- a/control/failover/world_test.go
+++ b/control/failover/world_test.go
@@ -49,6 +49,7 @@
 	lossPer1000     int  // probes whose answer is lost
 	allAnswers      bool // answers that the gateway no longer waits for also count as acknowledged
 	keepIDs         bool // a crashed instance comes back under its own id, and not at once
+	anyOrder        bool // probes of an instance may overtake each other, which those of a controller don't
 	overrides       safetyOverrides
 }
 
--- a/host/harness_test.go
+++ b/host/harness_test.go
@@ -200,6 +200,7 @@
 		outbox:            &outbox{send: func(envelope replication.Envelope) { r.sent <- envelope }},
 		replies:           replies,
 		watches:           watches,
+		cancelProbe:       func(uint64) {},
 		startProbe:        func(failover.Probe) {},
 		startPlatformCall: func(failover.PlatformCall, time.Time) {},
 		log:               logger,
--- a/host/host.go
+++ b/host/host.go
@@ -139,6 +139,7 @@
 		ctx:      ctx,
 		timeout:  platformCallTimeout,
 	}
+	p.loop.cancelProbe = p.prober.cancel
 	p.loop.startProbe = p.prober.start
 	p.loop.startPlatformCall = p.platform.start
 	return p
--- a/host/loop.go
+++ b/host/loop.go
@@ -39,6 +39,7 @@
 	outbox            *outbox
 	replies           *pending[controller.Reply]
 	watches           *pending[feed.WatchAnswer]
+	cancelProbe       func(number uint64)                    // does not block
 	startProbe        func(failover.Probe)                   // does not block
 	startPlatformCall func(failover.PlatformCall, time.Time) // does not block; the time is from before the step that asked for the call
 	log               logrus.FieldLogger
@@ -132,6 +133,9 @@
 	for _, reply := range effects.WatchReplies {
 		l.countReply(l.watches.finish(reply.Call, reply.Answer))
 	}
+	for _, number := range effects.CancelledProbes {
+		l.cancelProbe(number)
+	}
 	for _, probe := range effects.Probes {
 		l.startProbe(probe)
 	}
--- a/host/prober.go
+++ b/host/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,7 +50,9 @@
 // probedInstance is the state that the prober keeps for one target.
 type probedInstance struct {
 	queue      []failover.Probe
-	isWorking  bool // a goroutine processes the queue and owns the connection
+	current    uint64 // number of the probe that is being run
+	cancelled  bool   // the current probe is not to be sent any more
+	isWorking  bool   // a goroutine processes the queue and owns the connection
 	connection *wire.Conn
 	idleTimer  *time.Timer // closes the connection after timeouts.idle
 }
@@ -109,10 +112,36 @@
 		if !found {
 			return
 		}
-		p.deliver(p.run(instance, probe))
+		if result, wasCancelled := p.run(instance, probe); !wasCancelled {
+			p.deliver(result)
+		}
 	}
 }
 
+// cancel takes back a probe that has not been sent yet. It has no result then.
+func (p *prober) cancel(number uint64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, instance := range p.targets {
+		if instance.isWorking && instance.current == number {
+			instance.cancelled = true
+			return
+		}
+		waiting := len(instance.queue)
+		instance.queue = slices.DeleteFunc(instance.queue, func(probe failover.Probe) bool { return probe.Number == number })
+		if len(instance.queue) < waiting {
+			return
+		}
+	}
+}
+
+// isCancelled reports whether the current probe is not to be sent any more.
+func (p *prober) isCancelled(instance *probedInstance) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return instance.cancelled
+}
+
 // next takes the next probe. If there is none, it keeps the connection as idle.
 func (p *prober) next(target probeTarget, instance *probedInstance) (failover.Probe, bool) {
 	p.mutex.Lock()
@@ -120,6 +149,7 @@
 	if len(instance.queue) > 0 {
 		probe := instance.queue[0]
 		instance.queue = instance.queue[1:]
+		instance.current, instance.cancelled = probe.Number, false
 		return probe, true
 	}
 	instance.isWorking = false
@@ -154,18 +184,22 @@
 	}
 }
 
-// run runs one probe. A connection that failed, or on which a late answer may still arrive, is never reused.
-func (p *prober) run(instance *probedInstance, probe failover.Probe) failover.ProbeResult {
-	result := failover.ProbeResult{Number: probe.Number, Started: p.now()}
+// run runs one probe, unless it is cancelled before it is sent. A connection that failed, or on which a late answer may still arrive, is never
+// reused.
+func (p *prober) run(instance *probedInstance, probe failover.Probe) (result failover.ProbeResult, wasCancelled bool) {
+	result = failover.ProbeResult{Number: probe.Number, Started: p.now()}
 	if instance.connection == nil || !instance.connection.IsUsable() {
 		instance.connection = nil
 		connection, err := p.dial(probe)
 		if err != nil {
 			result.Answer = err.answer
-			return result
+			return result, false
 		}
 		instance.connection = connection
 	}
+	if p.isCancelled(instance) {
+		return result, true
+	}
 	result.Started = p.now()
 	status, err := p.query(instance.connection, probe)
 	if err != nil {
@@ -174,10 +208,10 @@
 			instance.connection.Close()
 			instance.connection = nil
 		}
-		return result
+		return result, false
 	}
 	result.Status = status
-	return result
+	return result, false
 }
 
 func (p *prober) dial(probe failover.Probe) (*wire.Conn, *probeFailure) {
--- a/host/prober_test.go
+++ b/host/prober_test.go
@@ -153,6 +153,25 @@
 	}
 }
 
+// TestCancelledProbeIsNotSent guards against a pause that waits behind a probe without an answer, and reaches its replica after the service has
+// been given back to its leader.
+func TestCancelledProbeIsNotSent(t *testing.T) {
+	is := is.New(t)
+	fake := newFakeInstance(t, ready)
+	prober := newTestProber(t, testTimeout)
+	prober.start(fake.probe(1, failover.AskStatus))
+	first := receive(t, fake.queries)
+	prober.start(fake.probe(2, failover.AskPause))
+	prober.start(fake.probe(3, failover.AskStatus))
+	prober.cancel(2)
+	first.answer(rowOf(1))
+	is.Equal(receive(t, prober.results).Number, uint64(1))
+	receive(t, fake.queries).answer(rowOf(3))
+	result := receive(t, prober.results)
+	is.Equal(result.Number, uint64(3))
+	is.Equal(result.Status.Received.Number, uint64(3))
+}
+
 func TestLateAnswerIsNotTakenForNextProbe(t *testing.T) {
 	is := is.New(t)
 	fake := newFakeInstance(t, ready)
