--- a/control/failover/search_test.go
+++ b/control/failover/search_test.go
@@ -72,6 +72,7 @@
 		{true, false, []uint64{7615}},              // a pause was overtaken by a CONTINUE, as none is that a controller sends
 		{false, true, []uint64{2427}},              // the target of a call led unseen and left, and the old leader was given its service back
 		{false, false, []uint64{94, 126, 212}},     // a pause was sent after the service had been given back
+		{false, false, []uint64{20101}},            // a pause was on its way when the service was given back
 		{false, false, []uint64{3139}},             // a service that no write reaches again
 	}
 	for _, c := range cases {
